--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# One virtual environment from pinned requirements; VENV may name a shared one.
+VENV ?= .venv
+PYTHON = PYTHONPATH=src $(VENV)/bin/python
+STAMP = $(VENV)/.installed
+
+.PHONY: demo test lint format docs check-spec matrix clean \
+	bench-control bench-burst bench-load bench-slopes
+
+$(STAMP): requirements.txt requirements-dev.txt
+	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet -r requirements-dev.txt
+	touch $(STAMP)
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+test: lint
+	$(VENV)/bin/python -m pytest
+
+demo: $(STAMP)
+	$(PYTHON) -m tests.demo
+
+docs: $(STAMP)
+	$(PYTHON) -m wisteriapulley.reference
+
+check-spec: $(STAMP)
+	$(PYTHON) -m specs.check
+
+matrix: $(STAMP)
+	$(PYTHON) -m tests.matrix
+
+bench-control bench-burst bench-load bench-slopes: $(STAMP)
+	$(PYTHON) -m bench.$(subst bench-,,$@)
+
+clean:
+	rm -rf .demo .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: ratios within one run, on real processes or the pure modules."""
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, checked by `make check-spec`."""
--- /dev/null
+++ b/src/wisteriapulley/catalogue/entry.py
@@ -0,0 +1,206 @@
+"""Catalogue entries and the rules they keep."""
+
+import re
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+import msgspec
+
+from wisteriapulley.errors import CatalogueError, ResultCode
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+DISTRIBUTIONS = ("time_to_replicas", "origin_bytes")
+ROLES = ("serve", "prefill", "decode", "batch")
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Limits of one client account under an entry.
+
+    Attributes
+    ----------
+    requests_per_s : float
+        Steady rate.
+    burst : int
+        Requests that may come at once.
+    in_flight : int
+        Requests of all accounts that one target runs at once.
+    deadline_ms : int
+        Deadline of a request that states none, in milliseconds.
+    """
+
+    requests_per_s: float = 100.0
+    burst: int = 200
+    in_flight: int = 32
+    deadline_ms: int = 30_000
+
+
+class Entry(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    rename={"traffic_class": "class"},
+):
+    """One catalogue entry.
+
+    Attributes
+    ----------
+    name : str
+        Callers use it as ``model``, or as the service's path.
+    owner : str
+        Who may change the entry.
+    traffic_class : str
+        Class of its requests; ``class`` in files.
+    limits : Limits
+        Per client account.
+    service : str
+        Targets announce it.
+    version : str
+        Digest of the manifest, 64 hexadecimal digits; empty for a plain service.
+    idempotent : bool
+        Whether a request may run more than once.
+    priority : int
+        Passed to engines; lower runs first.
+    distribution : {'time_to_replicas', 'origin_bytes'}
+        What a burst saves.
+    max_unavailable : int
+        Targets of one failure domain that may switch at once.
+    leaving : tuple of str
+        Node ids of targets that get no new work.
+    """
+
+    name: str
+    owner: str
+    traffic_class: str
+    service: str
+    limits: Limits = Limits()
+    version: str = ""
+    role: str = "serve"
+    idempotent: bool = True
+    priority: int = 0
+    distribution: str = "time_to_replicas"
+    max_unavailable: int = 1
+    leaving: tuple[str, ...] = ()
+
+
+# What entries of one service must share, because its targets have one of each.
+SERVICE_KEYS = ("version", "role", "distribution", "max_unavailable", "leaving")
+
+
+def entry_faults(entry: Entry) -> Iterator[str]:
+    """Yield what is wrong with one entry, as ``key: expected, got``."""
+    for key in ("name", "owner", "traffic_class", "service"):
+        if not NAME_PATTERN.fullmatch(getattr(entry, key)):
+            yield (
+                f"{key.removeprefix('traffic_')}: expected 1 to 63 of a-z 0-9 . -,"
+                f" got {getattr(entry, key)!r}"
+            )
+    if entry.version and not DIGEST_PATTERN.fullmatch(entry.version):
+        yield (
+            "version: expected a manifest digest of 64 hexadecimal digits,"
+            f" got {entry.version!r}"
+        )
+    if entry.distribution not in DISTRIBUTIONS:
+        yield (
+            f"distribution: expected one of {DISTRIBUTIONS}, got {entry.distribution!r}"
+        )
+    if entry.role not in ROLES:
+        yield f"role: expected one of {ROLES}, got {entry.role!r}"
+    if entry.max_unavailable < 1:
+        yield f"max_unavailable: expected at least 1, got {entry.max_unavailable}"
+    for key in ("requests_per_s", "burst", "in_flight", "deadline_ms"):
+        if getattr(entry.limits, key) <= 0:
+            yield f"limits.{key}: expected above 0, got {getattr(entry.limits, key)}"
+
+
+def service_faults(entries: Iterable[Entry]) -> Iterator[str]:
+    """Yield where entries of one service disagree."""
+    first: dict[str, Entry] = {}
+    for entry in entries:
+        other = first.setdefault(entry.service, entry)
+        for key in SERVICE_KEYS:
+            if getattr(other, key) != getattr(entry, key):
+                yield (
+                    f"{entry.name}: {key}: expected {getattr(other, key)!r} as in"
+                    f" {other.name!r} of the same service,"
+                    f" got {getattr(entry, key)!r}"
+                )
+
+
+def validate(entries: Iterable[Entry]) -> None:
+    """Check entries that are to stand together.
+
+    Raises
+    ------
+    CatalogueError
+        The first rule broken, naming entry and key.
+    """
+    entries = tuple(entries)
+    faults = [
+        f"{entry.name}: {fault}" for entry in entries for fault in entry_faults(entry)
+    ]
+    faults += service_faults(entries)
+    if faults:
+        raise CatalogueError(ResultCode.CATALOGUE_ENTRY_INVALID, faults[0])
+
+
+def load_entry(path: Path) -> Entry:
+    """Read one entry file.
+
+    Raises
+    ------
+    CatalogueError
+        The file is unreadable or not an entry; the message names file and key.
+    """
+    try:
+        entry = msgspec.json.decode(path.read_bytes(), type=Entry)
+    except OSError as error:
+        raise CatalogueError(
+            ResultCode.CATALOGUE_FILE_UNREADABLE,
+            f"{path}: expected a readable file: {error.strerror}",
+        ) from error
+    except msgspec.ValidationError as error:
+        raise CatalogueError(
+            ResultCode.CATALOGUE_ENTRY_INVALID, f"{path}: {error}"
+        ) from error
+    except msgspec.DecodeError as error:
+        raise CatalogueError(
+            ResultCode.CATALOGUE_FILE_UNREADABLE, f"{path}: expected JSON: {error}"
+        ) from error
+    faults = list(entry_faults(entry))
+    if faults:
+        raise CatalogueError(ResultCode.CATALOGUE_ENTRY_INVALID, f"{path}: {faults[0]}")
+    return entry
+
+
+def load_folder(folder: str) -> dict[str, Entry]:
+    """Read every ``*.json`` of a folder kept in version control.
+
+    Returns
+    -------
+    dict
+        Entry by name.
+
+    Raises
+    ------
+    CatalogueError
+        A file is bad, a name stands twice, or entries contradict each other.
+    """
+    if not Path(folder).is_dir():
+        raise CatalogueError(
+            ResultCode.CATALOGUE_FILE_UNREADABLE,
+            f"{folder}: expected a folder of entry files",
+        )
+    entries: dict[str, Entry] = {}
+    for path in sorted(Path(folder).glob("*.json")):
+        entry = load_entry(path)
+        if entry.name in entries:
+            raise CatalogueError(
+                ResultCode.CATALOGUE_ENTRY_INVALID,
+                f"{path}: name: expected one file an entry, {entry.name!r} stands"
+                " twice",
+            )
+        entries[entry.name] = entry
+    validate(entries.values())
+    return entries
--- /dev/null
+++ b/src/wisteriapulley/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control instances: the replicated state and those who watch it."""
--- /dev/null
+++ b/src/wisteriapulley/control/commands.py
@@ -0,0 +1,77 @@
+"""Commands of the replicated log and their results."""
+
+import msgspec
+
+from wisteriapulley.catalogue import Change, ChangeResult
+from wisteriapulley.claims import Claim, ClaimKey, ClaimResult
+
+
+class ChangeCatalogue(msgspec.Struct, frozen=True, tag="change"):
+    """Accept a catalogue change."""
+
+    change: Change
+
+
+class PutClaim(msgspec.Struct, frozen=True, tag="claim"):
+    """Set a claim by compare-and-set; the leader stamps `now_ms`."""
+
+    key: ClaimKey
+    claim: Claim
+    expected_attempt: int
+    now_ms: int = 0
+
+
+class AcquirePermit(msgspec.Struct, frozen=True, tag="acquire"):
+    """Let a target switch to `version`.
+
+    `serving` says whether the target is open now: one that is not takes
+    nothing out of service and needs no place under ``max_unavailable``.
+    """
+
+    service: str
+    failure_domain: str
+    target: str
+    incarnation: int
+    version: str
+    serving: bool
+
+
+class ReleasePermit(msgspec.Struct, frozen=True, tag="release"):
+    """The target has switched, failed, or is gone."""
+
+    target: str
+
+
+class PermitResult(msgspec.Struct, frozen=True):
+    """Outcome of a permit request; `fencing` grows with each permit."""
+
+    code: int
+    fencing: int = 0
+
+
+Command = ChangeCatalogue | PutClaim | AcquirePermit | ReleasePermit
+Result = ChangeResult | ClaimResult | PermitResult
+
+COMMAND_DECODER = msgspec.msgpack.Decoder(Command)
+# Which role may send which command over its links.
+ALLOWED = {
+    "entry": (PutClaim,),
+    "sidecar": (AcquirePermit, ReleasePermit),
+    "control": (ChangeCatalogue, PutClaim, AcquirePermit, ReleasePermit),
+}
+RESULTS = {
+    ChangeCatalogue: ChangeResult,
+    PutClaim: ClaimResult,
+    AcquirePermit: PermitResult,
+    ReleasePermit: PermitResult,
+}
+
+
+def encode(value: Command | Result) -> bytes:
+    """Encode a command or result for the log and the wire."""
+    return msgspec.msgpack.encode(value)
+
+
+def decode_result(command: Command, data: bytes) -> Result:
+    """Decode the result of `command`."""
+    return msgspec.msgpack.decode(data, type=RESULTS[type(command)])
--- /dev/null
+++ b/src/wisteriapulley/control/state.py
@@ -0,0 +1,76 @@
+"""What the replicated log drives: catalogue, claims and permits."""
+
+from functools import singledispatchmethod
+
+import msgspec
+
+from wisteriapulley.catalogue import Catalogue, ChangeResult
+from wisteriapulley.claims import ClaimLedger, ClaimResult
+from wisteriapulley.control.commands import (
+    COMMAND_DECODER,
+    AcquirePermit,
+    ChangeCatalogue,
+    Command,
+    PermitResult,
+    PutClaim,
+    ReleasePermit,
+    Result,
+)
+from wisteriapulley.control.permits import PermitTable
+from wisteriapulley.errors import ResultCode
+
+
+class ControlState:
+    """The replicated state of a control instance."""
+
+    def __init__(self):
+        self.catalogue = Catalogue()
+        self.claims = ClaimLedger()
+        self.permits = PermitTable()
+        self.index = 0
+
+    def apply(self, index: int, data: bytes) -> Result:
+        """Apply the command at `index`."""
+        self.index = index
+        return self.run(COMMAND_DECODER.decode(data))
+
+    @singledispatchmethod
+    def run(self, command: Command) -> Result:
+        """Run a command, by its kind."""
+        raise TypeError(f"no command: {command!r}")
+
+    @run.register
+    def run_change(self, command: ChangeCatalogue) -> ChangeResult:
+        """Handle the command `ChangeCatalogue`."""
+        return self.catalogue.apply(command.change)
+
+    @run.register
+    def run_claim(self, command: PutClaim) -> ClaimResult:
+        """Handle the command `PutClaim`."""
+        return self.claims.put(
+            command.key, command.claim, command.expected_attempt, command.now_ms
+        )
+
+    @run.register
+    def run_acquire(self, command: AcquirePermit) -> PermitResult:
+        """Handle the command `AcquirePermit`."""
+        entries = [
+            stored.entry
+            for stored in self.catalogue.entries.values()
+            if stored.entry.service == command.service
+        ]
+        if not entries or entries[0].version != command.version:
+            return PermitResult(ResultCode.PERMIT_DENIED)
+        return self.permits.acquire(command, self.index, entries[0].max_unavailable)
+
+    @run.register
+    def run_release(self, command: ReleasePermit) -> PermitResult:
+        """Handle the command `ReleasePermit`."""
+        return self.permits.release(command.target)
+
+
+def stamp(command: Command, now_ms: int) -> Command:
+    """Put the leader's time on commands that carry one."""
+    if isinstance(command, PutClaim):
+        return msgspec.structs.replace(command, now_ms=now_ms)
+    return command
--- /dev/null
+++ b/src/wisteriapulley/daemon.py
@@ -0,0 +1,67 @@
+"""Runs a daemon's service on one uvloop loop until a signal."""
+
+import asyncio
+import signal
+import sys
+from importlib import import_module
+
+import aiomisc
+import uvloop
+
+from wisteriapulley import logs
+from wisteriapulley.errors import WisteriapulleyError
+from wisteriapulley.settings import NodeSettings
+
+# Imported late: what a role does not need must not weigh on its 32 MB.
+SERVICES = {
+    "control": ("wisteriapulley.control.service", "ControlService"),
+    "entry": ("wisteriapulley.entry.service", "EntryService"),
+    "sidecar": ("wisteriapulley.sidecar.service", "SidecarService"),
+}
+EXIT_FAILED = 1
+
+
+def run(role: str, settings: NodeSettings) -> int:
+    """Run the daemon of `role` until SIGTERM or SIGINT.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    logs.configure(settings.node_id, settings.log_level)
+    module, name = SERVICES[role]
+    service = getattr(import_module(module), name).from_settings(settings)
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(service))
+    except WisteriapulleyError as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILED
+    return 0
+
+
+async def serve(service: aiomisc.Service) -> None:
+    """Run a service until a signal, or until it fails for good.
+
+    A second signal changes nothing: a stop in progress still finishes every
+    request, however often the platform asks.
+
+    Raises
+    ------
+    WisteriapulleyError
+        What the service set as the exception of its ``fatal`` future.
+    """
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    service.fatal = loop.create_future()
+    async with aiomisc.entrypoint(service, log_config=False, catch_signals=()):
+        stopping = loop.create_task(stop.wait())
+        await asyncio.wait(
+            (stopping, service.fatal), return_when=asyncio.FIRST_COMPLETED
+        )
+        stopping.cancel()
+    if service.fatal.done():
+        service.fatal.result()
--- /dev/null
+++ b/src/wisteriapulley/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The instances behind the platform's balancer: callers' requests."""
--- /dev/null
+++ b/src/wisteriapulley/http_server.py
@@ -0,0 +1,112 @@
+"""The small HTTP server that every daemon shows: health, metrics, routes."""
+
+from collections.abc import Callable, Iterable
+
+from aiohttp import web
+from aioprometheus import render
+
+from wisteriapulley.errors import CODE_TABLE, ResultCode, WisteriapulleyError
+from wisteriapulley.metrics import Metrics
+from wisteriapulley.settings import Address
+
+MAX_BODY_BYTES = 8 << 20
+
+
+class HttpServer:
+    """Health, metrics and a daemon's own routes at one address.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Shown at ``/metrics``.
+    is_ready : callable
+        Answers ``/health/ready``.
+    routes : iterable of aiohttp.web.RouteDef
+        The daemon's own.
+    """
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+        routes: Iterable[web.RouteDef] = (),
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ):
+        self.metrics = metrics
+        self.is_ready = is_ready
+        self.app = web.Application(
+            middlewares=[coded_errors], client_max_size=max_body_bytes
+        )
+        self.app.add_routes(
+            [
+                web.get("/health/live", self.live),
+                web.get("/health/ready", self.ready),
+                web.get("/metrics", self.show_metrics),
+                *routes,
+            ]
+        )
+        self.runner: web.AppRunner | None = None
+        self.address: Address | None = None
+
+    async def start(self, address: Address) -> None:
+        """Listen at `address`."""
+        self.runner = web.AppRunner(
+            self.app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
+        )
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, address.host, address.port)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.address = Address(address.host, port)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def live(self, request: web.Request) -> web.Response:
+        """Answer that the loop runs."""
+        return web.Response(text="live\n")
+
+    async def ready(self, request: web.Request) -> web.Response:
+        """Answer whether work may come."""
+        if self.is_ready():
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not ready\n")
+
+    async def show_metrics(self, request: web.Request) -> web.Response:
+        """Show the metrics in the text format."""
+        accepts = request.headers.getall("Accept", [])
+        content, headers = render(self.metrics.registry, accepts)
+        return web.Response(body=content, headers=headers)
+
+
+def error_response(error: WisteriapulleyError) -> web.Response:
+    """Turn an error into an HTTP answer with its code, at once."""
+    entry = CODE_TABLE[error.code]
+    headers = {"X-Result-Code": str(int(error.code))}
+    if error.retry_after_ms:
+        headers["Retry-After"] = str(max(1, round(error.retry_after_ms / 1000)))
+    body = {
+        "error": {
+            "code": int(error.code),
+            "name": error.code.name,
+            "message": error.message,
+            "not_run": entry.not_run,
+            "retry_after_ms": error.retry_after_ms,
+        }
+    }
+    return web.json_response(body, status=entry.http_status, headers=headers)
+
+
+@web.middleware
+async def coded_errors(request: web.Request, handler) -> web.StreamResponse:
+    """Answer coded errors as JSON."""
+    try:
+        return await handler(request)
+    except WisteriapulleyError as error:
+        return error_response(error)
+    except web.HTTPRequestEntityTooLarge as error:
+        return error_response(
+            WisteriapulleyError(ResultCode.BODY_TOO_LARGE, str(error.text))
+        )
--- /dev/null
+++ b/src/wisteriapulley/metrics.py
@@ -0,0 +1,62 @@
+"""Metrics of a daemon, kept by aioprometheus and shown at ``/metrics``."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+
+LATENCY_BUCKETS_S = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    float("inf"),
+)
+
+
+class Metrics:
+    """Registry of one daemon with the collectors that every role shares.
+
+    Parameters
+    ----------
+    node_id : str
+        Constant label ``node``.
+    role : str
+        Constant label ``role``.
+    """
+
+    def __init__(self, node_id: str, role: str):
+        self.registry = Registry()
+        self.labels = {"node": node_id, "role": role}
+        self.collectors: dict[str, Counter | Gauge | Histogram] = {}
+
+    def counter(self, name: str, doc: str) -> Counter:
+        """Return the counter `name`, made on first use."""
+        return self.collector(Counter, name, doc)
+
+    def gauge(self, name: str, doc: str) -> Gauge:
+        """Return the gauge `name`, made on first use."""
+        return self.collector(Gauge, name, doc)
+
+    def histogram(self, name: str, doc: str) -> Histogram:
+        """Return the histogram `name` in seconds, made on first use."""
+        return self.collector(Histogram, name, doc, buckets=LATENCY_BUCKETS_S)
+
+    def collector(self, kind: type, name: str, doc: str, **options: object):
+        """Return the collector `name` of `kind`, made on first use."""
+        if name not in self.collectors:
+            self.collectors[name] = kind(
+                f"wisteriapulley_{name}",
+                doc,
+                const_labels=self.labels,
+                registry=self.registry,
+                **options,
+            )
+        return self.collectors[name]
--- /dev/null
+++ b/src/wisteriapulley/settings.py
@@ -0,0 +1,352 @@
+"""Settings of the daemons: JSON files checked into one typed object."""
+
+import ipaddress
+from pathlib import Path
+
+import msgspec
+
+from wisteriapulley.errors import ResultCode, SettingsError
+
+MAX_KEY_BYTES = 4096
+
+
+class Address(msgspec.Struct, frozen=True):
+    """IP number and port.
+
+    Attributes
+    ----------
+    host : str
+        IPv4 or IPv6 number; names are not resolved.
+    port : int
+        0 lets the system choose.
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def from_text(cls, text: str) -> "Address":
+        """Parse ``host:port``.
+
+        Raises
+        ------
+        ValueError
+            The text is not an IP number and a port.
+        """
+        host, _, port = text.rpartition(":")
+        ipaddress.ip_address(host.strip("[]"))
+        if not 0 <= int(port) <= 65535:
+            raise ValueError(f"port {port} is not within 0 to 65535")
+        return cls(host.strip("[]"), int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Peer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Another control instance: its node id and wire address."""
+
+    node_id: str
+    address: Address
+
+
+class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings that every daemon has.
+
+    Attributes
+    ----------
+    node_id : str
+        Name of this instance, unique in the fleet.
+    failure_domain : str
+        Where it runs.
+    http_listen : Address
+        Callers, operators, metrics and health.
+    fleet_key_file : str
+        Path of the key that all instances share.
+    heartbeat_ms : int
+        Milliseconds between heartbeats on each link.
+    silence_ms : int
+        Milliseconds without a frame after which a link is replaced.
+    drain_ms : int
+        Milliseconds that a stopping daemon waits for requests in progress.
+    """
+
+    node_id: str
+    failure_domain: str
+    http_listen: Address
+    fleet_key_file: str
+    heartbeat_ms: int = 1000
+    silence_ms: int = 3000
+    drain_ms: int = 600_000
+    log_level: str = "INFO"
+
+
+class ControlSettings(
+    NodeSettings, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of a control instance.
+
+    Attributes
+    ----------
+    wire_listen : Address
+        Links of other instances.
+    data_folder : str
+        Durable state; made by ``control init`` or ``control join``.
+    operators_file : str
+        JSON object from bearer token to owner.
+    peers : tuple of Peer
+        The other control instances.
+    election_ms : int
+        Shortest election timeout, in milliseconds.
+    lease_ms : int
+        Leader lease, in milliseconds; shorter than `election_ms`.
+    """
+
+    wire_listen: Address
+    data_folder: str
+    operators_file: str
+    peers: tuple[Peer, ...] = ()
+    election_ms: int = 1000
+    lease_ms: int = 700
+    raft_heartbeat_ms: int = 150
+    member_lease_ms: int = 5000
+
+
+class EntrySettings(
+    NodeSettings, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of an entry.
+
+    Attributes
+    ----------
+    control : tuple of Address
+        Wire addresses of control instances.
+    max_body_bytes : int
+        Largest request body.
+    links_per_service : int
+        Targets of one service that this entry keeps links to.
+    """
+
+    control: tuple[Address, ...]
+    max_body_bytes: int = 8 << 20
+    links_per_service: int = 16
+
+
+class SidecarSettings(
+    NodeSettings, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of a sidecar.
+
+    Attributes
+    ----------
+    service : str
+        What its target serves; catalogue entries name it.
+    kind : str
+        ``engine`` for a model engine, ``plain`` for a plain service.
+    target_url : str
+        Base URL of the target.
+    fences : bool
+        Whether the engine refuses an order with an old fencing number.
+    origin_url, store_url : str
+        Base URLs of the origin and of the rate-limited weight store; empty
+        when there is none.
+    link_bytes_per_s : int
+        Rate of this instance's link, up and down together; 0 for no limit.
+    origin_bytes_per_s : int
+        Share of the origin's link that this sidecar may take; 0 for no limit.
+    """
+
+    wire_listen: Address
+    control: tuple[Address, ...]
+    service: str
+    target_url: str
+    kind: str = "engine"
+    fences: bool = True
+    origin_url: str = ""
+    store_url: str = ""
+    link_bytes_per_s: int = 0
+    origin_bytes_per_s: int = 0
+    neighbours: int = 8
+    patience_ms: int = 2000
+
+
+ROLES: dict[str, type[NodeSettings]] = {
+    "control": ControlSettings,
+    "entry": EntrySettings,
+    "sidecar": SidecarSettings,
+}
+
+
+def load_settings(path: str, role: str) -> NodeSettings:
+    """Read and check the settings file of one daemon.
+
+    Parameters
+    ----------
+    path : str
+        The JSON file.
+    role : {'control', 'entry', 'sidecar'}
+        Whose settings they are.
+
+    Returns
+    -------
+    NodeSettings
+        The role's settings object.
+
+    Raises
+    ------
+    SettingsError
+        The file or one of its keys is wrong; the message names both.
+    """
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError(
+            ResultCode.SETTINGS_UNREADABLE,
+            f"{path}: expected a readable file: {error.strerror}",
+        ) from error
+    return check(convert(raw, path, role), path)
+
+
+def convert(raw: bytes, path: str, role: str) -> NodeSettings:
+    """Decode `raw` into the settings class of `role`."""
+    try:
+        tree = msgspec.json.decode(raw)
+    except msgspec.DecodeError as error:
+        raise SettingsError(
+            ResultCode.SETTINGS_UNREADABLE, f"{path}: expected JSON: {error}"
+        ) from error
+    try:
+        return msgspec.convert(addresses(tree), ROLES[role], strict=True)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise SettingsError(ResultCode.SETTINGS_INVALID, f"{path}: {error}") from error
+
+
+ADDRESS_KEYS = ("http_listen", "wire_listen", "address")
+
+
+def addresses(tree: object, key: str = "") -> object:
+    """Expand ``ip:port`` texts of known keys into address objects."""
+    if isinstance(tree, dict):
+        return {name: addresses(value, name) for name, value in tree.items()}
+    if isinstance(tree, list):
+        return [addresses(value, key) for value in tree]
+    if isinstance(tree, str) and (key in ADDRESS_KEYS or key == "control"):
+        return parse_address(tree, key)
+    return tree
+
+
+def parse_address(text: str, key: str) -> dict[str, object]:
+    """Parse one address or say which key holds it."""
+    try:
+        address = Address.from_text(text)
+    except ValueError as error:
+        raise ValueError(
+            f"expected an IP number and port such as 127.0.0.1:7000, got {text!r}"
+            f" - at `$.{key}` ({error})"
+        ) from error
+    return {"host": address.host, "port": address.port}
+
+
+def check(settings: NodeSettings, path: str) -> NodeSettings:
+    """Check what no single key shows: clashes, ranges and folders."""
+    positive = [
+        name
+        for name in settings.__struct_fields__
+        if name.endswith("_ms") and getattr(settings, name) <= 0
+    ]
+    if positive:
+        raise SettingsError(
+            ResultCode.SETTINGS_INVALID,
+            f"{path}: expected milliseconds above 0 - at `$.{positive[0]}`",
+        )
+    if settings.silence_ms < 2 * settings.heartbeat_ms:
+        raise SettingsError(
+            ResultCode.SETTINGS_INVALID,
+            f"{path}: expected at least two heartbeats ({2 * settings.heartbeat_ms}),"
+            f" got {settings.silence_ms} - at `$.silence_ms`",
+        )
+    check_clash(settings, path)
+    check_role(settings, path)
+    return settings
+
+
+def check_clash(settings: NodeSettings, path: str) -> None:
+    """Refuse one address for two listeners."""
+    wire = getattr(settings, "wire_listen", None)
+    if wire is not None and wire == settings.http_listen and wire.port:
+        raise SettingsError(
+            ResultCode.ADDRESS_CLASH,
+            f"{path}: {wire} stands at both `$.wire_listen` and `$.http_listen`;"
+            " give each its own port",
+        )
+
+
+def check_role(settings: NodeSettings, path: str) -> None:
+    """Check what only one role has."""
+    if isinstance(settings, SidecarSettings) and settings.kind not in (
+        "engine",
+        "plain",
+    ):
+        raise SettingsError(
+            ResultCode.SETTINGS_INVALID,
+            f"{path}: expected 'engine' or 'plain', got {settings.kind!r}"
+            " - at `$.kind`",
+        )
+    if isinstance(settings, ControlSettings):
+        if settings.lease_ms >= settings.election_ms:
+            raise SettingsError(
+                ResultCode.SETTINGS_INVALID,
+                f"{path}: expected less than election_ms ({settings.election_ms}),"
+                f" got {settings.lease_ms} - at `$.lease_ms`",
+            )
+        if not Path(settings.data_folder).is_dir():
+            raise SettingsError(
+                ResultCode.DATA_FOLDER_MISSING,
+                f"{path}: expected a folder, got {settings.data_folder!r}"
+                " - at `$.data_folder`; run `wisteriapulley control init`",
+            )
+
+
+def load_fleet_key(path: str) -> bytes:
+    """Read the fleet key.
+
+    Raises
+    ------
+    SettingsError
+        The file is missing or shorter than 32 bytes.
+    """
+    try:
+        key = Path(path).read_bytes()[:MAX_KEY_BYTES].strip()
+    except OSError as error:
+        raise SettingsError(
+            ResultCode.KEY_FILE_UNREADABLE,
+            f"{path}: expected a readable key file: {error.strerror}",
+        ) from error
+    if len(key) < 32:
+        raise SettingsError(
+            ResultCode.KEY_FILE_UNREADABLE,
+            f"{path}: expected at least 32 bytes, got {len(key)}",
+        )
+    return key
+
+
+def load_operators(path: str) -> dict[str, str]:
+    """Read the operators file: bearer token to owner.
+
+    Raises
+    ------
+    SettingsError
+        The file is missing or not an object of texts.
+    """
+    try:
+        return msgspec.json.decode(Path(path).read_bytes(), type=dict[str, str])
+    except OSError as error:
+        raise SettingsError(
+            ResultCode.KEY_FILE_UNREADABLE,
+            f"{path}: expected a readable operators file: {error.strerror}",
+        ) from error
+    except msgspec.DecodeError as error:
+        raise SettingsError(
+            ResultCode.KEY_FILE_UNREADABLE,
+            f"{path}: expected a JSON object from token to owner: {error}",
+        ) from error
--- /dev/null
+++ b/src/wisteriapulley/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The one process beside each target: weights, orders and the request gate."""
--- /dev/null
+++ b/src/wisteriapulley/sidecar/engine.py
@@ -0,0 +1,129 @@
+"""Adapters to the target: a model engine, or a plain service.
+
+A different engine is one new adapter with the same methods.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+
+from wisteriapulley.errors import ResultCode, WeightsError
+
+ORDER_S = 600.0
+STATE_S = 2.0
+CONFLICT = 409
+
+
+class EngineState(msgspec.Struct, frozen=True):
+    """What an engine reports of itself; its load lags."""
+
+    version: str = ""
+    state: str = ""
+    fencing: int = 0
+    running: int = 0
+    waiting: int = 0
+    detail: str = ""
+
+
+class Order(NamedTuple):
+    """Order to load a version from a base URL."""
+
+    version: str
+    source_url: str
+    fencing: int
+    role: str
+
+
+class ModelEngine:
+    """Engine that loads versions on order.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Shared client.
+    base_url : str
+        Where the engine answers.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, base_url: str):
+        self.session = session
+        self.base_url = base_url.rstrip("/")
+
+    async def state(self) -> EngineState:
+        """Ask the engine what it serves.
+
+        Raises
+        ------
+        WeightsError
+            The engine does not answer.
+        """
+        try:
+            async with asyncio.timeout(STATE_S):
+                url = f"{self.base_url}/control/state"
+                async with self.session.get(url) as response:
+                    body = await response.read()
+            return msgspec.json.decode(body, type=EngineState)
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as e:
+            raise WeightsError(ResultCode.TARGET_FAILED, f"{url}: {e!r}") from e
+
+    async def load(self, order: Order) -> None:
+        """Order a load and wait until the engine says that it is done.
+
+        Raises
+        ------
+        WeightsError
+            ENGINE_FENCED, or ENGINE_LOAD_FAILED with the engine's reason.
+        """
+        url = f"{self.base_url}/control/load"
+        try:
+            async with asyncio.timeout(ORDER_S):
+                async with self.session.post(url, json=order._asdict()) as response:
+                    text = await response.text()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise WeightsError(
+                ResultCode.ENGINE_LOAD_FAILED, f"{url}: {error!r}"
+            ) from error
+        if response.status == CONFLICT:
+            raise WeightsError(ResultCode.ENGINE_FENCED, text)
+        if response.status >= 300:
+            raise WeightsError(ResultCode.ENGINE_LOAD_FAILED, text)
+
+    async def cancel(self, request_id: str) -> None:
+        """Take a request off the engine; one that is gone is fine."""
+        url = f"{self.base_url}/control/cancel"
+        try:
+            async with asyncio.timeout(STATE_S):
+                async with self.session.post(url, json={"request_id": request_id}):
+                    pass
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return
+
+
+class PlainService:
+    """Service without weights: always of the empty version."""
+
+    def __init__(self, session: aiohttp.ClientSession, base_url: str):
+        self.session = session
+        self.base_url = base_url.rstrip("/")
+
+    async def state(self) -> EngineState:
+        """Ask whether the service answers its health page.
+
+        Raises
+        ------
+        WeightsError
+            It does not.
+        """
+        url = f"{self.base_url}/health"
+        try:
+            async with asyncio.timeout(STATE_S):
+                async with self.session.get(url) as response:
+                    await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise WeightsError(ResultCode.TARGET_FAILED, f"{url}: {error!r}") from error
+        return EngineState(state="open")
+
+    async def cancel(self, request_id: str) -> None:
+        """Do nothing: closing the connection is all a plain service knows."""
--- /dev/null
+++ b/src/wisteriapulley/sidecar/service.py
@@ -0,0 +1,327 @@
+"""The sidecar daemon."""
+
+import asyncio
+import logging
+import time
+from functools import singledispatchmethod
+
+import aiohttp
+import aiomisc
+
+from wisteriapulley.control.client import ControlClient
+from wisteriapulley.errors import ResultCode, WireError
+from wisteriapulley.http_server import HttpServer
+from wisteriapulley.metrics import Metrics
+from wisteriapulley.settings import Address, SidecarSettings, load_fleet_key
+from wisteriapulley.sidecar.engine import ModelEngine, PlainService
+from wisteriapulley.sidecar.gate import Gate
+from wisteriapulley.sidecar.switch import Switcher
+from wisteriapulley.sidecar.weights_http import PREFIX, WeightsHandlers
+from wisteriapulley.statechart import StateChart
+from wisteriapulley.weights.chunk_store import ChunkStore
+from wisteriapulley.weights.schedule import Peer, rendezvous
+from wisteriapulley.weights.source import HttpSource
+from wisteriapulley.weights.swarm import Swarm
+from wisteriapulley.wire import Frame, Link, LinkServer, messages
+from wisteriapulley.wire.handshake import Identity
+from wisteriapulley.wire.keeper import LinkKeeper
+
+log = logging.getLogger(__name__)
+
+
+class SidecarService(aiomisc.Service):
+    """One sidecar.
+
+    Parameters
+    ----------
+    settings : SidecarSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: SidecarSettings):
+        super().__init__()
+        self.settings = settings
+        self.metrics = Metrics(settings.node_id, "sidecar")
+        self.chart = StateChart("target")
+        self.leaving = False
+        self.sequence = 0
+        self.neighbours: dict[str, LinkKeeper] = {}
+        self.tasks: list[asyncio.Task] = []
+
+    @classmethod
+    def from_settings(cls, settings: SidecarSettings) -> "SidecarService":
+        """Make the service from checked settings."""
+        return cls(settings)
+
+    async def start(self) -> None:
+        """Listen, announce the target, and start reconciling."""
+        settings = self.settings
+        self.incarnation = time.time_ns() // 1000
+        self.identity = Identity(
+            settings.node_id,
+            "sidecar",
+            settings.failure_domain,
+            self.incarnation,
+            load_fleet_key(settings.fleet_key_file),
+        )
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=None),
+            connector=aiohttp.TCPConnector(limit=0),
+            auto_decompress=False,
+        )
+        adapter = ModelEngine if settings.kind == "engine" else PlainService
+        self.engine = adapter(self.session, settings.target_url)
+        self.gate = Gate(self.engine, self.incarnation, self.chart)
+        self.swarm = Swarm(
+            Peer(settings.node_id, settings.failure_domain),
+            ChunkStore(),
+            [HttpSource(self.session, u) for u in self.source_urls()],
+            settings.patience_ms,
+        )
+        self.control = ControlClient(
+            settings,
+            self.identity,
+            (settings.service,),
+            self.heartbeat,
+            self.catalogue_changed,
+            self.members_changed,
+        )
+        await self.listen()
+        self.switcher = Switcher(
+            settings,
+            self.control,
+            self.gate,
+            self.swarm,
+            self.engine,
+            f"http://{self.http.address}{PREFIX}",
+            self.state_changed,
+        )
+        self.announce()
+        self.control.start()
+        self.tasks.append(asyncio.get_running_loop().create_task(self.reconcile()))
+
+    def source_urls(self) -> list[str]:
+        """Return the sources in the order they are asked."""
+        return [u for u in (self.settings.origin_url, self.settings.store_url) if u]
+
+    async def listen(self) -> None:
+        """Open both listeners."""
+        settings = self.settings
+        self.server = LinkServer(
+            self.identity,
+            self.handle,
+            self.heartbeat,
+            settings.heartbeat_ms,
+            settings.silence_ms,
+        )
+        self.server.on_open = self.link_opened
+        self.server.on_close = self.swarm.drop_link
+        self.wire_address = await self.server.start(settings.wire_listen)
+        self.http = HttpServer(
+            self.metrics, self.is_ready, WeightsHandlers(self.swarm).routes()
+        )
+        await self.http.start(settings.http_listen)
+
+    async def reconcile(self) -> None:
+        """Start switching once the catalogue is confirmed."""
+        await self.control.wait_confirmed()
+        await self.switcher.run()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Leave: take no new work, finish what runs, then close."""
+        self.leaving = True
+        self.chart.fire("leave")
+        self.announce()
+        self.server.beat()
+        for task in self.tasks:
+            task.cancel()
+        try:
+            async with asyncio.timeout(self.settings.drain_ms / 1000):
+                await self.gate.drained()
+        except TimeoutError:
+            log.error("requests were still running after drain_ms")
+        await asyncio.sleep(self.settings.heartbeat_ms / 1000)
+        await self.control.stop()
+        for keeper in self.neighbours.values():
+            await keeper.stop()
+        await self.server.stop()
+        await self.http.stop()
+        await self.session.close()
+
+    # -- what others are told --------------------------------------------
+
+    def is_ready(self) -> bool:
+        """Ready when the target is open."""
+        return self.chart.state == "open"
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Make this sidecar's heartbeat."""
+        return messages.Heartbeat(
+            self.control.holder.revision,
+            self.leaving,
+            self.chart.state,
+            self.gate.version,
+            self.gate.running,
+        )
+
+    def announce(self) -> None:
+        """Announce the target to control."""
+        self.sequence += 1
+        self.control.announce(
+            messages.Announce(
+                self.settings.node_id,
+                self.incarnation,
+                "sidecar",
+                self.settings.service,
+                self.settings.failure_domain,
+                str(self.wire_address),
+                self.leaving,
+                self.sequence,
+            )
+        )
+
+    def state_changed(self) -> None:
+        """Tell entries and control of a new state."""
+        beat = self.heartbeat()
+        if beat[:4] != getattr(self, "last_beat", beat[:3])[:4]:
+            self.server.beat()
+        self.last_beat = beat
+        entry = self.switcher.desired()
+        copy = self.swarm.copy
+        self.control.send_report(
+            messages.Report(
+                self.settings.node_id,
+                self.settings.service,
+                self.settings.failure_domain,
+                self.control.holder.revision,
+                self.chart.state,
+                self.gate.version,
+                entry.version if entry is not None else "",
+                copy.bytes_done if copy is not None else 0,
+                copy.manifest.size if copy is not None else 0,
+                self.switcher.detail,
+                "sidecar",
+                self.incarnation,
+            )
+        )
+
+    def catalogue_changed(self) -> None:
+        """Report the new revision at once."""
+        self.state_changed()
+
+    # -- neighbours ------------------------------------------------------
+
+    def members_changed(self) -> None:
+        """Link to this instance's neighbours."""
+        members = {
+            name: member
+            for name, member in self.control.members.items()
+            if member.role == "sidecar" and name != self.settings.node_id
+        }
+        peers = [Peer(m.node_id, m.failure_domain) for m in members.values()]
+        self.swarm.set_members([*peers, self.swarm.me])
+        if self.settings.kind != "engine":
+            return
+        chosen = choose_neighbours(self.swarm.me, peers, self.settings.neighbours)
+        for name in set(self.neighbours) - set(chosen):
+            keeper = self.neighbours.pop(name)
+            asyncio.get_running_loop().create_task(keeper.stop())
+        for name in set(chosen) - set(self.neighbours):
+            address = Address.from_text(members[name].address)
+            keeper = LinkKeeper(
+                [address],
+                self.identity,
+                self.handle,
+                self.heartbeat,
+                self.settings,
+                self.neighbour_opened,
+            )
+            self.neighbours[name] = keeper
+            keeper.start()
+
+    async def neighbour_opened(self, link: Link) -> None:
+        """Take a new neighbour in."""
+        link.on_close = self.swarm.drop_link
+        self.link_opened(link)
+
+    def link_opened(self, link: Link) -> None:
+        """Use every sidecar's link for the copy."""
+        link.on_heartbeat = self.control.heard
+        if link.peer.role == "sidecar":
+            self.swarm.add_link(link)
+
+    # -- frames ----------------------------------------------------------
+
+    async def handle(self, link: Link, frame: Frame) -> None:
+        """Handle a frame that is no reply."""
+        await self.receive(frame.message, link, frame)
+
+    @singledispatchmethod
+    async def receive(self, message: tuple, link: Link, frame: Frame) -> None:
+        """Take in a message, by its kind."""
+        raise WireError(
+            ResultCode.UNEXPECTED_MESSAGE,
+            f"sidecar takes no {type(message).__name__}",
+        )
+
+    @receive.register
+    async def receive_dispatch(
+        self, message: messages.Dispatch, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `Dispatch`."""
+        await self.gate.receive_dispatch(link, message, frame)
+
+    @receive.register
+    async def receive_cancel(
+        self, message: messages.Cancel, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `Cancel`."""
+        await self.gate.receive_cancel(link, message, frame)
+
+    @receive.register
+    async def receive_resolve(
+        self, message: messages.Resolve, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `Resolve`."""
+        await self.gate.receive_resolve(link, message, frame)
+
+    @receive.register
+    async def receive_have(
+        self, message: messages.Have, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `Have`."""
+        self.swarm.receive_have(link, message)
+
+    @receive.register
+    async def receive_have_query(
+        self, message: messages.HaveQuery, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `HaveQuery`."""
+        self.swarm.receive_query(link, message, frame)
+
+    @receive.register
+    async def receive_chunk_query(
+        self, message: messages.ChunkQuery, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `ChunkQuery`."""
+        await self.swarm.receive_chunk_query(link, message, frame)
+
+    @receive.register
+    async def receive_watch(
+        self, message: messages.Watch, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `Watch`."""
+        link.post(self.control.holder.update(), reply_to=frame.id)
+
+
+def choose_neighbours(me: Peer, peers: list[Peer], count: int) -> list[str]:
+    """Choose neighbours: half of the own failure domain, half of others.
+
+    Own ones keep bytes off the links between failure domains; the others keep
+    the whole fleet connected.
+    """
+    ranked = sorted(peers, key=lambda p: rendezvous(me.node_id, p.node_id))
+    own = [p.node_id for p in ranked if p.failure_domain == me.failure_domain]
+    others = [p.node_id for p in ranked if p.failure_domain != me.failure_domain]
+    far = others[: max(count // 2, count - len(own))]
+    return own[: count - len(far)] + far
--- /dev/null
+++ b/src/wisteriapulley/weights/manifest.py
@@ -0,0 +1,194 @@
+"""Manifest of a version: its files and the digest of every chunk.
+
+The digest of the manifest names the version. Chunks don't span files, so two
+versions share the chunks of files that did not change.
+"""
+
+from collections.abc import Iterator
+from functools import cached_property
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+from blake3 import blake3
+
+from wisteriapulley.errors import ResultCode, WeightsError
+
+CHUNK_BYTES = 4 << 20
+DIGEST_CHARACTERS = 64
+
+
+class ManifestFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One file: path below the root with ``/``, size in bytes, chunk digests."""
+
+    path: str
+    size: int
+    chunks: tuple[str, ...]
+
+
+class Span(NamedTuple):
+    """Where a chunk lies."""
+
+    index: int
+    digest: str
+    path: str
+    offset: int
+    length: int
+
+
+class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True, dict=True):
+    """Files and chunks of one version.
+
+    Attributes
+    ----------
+    chunk_bytes : int
+        Length of every chunk but the last of a file.
+    files : tuple of ManifestFile
+        Sorted by path.
+    """
+
+    chunk_bytes: int
+    files: tuple[ManifestFile, ...]
+
+    @classmethod
+    def from_bytes(cls, data: bytes, digest: str = "") -> "Manifest":
+        """Decode and check a manifest.
+
+        Parameters
+        ----------
+        data : bytes
+            As `to_bytes` made it.
+        digest : str, optional
+            The version that it must be.
+
+        Raises
+        ------
+        WeightsError
+            It is malformed, or of another version.
+        """
+        if digest and blake3(data).hexdigest() != digest:
+            raise WeightsError(
+                ResultCode.MANIFEST_INVALID, f"manifest is not of version {digest}"
+            )
+        try:
+            manifest = msgspec.json.decode(data, type=cls)
+        except msgspec.DecodeError as error:
+            raise WeightsError(ResultCode.MANIFEST_INVALID, str(error)) from error
+        for fault in manifest.faults():
+            raise WeightsError(ResultCode.MANIFEST_INVALID, fault)
+        return manifest
+
+    def faults(self) -> Iterator[str]:
+        """Yield what is wrong with it."""
+        if self.chunk_bytes <= 0:
+            yield f"chunk_bytes: expected above 0, got {self.chunk_bytes}"
+            return
+        paths = [file.path for file in self.files]
+        if paths != sorted(set(paths)):
+            yield "files: expected sorted paths, each once"
+        for file in self.files:
+            parts = file.path.split("/")
+            if not file.path or any(part in ("", ".", "..") for part in parts):
+                yield f"path: expected a relative path, got {file.path!r}"
+            if len(file.chunks) != -(-file.size // self.chunk_bytes):
+                yield f"{file.path}: {len(file.chunks)} chunks do not make {file.size}"
+            if any(len(digest) != DIGEST_CHARACTERS for digest in file.chunks):
+                yield f"{file.path}: a chunk digest is not 64 hexadecimal digits"
+
+    def to_bytes(self) -> bytes:
+        """Encode; the same manifest always gives the same bytes."""
+        return msgspec.json.encode(self)
+
+    @cached_property
+    def digest(self) -> str:
+        """Digest that names the version, 64 hexadecimal digits."""
+        return blake3(self.to_bytes()).hexdigest()
+
+    @cached_property
+    def size(self) -> int:
+        """Bytes of all files."""
+        return sum(file.size for file in self.files)
+
+    @cached_property
+    def spans(self) -> tuple[Span, ...]:
+        """Every chunk in order."""
+        return tuple(
+            Span(index, *rest) for index, rest in enumerate(self.place_chunks())
+        )
+
+    def place_chunks(self) -> Iterator[tuple[str, str, int, int]]:
+        """Yield digest, path, offset and length of each chunk."""
+        for file in self.files:
+            for number, digest in enumerate(file.chunks):
+                offset = number * self.chunk_bytes
+                length = min(self.chunk_bytes, file.size - offset)
+                yield digest, file.path, offset, length
+
+
+def chunk_digest(data: bytes) -> str:
+    """Return the digest of a chunk."""
+    return blake3(data).hexdigest()
+
+
+def read_chunks(path: Path, chunk_bytes: int) -> Iterator[bytes]:
+    """Yield the chunks of a file."""
+    with open(path, "rb") as file:
+        while chunk := file.read(chunk_bytes):
+            yield chunk
+
+
+def build_manifest(folder: str, chunk_bytes: int = CHUNK_BYTES) -> Manifest:
+    """Build the manifest of a file tree.
+
+    Parameters
+    ----------
+    folder : str
+        Root of the tree.
+    chunk_bytes : int
+        Length of a chunk.
+
+    Raises
+    ------
+    WeightsError
+        The folder is missing or has no file.
+    """
+    root = Path(folder)
+    paths = sorted(
+        path.relative_to(root).as_posix() for path in root.rglob("*") if path.is_file()
+    )
+    if not paths:
+        raise WeightsError(
+            ResultCode.MANIFEST_INVALID, f"{folder}: expected a folder with files"
+        )
+    files = tuple(
+        ManifestFile(
+            path,
+            (root / path).stat().st_size,
+            tuple(map(chunk_digest, read_chunks(root / path, chunk_bytes))),
+        )
+        for path in paths
+    )
+    return Manifest(chunk_bytes, files)
+
+
+def verify_folder(folder: str, manifest: Manifest) -> None:
+    """Check a file tree against its manifest.
+
+    Raises
+    ------
+    WeightsError
+        A file is missing, or a chunk differs; the message names it.
+    """
+    found = build_manifest(folder, manifest.chunk_bytes)
+    theirs = {(s.path, s.offset): s.digest for s in found.spans}
+    for span in manifest.spans:
+        if theirs.get((span.path, span.offset)) != span.digest:
+            raise WeightsError(
+                ResultCode.CHUNK_CORRUPTED,
+                f"{folder}: {span.path} differs at byte {span.offset}",
+            )
+    if found.digest != manifest.digest:
+        raise WeightsError(
+            ResultCode.MANIFEST_INVALID,
+            f"{folder}: holds files that the manifest does not name",
+        )
--- /dev/null
+++ b/src/wisteriapulley/wire/link.py
@@ -0,0 +1,425 @@
+"""A link: frames both ways over one TCP connection, with heartbeats."""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
+from wisteriapulley.logs import fields
+from wisteriapulley.settings import Address
+from wisteriapulley.wire import codec, handshake
+from wisteriapulley.wire.codec import Frame
+from wisteriapulley.wire.handshake import Identity
+from wisteriapulley.wire.messages import Failure, Heartbeat, Hello, Proof
+
+log = logging.getLogger(__name__)
+
+HANDSHAKE_S = 5.0
+# The handshake is read before the peer is known: nothing long is taken.
+HANDSHAKE_BYTES = 4096
+STREAM_LIMIT_BYTES = 1 << 18
+
+Handler = Callable[["Link", Frame], Awaitable[None]]
+
+
+class Call:
+    """A request in flight: its replies, in order.
+
+    Parameters
+    ----------
+    link : Link
+        Where it was sent.
+    id : int
+        Frame id that replies name.
+    """
+
+    def __init__(self, link: "Link", id: int):
+        self.link = link
+        self.id = id
+        self.replies: asyncio.Queue[Frame | WireError] = asyncio.Queue()
+
+    async def reply(self, timeout_s: float | None = None) -> Frame:
+        """Wait for the next reply.
+
+        Raises
+        ------
+        WireError
+            The link closed, or no reply came within `timeout_s`.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                item = await self.replies.get()
+        except TimeoutError as error:
+            raise WireError(
+                ResultCode.LINK_TIMEOUT,
+                f"{self.link.peer_id} sent no reply within {timeout_s} s",
+            ) from error
+        if isinstance(item, WireError):
+            raise item
+        return item
+
+    async def __aiter__(self) -> AsyncIterator[Frame]:
+        """Yield replies until the consumer stops or the link closes."""
+        while True:
+            yield await self.reply()
+
+    def close(self) -> None:
+        """Forget the call; later replies are dropped and counted."""
+        self.link.calls.pop(self.id, None)
+
+
+class Link:
+    """One authenticated connection between two processes.
+
+    Parameters
+    ----------
+    reader, writer : asyncio streams
+        The connection.
+    handler : callable
+        Awaited with each frame that is no reply.
+    heartbeat : callable
+        Makes the heartbeat to send.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: Handler,
+        heartbeat: Callable[[], Heartbeat],
+    ):
+        self.reader = reader
+        self.writer = writer
+        self.handler = handler
+        self.heartbeat = heartbeat
+        self.peer = Hello()
+        self.peer_heartbeat = Heartbeat()
+        self.ids = itertools.count(1)
+        self.calls: dict[int, Call] = {}
+        self.tasks: set[asyncio.Task] = set()
+        self.closed = asyncio.Event()
+        self.reason: WireError | None = None
+        self.last_received = 0.0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.late_replies = 0
+        self.on_heartbeat: Callable[[Link], None] | None = None
+        self.on_close: Callable[[Link], None] | None = None
+
+    @property
+    def peer_id(self) -> str:
+        """Node id of the other end."""
+        return self.peer.node_id
+
+    async def authenticate(self, identity: Identity, opener: bool) -> None:
+        """Exchange hellos and proofs.
+
+        Raises
+        ------
+        WireError
+            The peer is not of this fleet or did not answer in time.
+        """
+        mine = identity.hello()
+        try:
+            async with asyncio.timeout(HANDSHAKE_S):
+                self.post(mine)
+                first = await self.read_frame(HANDSHAKE_BYTES)
+                self.peer = handshake.check_hello(mine, first.message)
+                self.post(handshake.sign(identity.key, mine, self.peer, opener))
+                second = await self.read_frame(HANDSHAKE_BYTES)
+        except (TimeoutError, OSError, asyncio.IncompleteReadError) as error:
+            raise WireError(
+                ResultCode.AUTHENTICATION_FAILED, "peer ended the handshake"
+            ) from error
+        proof = second.message if isinstance(second.message, Proof) else Proof()
+        handshake.verify(identity.key, proof, self.peer, mine, not opener)
+
+    def start(self, heartbeat_ms: int, silence_ms: int) -> None:
+        """Start reading and beating; call once after `authenticate`."""
+        self.last_received = asyncio.get_running_loop().time()
+        self.spawn(self.read_loop())
+        self.spawn(self.beat_loop(heartbeat_ms / 1000, silence_ms / 1000))
+
+    def spawn(self, coroutine) -> asyncio.Task:
+        """Run a coroutine as long as the link is open."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.task_done)
+        return task
+
+    def task_done(self, task: asyncio.Task) -> None:
+        """Drop a finished task and log what it raised."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error(
+                "link task failed: %r", task.exception(), exc_info=task.exception()
+            )
+
+    def post(self, message: tuple, reply_to: int = 0, body: bytes = b"") -> int:
+        """Send a message without waiting; return its frame id.
+
+        Raises
+        ------
+        WireError
+            The link is closed.
+        """
+        if self.closed.is_set():
+            raise self.reason or WireError(ResultCode.LINK_CLOSED, self.peer_id)
+        frame_id = next(self.ids)
+        data = codec.encode(Frame(frame_id, reply_to, message, body))
+        self.writer.write(data)
+        if body:
+            self.writer.write(body)
+        self.bytes_sent += len(data) + len(body)
+        return frame_id
+
+    async def drain(self) -> None:
+        """Wait until the connection takes more bytes."""
+        try:
+            await self.writer.drain()
+        except OSError as error:
+            raise WireError(ResultCode.LINK_CLOSED, str(error)) from error
+
+    def call(self, message: tuple, body: bytes = b"") -> Call:
+        """Send a request whose replies come through the returned call."""
+        frame_id = self.post(message, body=body)
+        call = Call(self, frame_id)
+        self.calls[frame_id] = call
+        return call
+
+    async def request(
+        self, message: tuple, timeout_s: float, body: bytes = b""
+    ) -> Frame:
+        """Send a request and wait for its one reply.
+
+        Raises
+        ------
+        WisteriapulleyError
+            The peer answered with a failure.
+        WireError
+            The link closed, or no reply came in time.
+        """
+        call = self.call(message, body)
+        try:
+            frame = await call.reply(timeout_s)
+        finally:
+            call.close()
+        raise_failure(frame)
+        return frame
+
+    async def read_frame(self, limit: int = codec.MAX_MESSAGE_BYTES) -> Frame:
+        """Read one frame."""
+        header = await self.reader.readexactly(codec.HEADER.size)
+        message_bytes, body_bytes = codec.parse_header(header)
+        if message_bytes > limit:
+            raise WireError(
+                ResultCode.FRAME_TOO_LARGE,
+                f"expected at most {limit} bytes, got {message_bytes}",
+            )
+        payload = await self.reader.readexactly(message_bytes)
+        body = await self.reader.readexactly(body_bytes) if body_bytes else b""
+        self.bytes_received += len(header) + message_bytes + body_bytes
+        return codec.decode(payload, body)
+
+    async def read_loop(self) -> None:
+        """Read frames until the connection ends."""
+        loop = asyncio.get_running_loop()
+        try:
+            while not self.closed.is_set():
+                frame = await self.read_frame()
+                self.last_received = loop.time()
+                self.receive(frame)
+        except WireError as error:
+            self.close(error)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            self.close(WireError(ResultCode.LINK_CLOSED, f"{self.peer_id}: {error}"))
+
+    def receive(self, frame: Frame) -> None:
+        """Route one frame: heartbeat, reply or request."""
+        if isinstance(frame.message, Heartbeat):
+            self.peer_heartbeat = frame.message
+            if self.on_heartbeat is not None:
+                self.on_heartbeat(self)
+        elif frame.reply_to:
+            call = self.calls.get(frame.reply_to)
+            if call is None:
+                self.late_replies += 1
+            else:
+                call.replies.put_nowait(frame)
+        else:
+            self.spawn(self.serve(frame))
+
+    async def serve(self, frame: Frame) -> None:
+        """Handle one request; an error becomes a typed failure."""
+        try:
+            await self.handler(self, frame)
+        except WireError as error:
+            log.debug("reply not sent: %s", error)
+        except WisteriapulleyError as error:
+            self.fail(frame, error)
+        except Exception as error:
+            log.exception("handler of %s failed", type(frame.message).__name__)
+            self.fail(frame, WireError(ResultCode.UNEXPECTED_MESSAGE, repr(error)))
+
+    def fail(self, frame: Frame, error: WisteriapulleyError) -> None:
+        """Answer `frame` with a failure, if the link still is open."""
+        if not self.closed.is_set():
+            self.post(
+                Failure(int(error.code), error.message, error.retry_after_ms),
+                reply_to=frame.id,
+            )
+
+    async def beat_loop(self, heartbeat_s: float, silence_s: float) -> None:
+        """Send heartbeats; close the link when the peer has gone silent."""
+        loop = asyncio.get_running_loop()
+        while not self.closed.is_set():
+            self.post(self.heartbeat())
+            await asyncio.sleep(heartbeat_s)
+            quiet = loop.time() - self.last_received
+            if quiet > silence_s:
+                self.close(
+                    WireError(
+                        ResultCode.LINK_SILENT,
+                        f"{self.peer_id} was silent for {quiet:.1f} s",
+                    )
+                )
+
+    def beat(self) -> None:
+        """Send a heartbeat now, because the state changed."""
+        if not self.closed.is_set():
+            self.post(self.heartbeat())
+
+    def close(self, reason: WireError | None = None) -> None:
+        """Close the link; every call in flight gets `reason`."""
+        if self.closed.is_set():
+            return
+        self.reason = reason or WireError(ResultCode.LINK_CLOSED, self.peer_id)
+        self.closed.set()
+        log.debug("link to %s closed: %s", self.peer_id, self.reason, extra=fields())
+        for call in self.calls.values():
+            call.replies.put_nowait(self.reason)
+        self.calls.clear()
+        self.writer.transport.abort()
+        for task in self.tasks - {asyncio.current_task()}:
+            task.cancel()
+        if self.on_close is not None:
+            self.on_close(self)
+
+
+def raise_failure(frame: Frame) -> None:
+    """Raise what a `Failure` frame carries; let others pass."""
+    if isinstance(frame.message, Failure):
+        failure = frame.message
+        raise WisteriapulleyError(
+            ResultCode(failure.code), failure.message, failure.retry_after_ms
+        )
+
+
+async def connect(
+    address: Address,
+    identity: Identity,
+    handler: Handler,
+    heartbeat: Callable[[], Heartbeat],
+    heartbeat_ms: int,
+    silence_ms: int,
+) -> Link:
+    """Open a link and authenticate it.
+
+    Raises
+    ------
+    WireError
+        Nothing listens there, or the peer is not of this fleet.
+    """
+    try:
+        async with asyncio.timeout(HANDSHAKE_S):
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port, limit=STREAM_LIMIT_BYTES
+            )
+    except (OSError, TimeoutError) as error:
+        raise WireError(ResultCode.LINK_CLOSED, f"{address}: {error}") from error
+    link = Link(reader, writer, handler, heartbeat)
+    try:
+        await link.authenticate(identity, opener=True)
+    except BaseException as error:
+        link.close(error if isinstance(error, WireError) else None)
+        raise
+    link.start(heartbeat_ms, silence_ms)
+    return link
+
+
+class LinkServer:
+    """Accepts links at one address.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who this process is.
+    handler : callable
+        Awaited with each frame that is no reply.
+    heartbeat : callable
+        Makes the heartbeat to send.
+    heartbeat_ms, silence_ms : int
+        Milliseconds between heartbeats, and of silence before closing.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        handler: Handler,
+        heartbeat: Callable[[], Heartbeat],
+        heartbeat_ms: int,
+        silence_ms: int,
+    ):
+        self.identity = identity
+        self.handler = handler
+        self.heartbeat = heartbeat
+        self.heartbeat_ms = heartbeat_ms
+        self.silence_ms = silence_ms
+        self.links: set[Link] = set()
+        self.server: asyncio.Server | None = None
+        self.on_open: Callable[[Link], None] | None = None
+        self.on_close: Callable[[Link], None] | None = None
+
+    async def start(self, address: Address) -> Address:
+        """Listen; return the address with its real port."""
+        self.server = await asyncio.start_server(
+            self.accept, address.host, address.port, limit=STREAM_LIMIT_BYTES
+        )
+        port = self.server.sockets[0].getsockname()[1]
+        return Address(address.host, port)
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Authenticate one connection and keep its link."""
+        link = Link(reader, writer, self.handler, self.heartbeat)
+        try:
+            await link.authenticate(self.identity, opener=False)
+        except WireError as error:
+            log.warning("link refused: %s", error, extra=fields(code=error.code))
+            link.close(error)
+            return
+        link.on_close = self.forget
+        self.links.add(link)
+        link.start(self.heartbeat_ms, self.silence_ms)
+        if self.on_open is not None:
+            self.on_open(link)
+
+    def forget(self, link: Link) -> None:
+        """Drop a closed link."""
+        self.links.discard(link)
+        if self.on_close is not None:
+            self.on_close(link)
+
+    def beat(self) -> None:
+        """Send a heartbeat on every link now."""
+        for link in tuple(self.links):
+            link.beat()
+
+    async def stop(self) -> None:
+        """Stop listening and close every link."""
+        if self.server is not None:
+            self.server.close()
+        for link in tuple(self.links):
+            link.close()
--- /dev/null
+++ b/src/wisteriapulley/wire/messages.py
@@ -0,0 +1,325 @@
+"""Typed messages of the wire; field names match ``messages.capnp``."""
+
+from typing import NamedTuple
+
+
+class Hello(NamedTuple):
+    """First frame of each side: who it is, and a nonce for the other to sign."""
+
+    protocol: int = 0
+    node_id: str = ""
+    role: str = ""
+    incarnation: int = 0
+    failure_domain: str = ""
+    nonce: bytes = b""
+
+
+class Proof(NamedTuple):
+    """HMAC over both nonces that shows the fleet key is held."""
+
+    digest: bytes = b""
+
+
+class Heartbeat(NamedTuple):
+    """Periodic state of the sender: its revision, and a target's load."""
+
+    revision: int = 0
+    leaving: bool = False
+    state: str = ""
+    version: str = ""
+    running: int = 0
+    waiting: int = 0
+
+
+class Failure(NamedTuple):
+    """Typed error in place of an answer."""
+
+    code: int = 0
+    message: str = ""
+    retry_after_ms: int = 0
+    not_run: bool = False
+
+
+class Ack(NamedTuple):
+    """Answer that carries nothing."""
+
+
+class Header(NamedTuple):
+    """One HTTP header."""
+
+    name: str = ""
+    value: str = ""
+
+
+class Dispatch(NamedTuple):
+    """Request from an entry to a sidecar; its body is the frame's body."""
+
+    request_id: str = ""
+    account: str = ""
+    entry_name: str = ""
+    traffic_class: str = ""
+    priority: int = 0
+    remaining_ms: int = 0
+    method: str = ""
+    path: str = ""
+    headers: tuple[Header, ...] = ()
+    idempotency_key: str = ""
+    attempt: int = 0
+    incarnation: int = 0
+    expires_in_ms: int = 0
+    version: str = ""
+    body_digest: bytes = b""
+    resume_from: int = 0
+
+
+class Cancel(NamedTuple):
+    """The caller gave up: take the request off the target."""
+
+    request_id: str = ""
+
+
+class AnswerHead(NamedTuple):
+    """Status and headers; `length` is -1 when not known."""
+
+    request_id: str = ""
+    status: int = 0
+    headers: tuple[Header, ...] = ()
+    version: str = ""
+    length: int = 0
+
+
+class AnswerPart(NamedTuple):
+    """Bytes of an answer, in the frame's body, from `offset` on."""
+
+    request_id: str = ""
+    offset: int = 0
+
+
+class AnswerEnd(NamedTuple):
+    """End mark of an answer: total length and CRC-32 of its bytes."""
+
+    request_id: str = ""
+    length: int = 0
+    crc: int = 0
+
+
+class Credit(NamedTuple):
+    """Receiver of an answer allows `bytes` more in flight."""
+
+    request_id: str = ""
+    bytes: int = 0
+
+
+class Resolve(NamedTuple):
+    """Ask what became of an attempt; an unseen one becomes a tombstone."""
+
+    account: str = ""
+    idempotency_key: str = ""
+    attempt: int = 0
+    incarnation: int = 0
+    request_id: str = ""
+    expires_in_ms: int = 0
+
+
+class Resolution(NamedTuple):
+    """`running`, `done` or `tombstone`."""
+
+    state: str = ""
+
+
+class Announce(NamedTuple):
+    """A member announces itself; `sequence` orders its announcements."""
+
+    node_id: str = ""
+    incarnation: int = 0
+    role: str = ""
+    service: str = ""
+    failure_domain: str = ""
+    address: str = ""
+    leaving: bool = False
+    sequence: int = 0
+    gone: bool = False
+
+
+class MemberUpdate(NamedTuple):
+    """Members that control instance `owner` holds, all or changed ones."""
+
+    owner: str = ""
+    epoch: int = 0
+    full: bool = False
+    members: tuple[Announce, ...] = ()
+
+
+class Watch(NamedTuple):
+    """Subscribe to the catalogue and to the members of services."""
+
+    revision: int = 0
+    services: tuple[str, ...] = ()
+
+
+class CatalogueUpdate(NamedTuple):
+    """Whole catalogue; `fresh` when a quorum confirmed it."""
+
+    revision: int = 0
+    fresh: bool = False
+    content: bytes = b""
+
+
+class Propose(NamedTuple):
+    """Command for the replicated log, sent on to the leader."""
+
+    command: bytes = b""
+
+
+class Proposed(NamedTuple):
+    """Outcome of a committed command."""
+
+    index: int = 0
+    term: int = 0
+    result: bytes = b""
+
+
+class Report(NamedTuple):
+    """Progress of a node, for ``catalogue status``."""
+
+    node_id: str = ""
+    service: str = ""
+    failure_domain: str = ""
+    revision: int = 0
+    state: str = ""
+    version: str = ""
+    desired: str = ""
+    bytes_done: int = 0
+    bytes_total: int = 0
+    detail: str = ""
+    role: str = ""
+    incarnation: int = 0
+
+
+class LeaseQuery(NamedTuple):
+    """Ask for the leader's lease."""
+
+
+class Lease(NamedTuple):
+    """Leader, its term and how long its lease still holds."""
+
+    term: int = 0
+    leader: str = ""
+    remaining_ms: int = 0
+    index: int = 0
+
+
+class HaveQuery(NamedTuple):
+    """Ask a neighbour which chunks of a version it holds."""
+
+    version: str = ""
+
+
+class Have(NamedTuple):
+    """Bitmap of verified chunks, one bit each, lowest first."""
+
+    version: str = ""
+    bitmap: bytes = b""
+    complete: bool = False
+    chunks: int = 0
+
+
+class ChunkQuery(NamedTuple):
+    """Ask for a chunk by digest."""
+
+    digest: str = ""
+    version: str = ""
+    index: int = 0
+
+
+class Chunk(NamedTuple):
+    """A chunk; its bytes are the frame's body."""
+
+    digest: str = ""
+
+
+class LogRecord(NamedTuple):
+    """Record of the replicated log."""
+
+    term: int = 0
+    index: int = 0
+    kind: int = 0
+    data: bytes = b""
+
+
+class VoteRequest(NamedTuple):
+    """Ask for a vote, or with `pre_vote` whether one would be given."""
+
+    term: int = 0
+    candidate: str = ""
+    last_index: int = 0
+    last_term: int = 0
+    pre_vote: bool = False
+    identity: str = ""
+    transfer: bool = False
+
+
+class VoteReply(NamedTuple):
+    """Answer to a vote request."""
+
+    term: int = 0
+    voter: str = ""
+    granted: bool = False
+    pre_vote: bool = False
+    identity: str = ""
+
+
+class AppendRequest(NamedTuple):
+    """Records after `previous_index`; empty as a heartbeat."""
+
+    term: int = 0
+    leader: str = ""
+    previous_index: int = 0
+    previous_term: int = 0
+    commit: int = 0
+    records: tuple[LogRecord, ...] = ()
+    round: int = 0
+
+
+class AppendReply(NamedTuple):
+    """How far the follower's synced log matches."""
+
+    term: int = 0
+    follower: str = ""
+    success: bool = False
+    match_index: int = 0
+    hint: int = 0
+    round: int = 0
+    identity: str = ""
+
+
+class SnapshotPart(NamedTuple):
+    """Part of a snapshot for a follower far behind."""
+
+    term: int = 0
+    leader: str = ""
+    last_index: int = 0
+    last_term: int = 0
+    offset: int = 0
+    total: int = 0
+    data: bytes = b""
+    members: bytes = b""
+    round: int = 0
+
+
+class SnapshotReply(NamedTuple):
+    """How much of the snapshot the follower holds."""
+
+    term: int = 0
+    follower: str = ""
+    last_index: int = 0
+    offset: int = 0
+    round: int = 0
+    identity: str = ""
+
+
+class TimeoutNow(NamedTuple):
+    """The leader asks a follower to campaign at once."""
+
+    term: int = 0
+    leader: str = ""
--- /dev/null
+++ b/tests/demo.py
@@ -0,0 +1,244 @@
+"""The whole path in one run: ``make demo``.
+
+Starts control instances, entries and sidecars as separate processes, serves
+steady load, applies a second version of the weights under that load, and
+judges the promises by the fakes' own records.
+"""
+
+import asyncio
+import json
+import shutil
+import sys
+import time
+from pathlib import Path
+
+import aiohttp
+
+from tests.fakes.caller import Callers, Workload, judge
+from tests.fleet import ROOT, Fleet
+
+FOLDER = ROOT / ".demo"
+MODEL_BYTES = 24 << 20
+SHARED_BYTES = 4 << 20
+CHUNK_BYTES = 1 << 20
+RATE = 60.0
+SWITCH_S = 90.0
+POLL_S = 0.1
+CONFIG_S = 12.0
+TRINACRIA = "aste-riunite-trinacria"
+LETTERCRAFT = "lettercraft"
+DOMAINS = {
+    TRINACRIA: ["palermo", "catania", "agrigento"],
+    LETTERCRAFT: ["galway", "swords", "belfast"],
+}
+# Services and sizes of the brief: service, kind, targets.
+SERVICES = {
+    TRINACRIA: [
+        ("report-writing", "engine", 6),
+        ("bidding-and-titles", "plain", 3),
+        ("dealer-management", "plain", 1),
+    ],
+    LETTERCRAFT: [
+        ("letter-models", "engine", 8),
+        ("print-proof", "plain", 3),
+        ("intake", "plain", 1),
+    ],
+}
+COMPLETIONS = "/v1/completions"
+WORKLOADS = [
+    Workload("condition-reports", COMPLETIONS, True, True, 20, "dealer-1"),
+    Workload(
+        "bid-confirmations",
+        "/services/bid-confirmations/bids",
+        False,
+        False,
+        1,
+        "dealer-2",
+    ),
+    Workload("lot-descriptions", COMPLETIONS, True, False, 8, "dealer-3"),
+    Workload("titles", "/services/titles/check", True, False, 1, "dealer-1"),
+    Workload("bid-summaries", COMPLETIONS, True, True, 4, "dealer-4"),
+    Workload("letter-drafts", COMPLETIONS, True, True, 12, "council-1"),
+    Workload(
+        "posted-letters",
+        "/services/posted-letters/letters",
+        False,
+        False,
+        1,
+        "solicitor-1",
+    ),
+    Workload("audit-summaries", COMPLETIONS, True, False, 4, "utility-1"),
+]
+
+
+def start(fleet: Fleet) -> None:
+    """Start every process."""
+    fleet.start_origin()
+    fleet.start_store()
+    fleet.start_control(DOMAINS[TRINACRIA])
+    for owner, services in SERVICES.items():
+        for service, kind, count in services:
+            for number in range(count):
+                domain = DOMAINS[owner][number % 3]
+                fleet.start_target(f"{service}-{number + 1}", domain, service, kind)
+    fleet.start_entry("entry-1", "palermo")
+    fleet.start_entry("entry-2", "galway")
+
+
+def apply_version(fleet: Fleet, version: str) -> None:
+    """Write both users' catalogues with a version, and apply them."""
+    for owner, name in ((TRINACRIA, "trinacria"), (LETTERCRAFT, "lettercraft")):
+        folder = fleet.folder / "catalogue" / name
+        folder.mkdir(parents=True, exist_ok=True)
+        for path in sorted((ROOT / "examples" / name).glob("*.json")):
+            entry = json.loads(path.read_text())
+            if "version" in entry:
+                entry["version"] = version
+            (folder / path.name).write_text(json.dumps(entry, indent=2))
+        fleet.apply(folder, owner)
+
+
+def engines(fleet: Fleet) -> list[str]:
+    """Return the node ids of sidecars beside engines."""
+    return [
+        name
+        for name, node in fleet.nodes.items()
+        if node.settings.get("kind") == "engine"
+    ]
+
+
+class Status:
+    """Asks a control instance what is in force."""
+
+    def __init__(self, fleet: Fleet, session: aiohttp.ClientSession):
+        self.url = f"{fleet.nodes['control-1'].http}/v1/status"
+        token = (fleet.folder / f"{TRINACRIA}.token").read_text()
+        self.headers = {"Authorization": f"Bearer {token}"}
+        self.session = session
+
+    async def read(self) -> dict:
+        """Return the status object."""
+        async with self.session.get(self.url, headers=self.headers) as response:
+            return await response.json()
+
+
+async def follow_switch(
+    status: Status, names: list[str], version: str, revision: int, nodes: int
+) -> tuple[float, dict[str, float]]:
+    """Wait until `names` serve `version`.
+
+    Returns
+    -------
+    seconds, config_seconds : float, dict
+        Time to all replicas, and to the revision by failure domain, since the
+        operators' commands were started (one for each user, in turn).
+    """
+    start_s = time.monotonic()
+    config: dict[str, float] = {}
+    while time.monotonic() - start_s < SWITCH_S:
+        rows = (await status.read())["nodes"]
+        elapsed = time.monotonic() - start_s
+        if len(rows) >= nodes:
+            note_domains(rows, revision, elapsed, config)
+        done = [
+            row["node_id"]
+            for row in rows
+            if row["version"] == version and row["state"] == "open"
+        ]
+        if set(names) <= set(done):
+            return elapsed, config
+        await asyncio.sleep(POLL_S)
+    raise RuntimeError(f"only {sorted(done)} of {sorted(names)} serve {version}")
+
+
+def note_domains(
+    rows: list[dict], revision: int, elapsed: float, config: dict[str, float]
+) -> None:
+    """Note the time at which a failure domain has the revision everywhere."""
+    for domain in {row["failure_domain"] for row in rows}:
+        lowest = min(r["revision"] for r in rows if r["failure_domain"] == domain)
+        if lowest >= revision:
+            config.setdefault(domain, round(elapsed, 2))
+
+
+async def run(fleet: Fleet) -> dict:
+    """Run the demo; return its figures."""
+    start(fleet)
+    controls = [settings["node_id"] for settings in fleet.controls]
+    await fleet.wait_ready(controls)
+    first = fleet.publish(1, MODEL_BYTES, CHUNK_BYTES, SHARED_BYTES)
+    second = fleet.publish(2, MODEL_BYTES, CHUNK_BYTES, SHARED_BYTES)
+    apply_version(fleet, first)
+    await fleet.wait_ready()
+    entries = [fleet.nodes[name].http for name in ("entry-1", "entry-2")]
+    callers = Callers(entries, WORKLOADS, RATE)
+    load = asyncio.create_task(callers.run())
+    await asyncio.sleep(3)
+    before = origin_bytes(fleet)
+    async with aiohttp.ClientSession() as session:
+        status = Status(fleet, session)
+        revision = (await status.read())["revision"] + len(SERVICES)
+        watching = len(fleet.nodes) - len(controls)
+        names = engines(fleet)
+        applying = asyncio.create_task(asyncio.to_thread(apply_version, fleet, second))
+        seconds, config = await follow_switch(status, names, second, revision, watching)
+        await applying
+    await asyncio.sleep(3)
+    callers.stopping = True
+    await load
+    verdict = judge(callers.started, callers.outcomes, fleet.records("target-"))
+    drawn = origin_bytes(fleet) - before
+    return {
+        "replicas": len(names),
+        "seconds_to_replicas": round(seconds, 2),
+        "origin_copies": round(drawn / (MODEL_BYTES - SHARED_BYTES), 2),
+        **verdict._asdict(),
+        "config_seconds_by_failure_domain": config,
+    }
+
+
+def origin_bytes(fleet: Fleet) -> int:
+    """Return the bytes drawn from the origin and the store, by their records."""
+    sent = [*fleet.records("origin"), *fleet.records("store")]
+    return sum(record["bytes"] for record in sent if record["event"] == "sent")
+
+
+def broken(figures: dict) -> list[str]:
+    """Return the promises that the figures show broken."""
+    faults = ["lost", "duplicated", "mixed_version", "wrong_caller", "false_not_run"]
+    found = [name for name in faults if figures[name]]
+    config = figures["config_seconds_by_failure_domain"]
+    if len(config) < 6 or max(config.values()) > CONFIG_S:
+        found.append("config_seconds_by_failure_domain")
+    return found
+
+
+def table(figures: dict) -> str:
+    """Format the figures for a person."""
+    lines = ["", "wisteriapulley demo", "=" * 60]
+    for name, value in figures.items():
+        if isinstance(value, dict):
+            lines.append(name.replace("_", " "))
+            lines += [f"    {key:<34}{item}" for key, item in sorted(value.items())]
+        else:
+            lines.append(f"{name.replace('_', ' '):<38}{value}")
+    return "\n".join(lines)
+
+
+def main() -> int:
+    """Run and judge."""
+    shutil.rmtree(FOLDER, ignore_errors=True)
+    fleet = Fleet(Path(FOLDER))
+    try:
+        figures = asyncio.run(run(fleet))
+    finally:
+        fleet.stop()
+    print(table(figures))
+    faults = broken(figures)
+    print("promises broken: " + (", ".join(faults) if faults else "none"))
+    print(json.dumps(figures))
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/fakes/engine.py
@@ -0,0 +1,268 @@
+"""Fake model engine and fake plain service.
+
+The engine loads weights on order by reading them from its sidecar, recomputes
+the manifest's digest from the bytes it was given, and writes to its records
+what each answer was made from. It never trusts the version it was told.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+from aiohttp import web
+from blake3 import blake3
+
+from tests.fakes.origin import serve
+from tests.fakes.records import Records
+
+READ_BYTES = 8 << 20
+
+
+class FakeEngine:
+    """Model engine.
+
+    Parameters
+    ----------
+    name : str
+        Stands in its records.
+    records : Records
+        What it ran.
+    fences : bool
+        Whether it refuses an old fencing number.
+    slots : int
+        Requests that it runs at once; others wait.
+    token_s : float
+        Seconds a token.
+    load_s : float
+        Seconds a load takes besides the reading.
+    lag_s : float
+        How old the load that it reports is.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        records: Records,
+        fences: bool = True,
+        slots: int = 8,
+        token_s: float = 0.002,
+        load_s: float = 0.05,
+        lag_s: float = 0.2,
+    ):
+        self.name = name
+        self.records = records
+        self.fences = fences
+        self.token_s = token_s
+        self.load_s = load_s
+        self.lag_s = lag_s
+        self.slots = asyncio.Semaphore(slots)
+        self.version = ""
+        self.state = "empty"
+        self.fencing = 0
+        self.running = 0
+        self.waiting = 0
+        self.reported = (0.0, 0, 0)
+        self.tasks: dict[str, asyncio.Task] = {}
+        self.app = web.Application(client_max_size=64 << 20)
+        self.app.add_routes(
+            [
+                web.get("/control/state", self.show_state),
+                web.post("/control/load", self.load),
+                web.post("/control/cancel", self.cancel),
+                web.post("/v1/completions", self.completions),
+            ]
+        )
+
+    async def show_state(self, request: web.Request) -> web.Response:
+        """Report version and lagging load."""
+        now = asyncio.get_running_loop().time()
+        if now - self.reported[0] >= self.lag_s:
+            self.reported = (now, self.running, self.waiting)
+        return web.json_response(
+            {
+                "version": self.version,
+                "state": self.state,
+                "fencing": self.fencing,
+                "running": self.reported[1],
+                "waiting": self.reported[2],
+            }
+        )
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Load a version from the sidecar's URL."""
+        order = await request.json()
+        if self.fences and order["fencing"] < self.fencing:
+            self.records.add("fenced", engine=self.name, fencing=order["fencing"])
+            return web.Response(status=409, text=f"fencing is at {self.fencing}")
+        self.fencing = max(self.fencing, order["fencing"])
+        if self.running:
+            self.records.add("load_while_running", engine=self.name)
+        self.version, self.state = "", "loading"
+        try:
+            digest = await self.read_weights(order["source_url"], order["version"])
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            self.state = "empty"
+            return web.Response(status=500, text=repr(error))
+        await asyncio.sleep(self.load_s)
+        self.version, self.state = digest, "open"
+        self.records.add(
+            "loaded", engine=self.name, version=digest, ordered=order["version"]
+        )
+        return web.Response(text="loaded")
+
+    async def read_weights(self, source_url: str, version: str) -> str:
+        """Read all bytes and return the digest of what was read."""
+        base = f"{source_url}/{version}"
+        async with aiohttp.ClientSession() as session:
+            manifest = await read(session, f"{base}/manifest.json", {}, 200)
+            tree = json.loads(manifest)
+            for file in tree["files"]:
+                file["chunks"] = [
+                    digest
+                    async for digest in self.read_file(
+                        session, base, file, tree["chunk_bytes"]
+                    )
+                ]
+        text = json.dumps(tree, separators=(",", ":"), ensure_ascii=False)
+        return blake3(text.encode()).hexdigest()
+
+    async def read_file(self, session, base: str, file: dict, chunk_bytes: int):
+        """Yield the digest of each chunk as read."""
+        url = f"{base}/files/{file['path']}"
+        for start in range(0, file["size"], chunk_bytes):
+            last = min(start + chunk_bytes, file["size"]) - 1
+            headers = {"Range": f"bytes={start}-{last}"}
+            data = await read(session, url, headers, 206)
+            yield blake3(data).hexdigest()
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Take a request off."""
+        body = await request.json()
+        task = self.tasks.get(body["request_id"])
+        if task is not None:
+            task.cancel()
+        return web.Response(text="ok")
+
+    async def completions(self, request: web.Request) -> web.StreamResponse:
+        """Answer a completion; ``max_tokens`` tokens, streamed when asked."""
+        body = await request.json()
+        request_id = request.headers["X-Request-Id"]
+        self.tasks[request_id] = asyncio.current_task()
+        self.waiting += 1
+        try:
+            await self.slots.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        version = self.version
+        try:
+            return await self.generate(request, body, version)
+        finally:
+            self.running -= 1
+            self.slots.release()
+            self.tasks.pop(request_id, None)
+            self.records.add(
+                "ran",
+                engine=self.name,
+                request_id=request_id,
+                key=request.headers.get("Idempotency-Key", ""),
+                account=request.headers.get("X-Client-Account", ""),
+                prompt=body.get("prompt", ""),
+                version=version,
+                version_at_end=self.version,
+            )
+
+    async def generate(
+        self, request: web.Request, body: dict, version: str
+    ) -> web.StreamResponse:
+        """Make the tokens: they name the prompt, so a crossed answer shows."""
+        if not version:
+            self.records.add("no_weights", engine=self.name)
+            return web.Response(status=503, text="no weights")
+        tokens = [f"{body['prompt']}:{i} " for i in range(body.get("max_tokens", 4))]
+        headers = {"X-Model-Version": version}
+        if not body.get("stream"):
+            await asyncio.sleep(self.token_s * len(tokens))
+            choice = {"index": 0, "text": "".join(tokens), "finish_reason": "stop"}
+            answer = {"object": "text_completion", "choices": [choice]}
+            return web.json_response(answer, headers=headers)
+        headers["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        for token in tokens:
+            await asyncio.sleep(self.token_s)
+            event = {"choices": [{"index": 0, "text": token}]}
+            await response.write(f"data: {json.dumps(event)}\n\n".encode())
+        await response.write(b"data: [DONE]\n\n")
+        return response
+
+
+class FakePlainService:
+    """Plain service: runs what it is sent and says so in its records."""
+
+    def __init__(self, name: str, records: Records, work_s: float = 0.005):
+        self.name = name
+        self.records = records
+        self.work_s = work_s
+        self.app = web.Application(client_max_size=64 << 20)
+        self.app.add_routes(
+            [web.get("/health", self.health), web.route("*", "/{rest:.*}", self.run)]
+        )
+
+    async def health(self, request: web.Request) -> web.Response:
+        """Answer that it is there."""
+        return web.Response(text="ok")
+
+    async def run(self, request: web.Request) -> web.Response:
+        """Run one call."""
+        body = (await request.read()).decode(errors="replace")
+        self.records.add(
+            "ran",
+            engine=self.name,
+            request_id=request.headers.get("X-Request-Id", ""),
+            key=request.headers.get("Idempotency-Key", ""),
+            account=request.headers.get("X-Client-Account", ""),
+            prompt=body,
+            version="",
+            version_at_end="",
+        )
+        await asyncio.sleep(self.work_s)
+        return web.json_response({"path": request.path, "echo": body})
+
+
+async def read(session, url: str, headers: dict, status: int) -> bytes:
+    """Read a body, or fail."""
+    async with session.get(url, headers=headers) as response:
+        body = await response.read()
+        if response.status != status:
+            raise ValueError(f"{url}: {response.status}")
+        return body
+
+
+async def main() -> None:
+    """Run as a process."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--records", required=True)
+    parser.add_argument("--plain", action="store_true")
+    parser.add_argument("--ignores-fencing", action="store_true")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--token-s", type=float, default=0.002)
+    args = parser.parse_args()
+    records = Records(args.records)
+    if args.plain:
+        fake = FakePlainService(args.name, records)
+    else:
+        fake = FakeEngine(
+            args.name, records, not args.ignores_fencing, args.slots, args.token_s
+        )
+    await serve(fake.app, args.port)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(main())
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,350 @@
+"""Starts a fleet of real processes on loopback, with fakes around it."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import aiohttp
+
+from tests.fakes.records import read_records
+from wisteriapulley.weights.manifest import build_manifest
+
+ROOT = Path(__file__).resolve().parent.parent
+TOKENS = {
+    "trinacria-token-0123456789": "aste-riunite-trinacria",
+    "lettercraft-token-0123456789": "lettercraft",
+}
+READY_S = 30.0
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def address(port: int) -> str:
+    """Return the loopback address of a port."""
+    return f"127.0.0.1:{port}"
+
+
+class Process:
+    """One process of the fleet, restartable with the same command.
+
+    Parameters
+    ----------
+    name : str
+        Node id or fake's name.
+    command : list of str
+        Arguments after the interpreter.
+    log : Path
+        Standard output and error.
+    """
+
+    def __init__(self, name: str, command: list[str], log: Path):
+        self.name = name
+        self.command = command
+        self.log = log
+        self.popen: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start it, appending to its log."""
+        environment = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
+        with open(self.log, "ab") as output:
+            self.popen = subprocess.Popen(
+                [sys.executable, *self.command],
+                stdout=output,
+                stderr=output,
+                cwd=ROOT,
+                env=environment,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal if it runs."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill it and wait."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def terminate(self, timeout_s: float = 60.0) -> int:
+        """End it gracefully; return its exit status."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(timeout_s)
+
+    def resident_bytes(self) -> int:
+        """Return its resident memory."""
+        text = Path(f"/proc/{self.popen.pid}/statm").read_text()
+        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+class Node:
+    """A daemon: its process, settings and addresses."""
+
+    def __init__(self, process: Process, settings: dict):
+        self.process = process
+        self.settings = settings
+
+    @property
+    def http(self) -> str:
+        """Base URL of its HTTP server."""
+        return f"http://{self.settings['http_listen']}"
+
+
+class Fleet:
+    """Processes of one run under one folder.
+
+    Parameters
+    ----------
+    folder : Path
+        Settings, logs, data folders and records go here.
+    """
+
+    def __init__(self, folder: Path):
+        self.folder = folder
+        self.nodes: dict[str, Node] = {}
+        self.fakes: dict[str, Process] = {}
+        self.controls: list[dict] = []
+        self.origin_url = ""
+        self.store_url = ""
+        for name in ("settings", "logs", "records", "data", "weights"):
+            (folder / name).mkdir(parents=True, exist_ok=True)
+        self.key_file = folder / "fleet.key"
+        self.key_file.write_text("k" * 64)
+        self.operators_file = folder / "operators.json"
+        self.operators_file.write_text(json.dumps(TOKENS))
+
+    # -- processes -------------------------------------------------------
+
+    def start_process(self, name: str, command: list[str]) -> Process:
+        """Start a process that logs under the fleet's folder."""
+        process = Process(name, command, self.folder / "logs" / f"{name}.log")
+        process.start()
+        return process
+
+    def start_fake(self, name: str, module: str, *options: str) -> int:
+        """Start a fake; return its port."""
+        port = free_port()
+        records = self.folder / "records" / f"{name}.jsonl"
+        command = ["-m", f"tests.fakes.{module}", "--port", str(port)]
+        command += ["--records", str(records), *options]
+        self.fakes[name] = self.start_process(name, command)
+        return port
+
+    def start_node(self, role: str, settings: dict) -> Node:
+        """Write a daemon's settings and start it."""
+        name = settings["node_id"]
+        path = self.folder / "settings" / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        command = ["-m", "wisteriapulley.cli", role, str(path)]
+        if role == "control":
+            command.insert(3, "run")
+        node = Node(self.start_process(name, command), settings)
+        self.nodes[name] = node
+        return node
+
+    def common(self, node_id: str, domain: str, **more: object) -> dict:
+        """Return the settings that every daemon has."""
+        return {
+            "node_id": node_id,
+            "failure_domain": domain,
+            "http_listen": address(free_port()),
+            "fleet_key_file": str(self.key_file),
+            "heartbeat_ms": 500,
+            "silence_ms": 2000,
+            **more,
+        }
+
+    # -- roles -----------------------------------------------------------
+
+    def start_control(self, domains: list[str], **more: object) -> None:
+        """Initialise and start one control instance in each domain."""
+        names = [f"control-{i + 1}" for i in range(len(domains))]
+        wires = {name: address(free_port()) for name in names}
+        for name, domain in zip(names, domains, strict=True):
+            data = self.folder / "data" / name
+            data.mkdir()
+            peers = [
+                {"node_id": other, "address": wires[other]}
+                for other in names
+                if other != name
+            ]
+            self.controls.append(
+                self.common(
+                    name,
+                    domain,
+                    wire_listen=wires[name],
+                    data_folder=str(data),
+                    operators_file=str(self.operators_file),
+                    peers=peers,
+                    **more,
+                )
+            )
+        for settings in self.controls:
+            path = self.folder / "settings" / f"{settings['node_id']}.json"
+            path.write_text(json.dumps(settings))
+            self.run_cli("control", "init", str(path))
+        for settings in self.controls:
+            self.start_node("control", settings)
+
+    @property
+    def control_wires(self) -> list[str]:
+        """Wire addresses of the control instances."""
+        return [settings["wire_listen"] for settings in self.controls]
+
+    def start_origin(self, bytes_per_s: float = 0, corrupt_every: int = 0) -> None:
+        """Start the fake origin."""
+        port = self.start_fake(
+            "origin",
+            "origin",
+            *("--folder", str(self.folder / "weights")),
+            *("--bytes-per-s", str(bytes_per_s)),
+            *("--corrupt-every", str(corrupt_every)),
+        )
+        self.origin_url = f"http://{address(port)}"
+
+    def start_store(self, requests_per_s: float = 20) -> None:
+        """Start the fake rate-limited weight store."""
+        port = self.start_fake(
+            "store",
+            "origin",
+            *("--folder", str(self.folder / "weights")),
+            *("--requests-per-s", str(requests_per_s)),
+        )
+        self.store_url = f"http://{address(port)}"
+
+    def start_entry(self, node_id: str, domain: str, **more: object) -> Node:
+        """Start an entry."""
+        settings = self.common(node_id, domain, control=self.control_wires, **more)
+        return self.start_node("entry", settings)
+
+    def start_target(
+        self, node_id: str, domain: str, service: str, kind: str = "engine", **more
+    ) -> Node:
+        """Start a fake target and the sidecar beside it."""
+        options = ["--name", node_id] + (["--plain"] if kind == "plain" else [])
+        port = self.start_fake(f"target-{node_id}", "engine", *options)
+        settings = self.common(
+            node_id,
+            domain,
+            wire_listen=address(free_port()),
+            control=self.control_wires,
+            service=service,
+            kind=kind,
+            target_url=f"http://{address(port)}",
+            origin_url=self.origin_url,
+            store_url=self.store_url,
+            **more,
+        )
+        return self.start_node("sidecar", settings)
+
+    # -- weights and catalogue -------------------------------------------
+
+    def publish(self, seed: int, size: int, chunk_bytes: int, shared: int = 0) -> str:
+        """Make a version of `size` random bytes; return its digest.
+
+        The first `shared` bytes are the same in every version.
+        """
+        work = self.folder / f"building-{seed}"
+        (work / "layers").mkdir(parents=True)
+        (work / "layers" / "base.bin").write_bytes(seeded_bytes(0, shared))
+        (work / "layers" / "tuned.bin").write_bytes(seeded_bytes(seed, size - shared))
+        (work / "config.json").write_text(json.dumps({"seed": seed}))
+        manifest = build_manifest(str(work), chunk_bytes)
+        home = self.folder / "weights" / manifest.digest
+        home.mkdir()
+        work.rename(home / "files")
+        (home / "manifest.json").write_bytes(manifest.to_bytes())
+        return manifest.digest
+
+    def run_cli(self, *arguments: str, check: bool = True) -> str:
+        """Run a command of the project; return its standard output."""
+        environment = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
+        done = subprocess.run(
+            [sys.executable, "-m", "wisteriapulley.cli", *arguments],
+            capture_output=True,
+            text=True,
+            env=environment,
+            cwd=ROOT,
+            check=False,
+        )
+        if check and done.returncode:
+            raise RuntimeError(f"{arguments}: {done.stdout}{done.stderr}")
+        return done.stdout
+
+    def operator_options(self, owner: str) -> list[str]:
+        """Return the command line options of an operator."""
+        token = next(token for token, name in TOKENS.items() if name == owner)
+        path = self.folder / f"{owner}.token"
+        path.write_text(token)
+        addresses = ",".join(settings["http_listen"] for settings in self.controls)
+        return ["--control", addresses, "--token-file", str(path)]
+
+    def apply(self, folder: Path, owner: str, *options: str) -> str:
+        """Apply a folder of entries."""
+        return self.run_cli(
+            "catalogue",
+            "apply",
+            str(folder),
+            *self.operator_options(owner),
+            "--owner",
+            owner,
+            *options,
+        )
+
+    # -- waiting and ending ----------------------------------------------
+
+    async def wait_ready(self, names: list[str] | None = None) -> None:
+        """Wait until daemons say that they are ready."""
+        async with aiohttp.ClientSession() as session:
+            for name in names or list(self.nodes):
+                await wait_ready(session, self.nodes[name])
+
+    def records(self, prefix: str = "") -> list[dict]:
+        """Return the fakes' records."""
+        paths = sorted((self.folder / "records").glob(f"{prefix}*.jsonl"))
+        return [record for path in paths for record in read_records(str(path))]
+
+    def stop(self) -> None:
+        """End every process of this fleet, by its id."""
+        processes = [node.process for node in self.nodes.values()]
+        processes += self.fakes.values()
+        for process in processes:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in processes:
+            process.popen.wait()
+
+
+def seeded_bytes(seed: int, size: int) -> bytes:
+    """Return the same random bytes for the same seed."""
+    import random
+
+    return random.Random(seed).randbytes(size)
+
+
+async def wait_ready(session: aiohttp.ClientSession, node: Node) -> None:
+    """Wait until one daemon is ready."""
+    deadline = time.monotonic() + READY_S
+    while time.monotonic() < deadline:
+        if node.process.popen.poll() is not None:
+            break
+        try:
+            async with session.get(f"{node.http}/health/ready") as response:
+                if response.status == 200:
+                    return
+        except (aiohttp.ClientError, OSError):
+            pass
+        await asyncio.sleep(0.05)
+    raise RuntimeError(
+        f"{node.process.name} is not ready:\n{node.process.log.read_text()[-2000:]}"
+    )
--- /dev/null
+++ b/tests/test_catalogue.py
@@ -0,0 +1,89 @@
+import json
+
+import pytest
+
+from wisteriapulley.catalogue import Catalogue, Change, Entry, Put, diff, load_folder
+from wisteriapulley.errors import CatalogueError, ResultCode
+
+
+def entry(name="reports", **values):
+    fields = {"owner": "o", "traffic_class": "c", "service": "s", **values}
+    return Entry(name=name, **fields)
+
+
+def change(number, *puts):
+    return Change(number, "o", tuple(Put(e, base) for e, base in puts))
+
+
+class TestCatalogue:
+    def test_resend_gets_its_first_result(self):
+        catalogue = Catalogue()
+        first = catalogue.apply(change("1", (entry(), 0)))
+        catalogue.apply(change("2", (entry(priority=3), 1)))
+        assert catalogue.apply(change("1", (entry(), 0))) == first
+        assert catalogue.entries["reports"].entry.priority == 3
+
+    def test_equal_number_with_other_content_says_what_was_accepted(self):
+        catalogue = Catalogue()
+        catalogue.apply(change("1", (entry(), 0)))
+        result = catalogue.apply(change("1", (entry(priority=9), 0)))
+        assert result.code == ResultCode.CHANGE_ID_CONFLICT
+        assert result.accepted == (entry(),)
+
+    def test_race_on_a_revision_has_one_winner(self):
+        catalogue = Catalogue()
+        catalogue.apply(change("1", (entry(), 0)))
+        codes = [
+            catalogue.apply(change(str(n), (entry(priority=n), 1))).code for n in (2, 3)
+        ]
+        assert codes == [ResultCode.OK, ResultCode.REVISION_CONFLICT]
+        assert catalogue.revision == 2
+
+    def test_all_or_nothing(self):
+        catalogue = Catalogue()
+        result = catalogue.apply(
+            change("1", (entry("a"), 0), (entry("b", max_unavailable=0), 0))
+        )
+        assert result.code == ResultCode.CATALOGUE_ENTRY_INVALID
+        assert (catalogue.revision, catalogue.entries) == (0, {})
+
+    def test_other_owner_is_refused(self):
+        catalogue = Catalogue()
+        catalogue.apply(change("1", (entry(), 0)))
+        theirs = Change("2", "p", (Put(entry(owner="p"), 1),))
+        assert catalogue.apply(theirs).code == ResultCode.NOT_OWNER
+
+
+class TestFolder:
+    def write(self, folder, **values):
+        tree = {"name": "a", "owner": "o", "class": "c", "service": "s", **values}
+        (folder / "a.json").write_text(json.dumps(tree))
+
+    def test_diff_is_empty_after_apply(self, tmp_path):
+        self.write(tmp_path)
+        wanted = load_folder(str(tmp_path))
+        catalogue = Catalogue()
+        puts, deletes = diff(wanted, catalogue.entries, "o")
+        catalogue.apply(Change("1", "o", puts, deletes))
+        assert diff(wanted, catalogue.entries, "o") == ((), ())
+
+    @pytest.mark.parametrize(
+        ("values", "key"),
+        [
+            ({"version": "latest"}, "version"),
+            ({"max_unavailable": 0}, "max_unavailable"),
+            ({"limits": {"burst": 0}}, "burst"),
+            ({"distribution": "quick"}, "distribution"),
+            ({"colour": "red"}, "colour"),
+        ],
+    )
+    def test_error_names_file_and_key(self, tmp_path, values, key):
+        self.write(tmp_path, **values)
+        with pytest.raises(CatalogueError) as caught:
+            load_folder(str(tmp_path))
+        assert key in caught.value.message
+        assert "a.json" in caught.value.message
+
+    @pytest.mark.parametrize("name", ["trinacria", "lettercraft"])
+    def test_examples_are_valid(self, name):
+        assert load_folder(f"examples/{name}")
