--- a/src/wisteriapulley/control/state.py
+++ b/src/wisteriapulley/control/state.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from wisteriapulley.catalogue import Catalogue, ChangeResult
-from wisteriapulley.claims import ClaimLedger, ClaimResult
+from wisteriapulley.catalogue.catalogue import CatalogueImage, ChangeRecord
+from wisteriapulley.claims import Claim, ClaimKey, ClaimLedger, ClaimResult
 from wisteriapulley.control.commands import (
     COMMAND_DECODER,
     AcquirePermit,
@@ -16,10 +17,21 @@
     ReleasePermit,
     Result,
 )
-from wisteriapulley.control.permits import PermitTable
+from wisteriapulley.control.permits import Permit, PermitTable
 from wisteriapulley.errors import ResultCode
 
 
+class StateImage(msgspec.Struct, frozen=True):
+    """Whole replicated state, as a snapshot holds it."""
+
+    index: int
+    catalogue: CatalogueImage
+    history: tuple[ChangeRecord, ...]
+    claims: tuple[tuple[ClaimKey, Claim], ...]
+    claims_now_ms: int
+    permits: dict[str, Permit]
+
+
 class ControlState:
     """The replicated state of a control instance."""
 
@@ -34,6 +46,29 @@
         self.index = index
         return self.run(COMMAND_DECODER.decode(data))
 
+    def snapshot(self) -> bytes:
+        """Encode the whole state for a snapshot."""
+        image = StateImage(
+            self.index,
+            self.catalogue.image(),
+            tuple(self.catalogue.history.values()),
+            tuple(self.claims.claims.items()),
+            self.claims.now_ms,
+            self.permits.permits,
+        )
+        return msgspec.msgpack.encode(image)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot's."""
+        image = msgspec.msgpack.decode(data, type=StateImage)
+        self.index = image.index
+        self.catalogue.revision = image.catalogue.revision
+        self.catalogue.entries = dict(image.catalogue.entries)
+        self.catalogue.history = {r.change_id: r for r in image.history}
+        self.claims.claims = dict(image.claims)
+        self.claims.now_ms = image.claims_now_ms
+        self.permits.permits = dict(image.permits)
+
     @singledispatchmethod
     def run(self, command: Command) -> Result:
         """Run a command, by its kind."""
