Leave the command line behind before a daemon runs; harden links

Cause: cappa and rich weigh about 13 MB in each daemon against a budget of 32 MB; a frame before the proof could announce a 64 MB body; nothing bounded open handshakes or what is queued for a peer that does not read; a taken address ended in a traceback. Change: the command becomes the daemon by exec (same process id); handshake frames are bounded in message and body together, open handshakes in number; a link whose peer does not read is closed; WP102 for a taken address. Ruled out: parsing the daemon commands by hand, which would stand twice. Conclusion: still over 32 MB; aiohttp and aiomisc are next to look at.

--- a/src/wisteriapulley/cli.py
+++ b/src/wisteriapulley/cli.py
@@ -1,5 +1,6 @@
 """Command line: ``wisteriapulley``."""
 
+import os
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -36,11 +37,17 @@
 
 
 def run_daemon(role: str, path: str) -> int:
-    """Check settings and run a daemon."""
-    from wisteriapulley import daemon
+    """Check settings, then become the daemon.
+
+    The command line's libraries take some 13 MB; the daemon takes the process
+    over without them, under the same process id.
+    """
     from wisteriapulley.settings import load_settings
 
-    return daemon.run(role, load_settings(path, role))
+    load_settings(path, role)
+    sys.stdout.flush()
+    module = "wisteriapulley.daemon"
+    os.execv(sys.executable, [sys.executable, "-m", module, role, path])
 
 
 @cappa.command(name="run", help="Run a control instance.")
--- a/src/wisteriapulley/daemon.py
+++ b/src/wisteriapulley/daemon.py
@@ -10,7 +10,7 @@
 
 from wisteriapulley import logs
 from wisteriapulley.errors import WisteriapulleyError
-from wisteriapulley.settings import NodeSettings
+from wisteriapulley.settings import NodeSettings, load_settings
 
 # Imported late: what a role does not need must not weigh on its 32 MB.
 SERVICES = {
@@ -21,6 +21,16 @@
 EXIT_FAILED = 1
 
 
+def main() -> int:
+    """Run the daemon that the command line named: role and settings file."""
+    role, path = sys.argv[1:]
+    try:
+        return run(role, load_settings(path, role))
+    except WisteriapulleyError as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILED
+
+
 def run(role: str, settings: NodeSettings) -> int:
     """Run the daemon of `role` until SIGTERM or SIGINT.
 
@@ -28,16 +38,17 @@
     -------
     int
         Exit status.
+
+    Raises
+    ------
+    WisteriapulleyError
+        The daemon could not start, or failed for good.
     """
     logs.configure(settings.node_id, settings.log_level)
     module, name = SERVICES[role]
     service = getattr(import_module(module), name).from_settings(settings)
-    try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(service))
-    except WisteriapulleyError as error:
-        print(error, file=sys.stderr)
-        return EXIT_FAILED
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(service))
     return 0
 
 
@@ -65,3 +76,7 @@
         stopping.cancel()
     if service.fatal.done():
         service.fatal.result()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/wisteriapulley/http_server.py
+++ b/src/wisteriapulley/http_server.py
@@ -5,7 +5,12 @@
 from aiohttp import web
 from aioprometheus import render
 
-from wisteriapulley.errors import CODE_TABLE, ResultCode, WisteriapulleyError
+from wisteriapulley.errors import (
+    CODE_TABLE,
+    ResultCode,
+    SettingsError,
+    WisteriapulleyError,
+)
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.settings import Address
 
@@ -55,7 +60,12 @@
         )
         await self.runner.setup()
         site = web.TCPSite(self.runner, address.host, address.port)
-        await site.start()
+        try:
+            await site.start()
+        except OSError as error:
+            raise SettingsError(
+                ResultCode.ADDRESS_CLASH, f"$.http_listen {address}: {error}"
+            ) from error
         port = site._server.sockets[0].getsockname()[1]
         self.address = Address(address.host, port)
 
--- a/src/wisteriapulley/wire/keeper.py
+++ b/src/wisteriapulley/wire/keeper.py
@@ -95,9 +95,12 @@
             self.settings.silence_ms,
         )
         self.changed.set()
-        if self.on_open is not None:
-            await self.on_open(self.link)
-        await self.link.closed.wait()
+        try:
+            if self.on_open is not None:
+                await self.on_open(self.link)
+            await self.link.closed.wait()
+        finally:
+            self.link.close()
 
     async def stop(self) -> None:
         """Stop keeping, and close the link."""
--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -5,7 +5,12 @@
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
 
-from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
+from wisteriapulley.errors import (
+    ResultCode,
+    SettingsError,
+    WireError,
+    WisteriapulleyError,
+)
 from wisteriapulley.logs import fields
 from wisteriapulley.settings import Address
 from wisteriapulley.wire import codec, handshake
@@ -18,7 +23,12 @@
 HANDSHAKE_S = 5.0
 # The handshake is read before the peer is known: nothing long is taken.
 HANDSHAKE_BYTES = 4096
+# Connections that have not yet proved the key; more are closed at once, so that
+# whoever opens sockets and says nothing takes no more memory than this.
+MAX_HANDSHAKES = 128
 STREAM_LIMIT_BYTES = 1 << 18
+# A peer that beats but does not read would grow our buffer without end.
+WRITE_LIMIT_BYTES = 128 << 20
 
 Handler = Callable[["Link", Frame], Awaitable[None]]
 
@@ -166,6 +176,11 @@
         """
         if self.closed.is_set():
             raise self.reason or WireError(ResultCode.LINK_CLOSED, self.peer_id)
+        if self.writer.transport.get_write_buffer_size() > WRITE_LIMIT_BYTES:
+            self.close(
+                WireError(ResultCode.LINK_SILENT, f"{self.peer_id} does not read")
+            )
+            raise self.reason
         frame_id = next(self.ids)
         data = codec.encode(Frame(frame_id, reply_to, message, body))
         self.writer.write(data)
@@ -208,14 +223,14 @@
         raise_failure(frame)
         return frame
 
-    async def read_frame(self, limit: int = codec.MAX_MESSAGE_BYTES) -> Frame:
-        """Read one frame."""
+    async def read_frame(self, limit: int = 0) -> Frame:
+        """Read one frame; with `limit`, message and body fit in so many bytes."""
         header = await self.reader.readexactly(codec.HEADER.size)
         message_bytes, body_bytes = codec.parse_header(header)
-        if message_bytes > limit:
+        if limit and message_bytes + body_bytes > limit:
             raise WireError(
                 ResultCode.FRAME_TOO_LARGE,
-                f"expected at most {limit} bytes, got {message_bytes}",
+                f"expected at most {limit} bytes, got {message_bytes + body_bytes}",
             )
         payload = await self.reader.readexactly(message_bytes)
         body = await self.reader.readexactly(body_bytes) if body_bytes else b""
@@ -377,15 +392,27 @@
         self.heartbeat_ms = heartbeat_ms
         self.silence_ms = silence_ms
         self.links: set[Link] = set()
+        self.handshakes = 0
         self.server: asyncio.Server | None = None
         self.on_open: Callable[[Link], None] | None = None
         self.on_close: Callable[[Link], None] | None = None
 
     async def start(self, address: Address) -> Address:
-        """Listen; return the address with its real port."""
-        self.server = await asyncio.start_server(
-            self.accept, address.host, address.port, limit=STREAM_LIMIT_BYTES
-        )
+        """Listen; return the address with its real port.
+
+        Raises
+        ------
+        SettingsError
+            ADDRESS_CLASH: the address is taken or not of this instance.
+        """
+        try:
+            self.server = await asyncio.start_server(
+                self.accept, address.host, address.port, limit=STREAM_LIMIT_BYTES
+            )
+        except OSError as error:
+            raise SettingsError(
+                ResultCode.ADDRESS_CLASH, f"$.wire_listen {address}: {error}"
+            ) from error
         port = self.server.sockets[0].getsockname()[1]
         return Address(address.host, port)
 
@@ -394,12 +421,19 @@
     ) -> None:
         """Authenticate one connection and keep its link."""
         link = Link(reader, writer, self.handler, self.heartbeat)
+        self.handshakes += 1
         try:
+            if self.handshakes > MAX_HANDSHAKES:
+                raise WireError(
+                    ResultCode.AUTHENTICATION_FAILED, "too many handshakes at once"
+                )
             await link.authenticate(self.identity, opener=False)
         except WireError as error:
             log.warning("link refused: %s", error, extra=fields(code=error.code))
             link.close(error)
             return
+        finally:
+            self.handshakes -= 1
         link.on_close = self.forget
         self.links.add(link)
         link.start(self.heartbeat_ms, self.silence_ms)
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,71 @@
+import json
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from tests.fleet import ROOT
+
+
+def run(*arguments):
+    return subprocess.run(
+        [sys.executable, "-m", "wisteriapulley.cli", *arguments],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env={"PYTHONPATH": str(ROOT / "src")},
+        check=False,
+    )
+
+
+class TestCommandLine:
+    def test_version(self):
+        assert "0.1.0" in run("--version").stdout
+
+    def test_help_names_units(self):
+        assert "seconds" in run("catalogue", "apply", "--help").stdout
+
+    @pytest.mark.parametrize("role", ["entry", "sidecar"])
+    def test_bad_settings_stop_the_start_with_a_code(self, tmp_path, role):
+        path = tmp_path / "s.json"
+        path.write_text(json.dumps({"node_id": 1}))
+        done = run(role, str(path))
+        assert (done.returncode, done.stderr[:5]) == (1, "WP101")
+
+    def test_taken_address_stops_the_start_with_a_code(self, tmp_path):
+        key = tmp_path / "fleet.key"
+        key.write_text("k" * 64)
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            settings = {
+                "node_id": "entry-1",
+                "failure_domain": "palermo",
+                "http_listen": f"127.0.0.1:{taken.getsockname()[1]}",
+                "fleet_key_file": str(key),
+                "control": ["127.0.0.1:1"],
+            }
+            path = tmp_path / "s.json"
+            path.write_text(json.dumps(settings))
+            done = run("entry", str(path))
+        assert done.returncode == 1
+        assert "WP102" in done.stderr
+
+    def test_settings_check(self, tmp_path):
+        done = run("settings", "check", "entry", str(tmp_path / "none.json"))
+        assert (done.returncode, done.stderr[:5]) == (1, "WP100")
+
+    def test_manifest_build_then_verify(self, tmp_path):
+        tree = tmp_path / "tree"
+        tree.mkdir()
+        (tree / "w.bin").write_bytes(b"x" * 100)
+        manifest = str(tmp_path / "manifest.json")
+        built = run("manifest", "build", str(tree), manifest)
+        assert len(built.stdout.strip()) == 64
+        assert run("manifest", "verify", str(tree), manifest).returncode == 0
+        (tree / "w.bin").write_bytes(b"y" * 100)
+        assert run("manifest", "verify", str(tree), manifest).stderr[:5] == "WP501"
+
+    def test_wrong_usage_exits_with_two(self):
+        assert run("catalogue", "explode").returncode == 2
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,8 +4,8 @@
 
 from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
 from wisteriapulley.settings import Address
-from wisteriapulley.wire import Frame, LinkServer, codec, connect, messages
-from wisteriapulley.wire.handshake import Identity
+from wisteriapulley.wire import Frame, Link, LinkServer, codec, connect, messages
+from wisteriapulley.wire.handshake import Identity, sign, verify
 
 KEY = b"k" * 32
 HOUR_MS = 3_600_000
@@ -88,3 +88,80 @@
         with pytest.raises(WireError) as caught:
             asyncio.run(run())
         assert caught.value.code == ResultCode.AUTHENTICATION_FAILED
+
+    def test_silent_peer_is_dropped_and_its_calls_end(self):
+        async def run():
+            received = asyncio.Event()
+
+            async def swallow(reader, writer):
+                # A peer that proves the key, then never sends again.
+                theirs = Link(reader, writer, None, messages.Heartbeat)
+                await theirs.authenticate(identity("mute"), opener=False)
+                received.set()
+                await asyncio.sleep(60)
+
+            server = await asyncio.start_server(swallow, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            link = await connect(
+                Address("127.0.0.1", port),
+                identity("client"),
+                None,
+                messages.Heartbeat,
+                50,
+                150,
+            )
+            with pytest.raises(WireError) as caught:
+                await link.request(messages.Ack(), 30)
+            server.close()
+            return caught.value.code
+
+        assert asyncio.run(run()) == ResultCode.LINK_SILENT
+
+
+class TestHandshake:
+    async def speak(self, data):
+        """Send bytes to a server; return all that it answers."""
+        server = LinkServer(
+            identity("server"), None, messages.Heartbeat, HOUR_MS, HOUR_MS
+        )
+        address = await server.start(Address("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(data)
+        try:
+            answer = await reader.read()
+        except ConnectionResetError:
+            answer = b""
+        assert not server.links
+        writer.close()
+        await server.stop()
+        return answer
+
+    def recorded(self):
+        """Return what an honest opener once sent."""
+        mine = identity("client").hello()
+        theirs = identity("server").hello()
+        proof = sign(KEY, mine, theirs, opener=True)
+        frames = (Frame(1, 0, mine), Frame(2, 0, proof))
+        return b"".join(codec.encode(frame) for frame in frames)
+
+    def test_replayed_handshake_is_refused(self):
+        asyncio.run(self.speak(self.recorded()))
+
+    def test_own_proof_sent_back_is_refused(self):
+        hello = identity("server").hello()
+        other = identity("client").hello()
+        proof = sign(KEY, hello, other, opener=True)
+        with pytest.raises(WireError):
+            verify(KEY, proof, hello, other, opener=False)
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"GET / HTTP/1.1\r\n\r\n",
+            codec.HEADER.pack(codec.MAGIC, 8, 1 << 20),
+            codec.HEADER.pack(codec.MAGIC, 1 << 13, 0),
+            codec.HEADER.pack(codec.MAGIC, 8, 0) + b"\xff" * 8,
+        ],
+    )
+    def test_garbage_before_the_proof_is_closed_at_once(self, data):
+        asyncio.run(self.speak(data))
