Ignore stop signals once a daemon has stopped, in every thread

Ruled out: aiomisc restoring handlers (catch_signals is empty). Change: Python handlers, replaced by SIG_IGN, which the interpreter keeps.

--- a/src/wisteriapulley/daemon.py
+++ b/src/wisteriapulley/daemon.py
@@ -67,7 +67,7 @@
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, stop.set)
+        signal.signal(number, lambda *_: loop.call_soon_threadsafe(stop.set))
     service.fatal = loop.create_future()
     async with aiomisc.entrypoint(service, log_config=False, catch_signals=()):
         stopping = loop.create_task(stop.wait())
@@ -75,9 +75,10 @@
             (stopping, service.fatal), return_when=asyncio.FIRST_COMPLETED
         )
         stopping.cancel()
-    # The loop's handlers go before the interpreter does: a signal in between
-    # would end a clean exit as a kill.
-    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    # Handlers of Python go before the process does: a signal in between would
+    # end a clean exit as a kill.
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
     if service.fatal.done():
         service.fatal.result()
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,7 +1,9 @@
 import json
+import signal
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -19,6 +21,17 @@
     )
 
 
+def wait_for_handler(pid):
+    """Wait until a process catches SIGTERM, as its status page tells."""
+    mask = 1 << (signal.SIGTERM - 1)
+    while True:
+        with open(f"/proc/{pid}/status") as status:
+            caught = next(line for line in status if line.startswith("SigCgt"))
+        if int(caught.split()[1], 16) & mask:
+            return
+        time.sleep(0.01)
+
+
 class TestCommandLine:
     def test_version(self):
         assert "0.1.0" in run("--version").stdout
@@ -52,6 +65,31 @@
         assert done.returncode == 1
         assert "WP102" in done.stderr
 
+    def test_signals_during_a_stop_change_nothing(self, tmp_path):
+        # Guards the clean exit status: each handler once ended before the process.
+        key = tmp_path / "fleet.key"
+        key.write_text("k" * 64)
+        settings = {
+            "node_id": "entry-1",
+            "failure_domain": "palermo",
+            "http_listen": "127.0.0.1:0",
+            "fleet_key_file": str(key),
+            "control": ["127.0.0.1:1"],
+        }
+        path = tmp_path / "s.json"
+        path.write_text(json.dumps(settings))
+        daemon = subprocess.Popen(
+            [sys.executable, "-m", "wisteriapulley.daemon", "entry", str(path)],
+            cwd=ROOT,
+            env={"PYTHONPATH": str(ROOT / "src")},
+            stderr=subprocess.PIPE,
+        )
+        wait_for_handler(daemon.pid)
+        while daemon.poll() is None:
+            daemon.send_signal(signal.SIGTERM)
+        assert daemon.returncode == 0
+        daemon.stderr.close()
+
     def test_settings_check(self, tmp_path):
         done = run("settings", "check", "entry", str(tmp_path / "none.json"))
         assert (done.returncode, done.stderr[:5]) == (1, "WP100")
