--- a/src/wisteriapulley/cli.py
+++ b/src/wisteriapulley/cli.py
@@ -55,30 +55,80 @@
         return run_daemon("control", self.settings)
 
 
-@cappa.command(name="init", help="Make the data folder of a founding instance, once.")
+@cappa.command(name="init", help="Found the fleet's cluster: on one instance, once.")
 @dataclass
 class ControlInit:
-    """Make a founding instance's data folder."""
+    """Found the cluster on this instance."""
 
     settings: SettingsFile
 
     def __call__(self) -> int:
-        """Write the identity."""
+        """Write the identity of the one founding voter."""
         from wisteriapulley.consensus.setup import init_folder
+        from wisteriapulley.control.founding import refuse_if_founded
         from wisteriapulley.settings import load_settings
 
         settings = load_settings(self.settings, "control")
-        init_folder(settings)
-        print(f"{settings.data_folder}: initialised for {settings.node_id}")
+        refuse_if_founded(settings)
+        identity = init_folder(settings)
+        print(f"{settings.data_folder}: {settings.node_id} founds, {identity.identity}")
         return EXIT_OK
 
 
+@cappa.command(name="join", help="Make the folder of an instance that joins.")
+@dataclass
+class ControlJoin:
+    """Make the folder of an instance that joins."""
+
+    settings: SettingsFile
+
+    def __call__(self) -> int:
+        """Write the identity of a learner."""
+        from wisteriapulley.consensus.setup import join_folder
+        from wisteriapulley.settings import load_settings
+
+        settings = load_settings(self.settings, "control")
+        identity = join_folder(settings)
+        print(f"{settings.data_folder}: {settings.node_id} joins, {identity.identity}")
+        return EXIT_OK
+
+
+@cappa.command(name="members", help="Show who votes, who learns and how far each is.")
+@dataclass
+class ControlMembers:
+    """Show the members of the quorum."""
+
+    control: Control
+    token_file: TokenFile
+
+    def __call__(self) -> int:
+        """Print them as JSON."""
+        return show("/v1/control/members", self.control, self.token_file)
+
+
+@cappa.command(name="remove", help="Take an instance out of the quorum for good.")
+@dataclass
+class ControlRemove:
+    """Remove a member."""
+
+    node_id: Annotated[str, cappa.Arg(help="Control instance to remove.")]
+    control: Control
+    token_file: TokenFile
+
+    def __call__(self) -> int:
+        """Remove it and print who is left."""
+        path = f"/v1/control/members/{self.node_id}"
+        return show(path, self.control, self.token_file, "DELETE")
+
+
 @cappa.command(name="control", help="Control instance: catalogue, claims, permits.")
 @dataclass
 class ControlCommand:
     """Control instance."""
 
-    command: cappa.Subcommands[ControlRun | ControlInit]
+    command: cappa.Subcommands[
+        ControlRun | ControlInit | ControlJoin | ControlMembers | ControlRemove
+    ]
 
 
 @cappa.command(name="entry", help="Entry: serves callers.")
@@ -213,12 +263,12 @@
         return EXIT_OK
 
 
-def show(path: str, control: str, token_file: str) -> int:
+def show(path: str, control: str, token_file: str, method: str = "GET") -> int:
     """Print what an operators' page answers."""
     from wisteriapulley.operator_client import OperatorClient
 
     client = OperatorClient.from_files(control, token_file, "")
-    sys.stdout.write(client.request("GET", path).decode() + "\n")
+    sys.stdout.write(client.request(method, path).decode() + "\n")
     return EXIT_OK
 
 
--- /dev/null
+++ b/src/wisteriapulley/consensus/base.py
@@ -0,0 +1,253 @@
+"""What every part of a replica shares: its state, its log and its outbox."""
+
+import random
+
+import msgspec
+
+from wisteriapulley.consensus.log import Log
+from wisteriapulley.consensus.types import (
+    HardState,
+    Members,
+    Record,
+    RecordKind,
+    Snapshot,
+    SnapshotInfo,
+    Timing,
+)
+from wisteriapulley.errors import ResultCode, StorageError
+from wisteriapulley.statechart import StateChart
+from wisteriapulley.wire.messages import AppendRequest, SnapshotPart
+
+NEVER_MS = float("-inf")
+
+
+class Progress:
+    """What a leader knows of one follower.
+
+    Parameters
+    ----------
+    next_index : int
+        First record to send.
+
+    Attributes
+    ----------
+    identity : str
+        Disk that `match_index` speaks of.
+    match_index : int
+        How far that disk's synced log matches.
+    inflight : list of int
+        Last index of each append that is not yet answered.
+    acked_round : int
+        Newest round that was answered.
+    """
+
+    def __init__(self, next_index: int):
+        self.next_index = next_index
+        self.identity = ""
+        self.match_index = 0
+        self.inflight: list[int] = []
+        self.acked_round = 0
+        self.snapshot_index = 0
+        self.snapshot_offset = 0
+        self.snapshot_total = 0
+        self.part_sent_ms = NEVER_MS
+
+    def matched(self, index: int) -> None:
+        """Note that the log matches up to `index`."""
+        self.match_index = max(self.match_index, index)
+        self.next_index = max(self.next_index, self.match_index + 1)
+        self.inflight = [last for last in self.inflight if last > index]
+
+    def retry_from(self, index: int) -> None:
+        """Send again from `index`, but nothing that matches already."""
+        self.next_index = max(index, self.match_index + 1)
+        self.inflight = []
+
+
+class ReplicaBase:
+    """State of one member of the quorum; `Replica` says what it does.
+
+    Parameters
+    ----------
+    node_id : str
+        This member.
+    identity : str
+        Identity of its disk.
+    members : Members
+        Configuration before the first record, or the snapshot's.
+    hard_state : HardState
+        As last synced.
+    log : Log
+        The synced log.
+    snapshot : SnapshotInfo
+        The synced snapshot, if there is one.
+    timing : Timing
+        Timeouts.
+    rng : random.Random
+        Spreads elections; seeded in tests.
+    now_ms : float
+        The monotonic clock's reading at the start.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        identity: str,
+        members: Members,
+        hard_state: HardState | None = None,
+        log: Log | None = None,
+        snapshot: SnapshotInfo | None = None,
+        timing: Timing | None = None,
+        rng: random.Random | None = None,
+        now_ms: float = 0.0,
+    ):
+        self.node_id = node_id
+        self.identity = identity
+        self.saved = hard_state or HardState()
+        self.term = self.saved.term
+        self.voted_for = self.saved.voted_for
+        self.log = log if log is not None else Log()
+        self.snapshot = snapshot
+        self.timing = timing or Timing()
+        self.rng = rng or random.Random(node_id)
+        self.now_ms = now_ms
+        self.role = StateChart("replica")
+        self.leader = ""
+        start = snapshot.last_index if snapshot is not None else 0
+        self.commit_index = start
+        self.applied_index = start
+        self.synced_index = self.log.last_index
+        self.votes: set[str] = set()
+        self.pre_voting = False
+        self.progress: dict[str, Progress] = {}
+        self.round = 0
+        self.round_sent: dict[int, float] = {}
+        self.confirmed_ms = NEVER_MS
+        self.next_beat_ms = 0.0
+        self.elected_ms = 0.0
+        self.term_start = 0
+        self.handing_over = False
+        self.joining: dict[str, str] = {}
+        self.incoming: tuple[int, int, int] = (0, 0, 0)
+        self.received = bytearray()
+        self.installed: Snapshot | None = None
+        self.unsaved: list[Record] = []
+        self.outbox: list[tuple[str, tuple]] = []
+        base = snapshot.members if snapshot is not None else members
+        self.configurations: list[tuple[int, Members]] = [(start, base)]
+        for record in self.log.between(start + 1, self.log.last_index):
+            self.adopt_members(record)
+        # A restart forgets when the leader was heard, but the leader may hold
+        # a lease on this replica's word: it counts as heard now.
+        self.heard_ms = now_ms if self.term else NEVER_MS
+        self.election_at_ms = 0.0
+        self.reset_election()
+        self.refresh_role()
+
+    # -- what others read ------------------------------------------------
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica holds the leader role."""
+        return self.role.state == "leader"
+
+    @property
+    def members(self) -> Members:
+        """The newest configuration in the log, committed or not."""
+        return self.configurations[-1][1]
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this disk votes or learns in the newest configuration."""
+        return self.members.holds(self.node_id, self.identity)
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this disk votes in the newest configuration."""
+        return self.members.voters.get(self.node_id) == self.identity
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last record."""
+        return self.log.last_index
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last record."""
+        return self.log.last_term
+
+    # -- shared by the parts ---------------------------------------------
+
+    def reset_election(self) -> None:
+        """Start a new random election timeout."""
+        if self.is_voter and len(self.members.voters) == 1:
+            # Nobody else can lead, so there is nobody to wait for.
+            self.election_at_ms = self.now_ms
+            return
+        spread = 1 + self.rng.random()
+        self.election_at_ms = self.now_ms + self.timing.election_ms * spread
+
+    def refresh_role(self) -> None:
+        """Be a learner exactly while this disk has no vote."""
+        if self.is_voter and self.role.state == "learner":
+            self.role.fire("promote")
+        elif not self.is_voter and self.role.state == "follower":
+            self.role.fire("learn")
+
+    def step_down(self) -> None:
+        """Leave the leader's or candidate's role."""
+        if self.role.state in ("leader", "candidate"):
+            self.role.fire("step_down")
+        self.leader = ""
+        self.pre_voting = False
+        self.handing_over = False
+        self.reset_election()
+        self.refresh_role()
+
+    def store(self, record: Record) -> None:
+        """Put a record at its index, cutting what stood there and after.
+
+        Raises
+        ------
+        StorageError
+            A committed record would be cut: the sender's cluster is another.
+        """
+        if record.index <= self.commit_index:
+            raise StorageError(
+                ResultCode.IDENTITY_MISMATCH,
+                f"expected nothing below the committed index {self.commit_index} to"
+                f" change, got record {record.index} of term {record.term}: two"
+                " clusters were founded; empty the newer one's folders and join",
+            )
+        self.log.put(record)
+        self.synced_index = min(self.synced_index, record.index - 1)
+        while len(self.configurations) > 1 and (
+            self.configurations[-1][0] >= record.index
+        ):
+            del self.configurations[-1]
+        self.unsaved.append(record)
+        self.adopt_members(record)
+        self.refresh_role()
+
+    def adopt_members(self, record: Record) -> None:
+        """Use a configuration as soon as it stands in the log."""
+        if record.kind == RecordKind.MEMBERS:
+            members = msgspec.msgpack.decode(record.data, type=Members)
+            self.configurations.append((record.index, members))
+
+    def others(self) -> list[str]:
+        """Return every node id that a leader sends to."""
+        return [node for node in self.members.everyone() if node != self.node_id]
+
+    def other_voters(self) -> list[str]:
+        """Return every other voter."""
+        return [node for node in self.members.voters if node != self.node_id]
+
+    def send(self, node_id: str, message: tuple) -> None:
+        """Queue a message until the state it speaks of is synced."""
+        self.outbox.append((node_id, message))
+
+
+def may_leave_early(message: tuple) -> bool:
+    """Tell whether a message acknowledges nothing, so needs no sync before."""
+    return isinstance(message, AppendRequest | SnapshotPart)
--- /dev/null
+++ b/src/wisteriapulley/consensus/frames.py
@@ -0,0 +1,94 @@
+"""Frames of the storage's files: two checksums, a length and a kind.
+
+A frame is ``header crc32 | payload crc32 | length | kind | payload``. The
+header has its own checksum, so that a flipped length is not taken for a frame
+that was cut short.
+"""
+
+import struct
+import zlib
+from collections.abc import Iterator
+from typing import NamedTuple
+
+HEADER = struct.Struct("<IIIB")
+MARK = struct.Struct("<Q")
+CRC_BYTES = 4
+# Disks write whole sectors: one that a crash kept from the disk reads as zeros.
+SECTOR = 512
+
+KIND_HARD_STATE = 1
+KIND_RECORD = 2
+KIND_BASE = 3
+KIND_SYNCED = 4
+KIND_SNAPSHOT = 5
+
+
+class Scanned(NamedTuple):
+    """A whole frame of a file and where it ends."""
+
+    kind: int
+    payload: bytes
+    end: int
+
+
+def pack(kind: int, payload: bytes) -> bytes:
+    """Pack one frame."""
+    header = HEADER.pack(0, zlib.crc32(payload), len(payload), kind)[CRC_BYTES:]
+    return zlib.crc32(header).to_bytes(CRC_BYTES, "little") + header + payload
+
+
+def pack_mark(offset: int) -> bytes:
+    """Pack the mark that every byte before `offset` was synced."""
+    return pack(KIND_SYNCED, MARK.pack(offset))
+
+
+def frame_at(data: bytes, offset: int) -> Scanned | None:
+    """Read the frame at `offset`; None when it is not whole and right."""
+    if offset + HEADER.size > len(data):
+        return None
+    header_crc, payload_crc, length, kind = HEADER.unpack_from(data, offset)
+    start = offset + HEADER.size
+    if zlib.crc32(data[offset + CRC_BYTES : start]) != header_crc:
+        return None
+    payload = data[start : start + length]
+    if len(payload) < length or zlib.crc32(payload) != payload_crc:
+        return None
+    return Scanned(kind, payload, start + length)
+
+
+def scan(data: bytes) -> Iterator[Scanned]:
+    """Yield whole frames up to the first that is not."""
+    offset = 0
+    while (frame := frame_at(data, offset)) is not None:
+        yield frame
+        offset = frame.end
+
+
+def marked_beyond(data: bytes, offset: int) -> bool:
+    """Tell whether a mark after `offset` says that `offset` was synced."""
+    pattern = HEADER.pack(0, 0, MARK.size, KIND_SYNCED)[2 * CRC_BYTES :]
+    found = data.find(pattern, offset)
+    while found >= 0:
+        frame = frame_at(data, found - 2 * CRC_BYTES)
+        if frame is not None and MARK.unpack(frame.payload)[0] > offset:
+            return True
+        found = data.find(pattern, found + 1)
+    return False
+
+
+def cut_short(data: bytes, offset: int) -> bool:
+    """Tell whether the bytes from `offset` look like an unfinished write.
+
+    An append that a crash cut ends early, or lacks sectors, which read as
+    zeros. Bytes that are all there but wrong were damaged later.
+    """
+    if offset + HEADER.size > len(data):
+        return True
+    header_crc, _, length, _ = HEADER.unpack_from(data, offset)
+    start = offset + HEADER.size
+    if zlib.crc32(data[offset + CRC_BYTES : start]) == header_crc:
+        if start + length > len(data):
+            return True
+    edges = [offset, *range((offset // SECTOR + 1) * SECTOR, len(data), SECTOR)]
+    pieces = zip(edges, [*edges[1:], len(data)], strict=True)
+    return any(not any(data[first:last]) for first, last in pieces)
--- /dev/null
+++ b/src/wisteriapulley/consensus/membership.py
@@ -0,0 +1,114 @@
+"""Membership changes: one at a time, and through a learner.
+
+A disk joins as a learner and gets a vote only once it holds every committed
+record synced. A replaced disk learns first, then the lost disk loses its vote,
+then the new one gets it: see docs/design/control-quorum.md.
+"""
+
+import msgspec
+
+from wisteriapulley.consensus.replication import Replication
+from wisteriapulley.consensus.types import Members, RecordKind
+from wisteriapulley.wire.messages import JoinRequest
+
+
+class Membership(Replication):
+    """How a leader changes who takes part."""
+
+    def can_change_members(self) -> bool:
+        """Tell whether a change may be appended now.
+
+        Two majorities overlap only if their configurations differ by one
+        voter: the last change must be committed first. A new leader may not
+        know that it is until a record of its own term is committed.
+        """
+        return (
+            self.is_leader
+            and not self.handing_over
+            and self.commit_index >= self.term_start
+            and self.commit_index >= self.configurations[-1][0]
+        )
+
+    def change_members(self, members: Members) -> int | None:
+        """Append a configuration, in use at once, if its majority answers now.
+
+        Without that check a change made while others are away could leave the
+        quorum smaller than what is needed to commit the change itself.
+        """
+        alive = sum(map(self.answers, members.voters))
+        if alive < members.quorum():
+            return None
+        index = self.append(RecordKind.MEMBERS, msgspec.msgpack.encode(members))
+        self.progress = {
+            node: p for node, p in self.progress.items() if node in self.others()
+        }
+        return index
+
+    def answers(self, node_id: str) -> bool:
+        """Tell whether a node id answered within an election timeout."""
+        if node_id == self.node_id:
+            return True
+        progress = self.progress.get(node_id)
+        sent = self.round_sent.get(progress.acked_round) if progress else None
+        return sent is not None and self.now_ms - sent < self.timing.election_ms
+
+    def remove_member(self, node_id: str) -> int | None:
+        """Take a member out for good.
+
+        Returns
+        -------
+        int or None
+            Index of the change, or None when none may be made now: ask again.
+        """
+        members = self.members
+        if not self.can_change_members() or node_id == self.node_id:
+            return None
+        if node_id in members.learners:
+            return self.change_members(members.without_learner(node_id))
+        if node_id in members.voters:
+            return self.change_members(members.without_voter(node_id))
+        return None
+
+    def note_join(self, message: JoinRequest) -> None:
+        """Remember a disk that asks to join; `manage_members` takes it in."""
+        refused = message.identity in self.members.removed
+        if self.is_leader and not refused and message.node_id != self.node_id:
+            self.joining[message.node_id] = message.identity
+
+    def manage_members(self) -> None:
+        """Make the next change that is due, if one may be made."""
+        if not self.can_change_members():
+            return
+        for node_id, identity in tuple(self.members.learners.items()):
+            if self.holds_committed(node_id, identity):
+                self.promote(node_id)
+                return
+        for node_id, identity in tuple(self.joining.items()):
+            del self.joining[node_id]
+            if not self.members.holds(node_id, identity):
+                self.admit(node_id, identity)
+                return
+
+    def holds_committed(self, node_id: str, identity: str) -> bool:
+        """Tell whether a learner's disk has synced every committed record."""
+        progress = self.progress.get(node_id)
+        return (
+            progress is not None
+            and progress.identity == identity
+            and progress.match_index >= self.commit_index
+        )
+
+    def promote(self, node_id: str) -> None:
+        """Give a learner its vote; a lost disk of its name loses its own first."""
+        if node_id in self.members.voters:
+            self.change_members(self.members.without_voter(node_id))
+        else:
+            self.change_members(self.members.promoted(node_id))
+
+    def admit(self, node_id: str, identity: str) -> None:
+        """Take a disk in as a learner; a learner that it replaces goes first."""
+        if node_id in self.members.learners:
+            self.change_members(self.members.without_learner(node_id))
+            self.joining[node_id] = identity
+        else:
+            self.change_members(self.members.with_learner(node_id, identity))
--- /dev/null
+++ b/src/wisteriapulley/consensus/replication.py
@@ -0,0 +1,312 @@
+"""Replication: appends in flight, what is committed, and snapshots sent."""
+
+import msgspec
+
+from wisteriapulley.consensus.base import NEVER_MS, Progress
+from wisteriapulley.consensus.election import Election
+from wisteriapulley.consensus.types import (
+    Members,
+    Record,
+    RecordKind,
+    Snapshot,
+    SnapshotInfo,
+)
+from wisteriapulley.wire.messages import (
+    AppendReply,
+    AppendRequest,
+    LogRecord,
+    SnapshotPart,
+    SnapshotReply,
+)
+
+# One append: what a follower syncs at once, far below the frame limit.
+MAX_RECORDS = 512
+MAX_APPEND_BYTES = 1 << 20
+# Appends to one follower that are not yet answered: enough to fill a link with
+# a few milliseconds of latency, and at most 16 MB that wait for a stalled one.
+MAX_INFLIGHT = 16
+# Rounds whose sending time is remembered: more than go out in one lease.
+MAX_ROUNDS = 4096
+# Records kept behind a snapshot, for followers that lag a little: they get
+# these rather than the whole state.
+KEEP_RECORDS = 256
+
+
+class Replication(Election):
+    """How records and snapshots reach the others."""
+
+    def append(self, kind: RecordKind, data: bytes) -> int:
+        """Append a record of this term to the own log."""
+        record = Record(self.term, self.last_index + 1, int(kind), data)
+        self.store(record)
+        return record.index
+
+    def broadcast(self) -> None:
+        """Send every follower what it lacks, as a new round."""
+        self.round += 1
+        self.round_sent[self.round] = self.now_ms
+        self.round_sent.pop(self.round - MAX_ROUNDS, None)
+        self.next_beat_ms = self.now_ms + self.timing.heartbeat_ms
+        for node_id in self.others():
+            self.send_append(node_id, heartbeat=True)
+
+    def progress_of(self, node_id: str) -> Progress:
+        """Return what is known of a follower; a new one starts at the end."""
+        if node_id not in self.progress:
+            self.progress[node_id] = Progress(self.last_index + 1)
+        return self.progress[node_id]
+
+    def send_append(self, node_id: str, heartbeat: bool = False) -> bool:
+        """Send one follower the records after its `next_index`.
+
+        Returns
+        -------
+        bool
+            Whether records went.
+        """
+        progress = self.progress_of(node_id)
+        first = progress.next_index
+        if first <= self.log.base_index:
+            self.send_snapshot(node_id, progress)
+            return False
+        records: tuple[Record, ...] = ()
+        if len(progress.inflight) < MAX_INFLIGHT:
+            records = self.log.batch(first, MAX_RECORDS, MAX_APPEND_BYTES)
+        if not records and not heartbeat:
+            return False
+        self.send(node_id, self.append_request(first, records))
+        if records:
+            progress.next_index = first + len(records)
+            progress.inflight.append(progress.next_index - 1)
+        return bool(records)
+
+    def append_request(self, first: int, records: tuple[Record, ...]) -> AppendRequest:
+        """Make an append of `records` from index `first` on."""
+        return AppendRequest(
+            self.term,
+            self.node_id,
+            first - 1,
+            self.log.term_at(first - 1),
+            self.commit_index,
+            tuple(LogRecord(r.term, r.index, r.kind, r.data) for r in records),
+            self.round,
+        )
+
+    def advance_commit(self) -> None:
+        """Commit what a majority has synced, if it is of this term."""
+        if not self.is_leader:
+            return
+        matches = sorted(map(self.match_of, self.members.voters), reverse=True)
+        index = matches[self.members.quorum() - 1]
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self.commit_index = index
+
+    def match_of(self, node_id: str) -> int:
+        """Return how far a voter's synced log matches; its own disk counts."""
+        if node_id == self.node_id:
+            return self.synced_index if self.is_voter else 0
+        progress = self.progress.get(node_id)
+        if progress is None or progress.identity != self.members.voters[node_id]:
+            return 0
+        return progress.match_index
+
+    # -- a follower's side -----------------------------------------------
+
+    def follow(self, leader: str) -> None:
+        """Note that the leader of this term spoke."""
+        if self.role.state == "candidate":
+            self.step_down()
+        self.leader = leader
+        self.heard_ms = self.now_ms
+        self.reset_election()
+
+    def answer_append(self, message: AppendRequest) -> None:
+        """Take records in, or say from where they are needed."""
+        if message.term < self.term:
+            self.reply_append(message, False, 0)
+            return
+        if self.is_leader:
+            # One leader a term in one cluster: the sender's is another one.
+            return
+        self.follow(message.leader)
+        previous = message.previous_index
+        if previous > self.last_index:
+            self.reply_append(message, False, self.last_index)
+            return
+        if previous >= self.log.base_index and not self.log.holds(
+            previous, message.previous_term
+        ):
+            # Everything committed matches, so the leader need not probe.
+            self.reply_append(message, False, self.commit_index)
+            return
+        for item in message.records:
+            if item.index > self.log.base_index and not self.log.holds(
+                item.index, item.term
+            ):
+                self.store(Record(item.term, item.index, item.kind, item.data))
+        match = previous + len(message.records)
+        self.commit_index = max(self.commit_index, min(message.commit, match))
+        self.reply_append(message, True, match)
+
+    def reply_append(self, message: AppendRequest, success: bool, index: int) -> None:
+        """Answer an append with the matching index, or a hint where to retry."""
+        self.send(
+            message.leader,
+            AppendReply(
+                self.term,
+                self.node_id,
+                success,
+                index if success else 0,
+                0 if success else index,
+                message.round,
+                self.identity,
+            ),
+        )
+
+    def answer_part(self, message: SnapshotPart) -> None:
+        """Collect a part of a snapshot; install it when it is whole."""
+        held = 0
+        if message.term >= self.term and not self.is_leader:
+            self.follow(message.leader)
+            held = self.collect(message)
+        self.send(
+            message.leader,
+            SnapshotReply(
+                self.term,
+                self.node_id,
+                message.last_index,
+                held,
+                message.round,
+                self.identity,
+            ),
+        )
+
+    def collect(self, message: SnapshotPart) -> int:
+        """Keep a part that follows on; return how many bytes are held."""
+        if message.last_index <= self.commit_index:
+            return message.total
+        key = (message.last_index, message.last_term, message.total)
+        if key != self.incoming:
+            self.incoming, self.received = key, bytearray()
+        if message.offset == len(self.received):
+            self.received += message.data
+        held = len(self.received)
+        if held >= message.total:
+            self.install(message, bytes(self.received))
+            self.incoming, self.received = (0, 0, 0), bytearray()
+        return held
+
+    def install(self, message: SnapshotPart, data: bytes) -> None:
+        """Put a whole snapshot in place of the log up to it."""
+        members = msgspec.msgpack.decode(message.members, type=Members)
+        self.installed = Snapshot(message.last_index, message.last_term, members, data)
+        self.snapshot = SnapshotInfo.from_snapshot(self.installed)
+        self.log.reset(message.last_index, message.last_term)
+        self.unsaved = [r for r in self.unsaved if r.index > message.last_index]
+        if not self.log.records:
+            self.unsaved = []
+        self.configurations = [(message.last_index, members)]
+        for record in self.log.records:
+            self.adopt_members(record)
+        self.commit_index = self.applied_index = message.last_index
+        self.synced_index = max(
+            message.last_index, min(self.synced_index, self.last_index)
+        )
+        self.refresh_role()
+
+    # -- the leader's side -----------------------------------------------
+
+    def heard_from(self, node_id: str, identity: str, round: int) -> Progress | None:
+        """Note an answer; None when the disk is not one of the members."""
+        if not self.members.holds(node_id, identity):
+            return None
+        progress = self.progress_of(node_id)
+        if progress.identity != identity:
+            # Another disk under the name: what the first one held is no guide.
+            progress = self.progress[node_id] = Progress(self.last_index + 1)
+            progress.identity = identity
+        progress.acked_round = max(progress.acked_round, round)
+        self.confirm_round()
+        return progress
+
+    def take_append_reply(self, message: AppendReply) -> None:
+        """Note how far a follower is, and send what it lacks."""
+        if not self.is_leader or message.term != self.term:
+            return
+        progress = self.heard_from(message.follower, message.identity, message.round)
+        if progress is None:
+            return
+        if message.success:
+            progress.matched(message.match_index)
+        else:
+            progress.retry_from(message.hint + 1)
+        while self.send_append(message.follower):
+            pass
+        self.advance_commit()
+
+    def send_snapshot(self, node_id: str, progress: Progress) -> None:
+        """Send the next part of the newest snapshot, one in flight.
+
+        An unanswered part goes again with the next heartbeat. The driver fills
+        in the bytes, so that no snapshot stands in memory.
+        """
+        info = self.snapshot
+        if progress.snapshot_index != info.last_index:
+            progress.snapshot_index = info.last_index
+            progress.snapshot_total = info.total
+            progress.snapshot_offset = 0
+            progress.part_sent_ms = NEVER_MS
+        if self.now_ms - progress.part_sent_ms < self.timing.heartbeat_ms:
+            return
+        progress.part_sent_ms = self.now_ms
+        self.send(
+            node_id,
+            SnapshotPart(
+                self.term,
+                self.node_id,
+                info.last_index,
+                info.last_term,
+                progress.snapshot_offset,
+                info.total,
+                b"",
+                msgspec.msgpack.encode(info.members),
+                self.round,
+            ),
+        )
+
+    def take_part_reply(self, message: SnapshotReply) -> None:
+        """Send the next part, or the records after a whole snapshot."""
+        if not self.is_leader or message.term != self.term:
+            return
+        progress = self.heard_from(message.follower, message.identity, message.round)
+        if progress is None or message.last_index != progress.snapshot_index:
+            return
+        if message.offset >= progress.snapshot_total:
+            progress.matched(message.last_index)
+            self.advance_commit()
+        else:
+            progress.snapshot_offset = message.offset
+        progress.part_sent_ms = NEVER_MS
+        self.send_append(message.follower)
+
+    def compact(self, data: bytes) -> Snapshot:
+        """Replace the records that are applied by a snapshot of the state.
+
+        Parameters
+        ----------
+        data : bytes
+            The state after `applied_index`.
+
+        Returns
+        -------
+        Snapshot
+            To sync before the log file is cut.
+        """
+        index = self.applied_index
+        members = [m for at, m in self.configurations if at <= index][-1]
+        later = [(at, m) for at, m in self.configurations if at > index]
+        snapshot = Snapshot(index, self.log.term_at(index), members, data)
+        self.snapshot = SnapshotInfo.from_snapshot(snapshot)
+        self.configurations = [(index, members), *later]
+        self.log.compact(max(self.log.base_index, index - KEEP_RECORDS))
+        return snapshot
--- a/src/wisteriapulley/consensus/setup.py
+++ b/src/wisteriapulley/consensus/setup.py
@@ -1,20 +1,41 @@
-"""Data folders of control instances: founding ones."""
+"""Data folders of control instances: the founding one and those that join."""
 
-from wisteriapulley.consensus.storage import DiskIdentity, write_identity
+from wisteriapulley.consensus.files import Files
+from wisteriapulley.consensus.storage import (
+    DiskIdentity,
+    new_identity,
+    write_identity,
+)
 from wisteriapulley.consensus.types import Members
 from wisteriapulley.settings import ControlSettings
 
 
-def founding_identity(node_id: str) -> str:
-    """Return the disk identity of a founding instance."""
-    return f"founder-{node_id}"
+def init_folder(settings: ControlSettings) -> DiskIdentity:
+    """Found a cluster of this one voter, once in the fleet's life.
 
+    Raises
+    ------
+    StorageError
+        The folder is in use.
+    """
+    identity = new_identity()
+    members = Members({settings.node_id: identity})
+    return write_new(settings, DiskIdentity(settings.node_id, identity, members))
 
-def init_folder(settings: ControlSettings) -> None:
-    """Write the identity of a founding instance."""
-    names = [settings.node_id, *(peer.node_id for peer in settings.peers)]
-    members = Members({name: founding_identity(name) for name in sorted(names)})
-    identity = DiskIdentity(
-        settings.node_id, founding_identity(settings.node_id), members
-    )
-    write_identity(settings.data_folder, identity)
+
+def join_folder(settings: ControlSettings) -> DiskIdentity:
+    """Make the folder of an instance that joins a cluster as a learner.
+
+    Raises
+    ------
+    StorageError
+        The folder is in use.
+    """
+    identity = DiskIdentity(settings.node_id, new_identity(), Members({}))
+    return write_new(settings, identity)
+
+
+def write_new(settings: ControlSettings, identity: DiskIdentity) -> DiskIdentity:
+    """Write an identity into the data folder."""
+    write_identity(settings.data_folder, identity, Files())
+    return identity
--- a/src/wisteriapulley/consensus/storage.py
+++ b/src/wisteriapulley/consensus/storage.py
@@ -1,28 +1,35 @@
-"""Durable log: checksummed records in one file, synced before any answer.
+"""Durable state of a control instance: identity, snapshot and log.
 
-A record is ``crc32 | length | kind | payload``. Hard state stands in the same
-file as log records, so one fsync covers both.
+Everything is synced before it is acknowledged, voted or applied. After each
+sync the log gets a mark, itself not synced, that says how far the file was
+synced: damage before the mark is damage, not an unfinished write, and stops
+the start. See docs/design/control-quorum.md, "Storage".
 """
 
 import contextlib
-import errno
 import os
 import secrets
-import struct
 import zlib
-from collections.abc import Iterator
 from pathlib import Path
 
 import msgspec
 
-from wisteriapulley.consensus.types import HardState, Members, Record
+from wisteriapulley.consensus import frames
+from wisteriapulley.consensus.files import Files
+from wisteriapulley.consensus.log import Log
+from wisteriapulley.consensus.types import (
+    HardState,
+    Members,
+    Record,
+    Snapshot,
+    SnapshotInfo,
+)
 from wisteriapulley.errors import ResultCode, StorageError
 
-HEADER = struct.Struct("<IIB")
-KIND_HARD_STATE = 1
-KIND_RECORD = 2
 LOG_NAME = "log"
+SNAPSHOT_NAME = "snapshot"
 IDENTITY_NAME = "identity.json"
+LOCK_NAME = "lock"
 
 
 class DiskIdentity(msgspec.Struct, frozen=True):
@@ -35,7 +42,8 @@
     identity : str
         Identity of this disk, made once.
     members : Members
-        Configuration that the log starts from.
+        Configuration that the log starts from: only itself for the founder,
+        nobody for a disk that joins.
     """
 
     node_id: str
@@ -48,23 +56,23 @@
     return secrets.token_hex(8)
 
 
-def write_identity(folder: str, identity: DiskIdentity) -> None:
+def write_identity(folder: str, identity: DiskIdentity, files: Files) -> None:
     """Write and sync the folder's identity.
 
     Raises
     ------
     StorageError
-        The folder has an identity already.
+        The folder holds state of a control instance already.
     """
-    path = Path(folder) / IDENTITY_NAME
-    if path.exists():
-        raise StorageError(
-            ResultCode.IDENTITY_MISMATCH, f"{path}: the folder has an identity already"
-        )
-    with open(path, "xb") as file:
-        file.write(msgspec.json.encode(identity))
-        sync(file.fileno())
-    sync_folder(folder)
+    home = Path(folder)
+    for name in (IDENTITY_NAME, LOG_NAME, SNAPSHOT_NAME):
+        if (home / name).exists():
+            raise StorageError(
+                ResultCode.IDENTITY_MISMATCH,
+                f"{home / name}: expected an empty folder, got one that is in use;"
+                " start the instance, or empty the folder and join",
+            )
+    files.replace(home / IDENTITY_NAME, msgspec.json.encode(identity))
 
 
 def read_identity(folder: str) -> DiskIdentity:
@@ -81,143 +89,280 @@
     except (OSError, msgspec.DecodeError) as error:
         raise StorageError(
             ResultCode.DATA_FOLDER_MISSING,
-            f"{path}: expected an identity; run `wisteriapulley control init` or"
-            " `join`",
+            f"{path}: expected an identity; run `wisteriapulley control init` on the"
+            " founding instance, `control join` on any other",
         ) from error
 
 
-def sync(descriptor: int) -> None:
-    """Sync a file, or say that its content is unknown."""
-    try:
-        os.fsync(descriptor)
-    except OSError as error:
-        raise StorageError(ResultCode.FSYNC_FAILED, str(error)) from error
+class SnapshotHead(msgspec.Struct, frozen=True):
+    """First frame of the snapshot file; the state's bytes follow it."""
 
+    last_index: int
+    last_term: int
+    members: Members
+    total: int
+    crc: int
 
-def sync_folder(folder: str) -> None:
-    """Sync a folder, so that a new name in it lasts."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        sync(descriptor)
-    finally:
-        os.close(descriptor)
 
+class LogBase(msgspec.Struct, frozen=True, array_like=True):
+    """First frame of a log file that was cut: what it follows."""
 
-def pack(kind: int, payload: bytes) -> bytes:
-    """Pack one record of the file."""
-    tail = HEADER.pack(0, len(payload), kind)[4:] + payload
-    return struct.pack("<I", zlib.crc32(tail)) + tail
+    index: int
+    term: int
 
 
 class Storage:
-    """The log file of one control instance.
+    """The files of one control instance.
 
     Parameters
     ----------
     folder : str
         The data folder.
+    files : Files
+        File operations.
 
     Attributes
     ----------
     hard_state : HardState
         As last synced.
-    records : list of Record
-        The log, from index 1.
+    log : Log
+        The records, as found at the start; the replica goes on with it.
+    snapshot : SnapshotInfo or None
+        The newest snapshot.
+    appended_bytes : int
+        Bytes written since the log was last cut.
     """
 
-    def __init__(self, folder: str):
-        self.folder = folder
-        self.path = Path(folder) / LOG_NAME
+    def __init__(self, folder: str, files: Files):
+        self.folder = Path(folder)
+        self.files = files
+        self.path = self.folder / LOG_NAME
+        self.snapshot_path = self.folder / SNAPSHOT_NAME
         self.hard_state = HardState()
-        self.records: list[Record] = []
-        self.file = None
+        self.log = Log()
+        self.snapshot: SnapshotInfo | None = None
+        self.snapshot_offset = 0
+        self.appended_bytes = 0
+        self.end = 0
+        self.failure: StorageError | None = None
+        self.descriptor = -1
+        self.lock_descriptor = -1
 
     @classmethod
-    def open(cls, folder: str) -> "Storage":
-        """Read the log, cut a torn tail, and open it for appending.
+    def open(cls, folder: str, files: Files | None = None) -> "Storage":
+        """Lock the folder, read it, cut a torn tail, and open for appending.
 
         Raises
         ------
         StorageError
-            The log is damaged before its tail.
+            Another process is in the folder; the snapshot or the log is
+            damaged; or the disk fails.
         """
-        storage = cls(folder)
-        storage.recover()
-        storage.file = open(storage.path, "ab", buffering=0)
-        sync_folder(folder)
+        storage = cls(folder, files or Files())
+        storage.lock_descriptor = storage.files.lock(storage.folder / LOCK_NAME)
+        try:
+            storage.read_snapshot()
+            storage.recover()
+            storage.open_log()
+        except BaseException:
+            storage.close()
+            raise
         return storage
 
+    # -- the start -------------------------------------------------------
+
+    def read_snapshot(self) -> bytes:
+        """Read and check the snapshot; return the state's bytes."""
+        if not self.snapshot_path.exists():
+            return b""
+        content = self.snapshot_path.read_bytes()
+        frame = frames.frame_at(content, 0)
+        if frame is None or frame.kind != frames.KIND_SNAPSHOT:
+            raise self.damaged(self.snapshot_path, 0)
+        head = msgspec.msgpack.decode(frame.payload, type=SnapshotHead)
+        data = content[frame.end :]
+        if len(data) != head.total or zlib.crc32(data) != head.crc:
+            raise self.damaged(self.snapshot_path, frame.end)
+        self.snapshot = SnapshotInfo(
+            head.last_index, head.last_term, head.members, head.total
+        )
+        self.snapshot_offset = frame.end
+        return data
+
     def recover(self) -> None:
-        """Replay the file."""
-        if not self.path.exists():
-            return
-        data = self.path.read_bytes()
+        """Replay the log file; cut what an unfinished write left."""
+        data = self.path.read_bytes() if self.path.exists() else b""
         end = 0
-        for kind, payload, end in self.scan(data):  # noqa: B007
-            self.replay(kind, payload)
+        for frame in frames.scan(data):
+            self.replay(frame.kind, frame.payload)
+            end = frame.end
         if end < len(data):
+            if frames.marked_beyond(data, end) or not frames.cut_short(data, end):
+                raise self.damaged(self.path, end)
             os.truncate(self.path, end)
-
-    def scan(self, data: bytes) -> Iterator[tuple[int, bytes, int]]:
-        """Yield kind, payload and end offset of each whole record."""
-        offset = 0
-        while offset + HEADER.size <= len(data):
-            crc, length, kind = HEADER.unpack_from(data, offset)
-            end = offset + HEADER.size + length
-            if end > len(data):
-                return
-            if zlib.crc32(data[offset + 4 : end]) != crc:
-                if end < len(data):
-                    raise StorageError(
-                        ResultCode.LOG_DAMAGED,
-                        f"{self.path}: checksum fails at byte {offset}, before the"
-                        " tail",
-                    )
-                return
-            yield kind, data[offset + HEADER.size : end], end
-            offset = end
+        self.end = end
+        self.join_snapshot()
 
     def replay(self, kind: int, payload: bytes) -> None:
-        """Take one record of the file in."""
-        if kind == KIND_HARD_STATE:
+        """Take one frame of the log file in."""
+        if kind == frames.KIND_HARD_STATE:
             self.hard_state = msgspec.msgpack.decode(payload, type=HardState)
-            return
-        record = msgspec.msgpack.decode(payload, type=Record)
-        del self.records[record.index - 1 :]
-        self.records.append(record)
+        elif kind == frames.KIND_BASE:
+            base = msgspec.msgpack.decode(payload, type=LogBase)
+            self.log = Log(base.index, base.term)
+        elif kind == frames.KIND_RECORD:
+            record = msgspec.msgpack.decode(payload, type=Record)
+            if not self.log.base_index < record.index <= self.log.last_index + 1:
+                raise StorageError(
+                    ResultCode.LOG_DAMAGED,
+                    f"{self.path}: expected record {self.log.last_index + 1}, got"
+                    f" {record.index}; replace the disk and rejoin",
+                )
+            self.log.put(record)
+
+    def join_snapshot(self) -> None:
+        """Let the log follow the snapshot, which may be newer after a crash."""
+        if self.snapshot is not None:
+            if not self.log.holds(self.snapshot.last_index, self.snapshot.last_term):
+                self.log = Log(self.snapshot.last_index, self.snapshot.last_term)
+        elif self.log.base_index:
+            raise StorageError(
+                ResultCode.LOG_DAMAGED,
+                f"{self.snapshot_path}: expected the snapshot that the log follows",
+            )
 
-    def save(self, hard_state: HardState | None, records: tuple[Record, ...]) -> None:
-        """Append and sync; returns only when both last.
+    def open_log(self) -> None:
+        """Open for appending; what was found is synced before it is used."""
+        self.descriptor = os.open(
+            self.path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600
+        )
+        self.files.sync(self.path, self.descriptor)
+        self.files.sync_folder(self.folder)
+        self.mark()
+
+    def damaged(self, path: Path, offset: int) -> StorageError:
+        """Make the error for damage that no unfinished write explains."""
+        return StorageError(
+            ResultCode.LOG_DAMAGED,
+            f"{path}: checksum fails at byte {offset}, in data that was synced;"
+            " replace the disk and rejoin: docs/operators/lost-disk.md",
+        )
+
+    # -- running ---------------------------------------------------------
+
+    def save(
+        self,
+        hard_state: HardState | None,
+        records: tuple[Record, ...],
+        grouped: bool = True,
+    ) -> None:
+        """Append and sync; returns only when all lasts.
+
+        Parameters
+        ----------
+        hard_state : HardState or None
+            To save, when it changed.
+        records : tuple of Record
+            To append.
+        grouped : bool
+            Whether all share one sync, rather than a sync each.
 
         Raises
         ------
         StorageError
-            The disk is full or failed; nothing may be acknowledged.
+            The disk is full or failed; nothing may be acknowledged any more.
         """
         parts = []
         if hard_state is not None:
-            parts.append(pack(KIND_HARD_STATE, msgspec.msgpack.encode(hard_state)))
-        parts += [
-            pack(KIND_RECORD, msgspec.msgpack.encode(record)) for record in records
-        ]
-        if parts:
-            self.write(b"".join(parts))
-
-    def write(self, data: bytes) -> None:
-        """Write and sync bytes at the end of the file."""
+            parts.append(pack_hard_state(hard_state))
+        parts += map(pack_record, records)
+        if not parts:
+            return
+        for batch in [b"".join(parts)] if grouped else parts:
+            with self.guard():
+                self.files.write_all(self.path, self.descriptor, batch)
+                self.files.sync(self.path, self.descriptor)
+                self.end += len(batch)
+                self.appended_bytes += len(batch)
+                self.mark()
+
+    def mark(self) -> None:
+        """Write, without a sync, how far the file is synced."""
+        mark = frames.pack_mark(self.end)
+        self.files.write_all(self.path, self.descriptor, mark)
+        self.end += len(mark)
+
+    @contextlib.contextmanager
+    def guard(self):
+        """Let nothing be saved after a failure.
+
+        Raises
+        ------
+        StorageError
+            This operation failed, or an earlier one did.
+        """
+        if self.failure is not None:
+            raise self.failure
         try:
-            written = self.file.write(data)
+            yield
         except OSError as error:
-            full = error.errno in (errno.ENOSPC, errno.EDQUOT)
-            code = ResultCode.DISK_FULL if full else ResultCode.FSYNC_FAILED
-            raise StorageError(code, f"{self.path}: {error}") from error
-        if written != len(data):
-            raise StorageError(
-                ResultCode.DISK_FULL, f"{self.path}: {written} of {len(data)} bytes"
-            )
-        sync(self.file.fileno())
+            self.failure = StorageError(ResultCode.FSYNC_FAILED, f"{error}")
+            raise self.failure from error
+        except StorageError as error:
+            self.failure = error
+            raise
+
+    def save_snapshot(
+        self, snapshot: Snapshot, hard_state: HardState, log: Log
+    ) -> None:
+        """Put a snapshot in place, then cut the log to what follows its base.
+
+        A crash in between leaves a snapshot newer than the log's base, which
+        `join_snapshot` joins.
+        """
+        head = SnapshotHead(
+            snapshot.last_index,
+            snapshot.last_term,
+            snapshot.members,
+            len(snapshot.data),
+            zlib.crc32(snapshot.data),
+        )
+        start = frames.pack(frames.KIND_SNAPSHOT, msgspec.msgpack.encode(head))
+        base = LogBase(log.base_index, log.base_term)
+        parts = [frames.pack(frames.KIND_BASE, msgspec.msgpack.encode(base))]
+        parts.append(pack_hard_state(hard_state))
+        parts += map(pack_record, log.records)
+        content = b"".join(parts)
+        with self.guard():
+            self.files.replace(self.snapshot_path, start + snapshot.data)
+            self.snapshot = SnapshotInfo.from_snapshot(snapshot)
+            self.snapshot_offset = len(start)
+            self.files.replace(self.path, content)
+            os.close(self.descriptor)
+            self.descriptor = -1
+            self.end = len(content)
+            self.open_log()
+        self.appended_bytes = 0
+
+    def snapshot_part(self, offset: int, most: int) -> bytes:
+        """Read bytes of the snapshot's state, to send them."""
+        with open(self.snapshot_path, "rb") as file:
+            file.seek(self.snapshot_offset + offset)
+            return file.read(most)
 
     def close(self) -> None:
-        """Close the file."""
-        with contextlib.suppress(OSError, AttributeError):
-            self.file.close()
+        """Close the log and let go of the folder."""
+        for descriptor in (self.descriptor, self.lock_descriptor):
+            if descriptor >= 0:
+                os.close(descriptor)
+        self.descriptor = self.lock_descriptor = -1
+
+
+def pack_hard_state(hard_state: HardState) -> bytes:
+    """Pack the frame of a hard state."""
+    return frames.pack(frames.KIND_HARD_STATE, msgspec.msgpack.encode(hard_state))
+
+
+def pack_record(record: Record) -> bytes:
+    """Pack the frame of a record."""
+    return frames.pack(frames.KIND_RECORD, msgspec.msgpack.encode(record))
--- a/src/wisteriapulley/control/driver.py
+++ b/src/wisteriapulley/control/driver.py
@@ -5,8 +5,16 @@
 import random
 import time
 
-from wisteriapulley.consensus import Members, RecordKind, Replica, Storage, Timing
-from wisteriapulley.consensus.storage import read_identity
+from wisteriapulley.consensus import (
+    HardState,
+    Ready,
+    Record,
+    RecordKind,
+    Replica,
+    Storage,
+    Timing,
+)
+from wisteriapulley.consensus.storage import DiskIdentity, read_identity
 from wisteriapulley.control.commands import Command, Result, encode
 from wisteriapulley.control.state import ControlState, stamp
 from wisteriapulley.errors import ResultCode, StorageError, WireError
@@ -20,6 +28,14 @@
 TICK_S = 0.02
 PROPOSE_S = 3.0
 RETRY_AFTER_MS = 1000
+# A disk that is no member yet asks this often to be taken in.
+JOIN_S = 0.2
+# Of a snapshot in one message: a few milliseconds of a follower's disk, so that
+# a transfer never holds heartbeats up for long.
+PART_BYTES = 1 << 18
+# Handing the lead over takes a round trip or two; past this time the others
+# elect a leader by themselves.
+HAND_OVER_S = 1.0
 
 REPLICA_MESSAGES = (
     messages.VoteRequest,
@@ -29,6 +45,7 @@
     messages.SnapshotPart,
     messages.SnapshotReply,
     messages.TimeoutNow,
+    messages.JoinRequest,
 )
 
 
@@ -80,26 +97,31 @@
                 f" say {settings.node_id!r}",
             )
         self.storage = Storage.open(settings.data_folder)
-        self.replica = self.new_replica(identity.identity, identity.members)
+        if self.storage.snapshot is not None:
+            state.restore(self.storage.read_snapshot())
+        self.replica = self.new_replica(identity)
+        self.next_join_ms = 0.0
         self.waiting: dict[int, tuple[int, asyncio.Future]] = {}
         self.applied = asyncio.Condition()
         self.wakeup = asyncio.Event()
         self.tasks: list[asyncio.Task] = []
+        self.failed = False
 
-    def new_replica(self, identity: str, members: Members) -> Replica:
+    def new_replica(self, identity: DiskIdentity) -> Replica:
         """Make the replica from what the disk holds."""
         return Replica(
             self.settings.node_id,
-            identity,
-            members,
+            identity.identity,
+            identity.members,
             self.storage.hard_state,
-            self.storage.records,
+            self.storage.log,
+            self.storage.snapshot,
             Timing(
                 self.settings.election_ms,
                 self.settings.lease_ms,
                 self.settings.raft_heartbeat_ms,
             ),
-            random.Random(f"{self.settings.node_id}{identity}"),
+            random.Random(f"{self.settings.node_id}{identity.identity}"),
             monotonic_ms(),
         )
 
@@ -123,29 +145,91 @@
         while True:
             await self.wakeup.wait()
             self.wakeup.clear()
-            self.replica.tick(monotonic_ms())
             try:
+                self.replica.tick(monotonic_ms())
+                self.ask_to_join()
                 await self.take_effects()
             except StorageError as error:
-                log.exception("the disk failed; this instance stops")
-                self.on_fatal(error)
+                self.fail(error)
                 return
 
+    def fail(self, error: StorageError) -> None:
+        """Stop for good: the disk, or the cluster, is not what it should be."""
+        log.error("this instance stops: %s", error)
+        self.failed = True
+        self.replica.step_down()
+        for task in self.tasks:
+            if task is not asyncio.current_task():
+                task.cancel()
+        self.on_fatal(error)
+
     async def take_effects(self) -> None:
-        """Sync, then send, then apply."""
+        """Send what needs no sync, sync, send the rest, then apply."""
         self.replica.flush_if_pending()
         ready = self.replica.ready()
-        self.storage.save(ready.hard_state, ready.records)
+        for node_id, message in ready.early:
+            self.send(node_id, message)
+        if ready.early and ready.records:
+            # The transport writes at the end of this turn of the loop: let it,
+            # so that the followers' syncs run at the same time as this one.
+            await asyncio.sleep(0)
+        self.sync(ready)
         for node_id, message in ready.messages:
             self.send(node_id, message)
-        for record in ready.committed:
+        committed = self.replica.take_committed()
+        for record in committed:
             self.apply(record)
-        if ready.committed:
+        self.compact_if_due()
+        if committed or ready.snapshot is not None:
             async with self.applied:
                 self.applied.notify_all()
 
+    def sync(self, ready: Ready) -> None:
+        """Make the effects last; the loop stands still meanwhile."""
+        self.storage.save(ready.hard_state, ready.records, self.settings.group_commit)
+        if ready.snapshot is not None:
+            self.storage.save_snapshot(
+                ready.snapshot, self.hard_state(), self.replica.log
+            )
+            self.state.restore(ready.snapshot.data)
+            self.drop_waiting(ready.snapshot.last_index)
+        self.replica.synced(ready)
+
+    def hard_state(self) -> HardState:
+        """Return the hard state in memory, as new as what is synced or newer."""
+        return HardState(self.replica.term, self.replica.voted_for)
+
+    def compact_if_due(self) -> None:
+        """Replace the log by a snapshot when it has outgrown the state.
+
+        At the least `snapshot_bytes` of log, and at the least as much log as
+        the last snapshot was long, so that snapshots cost no more disk than the
+        log itself.
+        """
+        last = self.storage.snapshot.total if self.storage.snapshot else 0
+        if self.storage.appended_bytes < max(self.settings.snapshot_bytes, last):
+            return
+        snapshot = self.replica.compact(self.state.snapshot())
+        self.storage.save_snapshot(snapshot, self.hard_state(), self.replica.log)
+
+    def ask_to_join(self) -> None:
+        """Ask every peer to be taken in, while this disk is no member."""
+        replica = self.replica
+        if replica.is_member or replica.identity in replica.members.removed:
+            return
+        if replica.now_ms >= self.next_join_ms:
+            self.next_join_ms = replica.now_ms + JOIN_S * 1000
+            message = messages.JoinRequest(0, replica.node_id, replica.identity)
+            for node_id in self.peers:
+                self.send(node_id, message)
+
     def send(self, node_id: str, message: tuple) -> None:
         """Send to a peer; what can't be sent is lost, and sent again later."""
+        if isinstance(message, messages.SnapshotPart):
+            if message.last_index != self.storage.snapshot.last_index:
+                return
+            data = self.storage.snapshot_part(message.offset, PART_BYTES)
+            message = message._replace(data=data)
         keeper = self.peers.get(node_id)
         link = keeper.open_link if keeper is not None else None
         if link is not None:
@@ -153,10 +237,23 @@
 
     def receive(self, message: tuple) -> None:
         """Take in a replica message."""
-        self.replica.step(monotonic_ms(), message)
+        if self.failed:
+            return
+        try:
+            self.replica.step(monotonic_ms(), message)
+        except StorageError as error:
+            self.fail(error)
+            return
         self.wakeup.set()
 
-    def apply(self, record) -> None:
+    def drop_waiting(self, index: int) -> None:
+        """Answer proposals that a snapshot covers: their outcome is not known."""
+        for waiting in [i for i in self.waiting if i <= index]:
+            _, future = self.waiting.pop(waiting)
+            if not future.done():
+                future.set_exception(no_quorum("another leader took over"))
+
+    def apply(self, record: Record) -> None:
         """Apply one committed record and answer who proposed it."""
         result = None
         if record.kind == RecordKind.COMMAND:
@@ -185,7 +282,12 @@
     async def propose_here(self, command: Command) -> Result:
         """Commit a command as the leader."""
         data = encode(stamp(command, unix_ms()))
-        index = self.replica.propose(data)
+        return await self.committed(self.replica.propose(data))
+
+    async def committed(self, index: int | None) -> Result | None:
+        """Wait until the record at `index` of this leader's term is applied."""
+        if index is None:
+            raise no_quorum("this instance does not lead, or may not change it now")
         future = asyncio.get_running_loop().create_future()
         self.waiting[index] = (self.replica.term, future)
         self.wakeup.set()
@@ -241,8 +343,28 @@
             self.replica.commit_index,
         )
 
+    def is_ready(self) -> bool:
+        """Ready when a leader is known and this disk has its vote."""
+        return bool(self.replica.leader) and self.replica.is_voter
+
+    async def hand_over(self) -> None:
+        """Give the lead to another voter, so that nobody waits for a timeout."""
+        deadline_ms = monotonic_ms() + HAND_OVER_S * 1000
+        if not (self.replica.is_leader and self.replica.other_voters()):
+            return
+        self.replica.handing_over = True
+        while self.replica.is_leader and monotonic_ms() < deadline_ms:
+            asked = self.replica.hand_over()
+            self.wakeup.set()
+            await asyncio.sleep(TICK_S)
+            if asked:
+                return
+        self.replica.handing_over = False
+
     async def stop(self) -> None:
-        """Stop ticking and close the disk."""
+        """Hand the lead over, stop ticking and close the disk."""
+        if not self.failed:
+            await self.hand_over()
         for task in self.tasks:
             task.cancel()
         self.storage.close()
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -13,6 +13,7 @@
 from wisteriapulley.control.driver import REPLICA_MESSAGES, Driver, no_quorum
 from wisteriapulley.control.members import MemberTable, matching
 from wisteriapulley.control.operators import operator_routes
+from wisteriapulley.control.quorum_members import quorum_routes
 from wisteriapulley.control.state import ControlState
 from wisteriapulley.errors import ResultCode, WireError
 from wisteriapulley.http_server import HttpServer
@@ -96,7 +97,8 @@
         )
         self.server.on_close = self.link_closed
         await self.server.start(settings.wire_listen)
-        self.http = HttpServer(self.metrics, self.is_ready, operator_routes(self))
+        routes = [*operator_routes(self), *quorum_routes(self)]
+        self.http = HttpServer(self.metrics, self.is_ready, routes)
         await self.http.start(settings.http_listen)
         for keeper in self.peers.values():
             keeper.start()
@@ -104,15 +106,16 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop listening, then stop the replica."""
+        # The lead is handed over while the links still are open.
+        await self.driver.stop()
         await self.http.stop()
         for keeper in self.peers.values():
             await keeper.stop()
         await self.server.stop()
-        await self.driver.stop()
 
     def is_ready(self) -> bool:
-        """Ready when a leader is known."""
-        return bool(self.driver.replica.leader)
+        """Ready when a leader is known and this disk has its vote."""
+        return self.driver.is_ready()
 
     def heartbeat(self) -> messages.Heartbeat:
         """Make this instance's heartbeat."""
--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -68,6 +68,9 @@
     DISK_FULL = 601
     FSYNC_FAILED = 602
     IDENTITY_MISMATCH = 603
+    FOLDER_LOCKED = 604
+    ALREADY_FOUNDED = 605
+    MEMBER_UNKNOWN = 606
 
 
 class CodeEntry(NamedTuple):
@@ -280,6 +283,19 @@
         "The data folder belongs to another instance or fleet.",
         "Point the settings at the right folder.",
     ),
+    ResultCode.FOLDER_LOCKED: CodeEntry(
+        "Another process is in the data folder.", "Stop the other process."
+    ),
+    ResultCode.ALREADY_FOUNDED: CodeEntry(
+        "`control init` met a peer of a cluster that is founded already.",
+        "Run `wisteriapulley control join`.",
+        409,
+    ),
+    ResultCode.MEMBER_UNKNOWN: CodeEntry(
+        "No control instance of that name takes part.",
+        "See `wisteriapulley control members`.",
+        404,
+    ),
 }
 
 
--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -100,6 +100,10 @@
         Shortest election timeout, in milliseconds.
     lease_ms : int
         Leader lease, in milliseconds; shorter than `election_ms`.
+    group_commit : bool
+        Whether what came since the last sync shares one; off only to measure.
+    snapshot_bytes : int
+        Bytes of log after which a snapshot replaces it.
     """
 
     wire_listen: Address
@@ -110,6 +114,8 @@
     lease_ms: int = 700
     raft_heartbeat_ms: int = 150
     member_lease_ms: int = 5000
+    group_commit: bool = True
+    snapshot_bytes: int = 4 << 20
 
 
 class EntrySettings(
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -40,6 +40,7 @@
     leaseQuery @33 :LeaseQuery;
     lease @34 :Lease;
     timeoutNow @35 :TimeoutNow;
+    joinRequest @36 :JoinRequest;
   }
 }
 
@@ -210,3 +211,4 @@
   identity @5 :Text;
 }
 struct TimeoutNow { term @0 :UInt64; leader @1 :Text; }
+struct JoinRequest { term @0 :UInt64; nodeId @1 :Text; identity @2 :Text; }
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -323,3 +323,11 @@
 
     term: int = 0
     leader: str = ""
+
+
+class JoinRequest(NamedTuple):
+    """A disk asks the leader to become a learner; its `term` is always 0."""
+
+    term: int = 0
+    node_id: str = ""
+    identity: str = ""
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,234 @@
+import errno
+import os
+import subprocess
+import sys
+
+import pytest
+
+from wisteriapulley.consensus import HardState, Log, Members, Record, Snapshot, Storage
+from wisteriapulley.consensus.files import Files
+from wisteriapulley.consensus.frames import HEADER, pack_mark
+from wisteriapulley.errors import ResultCode, StorageError
+
+MARK_BYTES = len(pack_mark(0))
+MEMBERS = Members({"a": "disk-a"})
+
+
+class FaultyFiles(Files):
+    """Fails on demand; keeps the order of what was done."""
+
+    def __init__(self):
+        self.calls = []
+        self.fail_write = None
+        self.fail_fsync = None
+        self.rename_allowed = True
+
+    def write(self, descriptor, data):
+        self.calls.append("write")
+        if self.fail_write is not None:
+            os.write(descriptor, bytes(data[: len(data) // 2]))
+            raise OSError(self.fail_write, os.strerror(self.fail_write))
+        return super().write(descriptor, data)
+
+    def fsync(self, descriptor):
+        self.calls.append("fsync")
+        if self.fail_fsync is not None:
+            raise OSError(self.fail_fsync, os.strerror(self.fail_fsync))
+        super().fsync(descriptor)
+
+
+def record(index, data=b"x" * 40, term=1):
+    return Record(term, index, 1, data)
+
+
+def filled(folder, count=3):
+    """Save `count` batches of one record; return the log's path."""
+    storage = Storage.open(str(folder))
+    storage.save(HardState(1, "a"), ())
+    for index in range(1, count + 1):
+        storage.save(None, (record(index),))
+    storage.close()
+    return folder / "log"
+
+
+def reopened(folder):
+    storage = Storage.open(str(folder))
+    storage.close()
+    return storage
+
+
+def start_code(folder):
+    with pytest.raises(StorageError) as caught:
+        Storage.open(str(folder))
+    return caught.value.code
+
+
+class TestLogFile:
+    def test_reopen_keeps_the_newest_records_and_the_vote(self, tmp_path):
+        storage = Storage.open(str(tmp_path))
+        storage.save(HardState(3, "a"), (record(1), record(2)))
+        storage.save(None, (record(2, b"z", 3),))
+        storage.close()
+        storage = reopened(tmp_path)
+        assert storage.hard_state == HardState(3, "a")
+        assert [r.data for r in storage.log.records] == [b"x" * 40, b"z"]
+
+    def test_each_cut_of_the_unsynced_tail_is_cut(self, tmp_path):
+        path = filled(tmp_path)
+        whole = path.read_bytes()
+        start = whole.rindex(record(3).data) - 40
+        for end in range(start, len(whole) - MARK_BYTES):
+            path.write_bytes(whole[:end])
+            indices = [r.index for r in reopened(tmp_path).log.records]
+            assert indices in ([1, 2], [1, 2, 3])
+
+    def test_sector_that_never_reached_the_disk_is_cut(self, tmp_path):
+        path = filled(tmp_path, 2)
+        end = path.stat().st_size
+        storage = Storage.open(str(tmp_path))
+        storage.save(None, (record(3, b"y" * 2000),))
+        storage.close()
+        data = bytearray(path.read_bytes()[:-MARK_BYTES])
+        data[1024:1536] = bytes(512)
+        path.write_bytes(data)
+        assert [r.index for r in reopened(tmp_path).log.records] == [1, 2]
+        assert path.stat().st_size <= end + 2 * MARK_BYTES
+
+    def test_every_bit_flip_in_synced_bytes_stops_the_start(self, tmp_path):
+        path = filled(tmp_path)
+        whole = path.read_bytes()
+        for position in range(len(whole) - MARK_BYTES):
+            data = bytearray(whole)
+            data[position] ^= 1 << (position % 8)
+            path.write_bytes(data)
+            assert start_code(tmp_path) == ResultCode.LOG_DAMAGED, position
+
+    def test_bit_flip_in_the_last_record_without_its_mark(self, tmp_path):
+        # A record that was acknowledged is never dropped in silence: a crash
+        # may have kept the unsynced mark from the disk.
+        path = filled(tmp_path)
+        whole = path.read_bytes()[:-MARK_BYTES]
+        for position in range(
+            len(whole) - len(record(3).data) - HEADER.size, len(whole)
+        ):
+            data = bytearray(whole)
+            data[position] ^= 1 << (position % 8)
+            path.write_bytes(data)
+            assert start_code(tmp_path) == ResultCode.LOG_DAMAGED, position
+
+
+class TestFailingDisk:
+    @pytest.mark.parametrize(
+        ("kind", "number", "code"),
+        [
+            ("fail_write", errno.ENOSPC, ResultCode.DISK_FULL),
+            ("fail_fsync", errno.ENOSPC, ResultCode.DISK_FULL),
+            ("fail_write", errno.EIO, ResultCode.FSYNC_FAILED),
+            ("fail_fsync", errno.EIO, ResultCode.FSYNC_FAILED),
+        ],
+    )
+    def test_failure_is_final_and_synced_records_stay(
+        self, tmp_path, kind, number, code
+    ):
+        files = FaultyFiles()
+        storage = Storage.open(str(tmp_path), files)
+        storage.save(None, (record(1),))
+        setattr(files, kind, number)
+        with pytest.raises(StorageError) as caught:
+            storage.save(None, (record(2),))
+        assert caught.value.code == code
+        setattr(files, kind, None)
+        done = len(files.calls)
+        with pytest.raises(StorageError):
+            storage.save(None, (record(3),))
+        assert len(files.calls) == done
+        storage.close()
+        assert reopened(tmp_path).log.records[0] == record(1)
+
+    def test_one_sync_for_a_group_and_one_each_without(self, tmp_path):
+        files = FaultyFiles()
+        storage = Storage.open(str(tmp_path), files)
+        files.calls.clear()
+        storage.save(HardState(1), (record(1), record(2)))
+        assert files.calls == ["write", "fsync", "write"]
+        files.calls.clear()
+        storage.save(None, (record(3), record(4)), grouped=False)
+        assert files.calls.count("fsync") == 2
+
+
+class TestSnapshotFile:
+    def saved(self, folder, files=None):
+        storage = Storage.open(str(folder), files)
+        storage.save(HardState(2, "b"), tuple(map(record, range(1, 6))))
+        storage.log = Log(0, 0, map(record, range(1, 6)))
+        storage.log.compact(3)
+        snapshot = Snapshot(4, 1, MEMBERS, b"state")
+        storage.save_snapshot(snapshot, HardState(2, "b"), storage.log)
+        return storage
+
+    def test_start_from_snapshot_and_tail(self, tmp_path):
+        storage = self.saved(tmp_path)
+        storage.save(None, (record(6),))
+        storage.close()
+        storage = Storage.open(str(tmp_path))
+        assert storage.read_snapshot() == b"state"
+        assert storage.snapshot_part(1, 3) == b"tat"
+        assert storage.snapshot[:3] == (4, 1, MEMBERS)
+        assert [r.index for r in storage.log.records] == [4, 5, 6]
+        assert storage.hard_state == HardState(2, "b")
+
+    @pytest.mark.parametrize("position", [3, 20, -1])
+    def test_damaged_snapshot_stops_the_start(self, tmp_path, position):
+        self.saved(tmp_path).close()
+        path = tmp_path / "snapshot"
+        data = bytearray(path.read_bytes())
+        data[position] ^= 4
+        path.write_bytes(data)
+        assert start_code(tmp_path) == ResultCode.LOG_DAMAGED
+
+    def test_lost_snapshot_stops_the_start(self, tmp_path):
+        self.saved(tmp_path).close()
+        (tmp_path / "snapshot").unlink()
+        assert start_code(tmp_path) == ResultCode.LOG_DAMAGED
+
+    def test_crash_between_snapshot_and_log(self, tmp_path, monkeypatch):
+        storage = Storage.open(str(tmp_path))
+        storage.save(HardState(2, "b"), (record(1),))
+        rename = os.rename
+
+        def crash_at_log(source, target):
+            if str(target).endswith("log"):
+                raise OSError(errno.EIO, "crash")
+            rename(source, target)
+
+        monkeypatch.setattr(os, "rename", crash_at_log)
+        with pytest.raises(StorageError):
+            storage.save_snapshot(
+                Snapshot(9, 2, MEMBERS, b"state"), HardState(2, "b"), Log(9, 2)
+            )
+        monkeypatch.undo()
+        storage.close()
+        storage = reopened(tmp_path)
+        assert (storage.log.base_index, storage.log.records) == (9, [])
+        assert storage.hard_state == HardState(2, "b")
+
+
+class TestLock:
+    def test_second_process_is_refused(self, tmp_path):
+        storage = Storage.open(str(tmp_path))
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-c",
+                "import sys; from wisteriapulley.consensus import Storage;"
+                "Storage.open(sys.argv[1])",
+                str(tmp_path),
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+            env=dict(os.environ, PYTHONPATH="src"),
+        )
+        assert "WP604" in done.stderr
+        storage.close()
+        reopened(tmp_path)
