--- a/src/wisteriapulley/cli.py
+++ b/src/wisteriapulley/cli.py
@@ -103,7 +103,7 @@
 
     def __call__(self) -> int:
         """Print them as JSON."""
-        return show("/v1/control/members", self.control, self.token_file)
+        return show_members(self.control, self.token_file, "GET")
 
 
 @cappa.command(name="remove", help="Take an instance out of the quorum for good.")
@@ -117,8 +117,7 @@
 
     def __call__(self) -> int:
         """Remove it and print who is left."""
-        path = f"/v1/control/members/{self.node_id}"
-        return show(path, self.control, self.token_file, "DELETE")
+        return show_members(self.control, self.token_file, "DELETE", self.node_id)
 
 
 @cappa.command(name="control", help="Control instance: catalogue, claims, permits.")
@@ -263,12 +262,22 @@
         return EXIT_OK
 
 
-def show(path: str, control: str, token_file: str, method: str = "GET") -> int:
+def show(path: str, control: str, token_file: str) -> int:
     """Print what an operators' page answers."""
     from wisteriapulley.operator_client import OperatorClient
 
     client = OperatorClient.from_files(control, token_file, "")
-    sys.stdout.write(client.request(method, path).decode() + "\n")
+    sys.stdout.write(client.request("GET", path).decode() + "\n")
+    return EXIT_OK
+
+
+def show_members(control: str, token_file: str, method: str, node_id: str = "") -> int:
+    """Ask the leader about the members and print its answer."""
+    from wisteriapulley.control.quorum_client import ask_members
+    from wisteriapulley.operator_client import OperatorClient
+
+    client = OperatorClient.from_files(control, token_file, "")
+    print(ask_members(client, method, node_id))
     return EXIT_OK
 
 
--- /dev/null
+++ b/tests/test_consensus_fleet.py
@@ -0,0 +1,79 @@
+import asyncio
+import json
+import shutil
+import time
+
+import pytest
+
+from tests.fleet import Fleet
+
+OWNER = "lettercraft"
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = Fleet(tmp_path)
+    try:
+        fleet.start_control(["galway", "swords", "belfast"])
+        asyncio.run(fleet.wait_ready())
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def members(fleet):
+    options = fleet.operator_options(OWNER)
+    return json.loads(fleet.run_cli("control", "members", *options))
+
+
+def settings_path(fleet, name):
+    return str(fleet.folder / "settings" / f"{name}.json")
+
+
+def wait_until(holds):
+    end = time.monotonic() + 20
+    while not holds():
+        assert time.monotonic() < end
+        time.sleep(0.05)
+
+
+class TestControlInstances:
+    def test_lost_disk_rejoins_under_a_new_identity(self, fleet):
+        before = members(fleet)
+        leader = before["leader"]
+        lost = next(name for name in fleet.nodes if name != leader)
+        node = fleet.nodes[lost]
+        node.process.kill()
+        shutil.rmtree(node.settings["data_folder"])
+        (fleet.folder / "data" / lost).mkdir()
+        # Neither does an emptied folder start, nor is a second cluster founded.
+        node.process.start()
+        assert node.process.popen.wait(10) == 1
+        assert "WP103" in node.process.log.read_text()
+        with pytest.raises(RuntimeError, match="WP605"):
+            fleet.run_cli("control", "init", settings_path(fleet, lost))
+        fleet.run_cli("control", "join", settings_path(fleet, lost))
+        node.process.start()
+        asyncio.run(fleet.wait_ready([lost]))
+        after = {m["node_id"]: m for m in members(fleet)["members"]}
+        old = {m["node_id"]: m for m in before["members"]}
+        assert len(after) == 3
+        assert all(member["votes"] for member in after.values())
+        assert after[lost]["identity"] != old[lost]["identity"]
+        # The second instance goes right after the repair.
+        fleet.nodes[leader].process.kill()
+        wait_until(lambda: members(fleet)["leader"] not in ("", leader))
+
+    def test_leader_that_ends_hands_over_and_a_removed_one_stays_out(self, fleet):
+        leader = members(fleet)["leader"]
+        assert fleet.nodes[leader].process.terminate() == 0
+        after = members(fleet)
+        assert after["leader"] != leader
+        assert after["term"] == 2
+        options = fleet.operator_options(OWNER)
+        fleet.run_cli("control", "remove", leader, *options)
+        fleet.nodes[leader].process.start()
+        time.sleep(1)
+        assert leader not in [m["node_id"] for m in members(fleet)["members"]]
+        with pytest.raises(RuntimeError, match="WP606"):
+            fleet.run_cli("control", "remove", leader, *options)
--- /dev/null
+++ b/tests/test_driver.py
@@ -0,0 +1,172 @@
+import asyncio
+import errno
+import os
+
+import pytest
+
+from wisteriapulley.claims import Claim, ClaimKey
+from wisteriapulley.consensus import Storage
+from wisteriapulley.consensus.files import Files
+from wisteriapulley.consensus.setup import init_folder, join_folder
+from wisteriapulley.control import driver as driver_module
+from wisteriapulley.control.commands import PutClaim
+from wisteriapulley.control.driver import Driver, unix_ms
+from wisteriapulley.control.state import ControlState
+from wisteriapulley.errors import ResultCode, StorageError, WisteriapulleyError
+from wisteriapulley.settings import Address, ControlSettings
+
+
+class CountingFiles(Files):
+    """Counts syncs, and fails on demand."""
+
+    def __init__(self):
+        self.syncs = 0
+        self.failure = 0
+
+    def fsync(self, descriptor):
+        self.syncs += 1
+        if self.failure:
+            raise OSError(self.failure, os.strerror(self.failure))
+        super().fsync(descriptor)
+
+
+class Alone:
+    """A driver of a cluster of one, in this process."""
+
+    def __init__(self, folder, monkeypatch, **more):
+        self.settings = ControlSettings(
+            node_id="a",
+            failure_domain="galway",
+            http_listen=Address("127.0.0.1", 0),
+            fleet_key_file="",
+            wire_listen=Address("127.0.0.1", 0),
+            data_folder=str(folder),
+            operators_file="",
+            **more,
+        )
+        self.files = CountingFiles()
+        files = self.files
+        monkeypatch.setattr(
+            driver_module.Storage,
+            "open",
+            classmethod(lambda cls, folder: real_open(folder, files)),
+        )
+        self.fatal = []
+
+    def open(self):
+        self.state = ControlState()
+        self.driver = Driver(
+            self.settings, self.state, {}, lambda result: None, self.fatal.append
+        )
+        return self.driver
+
+    async def start(self):
+        driver = self.open()
+        driver.start()
+        while driver.own_lease() is None:
+            await asyncio.sleep(0.01)
+        return driver
+
+
+real_open = Storage.open
+
+
+def command(number):
+    claim = Claim(b"body", "t", 1, 1, unix_ms() + 300_000)
+    return PutClaim(ClaimKey("lettercraft", f"letter-{number}"), claim, 0)
+
+
+@pytest.fixture
+def alone(tmp_path, monkeypatch):
+    alone = Alone(tmp_path, monkeypatch)
+    init_folder(alone.settings)
+    return alone
+
+
+class TestDriver:
+    def test_founder_of_an_empty_folder_only(self, alone):
+        with pytest.raises(StorageError) as caught:
+            init_folder(alone.settings)
+        assert caught.value.code == ResultCode.IDENTITY_MISMATCH
+        with pytest.raises(StorageError):
+            join_folder(alone.settings)
+
+    def test_proposals_of_one_turn_share_a_sync(self, alone):
+        async def run():
+            driver = await alone.start()
+            alone.files.syncs = 0
+            await asyncio.gather(*(driver.propose(command(i)) for i in range(50)))
+            await driver.stop()
+
+        asyncio.run(run())
+        assert alone.files.syncs == 1
+
+    def test_without_group_commit_each_record_has_its_sync(self, tmp_path, monkeypatch):
+        alone = Alone(tmp_path, monkeypatch, group_commit=False)
+        init_folder(alone.settings)
+
+        async def run():
+            driver = await alone.start()
+            alone.files.syncs = 0
+            await asyncio.gather(*(driver.propose(command(i)) for i in range(50)))
+            await driver.stop()
+
+        asyncio.run(run())
+        assert alone.files.syncs == 50
+
+    @pytest.mark.parametrize(
+        ("number", "code"),
+        [(errno.ENOSPC, ResultCode.DISK_FULL), (errno.EIO, ResultCode.FSYNC_FAILED)],
+    )
+    def test_failing_disk_stops_it_and_nothing_is_acknowledged(
+        self, alone, monkeypatch, number, code
+    ):
+        monkeypatch.setattr(driver_module, "PROPOSE_S", 0.2)
+
+        async def run():
+            driver = await alone.start()
+            alone.files.failure = number
+            for attempt in range(2):
+                with pytest.raises(WisteriapulleyError) as caught:
+                    await driver.propose(command(attempt))
+                assert caught.value.code == ResultCode.NO_QUORUM
+            assert driver.own_lease() is None
+            await driver.stop()
+
+        asyncio.run(run())
+        assert [error.code for error in alone.fatal] == [code]
+
+    def test_restart_from_snapshot_and_tail(self, tmp_path, monkeypatch):
+        alone = Alone(tmp_path, monkeypatch, snapshot_bytes=4000)
+        init_folder(alone.settings)
+
+        async def run(first, last):
+            driver = await alone.start()
+            before = len(alone.state.claims.claims)
+            for number in range(first, last):
+                await driver.propose(command(number))
+            await driver.stop()
+            return before
+
+        asyncio.run(run(0, 800))
+        assert (tmp_path / "snapshot").exists()
+        assert asyncio.run(run(800, 801)) == 800
+        driver = alone.open()
+        assert driver.storage.snapshot.last_index > 400
+        assert driver.replica.log.base_index > 0
+        assert 400 < len(alone.state.claims.claims) <= 801
+        asyncio.run(driver.stop())
+
+    def test_folder_of_another_instance_is_refused(self, alone, monkeypatch):
+        alone.settings = ControlSettings(
+            **{
+                **{
+                    f: getattr(alone.settings, f)
+                    for f in alone.settings.__struct_fields__
+                },
+                "node_id": "b",
+            }
+        )
+        with pytest.raises(StorageError) as caught:
+            alone.open()
+        assert caught.value.code == ResultCode.IDENTITY_MISMATCH
