--- a/src/wisteriapulley/cli.py
+++ b/src/wisteriapulley/cli.py
@@ -62,30 +62,79 @@
         return run_daemon("control", self.settings)
 
 
-@cappa.command(name="init", help="Make the data folder of a founding instance, once.")
+@cappa.command(name="init", help="Found the fleet's cluster: on one instance, once.")
 @dataclass
 class ControlInit:
-    """Make a founding instance's data folder."""
+    """Found the cluster on this instance."""
 
     settings: SettingsFile
 
     def __call__(self) -> int:
-        """Write the identity."""
+        """Write the identity of the one founding voter."""
         from wisteriapulley.consensus.setup import init_folder
+        from wisteriapulley.control.founding import refuse_if_founded
         from wisteriapulley.settings import load_settings
 
         settings = load_settings(self.settings, "control")
-        init_folder(settings)
-        print(f"{settings.data_folder}: initialised for {settings.node_id}")
+        refuse_if_founded(settings)
+        identity = init_folder(settings)
+        print(f"{settings.data_folder}: {settings.node_id} founds, {identity.identity}")
         return EXIT_OK
 
 
+@cappa.command(name="join", help="Make the folder of an instance that joins.")
+@dataclass
+class ControlJoin:
+    """Make the folder of an instance that joins."""
+
+    settings: SettingsFile
+
+    def __call__(self) -> int:
+        """Write the identity of a learner."""
+        from wisteriapulley.consensus.setup import join_folder
+        from wisteriapulley.settings import load_settings
+
+        settings = load_settings(self.settings, "control")
+        identity = join_folder(settings)
+        print(f"{settings.data_folder}: {settings.node_id} joins, {identity.identity}")
+        return EXIT_OK
+
+
+@cappa.command(name="members", help="Show who votes, who learns and how far each is.")
+@dataclass
+class ControlMembers:
+    """Show the members of the quorum."""
+
+    control: Control
+    token_file: TokenFile
+
+    def __call__(self) -> int:
+        """Print them as JSON."""
+        return show_members(self.control, self.token_file, "GET")
+
+
+@cappa.command(name="remove", help="Take an instance out of the quorum for good.")
+@dataclass
+class ControlRemove:
+    """Remove a member."""
+
+    node_id: Annotated[str, cappa.Arg(help="Control instance to remove.")]
+    control: Control
+    token_file: TokenFile
+
+    def __call__(self) -> int:
+        """Remove it and print who is left."""
+        return show_members(self.control, self.token_file, "DELETE", self.node_id)
+
+
 @cappa.command(name="control", help="Control instance: catalogue, claims, permits.")
 @dataclass
 class ControlCommand:
     """Control instance."""
 
-    command: cappa.Subcommands[ControlRun | ControlInit]
+    command: cappa.Subcommands[
+        ControlRun | ControlInit | ControlJoin | ControlMembers | ControlRemove
+    ]
 
 
 @cappa.command(name="entry", help="Entry: serves callers.")
@@ -229,6 +278,16 @@
     return EXIT_OK
 
 
+def show_members(control: str, token_file: str, method: str, node_id: str = "") -> int:
+    """Ask the leader about the members and print its answer."""
+    from wisteriapulley.control.quorum_client import ask_members
+    from wisteriapulley.operator_client import OperatorClient
+
+    client = OperatorClient.from_files(control, token_file, "")
+    print(ask_members(client, method, node_id))
+    return EXIT_OK
+
+
 @cappa.command(name="catalogue", help="Check, diff, apply and watch the catalogue.")
 @dataclass
 class CatalogueCommand:
