--- a/src/wisteriapulley/catalogue/changes.py
+++ b/src/wisteriapulley/catalogue/changes.py
@@ -1,10 +1,15 @@
 """Changes that operators send, their outcomes, and the diff that makes them."""
 
+import re
+from collections.abc import Iterator
+
 import msgspec
 from blake3 import blake3
 
 from wisteriapulley.catalogue.entry import Entry
 
+CHANGE_ID_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,63}")
+
 
 class Put(msgspec.Struct, frozen=True):
     """Accept `entry` if its stored revision still is `base_revision`.
@@ -15,6 +20,11 @@
     entry: Entry
     base_revision: int
 
+    @property
+    def name(self) -> str:
+        """Name of the entry."""
+        return self.entry.name
+
 
 class Delete(msgspec.Struct, frozen=True):
     """Remove the entry `name` if its revision still is `base_revision`."""
@@ -41,6 +51,11 @@
     puts: tuple[Put, ...] = ()
     deletes: tuple[Delete, ...] = ()
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of all entries concerned."""
+        return tuple(item.name for item in (*self.puts, *self.deletes))
+
     def digest(self) -> str:
         """Return a digest of the content, to tell a resend from a clash."""
         return blake3(msgspec.msgpack.encode(self)).hexdigest()
@@ -58,7 +73,8 @@
     message : str
         Why it was refused.
     accepted : tuple of Entry
-        On a conflict, what was accepted instead.
+        On a used change id, what was accepted under it; on another refusal,
+        what stands under the names concerned.
     """
 
     code: int
@@ -74,6 +90,25 @@
     revision: int
 
 
+def change_faults(change: Change) -> Iterator[str]:
+    """Yield what is wrong with the form of a change."""
+    if not CHANGE_ID_PATTERN.fullmatch(change.change_id):
+        yield (
+            "change_id: expected 1 to 64 of A-Z a-z 0-9 . _ : / -, got"
+            f" {change.change_id!r}"
+        )
+    if not change.names:
+        yield "expected at least one put or delete, got none"
+    seen: set[str] = set()
+    for name in change.names:
+        if name in seen:
+            yield f"{name}: expected once in a change, got it again"
+        seen.add(name)
+    for delete in change.deletes:
+        if delete.base_revision < 1:
+            yield f"{delete.name}: expected the revision that a delete removes"
+
+
 def diff(
     wanted: dict[str, Entry], stored: dict[str, Stored], owner: str
 ) -> tuple[tuple[Put, ...], tuple[Delete, ...]]:
@@ -104,3 +139,38 @@
         if name not in wanted and item.entry.owner == owner
     )
     return puts, deletes
+
+
+def show_changes(
+    puts: tuple[Put, ...], deletes: tuple[Delete, ...], stored: dict[str, Stored]
+) -> Iterator[str]:
+    """Yield readable lines: ``+`` new, ``-`` gone, ``~`` changed, key by key."""
+    for put in puts:
+        if put.name in stored:
+            yield f"~ {put.name}"
+            yield from show_keys(stored[put.name].entry, put.entry)
+        else:
+            yield f"+ {put.name}"
+            yield from show_keys(None, put.entry)
+    for delete in deletes:
+        yield f"- {delete.name}"
+
+
+def show_keys(before: Entry | None, after: Entry) -> Iterator[str]:
+    """Yield a line for each key that differs."""
+    old = dict(flat_keys(before)) if before is not None else {}
+    for key, value in flat_keys(after):
+        if before is None:
+            yield f"    {key}: {value}"
+        elif old[key] != value:
+            yield f"    {key}: {old[key]} -> {value}"
+
+
+def flat_keys(entry: Entry) -> Iterator[tuple[str, str]]:
+    """Yield each key of an entry, as in its file, with its value as JSON."""
+    for key, value in msgspec.to_builtins(entry).items():
+        if isinstance(value, dict):
+            for inner, item in value.items():
+                yield f"{key}.{inner}", msgspec.json.encode(item).decode()
+        elif key != "name":
+            yield key, msgspec.json.encode(value).decode()
--- a/src/wisteriapulley/catalogue/entry.py
+++ b/src/wisteriapulley/catalogue/entry.py
@@ -10,8 +10,19 @@
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+NODE_ID_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 DISTRIBUTIONS = ("time_to_replicas", "origin_bytes")
 ROLES = ("serve", "prefill", "decode", "batch")
+PRIORITY_RANGE = range(-100, 101)
+# Above today's and the planned sizes by a wide margin; a slip of three digits
+# is refused before it is in force everywhere.
+LIMIT_RANGES = {
+    "requests_per_s": (0.001, 100_000.0),
+    "burst": (1, 100_000),
+    "in_flight": (1, 10_000),
+    "deadline_ms": (1, 600_000),
+}
+MAX_LEAVING = 1000
 
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -85,17 +96,37 @@
 
 
 # What entries of one service must share, because its targets have one of each.
-SERVICE_KEYS = ("version", "role", "distribution", "max_unavailable", "leaving")
+# The owner too: another's entry could otherwise stop the service's versions.
+SERVICE_KEYS = (
+    "owner",
+    "version",
+    "role",
+    "distribution",
+    "max_unavailable",
+    "leaving",
+)
 
 
 def entry_faults(entry: Entry) -> Iterator[str]:
     """Yield what is wrong with one entry, as ``key: expected, got``."""
+    yield from name_faults(entry)
+    yield from weights_faults(entry)
+    yield from limit_faults(entry)
+    yield from leaving_faults(entry)
+
+
+def name_faults(entry: Entry) -> Iterator[str]:
+    """Yield what is wrong with the names that an entry bears."""
     for key in ("name", "owner", "traffic_class", "service"):
         if not NAME_PATTERN.fullmatch(getattr(entry, key)):
             yield (
                 f"{key.removeprefix('traffic_')}: expected 1 to 63 of a-z 0-9 . -,"
                 f" got {getattr(entry, key)!r}"
             )
+
+
+def weights_faults(entry: Entry) -> Iterator[str]:
+    """Yield what is wrong with version, role and distribution."""
     if entry.version and not DIGEST_PATTERN.fullmatch(entry.version):
         yield (
             "version: expected a manifest digest of 64 hexadecimal digits,"
@@ -107,11 +138,38 @@
         )
     if entry.role not in ROLES:
         yield f"role: expected one of {ROLES}, got {entry.role!r}"
-    if entry.max_unavailable < 1:
-        yield f"max_unavailable: expected at least 1, got {entry.max_unavailable}"
-    for key in ("requests_per_s", "burst", "in_flight", "deadline_ms"):
-        if getattr(entry.limits, key) <= 0:
-            yield f"limits.{key}: expected above 0, got {getattr(entry.limits, key)}"
+    if not entry.version and entry.role != ROLES[0]:
+        yield (
+            f"role: expected {ROLES[0]!r} of a plain service (it has no version),"
+            f" got {entry.role!r}"
+        )
+
+
+def limit_faults(entry: Entry) -> Iterator[str]:
+    """Yield which numbers are out of range."""
+    if not 1 <= entry.max_unavailable <= MAX_LEAVING:
+        yield (
+            f"max_unavailable: expected 1 to {MAX_LEAVING}, got {entry.max_unavailable}"
+        )
+    if entry.priority not in PRIORITY_RANGE:
+        yield f"priority: expected -100 to 100, got {entry.priority}"
+    for key, (least, most) in LIMIT_RANGES.items():
+        value = getattr(entry.limits, key)
+        if not least <= value <= most:
+            yield f"limits.{key}: expected {least} to {most}, got {value}"
+
+
+def leaving_faults(entry: Entry) -> Iterator[str]:
+    """Yield what is wrong with the list of leaving targets."""
+    if len(entry.leaving) > MAX_LEAVING:
+        yield f"leaving: expected at most {MAX_LEAVING}, got {len(entry.leaving)}"
+    seen: set[str] = set()
+    for node_id in entry.leaving:
+        if not NODE_ID_PATTERN.fullmatch(node_id):
+            yield f"leaving: expected node ids, got {node_id!r}"
+        if node_id in seen:
+            yield f"leaving: expected each node id once, got {node_id!r} again"
+        seen.add(node_id)
 
 
 def service_faults(entries: Iterable[Entry]) -> Iterator[str]:
--- a/src/wisteriapulley/claims/ledger.py
+++ b/src/wisteriapulley/claims/ledger.py
@@ -2,9 +2,12 @@
 
 A pure state machine applied by the log. The claim on (client account, key) is
 changed only by compare-and-set on its attempt, so one attempt is current, and
-a sidecar runs an attempt once.
+a sidecar runs an attempt once. See ``docs/design/configuration.md``.
 """
 
+import heapq
+import sys
+
 import msgspec
 
 from wisteriapulley.errors import ResultCode
@@ -12,18 +15,21 @@
 MAX_EXPIRY_MS = 600_000
 # Kept this much longer than the expiry, against clocks that disagree.
 EXPIRY_MARGIN_MS = 60_000
-# About 300 bytes each: a full ledger takes some 20 MB of the 32 MB budget.
-MAX_CLAIMS = 60_000
+# Load: 45 requests a second that may run only once, each kept 660 s. Harm
+# prevented: a ledger that grows past the memory of a control instance.
+MAX_CLAIMS = 30_000
+# Claims are forgotten by the second of their expiry, never one by one.
+BUCKET_MS = 1000
 
 
-class ClaimKey(msgspec.Struct, frozen=True):
+class ClaimKey(msgspec.Struct, frozen=True, gc=False):
     """Client account and its idempotency key."""
 
     account: str
     key: str
 
 
-class Claim(msgspec.Struct, frozen=True):
+class Claim(msgspec.Struct, frozen=True, gc=False):
     """Who may run a request.
 
     Attributes
@@ -46,6 +52,11 @@
     attempt: int
     expires_at_ms: int
 
+    @property
+    def bucket(self) -> int:
+        """Second in which it expires."""
+        return self.expires_at_ms // BUCKET_MS
+
 
 class ClaimResult(msgspec.Struct, frozen=True):
     """Outcome of a claim.
@@ -63,7 +74,7 @@
 
 
 class ClaimLedger:
-    """Standing claims, oldest first.
+    """Standing claims.
 
     Parameters
     ----------
@@ -76,6 +87,8 @@
         self.limit = limit
         self.claims: dict[ClaimKey, Claim] = {}
         self.now_ms = 0
+        self.buckets: dict[int, list[ClaimKey]] = {}
+        self.bucket_order: list[int] = []
 
     def put(
         self, key: ClaimKey, claim: Claim, expected_attempt: int, now_ms: int
@@ -91,7 +104,8 @@
         expected_attempt : int
             0 when no claim may stand.
         now_ms : int
-            The leader's Unix time in milliseconds; it never goes back here.
+            The leader's Unix time in milliseconds; it never goes back here,
+            so a new leader with a slower clock revives no forgotten expiry.
 
         Returns
         -------
@@ -101,23 +115,66 @@
         self.now_ms = max(self.now_ms, now_ms)
         self.forget_expired()
         standing = self.claims.get(key)
+        code = self.verdict(standing, claim, expected_attempt)
+        if code != ResultCode.OK:
+            return ClaimResult(code, standing)
+        self.set(key, claim)
+        return ClaimResult(ResultCode.OK, claim)
+
+    def verdict(
+        self, standing: Claim | None, claim: Claim, expected_attempt: int
+    ) -> ResultCode:
+        """Judge a proposed claim against the standing one.
+
+        A standing claim is followed also after its expiry, because its request
+        may have run; only a new attempt needs an expiry ahead.
+        """
         if standing is not None and standing.body_digest != claim.body_digest:
-            return ClaimResult(ResultCode.IDEMPOTENCY_CONFLICT, standing)
-        if claim.expires_at_ms <= self.now_ms:
-            return ClaimResult(ResultCode.REQUEST_EXPIRED, standing)
+            return ResultCode.IDEMPOTENCY_CONFLICT
         current = standing.attempt if standing is not None else 0
         if current != expected_attempt or claim.attempt != expected_attempt + 1:
-            return ClaimResult(ResultCode.IN_PROGRESS, standing)
+            return ResultCode.IN_PROGRESS
+        if claim.expires_at_ms <= self.now_ms:
+            return ResultCode.REQUEST_EXPIRED
+        if claim.expires_at_ms > self.now_ms + MAX_EXPIRY_MS + EXPIRY_MARGIN_MS:
+            return ResultCode.CLAIM_UNAVAILABLE
         if standing is None and len(self.claims) >= self.limit:
-            return ClaimResult(ResultCode.OVERLOADED)
-        self.claims[key] = claim
-        return ClaimResult(ResultCode.OK, claim)
+            return ResultCode.OVERLOADED
+        return ResultCode.OK
+
+    def set(self, key: ClaimKey, claim: Claim) -> None:
+        """Let a claim stand and remember when it may be forgotten."""
+        standing = self.claims.get(key)
+        target = sys.intern(claim.target)
+        self.claims[key] = msgspec.structs.replace(claim, target=target)
+        if standing is None or standing.bucket != claim.bucket:
+            self.remember(key, claim.bucket)
+
+    def remember(self, key: ClaimKey, bucket: int) -> None:
+        """Note that `key` expires in `bucket`."""
+        if bucket not in self.buckets:
+            self.buckets[bucket] = []
+            heapq.heappush(self.bucket_order, bucket)
+        self.buckets[bucket].append(key)
 
     def forget_expired(self) -> None:
-        """Drop claims whose requests could no longer start anywhere."""
-        horizon = self.now_ms - EXPIRY_MARGIN_MS
-        expired = [
-            key for key, claim in self.claims.items() if claim.expires_at_ms < horizon
-        ]
-        for key in expired:
-            del self.claims[key]
+        """Drop claims whose requests could no longer start anywhere.
+
+        The cost is that of the claims dropped, not of those that stand.
+        """
+        horizon = (self.now_ms - EXPIRY_MARGIN_MS) // BUCKET_MS
+        while self.bucket_order and self.bucket_order[0] < horizon:
+            bucket = heapq.heappop(self.bucket_order)
+            for key in self.buckets.pop(bucket):
+                claim = self.claims.get(key)
+                if claim is not None and claim.bucket == bucket:
+                    del self.claims[key]
+
+    def restore(self, claims: dict[ClaimKey, Claim], now_ms: int) -> None:
+        """Replace everything by a snapshot's content."""
+        self.claims = claims
+        self.now_ms = now_ms
+        self.buckets = {}
+        self.bucket_order = []
+        for key, claim in claims.items():
+            self.remember(key, claim.bucket)
--- a/src/wisteriapulley/control/client.py
+++ b/src/wisteriapulley/control/client.py
@@ -11,6 +11,7 @@
 from wisteriapulley.catalogue.entry import Entry
 from wisteriapulley.control.commands import Command, Result, decode_result, encode
 from wisteriapulley.control.driver import no_quorum
+from wisteriapulley.errors import WireError, WisteriapulleyError
 from wisteriapulley.settings import NodeSettings
 from wisteriapulley.wire import Frame, Link, messages
 from wisteriapulley.wire.handshake import Identity
@@ -19,11 +20,28 @@
 log = logging.getLogger(__name__)
 
 PROPOSE_S = 4.0
+LEASE_S = 2.0
+# Longer than a control instance waits for its quorum.
+WATCH_S = 5.0
 CONFIRM_AGAIN_S = 1.0
+# Load: 820 copies in a burst, whose progress would be reported several times a
+# second each. Harm prevented: a control instance busy with progress; a change
+# of state or revision is always reported at once.
+REPORT_S = 2.0
+# A control instance that has campaigned so long in vain is cut off: its nodes
+# try another one.
+ISOLATED_S = 3.0
+ISOLATED_STATE = "candidate"
 
 
 class CatalogueHolder:
-    """The catalogue in force at a node; its revision never goes down."""
+    """The catalogue in force at a node; its revision never goes down.
+
+    A node that has just started can't know which revision it had before. So it
+    takes nothing in until a control instance with a fresh quorum confirmation
+    gave the catalogue; from then on any newer revision of any neighbour will
+    do, because only accepted revisions are told.
+    """
 
     def __init__(self):
         self.image = CatalogueImage(0, {})
@@ -40,7 +58,7 @@
         """Take an update in unless it is older; tell whether it changed."""
         if update.fresh and update.revision >= self.revision:
             self.confirmed = True
-        if update.revision <= self.revision:
+        if not self.confirmed or update.revision <= self.revision:
             return False
         self.image = msgspec.msgpack.decode(update.content, type=CatalogueImage)
         self.content = update.content
@@ -86,6 +104,9 @@
         self.members: dict[str, messages.Announce] = {}
         self.announcement: messages.Announce | None = None
         self.report: messages.Report | None = None
+        self.report_timer: asyncio.TimerHandle | None = None
+        self.isolated_at: float | None = None
+        self.pulling = False
         self.keeper = LinkKeeper(
             self.rotated(identity.node_id),
             identity,
@@ -109,32 +130,61 @@
     async def stop(self) -> None:
         """Stop watching."""
         self.confirming.cancel()
+        if self.report_timer is not None:
+            self.report_timer.cancel()
         await self.keeper.stop()
 
     async def confirm(self) -> None:
         """Watch again until a quorum has confirmed the catalogue here."""
         while not self.holder.confirmed:
             await asyncio.sleep(CONFIRM_AGAIN_S)
-            self.post(messages.Watch(self.holder.revision, self.services))
+            link = self.keeper.open_link
+            if link is not None and not self.pulling:
+                link.spawn(self.pull(link))
 
     async def greet(self, link: Link) -> None:
         """Announce and watch over a new link."""
+        self.isolated_at = None
+        link.on_heartbeat = self.heard_control
         if self.announcement is not None:
             link.post(self.announcement)
-        link.post(messages.Watch(self.holder.revision, self.services))
+        link.spawn(self.watch(link))
         if self.report is not None:
             link.post(self.report)
 
+    async def watch(self, link: Link) -> None:
+        """Ask for the catalogue and take the answer in."""
+        query = messages.Watch(self.holder.revision, self.services)
+        try:
+            frame = await link.request(query, WATCH_S)
+        except WisteriapulleyError as error:
+            log.info("watch of %s: %s", link.peer_id, error)
+            return
+        if isinstance(frame.message, messages.CatalogueUpdate):
+            self.receive(frame.message)
+
     def announce(self, announcement: messages.Announce) -> None:
         """Announce this node, now and on each new link."""
         self.announcement = announcement
         self.post(announcement)
 
     def send_report(self, report: messages.Report) -> None:
-        """Report this node's state when it changed."""
-        if report != self.report:
-            self.report = report
-            self.post(report)
+        """Report this node's state when it changed; mere progress may wait."""
+        before, self.report = self.report, report
+        if report == before:
+            return
+        if before is None or not same_but_progress(before, report):
+            self.report_now()
+        elif self.report_timer is None:
+            loop = asyncio.get_running_loop()
+            self.report_timer = loop.call_later(REPORT_S, self.report_now)
+
+    def report_now(self) -> None:
+        """Send the newest report."""
+        if self.report_timer is not None:
+            self.report_timer.cancel()
+            self.report_timer = None
+        self.post(self.report)
 
     def post(self, message: tuple) -> None:
         """Send if a link is open."""
@@ -147,20 +197,30 @@
         Raises
         ------
         WisteriapulleyError
-            NO_QUORUM or a link error: it is not known to be committed.
+            NO_QUORUM: it is not known whether the command was committed.
         """
-        link = self.keeper.open_link
-        if link is None:
-            raise no_quorum("no control instance answers")
-        frame = await link.request(messages.Propose(encode(command)), PROPOSE_S)
+        frame = await self.ask(messages.Propose(encode(command)), PROPOSE_S)
         return decode_result(command, frame.message.result)
 
     async def lease(self) -> messages.Lease:
-        """Ask for the leader's lease, as proof of a live quorum."""
+        """Ask for the leader's lease, as proof of a live quorum.
+
+        Raises
+        ------
+        WisteriapulleyError
+            NO_QUORUM.
+        """
+        return (await self.ask(messages.LeaseQuery(), LEASE_S)).message
+
+    async def ask(self, message: tuple, timeout_s: float) -> Frame:
+        """Send a request to the control instance; a lost answer is NO_QUORUM."""
         link = self.keeper.open_link
         if link is None:
             raise no_quorum("no control instance answers")
-        return (await link.request(messages.LeaseQuery(), PROPOSE_S)).message
+        try:
+            return await link.request(message, timeout_s)
+        except WireError as error:
+            raise no_quorum(str(error)) from error
 
     async def handle(self, link: Link, frame: Frame) -> None:
         """Handle a frame of the control instance."""
@@ -190,18 +250,39 @@
         self.on_members()
 
     async def pull(self, link: Link) -> None:
-        """Pull the catalogue from a neighbour whose heartbeat is ahead."""
-        frame = await link.request(messages.Watch(self.holder.revision), 2.0)
-        if isinstance(frame.message, messages.CatalogueUpdate):
-            if self.holder.offer(frame.message):
-                self.on_catalogue()
+        """Pull the catalogue from a peer whose heartbeat is ahead."""
+        self.pulling = True
+        try:
+            await self.watch(link)
+        finally:
+            self.pulling = False
 
     def heard(self, link: Link) -> None:
-        """Compare a neighbour's revision with ours; pull when behind."""
-        if link.peer_heartbeat.revision > self.holder.revision:
+        """Compare a peer's revision with ours; pull when behind.
+
+        One pull at a time: a change makes all neighbours run ahead at once.
+        """
+        behind = link.peer_heartbeat.revision > self.holder.revision
+        if behind and self.holder.confirmed and not self.pulling:
             link.spawn(self.pull(link))
 
+    def heard_control(self, link: Link) -> None:
+        """Compare revisions, and leave a control instance that is cut off."""
+        self.heard(link)
+        now = asyncio.get_running_loop().time()
+        if link.peer_heartbeat.state != ISOLATED_STATE:
+            self.isolated_at = None
+        elif self.isolated_at is None:
+            self.isolated_at = now
+        elif now - self.isolated_at > ISOLATED_S and len(self.keeper.addresses) > 1:
+            link.close()
+
     async def wait_confirmed(self) -> None:
         """Wait until a quorum confirmed the catalogue in force here."""
         while not self.holder.confirmed:
             await asyncio.sleep(0.02)
+
+
+def same_but_progress(before: messages.Report, after: messages.Report) -> bool:
+    """Tell whether two reports differ in the bytes copied only."""
+    return before._replace(bytes_done=after.bytes_done) == after
--- a/src/wisteriapulley/control/commands.py
+++ b/src/wisteriapulley/control/commands.py
@@ -37,9 +37,14 @@
 
 
 class ReleasePermit(msgspec.Struct, frozen=True, tag="release"):
-    """The target has switched, failed, or is gone."""
+    """The target has switched, or is gone.
+
+    `fencing` names the permit that is released, so that a late release frees
+    no newer one; 0 names whichever stands.
+    """
 
     target: str
+    fencing: int = 0
 
 
 class PermitResult(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/wisteriapulley/control/fanout.py
@@ -0,0 +1,132 @@
+"""Tells watchers what changed, without queueing on a slow link.
+
+What a watcher has not taken yet is never queued behind: it is only noted as
+due, and sent in its newest form once the link has room.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from wisteriapulley.catalogue import Catalogue
+from wisteriapulley.control.members import matching
+from wisteriapulley.wire import Link, messages
+
+# Load: one change goes to all watchers of an instance, some of them frozen or
+# behind a stalled connection. Harm prevented: a queue for each such link. Twice
+# the limit of a kernel's socket buffer would only delay newer revisions.
+MAX_BUFFERED_BYTES = 256 << 10
+
+
+class Watcher:
+    """A node that watches this instance."""
+
+    def __init__(self, link: Link, services: tuple[str, ...]):
+        self.link = link
+        self.services = services
+        self.catalogue_due = False
+        self.members_due = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether its link is open and has room."""
+        if self.link.closed.is_set():
+            return False
+        buffered = self.link.writer.transport.get_write_buffer_size()
+        return buffered < MAX_BUFFERED_BYTES
+
+
+class Fanout:
+    """Watchers of one control instance.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        The accepted entries.
+    members : Mapping
+        The view of the members, by node id.
+    is_settled : callable
+        Whether the view is whole. Before, a watcher is told of members but is
+        not told to forget others, so that an instance that has just started
+        takes no target from any entry.
+    """
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        members: Mapping[str, messages.Announce],
+        is_settled: Callable[[], bool],
+    ):
+        self.catalogue = catalogue
+        self.members = members
+        self.is_settled = is_settled
+        self.watchers: dict[Link, Watcher] = {}
+        self.coalesced = 0
+
+    def add(self, link: Link, services: tuple[str, ...]) -> None:
+        """Take a watcher in and tell it all members."""
+        if link not in self.watchers:
+            self.watchers[link] = Watcher(link, services)
+            self.send_members(self.watchers[link])
+
+    def remove(self, link: Link) -> None:
+        """Forget a watcher."""
+        self.watchers.pop(link, None)
+
+    def catalogue_changed(self) -> None:
+        """Note that every watcher lacks the newest revision."""
+        for watcher in self.watchers.values():
+            self.coalesced += watcher.catalogue_due
+            watcher.catalogue_due = True
+
+    def members_changed(self, changes: Iterable[messages.Announce]) -> None:
+        """Tell watchers of changes that concern them."""
+        for watcher in self.watchers.values():
+            concerned = matching(changes, watcher.services)
+            if not concerned or watcher.members_due:
+                continue
+            if watcher.is_open:
+                watcher.link.post(messages.MemberUpdate("", 0, False, concerned))
+            else:
+                watcher.members_due = True
+
+    def members_settled(self) -> None:
+        """Note that every watcher is due a whole view."""
+        for watcher in self.watchers.values():
+            watcher.members_due = True
+
+    def flush(self) -> None:
+        """Send what is due over links that have room."""
+        update = None
+        for watcher in self.watchers.values():
+            if not (watcher.catalogue_due or watcher.members_due):
+                continue
+            if not watcher.is_open:
+                continue
+            if watcher.catalogue_due:
+                update = update or self.catalogue_update(fresh=False)
+                watcher.catalogue_due = False
+                watcher.link.post(update)
+            if watcher.members_due:
+                self.send_members(watcher)
+
+    def send_members(self, watcher: Watcher) -> None:
+        """Send all members that concern a watcher."""
+        watcher.members_due = False
+        members = matching(self.members.values(), watcher.services)
+        full = self.is_settled()
+        watcher.link.post(messages.MemberUpdate("", 0, full, members))
+
+    def catalogue_update(
+        self, fresh: bool, known: int = -1
+    ) -> messages.CatalogueUpdate:
+        """Encode the whole catalogue; no content when `known` is current.
+
+        Only the answer to a watch is `fresh`, after a quorum confirmed it. A
+        push is not: an instance that replays its log pushes old revisions too.
+        """
+        revision = self.catalogue.revision
+        if known >= revision:
+            return messages.CatalogueUpdate(revision, fresh, b"")
+        content = msgspec.msgpack.encode(self.catalogue.image())
+        return messages.CatalogueUpdate(revision, fresh, content)
--- a/src/wisteriapulley/control/members.py
+++ b/src/wisteriapulley/control/members.py
@@ -3,13 +3,38 @@
 Each control instance owns the members linked to it and tells the others of
 changes only. The union needs no leader, so targets are found also while the
 quorum is away. A member seen by two owners counts with its newest announcement.
+Pure: callers give the time. See ``docs/design/membership.md``.
 """
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from wisteriapulley.wire.messages import Announce, MemberUpdate
 
 
+class Changes(NamedTuple):
+    """What an input changed.
+
+    Attributes
+    ----------
+    own : tuple of Announce
+        Among the members that this instance owns; peers are told these, also
+        when the view stays as it is, so that they know every owner.
+    view : tuple of Announce
+        In the union; watchers are told these.
+    """
+
+    own: tuple[Announce, ...] = ()
+    view: tuple[Announce, ...] = ()
+
+
+class Owned(NamedTuple):
+    """One owner's record of a member; it ends at `ends_ms` unless renewed."""
+
+    announce: Announce
+    ends_ms: float = float("inf")
+
+
 class MemberTable:
     """Members by owning control instance.
 
@@ -19,69 +44,140 @@
         This control instance.
     epoch : int
         Its incarnation, so that its restart replaces what it owned.
+    lease_ms : float
+        How long a member stays after its link closed.
+    grace_ms : float
+        How long another owner's members stay after its links closed.
     """
 
-    def __init__(self, owner: str, epoch: int):
+    def __init__(
+        self,
+        owner: str,
+        epoch: int,
+        lease_ms: float = 5000.0,
+        grace_ms: float = 15_000.0,
+    ):
         self.owner = owner
         self.epoch = epoch
-        self.owned: dict[str, dict[str, Announce]] = {owner: {}}
+        self.lease_ms = lease_ms
+        self.grace_ms = grace_ms
+        self.owned: dict[str, dict[str, Owned]] = {owner: {}}
         self.epochs: dict[str, int] = {}
         self.view: dict[str, Announce] = {}
 
-    def announce(self, owner: str, announce: Announce) -> list[Announce]:
-        """Take an announcement in; return what changed in the view."""
-        members = self.owned.setdefault(owner, {})
-        if announce.gone:
-            members.pop(announce.node_id, None)
-        else:
-            members[announce.node_id] = announce
-        return self.refresh([announce.node_id])
-
-    def drop(self, owner: str, node_id: str) -> list[Announce]:
-        """Drop a member that `owner` lost."""
-        self.owned.get(owner, {}).pop(node_id, None)
-        return self.refresh([node_id])
-
-    def update(self, update: MemberUpdate) -> list[Announce]:
-        """Take in what another owner tells."""
-        if update.epoch < self.epochs.get(update.owner, 0):
-            return []
+    # -- own members -----------------------------------------------------
+
+    def announce(self, announce: Announce) -> Changes:
+        """Take in what a member linked to this instance says of itself.
+
+        An older announcement than the one that stands changes nothing: of two
+        processes under one node id, the newer incarnation counts.
+        """
+        members = self.owned[self.owner]
+        standing = members.get(announce.node_id)
+        if standing is not None and age(standing.announce) > age(announce):
+            return Changes()
+        members[announce.node_id] = Owned(announce)
+        told = standing is not None and standing.announce == announce
+        return Changes(() if told else (announce,), self.refresh([announce.node_id]))
+
+    def detach(self, node_id: str, now_ms: float) -> None:
+        """Let an own member's lease run out: its link closed."""
+        members = self.owned[self.owner]
+        if node_id in members:
+            record = members[node_id]
+            members[node_id] = record._replace(ends_ms=now_ms + self.lease_ms)
+
+    def full_update(self) -> MemberUpdate:
+        """Return all that this instance owns."""
+        own = self.owned[self.owner].values()
+        return MemberUpdate(
+            self.owner, self.epoch, True, tuple(record.announce for record in own)
+        )
+
+    # -- members of others -----------------------------------------------
+
+    def update(self, update: MemberUpdate, now_ms: float) -> Changes:
+        """Take in what another owner tells.
+
+        A restarted owner begins with nothing: what it owned before stays for a
+        lease, because its members are about to announce themselves again.
+        """
+        epoch = self.epochs.get(update.owner, 0)
+        if update.epoch < epoch or update.owner == self.owner:
+            return Changes()
         self.epochs[update.owner] = update.epoch
-        names = [member.node_id for member in update.members]
-        if update.full:
-            names += self.owned.pop(update.owner, {})
         members = self.owned.setdefault(update.owner, {})
+        names = [member.node_id for member in update.members]
+        if update.full and update.epoch > epoch:
+            self.end_all(update.owner, now_ms + self.lease_ms)
+        elif update.full:
+            names += self.forget_settled(members, set(names))
         for member in update.members:
             if member.gone:
                 members.pop(member.node_id, None)
             else:
-                members[member.node_id] = member
-        return self.refresh(names)
-
-    def forget(self, owner: str) -> list[Announce]:
-        """Drop all that a lost control instance owned."""
-        return self.refresh(self.owned.pop(owner, {}))
-
-    def refresh(self, names: Iterable[str]) -> list[Announce]:
+                members[member.node_id] = Owned(member)
+        return Changes(view=self.refresh(names))
+
+    def forget_settled(self, members: dict[str, Owned], kept: set[str]) -> list[str]:
+        """Drop records that a full update lacks and that await no renewal."""
+        dropped = [
+            name
+            for name, record in members.items()
+            if name not in kept and record.ends_ms == float("inf")
+        ]
+        for name in dropped:
+            del members[name]
+        return dropped
+
+    def owner_lost(self, owner: str, now_ms: float) -> None:
+        """Let all that an unreachable owner holds run out after the grace."""
+        self.end_all(owner, now_ms + self.grace_ms)
+
+    def end_all(self, owner: str, ends_ms: float) -> None:
+        """Let all of an owner's records end at `ends_ms` at the latest."""
+        members = self.owned.get(owner, {})
+        for name, record in members.items():
+            members[name] = record._replace(ends_ms=min(record.ends_ms, ends_ms))
+
+    # -- both ------------------------------------------------------------
+
+    def sweep(self, now_ms: float) -> Changes:
+        """Drop every record whose time has ended."""
+        own: list[Announce] = []
+        names: list[str] = []
+        for owner, members in self.owned.items():
+            ended = [n for n, record in members.items() if record.ends_ms <= now_ms]
+            names += ended
+            for name in ended:
+                announce = members.pop(name).announce
+                if owner == self.owner:
+                    own.append(announce._replace(gone=True))
+        return Changes(tuple(own), self.refresh(names))
+
+    def refresh(self, names: Iterable[str]) -> tuple[Announce, ...]:
         """Recompute the view of `names`; return the changes."""
-        return [change for name in set(names) for change in self.refresh_one(name)]
-
-    def refresh_one(self, name: str) -> list[Announce]:
-        """Recompute one member of the view."""
-        known = [members[name] for members in self.owned.values() if name in members]
+        changes = (self.refresh_one(name) for name in dict.fromkeys(names))
+        return tuple(change for change in changes if change is not None)
+
+    def refresh_one(self, name: str) -> Announce | None:
+        """Recompute one member of the view; return its change."""
+        known = [
+            members[name].announce for members in self.owned.values() if name in members
+        ]
         before = self.view.get(name)
         if not known:
             self.view.pop(name, None)
-            return [before._replace(gone=True)] if before is not None else []
-        newest = max(known, key=lambda a: (a.incarnation, a.sequence))
+            return before._replace(gone=True) if before is not None else None
+        newest = max(known, key=age)
         self.view[name] = newest
-        return [newest] if newest != before else []
+        return newest if newest != before else None
 
-    def full_update(self) -> MemberUpdate:
-        """Return all that this instance owns."""
-        return MemberUpdate(
-            self.owner, self.epoch, True, tuple(self.owned[self.owner].values())
-        )
+
+def age(announce: Announce) -> tuple[int, int]:
+    """Order announcements of one node id, oldest first."""
+    return announce.incarnation, announce.sequence
 
 
 def matching(
--- a/src/wisteriapulley/control/operators.py
+++ b/src/wisteriapulley/control/operators.py
@@ -6,10 +6,16 @@
 from aiohttp import web
 
 from wisteriapulley.catalogue import Change, ChangeResult
+from wisteriapulley.catalogue.catalogue import history_rows
 from wisteriapulley.control.commands import ChangeCatalogue
+from wisteriapulley.control.driver import no_quorum
+from wisteriapulley.control.reports import StatusRow
 from wisteriapulley.errors import CODE_TABLE, CatalogueError, ResultCode
 
 BEARER = "Bearer "
+# Load: a change of every entry, some 300 bytes each. Harm prevented: one body
+# that fills the log and every follower's memory.
+MAX_CHANGE_BYTES = 1 << 20
 
 
 def operator_routes(service) -> list[web.RouteDef]:
@@ -23,22 +29,6 @@
     ]
 
 
-class StatusRow(msgspec.Struct, frozen=True):
-    """What one node reports."""
-
-    node_id: str
-    role: str
-    service: str
-    failure_domain: str
-    revision: int
-    state: str
-    version: str
-    desired: str
-    bytes_done: int
-    bytes_total: int
-    detail: str
-
-
 class Status(msgspec.Struct, frozen=True):
     """Answer of ``/v1/status``: the revision accepted and every node's own."""
 
@@ -59,15 +49,15 @@
         Raises
         ------
         CatalogueError
-            The token is missing or unknown.
+            UNAUTHORIZED: the token is missing or unknown.
         """
         header = request.headers.get("Authorization", "")
-        given = header.removeprefix(BEARER).encode()
+        given = header.removeprefix(BEARER).encode(errors="replace")
         owner = ""
         for token, name in self.service.operators.items():
             if hmac.compare_digest(token.encode(), given):
                 owner = name
-        if not owner:
+        if not owner or not header.startswith(BEARER):
             raise CatalogueError(
                 ResultCode.UNAUTHORIZED, "expected the bearer token of an operator"
             )
@@ -95,36 +85,33 @@
     async def get(self, request: web.Request) -> web.Response:
         """Return the accepted catalogue, confirmed by a quorum."""
         self.owner_of(request)
-        await self.service.driver.read_barrier()
+        await self.confirm()
         return json_response(self.service.state.catalogue.image())
 
     async def history(self, request: web.Request) -> web.Response:
         """Return the accepted changes, oldest first."""
         self.owner_of(request)
-        await self.service.driver.read_barrier()
-        records = tuple(self.service.state.catalogue.history.values())
-        return json_response(records)
+        await self.confirm()
+        return json_response(tuple(history_rows(self.service.state.catalogue)))
+
+    async def confirm(self) -> None:
+        """Wait until what a majority had accepted is applied here.
+
+        Raises
+        ------
+        WisteriapulleyError
+            NO_QUORUM.
+        """
+        try:
+            await self.service.driver.read_barrier()
+        except TimeoutError as error:
+            raise no_quorum("this instance lags behind the leader") from error
 
     async def status(self, request: web.Request) -> web.Response:
-        """Return what every node has in force."""
+        """Return what every node has in force; it needs no quorum."""
         self.owner_of(request)
         service = self.service
-        rows = tuple(
-            StatusRow(
-                report.node_id,
-                report.role,
-                report.service,
-                report.failure_domain,
-                report.revision,
-                report.state,
-                report.version,
-                report.desired,
-                report.bytes_done,
-                report.bytes_total,
-                report.detail,
-            )
-            for report in service.reports.values()
-        )
+        rows = tuple(service.reports.rows(service.members.view))
         return json_response(
             Status(
                 service.state.catalogue.revision, service.driver.replica.leader, rows
--- /dev/null
+++ b/src/wisteriapulley/control/reports.py
@@ -0,0 +1,142 @@
+"""What every node last said of itself, for ``catalogue status``."""
+
+from collections.abc import Iterator, Mapping
+
+import msgspec
+
+from wisteriapulley.wire.messages import Announce, Report
+
+# Weight of the newest sample in a copy's rate: some five reports back.
+RATE_WEIGHT = 0.3
+UNKNOWN = "unknown"
+
+
+class StatusRow(msgspec.Struct, frozen=True):
+    """What one node has in force.
+
+    Attributes
+    ----------
+    state, version, desired : str
+        State of a target, the version it serves and the one it should serve.
+    bytes_done, bytes_total : int
+        Progress of its copy.
+    remaining_s : float
+        Estimated time to the end of the copy; -1 when not known.
+    detail : str
+        Why the last step failed, or empty.
+    """
+
+    node_id: str
+    role: str
+    service: str
+    failure_domain: str
+    revision: int
+    state: str
+    version: str
+    desired: str
+    bytes_done: int
+    bytes_total: int
+    detail: str
+    remaining_s: float = -1.0
+    leaving: bool = False
+
+
+class Progress:
+    """One node's newest report and the rate of its copy."""
+
+    def __init__(self, report: Report, now_ms: float):
+        self.report = report
+        self.at_ms = now_ms
+        self.bytes_per_ms = 0.0
+
+    def take(self, report: Report, now_ms: float) -> None:
+        """Take the next report in."""
+        elapsed_ms = now_ms - self.at_ms
+        copied = report.bytes_done - self.report.bytes_done
+        if report.desired != self.report.desired or copied < 0:
+            self.bytes_per_ms = 0.0
+        elif copied and elapsed_ms > 0:
+            rate = copied / elapsed_ms
+            first = not self.bytes_per_ms
+            weight = 1.0 if first else RATE_WEIGHT
+            self.bytes_per_ms += weight * (rate - self.bytes_per_ms)
+        if copied or report.desired != self.report.desired:
+            self.at_ms = now_ms
+        self.report = report
+
+    def remaining_s(self) -> float:
+        """Estimate the time to the end of the copy; -1 when not known."""
+        left = self.report.bytes_total - self.report.bytes_done
+        if left <= 0 or not self.bytes_per_ms:
+            return -1.0
+        return left / self.bytes_per_ms / 1000
+
+
+class ReportTable:
+    """Newest report by node id."""
+
+    def __init__(self):
+        self.progress: dict[str, Progress] = {}
+
+    def update(self, report: Report, now_ms: float) -> bool:
+        """Take a report in unless it is of an earlier incarnation."""
+        known = self.progress.get(report.node_id)
+        if known is None or report.incarnation > known.report.incarnation:
+            self.progress[report.node_id] = Progress(report, now_ms)
+            return True
+        if report.incarnation < known.report.incarnation:
+            return False
+        known.take(report, now_ms)
+        return True
+
+    def keep(self, members: Mapping[str, Announce]) -> None:
+        """Forget reports of nodes that are no members any more."""
+        for name in set(self.progress) - set(members):
+            del self.progress[name]
+
+    def rows(self, members: Mapping[str, Announce]) -> Iterator[StatusRow]:
+        """Yield a row for each member, also for one that never reported."""
+        for name, member in members.items():
+            known = self.progress.get(name)
+            if known is None or known.report.incarnation < member.incarnation:
+                yield silent_row(member)
+            else:
+                yield reported_row(known, member)
+
+
+def silent_row(member: Announce) -> StatusRow:
+    """Make the row of a member that has not reported since it started."""
+    return StatusRow(
+        member.node_id,
+        member.role,
+        member.service,
+        member.failure_domain,
+        0,
+        UNKNOWN,
+        "",
+        "",
+        0,
+        0,
+        "",
+        leaving=member.leaving,
+    )
+
+
+def reported_row(progress: Progress, member: Announce) -> StatusRow:
+    """Make the row of a member from its newest report."""
+    report = progress.report
+    return StatusRow(
+        report.node_id,
+        report.role or member.role,
+        report.service,
+        report.failure_domain,
+        report.revision,
+        report.state,
+        report.version,
+        report.desired,
+        report.bytes_done,
+        report.bytes_total,
+        report.detail,
+        progress.remaining_s(),
+        member.leaving,
+    )
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -9,12 +9,26 @@
 import msgspec
 
 from wisteriapulley.catalogue import ChangeResult
-from wisteriapulley.control.commands import ALLOWED, COMMAND_DECODER, encode
-from wisteriapulley.control.driver import REPLICA_MESSAGES, Driver, no_quorum
-from wisteriapulley.control.members import MemberTable, matching
-from wisteriapulley.control.operators import operator_routes
+from wisteriapulley.control.commands import (
+    COMMAND_DECODER,
+    Command,
+    ReleasePermit,
+    encode,
+)
+from wisteriapulley.control.driver import (
+    REPLICA_MESSAGES,
+    Driver,
+    monotonic_ms,
+    no_quorum,
+)
+from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES, Fanout
+from wisteriapulley.control.members import Changes, MemberTable
+from wisteriapulley.control.operators import MAX_CHANGE_BYTES, operator_routes
+from wisteriapulley.control.permits import PermitSweeper
+from wisteriapulley.control.reports import ReportTable
+from wisteriapulley.control.senders import check_own, check_sender
 from wisteriapulley.control.state import ControlState
-from wisteriapulley.errors import ResultCode, WireError
+from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.settings import ControlSettings, load_fleet_key, load_operators
@@ -25,15 +39,11 @@
 log = logging.getLogger(__name__)
 
 FORWARD_S = 3.5
-
-
-class Watcher:
-    """A node that watches this instance."""
-
-    def __init__(self, link: Link, services: tuple[str, ...], revision: int):
-        self.link = link
-        self.services = services
-        self.revision = revision
+SWEEP_S = 0.25
+# Changes that come together are told together.
+FLUSH_S = 0.01
+# A target counts as gone when it stayed away so many member leases.
+GONE_LEASES = 2
 
 
 class ControlService(aiomisc.Service):
@@ -50,11 +60,13 @@
         self.settings = settings
         self.metrics = Metrics(settings.node_id, "control")
         self.state = ControlState()
-        self.watchers: dict[Link, Watcher] = {}
-        self.reports: dict[str, messages.Report] = {}
-        self.lost: dict[str, asyncio.TimerHandle] = {}
+        self.reports = ReportTable()
         self.attached: dict[str, Link] = {}
+        self.peer_links: dict[str, Link] = {}
         self.operators = load_operators(settings.operators_file)
+        self.sweeper = PermitSweeper(GONE_LEASES * settings.member_lease_ms)
+        self.releasing: dict[str, asyncio.Task] = {}
+        self.flushing: asyncio.TimerHandle | None = None
 
     @classmethod
     def from_settings(cls, settings: ControlSettings) -> "ControlService":
@@ -72,7 +84,17 @@
             incarnation,
             load_fleet_key(settings.fleet_key_file),
         )
-        self.members = MemberTable(settings.node_id, incarnation)
+        self.members = MemberTable(
+            settings.node_id,
+            incarnation,
+            settings.member_lease_ms,
+            settings.owner_grace_ms,
+        )
+        self.settled_ms = monotonic_ms() + settings.member_lease_ms
+        self.settled = False
+        self.fanout = Fanout(
+            self.state.catalogue, self.members.view, lambda: self.settled
+        )
         self.peers = {
             peer.node_id: LinkKeeper(
                 [peer.address],
@@ -87,6 +109,15 @@
         self.driver = Driver(
             settings, self.state, self.peers, self.applied, self.fatal.set_exception
         )
+        await self.listen()
+        for keeper in self.peers.values():
+            keeper.start()
+        self.driver.start()
+        self.sweeping = asyncio.get_running_loop().create_task(self.sweep_loop())
+
+    async def listen(self) -> None:
+        """Open both listeners."""
+        settings = self.settings
         self.server = LinkServer(
             self.identity,
             self.handle,
@@ -94,16 +125,19 @@
             settings.heartbeat_ms,
             settings.silence_ms,
         )
+        self.server.on_open = self.link_opened
         self.server.on_close = self.link_closed
         await self.server.start(settings.wire_listen)
-        self.http = HttpServer(self.metrics, self.is_ready, operator_routes(self))
+        self.http = HttpServer(
+            self.metrics, self.is_ready, operator_routes(self), MAX_CHANGE_BYTES
+        )
         await self.http.start(settings.http_listen)
-        for keeper in self.peers.values():
-            keeper.start()
-        self.driver.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop listening, then stop the replica."""
+        self.sweeping.cancel()
+        for task in self.releasing.values():
+            task.cancel()
         await self.http.stop()
         for keeper in self.peers.values():
             await keeper.stop()
@@ -123,32 +157,35 @@
     # -- the replicated state --------------------------------------------
 
     def applied(self, result: object) -> None:
-        """Tell watchers of a new revision."""
+        """Tell watchers of a new revision, soon."""
         if isinstance(result, ChangeResult) and result.code == ResultCode.OK:
-            update = self.catalogue_update(fresh=True)
-            for watcher in tuple(self.watchers.values()):
-                self.push(watcher, update)
-
-    def catalogue_update(self, fresh: bool) -> messages.CatalogueUpdate:
-        """Encode the whole catalogue."""
-        image = self.state.catalogue.image()
-        return messages.CatalogueUpdate(
-            image.revision, fresh, msgspec.msgpack.encode(image)
-        )
-
-    def push(self, watcher: Watcher, update: tuple) -> None:
-        """Send to a watcher if its link is open."""
-        if not watcher.link.closed.is_set():
-            watcher.link.post(update)
-
-    async def propose(self, command):
-        """Commit a command, here or through the leader's link."""
+            self.fanout.catalogue_changed()
+            if self.flushing is None:
+                loop = asyncio.get_running_loop()
+                self.flushing = loop.call_later(FLUSH_S, self.flush)
+
+    def flush(self) -> None:
+        """Send watchers what is due."""
+        self.flushing = None
+        self.fanout.flush()
+
+    async def propose(self, command: Command) -> bytes:
+        """Commit a command, here or through the leader's link.
+
+        Raises
+        ------
+        WisteriapulleyError
+            NO_QUORUM: it is not known whether the command was committed.
+        """
         if self.driver.replica.is_leader:
             return encode(await self.driver.propose(command))
         link = self.driver.leader_link
         if link is None:
             raise no_quorum("no leader is known")
-        frame = await link.request(messages.Propose(encode(command)), FORWARD_S)
+        try:
+            frame = await link.request(messages.Propose(encode(command)), FORWARD_S)
+        except WireError as error:
+            raise no_quorum(f"the leader's answer was lost: {error}") from error
         return frame.message.result
 
     # -- frames ----------------------------------------------------------
@@ -178,11 +215,7 @@
             command = COMMAND_DECODER.decode(message.command)
         except msgspec.DecodeError as error:
             raise WireError(ResultCode.FRAME_MALFORMED, str(error)) from error
-        if not isinstance(command, ALLOWED.get(link.peer.role, ())):
-            raise WireError(
-                ResultCode.UNEXPECTED_MESSAGE,
-                f"{link.peer.role} may not send {type(command).__name__}",
-            )
+        check_sender(command, link)
         if link.peer.role == "control":
             result = encode(await self.driver.propose(command))
         else:
@@ -207,42 +240,48 @@
         self, message: messages.Watch, link: Link, frame: Frame
     ) -> None:
         """Handle the message `Watch`."""
+        self.fanout.add(link, message.services)
         try:
             await self.driver.read_barrier()
             fresh = True
-        except (WireError, TimeoutError):
+        except (WisteriapulleyError, TimeoutError):
             fresh = False
-        watcher = Watcher(link, message.services, message.revision)
-        self.watchers[link] = watcher
-        self.push(watcher, self.catalogue_update(fresh))
-        members = matching(self.members.view.values(), message.services)
-        self.push(watcher, messages.MemberUpdate("", 0, True, members))
+        update = self.fanout.catalogue_update(fresh, message.revision)
+        link.post(update, reply_to=frame.id)
 
     @receive.register
     async def receive_announce(
         self, message: messages.Announce, link: Link, frame: Frame
     ) -> None:
         """Handle the message `Announce`."""
+        check_own(message.node_id, link)
+        held = self.attached.get(message.node_id)
+        if held is not None and held.peer.incarnation > link.peer.incarnation:
+            log.warning("two processes announce %s", message.node_id)
+            return
         self.attached[message.node_id] = link
-        timer = self.lost.pop(message.node_id, None)
-        if timer is not None:
-            timer.cancel()
-        self.tell_members(self.members.announce(self.settings.node_id, message))
+        self.tell(self.members.announce(message))
 
     @receive.register
     async def receive_member_update(
         self, message: messages.MemberUpdate, link: Link, frame: Frame
     ) -> None:
-        """Handle the message `MemberUpdate`."""
-        self.tell_watchers(self.members.update(message))
+        """Handle the message `MemberUpdate`, from its owner's newest link only."""
+        check_own(message.owner, link)
+        if self.peer_links.get(message.owner) is link:
+            self.tell(self.members.update(message, monotonic_ms()))
 
     @receive.register
     async def receive_report(
         self, message: messages.Report, link: Link, frame: Frame
     ) -> None:
-        """Handle the message `Report`."""
-        self.reports[message.node_id] = message
-        if link.peer.role != "control":
+        """Handle the message `Report`: relayed ones never replace direct ones."""
+        if link.peer.role == "control":
+            if message.node_id not in self.attached:
+                self.reports.update(message, monotonic_ms())
+            return
+        check_own(message.node_id, link)
+        if self.reports.update(message, monotonic_ms()):
             self.tell_peers(message)
 
     # -- members ---------------------------------------------------------
@@ -251,45 +290,89 @@
         """Tell a peer all members that this instance owns."""
         link.post(self.members.full_update())
         for node_id in self.attached:
-            if node_id in self.reports:
-                link.post(self.reports[node_id])
+            if node_id in self.reports.progress:
+                link.post(self.reports.progress[node_id].report)
 
     def tell_peers(self, message: tuple) -> None:
-        """Send to every peer that has an open link."""
-        for keeper in self.peers.values():
-            if keeper.open_link is not None:
-                keeper.open_link.post(message)
+        """Send to every peer that has an open link.
 
-    def tell_members(self, changes: list[messages.Announce]) -> None:
-        """Tell peers and watchers of changes among own members."""
-        if changes:
+        A peer whose link is stalled misses reports; it gets them again from
+        each node's next one. It never misses a change of members.
+        """
+        for keeper in self.peers.values():
+            link = keeper.open_link
+            if link is None:
+                continue
+            buffered = link.writer.transport.get_write_buffer_size()
+            if isinstance(message, messages.Report) and buffered > MAX_BUFFERED_BYTES:
+                continue
+            link.post(message)
+
+    def tell(self, changes: Changes) -> None:
+        """Tell peers of own members and watchers of the view."""
+        if changes.own:
             self.tell_peers(
                 messages.MemberUpdate(
-                    self.settings.node_id, self.members.epoch, False, tuple(changes)
+                    self.settings.node_id, self.members.epoch, False, changes.own
                 )
             )
-            self.tell_watchers(changes)
+        if changes.view:
+            self.fanout.members_changed(changes.view)
 
-    def tell_watchers(self, changes: list[messages.Announce]) -> None:
-        """Tell watchers of changes that concern them."""
-        for watcher in tuple(self.watchers.values()):
-            concerned = matching(changes, watcher.services)
-            if concerned:
-                self.push(watcher, messages.MemberUpdate("", 0, False, concerned))
+    def link_opened(self, link: Link) -> None:
+        """Remember a peer's newest link."""
+        if link.peer.role == "control":
+            self.peer_links[link.peer_id] = link
 
     def link_closed(self, link: Link) -> None:
-        """Drop a watcher; its member stays until its lease ends."""
-        self.watchers.pop(link, None)
-        node_id = link.peer_id
-        if self.attached.get(node_id) is link:
-            del self.attached[node_id]
-            delay_s = self.settings.member_lease_ms / 1000
-            self.lost[node_id] = asyncio.get_running_loop().call_later(
-                delay_s, self.lease_ended, node_id
-            )
-
-    def lease_ended(self, node_id: str) -> None:
-        """Drop a member that did not come back."""
-        self.lost.pop(node_id, None)
-        self.reports.pop(node_id, None)
-        self.tell_members(self.members.drop(self.settings.node_id, node_id))
+        """Drop a watcher; members stay until their lease or grace ends."""
+        self.fanout.remove(link)
+        name = link.peer_id
+        if self.peer_links.get(name) is link:
+            del self.peer_links[name]
+            self.members.owner_lost(name, monotonic_ms())
+        if self.attached.get(name) is link:
+            del self.attached[name]
+            self.members.detach(name, monotonic_ms())
+
+    async def sweep_loop(self) -> None:
+        """Drop what has ended, and send what stalled links could not take."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.sweep(monotonic_ms())
+
+    def sweep(self, now_ms: float) -> None:
+        """Drop members, reports and permits whose time has ended."""
+        if not self.settled and now_ms >= self.settled_ms:
+            self.settled = True
+            self.fanout.members_settled()
+        self.tell(self.members.sweep(now_ms))
+        self.reports.keep(self.members.view)
+        self.release_permits(now_ms)
+        self.fanout.flush()
+
+    def release_permits(self, now_ms: float) -> None:
+        """Release permits of targets that are gone; only the leader does.
+
+        Each release is a command of the log, so an isolated leader's is never
+        committed, and it names one permit, so a late one frees no newer.
+        """
+        if self.driver.own_lease() is None:
+            self.sweeper.reset()
+            return
+        for command in list(
+            self.sweeper.sweep(self.state.permits.permits, self.members.view, now_ms)
+        ):
+            if command.target not in self.releasing:
+                loop = asyncio.get_running_loop()
+                task = loop.create_task(self.release_permit(command))
+                self.releasing[command.target] = task
+
+    async def release_permit(self, command: ReleasePermit) -> None:
+        """Commit one release; a lost one is proposed again by the next sweep."""
+        try:
+            await self.driver.propose(command)
+        except WisteriapulleyError as error:
+            log.info("permit of %s not released: %s", command.target, error)
+        finally:
+            self.releasing.pop(command.target, None)
--- a/src/wisteriapulley/control/state.py
+++ b/src/wisteriapulley/control/state.py
@@ -65,8 +65,7 @@
         self.catalogue.revision = image.catalogue.revision
         self.catalogue.entries = dict(image.catalogue.entries)
         self.catalogue.history = {r.change_id: r for r in image.history}
-        self.claims.claims = dict(image.claims)
-        self.claims.now_ms = image.claims_now_ms
+        self.claims.restore(dict(image.claims), image.claims_now_ms)
         self.permits.permits = dict(image.permits)
 
     @singledispatchmethod
@@ -101,7 +100,7 @@
     @run.register
     def run_release(self, command: ReleasePermit) -> PermitResult:
         """Handle the command `ReleasePermit`."""
-        return self.permits.release(command.target)
+        return self.permits.release(command.target, command.fencing)
 
 
 def stamp(command: Command, now_ms: int) -> Command:
--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -137,10 +137,10 @@
         "The bearer token is missing or unknown.", "Use an operator's token.", 401
     ),
     ResultCode.NO_QUORUM: CodeEntry(
-        "No majority of control instances answered; nothing was accepted here.",
+        "No majority of control instances answered; what was sent may still be"
+        " accepted later.",
         "Resend with the same change id.",
         503,
-        True,
     ),
     ResultCode.STILL_PROPAGATING: CodeEntry(
         "The change is accepted but not yet in force everywhere.",
--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -100,6 +100,10 @@
         Shortest election timeout, in milliseconds.
     lease_ms : int
         Leader lease, in milliseconds; shorter than `election_ms`.
+    member_lease_ms : int
+        How long a member stays after its link closed, in milliseconds.
+    owner_grace_ms : int
+        How long the members of an unreachable control instance stay.
     """
 
     wire_listen: Address
@@ -110,6 +114,7 @@
     lease_ms: int = 700
     raft_heartbeat_ms: int = 150
     member_lease_ms: int = 5000
+    owner_grace_ms: int = 15_000
 
 
 class EntrySettings(
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -2,7 +2,16 @@
 
 import pytest
 
-from wisteriapulley.catalogue import Catalogue, Change, Entry, Put, diff, load_folder
+from wisteriapulley.catalogue import (
+    Catalogue,
+    Change,
+    Delete,
+    Entry,
+    Put,
+    diff,
+    load_folder,
+)
+from wisteriapulley.catalogue.catalogue import HISTORY_LENGTH
 from wisteriapulley.errors import CatalogueError, ResultCode
 
 
@@ -53,6 +62,52 @@
         theirs = Change("2", "p", (Put(entry(owner="p"), 1),))
         assert catalogue.apply(theirs).code == ResultCode.NOT_OWNER
 
+    def test_used_number_says_what_was_accepted_then(self):
+        catalogue = Catalogue()
+        catalogue.apply(change("1", (entry(), 0)))
+        catalogue.apply(change("2", (entry(priority=3), 1)))
+        result = catalogue.apply(change("1", (entry(priority=9), 2)))
+        assert result.code == ResultCode.CHANGE_ID_CONFLICT
+        assert result.accepted == (entry(),)
+        assert "revision 1" in result.message
+
+    @pytest.mark.parametrize(
+        "bad",
+        [
+            change("1"),
+            change("", (entry("a"), 0)),
+            change("1", (entry("a"), 0), (entry("a"), 0)),
+            Change("1", "o", (), (Delete("a", 0),)),
+            change("1", (entry("a"), 0), (entry("b", version="a" * 64), 0)),
+        ],
+    )
+    def test_malformed_change_is_refused_whole(self, bad):
+        catalogue = Catalogue()
+        assert catalogue.apply(bad).code == ResultCode.CATALOGUE_ENTRY_INVALID
+        assert (catalogue.revision, catalogue.entries) == (0, {})
+
+    def test_other_owner_can_not_join_a_service(self):
+        catalogue = Catalogue()
+        catalogue.apply(change("1", (entry(), 0)))
+        theirs = Change("2", "p", (Put(entry("x", owner="p"), 0),))
+        assert catalogue.apply(theirs).code == ResultCode.CATALOGUE_ENTRY_INVALID
+
+    def test_delete_of_an_older_revision_is_refused(self):
+        catalogue = Catalogue()
+        catalogue.apply(change("1", (entry(), 0)))
+        catalogue.apply(change("2", (entry(priority=3), 1)))
+        late = Change("3", "o", (), (Delete("reports", 1),))
+        assert catalogue.apply(late).code == ResultCode.REVISION_CONFLICT
+
+    def test_history_is_bounded_and_a_forgotten_resend_is_refused(self):
+        catalogue = Catalogue()
+        for number in range(HISTORY_LENGTH + 1):
+            put = (entry(priority=number % 100), number)
+            assert catalogue.apply(change(str(number), put)).code == ResultCode.OK
+        assert len(catalogue.history) == HISTORY_LENGTH
+        resend = catalogue.apply(change("0", (entry(priority=0), 0)))
+        assert resend.code == ResultCode.REVISION_CONFLICT
+
 
 class TestFolder:
     def write(self, folder, **values):
@@ -75,6 +130,10 @@
             ({"limits": {"burst": 0}}, "burst"),
             ({"distribution": "quick"}, "distribution"),
             ({"colour": "red"}, "colour"),
+            ({"leaving": ["t1", "t1"]}, "leaving"),
+            ({"role": "prefill"}, "role"),
+            ({"priority": 1000}, "priority"),
+            ({"limits": {"deadline_ms": 600_001}}, "deadline_ms"),
         ],
     )
     def test_error_names_file_and_key(self, tmp_path, values, key):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,4 +1,7 @@
+import random
+
 from wisteriapulley.claims import Claim, ClaimKey, ClaimLedger
+from wisteriapulley.claims.ledger import EXPIRY_MARGIN_MS, MAX_EXPIRY_MS
 from wisteriapulley.errors import ResultCode
 
 KEY = ClaimKey("dealer-1", "k")
@@ -36,3 +39,38 @@
         assert ledger.put(ClaimKey("a", "b"), claim(), 0, 0).code == (
             ResultCode.OVERLOADED
         )
+
+    def test_standing_claim_is_followed_after_its_expiry(self):
+        ledger = ClaimLedger()
+        ledger.put(KEY, claim(), 0, 0)
+        resend = ledger.put(KEY, claim(), 0, 2000)
+        assert (resend.code, resend.claim) == (ResultCode.IN_PROGRESS, claim())
+        assert ledger.put(KEY, claim(2), 1, 2000).code == ResultCode.REQUEST_EXPIRED
+
+    def test_new_leader_with_a_slower_clock_takes_no_time_back(self):
+        ledger = ClaimLedger()
+        ledger.put(KEY, claim(expires_ms=5000), 0, 200_000 - EXPIRY_MARGIN_MS)
+        late = ledger.put(KEY, claim(expires_ms=100_000), 0, 0)
+        assert late.code == ResultCode.REQUEST_EXPIRED
+        assert ledger.now_ms == 200_000 - EXPIRY_MARGIN_MS
+
+    def test_expiry_beyond_the_retention_is_refused(self):
+        far = claim(expires_ms=MAX_EXPIRY_MS + EXPIRY_MARGIN_MS + 1)
+        assert ClaimLedger().put(KEY, far, 0, 0).code == ResultCode.CLAIM_UNAVAILABLE
+
+    def test_restored_ledger_forgets_as_the_first_one(self):
+        ledger, copy, rng = ClaimLedger(), ClaimLedger(), random.Random(4)
+        for step in range(2000):
+            now_ms = step * 500
+            put = (
+                ClaimKey("a", str(rng.randrange(300))),
+                claim(1, expires_ms=now_ms + rng.randrange(MAX_EXPIRY_MS)),
+                0,
+                now_ms,
+            )
+            assert ledger.put(*put) == copy.put(*put)
+            if step == 1000:
+                copy = ClaimLedger()
+                copy.restore(dict(ledger.claims), ledger.now_ms)
+        assert ledger.claims == copy.claims
+        assert sum(map(len, ledger.buckets.values())) == len(ledger.claims) < 300
--- /dev/null
+++ b/tests/test_control_fanout.py
@@ -0,0 +1,130 @@
+"""Watchers with open, slow and frozen links."""
+
+import asyncio
+
+import msgspec
+
+from wisteriapulley.catalogue import Catalogue, Change, Entry, Put
+from wisteriapulley.catalogue.catalogue import CatalogueImage
+from wisteriapulley.control.client import CatalogueHolder
+from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES, Fanout
+from wisteriapulley.control.reports import ReportTable
+from wisteriapulley.wire.messages import Announce, CatalogueUpdate, Report
+
+
+class FakeLink:
+    """Records what is posted; `buffered` is what the socket has not taken."""
+
+    def __init__(self):
+        self.closed = asyncio.Event()
+        self.writer = self.transport = self
+        self.buffered = 0
+        self.posted = []
+
+    def get_write_buffer_size(self):
+        return self.buffered
+
+    def post(self, message):
+        self.posted.append(message)
+
+    def updates(self):
+        return [m for m in self.posted if isinstance(m, CatalogueUpdate)]
+
+
+def accept(catalogue, number):
+    entry = Entry(name=f"e{number}", owner="o", traffic_class="c", service=f"s{number}")
+    assert catalogue.apply(Change(str(number), "o", (Put(entry, 0),))).code == 0
+
+
+class TestFanout:
+    def filled(self, settled=True):
+        catalogue = Catalogue()
+        fanout = Fanout(catalogue, {"t": Announce("t", service="s")}, lambda: settled)
+        link = FakeLink()
+        fanout.add(link, ())
+        return catalogue, fanout, link
+
+    def test_frozen_watcher_gets_only_the_newest_revision(self):
+        catalogue, fanout, link = self.filled()
+        link.buffered = MAX_BUFFERED_BYTES
+        for number in range(50):
+            accept(catalogue, number)
+            fanout.catalogue_changed()
+            fanout.members_changed([Announce("t2")])
+            fanout.flush()
+        assert len(link.posted) == 1
+        link.buffered = 0
+        fanout.flush()
+        assert [u.revision for u in link.updates()] == [50]
+        assert link.posted[-1].full
+
+    def test_push_never_counts_as_confirmed(self):
+        """Regression: a replayed log's old revisions made a node ready."""
+        catalogue, fanout, link = self.filled()
+        accept(catalogue, 1)
+        fanout.catalogue_changed()
+        fanout.flush()
+        holder = CatalogueHolder()
+        assert not holder.offer(link.updates()[0])
+        assert (holder.confirmed, holder.revision) == (False, 0)
+
+    def test_unsettled_instance_makes_no_watcher_forget(self):
+        _, _, link = self.filled(settled=False)
+        assert not link.posted[0].full
+
+    def test_known_revision_is_not_sent_again(self):
+        catalogue, fanout, _ = self.filled()
+        accept(catalogue, 1)
+        assert fanout.catalogue_update(True, known=1).content == b""
+
+
+class TestCatalogueHolder:
+    def update(self, revision, fresh):
+        content = msgspec.msgpack.encode(CatalogueImage(revision, {}))
+        return CatalogueUpdate(revision, fresh, content)
+
+    def test_revision_never_goes_down(self):
+        holder = CatalogueHolder()
+        assert holder.offer(self.update(5, True))
+        assert not holder.offer(self.update(4, True))
+        assert holder.offer(self.update(6, False))
+        assert holder.revision == 6
+
+    def test_restarted_node_takes_nothing_from_an_isolated_instance(self):
+        holder = CatalogueHolder()
+        assert not holder.offer(self.update(5, False))
+        assert (holder.revision, holder.confirmed) == (0, False)
+        assert holder.offer(self.update(9, True))
+
+
+class TestReportTable:
+    def report(self, incarnation=1, done=0, **values):
+        return Report(
+            "t",
+            incarnation=incarnation,
+            bytes_done=done,
+            bytes_total=10_000,
+            desired="v",
+            **values,
+        )
+
+    def test_report_of_an_earlier_incarnation_is_dropped(self):
+        table = ReportTable()
+        assert table.update(self.report(2, state="open"), 0)
+        assert not table.update(self.report(1, state="empty"), 1)
+        assert table.progress["t"].report.state == "open"
+
+    def test_remaining_time_follows_the_rate(self):
+        table = ReportTable()
+        for second in range(4):
+            table.update(self.report(done=1000 * second), 1000 * second)
+        row = next(table.rows({"t": Announce("t", 1)}))
+        assert round(row.remaining_s, 3) == 7.0
+
+    def test_silent_member_has_a_row_and_a_gone_one_none(self):
+        table = ReportTable()
+        table.update(self.report(), 0)
+        table.keep({"u": Announce("u", 1)})
+        rows = list(table.rows({"u": Announce("u", 1)}))
+        assert [(row.node_id, row.state) for row in rows] == [("u", "unknown")]
+        assert table.progress == {}
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -1,13 +1,18 @@
+import msgspec
+
 from wisteriapulley.catalogue import Change, Entry, Put
 from wisteriapulley.claims import Claim, ClaimKey
 from wisteriapulley.control.commands import (
     AcquirePermit,
     ChangeCatalogue,
     PutClaim,
+    ReleasePermit,
     encode,
 )
+from wisteriapulley.control.permits import PermitSweeper
 from wisteriapulley.control.state import ControlState
 from wisteriapulley.errors import ResultCode
+from wisteriapulley.wire.messages import Announce
 
 VERSION = "a" * 64
 
@@ -40,3 +45,60 @@
         assert acquire(state, 3, "t1").fencing == 3
         assert acquire(state, 4, "t2").code == ResultCode.PERMIT_DENIED
         assert acquire(state, 5, "t3", serving=False).code == ResultCode.OK
+
+    def test_permit_of_a_version_replaced_meanwhile_is_denied(self):
+        state = filled()
+        entry = state.catalogue.entries["e"].entry
+        newer = msgspec.structs.replace(entry, version="b" * 64)
+        change = Change("2", "o", (Put(newer, 1),))
+        assert state.apply(3, encode(ChangeCatalogue(change))).code == ResultCode.OK
+        assert acquire(state, 4, "t1").code == ResultCode.PERMIT_DENIED
+
+    def test_target_that_failed_in_its_switch_keeps_its_place(self):
+        """Regression: a version that no engine loads took every target out."""
+        state = filled()
+        acquire(state, 3, "t1")
+        assert acquire(state, 4, "t1", serving=False).code == ResultCode.OK
+        assert acquire(state, 5, "t2").code == ResultCode.PERMIT_DENIED
+
+    def test_late_release_frees_no_newer_permit(self):
+        state = filled()
+        acquire(state, 3, "t1")
+        acquire(state, 4, "t1")
+        late = state.apply(5, encode(ReleasePermit("t1", 3)))
+        assert late.code == ResultCode.PERMIT_DENIED
+        assert state.permits.permits["t1"].fencing == 4
+        state.apply(6, encode(ReleasePermit("t1", 4)))
+        assert state.permits.permits == {}
+
+
+class TestPermitSweeper:
+    def sweep(self, sweeper, state, members, now_ms):
+        return list(sweeper.sweep(state.permits.permits, members, now_ms))
+
+    def test_permit_of_a_target_that_is_gone_is_released_after_its_lease(self):
+        state, sweeper = filled(), PermitSweeper(1000)
+        acquire(state, 3, "t1")
+        assert self.sweep(sweeper, state, {}, 0) == []
+        assert self.sweep(sweeper, state, {}, 999) == []
+        assert self.sweep(sweeper, state, {}, 1000) == [ReleasePermit("t1", 3)]
+
+    def test_new_leader_waits_a_whole_lease(self):
+        state, sweeper = filled(), PermitSweeper(1000)
+        acquire(state, 3, "t1")
+        self.sweep(sweeper, state, {}, 0)
+        sweeper.reset()
+        assert self.sweep(sweeper, state, {}, 5000) == []
+
+    def test_target_that_came_back_keeps_its_permit(self):
+        state, sweeper = filled(), PermitSweeper(1000)
+        acquire(state, 3, "t1")
+        self.sweep(sweeper, state, {}, 0)
+        self.sweep(sweeper, state, {"t1": Announce("t1", 1)}, 500)
+        assert self.sweep(sweeper, state, {}, 1200) == []
+
+    def test_permit_of_an_earlier_incarnation_is_released_at_once(self):
+        state, sweeper = filled(), PermitSweeper(1000)
+        acquire(state, 3, "t1")
+        restarted = {"t1": Announce("t1", 2)}
+        assert self.sweep(sweeper, state, restarted, 0) == [ReleasePermit("t1", 3)]
