Make the catalogue commands idempotent, readable and honest

apply resent with its change id after a lost answer read the new catalogue, made an empty change under the same id and met a conflict; it now finds nothing to change. get and history printed an error answer and exited 0. The catalogue commands move out of cli.py.

--- /dev/null
+++ b/src/wisteriapulley/catalogue_commands.py
@@ -0,0 +1,166 @@
+"""Command line: ``wisteriapulley catalogue``."""
+
+import sys
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+EXIT_OK = 0
+EXIT_DIFFERS = 3
+
+Folder = Annotated[str, cappa.Arg(help="Folder with one JSON file an entry.")]
+Control = Annotated[
+    str,
+    cappa.Arg(
+        long=True,
+        default=cappa.Env("WISTERIAPULLEY_CONTROL"),
+        help="Operators' addresses of control instances, ip:port, by commas.",
+    ),
+]
+TokenFile = Annotated[
+    str,
+    cappa.Arg(
+        long=True,
+        default=cappa.Env("WISTERIAPULLEY_TOKEN_FILE"),
+        help="File that holds the operator's bearer token.",
+    ),
+]
+Owner = Annotated[str, cappa.Arg(long=True, help="Owner whose entries these are.")]
+
+
+@cappa.command(name="check", help="Check a folder of entries.")
+@dataclass
+class CatalogueCheck:
+    """Check a folder of entries."""
+
+    folder: Folder
+
+    def __call__(self) -> int:
+        """Print how many entries are fine."""
+        from wisteriapulley.catalogue import load_folder
+
+        print(f"{self.folder}: {len(load_folder(self.folder))} entries are valid")
+        return EXIT_OK
+
+
+@cappa.command(name="diff", help="Show what apply would change.")
+@dataclass
+class CatalogueDiff:
+    """Show what apply would change."""
+
+    folder: Folder
+    control: Control
+    token_file: TokenFile
+    owner: Owner
+
+    def __call__(self) -> int:
+        """Print a line each change; exit 3 when there is one."""
+        from wisteriapulley.operator_client import OperatorClient, show_diff
+
+        client = OperatorClient.from_files(self.control, self.token_file, self.owner)
+        lines = list(show_diff(client, self.folder))
+        print("\n".join(lines) if lines else "no difference")
+        return EXIT_DIFFERS if lines else EXIT_OK
+
+
+@cappa.command(name="apply", help="Make the accepted entries those of a folder.")
+@dataclass
+class CatalogueApply:
+    """Make the accepted entries those of a folder."""
+
+    folder: Folder
+    control: Control
+    token_file: TokenFile
+    owner: Owner
+    change_id: Annotated[
+        str, cappa.Arg(long=True, help="Number of this change; the same on a resend.")
+    ] = ""
+    wait: Annotated[
+        int, cappa.Arg(long=True, help="Wait so many seconds until in force.")
+    ] = 0
+
+    def __call__(self) -> int:
+        """Apply and print the revision."""
+        from wisteriapulley.operator_client import OperatorClient, apply_folder
+
+        client = OperatorClient.from_files(self.control, self.token_file, self.owner)
+        applied = apply_folder(client, self.folder, self.change_id)
+        if applied.is_new:
+            print(f"accepted at revision {applied.revision}")
+        else:
+            print(f"nothing to change at revision {applied.revision}")
+        if self.wait:
+            from wisteriapulley.catalogue_status import wait_in_force
+
+            wait_in_force(client, applied.revision, self.wait)
+            print(f"in force everywhere: revision {applied.revision}")
+        return EXIT_OK
+
+
+@cappa.command(name="get", help="Print the accepted catalogue as JSON.")
+@dataclass
+class CatalogueGet:
+    """Print the accepted catalogue."""
+
+    control: Control
+    token_file: TokenFile
+
+    def __call__(self) -> int:
+        """Print it."""
+        return show("/v1/catalogue", self.control, self.token_file)
+
+
+@cappa.command(name="history", help="Print the accepted changes as JSON.")
+@dataclass
+class CatalogueHistory:
+    """Print the accepted changes."""
+
+    control: Control
+    token_file: TokenFile
+
+    def __call__(self) -> int:
+        """Print them."""
+        return show("/v1/catalogue/history", self.control, self.token_file)
+
+
+@cappa.command(name="status", help="Show what is in force by failure domain.")
+@dataclass
+class CatalogueStatus:
+    """Show what is in force."""
+
+    control: Control
+    token_file: TokenFile
+
+    def __call__(self) -> int:
+        """Print a table."""
+        from wisteriapulley.catalogue_status import status_table
+        from wisteriapulley.operator_client import OperatorClient
+
+        client = OperatorClient.from_files(self.control, self.token_file, "")
+        print("\n".join(status_table(client.status())))
+        return EXIT_OK
+
+
+def show(path: str, control: str, token_file: str) -> int:
+    """Print what an operators' page answers."""
+    from wisteriapulley.operator_client import OperatorClient
+
+    client = OperatorClient.from_files(control, token_file, "")
+    sys.stdout.write(client.request("GET", path).decode() + "\n")
+    return EXIT_OK
+
+
+@cappa.command(name="catalogue", help="Check, diff, apply and watch the catalogue.")
+@dataclass
+class CatalogueCommand:
+    """The catalogue."""
+
+    command: cappa.Subcommands[
+        CatalogueCheck
+        | CatalogueDiff
+        | CatalogueApply
+        | CatalogueGet
+        | CatalogueHistory
+        | CatalogueStatus
+    ]
--- a/src/wisteriapulley/cli.py
+++ b/src/wisteriapulley/cli.py
@@ -8,31 +8,23 @@
 import cappa
 
 from wisteriapulley import __version__
-from wisteriapulley.errors import WisteriapulleyError
+from wisteriapulley.catalogue_commands import CatalogueCommand
+from wisteriapulley.errors import ResultCode, WisteriapulleyError
 
 EXIT_OK = 0
 EXIT_ERROR = 1
-EXIT_DIFFERS = 3
+EXIT_CONFLICT = 4
+EXIT_NO_QUORUM = 5
+EXIT_STILL_PROPAGATING = 6
+# A script tells by these whether to resend, to look, or to correct a file.
+EXIT_BY_CODE = {
+    ResultCode.REVISION_CONFLICT: EXIT_CONFLICT,
+    ResultCode.CHANGE_ID_CONFLICT: EXIT_CONFLICT,
+    ResultCode.NO_QUORUM: EXIT_NO_QUORUM,
+    ResultCode.STILL_PROPAGATING: EXIT_STILL_PROPAGATING,
+}
 
 SettingsFile = Annotated[str, cappa.Arg(help="JSON settings file.")]
-Folder = Annotated[str, cappa.Arg(help="Folder with one JSON file an entry.")]
-Control = Annotated[
-    str,
-    cappa.Arg(
-        long=True,
-        default=cappa.Env("WISTERIAPULLEY_CONTROL"),
-        help="Operators' addresses of control instances, ip:port, by commas.",
-    ),
-]
-TokenFile = Annotated[
-    str,
-    cappa.Arg(
-        long=True,
-        default=cappa.Env("WISTERIAPULLEY_TOKEN_FILE"),
-        help="File that holds the operator's bearer token.",
-    ),
-]
-Owner = Annotated[str, cappa.Arg(long=True, help="Owner whose entries these are.")]
 
 
 def run_daemon(role: str, path: str) -> int:
@@ -105,138 +97,6 @@
         return run_daemon("sidecar", self.settings)
 
 
-@cappa.command(name="check", help="Check a folder of entries.")
-@dataclass
-class CatalogueCheck:
-    """Check a folder of entries."""
-
-    folder: Folder
-
-    def __call__(self) -> int:
-        """Print how many entries are fine."""
-        from wisteriapulley.catalogue import load_folder
-
-        print(f"{self.folder}: {len(load_folder(self.folder))} entries are valid")
-        return EXIT_OK
-
-
-@cappa.command(name="diff", help="Show what apply would change.")
-@dataclass
-class CatalogueDiff:
-    """Show what apply would change."""
-
-    folder: Folder
-    control: Control
-    token_file: TokenFile
-    owner: Owner
-
-    def __call__(self) -> int:
-        """Print a line each change; exit 3 when there is one."""
-        from wisteriapulley.operator_client import OperatorClient, show_diff
-
-        client = OperatorClient.from_files(self.control, self.token_file, self.owner)
-        lines = list(show_diff(client, self.folder))
-        print("\n".join(lines) if lines else "no difference")
-        return EXIT_DIFFERS if lines else EXIT_OK
-
-
-@cappa.command(name="apply", help="Make the accepted entries those of a folder.")
-@dataclass
-class CatalogueApply:
-    """Make the accepted entries those of a folder."""
-
-    folder: Folder
-    control: Control
-    token_file: TokenFile
-    owner: Owner
-    change_id: Annotated[
-        str, cappa.Arg(long=True, help="Number of this change; the same on a resend.")
-    ] = ""
-    wait: Annotated[
-        int, cappa.Arg(long=True, help="Wait so many seconds until in force.")
-    ] = 0
-
-    def __call__(self) -> int:
-        """Apply and print the revision."""
-        from wisteriapulley.operator_client import OperatorClient, apply_folder
-
-        client = OperatorClient.from_files(self.control, self.token_file, self.owner)
-        revision = apply_folder(client, self.folder, self.change_id)
-        print(f"accepted at revision {revision}")
-        if self.wait:
-            from wisteriapulley.operator_client import wait_in_force
-
-            wait_in_force(client, revision, self.wait)
-        return EXIT_OK
-
-
-@cappa.command(name="get", help="Print the accepted catalogue as JSON.")
-@dataclass
-class CatalogueGet:
-    """Print the accepted catalogue."""
-
-    control: Control
-    token_file: TokenFile
-
-    def __call__(self) -> int:
-        """Print it."""
-        return show("/v1/catalogue", self.control, self.token_file)
-
-
-@cappa.command(name="history", help="Print the accepted changes as JSON.")
-@dataclass
-class CatalogueHistory:
-    """Print the accepted changes."""
-
-    control: Control
-    token_file: TokenFile
-
-    def __call__(self) -> int:
-        """Print them."""
-        return show("/v1/catalogue/history", self.control, self.token_file)
-
-
-@cappa.command(name="status", help="Show what is in force by failure domain.")
-@dataclass
-class CatalogueStatus:
-    """Show what is in force."""
-
-    control: Control
-    token_file: TokenFile
-
-    def __call__(self) -> int:
-        """Print a table."""
-        from wisteriapulley.operator_client import OperatorClient, status_table
-
-        client = OperatorClient.from_files(self.control, self.token_file, "")
-        print("\n".join(status_table(client.status())))
-        return EXIT_OK
-
-
-def show(path: str, control: str, token_file: str) -> int:
-    """Print what an operators' page answers."""
-    from wisteriapulley.operator_client import OperatorClient
-
-    client = OperatorClient.from_files(control, token_file, "")
-    sys.stdout.write(client.request("GET", path).decode() + "\n")
-    return EXIT_OK
-
-
-@cappa.command(name="catalogue", help="Check, diff, apply and watch the catalogue.")
-@dataclass
-class CatalogueCommand:
-    """The catalogue."""
-
-    command: cappa.Subcommands[
-        CatalogueCheck
-        | CatalogueDiff
-        | CatalogueApply
-        | CatalogueGet
-        | CatalogueHistory
-        | CatalogueStatus
-    ]
-
-
 @cappa.command(name="build", help="Build the manifest of a file tree.")
 @dataclass
 class ManifestBuild:
@@ -333,13 +193,14 @@
     Returns
     -------
     int
-        0, 1 on an error, 2 on wrong usage, 3 when ``diff`` finds one.
+        0, 1 on an error, 2 on wrong usage, 3 when ``diff`` finds one, 4 on a
+        conflict, 5 without a quorum, 6 when not yet in force everywhere.
     """
     try:
         return cappa.invoke(Main, argv=argv, version=__version__) or EXIT_OK
     except WisteriapulleyError as error:
         print(error, file=sys.stderr)
-        return EXIT_ERROR
+        return EXIT_BY_CODE.get(error.code, EXIT_ERROR)
 
 
 if __name__ == "__main__":
--- a/src/wisteriapulley/control/operators.py
+++ b/src/wisteriapulley/control/operators.py
@@ -9,7 +9,7 @@
 from wisteriapulley.catalogue.catalogue import history_rows
 from wisteriapulley.control.commands import ChangeCatalogue
 from wisteriapulley.control.driver import no_quorum
-from wisteriapulley.control.reports import StatusRow
+from wisteriapulley.control.reports import Status
 from wisteriapulley.errors import CODE_TABLE, CatalogueError, ResultCode
 
 BEARER = "Bearer "
@@ -29,14 +29,6 @@
     ]
 
 
-class Status(msgspec.Struct, frozen=True):
-    """Answer of ``/v1/status``: the revision accepted and every node's own."""
-
-    revision: int
-    leader: str
-    nodes: tuple[StatusRow, ...]
-
-
 class Operators:
     """Handlers of the operators' interface."""
 
--- a/src/wisteriapulley/control/reports.py
+++ b/src/wisteriapulley/control/reports.py
@@ -41,6 +41,14 @@
     leaving: bool = False
 
 
+class Status(msgspec.Struct, frozen=True):
+    """Answer of ``/v1/status``: the revision accepted and every node's own."""
+
+    revision: int
+    leader: str
+    nodes: tuple[StatusRow, ...]
+
+
 class Progress:
     """One node's newest report and the rate of its copy."""
 
--- a/src/wisteriapulley/operator_client.py
+++ b/src/wisteriapulley/operator_client.py
@@ -1,48 +1,27 @@
 """The operator's side: talks to control instances over HTTP."""
 
 import http.client
-import sys
 import time
 import uuid
-from collections import defaultdict
 from collections.abc import Iterator
 from pathlib import Path
+from typing import NamedTuple
 
 import msgspec
 
 from wisteriapulley.catalogue import Change, ChangeResult, diff, load_folder
 from wisteriapulley.catalogue.catalogue import CatalogueImage
+from wisteriapulley.catalogue.changes import show_changes
+from wisteriapulley.control.reports import Status
 from wisteriapulley.errors import CatalogueError, ResultCode, SettingsError
 from wisteriapulley.settings import Address
 
 TIMEOUT_S = 5.0
-TRIES = 6
+# Each instance is asked at least twice: a new leader is elected meanwhile.
+ROUNDS = 3
 PAUSE_S = 0.5
 UNAVAILABLE = 503
-
-
-class NodeStatus(msgspec.Struct, frozen=True):
-    """What one node reports; see `control.operators.StatusRow`."""
-
-    node_id: str
-    role: str
-    service: str
-    failure_domain: str
-    revision: int
-    state: str
-    version: str
-    desired: str
-    bytes_done: int
-    bytes_total: int
-    detail: str
-
-
-class Status(msgspec.Struct, frozen=True):
-    """Answer of ``/v1/status``."""
-
-    revision: int
-    leader: str
-    nodes: tuple[NodeStatus, ...]
+REFUSED = 400
 
 
 class OperatorClient:
@@ -88,26 +67,32 @@
     def request(self, method: str, path: str, body: bytes = b"") -> bytes:
         """Send to any instance; resend while none has a quorum.
 
-        Resending a change is safe: its change id stays the same.
+        Resending a change is safe: its change id stays the same, so a change
+        whose answer was lost gets its first result.
 
         Raises
         ------
         CatalogueError
-            Refused, or no instance with a quorum answered.
+            Refused; NO_QUORUM when no instance with a quorum answered, so that
+            the outcome of a change is not known.
         """
         reason = "no control instance answered"
-        for attempt in range(TRIES):
-            address = self.addresses[attempt % len(self.addresses)]
+        for address in self.addresses * ROUNDS:
             try:
                 status, data = self.request_one(address, method, path, body)
             except (OSError, http.client.HTTPException) as error:
                 reason = f"{address}: {error!r}"
             else:
+                if status < REFUSED:
+                    return data
                 if status != UNAVAILABLE:
+                    raise_coded(data)
                     return data
-                reason = f"{address}: {data.decode(errors='replace')}"
+                reason = f"{address}: {error_text(data)}"
             time.sleep(PAUSE_S)
-        raise CatalogueError(ResultCode.NO_QUORUM, reason)
+        raise CatalogueError(
+            ResultCode.NO_QUORUM, f"{reason}; whether it was accepted is not known"
+        )
 
     def request_one(
         self, address: Address, method: str, path: str, body: bytes
@@ -152,89 +137,85 @@
 
 
 def decode(data: bytes, kind: type):
-    """Decode an answer, or raise the error that came in its place."""
+    """Decode an answer.
+
+    Raises
+    ------
+    CatalogueError
+        REQUEST_MALFORMED: it is not the answer of a control instance.
+    """
     try:
         return msgspec.json.decode(data, type=kind)
-    except msgspec.ValidationError:
+    except msgspec.DecodeError as error:
+        raise CatalogueError(
+            ResultCode.REQUEST_MALFORMED,
+            f"expected {kind.__name__} of a control instance, got {data[:80]!r}:"
+            f" {error}; check --control",
+        ) from error
+
+
+def raise_coded(data: bytes) -> None:
+    """Raise the coded error that an answer holds; let a change's result pass."""
+    try:
         error = msgspec.json.decode(data, type=ErrorAnswer).error
-        raise CatalogueError(ResultCode(error.code), error.message) from None
+    except msgspec.DecodeError:
+        return
+    raise CatalogueError(ResultCode(error.code), error.message)
+
+
+def error_text(data: bytes) -> str:
+    """Return the message of an error answer."""
+    try:
+        return msgspec.json.decode(data, type=ErrorAnswer).error.message
+    except msgspec.DecodeError:
+        return data[:200].decode(errors="replace")
 
 
 def show_diff(client: OperatorClient, folder: str) -> Iterator[str]:
-    """Yield a line for each entry that differs."""
+    """Yield what apply would change, key by key."""
     image = client.catalogue()
     puts, deletes = diff(load_folder(folder), image.entries, client.owner)
-    for put in puts:
-        sign = "~" if put.entry.name in image.entries else "+"
-        yield f"{sign} {put.entry.name}"
-    for delete in deletes:
-        yield f"- {delete.name}"
+    yield from show_changes(puts, deletes, image.entries)
+
+
+class Applied(NamedTuple):
+    """Outcome of `apply_folder`: the revision, and whether a change was sent."""
+
+    revision: int
+    change_id: str
+    is_new: bool
 
 
-def apply_folder(client: OperatorClient, folder: str, change_id: str = "") -> int:
+def apply_folder(client: OperatorClient, folder: str, change_id: str = "") -> Applied:
     """Make the accepted entries those of a folder.
 
-    Returns
-    -------
-    int
-        Revision that holds them; nothing is sent when nothing differs.
+    Idempotent: nothing is sent when nothing differs, so a run after a lost
+    answer finds its change accepted; one that is still on its way is met by
+    its change id.
 
     Raises
     ------
     CatalogueError
         The change was refused; the message says what was accepted instead.
+        NO_QUORUM names the change id to send again.
     """
     image = client.catalogue()
     puts, deletes = diff(load_folder(folder), image.entries, client.owner)
-    if not puts and not deletes and not change_id:
-        return image.revision
+    if not puts and not deletes:
+        return Applied(image.revision, change_id, False)
     change = Change(change_id or uuid.uuid4().hex, client.owner, puts, deletes)
-    result = client.change(change)
+    try:
+        result = client.change(change)
+    except CatalogueError as error:
+        if error.code != ResultCode.NO_QUORUM:
+            raise
+        raise CatalogueError(
+            error.code,
+            f"{error.message}; run apply again with --change-id {change.change_id}",
+        ) from error
     if result.code != ResultCode.OK:
         accepted = msgspec.json.encode(result.accepted).decode()
         raise CatalogueError(
             ResultCode(result.code), f"{result.message}; accepted: {accepted}"
         )
-    return result.revision
-
-
-def in_force(status: Status) -> dict[str, int]:
-    """Return the lowest revision in force by failure domain."""
-    revisions: dict[str, list[int]] = defaultdict(list)
-    for node in status.nodes:
-        revisions[node.failure_domain].append(node.revision)
-    return {domain: min(found) for domain, found in sorted(revisions.items())}
-
-
-def wait_in_force(client: OperatorClient, revision: int, timeout_s: float) -> None:
-    """Wait until a revision is in force everywhere, showing progress.
-
-    Raises
-    ------
-    CatalogueError
-        STILL_PROPAGATING after `timeout_s`.
-    """
-    deadline = time.monotonic() + timeout_s
-    while time.monotonic() < deadline:
-        domains = in_force(client.status())
-        print(f"in force: {domains}", file=sys.stderr)
-        if domains and min(domains.values()) >= revision:
-            return
-        time.sleep(PAUSE_S)
-    raise CatalogueError(
-        ResultCode.STILL_PROPAGATING, f"revision {revision} is not yet everywhere"
-    )
-
-
-def status_table(status: Status) -> Iterator[str]:
-    """Yield the lines of the status table."""
-    yield f"accepted revision {status.revision}, leader {status.leader or 'none'}"
-    for domain, revision in in_force(status).items():
-        yield f"  {domain:<14} in force: revision {revision}"
-    yield f"{'node':<22}{'domain':<12}{'rev':>5}  {'state':<9}{'version':<14}copied"
-    for node in sorted(status.nodes, key=lambda n: n.node_id):
-        share = 100 * node.bytes_done // node.bytes_total if node.bytes_total else 0
-        yield (
-            f"{node.node_id:<22}{node.failure_domain:<12}{node.revision:>5}"
-            f"  {node.state:<9}{node.version[:12]:<14}{share:>3} % {node.detail}"
-        )
+    return Applied(result.revision, change.change_id, True)
