--- a/src/wisteriapulley/control/fanout.py
+++ b/src/wisteriapulley/control/fanout.py
@@ -32,7 +32,7 @@
         """Whether its link is open and has room."""
         if self.link.closed.is_set():
             return False
-        buffered = self.link.writer.transport.get_write_buffer_size()
+        buffered = self.link.write_buffer_bytes()
         return buffered < MAX_BUFFERED_BYTES
 
 
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -303,7 +303,7 @@
             link = keeper.open_link
             if link is None:
                 continue
-            buffered = link.writer.transport.get_write_buffer_size()
+            buffered = link.write_buffer_bytes()
             if isinstance(message, messages.Report) and buffered > MAX_BUFFERED_BYTES:
                 continue
             link.post(message)
--- a/tests/test_control_fanout.py
+++ b/tests/test_control_fanout.py
@@ -17,11 +17,10 @@
 
     def __init__(self):
         self.closed = asyncio.Event()
-        self.writer = self.transport = self
         self.buffered = 0
         self.posted = []
 
-    def get_write_buffer_size(self):
+    def write_buffer_bytes(self):
         return self.buffered
 
     def post(self, message):
