--- /dev/null
+++ b/bench/control_watcher.py
@@ -0,0 +1,106 @@
+"""A node that only watches: the control client of the daemons, and a record.
+
+Writes one JSON object a line: each revision when it came into force, and once
+a second what the link to control carried.
+"""
+
+import argparse
+import asyncio
+import json
+import time
+from typing import TextIO
+
+import uvloop
+
+from wisteriapulley.control.client import ControlClient
+from wisteriapulley.settings import EntrySettings, load_fleet_key, load_settings
+from wisteriapulley.wire import messages
+from wisteriapulley.wire.handshake import Identity
+
+STATS_S = 1.0
+
+
+class Watcher:
+    """One watching node.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        An entry's.
+    records : TextIO
+        Where it writes.
+    """
+
+    def __init__(self, settings: EntrySettings, records: TextIO):
+        self.settings = settings
+        self.records = records
+        self.incarnation = time.time_ns() // 1000
+        identity = Identity(
+            settings.node_id,
+            "entry",
+            settings.failure_domain,
+            self.incarnation,
+            load_fleet_key(settings.fleet_key_file),
+        )
+        self.control = ControlClient(
+            settings, identity, (), self.heartbeat, self.changed, lambda: None
+        )
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Make the heartbeat of an entry."""
+        return messages.Heartbeat(self.control.holder.revision, False, "open")
+
+    def changed(self) -> None:
+        """Record a revision that came into force, and report it."""
+        revision = self.control.holder.revision
+        self.write(kind="revision", revision=revision, at=time.monotonic())
+        self.control.send_report(
+            messages.Report(
+                node_id=self.settings.node_id,
+                failure_domain=self.settings.failure_domain,
+                revision=revision,
+                state="open",
+                role="entry",
+                incarnation=self.incarnation,
+            )
+        )
+
+    def write(self, **values: object) -> None:
+        """Write one record."""
+        self.records.write(json.dumps(values) + "\n")
+        self.records.flush()
+
+    async def run(self) -> None:
+        """Watch until killed."""
+        self.control.announce(
+            messages.Announce(
+                self.settings.node_id,
+                self.incarnation,
+                "entry",
+                "",
+                self.settings.failure_domain,
+                str(self.settings.http_listen),
+            )
+        )
+        self.control.start()
+        while True:
+            await asyncio.sleep(STATS_S)
+            link = self.control.keeper.open_link
+            if link is not None:
+                carried = link.bytes_sent + link.bytes_received
+                self.write(kind="stats", bytes=carried, at=time.monotonic())
+
+
+def main() -> None:
+    """Run one watcher."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("settings")
+    parser.add_argument("records")
+    arguments = parser.parse_args()
+    settings = load_settings(arguments.settings, "entry")
+    with open(arguments.records, "a") as records:
+        uvloop.run(Watcher(settings, records).run())
+
+
+if __name__ == "__main__":
+    main()
