Answer a request that fails for want of a quorum

Cause: Link.serve took every WireError of a handler for a reply that could not be sent, and NO_QUORUM is one, so an instance without a quorum never answered: each leader kill cost a claim in flight its whole 4 s. The failure is now sent whenever the link is open.

--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -304,9 +304,8 @@
         """Handle one request; an error becomes a typed failure."""
         try:
             await self.handler(self, frame)
-        except WireError as error:
-            log.debug("reply not sent: %s", error)
         except WisteriapulleyError as error:
+            log.debug("request of %s failed: %s", self.peer_id, error)
             self.fail(frame, error)
         except Exception as error:
             log.exception("handler of %s failed", type(frame.message).__name__)
