--- a/src/wisteriapulley/control/fanout.py
+++ b/src/wisteriapulley/control/fanout.py
@@ -24,7 +24,7 @@
     def __init__(self, link: Link, services: tuple[str, ...]):
         self.link = link
         self.services = services
-        self.catalogue_due = False
+        self.revision = 0
         self.members_due = False
 
     @property
@@ -61,24 +61,23 @@
         self.members = members
         self.is_settled = is_settled
         self.watchers: dict[Link, Watcher] = {}
-        self.coalesced = 0
 
     def add(self, link: Link, services: tuple[str, ...]) -> None:
-        """Take a watcher in and tell it all members."""
+        """Take a watcher in and tell it all members.
+
+        The answer to its watch carries what is accepted now; later revisions
+        are pushed.
+        """
         if link not in self.watchers:
-            self.watchers[link] = Watcher(link, services)
-            self.send_members(self.watchers[link])
+            watcher = Watcher(link, services)
+            watcher.revision = self.catalogue.revision
+            self.watchers[link] = watcher
+            self.send_members(watcher)
 
     def remove(self, link: Link) -> None:
         """Forget a watcher."""
         self.watchers.pop(link, None)
 
-    def catalogue_changed(self) -> None:
-        """Note that every watcher lacks the newest revision."""
-        for watcher in self.watchers.values():
-            self.coalesced += watcher.catalogue_due
-            watcher.catalogue_due = True
-
     def members_changed(self, changes: Iterable[messages.Announce]) -> None:
         """Tell watchers of changes that concern them."""
         for watcher in self.watchers.values():
@@ -97,16 +96,19 @@
 
     def flush(self) -> None:
         """Send what is due over links that have room."""
-        update = None
-        for watcher in self.watchers.values():
-            if not (watcher.catalogue_due or watcher.members_due):
-                continue
-            if not watcher.is_open:
-                continue
-            if watcher.catalogue_due:
-                update = update or self.catalogue_update(fresh=False)
-                watcher.catalogue_due = False
+        revision = self.catalogue.revision
+        due = [
+            watcher
+            for watcher in self.watchers.values()
+            if (watcher.revision < revision or watcher.members_due) and watcher.is_open
+        ]
+        behind = [watcher for watcher in due if watcher.revision < revision]
+        if behind:
+            update = self.catalogue_update(fresh=False)
+            for watcher in behind:
+                watcher.revision = revision
                 watcher.link.post(update)
+        for watcher in due:
             if watcher.members_due:
                 self.send_members(watcher)
 
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -158,14 +158,13 @@
 
     def applied(self, result: object) -> None:
         """Tell watchers of a new revision, soon."""
-        if isinstance(result, ChangeResult) and result.code == ResultCode.OK:
-            self.fanout.catalogue_changed()
-            if self.flushing is None:
-                loop = asyncio.get_running_loop()
-                self.flushing = loop.call_later(FLUSH_S, self.flush)
+        changed = isinstance(result, ChangeResult) and result.code == ResultCode.OK
+        if changed and self.flushing is None:
+            loop = asyncio.get_running_loop()
+            self.flushing = loop.call_later(FLUSH_S, self.flush)
 
     def flush(self) -> None:
-        """Send watchers what is due."""
+        """Send watchers what is due, also a revision that a snapshot brought."""
         self.flushing = None
         self.fanout.flush()
 
@@ -349,7 +348,8 @@
         self.tell(self.members.sweep(now_ms))
         self.reports.keep(self.members.view)
         self.release_permits(now_ms)
-        self.fanout.flush()
+        if self.flushing is None:
+            self.flush()
 
     def release_permits(self, now_ms: float) -> None:
         """Release permits of targets that are gone; only the leader does.
--- a/tests/test_control_fanout.py
+++ b/tests/test_control_fanout.py
@@ -48,7 +48,6 @@
         link.buffered = MAX_BUFFERED_BYTES
         for number in range(50):
             accept(catalogue, number)
-            fanout.catalogue_changed()
             fanout.members_changed([Announce("t2")])
             fanout.flush()
         assert len(link.posted) == 1
@@ -61,7 +60,6 @@
         """Regression: a replayed log's old revisions made a node ready."""
         catalogue, fanout, link = self.filled()
         accept(catalogue, 1)
-        fanout.catalogue_changed()
         fanout.flush()
         holder = CatalogueHolder()
         assert not holder.offer(link.updates()[0])
