--- a/src/wisteriapulley/claims/ledger.py
+++ b/src/wisteriapulley/claims/ledger.py
@@ -132,10 +132,13 @@
         if standing is not None and standing.body_digest != claim.body_digest:
             return ResultCode.IDEMPOTENCY_CONFLICT
         current = standing.attempt if standing is not None else 0
-        if current != expected_attempt or claim.attempt != expected_attempt + 1:
+        is_next = current == expected_attempt and claim.attempt == current + 1
+        if standing is not None and not is_next:
             return ResultCode.IN_PROGRESS
         if claim.expires_at_ms <= self.now_ms:
             return ResultCode.REQUEST_EXPIRED
+        if not is_next:
+            return ResultCode.IN_PROGRESS
         if claim.expires_at_ms > self.now_ms + MAX_EXPIRY_MS + EXPIRY_MARGIN_MS:
             return ResultCode.CLAIM_UNAVAILABLE
         if standing is None and len(self.claims) >= self.limit:
