--- a/src/wisteriapulley/entry/answer.py
+++ b/src/wisteriapulley/entry/answer.py
@@ -1,35 +1,69 @@
 """Checks that an answer is whole and belongs to its request."""
 
 import zlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from typing import NamedTuple
 
 from wisteriapulley.errors import RequestError, ResultCode
-from wisteriapulley.wire import Call, messages
+from wisteriapulley.wire import Call, Frame, messages
+from wisteriapulley.wire.flow import CREDIT_BYTES
 from wisteriapulley.wire.link import raise_failure
 
 
-def check_owner(message, request_id: str) -> None:
-    """Refuse a frame that belongs to another request."""
-    if message.request_id != request_id:
-        raise RequestError(
-            ResultCode.ANSWER_CUT,
-            f"expected request {request_id}, got {message.request_id}",
-        )
+class Answer(NamedTuple):
+    """Answer whose body still comes.
 
+    Attributes
+    ----------
+    head : AnswerHead
+        Status and headers.
+    parts : async generator of bytes
+        The body; it raises when the answer is cut.
+    abandon : callable
+        Takes the request off its target unless it is whole. Always call it in
+        the end: a generator that was never begun runs no clean-up of its own.
+    """
+
+    head: messages.AnswerHead
+    parts: AsyncGenerator[bytes, None]
+    abandon: Callable[[], None]
+
+
+async def own_reply(call: Call, request_id: str, timeout_s: float) -> Frame:
+    """Wait for the next reply to this request; drop and count crossed ones.
+
+    Raises
+    ------
+    WisteriapulleyError
+        The peer answered with a failure.
+    WireError
+        The link closed or no reply came in time.
+    """
+    while True:
+        frame = await call.reply(timeout_s)
+        raise_failure(frame)
+        if frame.message.request_id == request_id:
+            return frame
+        call.link.crossed_replies += 1
 
-async def read_parts(call: Call, request_id: str) -> AsyncIterator[bytes]:
+
+async def read_parts(
+    call: Call, request_id: str, timeout_s: float
+) -> AsyncIterator[bytes]:
     """Yield the parts of an answer; end only at a matching end mark.
 
+    Credit for what was consumed goes back, so a slow caller holds at most one
+    window of its answer here.
+
     Raises
     ------
     RequestError
         ANSWER_CUT: a part is missing, or the length or checksum differs.
     """
-    offset = crc = 0
-    async for frame in call:
-        raise_failure(frame)
+    offset = crc = consumed = 0
+    while True:
+        frame = await own_reply(call, request_id, timeout_s)
         message = frame.message
-        check_owner(message, request_id)
         if isinstance(message, messages.AnswerEnd):
             if (message.length, message.crc) != (offset, crc):
                 raise RequestError(
@@ -44,3 +78,7 @@
         offset += len(frame.body)
         crc = zlib.crc32(frame.body, crc)
         yield frame.body
+        consumed += len(frame.body)
+        if consumed >= CREDIT_BYTES and not call.link.closed.is_set():
+            call.link.post(messages.Credit(request_id, consumed))
+            consumed = 0
--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -1,17 +1,16 @@
-"""Places a request, claims it if it may run only once, and gets its answer."""
+"""Sends requests to targets and gets their answers."""
 
+import asyncio
+import itertools
 import logging
-import random
 import time
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from typing import NamedTuple
 
-from wisteriapulley.claims import Claim, ClaimKey, ClaimResult
-from wisteriapulley.control.client import ControlClient
-from wisteriapulley.control.commands import PutClaim
-from wisteriapulley.entry.answer import check_owner, read_parts
+from wisteriapulley.entry.answer import Answer, own_reply, read_parts
+from wisteriapulley.entry.placing import Placer, Slot
 from wisteriapulley.entry.request import CallerRequest
-from wisteriapulley.entry.targets import Target, Targets
 from wisteriapulley.errors import (
     CODE_TABLE,
     RequestError,
@@ -20,23 +19,34 @@
     WisteriapulleyError,
 )
 from wisteriapulley.logs import fields
-from wisteriapulley.policy import Placement, RetryBudget
+from wisteriapulley.policy import RetryBudget
 from wisteriapulley.wire import Call, messages
-from wisteriapulley.wire.link import raise_failure
 
 log = logging.getLogger(__name__)
 
+# Enough to pass a target that closed its gate and one that died beside it.
 MAX_ATTEMPTS = 4
 RETRY_AFTER_MS = 1000
-TOMBSTONE = "tombstone"
-UNKNOWN = "unknown"
+# A link to the only target that holds a service is replaced within this.
+RELINK_S = 1.0
+RELINK_POLL_S = 0.05
+UNAVAILABLE = 503
+RESUMED_HEADER = "x-resumed-from"
+# Codes that another target can't better.
+FINAL_CODES = frozenset(
+    (ResultCode.DEADLINE_EXCEEDED, ResultCode.MAY_HAVE_RUN, ResultCode.OVERLOADED)
+)
+
+
+class NotSentError(RequestError):
+    """The request never left this entry."""
 
 
-class Answer(NamedTuple):
-    """Answer whose body still comes."""
+class OpenAnswer(NamedTuple):
+    """Answer whose head has come, and the call that brings its parts."""
 
     head: messages.AnswerHead
-    parts: AsyncIterator[bytes]
+    call: Call
 
 
 class Dispatcher:
@@ -44,46 +54,37 @@
 
     Parameters
     ----------
-    targets : Targets
-        Linked targets.
-    control : ControlClient
-        Commits claims.
-    rng : random.Random
-        For placement.
+    placer : Placer
+        Queues requests and chooses their targets.
     """
 
-    def __init__(self, targets: Targets, control: ControlClient, rng: random.Random):
-        self.targets = targets
-        self.control = control
-        self.placement = Placement(rng)
+    def __init__(self, placer: Placer):
+        self.placer = placer
         self.budget = RetryBudget()
 
     async def run(self, request: CallerRequest) -> Answer:
-        """Return the answer's head; its parts follow.
+        """Try targets until one answers, within budget and deadline.
 
         Raises
         ------
         RequestError
-            Refused or failed; the code says whether it may have run.
+            Refused or failed. It says "not run" only when no attempt ran.
         """
         self.budget.admitted()
-        if request.key:
-            return await self.run_once(request)
-        return await self.run_idempotent(request)
-
-    # -- idempotent ------------------------------------------------------
-
-    async def run_idempotent(self, request: CallerRequest) -> Answer:
-        """Try targets until one answers, within budget and deadline."""
+        doubt = None
         avoid: set[str] = set()
-        for attempt in range(1, MAX_ATTEMPTS + 1):
-            target = self.place(request, avoid)
+        for attempt in itertools.count(1):
             try:
-                return await self.send(request, target, attempt)
+                slot = await self.place(request, avoid, doubt)
+            except RequestError as error:
+                raise doubt or error from error
+            try:
+                return await self.send(request, slot, attempt)
             except WisteriapulleyError as error:
-                avoid.add(target.member.node_id)
-                if attempt == MAX_ATTEMPTS or not self.may_retry(request, error):
-                    raise
+                avoid.add(slot.node_id)
+                doubt = error if may_have_run(error) else doubt
+                if not self.may_retry(request, error, attempt):
+                    raise doubt or error from error
                 log.info(
                     "retry: %s",
                     error,
@@ -91,181 +92,210 @@
                 )
         raise AssertionError("unreachable")
 
-    def may_retry(self, request: CallerRequest, error: WisteriapulleyError) -> bool:
-        """Tell whether another target may be tried."""
-        retryable = CODE_TABLE[error.code].not_run or isinstance(error, WireError)
-        in_time = time.monotonic() < request.deadline_s
-        return retryable and in_time and self.budget.spend()
-
-    def place(self, request: CallerRequest, avoid: set[str]) -> Target:
-        """Choose a target."""
-        entry = request.entry
-        views = self.targets.views(entry.service, entry.version, avoid)
-        name = self.placement.pick(views, entry.limits.in_flight)
-        return self.targets.targets[name]
-
-    async def send(
-        self, request: CallerRequest, target: Target, attempt: int
+    async def place(
+        self,
+        request: CallerRequest,
+        avoid: set[str],
+        doubt: WisteriapulleyError | None,
+    ) -> Slot:
+        """Wait for a place at a target.
+
+        After a lost link the only target may be the one behind it: then this
+        waits a moment for the link's replacement.
+        """
+        give_up_s = time.monotonic() + RELINK_S
+        while True:
+            try:
+                return await self.placer.acquire(request, avoid)
+            except RequestError as error:
+                waits = error.code == ResultCode.NO_TARGET and doubt is not None
+                if not waits or time.monotonic() > give_up_s:
+                    raise
+            avoid.clear()
+            await asyncio.sleep(RELINK_POLL_S)
+
+    def may_retry(
+        self, request: CallerRequest, error: WisteriapulleyError, attempt: int
+    ) -> bool:
+        """Tell whether another target may be tried.
+
+        The budget keeps retries at a tenth of what is admitted, so that a
+        failing service sees its load grow by a tenth and not by the attempts.
+        """
+        if attempt == MAX_ATTEMPTS or error.code in FINAL_CODES:
+            return False
+        return request.remaining_s > 0 and self.budget.spend()
+
+    async def send(self, request: CallerRequest, slot: Slot, attempt: int) -> Answer:
+        """Dispatch to one target; return once the answer's head is there."""
+        try:
+            opened = await self.open(request, slot, attempt, slot.incarnation)
+            if opened.head.status == UNAVAILABLE and not request.key:
+                self.cancel(opened.call, request)
+                raise RequestError(ResultCode.TARGET_FAILED, "the target answered 503")
+        except BaseException as error:
+            slot.release(ok=False, cancelled=isinstance(error, asyncio.CancelledError))
+            raise
+        return self.answer(request, opened, slot, attempt)
+
+    def answer(
+        self, request: CallerRequest, opened: OpenAnswer, slot: Slot, attempt: int
     ) -> Answer:
-        """Dispatch to one target and wait for the answer's head."""
-        link = target.link
-        if link is None:
-            raise RequestError(ResultCode.NO_TARGET, "the link closed", RETRY_AFTER_MS)
-        remaining_s = request.deadline_s - time.monotonic()
+        """Make the answer of an opened call."""
+
+        def abandon() -> None:
+            slot.release(ok=False, cancelled=True)
+            self.cancel(opened.call, request)
+
+        return Answer(opened.head, self.parts(request, opened, slot, attempt), abandon)
+
+    async def open(
+        self,
+        request: CallerRequest,
+        slot: Slot,
+        attempt: int,
+        incarnation: int,
+        resume_from: int = 0,
+    ) -> OpenAnswer:
+        """Dispatch and wait for the answer's head.
+
+        Raises
+        ------
+        NotSentError
+            The link is gone, or leads to another incarnation by now.
+        """
+        link = slot.link
+        if link is None or link.peer.incarnation != incarnation:
+            raise NotSentError(ResultCode.NO_TARGET, "the link closed", RETRY_AFTER_MS)
+        remaining_s = request.remaining_s
         if remaining_s <= 0:
-            raise RequestError(ResultCode.DEADLINE_EXCEEDED, "before dispatch")
-        message = dispatch_message(request, attempt, link.peer.incarnation, remaining_s)
-        call = link.call(message, request.body)
-        target.in_flight += 1
+            raise NotSentError(ResultCode.DEADLINE_EXCEEDED, "before dispatch")
+        message = dispatch_message(
+            request, attempt, incarnation, remaining_s, resume_from
+        )
+        try:
+            call = link.call(message, request.body)
+        except WireError as error:
+            raise NotSentError(
+                ResultCode.NO_TARGET, error.message, RETRY_AFTER_MS
+            ) from error
         try:
-            head = await self.read_head(request, call, remaining_s)
+            head = await self.read_head(request, call)
         except BaseException:
-            target.in_flight -= 1
             self.cancel(call, request)
             raise
-        return Answer(head, self.parts(request, call, target))
-
-    async def read_head(
-        self, request: CallerRequest, call: Call, timeout_s: float
-    ) -> messages.AnswerHead:
-        """Wait for the answer's head."""
-        frame = await call.reply(timeout_s)
-        raise_failure(frame)
-        check_owner(frame.message, request.request_id)
+        return OpenAnswer(head, call)
+
+    async def read_head(self, request: CallerRequest, call: Call):
+        """Wait for the answer's head until the deadline."""
+        try:
+            frame = await own_reply(call, request.request_id, request.remaining_s)
+        except WireError as error:
+            raise self.in_time(request, error) from error
         return frame.message
 
+    def in_time(
+        self, request: CallerRequest, error: WisteriapulleyError
+    ) -> WisteriapulleyError:
+        """Turn a timeout of the link into the passing of the deadline."""
+        if error.code != ResultCode.LINK_TIMEOUT:
+            return error
+        if request.key:
+            return RequestError(
+                ResultCode.DEADLINE_EXCEEDED,
+                "it may still run: send the same key again for its answer",
+                RETRY_AFTER_MS,
+            )
+        return RequestError(ResultCode.DEADLINE_EXCEEDED, "while it ran")
+
     async def parts(
-        self, request: CallerRequest, call: Call, target: Target
+        self, request: CallerRequest, opened: OpenAnswer, slot: Slot, attempt: int
     ) -> AsyncIterator[bytes]:
-        """Yield the answer's parts; take the request off when given up."""
-        whole = False
+        """Yield the answer's parts; take the request off when given up.
+
+        An engine that says it can resume is asked once, at another target, for
+        what follows the last byte that came.
+        """
+        sent = 0
         try:
-            async for part in read_parts(call, request.request_id):
+            async with aclosing(self.own_parts(request, opened)) as parts:
+                async for part in parts:
+                    sent += len(part)
+                    yield part
+            slot.release(ok=True)
+        except WisteriapulleyError as error:
+            slot.release(ok=False)
+            resumed = await self.resume(request, opened.head, slot, attempt, sent)
+            if resumed is None:
+                raise self.in_time(request, error) from error
+            try:
+                async with aclosing(resumed.parts) as parts:
+                    async for part in parts:
+                        yield part
+            finally:
+                resumed.abandon()
+        finally:
+            slot.release(ok=False, cancelled=True)
+
+    async def own_parts(
+        self, request: CallerRequest, opened: OpenAnswer
+    ) -> AsyncIterator[bytes]:
+        """Yield parts; a call that ends early is taken off its target."""
+        call = opened.call
+        try:
+            remaining_s = max(0.001, request.remaining_s)
+            async for part in read_parts(call, request.request_id, remaining_s):
                 yield part
-            whole = True
+            call.close()
         finally:
-            target.in_flight -= 1
-            if whole:
-                call.close()
-            else:
-                self.cancel(call, request)
+            self.cancel(call, request)
+
+    async def resume(
+        self,
+        request: CallerRequest,
+        head: messages.AnswerHead,
+        slot: Slot,
+        attempt: int,
+        sent: int,
+    ) -> Answer | None:
+        """Ask another target for the rest of a cut answer; None if it can't."""
+        can_resume = header(head, "x-resumable") and not request.key
+        if not can_resume or request.remaining_s <= 0 or not self.budget.spend():
+            return None
+        try:
+            other = await self.placer.acquire(request, {slot.node_id})
+        except RequestError:
+            return None
+        try:
+            opened = await self.open(
+                request, other, attempt + 1, other.incarnation, sent
+            )
+        except WisteriapulleyError:
+            other.release(ok=False)
+            return None
+        if header(opened.head, RESUMED_HEADER) != str(sent):
+            other.release(ok=False, cancelled=True)
+            self.cancel(opened.call, request)
+            return None
+        return self.answer(request, opened, other, MAX_ATTEMPTS)
 
     def cancel(self, call: Call, request: CallerRequest) -> None:
-        """Forget a call and take its request off the target."""
+        """Forget a call that is not whole and take its request off the target."""
+        if call.id not in call.link.calls:
+            return
         call.close()
         if not call.link.closed.is_set():
             call.link.post(messages.Cancel(request.request_id))
 
-    # -- at most once ----------------------------------------------------
 
-    async def run_once(self, request: CallerRequest) -> Answer:
-        """Run a non-idempotent request at most once."""
-        standing_attempt = 0
-        avoid: set[str] = set()
-        for _ in range(MAX_ATTEMPTS):
-            target = self.place(request, avoid)
-            result = await self.claim(request, target, standing_attempt)
-            claim = result.claim
-            if result.code == ResultCode.OK:
-                error = await self.try_claimed(request, target, claim.attempt)
-                if isinstance(error, Answer):
-                    return error
-                avoid.add(target.member.node_id)
-            elif result.code != ResultCode.IN_PROGRESS or claim is None:
-                raise claim_error(ResultCode(result.code))
-            answer = await self.follow(request, claim)
-            if answer is not None:
-                return answer
-            standing_attempt = claim.attempt
-        raise RequestError(
-            ResultCode.CLAIM_UNAVAILABLE, "no attempt could run", RETRY_AFTER_MS
-        )
+def header(head: messages.AnswerHead, name: str) -> str:
+    """Return a header of an answer, or empty."""
+    return next((h.value for h in head.headers if h.name.lower() == name), "")
 
-    async def claim(
-        self, request: CallerRequest, target: Target, standing_attempt: int
-    ) -> ClaimResult:
-        """Commit a claim for a target, before anything is sent to it."""
-        link = target.link
-        if link is None:
-            raise RequestError(ResultCode.NO_TARGET, "the link closed", RETRY_AFTER_MS)
-        claim = Claim(
-            request.digest(),
-            target.member.node_id,
-            link.peer.incarnation,
-            standing_attempt + 1,
-            request.expires_ms,
-        )
-        command = PutClaim(
-            ClaimKey(request.account, request.key), claim, standing_attempt
-        )
-        try:
-            return await self.control.propose(command)
-        except WisteriapulleyError as error:
-            raise RequestError(
-                ResultCode.CLAIM_UNAVAILABLE, error.message, RETRY_AFTER_MS
-            ) from error
 
-    async def try_claimed(
-        self, request: CallerRequest, target: Target, attempt: int
-    ) -> Answer | WisteriapulleyError:
-        """Send a claimed attempt; return the error when it was not answered."""
-        try:
-            return await self.send(request, target, attempt)
-        except WisteriapulleyError as error:
-            log.info(
-                "attempt %d: %s",
-                attempt,
-                error,
-                extra=fields(request.request_id, code=error.code),
-            )
-            if error.code in (ResultCode.MAY_HAVE_RUN, ResultCode.DEADLINE_EXCEEDED):
-                raise
-            return error
-
-    async def follow(self, request: CallerRequest, claim: Claim) -> Answer | None:
-        """Ask the claim's target; None when the attempt is known not to run.
-
-        Raises
-        ------
-        RequestError
-            MAY_HAVE_RUN: the target is gone or has restarted.
-        """
-        while True:
-            remaining_s = request.deadline_s - time.monotonic()
-            if remaining_s <= 0:
-                raise RequestError(
-                    ResultCode.MAY_HAVE_RUN, "the deadline passed while resolving"
-                )
-            try:
-                target = self.targets.find(claim.target, claim.incarnation)
-                return await self.resolve(request, claim, target, remaining_s)
-            except WireError as error:
-                log.info("resolve: %s", error, extra=fields(request.request_id))
-
-    async def resolve(
-        self, request: CallerRequest, claim: Claim, target: Target, timeout_s: float
-    ) -> Answer | None:
-        """Ask one target what became of an attempt."""
-        call = target.link.call(
-            messages.Resolve(
-                request.account,
-                request.key,
-                claim.attempt,
-                claim.incarnation,
-                request.request_id,
-                expires_in_ms(request),
-            )
-        )
-        frame = await call.reply(timeout_s)
-        raise_failure(frame)
-        if frame.message.state == TOMBSTONE:
-            call.close()
-            return None
-        if frame.message.state == UNKNOWN:
-            raise RequestError(ResultCode.MAY_HAVE_RUN, "the target has restarted")
-        head = await self.read_head(request, call, timeout_s)
-        target.in_flight += 1
-        return Answer(head, self.parts(request, call, target))
+def may_have_run(error: WisteriapulleyError) -> bool:
+    """Tell whether a failed attempt may have run at its target."""
+    return not isinstance(error, NotSentError) and not CODE_TABLE[error.code].not_run
 
 
 def expires_in_ms(request: CallerRequest) -> int:
@@ -275,17 +305,12 @@
     return max(0, request.expires_ms - time.time_ns() // 1_000_000)
 
 
-def claim_error(code: ResultCode) -> RequestError:
-    """Make the error of a refused claim."""
-    if code == ResultCode.IDEMPOTENCY_CONFLICT:
-        return RequestError(code, "the key was used with another body")
-    if code == ResultCode.REQUEST_EXPIRED:
-        return RequestError(code, "the expiry has passed")
-    return RequestError(code, "the ledger refused the claim", RETRY_AFTER_MS)
-
-
 def dispatch_message(
-    request: CallerRequest, attempt: int, incarnation: int, remaining_s: float
+    request: CallerRequest,
+    attempt: int,
+    incarnation: int,
+    remaining_s: float,
+    resume_from: int,
 ) -> messages.Dispatch:
     """Build the frame that carries a request to a sidecar."""
     entry = request.entry
@@ -295,7 +320,7 @@
         entry.name,
         entry.traffic_class,
         entry.priority,
-        int(remaining_s * 1000),
+        max(1, int(remaining_s * 1000)),
         request.method,
         request.path,
         tuple(messages.Header(*header) for header in request.headers),
@@ -304,4 +329,7 @@
         incarnation,
         expires_in_ms(request),
         entry.version,
+        b"",
+        resume_from,
+        request.expires_ms,
     )
--- /dev/null
+++ b/src/wisteriapulley/entry/metrics.py
@@ -0,0 +1,49 @@
+"""What an entry measures, by client account and class."""
+
+from wisteriapulley.metrics import Metrics
+
+# Series for each account: the brief's users have about 10 accounts, a few of
+# them large. Accounts are callers' text, and invented ones must not grow the
+# page without end; the rest are counted together.
+MAX_ACCOUNTS = 64
+OTHER = "other"
+
+
+class EntryMetrics:
+    """Counters and histograms of one entry."""
+
+    def __init__(self, metrics: Metrics, max_accounts: int = MAX_ACCOUNTS):
+        self.max_accounts = max_accounts
+        self.accounts: set[str] = set()
+        self.requests = metrics.counter(
+            "requests_total", "Requests by account, class and result code."
+        )
+        self.latency = metrics.histogram(
+            "request_seconds", "Time to the whole answer, by account and class."
+        )
+        self.first_part = metrics.histogram(
+            "first_part_seconds", "Time to the answer's head, by account and class."
+        )
+
+    def account_label(self, account: str, admitted: bool) -> str:
+        """Return the label of an account; only admitted ones get their own."""
+        if account in self.accounts:
+            return account
+        if admitted and len(self.accounts) < self.max_accounts:
+            self.accounts.add(account)
+            return account
+        return OTHER
+
+    def answered(
+        self, account: str, traffic_class: str, code: int, seconds: float
+    ) -> None:
+        """Count a request's end; `code` 0 is a whole answer."""
+        label = self.account_label(account, code == 0)
+        labels = {"account": label, "class": traffic_class}
+        self.requests.inc({**labels, "code": str(code)})
+        self.latency.add(labels, seconds)
+
+    def head_came(self, account: str, traffic_class: str, seconds: float) -> None:
+        """Count the time to an answer's head."""
+        label = self.account_label(account, True)
+        self.first_part.add({"account": label, "class": traffic_class}, seconds)
--- /dev/null
+++ b/src/wisteriapulley/entry/placing.py
@@ -0,0 +1,197 @@
+"""Runs the scheduler of each service: waits for a place at a target."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections.abc import Sequence
+
+from wisteriapulley.catalogue import Entry
+from wisteriapulley.entry.request import CallerRequest
+from wisteriapulley.entry.targets import Target, Targets
+from wisteriapulley.errors import RequestError, ResultCode
+from wisteriapulley.policy import LeastOutstanding, Scheduler, TargetView, Work
+from wisteriapulley.wire import Link
+
+# Slow targets are looked for, and places opened by others found, this often.
+SWEEP_S = 0.1
+# A place is free when a target says so; its news lags by up to a heartbeat.
+RETRY_AFTER_MS = 1000
+
+
+class Slot:
+    """A place at a target, held by one request until it is released."""
+
+    def __init__(self, pool: "Pool", work: Work, target: Target):
+        self.pool = pool
+        self.work = work
+        self.target = target
+        link = target.link
+        self.node_id = target.member.node_id
+        self.incarnation = link.peer.incarnation if link is not None else 0
+        self.held = True
+        target.in_flight += 1
+
+    @property
+    def link(self) -> Link | None:
+        """The open link to the target, if there is one."""
+        return self.target.link
+
+    def release(self, ok: bool, cancelled: bool = False) -> None:
+        """Give the place back; only the first call counts."""
+        if not self.held:
+            return
+        self.held = False
+        self.target.in_flight -= 1
+        self.pool.finish(self.work, ok and not cancelled)
+
+
+class Pool:
+    """Requests of one service and version, waiting and running."""
+
+    def __init__(self, targets: Targets, rng: random.Random):
+        self.targets = targets
+        self.scheduler = Scheduler(LeastOutstanding(rng))
+        self.waiting: dict[int, asyncio.Future] = {}
+        self.entry: Entry | None = None
+
+    def views(self, avoid: Sequence[str] = ()) -> list[TargetView]:
+        """Return the targets that may take a request now."""
+        return self.targets.views(self.entry, avoid)
+
+    async def acquire(self, work: Work, entry: Entry, avoid: set[str]) -> Slot:
+        """Wait for a place.
+
+        Raises
+        ------
+        RequestError
+            Refused at once, or as soon as it can no longer be in time.
+        """
+        self.entry = entry
+        views = self.views(avoid)
+        now_s = time.monotonic()
+        limit = entry.limits.in_flight
+        if avoid:
+            return self.slot(work, self.place_again(work, views, limit, now_s))
+        node_id = self.scheduler.offer(work, views, limit, now_s)
+        if node_id is not None:
+            return self.slot(work, node_id)
+        return await self.wait(work)
+
+    def place_again(
+        self, work: Work, views: list[TargetView], limit: int, now_s: float
+    ) -> str:
+        """Place a retry: it has waited before and does not queue again."""
+        room = self.scheduler.room(views, limit)
+        if not room:
+            code = ResultCode.OVERLOADED if views else ResultCode.NO_TARGET
+            raise RequestError(code, "no other target has room", RETRY_AFTER_MS)
+        return self.scheduler.place(work, room, now_s)
+
+    def slot(self, work: Work, node_id: str) -> Slot:
+        """Take the place that was decided."""
+        target = self.targets.targets.get(node_id)
+        if target is None:
+            self.scheduler.finish(work.id, False, time.monotonic())
+            raise RequestError(
+                ResultCode.NO_TARGET, f"{node_id!r} has gone", RETRY_AFTER_MS
+            )
+        return Slot(self, work, target)
+
+    async def wait(self, work: Work) -> Slot:
+        """Wait in the queue until started, refused or too late."""
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[work.id] = future
+        left_s = work.deadline_s - time.monotonic()
+        longest_s = self.scheduler.times.longest(work)
+        try:
+            async with asyncio.timeout(max(0.0, left_s - longest_s)):
+                return await future
+        except TimeoutError as error:
+            raise too_late() from error
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and not future.exception():
+                future.result().release(ok=False, cancelled=True)
+            raise
+        finally:
+            self.waiting.pop(work.id, None)
+            self.scheduler.remove(work)
+
+    def finish(self, work: Work, ok: bool) -> None:
+        """Take in that a request has left its target; start others."""
+        self.scheduler.finish(work.id, ok, time.monotonic())
+        self.start_queued()
+
+    def start_queued(self) -> None:
+        """Start queued requests while there is room."""
+        if not self.waiting or self.entry is None:
+            return
+        limit = self.entry.limits.in_flight
+        for start in self.scheduler.start_queued(self.views, limit, time.monotonic()):
+            future = self.waiting.get(start.work.id)
+            if future is None or future.done():
+                self.scheduler.finish(start.work.id, False, time.monotonic())
+            elif start.node_id is None:
+                future.set_exception(too_late())
+            else:
+                future.set_result(self.slot(start.work, start.node_id))
+
+    def sweep(self) -> None:
+        """Look for slow targets and for room that others left."""
+        self.scheduler.suspect(time.monotonic())
+        self.scheduler.outliers.keep(self.targets.targets)
+        self.start_queued()
+
+
+def too_late() -> RequestError:
+    """Make the error of a queued request that can't be in time any more."""
+    return RequestError(
+        ResultCode.OVERLOADED, "its place in the queue came too late", RETRY_AFTER_MS
+    )
+
+
+class Placer:
+    """Places requests: one scheduler for each service and version.
+
+    Parameters
+    ----------
+    targets : Targets
+        Linked targets.
+    rng : random.Random
+        For ties.
+    """
+
+    def __init__(self, targets: Targets, rng: random.Random):
+        self.targets = targets
+        self.rng = rng
+        self.pools: dict[str, Pool] = {}
+        self.numbers = itertools.count(1)
+
+    async def acquire(self, request: CallerRequest, avoid: set[str]) -> Slot:
+        """Wait for a place at a target of the request's service.
+
+        Raises
+        ------
+        RequestError
+            NO_TARGET or OVERLOADED; it did not run.
+        """
+        entry = request.entry
+        pool = self.pools.get(entry.service)
+        if pool is None:
+            pool = self.pools[entry.service] = Pool(self.targets, self.rng)
+        work = Work(
+            next(self.numbers),
+            request.account,
+            entry.name,
+            entry.priority,
+            request.units,
+            request.deadline_s,
+        )
+        return await pool.acquire(work, entry, avoid)
+
+    async def run(self) -> None:
+        """Sweep for ever."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            for pool in self.pools.values():
+                pool.sweep()
--- a/src/wisteriapulley/entry/request.py
+++ b/src/wisteriapulley/entry/request.py
@@ -1,5 +1,6 @@
 """Callers' HTTP requests, parsed and checked."""
 
+import re
 import time
 import uuid
 from typing import NamedTuple
@@ -15,10 +16,21 @@
 ACCOUNT_HEADER = "X-Client-Account"
 KEY_HEADER = "Idempotency-Key"
 EXPIRES_HEADER = "Idempotency-Expires"
+RESEND_HEADER = "Idempotency-Resend"
 TIMEOUT_HEADER = "X-Request-Timeout-Ms"
 COMPLETIONS_PATH = "/v1/completions"
 SERVICE_PREFIX = "/services/"
+MAX_NUMBER_CHARACTERS = 19
+# What engines make when the body does not say.
+DEFAULT_TOKENS = 16
 MAX_KEY_CHARACTERS = 255
+MAX_ACCOUNT_CHARACTERS = 128
+# Longest deadline a caller may ask for; as the longest expiry of a key.
+MAX_TIMEOUT_MS = MAX_EXPIRY_MS
+# aiohttp sends these again by itself when a kept connection turns out closed,
+# so a non-idempotent class takes only the methods that it never repeats.
+KEYED_METHODS = ("POST", "PATCH")
+PRINTABLE = re.compile(r"[!-~]+")
 FORWARDED = ("Content-Type", "Accept")
 
 
@@ -44,6 +56,10 @@
         Unix time in milliseconds after which it may not start; 0 without key.
     deadline_s : float
         Monotonic time by which the answer must be there.
+    resend : bool
+        The caller says that it sent this key before.
+    units : float
+        What it asks for: tokens of a model, bytes of a plain service.
     """
 
     request_id: str
@@ -56,6 +72,13 @@
     key: str
     expires_ms: int
     deadline_s: float
+    resend: bool = False
+    units: float = 1.0
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds that are left; below 0 past the deadline."""
+        return self.deadline_s - time.monotonic()
 
     def digest(self) -> bytes:
         """Return a digest of what a resend must repeat."""
@@ -64,10 +87,11 @@
         return blake3(text).digest()
 
 
-class ModelField(msgspec.Struct):
-    """The field of a completions body that chooses the catalogue entry."""
+class ModelFields(msgspec.Struct):
+    """The fields of a completions body that matter here."""
 
     model: str
+    max_tokens: int | None = None
 
 
 def find_entry(name: str, entries: dict) -> Entry:
@@ -89,41 +113,50 @@
 def parse_timeout_s(request: web.Request, entry: Entry) -> float:
     """Return the caller's timeout in seconds, or the entry's."""
     text = request.headers.get(TIMEOUT_HEADER, str(entry.limits.deadline_ms))
-    if not text.isdigit() or int(text) == 0:
+    if not is_number(text) or not 0 < int(text) <= MAX_TIMEOUT_MS:
         raise RequestError(
             ResultCode.REQUEST_MALFORMED,
-            f"{TIMEOUT_HEADER}: expected whole milliseconds above 0, got {text!r}",
+            f"{TIMEOUT_HEADER}: expected 1 to {MAX_TIMEOUT_MS} whole milliseconds,"
+            f" got {text!r}",
         )
     return int(text) / 1000
 
 
+def is_number(text: str) -> bool:
+    """Tell whether a header is a whole number of a sane length."""
+    return text.isascii() and text.isdigit() and len(text) < MAX_NUMBER_CHARACTERS
+
+
 def parse_key(request: web.Request, entry: Entry, now_ms: int) -> tuple[str, int]:
-    """Return the idempotency key and its expiry.
+    """Return the idempotency key and its expiry, which may have passed.
 
     Raises
     ------
     RequestError
-        The class needs them and they are missing, malformed or past.
+        The class needs them and they are missing or malformed.
     """
     if entry.idempotent:
         return "", 0
+    if request.method not in KEYED_METHODS:
+        raise RequestError(
+            ResultCode.REQUEST_MALFORMED,
+            f"expected one of {KEYED_METHODS} for a non-idempotent class,"
+            f" got {request.method}",
+        )
     key = request.headers.get(KEY_HEADER, "")
-    if not key or len(key) > MAX_KEY_CHARACTERS:
+    if len(key) > MAX_KEY_CHARACTERS or not PRINTABLE.fullmatch(key):
         raise RequestError(
             ResultCode.IDEMPOTENCY_KEY_MISSING,
-            f"{KEY_HEADER}: expected 1 to {MAX_KEY_CHARACTERS} characters",
+            f"{KEY_HEADER}: expected 1 to {MAX_KEY_CHARACTERS} printable ASCII"
+            " characters",
         )
     text = request.headers.get(EXPIRES_HEADER, "")
-    if not text.isdigit():
+    if not is_number(text):
         raise RequestError(
             ResultCode.IDEMPOTENCY_KEY_MISSING,
             f"{EXPIRES_HEADER}: expected Unix time in milliseconds, got {text!r}",
         )
     expires_ms = int(text)
-    if expires_ms <= now_ms:
-        raise RequestError(
-            ResultCode.REQUEST_EXPIRED, f"{EXPIRES_HEADER}: {text} has passed"
-        )
     if expires_ms > now_ms + MAX_EXPIRY_MS:
         raise RequestError(
             ResultCode.REQUEST_MALFORMED,
@@ -132,29 +165,63 @@
     return key, expires_ms
 
 
-async def parse_request(request: web.Request, entries: dict) -> CallerRequest:
-    """Parse and check a caller's request.
+def parse_account(request: web.Request) -> str:
+    """Return the client account that the platform's balancer set."""
+    account = request.headers.get(ACCOUNT_HEADER, "")
+    if len(account) > MAX_ACCOUNT_CHARACTERS or not PRINTABLE.fullmatch(account):
+        raise RequestError(
+            ResultCode.REQUEST_MALFORMED,
+            f"{ACCOUNT_HEADER}: expected 1 to {MAX_ACCOUNT_CHARACTERS} printable"
+            " ASCII characters",
+        )
+    return account
+
+
+def parse_target(
+    request: web.Request, body: bytes, entries: dict
+) -> tuple[Entry, str, float]:
+    """Return the catalogue entry, the path at the target and the units asked for.
 
     Raises
     ------
     RequestError
-        It is malformed; the code says that it did not run.
+        UNKNOWN_MODEL, also for a model named as a plain service: its engine's
+        other paths are not for callers.
     """
-    account = request.headers.get(ACCOUNT_HEADER, "")
-    if not account:
-        raise RequestError(
-            ResultCode.REQUEST_MALFORMED, f"{ACCOUNT_HEADER}: expected a client account"
-        )
-    body = await request.read()
     if request.path == COMPLETIONS_PATH:
-        name, path = parse_model(body), request.path
-    else:
-        name, _, rest = request.path.removeprefix(SERVICE_PREFIX).partition("/")
-        path = f"/{rest}" + (f"?{request.query_string}" if request.query_string else "")
+        fields = parse_model(body)
+        units = float(fields.max_tokens or DEFAULT_TOKENS)
+        return find_entry(fields.model, entries), COMPLETIONS_PATH, units
+    raw_path = request.rel_url.raw_path
+    name, _, rest = raw_path.removeprefix(SERVICE_PREFIX).partition("/")
     entry = find_entry(name, entries)
+    if entry.version:
+        raise RequestError(
+            ResultCode.UNKNOWN_MODEL,
+            f"{name!r} is a model: send it to {COMPLETIONS_PATH}",
+        )
+    query = request.rel_url.raw_query_string
+    path = f"/{rest}?{query}" if query else f"/{rest}"
+    return entry, path, float(max(1, len(body)))
+
+
+def parse_request(request: web.Request, body: bytes, entries: dict) -> CallerRequest:
+    """Parse and check a caller's request.
+
+    Raises
+    ------
+    RequestError
+        It is malformed; the code says that it did not run.
+    """
+    account = parse_account(request)
+    entry, path, units = parse_target(request, body, entries)
     timeout_s = parse_timeout_s(request, entry)
     key, expires_ms = parse_key(request, entry, time.time_ns() // 1_000_000)
-    headers = tuple((n, request.headers[n]) for n in FORWARDED if n in request.headers)
+    headers = tuple(
+        (name, request.headers[name])
+        for name in FORWARDED
+        if request.headers.get(name, "").isascii() and name in request.headers
+    )
     return CallerRequest(
         uuid.uuid4().hex,
         account,
@@ -166,14 +233,16 @@
         key,
         expires_ms,
         time.monotonic() + timeout_s,
+        request.headers.get(RESEND_HEADER, "0") != "0",
+        units,
     )
 
 
-def parse_model(body: bytes) -> str:
-    """Return the ``model`` of a completions body."""
+def parse_model(body: bytes) -> ModelFields:
+    """Return the fields of a completions body that matter here."""
     try:
-        return msgspec.json.decode(body, type=ModelField).model
-    except msgspec.MsgspecError as error:
+        return msgspec.json.decode(body, type=ModelFields)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise RequestError(
             ResultCode.REQUEST_MALFORMED, f"body: expected completions JSON: {error}"
         ) from error
--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -4,12 +4,18 @@
 import logging
 import random
 import time
+from contextlib import aclosing
 
 import aiomisc
 from aiohttp import web
 
 from wisteriapulley.control.client import ControlClient
-from wisteriapulley.entry.dispatch import Answer, Dispatcher
+from wisteriapulley.entry.answer import Answer
+from wisteriapulley.entry.body import BodyBudget, HeldBody
+from wisteriapulley.entry.dispatch import Dispatcher
+from wisteriapulley.entry.metrics import EntryMetrics
+from wisteriapulley.entry.once import OnceRunner
+from wisteriapulley.entry.placing import Placer
 from wisteriapulley.entry.request import (
     COMPLETIONS_PATH,
     SERVICE_PREFIX,
@@ -18,12 +24,13 @@
 )
 from wisteriapulley.entry.targets import Targets
 from wisteriapulley.errors import (
+    CODE_TABLE,
     RequestError,
     ResultCode,
     WireError,
     WisteriapulleyError,
 )
-from wisteriapulley.http_server import HttpServer, error_response
+from wisteriapulley.http_server import HttpServer, error_body, error_response
 from wisteriapulley.logs import fields
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy import Admission
@@ -34,6 +41,10 @@
 log = logging.getLogger(__name__)
 
 RETRY_AFTER_MS = 1000
+UNAVAILABLE = 503
+EVENT_STREAM = "text/event-stream"
+# How long a caller that does not read may hold up the end of its answer.
+ERROR_EVENT_S = 1.0
 
 
 class EntryService(aiomisc.Service):
@@ -49,15 +60,8 @@
         super().__init__()
         self.settings = settings
         self.metrics = Metrics(settings.node_id, "entry")
-        self.requests = self.metrics.counter(
-            "requests_total", "Requests by account, class and result code."
-        )
-        self.latency = self.metrics.histogram(
-            "request_seconds", "Time to the whole answer, by account and class."
-        )
-        self.first_part = self.metrics.histogram(
-            "first_part_seconds", "Time to the first part, by account and class."
-        )
+        self.measured = EntryMetrics(self.metrics)
+        self.bodies = BodyBudget()
         self.admission = Admission()
         self.leaving = False
         self.running = 0
@@ -92,7 +96,9 @@
             settings, self.identity, self.control, self.handle, self.heartbeat
         )
         rng = random.Random(f"{settings.node_id}{self.incarnation}")
-        self.dispatcher = Dispatcher(self.targets, self.control, rng)
+        self.placer = Placer(self.targets, rng)
+        self.dispatcher = Dispatcher(self.placer)
+        self.once = OnceRunner(self.dispatcher, self.control)
         routes = [
             web.post(COMPLETIONS_PATH, self.serve),
             web.route("*", SERVICE_PREFIX + "{name}/{rest:.*}", self.serve),
@@ -112,6 +118,7 @@
             )
         )
         self.control.start()
+        self.sweeping = asyncio.get_running_loop().create_task(self.placer.run())
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Take no new request, finish those in progress, then close."""
@@ -121,6 +128,7 @@
                 await self.idle.wait()
         except TimeoutError:
             log.error("requests were still running after drain_ms")
+        self.sweeping.cancel()
         await self.http.stop()
         await self.targets.stop()
         await self.control.stop()
@@ -168,14 +176,18 @@
         started_s = time.monotonic()
         caller = None
         code = ResultCode.OK
+        held = HeldBody(self.bodies, self.settings.max_body_bytes)
         try:
             self.check_ready()
-            caller = await parse_request(request, self.control.holder.image.entries)
+            body = await held.read(request)
+            entries = self.control.holder.image.entries
+            caller = parse_request(request, body, entries)
             return await self.answer(request, caller, started_s)
         except WisteriapulleyError as error:
             code = error.code
-            return error_response(error)
+            return error_response(come_back(error))
         finally:
+            held.release()
             self.leave()
             self.record(caller, code, started_s)
 
@@ -189,41 +201,92 @@
         self, request: web.Request, caller: CallerRequest, started_s: float
     ) -> web.StreamResponse:
         """Admit, dispatch, and pass the answer on."""
-        self.admission.admit(
-            caller.account, caller.entry.name, caller.entry.limits, started_s
+        answer = await self.run(caller, started_s)
+        self.measured.head_came(
+            caller.account,
+            caller.entry.traffic_class,
+            time.monotonic() - started_s,
         )
-        answer = await self.dispatcher.run(caller)
-        labels = {"account": caller.account, "class": caller.entry.traffic_class}
-        self.first_part.add(labels, time.monotonic() - started_s)
-        return await self.pass_on(request, caller, answer)
+        try:
+            async with aclosing(answer.parts):
+                return await self.pass_on(request, caller, answer)
+        finally:
+            answer.abandon()
+
+    async def run(self, caller: CallerRequest, now_s: float) -> Answer:
+        """Admit a request and run it."""
+        try:
+            self.admission.admit(
+                caller.account, caller.entry.name, caller.entry.limits, now_s
+            )
+        except RequestError as error:
+            if not caller.key:
+                raise
+            return await self.once.refuse(caller, error)
+        if caller.key:
+            return await self.once.run(caller)
+        return await self.dispatcher.run(caller)
 
     async def pass_on(
         self, request: web.Request, caller: CallerRequest, answer: Answer
     ) -> web.StreamResponse:
         """Write the answer; a cut one ends with an aborted connection."""
-        response = web.StreamResponse(status=answer.head.status)
-        for header in answer.head.headers:
-            response.headers[header.name] = header.value
-        response.headers["X-Request-Id"] = caller.request_id
-        response.headers["X-Result-Code"] = "0"
-        if answer.head.length >= 0:
-            response.content_length = answer.head.length
+        response = self.response(caller, answer.head)
         await response.prepare(request)
         try:
-            async for part in answer.parts:
-                await response.write(part)
-        except WisteriapulleyError as error:
-            log.warning(
-                "answer cut: %s",
-                error,
-                extra=fields(caller.request_id, code=error.code),
+            async with asyncio.timeout(max(0.001, caller.remaining_s)):
+                async for part in answer.parts:
+                    await response.write(part)
+                await response.write_eof()
+        except TimeoutError as error:
+            late = RequestError(
+                ResultCode.DEADLINE_EXCEEDED, "while the answer was on its way"
             )
-            if request.transport is not None:
-                request.transport.abort()
+            await self.cut(request, caller, response, late)
+            raise late from error
+        except WisteriapulleyError as error:
+            await self.cut(request, caller, response, error)
             raise
-        await response.write_eof()
         return response
 
+    def response(
+        self, caller: CallerRequest, head: messages.AnswerHead
+    ) -> web.StreamResponse:
+        """Make the response that carries an answer."""
+        response = web.StreamResponse(status=head.status)
+        for header in head.headers:
+            response.headers[header.name] = header.value
+        response.headers["X-Request-Id"] = caller.request_id
+        response.headers["X-Result-Code"] = "0"
+        if head.length >= 0:
+            response.content_length = head.length
+        return response
+
+    async def cut(
+        self,
+        request: web.Request,
+        caller: CallerRequest,
+        response: web.StreamResponse,
+        error: WisteriapulleyError,
+    ) -> None:
+        """End an answer that can't be whole: an error event, then an abort.
+
+        Without its last chunk or its full length no client takes it as whole.
+        """
+        log.warning(
+            "answer cut: %s", error, extra=fields(caller.request_id, code=error.code)
+        )
+        if response.content_type == EVENT_STREAM:
+            event = b"event: error\ndata: " + error_body(error) + b"\n\n"
+            try:
+                async with asyncio.timeout(ERROR_EVENT_S):
+                    await response.write(event)
+            except (TimeoutError, ConnectionError):
+                log.info("the caller reads no error event")
+        if request.transport is not None:
+            # Closing still sends what was written, without the last chunk.
+            request.transport.close()
+
     def enter(self) -> None:
         """Count a request in."""
         self.running += 1
@@ -241,9 +304,7 @@
         """Count and log a request's end."""
         account = caller.account if caller is not None else ""
         kind = caller.entry.traffic_class if caller is not None else ""
-        labels = {"account": account, "class": kind}
-        self.requests.inc({**labels, "code": str(int(code))})
-        self.latency.add(labels, time.monotonic() - started_s)
+        self.measured.answered(account, kind, int(code), time.monotonic() - started_s)
         log.info(
             "request",
             extra=fields(
@@ -254,3 +315,10 @@
                 traffic_class=kind,
             ),
         )
+
+
+def come_back(error: WisteriapulleyError) -> WisteriapulleyError:
+    """Say when to come back if the error, a lost link's perhaps, does not."""
+    if CODE_TABLE[error.code].http_status == UNAVAILABLE and not error.retry_after_ms:
+        return RequestError(error.code, error.message, RETRY_AFTER_MS)
+    return error
--- a/src/wisteriapulley/entry/targets.py
+++ b/src/wisteriapulley/entry/targets.py
@@ -1,8 +1,10 @@
 """Links of an entry to the targets it may send requests to."""
 
 import asyncio
-from collections.abc import Iterator
+import time
+from collections.abc import Container, Iterator
 
+from wisteriapulley.catalogue import Entry
 from wisteriapulley.control.client import ControlClient
 from wisteriapulley.errors import RequestError, ResultCode
 from wisteriapulley.policy import TargetView
@@ -12,28 +14,75 @@
 from wisteriapulley.wire.handshake import Identity
 from wisteriapulley.wire.keeper import LinkKeeper
 
+# New work stops after this many heartbeats without a frame.
+QUIET_BEATS = 2.0
+# A link opened to ask about a claim is kept this long, for its answer.
+ASKED_KEEP_S = 30.0
+# A starting entry may know a claim's target before control named it here.
+STARTING_S = 3.0
+
 
 class Target:
-    """One target and the link to its sidecar."""
+    """One target and the link to its sidecar.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests of this entry that it holds.
+    in_flight_at_report : int
+        The same when its last heartbeat came.
+    gone : bool
+        Control no longer names it; it serves on while its link beats.
+    displaced : bool
+        Others stand before it in this entry's subset: it gets no new work and
+        its link closes once it is idle.
+    asked_s : float
+        When it was last asked about a claim.
+    """
 
     def __init__(self, member: messages.Announce, keeper: LinkKeeper):
         self.member = member
         self.keeper = keeper
         self.in_flight = 0
+        self.in_flight_at_report = 0
+        self.gone = False
+        self.displaced = False
+        self.asked_s = 0.0
 
     @property
     def link(self) -> Link | None:
         """The open link, if there is one."""
         return self.keeper.open_link
 
+    def view(self) -> TargetView:
+        """Return what placement needs to know of it."""
+        return TargetView(
+            self.member.node_id,
+            self.in_flight,
+            self.link.peer_heartbeat.running,
+            self.in_flight_at_report,
+        )
+
+    def is_quiet(self, quiet_s: float) -> bool:
+        """Tell whether nothing came from it for so long."""
+        silence_s = asyncio.get_running_loop().time() - self.link.last_received
+        return silence_s > quiet_s
+
     def serves(self, version: str) -> bool:
-        """Tell whether it is open with `version`, by its own heartbeat."""
+        """Tell whether it is open with `version`, by its own heartbeats."""
         link = self.link
-        if link is None or self.member.leaving:
+        if link is None or self.member.leaving or self.displaced:
             return False
         beat = link.peer_heartbeat
         return beat.state == "open" and beat.version == version and not beat.leaving
 
+    def is_spent(self, now_s: float) -> bool:
+        """Tell whether its link may close."""
+        if self.gone:
+            return self.link is None and self.in_flight == 0
+        idle = self.in_flight == 0 and now_s - self.asked_s > ASKED_KEEP_S
+        return self.displaced and idle
+
 
 class Targets:
     """Targets by service.
@@ -56,20 +105,34 @@
         self.handler = handler
         self.heartbeat = heartbeat
         self.targets: dict[str, Target] = {}
+        self.started_s = time.monotonic()
 
     def members_changed(self) -> None:
-        """Follow the members that control tells of."""
+        """Follow the members that control tells of.
+
+        What control no longer names is not cut off: control itself may have
+        restarted. The link's own heartbeats decide.
+        """
         chosen = dict(self.choose())
-        for name in set(self.targets) - set(chosen):
-            self.drop(name)
-        for name, member in chosen.items():
-            target = self.targets.get(name)
-            if target is not None and target.member.address == member.address:
+        for name, target in tuple(self.targets.items()):
+            member = self.control.members.get(name)
+            target.gone = member is None
+            target.displaced = member is not None and name not in chosen
+            if member is not None and member.address != target.member.address:
+                self.drop(name)
+            elif member is not None:
                 target.member = member
-                continue
-            if target is not None:
+        for name, member in chosen.items():
+            if name not in self.targets:
+                self.add(member)
+        self.collect()
+
+    def collect(self) -> None:
+        """Close the links that nothing needs any more."""
+        now_s = time.monotonic()
+        for name, target in tuple(self.targets.items()):
+            if target.is_spent(now_s):
                 self.drop(name)
-            self.add(member)
 
     def choose(self) -> Iterator[tuple[str, messages.Announce]]:
         """Yield the members that this entry links to."""
@@ -83,7 +146,7 @@
             for member in members[: self.settings.links_per_service]:
                 yield member.node_id, member
 
-    def add(self, member: messages.Announce) -> None:
+    def add(self, member: messages.Announce) -> Target:
         """Open a link to a member."""
         keeper = LinkKeeper(
             [Address.from_text(member.address)],
@@ -93,8 +156,9 @@
             self.settings,
             self.link_opened,
         )
-        self.targets[member.node_id] = Target(member, keeper)
+        target = self.targets[member.node_id] = Target(member, keeper)
         keeper.start()
+        return target
 
     def drop(self, name: str) -> None:
         """Close the link to a member that is gone."""
@@ -103,33 +167,59 @@
         task.add_done_callback(lambda done: done.exception())
 
     async def link_opened(self, link: Link) -> None:
-        """Compare revisions on each heartbeat of a target."""
-        link.on_heartbeat = self.control.heard
+        """Listen to the heartbeats of a target."""
+        link.on_heartbeat = self.heard
 
-    def views(self, service: str, version: str, avoid: set[str]) -> list[TargetView]:
-        """Return the targets that may take a request now."""
-        return [
-            TargetView(name, target.in_flight, target.link.peer_heartbeat.running)
+    def heard(self, link: Link) -> None:
+        """Take in a heartbeat: load as of now, and the target's revision."""
+        target = self.targets.get(link.peer_id)
+        if target is not None:
+            target.in_flight_at_report = target.in_flight
+        self.control.heard(link)
+
+    def views(self, entry: Entry, avoid: Container[str] = ()) -> list[TargetView]:
+        """Return the targets that may take a request of an entry now.
+
+        One that has been quiet may be leaving or cut off without our hearing
+        of it, so it gets new work only when all are: then the quiet is ours.
+        """
+        quiet_s = QUIET_BEATS * self.settings.heartbeat_ms / 1000
+        open_targets = [
+            target
             for name, target in self.targets.items()
-            if target.member.service == service
+            if target.member.service == entry.service
             and name not in avoid
-            and target.serves(version)
+            and name not in entry.leaving
+            and target.serves(entry.version)
         ]
+        heard = [target for target in open_targets if not target.is_quiet(quiet_s)]
+        return [target.view() for target in heard or open_targets]
 
-    def find(self, name: str, incarnation: int) -> Target:
-        """Return a linked target of that incarnation.
+    def link_to(self, name: str, incarnation: int) -> Link | None:
+        """Return the link to the target of a claim; None while it opens.
 
         Raises
         ------
         RequestError
-            NO_TARGET.
+            MAY_HAVE_RUN: that incarnation of the target is gone for good.
         """
+        member = self.control.members.get(name)
         target = self.targets.get(name)
-        if target is None or target.link is None:
-            raise RequestError(ResultCode.NO_TARGET, f"no link to {name!r}", 1000)
-        if target.link.peer.incarnation != incarnation:
+        if target is None and member is not None:
+            target = self.add(member)
+            target.displaced = True
+        link = target.link if target is not None else None
+        if target is not None:
+            target.asked_s = time.monotonic()
+        if link is not None:
+            if link.peer.incarnation != incarnation:
+                raise RequestError(ResultCode.MAY_HAVE_RUN, f"{name!r} has restarted")
+            return link
+        if member is None and time.monotonic() - self.started_s > STARTING_S:
+            raise RequestError(ResultCode.MAY_HAVE_RUN, f"{name!r} is gone")
+        if member is not None and member.incarnation > incarnation:
             raise RequestError(ResultCode.MAY_HAVE_RUN, f"{name!r} has restarted")
-        return target
+        return None
 
     async def stop(self) -> None:
         """Close every link."""
--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -54,6 +54,7 @@
     TARGET_FAILED = 414
     ATTEMPT_TOMBSTONED = 415
     LEAVING = 416
+    KEY_UNRESOLVED = 417
 
     MANIFEST_INVALID = 500
     CHUNK_CORRUPTED = 501
@@ -242,6 +243,12 @@
         True,
     ),
     ResultCode.LEAVING: CodeEntry("The instance is leaving.", _RETRY, 503, True),
+    ResultCode.KEY_UNRESOLVED: CodeEntry(
+        "This send did not run, but whether an earlier send of the same key ran is"
+        " not known.",
+        "Send it again with the same key after the stated Retry-After.",
+        503,
+    ),
     ResultCode.MANIFEST_INVALID: CodeEntry(
         "The manifest is malformed or does not match its digest.",
         "Build and publish it again.",
--- a/src/wisteriapulley/http_server.py
+++ b/src/wisteriapulley/http_server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+import msgspec
 from aiohttp import web
 from aioprometheus import render
 
@@ -91,22 +92,45 @@
         return web.Response(body=content, headers=headers)
 
 
+class ErrorFields(msgspec.Struct, frozen=True):
+    """What an error answer says."""
+
+    code: int
+    name: str
+    message: str
+    not_run: bool
+    retry_after_ms: int
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Body of an error answer."""
+
+    error: ErrorFields
+
+
+def error_body(error: WisteriapulleyError) -> bytes:
+    """Return the JSON of an error."""
+    fields = ErrorFields(
+        int(error.code),
+        error.code.name,
+        error.message,
+        CODE_TABLE[error.code].not_run,
+        error.retry_after_ms,
+    )
+    return msgspec.json.encode(ErrorBody(fields))
+
+
 def error_response(error: WisteriapulleyError) -> web.Response:
     """Turn an error into an HTTP answer with its code, at once."""
-    entry = CODE_TABLE[error.code]
     headers = {"X-Result-Code": str(int(error.code))}
     if error.retry_after_ms:
         headers["Retry-After"] = str(max(1, round(error.retry_after_ms / 1000)))
-    body = {
-        "error": {
-            "code": int(error.code),
-            "name": error.code.name,
-            "message": error.message,
-            "not_run": entry.not_run,
-            "retry_after_ms": error.retry_after_ms,
-        }
-    }
-    return web.json_response(body, status=entry.http_status, headers=headers)
+    return web.Response(
+        body=error_body(error),
+        status=CODE_TABLE[error.code].http_status,
+        headers=headers,
+        content_type="application/json",
+    )
 
 
 @web.middleware
--- a/src/wisteriapulley/policy/__init__.py
+++ b/src/wisteriapulley/policy/__init__.py
@@ -1,7 +1,16 @@
 """Decisions under load: pure, without a clock or I/O of their own."""
 
-from wisteriapulley.policy.admission import Admission, Ticket
-from wisteriapulley.policy.placement import Placement, TargetView
+from wisteriapulley.policy.admission import Admission
+from wisteriapulley.policy.placement import LeastOutstanding
 from wisteriapulley.policy.retry import RetryBudget
+from wisteriapulley.policy.scheduler import Scheduler
+from wisteriapulley.policy.work import TargetView, Work
 
-__all__ = ["Admission", "Placement", "RetryBudget", "TargetView", "Ticket"]
+__all__ = [
+    "Admission",
+    "LeastOutstanding",
+    "RetryBudget",
+    "Scheduler",
+    "TargetView",
+    "Work",
+]
--- a/src/wisteriapulley/policy/admission.py
+++ b/src/wisteriapulley/policy/admission.py
@@ -1,16 +1,13 @@
-"""Admission: which request is let in, by client account and class."""
+"""Admission: the rate of each client account under a catalogue entry."""
 
-from typing import NamedTuple
+from collections import OrderedDict
 
 from wisteriapulley.catalogue.entry import Limits
 from wisteriapulley.errors import RequestError, ResultCode
 
-
-class Ticket(NamedTuple):
-    """Admitted request; give it back with `Admission.release`."""
-
-    account: str
-    entry_name: str
+# About 200 bytes each. A full table forgets the account that was idle longest:
+# it then has a full burst again, which it would nearly have had anyway.
+MAX_BUCKETS = 10_000
 
 
 class Bucket:
@@ -23,7 +20,7 @@
 
     def take(self, now_s: float) -> float:
         """Take a token; return 0, or the seconds until one is there."""
-        gained = (now_s - self.at_s) * self.limits.requests_per_s
+        gained = max(0.0, now_s - self.at_s) * self.limits.requests_per_s
         self.tokens = min(float(self.limits.burst), self.tokens + gained)
         self.at_s = now_s
         if self.tokens >= 1.0:
@@ -33,14 +30,19 @@
 
 
 class Admission:
-    """Token bucket for each client account and entry."""
+    """Token bucket for each client account and entry.
+
+    Load: an account that sends faster than its operator agreed. Harm prevented:
+    it fills the queue that others share. The limit is the catalogue's.
+    """
 
-    def __init__(self):
-        self.buckets: dict[tuple[str, str], Bucket] = {}
+    def __init__(self, limit: int = MAX_BUCKETS):
+        self.limit = limit
+        self.buckets: OrderedDict[tuple[str, str], Bucket] = OrderedDict()
 
     def admit(
         self, account: str, entry_name: str, limits: Limits, now_s: float
-    ) -> Ticket:
+    ) -> None:
         """Let a request in or refuse it at once.
 
         Raises
@@ -52,6 +54,9 @@
         bucket = self.buckets.get(key)
         if bucket is None or bucket.limits != limits:
             bucket = self.buckets[key] = Bucket(limits, now_s)
+        self.buckets.move_to_end(key)
+        if len(self.buckets) > self.limit:
+            self.buckets.popitem(last=False)
         wait_s = bucket.take(now_s)
         if wait_s > 0:
             raise RequestError(
@@ -59,4 +64,3 @@
                 f"client account {account!r} is over its rate under {entry_name!r}",
                 int(wait_s * 1000) + 1,
             )
-        return Ticket(account, entry_name)
--- /dev/null
+++ b/src/wisteriapulley/policy/outliers.py
@@ -0,0 +1,105 @@
+"""Takes a target out that is slow by comparison with its peers."""
+
+from collections.abc import Iterable
+from statistics import median
+from typing import NamedTuple
+
+# A target is slow when it takes this many times what its peers take for alike
+# work; below that placement by outstanding work copes by itself.
+SLOW_FACTOR = 3.0
+# Probed back only when it is clearly well, so that it does not flap.
+WELL_FACTOR = 1.5
+# One request says little; three agree.
+LEAST_SAMPLES = 3
+# With fewer there is no telling which of them is the odd one.
+LEAST_TARGETS = 3
+# At most this share is out at once: when many are slow, the load is the cause,
+# and taking targets out would make it worse.
+EJECTED_SHARE = 0.34
+PROBE_FIRST_S = 2.0
+PROBE_MOST_S = 60.0
+GAIN = 0.3
+
+
+class Ejection(NamedTuple):
+    """A target that is out, and when it is next probed."""
+
+    probe_s: float
+    backoff_s: float
+
+
+class Outliers:
+    """Ratio of taken to expected time for each target.
+
+    Harm prevented: one target ten times slower takes a share of the requests
+    as long as it has a free place, and their callers wait ten times as long.
+    """
+
+    def __init__(self):
+        self.ratios: dict[str, float] = {}
+        self.samples: dict[str, int] = {}
+        self.ejected: dict[str, Ejection] = {}
+
+    def learn(self, node_id: str, ratio: float, now_s: float) -> None:
+        """Take in how long a request took over what was expected.
+
+        Parameters
+        ----------
+        node_id : str
+            Where it ran, or still runs.
+        ratio : float
+            Seconds taken over seconds expected.
+        now_s : float
+            Time of the sample.
+        """
+        known = self.ratios.get(node_id, ratio)
+        self.ratios[node_id] = known + GAIN * (ratio - known)
+        self.samples[node_id] = self.samples.get(node_id, 0) + 1
+        if node_id in self.ejected:
+            self.judge_probe(node_id, ratio, now_s)
+        elif self.is_slow(node_id):
+            self.ejected[node_id] = Ejection(now_s + PROBE_FIRST_S, PROBE_FIRST_S)
+
+    def peer_ratio(self, node_id: str) -> float:
+        """Return the median ratio of the other targets."""
+        peers = [
+            ratio
+            for name, ratio in self.ratios.items()
+            if name != node_id and name not in self.ejected
+        ]
+        return median(peers) if peers else 0.0
+
+    def is_slow(self, node_id: str) -> bool:
+        """Tell whether a target is to be taken out."""
+        count = len(self.ratios)
+        if count < LEAST_TARGETS or self.samples[node_id] < LEAST_SAMPLES:
+            return False
+        if len(self.ejected) + 1 > max(1, int(count * EJECTED_SHARE)):
+            return False
+        peers = self.peer_ratio(node_id)
+        return peers > 0 and self.ratios[node_id] > SLOW_FACTOR * peers
+
+    def judge_probe(self, node_id: str, ratio: float, now_s: float) -> None:
+        """Take a target back in after a good probe, or wait for longer."""
+        if ratio <= WELL_FACTOR * max(1.0, self.peer_ratio(node_id)):
+            del self.ejected[node_id]
+            self.ratios[node_id] = ratio
+            return
+        backoff_s = min(PROBE_MOST_S, self.ejected[node_id].backoff_s * 2)
+        self.ejected[node_id] = Ejection(now_s + backoff_s, backoff_s)
+
+    def due(self, now_s: float) -> str | None:
+        """Return a target that is to be probed, and book the probe."""
+        for node_id, ejection in self.ejected.items():
+            if ejection.probe_s <= now_s:
+                probe_s = now_s + ejection.backoff_s
+                self.ejected[node_id] = ejection._replace(probe_s=probe_s)
+                return node_id
+        return None
+
+    def keep(self, names: Iterable[str]) -> None:
+        """Forget targets that are gone."""
+        for node_id in set(self.ratios) - set(names):
+            self.ratios.pop(node_id)
+            self.samples.pop(node_id)
+            self.ejected.pop(node_id, None)
--- /dev/null
+++ b/src/wisteriapulley/sidecar/answers.py
@@ -0,0 +1,94 @@
+"""Sends answers over a link: head, parts within the reader's window, end mark."""
+
+import zlib
+from collections.abc import AsyncIterator, Callable
+
+import aiohttp
+
+from wisteriapulley.errors import ResultCode, WireError
+from wisteriapulley.sidecar.attempts import KeptAnswer
+from wisteriapulley.wire import Frame, Link, messages
+from wisteriapulley.wire.flow import Window
+
+PART_BYTES = 1 << 16
+HOP_HEADERS = frozenset(
+    ("connection", "transfer-encoding", "content-length", "keep-alive", "host", "date")
+)
+VERSION_HEADER = "X-Model-Version"
+
+
+def plain_headers(response: aiohttp.ClientResponse) -> tuple[messages.Header, ...]:
+    """Return the headers that go on to the caller."""
+    return tuple(
+        messages.Header(name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in HOP_HEADERS and value.isprintable()
+    )
+
+
+async def kept_parts(body: bytes) -> AsyncIterator[bytes]:
+    """Yield a kept body in parts."""
+    for start in range(0, len(body), PART_BYTES):
+        yield body[start : start + PART_BYTES]
+
+
+class AnswerSender:
+    """Answers being sent, each within its own window."""
+
+    def __init__(self):
+        self.windows: dict[tuple[Link, str], Window] = {}
+
+    def grant(self, link: Link, credit: messages.Credit) -> None:
+        """Take in a reader's credit; one for a finished answer means nothing."""
+        window = self.windows.get((link, credit.request_id))
+        if window is not None:
+            window.grant(credit.bytes)
+
+    async def send_kept(
+        self, link: Link, request_id: str, frame: Frame, answer: KeptAnswer
+    ) -> None:
+        """Send a kept answer whole."""
+        head = messages.AnswerHead(
+            request_id,
+            answer.status,
+            tuple(messages.Header(*header) for header in answer.headers),
+            answer.version,
+            len(answer.body),
+        )
+        link.post(head, reply_to=frame.id)
+        await self.send_parts(link, request_id, frame, kept_parts(answer.body))
+
+    async def send_parts(
+        self, link: Link, request_id: str, frame: Frame, parts: AsyncIterator[bytes]
+    ) -> None:
+        """Send the parts of an answer and its end mark."""
+        window = self.windows[link, request_id] = Window()
+        try:
+            offset = crc = 0
+            async for data in parts:
+                await window.take(len(data))
+                part = messages.AnswerPart(request_id, offset)
+                link.post(part, reply_to=frame.id, body=data)
+                offset += len(data)
+                crc = zlib.crc32(data, crc)
+                await link.drain()
+            if link.closed.is_set():
+                raise WireError(ResultCode.LINK_CLOSED, link.peer_id)
+            link.post(messages.AnswerEnd(request_id, offset, crc), reply_to=frame.id)
+            await link.drain()
+        finally:
+            self.windows.pop((link, request_id), None)
+
+
+async def read_bounded(
+    response: aiohttp.ClientResponse, limit: int, too_long: Callable[[], Exception]
+) -> bytes:
+    """Read a whole body of at most `limit` bytes."""
+    parts = []
+    size = 0
+    async for data in response.content.iter_any():
+        size += len(data)
+        if size > limit:
+            raise too_long()
+        parts.append(data)
+    return b"".join(parts)
--- a/src/wisteriapulley/sidecar/attempts.py
+++ b/src/wisteriapulley/sidecar/attempts.py
@@ -2,17 +2,24 @@
 
 An attempt runs at most once here. A refusal, or a resolve that finds nothing,
 leaves a tombstone, so that "not run" stays true when the original arrives late.
+Its states and moves are those of ``charts/attempt.json``.
 """
 
+import heapq
 from typing import NamedTuple
 
 from wisteriapulley.errors import RequestError, ResultCode
+from wisteriapulley.statechart import load_chart
 
 # With the claim's ten minutes and margin at 100 keyed requests a second.
 MAX_ATTEMPTS = 70_000
 # Kept answers of one target; past it the oldest finished answers lose their
 # bodies and a resend is told that the request has run.
 MAX_KEPT_BYTES = 32 << 20
+# Kept this much longer than the expiry, so that a frame which waited in a
+# stopped process still meets its tombstone; as the ledger's own margin.
+EXPIRY_MARGIN_S = 60.0
+RETRY_AFTER_MS = 1000
 
 
 class AttemptKey(NamedTuple):
@@ -31,30 +38,49 @@
     body: bytes
 
 
+UNSEEN = "unseen"
+RUNNING = "running"
+DONE = "done"
+TOMBSTONE = "tombstone"
+LOST = "lost"
+MOVES = {
+    (source, trigger): target
+    for trigger, source, target in load_chart("attempt")["transitions"]
+}
+
+
 class Attempt:
     """What became of the newest attempt of one key."""
 
-    def __init__(self, number: int, state: str, expires_s: float):
+    def __init__(self, number: int, expires_s: float):
         self.number = number
-        self.state = state
+        self.state = UNSEEN
         self.expires_s = expires_s
         self.answer: KeptAnswer | None = None
 
-
-RUNNING = "running"
-DONE = "done"
-TOMBSTONE = "tombstone"
-LOST = "lost"
+    def fire(self, trigger: str) -> None:
+        """Move along the chart; any other move is a fault of the caller."""
+        self.state = MOVES[self.state, trigger]
 
 
 class AttemptTable:
-    """Attempts by key."""
+    """Attempts by key.
+
+    Parameters
+    ----------
+    limit : int
+        Most attempts held; beyond it new ones are refused, because forgetting
+        a live one could run a request twice.
+    kept_limit : int
+        Most bytes of kept answers.
+    """
 
     def __init__(self, limit: int = MAX_ATTEMPTS, kept_limit: int = MAX_KEPT_BYTES):
         self.limit = limit
         self.kept_limit = kept_limit
         self.kept_bytes = 0
         self.attempts: dict[AttemptKey, Attempt] = {}
+        self.expiries: list[tuple[float, AttemptKey]] = []
 
     def start(
         self, key: AttemptKey, number: int, expires_s: float, now_s: float
@@ -69,55 +95,86 @@
         self.forget_expired(now_s)
         if expires_s <= now_s:
             raise RequestError(ResultCode.REQUEST_EXPIRED, "the expiry has passed")
+        self.check_standing(key, number)
+        return self.put(key, number, expires_s, "start")
+
+    def check_standing(self, key: AttemptKey, number: int) -> None:
+        """Refuse a number that was resolved, or that ran or may have."""
         standing = self.attempts.get(key)
-        if standing is not None and standing.number >= number:
-            if standing.state == TOMBSTONE or standing.number > number:
-                raise RequestError(
-                    ResultCode.ATTEMPT_TOMBSTONED, "resolved as not run", 1000
-                )
-            raise RequestError(ResultCode.IN_PROGRESS, "this attempt has begun", 1000)
-        if standing is not None and standing.state in (RUNNING, DONE):
-            raise RequestError(ResultCode.IN_PROGRESS, "an attempt has begun", 1000)
-        if len(self.attempts) >= self.limit:
-            raise RequestError(ResultCode.OVERLOADED, "attempt table is full", 1000)
-        attempt = self.attempts[key] = Attempt(number, RUNNING, expires_s)
+        if standing is None:
+            return
+        if standing.state != TOMBSTONE:
+            raise RequestError(
+                ResultCode.IN_PROGRESS, "an attempt has begun", RETRY_AFTER_MS
+            )
+        if standing.number >= number:
+            raise RequestError(
+                ResultCode.ATTEMPT_TOMBSTONED, "resolved as not run", RETRY_AFTER_MS
+            )
+
+    def put(
+        self, key: AttemptKey, number: int, expires_s: float, trigger: str
+    ) -> Attempt:
+        """Set the newest attempt of a key, moved once.
+
+        Raises
+        ------
+        RequestError
+            OVERLOADED: the table is full.
+        """
+        standing = self.attempts.get(key)
+        if standing is None and len(self.attempts) >= self.limit:
+            raise RequestError(
+                ResultCode.OVERLOADED, "the attempt table is full", RETRY_AFTER_MS
+            )
+        if standing is not None:
+            expires_s = max(expires_s, standing.expires_s)
+        attempt = self.attempts[key] = Attempt(number, expires_s)
+        attempt.fire(trigger)
+        heapq.heappush(self.expiries, (expires_s, key))
         return attempt
 
     def refuse(self, key: AttemptKey, number: int, expires_s: float) -> None:
-        """Leave a tombstone for an attempt that was refused before it began."""
-        standing = self.attempts.get(key)
-        if standing is None or standing.number < number:
-            if standing is None or standing.state == TOMBSTONE:
-                self.attempts[key] = Attempt(number, TOMBSTONE, expires_s)
+        """Leave a tombstone for an attempt that was refused before it began.
+
+        Raises
+        ------
+        RequestError
+            IN_PROGRESS: an attempt of the key began here before.
+        """
+        self.check_standing(key, number)
+        self.put(key, number, expires_s, "refuse")
 
     def finish(self, attempt: Attempt, answer: KeptAnswer) -> None:
         """Keep the answer of an attempt that ran."""
-        attempt.state = DONE
+        attempt.fire("finish")
         attempt.answer = answer
         self.kept_bytes += len(answer.body)
         self.shed_kept()
 
-    def lose(self, attempt: Attempt) -> None:
-        """Note that an attempt ended without a whole answer; it may have run."""
-        attempt.state = LOST
-
     def resolve(self, key: AttemptKey, number: int, expires_s: float) -> Attempt:
         """Return the attempt; one never seen becomes a tombstone."""
         standing = self.attempts.get(key)
-        if standing is None or standing.number < number:
-            if standing is None or standing.state == TOMBSTONE:
-                standing = self.attempts[key] = Attempt(number, TOMBSTONE, expires_s)
+        if standing is None or (
+            standing.state == TOMBSTONE and standing.number < number
+        ):
+            return self.put(key, number, expires_s, "resolve")
         return standing
 
     def forget_expired(self, now_s: float) -> None:
         """Drop attempts whose requests could not start again."""
-        expired = [
-            key
-            for key, attempt in self.attempts.items()
-            if attempt.expires_s < now_s and attempt.state != RUNNING
-        ]
-        for key in expired:
-            attempt = self.attempts.pop(key)
+        horizon_s = now_s - EXPIRY_MARGIN_S
+        while self.expiries and self.expiries[0][0] < horizon_s:
+            _, key = heapq.heappop(self.expiries)
+            attempt = self.attempts.get(key)
+            if attempt is None or attempt.expires_s >= horizon_s:
+                continue
+            if attempt.state == RUNNING:
+                # It ends by itself; look again one margin later.
+                heapq.heappush(self.expiries, (now_s, key))
+                attempt.expires_s = now_s
+                continue
+            del self.attempts[key]
             if attempt.answer is not None:
                 self.kept_bytes -= len(attempt.answer.body)
 
@@ -129,4 +186,4 @@
             if attempt.answer is not None:
                 self.kept_bytes -= len(attempt.answer.body)
                 attempt.answer = None
-                attempt.state = LOST
+                attempt.fire("shed")
--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -7,15 +7,22 @@
 import asyncio
 import logging
 import time
-import zlib
-from collections.abc import AsyncIterator
+from contextlib import contextmanager
 
 import aiohttp
-
-from wisteriapulley.errors import RequestError, ResultCode, WireError
+from yarl import URL
+
+from wisteriapulley.errors import RequestError, ResultCode
+from wisteriapulley.sidecar.answers import (
+    VERSION_HEADER,
+    AnswerSender,
+    plain_headers,
+    read_bounded,
+)
 from wisteriapulley.sidecar.attempts import (
     DONE,
-    LOST,
+    EXPIRY_MARGIN_S,
+    RUNNING,
     TOMBSTONE,
     Attempt,
     AttemptKey,
@@ -27,12 +34,12 @@
 
 log = logging.getLogger(__name__)
 
-PART_BYTES = 1 << 16
 RETRY_AFTER_MS = 500
-HOP_HEADERS = frozenset(
-    ("connection", "transfer-encoding", "content-length", "keep-alive", "host", "date")
-)
-VERSION_HEADER = "X-Model-Version"
+# One answer's share of the kept bytes; a longer one can't be kept for resends.
+MAX_KEPT_ANSWER_BYTES = 8 << 20
+REQUEST_ID_HEADER = "X-Request-Id"
+RESUME_HEADER = "X-Resume-From"
+UNKNOWN = "unknown"
 
 
 class Gate:
@@ -54,10 +61,12 @@
         self.chart = chart
         self.version = ""
         self.attempts = AttemptTable()
+        self.sender = AnswerSender()
         self.running = 0
         self.idle = asyncio.Event()
         self.idle.set()
         self.tasks: dict[str, asyncio.Task] = {}
+        self.keyed: set[asyncio.Task] = set()
         self.finished: dict[AttemptKey, asyncio.Event] = {}
 
     # -- frames ----------------------------------------------------------
@@ -68,14 +77,13 @@
         """Run a request, or refuse it as not run."""
         if message.idempotency_key:
             await self.run_keyed(link, message, frame)
-        else:
-            self.check_open(message)
-            task = asyncio.current_task()
-            self.tasks[message.request_id] = task
-            try:
-                await self.run_streaming(link, message, frame)
-            finally:
-                self.tasks.pop(message.request_id, None)
+            return
+        self.check_open(message)
+        self.tasks[message.request_id] = asyncio.current_task()
+        try:
+            await self.run_streaming(link, message, frame)
+        finally:
+            self.tasks.pop(message.request_id, None)
 
     def check_open(self, message: messages.Dispatch) -> None:
         """Refuse unless the target is open for this very request.
@@ -103,17 +111,22 @@
         task = self.tasks.get(message.request_id)
         if task is not None:
             task.cancel()
-            await self.engine.cancel(message.request_id)
+
+    def receive_credit(self, link: Link, message: messages.Credit) -> None:
+        """Let more of an answer go to a reader that has consumed some."""
+        self.sender.grant(link, message)
 
     async def receive_resolve(
         self, link: Link, message: messages.Resolve, frame: Frame
     ) -> None:
         """Say what became of an attempt; then send its answer, if it has one."""
-        if message.incarnation != self.incarnation:
-            link.post(messages.Resolution("unknown"), reply_to=frame.id)
+        now_s = time.monotonic()
+        expires_s = expiry_s(message.expires_in_ms, message.expires_at_ms, now_s)
+        forgotten = expires_s + EXPIRY_MARGIN_S <= now_s
+        if message.incarnation != self.incarnation or forgotten:
+            link.post(messages.Resolution(UNKNOWN), reply_to=frame.id)
             return
         key = AttemptKey(message.account, message.idempotency_key)
-        expires_s = time.monotonic() + message.expires_in_ms / 1000
         attempt = self.attempts.resolve(key, message.attempt, expires_s)
         link.post(messages.Resolution(attempt.state), reply_to=frame.id)
         if attempt.state != TOMBSTONE:
@@ -127,7 +140,7 @@
         """Run a non-idempotent request to its end, whatever the link does."""
         key = AttemptKey(message.account, message.idempotency_key)
         now_s = time.monotonic()
-        expires_s = now_s + message.expires_in_ms / 1000
+        expires_s = expiry_s(message.expires_in_ms, message.expires_at_ms, now_s)
         try:
             self.check_open(message)
         except RequestError:
@@ -135,34 +148,43 @@
             raise
         attempt = self.attempts.start(key, message.attempt, expires_s, now_s)
         self.finished[key] = asyncio.Event()
-        self.enter()
         task = asyncio.get_running_loop().create_task(
             self.run_to_end(message, frame.body, key, attempt)
         )
-        self.tasks[f"{key}"] = task
+        self.keyed.add(task)
+        task.add_done_callback(self.keyed.discard)
         await self.send_attempt(link, message.request_id, frame, key, attempt)
 
     async def run_to_end(
         self, message: messages.Dispatch, body: bytes, key: AttemptKey, attempt: Attempt
     ) -> None:
-        """Run at the target and keep the whole answer."""
-        try:
-            async with self.open_target(message, body) as response:
-                data = await response.read()
-                answer = KeptAnswer(
-                    response.status,
-                    plain_headers(response),
-                    response.headers.get(VERSION_HEADER, ""),
-                    data,
-                )
-            self.attempts.finish(attempt, answer)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            log.warning("keyed request %s: %r", message.request_id, error)
-            self.attempts.lose(attempt)
-        finally:
-            self.leave()
-            self.tasks.pop(f"{key}", None)
-            self.finished.pop(key).set()
+        """Run at the target and keep the whole answer.
+
+        It may outlast the caller's deadline: a resend then gets its answer.
+        """
+        with self.entered():
+            try:
+                answer = await self.run_whole(message, body)
+                self.attempts.finish(attempt, answer)
+            except aiohttp.ClientConnectorError as error:
+                # No connection was made, so no byte of it reached the target.
+                log.warning("keyed request %s: %r", message.request_id, error)
+                attempt.fire("not_begun")
+            except (aiohttp.ClientError, OSError, TimeoutError, RequestError) as error:
+                log.warning("keyed request %s: %r", message.request_id, error)
+            finally:
+                if attempt.state == RUNNING:
+                    attempt.fire("lose")
+                self.finished.pop(key).set()
+
+    async def run_whole(self, message: messages.Dispatch, body: bytes) -> KeptAnswer:
+        """Run at the target and read the whole answer."""
+        timeout_ms = max(message.remaining_ms, message.expires_in_ms)
+        async with self.open_target(message, body, timeout_ms) as response:
+            data = await read_bounded(response, MAX_KEPT_ANSWER_BYTES, too_long)
+            headers = tuple(tuple(header) for header in plain_headers(response))
+            version = response.headers.get(VERSION_HEADER, "")
+            return KeptAnswer(response.status, headers, version, data)
 
     async def send_attempt(
         self,
@@ -174,14 +196,18 @@
     ) -> None:
         """Wait for an attempt's end and send its kept answer."""
         waiter = self.finished.get(key)
-        if waiter is not None:
-            await waiter.wait()
-        if attempt.state == LOST or attempt.answer is None:
-            raise RequestError(
-                ResultCode.MAY_HAVE_RUN, "the target ended without a whole answer"
-            )
-        assert attempt.state == DONE
-        await send_kept(link, request_id, frame, attempt.answer)
+        with self.entered():
+            if waiter is not None:
+                await waiter.wait()
+            if attempt.state == TOMBSTONE:
+                raise RequestError(
+                    ResultCode.GATE_CLOSED, "the target takes no call", RETRY_AFTER_MS
+                )
+            if attempt.state != DONE:
+                raise RequestError(
+                    ResultCode.MAY_HAVE_RUN, "the target ended without a whole answer"
+                )
+            await self.sender.send_kept(link, request_id, frame, attempt.answer)
 
     # -- streams ---------------------------------------------------------
 
@@ -189,102 +215,100 @@
         self, link: Link, message: messages.Dispatch, frame: Frame
     ) -> None:
         """Run an idempotent request and pass its answer on as it comes."""
-        self.enter()
+        whole = False
         try:
-            async with self.open_target(message, frame.body) as response:
-                head = messages.AnswerHead(
-                    message.request_id,
-                    response.status,
-                    tuple(messages.Header(*h) for h in plain_headers(response)),
-                    response.headers.get(VERSION_HEADER, ""),
-                    response.content_length if response.content_length else -1,
-                )
-                link.post(head, reply_to=frame.id)
-                parts = response.content.iter_any()
-                await send_parts(link, message.request_id, frame, parts)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            with self.entered():
+                await self.stream(link, message, frame)
+            whole = True
+        except TimeoutError as error:
+            raise RequestError(
+                ResultCode.DEADLINE_EXCEEDED, "the deadline passed at the target"
+            ) from error
+        except (aiohttp.ClientError, OSError) as error:
             raise RequestError(ResultCode.ANSWER_CUT, repr(error)) from error
         finally:
-            self.leave()
+            if not whole:
+                # Given up, cut or timed out: it must not go on using the engine.
+                task = asyncio.get_running_loop().create_task(
+                    self.engine.cancel(message.request_id)
+                )
+                self.keyed.add(task)
+                task.add_done_callback(self.keyed.discard)
+
+    async def stream(
+        self, link: Link, message: messages.Dispatch, frame: Frame
+    ) -> None:
+        """Send head, parts and end mark of the target's answer."""
+        async with self.open_target(
+            message, frame.body, message.remaining_ms
+        ) as response:
+            length = response.content_length
+            head = messages.AnswerHead(
+                message.request_id,
+                response.status,
+                plain_headers(response),
+                response.headers.get(VERSION_HEADER, ""),
+                length if length is not None else -1,
+            )
+            link.post(head, reply_to=frame.id)
+            parts = response.content.iter_any()
+            await self.sender.send_parts(link, message.request_id, frame, parts)
 
-    def open_target(self, message: messages.Dispatch, body: bytes):
+    def open_target(self, message: messages.Dispatch, body: bytes, timeout_ms: int):
         """Open the request at the target."""
         headers = {header.name: header.value for header in message.headers}
-        headers["X-Request-Id"] = message.request_id
+        headers["Accept-Encoding"] = "identity"
+        headers[REQUEST_ID_HEADER] = message.request_id
         headers["X-Client-Account"] = message.account
         headers["X-Priority"] = str(message.priority)
+        if message.resume_from:
+            headers[RESUME_HEADER] = str(message.resume_from)
         if message.idempotency_key:
             headers["Idempotency-Key"] = message.idempotency_key
-        timeout = aiohttp.ClientTimeout(total=message.remaining_ms / 1000)
         return self.engine.session.request(
             message.method,
-            self.engine.base_url + message.path,
+            URL(self.engine.base_url + message.path, encoded=True),
             data=body,
             headers=headers,
-            timeout=timeout,
+            # 0 would mean no limit at all.
+            timeout=aiohttp.ClientTimeout(total=max(1, timeout_ms) / 1000),
             allow_redirects=False,
         )
 
     # -- draining --------------------------------------------------------
 
-    def enter(self) -> None:
-        """Count a request in."""
+    @contextmanager
+    def entered(self):
+        """Count a request in for as long as the block runs."""
         self.running += 1
         self.idle.clear()
-
-    def leave(self) -> None:
-        """Count a request out."""
-        self.running -= 1
-        if self.running == 0:
-            self.idle.set()
+        try:
+            yield
+        finally:
+            self.running -= 1
+            if self.running == 0:
+                self.idle.set()
 
     async def drained(self) -> None:
         """Wait until no request runs."""
         await self.idle.wait()
 
 
-def plain_headers(response: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
-    """Return the headers that go on to the caller."""
-    return tuple(
-        (name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in HOP_HEADERS
-    )
-
+def expiry_s(expires_in_ms: int, expires_at_ms: int, now_s: float) -> float:
+    """Return the monotonic time of an expiry.
 
-async def one_part(body: bytes) -> AsyncIterator[bytes]:
-    """Yield a kept body in parts."""
-    for start in range(0, len(body), PART_BYTES):
-        yield body[start : start + PART_BYTES]
+    A frame may wait in a stopped process for longer than its expiry, and its
+    relative time would then start anew: the absolute one ends it.
+    """
+    left_ms = expires_in_ms
+    if expires_at_ms:
+        left_ms = min(left_ms, expires_at_ms - time.time_ns() // 1_000_000)
+    return now_s + left_ms / 1000
 
 
-async def send_kept(
-    link: Link, request_id: str, frame: Frame, answer: KeptAnswer
-) -> None:
-    """Send a kept answer whole."""
-    head = messages.AnswerHead(
-        request_id,
-        answer.status,
-        tuple(messages.Header(*header) for header in answer.headers),
-        answer.version,
-        len(answer.body),
+def too_long() -> RequestError:
+    """Make the error of an answer that is too long to keep."""
+    return RequestError(
+        ResultCode.ANSWER_CUT,
+        f"the answer is longer than {MAX_KEPT_ANSWER_BYTES} bytes",
     )
-    link.post(head, reply_to=frame.id)
-    await send_parts(link, request_id, frame, one_part(answer.body))
-
-
-async def send_parts(
-    link: Link, request_id: str, frame: Frame, parts: AsyncIterator[bytes]
-) -> None:
-    """Send the parts of an answer and its end mark."""
-    offset = crc = 0
-    async for data in parts:
-        part = messages.AnswerPart(request_id, offset)
-        link.post(part, reply_to=frame.id, body=data)
-        offset += len(data)
-        crc = zlib.crc32(data, crc)
-        await link.drain()
-    if link.closed.is_set():
-        raise WireError(ResultCode.LINK_CLOSED, link.peer_id)
-    end = messages.AnswerEnd(request_id, offset, crc)
-    link.post(end, reply_to=frame.id)
--- a/src/wisteriapulley/sidecar/service.py
+++ b/src/wisteriapulley/sidecar/service.py
@@ -285,6 +285,13 @@
         """Handle the message `Resolve`."""
         await self.gate.receive_resolve(link, message, frame)
 
+    @receive.register
+    async def receive_credit(
+        self, message: messages.Credit, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `Credit`."""
+        self.gate.receive_credit(link, message)
+
     @receive.register
     async def receive_have(
         self, message: messages.Have, link: Link, frame: Frame
--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -57,17 +57,24 @@
         WireError
             The link closed, or no reply came within `timeout_s`.
         """
+        try:
+            item = self.replies.get_nowait()
+        except asyncio.QueueEmpty:
+            item = await self.wait(timeout_s)
+        if isinstance(item, WireError):
+            raise item
+        return item
+
+    async def wait(self, timeout_s: float | None) -> "Frame | WireError":
+        """Wait for a reply that has not come yet."""
         try:
             async with asyncio.timeout(timeout_s):
-                item = await self.replies.get()
+                return await self.replies.get()
         except TimeoutError as error:
             raise WireError(
                 ResultCode.LINK_TIMEOUT,
                 f"{self.link.peer_id} sent no reply within {timeout_s} s",
             ) from error
-        if isinstance(item, WireError):
-            raise item
-        return item
 
     async def __aiter__(self) -> AsyncIterator[Frame]:
         """Yield replies until the consumer stops or the link closes."""
@@ -114,6 +121,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.late_replies = 0
+        self.crossed_replies = 0
         self.on_heartbeat: Callable[[Link], None] | None = None
         self.on_close: Callable[[Link], None] | None = None
 
@@ -326,9 +334,12 @@
     """Raise what a `Failure` frame carries; let others pass."""
     if isinstance(frame.message, Failure):
         failure = frame.message
-        raise WisteriapulleyError(
-            ResultCode(failure.code), failure.message, failure.retry_after_ms
-        )
+        try:
+            code = ResultCode(failure.code)
+        except ValueError:
+            # A newer peer's code says nothing here, least of all "not run".
+            code = ResultCode.UNEXPECTED_MESSAGE
+        raise WisteriapulleyError(code, failure.message, failure.retry_after_ms)
 
 
 async def connect(
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -86,6 +86,7 @@
   version @13 :Text;
   bodyDigest @14 :Data;
   resumeFrom @15 :UInt64;
+  expiresAtMs @16 :UInt64;
 }
 struct Cancel { requestId @0 :Text; }
 struct AnswerHead {
@@ -105,6 +106,7 @@
   incarnation @3 :UInt64;
   requestId @4 :Text;
   expiresInMs @5 :UInt32;
+  expiresAtMs @6 :UInt64;
 }
 struct Resolution { state @0 :Text; }
 
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -70,6 +70,7 @@
     version: str = ""
     body_digest: bytes = b""
     resume_from: int = 0
+    expires_at_ms: int = 0
 
 
 class Cancel(NamedTuple):
@@ -119,6 +120,7 @@
     incarnation: int = 0
     request_id: str = ""
     expires_in_ms: int = 0
+    expires_at_ms: int = 0
 
 
 class Resolution(NamedTuple):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -40,3 +40,29 @@
             attempt = table.start(key, 1, 100.0, 0.0)
             table.finish(attempt, KeptAnswer(200, (), "", b"12345678"))
         assert table.kept_bytes == 8
+
+    def test_an_attempt_that_was_lost_is_followed_by_none(self):
+        # Guards: a later attempt could start after one that may have run.
+        table = AttemptTable()
+        table.start(KEY, 1, 100.0, 0.0).fire("lose")
+        with pytest.raises(RequestError) as caught:
+            table.start(KEY, 2, 100.0, 0.0)
+        assert caught.value.code == ResultCode.IN_PROGRESS
+
+    def test_expiry_never_gets_shorter_and_outlasts_a_late_frame(self):
+        table = AttemptTable()
+        table.resolve(KEY, 1, 100.0)
+        table.resolve(KEY, 2, 10.0)
+        table.forget_expired(150.0)
+        assert table.attempts[KEY].expires_s == 100.0
+        table.forget_expired(161.0)
+        assert not table.attempts
+
+    def test_full_table_forgets_nothing_that_is_live(self):
+        table = AttemptTable(limit=1)
+        running = table.start(KEY, 1, 1.0, 0.0)
+        with pytest.raises(RequestError) as caught:
+            table.resolve(AttemptKey("a", "other"), 1, 100.0)
+        assert caught.value.code == ResultCode.OVERLOADED
+        table.forget_expired(500.0)
+        assert table.attempts[KEY] is running
