Decide admission, queueing and placement in a pure scheduler

Cause: least outstanding with unbounded engine queues answers late under load, one account fills what all share, long work holds up short, a slow target is never noticed.

Judging every late answer of an ejected target as a probe pushed its next probe out by minutes; only probes count now.

--- a/src/wisteriapulley/policy/fair_queue.py
+++ b/src/wisteriapulley/policy/fair_queue.py
@@ -1,116 +1,150 @@
-"""Weighted fair queue over client accounts, strict over priorities."""
+"""Fair queue over client accounts and sizes, strict over priorities."""
 
-import heapq
-import itertools
+from collections import deque
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from wisteriapulley.policy.work import Work
+from wisteriapulley.policy.work import Work, size_class
 
-# Within an account a request gives way to one that came up to this many times
-# its own length later but is shorter: short work doesn't wait behind long work,
-# and long work still gets its turn (the stretch of both stays bounded).
-STRETCH = 4.0
 # Work of unknown length still costs its account something.
 LEAST_COST_S = 0.001
 
 
 class Item(NamedTuple):
-    """Queued work with its expected seconds; ordered by `key`."""
+    """Queued work and its expected seconds."""
 
-    key: float
-    number: int
     work: Work
     cost_s: float
 
 
-class Flow:
-    """Queued work of one account, in the order it is to run."""
+class Share:
+    """Turns of one member of a fair queue.
+
+    Start-time fair queueing: whoever has the lowest tag is next, and its tag
+    grows by what it took.
+    """
 
     def __init__(self, tag: float):
-        self.items: list[Item] = []
         self.tag = tag
         self.cost_s = 0.0
 
 
+class SizeFlow(Share):
+    """Queued work of one account and size class, oldest first."""
+
+    def __init__(self, tag: float):
+        super().__init__(tag)
+        self.items: deque[Item] = deque()
+
+
+class AccountFlow(Share):
+    """Queued work of one account, by size class."""
+
+    def __init__(self, tag: float):
+        super().__init__(tag)
+        self.sizes: dict[int, SizeFlow] = {}
+        self.virtual_s = 0.0
+
+
 class FairQueue:
-    """Start-time fair queue of one priority.
+    """Fair queue of one priority.
 
-    Each account gets the same share of target time while it has work queued.
-    Harm prevented: an account at ten times its share filling the queue, and
-    every other account waiting behind it.
+    Accounts share target time equally while they have work queued, and within
+    an account so do its size classes. Load: an account at ten times its share,
+    and long work among short. Harm prevented: one account's queue is every
+    other account's wait, and one long request's time is that of twenty short.
     """
 
     def __init__(self):
-        self.flows: dict[str, Flow] = {}
+        self.accounts: dict[str, AccountFlow] = {}
         self.virtual_s = 0.0
         self.cost_s = 0.0
-        self.numbers = itertools.count()
-        # Where flows that emptied had come to, so that leaving and coming back
-        # earns nothing; only those ahead of the virtual time matter.
+        self.length = 0
+        # Tags of accounts that emptied while ahead, so that leaving and coming
+        # back earns nothing.
         self.tags: dict[str, float] = {}
 
     def __len__(self) -> int:
-        return sum(len(flow.items) for flow in self.flows.values())
+        return self.length
 
-    def push(self, work: Work, cost_s: float, now_s: float) -> None:
+    def push(self, work: Work, cost_s: float) -> None:
         """Queue work."""
-        cost_s = max(LEAST_COST_S, cost_s)
-        flow = self.flows.get(work.account)
+        item = Item(work, max(LEAST_COST_S, cost_s))
+        flow = self.accounts.get(work.account)
         if flow is None:
             tag = max(self.virtual_s, self.tags.pop(work.account, 0.0))
-            flow = self.flows[work.account] = Flow(tag)
-        key = now_s + STRETCH * cost_s
-        heapq.heappush(flow.items, Item(key, next(self.numbers), work, cost_s))
+            flow = self.accounts[work.account] = AccountFlow(tag)
+        number = size_class(work.units)
+        size = flow.sizes.get(number)
+        if size is None:
+            size = flow.sizes[number] = SizeFlow(flow.virtual_s)
+        size.items.append(item)
+        self.count(flow, size, item.cost_s, 1)
+
+    def count(
+        self, flow: AccountFlow, size: SizeFlow, cost_s: float, items: int
+    ) -> None:
+        """Count items in or out."""
+        size.cost_s += cost_s
         flow.cost_s += cost_s
         self.cost_s += cost_s
+        self.length += items
 
     def pop(self) -> Work:
-        """Take the next work: of the account that has had least."""
-        account, flow = min(self.flows.items(), key=lambda pair: pair[1].tag)
-        item = heapq.heappop(flow.items)
-        self.virtual_s = flow.tag
+        """Take the next work: of the account, then the size, that had least."""
+        account, flow = min(self.accounts.items(), key=lambda pair: pair[1].tag)
+        number, size = min(flow.sizes.items(), key=lambda pair: pair[1].tag)
+        item = size.items.popleft()
+        self.virtual_s, flow.virtual_s = flow.tag, size.tag
         flow.tag += item.cost_s
-        self.take_out(account, flow, item)
+        size.tag += item.cost_s
+        self.take_out(account, number, item)
         return item.work
 
-    def take_out(self, account: str, flow: Flow, item: Item) -> None:
-        """Count an item out, and drop its flow when it was the last."""
-        flow.cost_s -= item.cost_s
-        self.cost_s -= item.cost_s
-        if not flow.items:
-            del self.flows[account]
+    def take_out(self, account: str, number: int, item: Item) -> None:
+        """Count an item out, and drop flows that are empty now."""
+        flow = self.accounts[account]
+        size = flow.sizes[number]
+        self.count(flow, size, -item.cost_s, -1)
+        if not size.items:
+            del flow.sizes[number]
+        if not flow.sizes:
+            del self.accounts[account]
             self.remember(account, flow.tag)
 
     def remember(self, account: str, tag: float) -> None:
-        """Keep the tag of a flow that emptied while it is ahead."""
-        if len(self.tags) > 2 * len(self.flows) + 64:
+        """Keep the tag of an account that emptied; drop those that fell behind."""
+        if len(self.tags) > 2 * len(self.accounts) + 64:
             self.tags = {a: t for a, t in self.tags.items() if t > self.virtual_s}
         self.tags[account] = tag
 
     def remove(self, work: Work) -> bool:
         """Take out work whose caller gave up; it is charged nothing."""
-        flow = self.flows.get(work.account)
-        items = flow.items if flow is not None else []
-        for position, item in enumerate(items):
+        number = size_class(work.units)
+        flow = self.accounts.get(work.account)
+        size = flow.sizes.get(number) if flow is not None else None
+        for position, item in enumerate(size.items if size is not None else ()):
             if item.work.id == work.id:
-                items[position] = items[-1]
-                items.pop()
-                heapq.heapify(items)
-                self.take_out(work.account, flow, item)
+                del size.items[position]
+                self.take_out(work.account, number, item)
                 return True
         return False
 
     def ahead_s(self, work: Work, cost_s: float) -> float:
         """Return the seconds of target time that would run before `work`.
 
-        Fair turns: of each other account no more than this account has queued
-        itself, counting the new work.
+        In fair turns no other size class, and no other account, runs more than
+        what this one has queued itself, counting the new work.
         """
-        own = self.flows.get(work.account)
-        own_s = own.cost_s if own is not None else 0.0
+        number = size_class(work.units)
+        flow = self.accounts.get(work.account)
+        sizes = flow.sizes if flow is not None else {}
+        own_s = sizes[number].cost_s if number in sizes else 0.0
+        turn_s = own_s + cost_s
+        for other, size in sizes.items():
+            own_s += min(size.cost_s, turn_s) if other != number else 0.0
         turn_s = own_s + cost_s
-        others = (f.cost_s for a, f in self.flows.items() if a != work.account)
+        others = (f.cost_s for a, f in self.accounts.items() if a != work.account)
         return own_s + sum(min(cost, turn_s) for cost in others)
 
 
@@ -125,12 +159,11 @@
         self.levels: dict[int, FairQueue] = {}
 
     def __len__(self) -> int:
-        return sum(len(level) for level in self.levels.values())
+        return sum(level.length for level in self.levels.values())
 
-    def push(self, work: Work, cost_s: float, now_s: float) -> None:
+    def push(self, work: Work, cost_s: float) -> None:
         """Queue work."""
-        level = self.levels.setdefault(work.priority, FairQueue())
-        level.push(work, cost_s, now_s)
+        self.levels.setdefault(work.priority, FairQueue()).push(work, cost_s)
 
     def pop(self) -> Work:
         """Take the next work."""
@@ -139,7 +172,7 @@
     def busy(self) -> Iterator[FairQueue]:
         """Yield the levels with work, first the one that runs first."""
         for priority in sorted(self.levels):
-            if self.levels[priority].flows:
+            if self.levels[priority].length:
                 yield self.levels[priority]
 
     def remove(self, work: Work) -> bool:
--- a/src/wisteriapulley/policy/outliers.py
+++ b/src/wisteriapulley/policy/outliers.py
@@ -40,7 +40,9 @@
         self.samples: dict[str, int] = {}
         self.ejected: dict[str, Ejection] = {}
 
-    def learn(self, node_id: str, ratio: float, now_s: float) -> None:
+    def learn(
+        self, node_id: str, ratio: float, now_s: float, probe: bool = False
+    ) -> None:
         """Take in how long a request took over what was expected.
 
         Parameters
@@ -51,13 +53,18 @@
             Seconds taken over seconds expected.
         now_s : float
             Time of the sample.
+        probe : bool
+            Whether the request was sent to probe a target that was out; the
+            others that it held when it was taken out say nothing new.
         """
+        if node_id in self.ejected:
+            if probe:
+                self.judge_probe(node_id, ratio, now_s)
+            return
         known = self.ratios.get(node_id, ratio)
         self.ratios[node_id] = known + GAIN * (ratio - known)
         self.samples[node_id] = self.samples.get(node_id, 0) + 1
-        if node_id in self.ejected:
-            self.judge_probe(node_id, ratio, now_s)
-        elif self.is_slow(node_id):
+        if self.is_slow(node_id):
             self.ejected[node_id] = Ejection(now_s + PROBE_FIRST_S, PROBE_FIRST_S)
 
     def peer_ratio(self, node_id: str) -> float:
--- a/src/wisteriapulley/policy/scheduler.py
+++ b/src/wisteriapulley/policy/scheduler.py
@@ -36,6 +36,7 @@
     node_id: str
     started_s: float
     expected_s: float
+    probe: bool
 
 
 class Scheduler:
@@ -86,7 +87,7 @@
             if room:
                 return self.place(work, room, now_s)
         self.check_deadline(work, len(targets) * limit, now_s)
-        self.queue.push(work, self.times.expect(work).mean, now_s)
+        self.queue.push(work, self.times.expect(work).mean)
         return None
 
     def check_deadline(self, work: Work, places: int, now_s: float) -> None:
@@ -114,11 +115,11 @@
 
     def place(self, work: Work, room: list[TargetView], now_s: float) -> str:
         """Start work at one of the targets with room, or as a probe."""
-        node_id = self.outliers.due(now_s)
-        if node_id is None or not self.may_probe(work, now_s):
-            node_id = self.placement.pick(room, work)
-        expected_s = self.times.expect(work).mean
-        self.running[work.id] = Running(work, node_id, now_s, expected_s)
+        probed = self.outliers.due(now_s) if self.may_probe(work, now_s) else None
+        node_id = probed or self.placement.pick(room, work)
+        self.running[work.id] = Running(
+            work, node_id, now_s, self.times.expect(work).mean, probed is not None
+        )
         return node_id
 
     def may_probe(self, work: Work, now_s: float) -> bool:
@@ -144,7 +145,7 @@
             if not room:
                 return
             work = self.queue.pop()
-            if now_s + self.times.expect(work).mean > work.deadline_s:
+            if now_s + self.times.longest(work) > work.deadline_s:
                 yield Start(work, None)
             else:
                 yield Start(work, self.place(work, room, now_s))
@@ -169,7 +170,8 @@
             return
         seconds = now_s - run.started_s
         if run.expected_s > 0:
-            self.outliers.learn(run.node_id, seconds / run.expected_s, now_s)
+            ratio = seconds / run.expected_s
+            self.outliers.learn(run.node_id, ratio, now_s, run.probe)
         if run.node_id not in self.outliers.ejected:
             self.times.learn(run.work, seconds)
 
@@ -180,12 +182,12 @@
         requests have taken ten times as long.
         """
         for work_id, run in self.running.items():
-            if run.expected_s <= 0:
+            if run.expected_s <= 0 or run.probe:
                 continue
             ratio = (now_s - run.started_s) / run.expected_s
             if ratio > SLOW_FACTOR and ratio > 2 * self.suspected.get(work_id, 0.0):
                 self.suspected[work_id] = ratio
-                self.outliers.learn(run.node_id, ratio, now_s)
+                self.outliers.learn(run.node_id, ratio, now_s, run.probe)
 
     def remove(self, work: Work) -> bool:
         """Take out queued work whose caller gave up."""
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,200 @@
+"""Pure policy over virtual time, judged by what callers got."""
+
+import random
+from collections import Counter
+
+import pytest
+from bench.virtual import (
+    Demand,
+    VirtualService,
+    VirtualTarget,
+    arrivals,
+    capacity_per_s,
+)
+
+from wisteriapulley.catalogue.entry import Limits
+from wisteriapulley.errors import RequestError, ResultCode
+from wisteriapulley.policy import Admission, LeastOutstanding, Scheduler, TargetView
+from wisteriapulley.policy.fair_queue import FairQueue, PriorityQueue
+from wisteriapulley.policy.outliers import Outliers
+from wisteriapulley.policy.service_times import ServiceTimes
+from wisteriapulley.policy.work import Work
+
+# Report-writing model servers of the brief.
+TARGETS, SLOTS = 6, 4
+ACCOUNTS = [Demand(f"a{i}", 1.0, 20.0) for i in range(4)]
+
+
+def work(number=1, account="a", units=1.0, priority=0, deadline_s=100.0):
+    return Work(number, account, "kind", priority, units, deadline_s)
+
+
+def serve(mix, load, ours=True, slowness=(), seconds=30.0, burst=1, seed=5):
+    slow = [*slowness, *[1.0] * TARGETS][:TARGETS]
+    targets = [VirtualTarget(f"t{i}", SLOTS, s) for i, s in enumerate(slow)]
+    scheduler = Scheduler(LeastOutstanding(random.Random(seed))) if ours else None
+    service = VirtualService(targets, scheduler, SLOTS)
+    per_s = load * capacity_per_s(mix, TARGETS * SLOTS)
+    return service.run(list(arrivals(mix, per_s, seconds, seed, burst)))
+
+
+def slowest(results, units=None):
+    took = [r.took_s for r in results if r.code == 0 and units in (None, r.work.units)]
+    return sorted(took)[int(len(took) * 0.99)]
+
+
+class TestScheduler:
+    def test_saturation_keeps_goodput_and_refuses_the_rest_at_once(self):
+        full, over = serve(ACCOUNTS, 1.0), serve(ACCOUNTS, 3.0)
+        in_time = [sum(r.in_time for r in results) for results in (full, over)]
+        assert in_time[1] >= 0.95 * in_time[0]
+        answered = [r for r in over if r.code == 0]
+        assert sum(not r.in_time for r in answered) <= 0.01 * len(answered)
+        at_once = sum(r.took_s == 0 for r in over if r.code)
+        assert at_once >= 0.9 * sum(r.code != 0 for r in over)
+
+    def test_burst_is_answered_when_its_deadlines_allow(self):
+        results = serve(ACCOUNTS, 0.5, burst=40)
+        assert all(result.in_time for result in results)
+
+    def test_account_at_ten_times_its_share_costs_others_nothing(self):
+        mix = [ACCOUNTS[0]._replace(share=10.0), *ACCOUNTS[1:]]
+        got = Counter(r.work.account for r in serve(mix, 2.0) if r.in_time)
+        asked = Counter(r.work.account for r in serve(mix, 2.0))
+        for account in ("a1", "a2", "a3"):
+            assert got[account] >= 0.95 * asked[account]
+
+    def test_slow_target_hardly_shows(self):
+        healthy = slowest(serve(ACCOUNTS, 0.5))
+        ours = slowest(serve(ACCOUNTS, 0.5, slowness=[10.0]))
+        baseline = slowest(serve(ACCOUNTS, 0.5, ours=False, slowness=[10.0]))
+        assert ours <= 1.3 * healthy < baseline
+
+    def test_short_work_does_not_wait_behind_long(self):
+        mix = [Demand("a0", 9.0, 20.0), Demand("a0", 1.0, 400.0)]
+        ours, baseline = serve(mix, 0.9), serve(mix, 0.9, ours=False)
+        assert slowest(ours, 20.0) <= 0.5 * slowest(baseline, 20.0)
+        assert all(r.in_time for r in ours if r.work.units == 400.0 and r.code == 0)
+
+    def test_refusal_says_when_to_come_back(self):
+        scheduler = Scheduler(LeastOutstanding(random.Random(1)))
+        scheduler.times.learn(work(), 1.0)
+        full = [TargetView("t", 1)]
+        for number in range(3):
+            assert scheduler.offer(work(number), full, 1, 0.0) is None
+        with pytest.raises(RequestError) as caught:
+            scheduler.offer(work(9, deadline_s=2.0), full, 1, 0.0)
+        assert caught.value.code == ResultCode.OVERLOADED
+        assert 1000 <= caught.value.retry_after_ms <= 3000
+
+    def test_no_target_is_refused_at_once(self):
+        with pytest.raises(RequestError) as caught:
+            Scheduler(None).offer(work(), [], 1, 0.0)
+        assert caught.value.code == ResultCode.NO_TARGET
+
+    def test_own_requests_correct_a_lagging_report(self):
+        # Guards: all of a burst went to the target that last looked idle.
+        target = TargetView("t", in_flight=5, reported=7, in_flight_at_report=4)
+        assert target.outstanding == 8
+
+
+class TestFairQueue:
+    def drain(self, queue):
+        while len(queue):
+            yield queue.pop()
+
+    def test_accounts_take_turns_by_cost(self):
+        queue = FairQueue()
+        for number in range(4):
+            queue.push(work(number, "big"), 2.0)
+        for number in range(4):
+            queue.push(work(number, "small"), 1.0)
+        order = [w.account for w in self.drain(queue)]
+        assert order[:6].count("small") == 4
+
+    def test_leaving_and_coming_back_earns_nothing(self):
+        queue = FairQueue()
+        for number in range(3):
+            queue.push(work(number, "steady"), 1.0)
+        for number in range(3):
+            queue.push(work(number, "comes"), 1.0)
+            first = queue.pop().account
+            second = queue.pop().account
+            assert {first, second} == {"steady", "comes"}
+
+    def test_removed_work_is_charged_nothing(self):
+        queue = FairQueue()
+        queue.push(work(1), 5.0)
+        assert queue.remove(work(1)) and not queue.remove(work(1))
+        assert (len(queue), queue.cost_s, queue.accounts) == (0, 0.0, {})
+
+    def test_wait_counts_fair_turns_and_not_the_whole_queue(self):
+        queue = PriorityQueue()
+        for number in range(100):
+            queue.push(work(number, "big"), 1.0)
+        assert queue.ahead_s(work(account="small"), 1.0) == 1.0
+        assert queue.ahead_s(work(account="big"), 1.0) == 100.0
+
+    def test_lower_number_runs_first(self):
+        queue = PriorityQueue()
+        queue.push(work(1, priority=5), 1.0)
+        queue.push(work(2, priority=-1), 1.0)
+        assert [w.id for w in self.drain(queue)] == [2, 1]
+
+
+class TestOutliers:
+    def learned(self, ratios, times=4):
+        outliers = Outliers()
+        for _ in range(times):
+            for name, ratio in ratios.items():
+                outliers.learn(name, ratio, 0.0)
+        return outliers
+
+    def test_slow_one_is_out_and_probed_back(self):
+        outliers = self.learned({"a": 1.0, "b": 1.0, "c": 1.0, "slow": 9.0})
+        assert list(outliers.ejected) == ["slow"]
+        assert outliers.due(1.0) is None
+        assert (outliers.due(2.5), outliers.due(2.6)) == ("slow", None)
+        outliers.learn("slow", 1.0, 2.7)
+        outliers.learn("slow", 9.0, 3.0, probe=True)
+        assert (list(outliers.ejected), outliers.due(5.0)) == (["slow"], None)
+        outliers.learn("slow", 1.0, 8.0, probe=True)
+        assert not outliers.ejected
+
+    def test_when_all_are_slow_load_is_the_cause(self):
+        assert not self.learned({"a": 9.0, "b": 9.0, "c": 9.0, "d": 9.0}).ejected
+
+    def test_share_taken_out_is_bounded(self):
+        ratios = {f"t{i}": 1.0 if i < 6 else 50.0 for i in range(10)}
+        assert len(self.learned(ratios).ejected) == 3
+
+    def test_two_targets_do_not_tell_which_is_slow(self):
+        assert not self.learned({"a": 1.0, "b": 9.0}).ejected
+
+    def test_targets_that_went_are_forgotten(self):
+        outliers = self.learned({"a": 1.0, "b": 1.0, "c": 9.0})
+        outliers.keep(["a"])
+        assert (list(outliers.ratios), outliers.ejected) == (["a"], {})
+
+
+class TestServiceTimes:
+    def test_unseen_size_is_scaled_from_a_neighbour(self):
+        times = ServiceTimes()
+        assert times.expect(work(units=4.0)).mean == 0.0
+        times.learn(work(units=4.0), 1.0)
+        assert times.expect(work(units=16.0)).mean == 4.0
+
+
+class TestAdmission:
+    def test_rate_is_by_account_and_invented_accounts_do_not_grow(self):
+        admission = Admission(limit=3)
+        limits = Limits(requests_per_s=10.0, burst=2)
+        for _ in range(2):
+            admission.admit("a", "e", limits, 0.0)
+        with pytest.raises(RequestError) as caught:
+            admission.admit("a", "e", limits, 0.0)
+        assert caught.value.retry_after_ms == 101
+        admission.admit("a", "e", limits, 0.11)
+        for number in range(9):
+            admission.admit(f"invented-{number}", "e", limits, 0.2)
+        assert len(admission.buckets) == 3
