--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -228,10 +228,17 @@
         return self.start_node("entry", settings)
 
     def start_target(
-        self, node_id: str, domain: str, service: str, kind: str = "engine", **more
+        self,
+        node_id: str,
+        domain: str,
+        service: str,
+        kind: str = "engine",
+        fake_options: tuple[str, ...] = (),
+        **more,
     ) -> Node:
         """Start a fake target and the sidecar beside it."""
-        options = ["--name", node_id] + (["--plain"] if kind == "plain" else [])
+        options = ["--name", node_id, *fake_options]
+        options += ["--plain"] if kind == "plain" else []
         port = self.start_fake(f"target-{node_id}", "engine", *options)
         settings = self.common(
             node_id,
