--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -113,6 +113,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self.late_replies = 0
+        self.crossed_replies = 0
         self.on_connect: Callable[[Link], None] | None = None
         self.on_heartbeat: Callable[[Link], None] | None = None
         self.on_close: Callable[[Link], None] | None = None
@@ -362,9 +363,12 @@
     """Raise what a `Failure` frame carries; let others pass."""
     if isinstance(frame.message, Failure):
         failure = frame.message
-        raise WisteriapulleyError(
-            ResultCode(failure.code), failure.message, failure.retry_after_ms
-        )
+        try:
+            code = ResultCode(failure.code)
+        except ValueError:
+            # A newer peer's code says nothing here, least of all "not run".
+            code = ResultCode.UNEXPECTED_MESSAGE
+        raise WisteriapulleyError(code, failure.message, failure.retry_after_ms)
 
 
 async def connect(
