--- a/src/wisteriapulley/weights/schedule.py
+++ b/src/wisteriapulley/weights/schedule.py
@@ -1,29 +1,41 @@
 """Schedule of one copy: which chunk from whom, when the origin may be asked.
 
 Pure: no clock, no sockets, a seeded generator. Load: hundreds of instances
-copy at once while the origin's link carries about four copies. Each chunk has
-seeders in rendezvous order; only rank 0 asks the origin at once, rank k after
-k patience periods without any neighbour that has the chunk.
+copy at once while the origin's link carries about four copies and each
+instance's link about two, up and down together.
 """
 
+import heapq
 import random
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from blake3 import blake3
+from wisteriapulley.weights.seeders import Peer, Seeders
 
 ORIGIN = "<origin>"
-# Enough to fill the link over the round trip, few enough to stay rarest first.
-MAX_IN_FLIGHT = 8
+# Fewer leaves the link idle between chunks; more only lengthens the queues at
+# the senders and makes rarest first choose on old news.
+LEAST_IN_FLIGHT = 4
+MOST_IN_FLIGHT = 24
 # A slow neighbour must not hold more than this of our pipeline.
 MAX_PER_PEER = 2
-
-
-class Peer(NamedTuple):
-    """Instance that takes part in the burst."""
-
-    node_id: str
-    failure_domain: str
+# Two keep the origin's link busy over the round trip; 820 seeders with more
+# would only queue there.
+MAX_AT_ORIGIN = 2
+# Random chunks tried for a free holder in one call: bounds the call's cost.
+TRIES = 24
+# The last chunks are asked twice so that one slow sender does not delay the
+# replica; more copies would waste the links of the others.
+END_GAME_SOURCES = 2
+# A chunk must come within this many times the usual latency, and never must
+# within less than the floor: senders queue, and a queue is no stall.
+DEADLINE_FACTOR = 8.0
+LEAST_DEADLINE_MS = 2_000.0
+# A peer that let a deadline pass is left alone for this long.
+SLOW_PEER_MS = 5_000.0
+# Chunks that trickle in must not put the next rank off without end.
+MOST_PATIENCE = 20
+LATENCY_WEIGHT = 0.125
 
 
 class Fetch(NamedTuple):
@@ -33,9 +45,30 @@
     source: str
 
 
-def rendezvous(digest: str, node_id: str) -> bytes:
-    """Weigh a member for a chunk; the highest ranks first."""
-    return blake3(f"{digest}/{node_id}".encode()).digest()
+class RandomSet:
+    """Set of chunk indexes with a random pick in constant time."""
+
+    def __init__(self):
+        self.items: list[int] = []
+        self.places: dict[int, int] = {}
+
+    def __len__(self) -> int:
+        return len(self.items)
+
+    def add(self, item: int) -> None:
+        """Add an item that is not in it."""
+        self.places[item] = len(self.items)
+        self.items.append(item)
+
+    def discard(self, item: int) -> None:
+        """Remove an item if it is in it."""
+        place = self.places.pop(item, None)
+        if place is None:
+            return
+        last = self.items.pop()
+        if last != item:
+            self.items[place] = last
+            self.places[last] = place
 
 
 class Schedule:
@@ -43,12 +76,12 @@
 
     Parameters
     ----------
-    me : Peer
-        This instance.
-    digests : sequence of str
+    seeders : Seeders
+        Ranks of this instance.
+    digests : iterable of str
         Chunks of the version.
     distribution : {'time_to_replicas', 'origin_bytes'}
-        One seeder for each failure domain, or one in all.
+        One seeder for each failure domain (at most four in all), or one in all.
     patience_ms : float
         Wait before the next rank asks the origin, in milliseconds.
     rng : random.Random
@@ -59,24 +92,40 @@
 
     def __init__(
         self,
-        me: Peer,
+        seeders: Seeders,
         digests: Iterable[str],
         distribution: str,
         patience_ms: float,
         rng: random.Random,
         now_ms: float,
     ):
-        self.me = me
+        self.seeders = seeders
+        self.me = seeders.me
         self.digests = tuple(digests)
         self.distribution = distribution
         self.patience_ms = patience_ms
         self.rng = rng
-        self.start_ms = now_ms
-        self.ranks = [0] * len(self.digests)
+        self.news_ms = now_ms
         self.missing = set(range(len(self.digests)))
-        self.in_flight: dict[int, str] = {}
         self.held: dict[str, set[int]] = {}
+        self.domains: dict[str, str] = {}
+        self.copies = [0] * len(self.digests)
+        self.alone_ms = [now_ms] * len(self.digests)
+        self.buckets = [RandomSet()]
+        for index in self.missing:
+            self.buckets[0].add(index)
+        self.in_flight: dict[int, dict[str, float]] = {}
+        self.busy: dict[str, int] = {}
+        self.slow_until: dict[str, float] = {}
         self.shunned: set[str] = set()
+        self.origin_wait_ms = 0.0
+        self.latency_ms = 0.0
+        self.least_latency_ms = 0.0
+        self.last_done_ms = now_ms
+        self.gap_ms = 0.0
+        self.turns: list[tuple[int, int]] = []
+        self.extras: list[int] = []
+        self.set_members(seeders.members.values())
 
     @property
     def complete(self) -> bool:
@@ -84,78 +133,311 @@
         return not self.missing
 
     def set_members(self, members: Iterable[Peer]) -> None:
-        """Recompute this instance's rank for each chunk."""
-        rivals = [
-            peer.node_id
-            for peer in members
-            if peer.node_id != self.me.node_id
-            and (
-                self.distribution == "origin_bytes"
-                or peer.failure_domain == self.me.failure_domain
-            )
-        ]
-        for index in self.missing:
-            digest = self.digests[index]
-            mine = rendezvous(digest, self.me.node_id)
-            self.ranks[index] = sum(rendezvous(digest, r) > mine for r in rivals)
+        """Recompute this instance's rank for each missing chunk."""
+        self.seeders.set_members(members)
+        self.domains = {
+            peer.node_id: peer.failure_domain for peer in self.seeders.members.values()
+        }
+        self.turns = [(self.rank(index), index) for index in self.missing]
+        self.rng.shuffle(self.turns)
+        heapq.heapify(self.turns)
+        self.extras = []
+        if self.distribution == "time_to_replicas":
+            self.extras = [
+                index
+                for index in self.missing
+                if self.seeders.is_domain_seeder(self.digests[index])
+            ]
+            self.rng.shuffle(self.extras)
+
+    def rank(self, index: int) -> int:
+        """Return this instance's rank for a chunk."""
+        return self.seeders.rank(self.digests[index])
+
+    # -- what neighbours hold ----------------------------------------------
 
-    def set_have(self, node_id: str, indexes: Iterable[int]) -> None:
-        """Note which chunks a neighbour holds."""
-        self.held[node_id] = set(indexes)
+    def set_have(self, node_id: str, indexes: Iterable[int], now_ms: float) -> None:
+        """Replace what a neighbour holds."""
+        self.forget_held(node_id, now_ms)
+        self.held[node_id] = set()
+        self.add_have(node_id, indexes, now_ms)
 
-    def drop_peer(self, node_id: str) -> None:
+    def add_have(self, node_id: str, indexes: Iterable[int], now_ms: float) -> None:
+        """Note chunks that a neighbour holds besides."""
+        held = self.held.setdefault(node_id, set())
+        for index in indexes:
+            if index < len(self.digests) and index not in held:
+                held.add(index)
+                if not self.copies[index]:
+                    self.news_ms = now_ms
+                self.set_copies(index, self.copies[index] + 1)
+
+    def forget_held(self, node_id: str, now_ms: float) -> None:
+        """Forget what a neighbour holds."""
+        for index in self.held.pop(node_id, ()):
+            self.set_copies(index, self.copies[index] - 1)
+            if not self.copies[index]:
+                self.alone_ms[index] = now_ms
+                if index in self.missing:
+                    heapq.heappush(self.turns, (self.rank(index), index))
+
+    def drop_peer(self, node_id: str, now_ms: float) -> None:
         """Forget a neighbour that is gone; its fetches are open again."""
-        self.held.pop(node_id, None)
-        for index in [i for i, source in self.in_flight.items() if source == node_id]:
-            del self.in_flight[index]
+        self.forget_held(node_id, now_ms)
+        flights = [i for i, sources in self.in_flight.items() if node_id in sources]
+        for index in flights:
+            self.land(Fetch(index, node_id))
+
+    def set_copies(self, index: int, count: int) -> None:
+        """Count the neighbours that hold a chunk, and move it to its bucket."""
+        waiting = index in self.missing and index not in self.in_flight
+        if waiting:
+            self.bucket(self.copies[index]).discard(index)
+        self.copies[index] = count
+        if waiting:
+            self.bucket(count).add(index)
+
+    def bucket(self, count: int) -> RandomSet:
+        """Return the waiting chunks that `count` neighbours hold."""
+        while len(self.buckets) <= count:
+            self.buckets.append(RandomSet())
+        return self.buckets[count]
+
+    # -- what became of fetches --------------------------------------------
+
+    def launch(self, fetch: Fetch, now_ms: float) -> Fetch:
+        """Note a fetch as in flight."""
+        if fetch.index not in self.in_flight:
+            self.bucket(self.copies[fetch.index]).discard(fetch.index)
+        self.in_flight.setdefault(fetch.index, {})[fetch.source] = now_ms
+        self.busy[fetch.source] = self.busy.get(fetch.source, 0) + 1
+        return fetch
 
-    def done(self, index: int) -> None:
-        """Note a verified chunk."""
-        self.in_flight.pop(index, None)
+    def land(self, fetch: Fetch) -> float | None:
+        """Take a fetch out of flight; return when it began."""
+        sources = self.in_flight.get(fetch.index, {})
+        begun_ms = sources.pop(fetch.source, None)
+        if begun_ms is None:
+            return None
+        self.busy[fetch.source] -= 1
+        if not sources:
+            del self.in_flight[fetch.index]
+            if fetch.index in self.missing:
+                self.bucket(self.copies[fetch.index]).add(fetch.index)
+                if not self.copies[fetch.index]:
+                    heapq.heappush(self.turns, (self.rank(fetch.index), fetch.index))
+        return begun_ms
+
+    def done(self, index: int, now_ms: float) -> list[Fetch]:
+        """Note a chunk that is here, from wherever.
+
+        Returns
+        -------
+        list of Fetch
+            Other fetches of the same chunk, to cancel.
+        """
+        if index not in self.missing:
+            return []
+        others = [Fetch(index, source) for source in self.in_flight.get(index, ())]
+        self.bucket(self.copies[index]).discard(index)
         self.missing.discard(index)
+        for fetch in others:
+            self.land(fetch)
+        if not self.copies[index]:
+            self.news_ms = now_ms
+        return others
+
+    def arrived(self, fetch: Fetch, now_ms: float) -> list[Fetch]:
+        """Note a chunk that a fetch brought; return fetches to cancel."""
+        begun_ms = self.land(fetch)
+        if begun_ms is not None:
+            self.measure(now_ms - begun_ms, now_ms)
+        return self.done(fetch.index, now_ms)
+
+    def measure(self, latency_ms: float, now_ms: float) -> None:
+        """Learn the usual and the least latency, and the gap between chunks."""
+        if not self.latency_ms:
+            self.latency_ms = self.least_latency_ms = latency_ms
+        self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
+        # The least latency drifts up, so that an early one is forgotten.
+        drifted_ms = self.least_latency_ms * 1.02
+        self.least_latency_ms = min(latency_ms, drifted_ms)
+        gap_ms = now_ms - self.last_done_ms
+        self.gap_ms += LATENCY_WEIGHT * (gap_ms - self.gap_ms)
+        self.last_done_ms = now_ms
 
-    def failed(self, fetch: Fetch, corrupted: bool = False) -> None:
+    def failed(
+        self,
+        fetch: Fetch,
+        now_ms: float,
+        corrupted: bool = False,
+        retry_after_ms: float = 0.0,
+    ) -> None:
         """Note a failed fetch; who sent bad bytes is not asked again."""
-        if self.in_flight.get(fetch.index) == fetch.source:
-            del self.in_flight[fetch.index]
-        if corrupted and fetch.source != ORIGIN:
+        self.land(fetch)
+        if fetch.source == ORIGIN:
+            self.origin_wait_ms = max(self.origin_wait_ms, now_ms + retry_after_ms)
+            return
+        self.slow_until[fetch.source] = now_ms + (retry_after_ms or SLOW_PEER_MS)
+        if corrupted:
             self.shunned.add(fetch.source)
-            self.drop_peer(fetch.source)
+            self.drop_peer(fetch.source, now_ms)
+
+    def refused(self, fetch: Fetch, now_ms: float) -> None:
+        """Note that a peer does not hold a chunk after all."""
+        self.land(fetch)
+        held = self.held.get(fetch.source, set())
+        if fetch.index in held:
+            held.discard(fetch.index)
+            self.set_copies(fetch.index, self.copies[fetch.index] - 1)
+            if not self.copies[fetch.index]:
+                self.alone_ms[fetch.index] = now_ms
+                heapq.heappush(self.turns, (self.rank(fetch.index), fetch.index))
+
+    def expired(self, now_ms: float) -> list[Fetch]:
+        """Return fetches from peers whose deadline has passed."""
+        limit_ms = max(LEAST_DEADLINE_MS, DEADLINE_FACTOR * self.latency_ms)
+        return [
+            Fetch(index, source)
+            for index, sources in self.in_flight.items()
+            for source, begun_ms in sources.items()
+            if source != ORIGIN and now_ms - begun_ms > limit_ms
+        ]
 
-    def next_fetches(self, now_ms: float) -> list[Fetch]:
-        """Return fetches to start now, rarest chunk first."""
+    # -- what to fetch next ------------------------------------------------
+
+    @property
+    def window(self) -> int:
+        """Chunks in flight: twice rate x round trip, within limits."""
+        if not self.gap_ms:
+            return LEAST_IN_FLIGHT
+        wanted = 2 * self.least_latency_ms / self.gap_ms
+        return int(min(MOST_IN_FLIGHT, max(LEAST_IN_FLIGHT, wanted)))
+
+    def next_fetches(self, now_ms: float, origin: bool = True) -> list[Fetch]:
+        """Return fetches to start now.
+
+        The origin's turns come first: while it still has chunks that nobody
+        holds, an idle origin link is time that all replicas lose. Then the
+        rarest chunk that a neighbour holds, so that no chunk becomes scarce.
+        """
         fetches: list[Fetch] = []
-        wanted = [index for index in self.missing if index not in self.in_flight]
-        self.rng.shuffle(wanted)
-        copies = {index: self.copies(index) for index in wanted}
-        for index in sorted(wanted, key=copies.__getitem__):
-            if len(self.in_flight) >= MAX_IN_FLIGHT:
-                break
-            source = self.choose(index, now_ms)
-            if source is not None:
-                self.in_flight[index] = source
-                fetches.append(Fetch(index, source))
+        while origin and (index := self.next_turn(now_ms)) is not None:
+            fetches.append(self.launch(Fetch(index, ORIGIN), now_ms))
+        self.fill_window(fetches, now_ms)
+        while origin and (index := self.next_extra(now_ms)) is not None:
+            fetches.append(self.launch(Fetch(index, ORIGIN), now_ms))
+        if not any(map(len, self.buckets)):
+            self.end_game(fetches, now_ms)
         return fetches
 
-    def copies(self, index: int) -> int:
-        """Count neighbours that hold a chunk."""
-        return sum(index in held for held in self.held.values())
+    def fill_window(self, fetches: list[Fetch], now_ms: float) -> None:
+        """Launch fetches from neighbours up to the window."""
+        tries = TRIES
+        flying = sum(self.busy.values()) - self.busy.get(ORIGIN, 0)
+        for bucket in self.buckets[1:]:
+            refused = 0
+            while len(bucket) > refused and flying < self.window and tries:
+                tries -= 1
+                # Refused ones are moved to the front, out of the draw.
+                index = bucket.items[self.rng.randrange(refused, len(bucket))]
+                source = self.holder(index, now_ms)
+                if source is None:
+                    move(bucket, index, refused)
+                    refused += 1
+                    continue
+                fetches.append(self.launch(Fetch(index, source), now_ms))
+                flying += 1
 
-    def choose(self, index: int, now_ms: float) -> str | None:
-        """Choose where to get a chunk, or None to wait."""
-        busy = list(self.in_flight.values())
-        holders = [
-            node_id
-            for node_id, held in self.held.items()
-            if index in held and node_id not in self.shunned
+    def holder(self, index: int, now_ms: float) -> str | None:
+        """Choose the neighbour to get a chunk from, or None to wait.
+
+        Least asked first, for its queue is shortest; then our own failure
+        domain, which keeps bytes off the links between domains.
+        """
+        mine = self.me.failure_domain
+        asked = self.in_flight.get(index, ())
+        free = [
+            (self.busy.get(n, 0), self.domains.get(n) != mine, self.rng.random(), n)
+            for n, held in self.held.items()
+            if index in held
+            and n not in asked
+            and n not in self.shunned
+            and self.busy.get(n, 0) < MAX_PER_PEER
+            and self.slow_until.get(n, 0.0) <= now_ms
         ]
-        free = [node_id for node_id in holders if busy.count(node_id) < MAX_PER_PEER]
-        if free:
-            return min(free, key=lambda n: (busy.count(n), self.rng.random()))
-        if not holders and self.may_ask_origin(index, now_ms):
-            return ORIGIN if busy.count(ORIGIN) < MAX_PER_PEER else None
+        return min(free)[3] if free else None
+
+    def origin_free(self, now_ms: float) -> bool:
+        """Tell whether this instance may send the origin another request."""
+        return self.busy.get(ORIGIN, 0) < MAX_AT_ORIGIN and (
+            now_ms >= self.origin_wait_ms
+        )
+
+    def next_turn(self, now_ms: float) -> int | None:
+        """Return a chunk that no neighbour holds and whose turn is ours.
+
+        Rank 0 asks at once, rank k after k patience periods in which no
+        neighbour had the chunk and no chunk came to light: while new ones do,
+        the earlier ranks are at work, and asking too would draw the same bytes
+        from the origin again.
+        """
+        while self.turns and self.origin_free(now_ms):
+            rank, index = self.turns[0]
+            stale = index not in self.missing or index in self.in_flight
+            if stale or self.copies[index] or rank != self.rank(index):
+                heapq.heappop(self.turns)
+            elif self.may_ask_origin(index, now_ms):
+                heapq.heappop(self.turns)
+                return index
+            else:
+                return None
         return None
 
     def may_ask_origin(self, index: int, now_ms: float) -> bool:
         """Tell whether this instance's turn at the origin has come."""
-        return now_ms - self.start_ms >= self.ranks[index] * self.patience_ms
+        rank = self.rank(index)
+        alone_ms = self.alone_ms[index]
+        quiet_ms = now_ms - max(alone_ms, self.news_ms)
+        if quiet_ms >= rank * self.patience_ms:
+            return True
+        return now_ms - alone_ms >= rank * self.patience_ms * MOST_PATIENCE
+
+    def next_extra(self, now_ms: float) -> int | None:
+        """Return a chunk to bring into our failure domain from the origin."""
+        while self.extras and self.origin_free(now_ms):
+            index = self.extras.pop()
+            if index in self.missing and index not in self.in_flight:
+                if not self.held_near(index):
+                    return index
+        return None
+
+    def held_near(self, index: int) -> bool:
+        """Tell whether a neighbour of our failure domain holds a chunk."""
+        mine = self.me.failure_domain
+        return any(
+            index in held and self.domains.get(node_id) == mine
+            for node_id, held in self.held.items()
+        )
+
+    def end_game(self, fetches: list[Fetch], now_ms: float) -> None:
+        """Ask a second source for chunks that are late, when nothing waits."""
+        late_ms = 2 * self.latency_ms
+        room = self.window - len(fetches)
+        for index, sources in tuple(self.in_flight.items()):
+            if room <= 0:
+                return
+            oldest_ms = min(sources.values())
+            if len(sources) < END_GAME_SOURCES and now_ms - oldest_ms > late_ms:
+                source = self.holder(index, now_ms)
+                if source is not None:
+                    fetches.append(self.launch(Fetch(index, source), now_ms))
+                    room -= 1
+
+
+def move(bucket: RandomSet, item: int, place: int) -> None:
+    """Swap an item of a bucket to a place."""
+    here = bucket.places[item]
+    other = bucket.items[place]
+    bucket.items[here], bucket.items[place] = other, item
+    bucket.places[other], bucket.places[item] = here, place
--- /dev/null
+++ b/src/wisteriapulley/weights/seeders.py
@@ -0,0 +1,130 @@
+"""Who asks the origin for which chunk, and who links to whom; pure.
+
+Each chunk falls into a slot; rendezvous weights over (slot, member) rank the
+members. Ranking slots rather than chunks keeps the cost of 820 members and
+35,000 chunks at 820 x 512 weights, and a member that comes or goes changes
+only its own column.
+"""
+
+import zlib
+from bisect import bisect_right
+from collections.abc import Iterable
+from typing import NamedTuple
+
+SLOTS = 512
+# The origin's link carries about four copies in a window.
+MOST_COPIES = 4
+MASK = (1 << 64) - 1
+
+
+class Peer(NamedTuple):
+    """Instance that takes part in the burst."""
+
+    node_id: str
+    failure_domain: str
+
+
+def seed_of(text: str) -> int:
+    """Return a stable number of a name."""
+    data = text.encode()
+    return zlib.crc32(data) << 32 | zlib.crc32(data, 0x9E3779B9)
+
+
+def mix(value: int) -> int:
+    """Scramble a 64-bit number (splitmix64)."""
+    value = (value + 0x9E3779B97F4A7C15) & MASK
+    value = ((value ^ value >> 30) * 0xBF58476D1CE4E5B9) & MASK
+    value = ((value ^ value >> 27) * 0x94D049BB133111EB) & MASK
+    return value ^ value >> 31
+
+
+def slot_of(digest: str) -> int:
+    """Return the slot of a chunk."""
+    return int(digest[:8], 16) % SLOTS
+
+
+def weight(slot: int, seed: int) -> int:
+    """Weigh a member for a slot; the highest ranks first."""
+    return mix(seed ^ mix(slot))
+
+
+class Seeders:
+    """Ranks of one member among all, and among its failure domain.
+
+    Parameters
+    ----------
+    me : Peer
+        This instance.
+    """
+
+    def __init__(self, me: Peer):
+        self.me = me
+        self.seed = seed_of(me.node_id)
+        self.mine = [weight(slot, self.seed) for slot in range(SLOTS)]
+        self.overall = [0] * SLOTS
+        self.in_domain = [0] * SLOTS
+        self.members: dict[str, Peer] = {}
+
+    def set_members(self, members: Iterable[Peer]) -> None:
+        """Rank this instance among `members`."""
+        wanted = {peer.node_id: peer for peer in members if peer != self.me}
+        for node_id in [n for n in self.members if wanted.get(n) != self.members[n]]:
+            self.count(self.members.pop(node_id), -1)
+        for node_id in wanted.keys() - self.members.keys():
+            self.members[node_id] = wanted[node_id]
+            self.count(wanted[node_id], 1)
+
+    def count(self, peer: Peer, step: int) -> None:
+        """Count a member in or out."""
+        seed = seed_of(peer.node_id)
+        near = peer.failure_domain == self.me.failure_domain
+        for slot, mine in enumerate(self.mine):
+            if weight(slot, seed) > mine:
+                self.overall[slot] += step
+                if near:
+                    self.in_domain[slot] += step
+
+    def rank(self, digest: str) -> int:
+        """Return how many members ask the origin before this one."""
+        return self.overall[slot_of(digest)]
+
+    def is_domain_seeder(self, digest: str) -> bool:
+        """Tell whether this instance brings a chunk into its failure domain.
+
+        With the first seeder of all, at most `MOST_COPIES` are drawn.
+        """
+        slot = slot_of(digest)
+        if self.in_domain[slot] or not self.overall[slot]:
+            return False
+        domains = {peer.failure_domain for peer in self.members.values()}
+        domains.add(self.me.failure_domain)
+        ranked = sorted(domains, key=lambda d: weight(slot, seed_of("/" + d)))
+        return self.me.failure_domain in ranked[: MOST_COPIES - 1]
+
+
+def choose_neighbours(me: Peer, peers: Iterable[Peer], count: int) -> list[str]:
+    """Choose the neighbours that this instance opens links to.
+
+    Each of `count` rings orders the members by its own hash and links each to
+    its successor: half of the rings run inside the failure domain, which keeps
+    bytes off the links between domains, half through all members. One ring
+    alone connects all, so the graph is connected; with the links that others
+    open there are at most ``2 * count`` neighbours, used both ways. A member
+    that comes or goes moves only the links next to it.
+    """
+    members = {peer.node_id: peer for peer in peers}
+    members[me.node_id] = me
+    near = [p for p in members.values() if p.failure_domain == me.failure_domain]
+    chosen: dict[str, None] = {}
+    for ring in range(count):
+        pool = near if ring % 2 and len(near) > 1 else list(members.values())
+        chosen.setdefault(successor(me, pool, ring))
+    chosen.pop(me.node_id, None)
+    return list(chosen)
+
+
+def successor(me: Peer, pool: list[Peer], ring: int) -> str:
+    """Return the member after `me` on a ring."""
+    places = sorted((weight(ring, seed_of(p.node_id)), p.node_id) for p in pool)
+    mine = (weight(ring, seed_of(me.node_id)), me.node_id)
+    return places[bisect_right(places, mine) % len(places)][1]
