--- a/bench/virtual_burst.py
+++ b/bench/virtual_burst.py
@@ -13,8 +13,10 @@
 import sys
 import time
 from collections import deque
+from functools import lru_cache
 from typing import NamedTuple
 
+from wisteriapulley.weights import seeders as seeders_module
 from wisteriapulley.weights.schedule import ORIGIN, Fetch, Schedule
 from wisteriapulley.weights.seeders import Peer, Seeders, choose_neighbours
 
@@ -24,6 +26,9 @@
 TICK_MS = 50.0
 NEIGHBOURS = 8
 PATIENCE_MS = 2_000.0
+# One process plays all members here, so it weighs each of them once.
+seeders_module.weights_of = lru_cache(maxsize=None)(seeders_module.weights_of)
+seeders_module.seed_of = lru_cache(maxsize=None)(seeders_module.seed_of)
 
 
 class VirtualResult(NamedTuple):
--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -63,6 +63,7 @@
     ENGINE_WRONG_DIGEST = 505
     ENGINE_FENCED = 506
     COPY_SUPERSEDED = 507
+    CHUNK_STORE_FULL = 508
 
     LOG_DAMAGED = 600
     DISK_FULL = 601
@@ -268,6 +269,10 @@
     ResultCode.COPY_SUPERSEDED: CodeEntry(
         "The catalogue moved on while the copy was in flight.", "Nothing."
     ),
+    ResultCode.CHUNK_STORE_FULL: CodeEntry(
+        "The sidecar's chunk store has no room for the version.",
+        "Raise `chunk_store_bytes`, or free the scratch folder's disk.",
+    ),
     ResultCode.LOG_DAMAGED: CodeEntry(
         "The log is damaged before its tail.",
         "Replace the disk and rejoin: docs/operators/lost-disk.md.",
--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -154,6 +154,14 @@
         Rate of this instance's link, up and down together; 0 for no limit.
     origin_bytes_per_s : int
         Share of the origin's link that this sidecar may take; 0 for no limit.
+    neighbours : int
+        Links that this sidecar opens to others; others open as many to it.
+    patience_ms : int
+        Milliseconds without news of a chunk before the next rank asks the origin.
+    scratch_folder : str
+        Chunks are kept here; empty keeps them in memory.
+    chunk_store_bytes : int
+        Most bytes of chunks kept; 0 for no limit.
     """
 
     wire_listen: Address
@@ -168,6 +176,8 @@
     origin_bytes_per_s: int = 0
     neighbours: int = 8
     patience_ms: int = 2000
+    scratch_folder: str = ""
+    chunk_store_bytes: int = 256 << 30
 
 
 ROLES: dict[str, type[NodeSettings]] = {
--- /dev/null
+++ b/src/wisteriapulley/sidecar/neighbours.py
@@ -0,0 +1,138 @@
+"""Links to the sidecars that chunks come from, and what live requests use."""
+
+import asyncio
+from collections.abc import Callable
+
+from wisteriapulley.settings import Address, SidecarSettings
+from wisteriapulley.weights.seeders import Peer, choose_neighbours
+from wisteriapulley.weights.swarm import Swarm
+from wisteriapulley.wire import Link, messages
+from wisteriapulley.wire.handshake import Identity
+from wisteriapulley.wire.keeper import LinkKeeper
+from wisteriapulley.wire.link import Handler
+
+
+class LiveMeter:
+    """Counts the bytes of links that carry no weights."""
+
+    def __init__(self):
+        self.links: set[Link] = set()
+        self.closed_bytes = 0
+
+    def add(self, link: Link) -> None:
+        """Count a link."""
+        self.links.add(link)
+
+    def drop(self, link: Link) -> None:
+        """Keep the bytes of a closed link."""
+        if link in self.links:
+            self.links.discard(link)
+            self.closed_bytes += link.bytes_sent + link.bytes_received
+
+    def total(self) -> int:
+        """Return the bytes so far, up and down."""
+        open_bytes = sum(ln.bytes_sent + ln.bytes_received for ln in self.links)
+        return self.closed_bytes + open_bytes
+
+
+class Neighbours:
+    """Keeps this instance's links to its neighbours.
+
+    Parameters
+    ----------
+    settings : SidecarSettings
+        This sidecar's.
+    identity : Identity
+        Who this process is.
+    swarm : Swarm
+        Gets every sidecar's link.
+    handler, heartbeat : callable
+        Of each link.
+    heard : callable
+        Called with a link after each heartbeat on it.
+    meter : LiveMeter
+        Gets every other link.
+    """
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        identity: Identity,
+        swarm: Swarm,
+        handler: Handler,
+        heartbeat: Callable[[], messages.Heartbeat],
+        heard: Callable[[Link], None],
+        meter: LiveMeter,
+    ):
+        self.settings = settings
+        self.identity = identity
+        self.swarm = swarm
+        self.handler = handler
+        self.heartbeat = heartbeat
+        self.heard = heard
+        self.meter = meter
+        self.keepers: dict[str, tuple[str, LinkKeeper]] = {}
+        self.stopping: set[asyncio.Task] = set()
+
+    def update(self, announced: dict[str, messages.Announce]) -> None:
+        """Take part with those who are announced, and link to some of them."""
+        members = {
+            name: member
+            for name, member in announced.items()
+            if member.role == "sidecar" and name != self.settings.node_id
+        }
+        peers = [Peer(m.node_id, m.failure_domain) for m in members.values()]
+        self.swarm.set_members(peers)
+        if self.settings.kind != "engine":
+            return
+        chosen = choose_neighbours(self.swarm.me, peers, self.settings.neighbours)
+        self.swarm.neighbour_count = len(chosen)
+        wanted = {name: members[name].address for name in chosen}
+        for name, (address, _) in tuple(self.keepers.items()):
+            if wanted.get(name) != address:
+                self.drop(name)
+        for name in wanted.keys() - self.keepers.keys():
+            self.keep(name, wanted[name])
+
+    def keep(self, name: str, address: str) -> None:
+        """Start keeping a link."""
+        keeper = LinkKeeper(
+            [Address.from_text(address)],
+            self.identity,
+            self.handler,
+            self.heartbeat,
+            self.settings,
+            self.connected,
+        )
+        self.keepers[name] = (address, keeper)
+        keeper.start()
+
+    def drop(self, name: str) -> None:
+        """Stop keeping a link."""
+        _, keeper = self.keepers.pop(name)
+        task = asyncio.get_running_loop().create_task(keeper.stop())
+        self.stopping.add(task)
+        task.add_done_callback(self.stopping.discard)
+
+    async def connected(self, link: Link) -> None:
+        """Take in a link that this instance opened."""
+        link.on_close = self.closed
+        self.opened(link)
+
+    def opened(self, link: Link) -> None:
+        """Take in a link, whoever opened it."""
+        link.on_heartbeat = self.heard
+        if link.peer.role == "sidecar":
+            self.swarm.add_link(link)
+        else:
+            self.meter.add(link)
+
+    def closed(self, link: Link) -> None:
+        """Forget a closed link."""
+        self.swarm.drop_link(link)
+        self.meter.drop(link)
+
+    async def stop(self) -> None:
+        """Close every link that this instance keeps."""
+        for _, keeper in self.keepers.values():
+            await keeper.stop()
--- a/src/wisteriapulley/sidecar/service.py
+++ b/src/wisteriapulley/sidecar/service.py
@@ -12,19 +12,20 @@
 from wisteriapulley.errors import ResultCode, WireError
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.metrics import Metrics
-from wisteriapulley.settings import Address, SidecarSettings, load_fleet_key
+from wisteriapulley.settings import SidecarSettings, load_fleet_key
 from wisteriapulley.sidecar.engine import ModelEngine, PlainService
 from wisteriapulley.sidecar.gate import Gate
+from wisteriapulley.sidecar.neighbours import LiveMeter, Neighbours
 from wisteriapulley.sidecar.switch import Switcher
 from wisteriapulley.sidecar.weights_http import PREFIX, WeightsHandlers
 from wisteriapulley.statechart import StateChart
 from wisteriapulley.weights.chunk_store import ChunkStore
-from wisteriapulley.weights.schedule import Peer, rendezvous
+from wisteriapulley.weights.pace import LinkBudget
+from wisteriapulley.weights.seeders import Peer
 from wisteriapulley.weights.source import HttpSource
 from wisteriapulley.weights.swarm import Swarm
 from wisteriapulley.wire import Frame, Link, LinkServer, messages
 from wisteriapulley.wire.handshake import Identity
-from wisteriapulley.wire.keeper import LinkKeeper
 
 log = logging.getLogger(__name__)
 
@@ -45,7 +46,7 @@
         self.chart = StateChart("target")
         self.leaving = False
         self.sequence = 0
-        self.neighbours: dict[str, LinkKeeper] = {}
+        self.meter = LiveMeter()
         self.tasks: list[asyncio.Task] = []
 
     @classmethod
@@ -72,10 +73,15 @@
         adapter = ModelEngine if settings.kind == "engine" else PlainService
         self.engine = adapter(self.session, settings.target_url)
         self.gate = Gate(self.engine, self.incarnation, self.chart)
+        budget = LinkBudget(settings.link_bytes_per_s, self.meter.total)
+        share = LinkBudget(settings.origin_bytes_per_s)
         self.swarm = Swarm(
             Peer(settings.node_id, settings.failure_domain),
-            ChunkStore(),
-            [HttpSource(self.session, u) for u in self.source_urls()],
+            ChunkStore.from_settings(
+                settings.scratch_folder, settings.chunk_store_bytes
+            ),
+            [HttpSource(self.session, u, budget, share) for u in self.source_urls()],
+            budget,
             settings.patience_ms,
         )
         self.control = ControlClient(
@@ -86,6 +92,15 @@
             self.catalogue_changed,
             self.members_changed,
         )
+        self.neighbours = Neighbours(
+            settings,
+            self.identity,
+            self.swarm,
+            self.handle,
+            self.heartbeat,
+            self.control.heard,
+            self.meter,
+        )
         await self.listen()
         self.switcher = Switcher(
             settings,
@@ -114,8 +129,8 @@
             settings.heartbeat_ms,
             settings.silence_ms,
         )
-        self.server.on_open = self.link_opened
-        self.server.on_close = self.swarm.drop_link
+        self.server.on_open = self.neighbours.opened
+        self.server.on_close = self.neighbours.closed
         self.wire_address = await self.server.start(settings.wire_listen)
         self.http = HttpServer(
             self.metrics, self.is_ready, WeightsHandlers(self.swarm).routes()
@@ -142,8 +157,7 @@
             log.error("requests were still running after drain_ms")
         await asyncio.sleep(self.settings.heartbeat_ms / 1000)
         await self.control.stop()
-        for keeper in self.neighbours.values():
-            await keeper.stop()
+        await self.neighbours.stop()
         await self.server.stop()
         await self.http.stop()
         await self.session.close()
@@ -197,7 +211,7 @@
                 self.chart.state,
                 self.gate.version,
                 entry.version if entry is not None else "",
-                copy.bytes_done if copy is not None else 0,
+                copy.bytes_shown if copy is not None else 0,
                 copy.manifest.size if copy is not None else 0,
                 self.switcher.detail,
                 "sidecar",
@@ -206,49 +220,13 @@
         )
 
     def catalogue_changed(self) -> None:
-        """Report the new revision at once."""
+        """Report the new revision at once, and act on it."""
+        self.switcher.changed.set()
         self.state_changed()
 
-    # -- neighbours ------------------------------------------------------
-
     def members_changed(self) -> None:
         """Link to this instance's neighbours."""
-        members = {
-            name: member
-            for name, member in self.control.members.items()
-            if member.role == "sidecar" and name != self.settings.node_id
-        }
-        peers = [Peer(m.node_id, m.failure_domain) for m in members.values()]
-        self.swarm.set_members([*peers, self.swarm.me])
-        if self.settings.kind != "engine":
-            return
-        chosen = choose_neighbours(self.swarm.me, peers, self.settings.neighbours)
-        for name in set(self.neighbours) - set(chosen):
-            keeper = self.neighbours.pop(name)
-            asyncio.get_running_loop().create_task(keeper.stop())
-        for name in set(chosen) - set(self.neighbours):
-            address = Address.from_text(members[name].address)
-            keeper = LinkKeeper(
-                [address],
-                self.identity,
-                self.handle,
-                self.heartbeat,
-                self.settings,
-                self.neighbour_opened,
-            )
-            self.neighbours[name] = keeper
-            keeper.start()
-
-    async def neighbour_opened(self, link: Link) -> None:
-        """Take a new neighbour in."""
-        link.on_close = self.swarm.drop_link
-        self.link_opened(link)
-
-    def link_opened(self, link: Link) -> None:
-        """Use every sidecar's link for the copy."""
-        link.on_heartbeat = self.control.heard
-        if link.peer.role == "sidecar":
-            self.swarm.add_link(link)
+        self.neighbours.update(self.control.members)
 
     # -- frames ----------------------------------------------------------
 
@@ -297,7 +275,7 @@
         self, message: messages.HaveQuery, link: Link, frame: Frame
     ) -> None:
         """Handle the message `HaveQuery`."""
-        self.swarm.receive_query(link, message, frame)
+        self.swarm.receive_query(link, message)
 
     @receive.register
     async def receive_chunk_query(
@@ -306,22 +284,16 @@
         """Handle the message `ChunkQuery`."""
         await self.swarm.receive_chunk_query(link, message, frame)
 
+    @receive.register
+    async def receive_chunk_cancel(
+        self, message: messages.ChunkCancel, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `ChunkCancel`."""
+        self.swarm.uploader.cancel(link, message)
+
     @receive.register
     async def receive_watch(
         self, message: messages.Watch, link: Link, frame: Frame
     ) -> None:
         """Handle the message `Watch`."""
         link.post(self.control.holder.update(), reply_to=frame.id)
-
-
-def choose_neighbours(me: Peer, peers: list[Peer], count: int) -> list[str]:
-    """Choose neighbours: half of the own failure domain, half of others.
-
-    Own ones keep bytes off the links between failure domains; the others keep
-    the whole fleet connected.
-    """
-    ranked = sorted(peers, key=lambda p: rendezvous(me.node_id, p.node_id))
-    own = [p.node_id for p in ranked if p.failure_domain == me.failure_domain]
-    others = [p.node_id for p in ranked if p.failure_domain != me.failure_domain]
-    far = others[: max(count // 2, count - len(own))]
-    return own[: count - len(far)] + far
--- a/src/wisteriapulley/sidecar/switch.py
+++ b/src/wisteriapulley/sidecar/switch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 
 from wisteriapulley.catalogue import Entry
 from wisteriapulley.control.client import ControlClient
@@ -16,8 +17,41 @@
 log = logging.getLogger(__name__)
 
 POLL_S = 0.25
-DENIED_S = 0.2
 FAILED_S = 2.0
+# 820 sidecars ask for permits at once and each answer is a log record: whoever
+# is denied asks again later and later, and not in step with the others.
+DENIED_FIRST_S = 0.2
+DENIED_MOST_S = 3.0
+# A version that an engine fails to load is tried again ever more seldom: each
+# try takes the target out of service.
+BACKOFF_FIRST_S = 5.0
+BACKOFF_MOST_S = 300.0
+# Control is away: an order that changes nothing needs no permit.
+AWAY = (ResultCode.NO_QUORUM, ResultCode.LINK_CLOSED, ResultCode.LINK_TIMEOUT)
+
+
+class Setback:
+    """A version that this engine failed to load."""
+
+    def __init__(self):
+        self.version = ""
+        self.reason = ""
+        self.delay_s = BACKOFF_FIRST_S
+        self.until_s = 0.0
+
+    def note(self, version: str, reason: str, now_s: float) -> None:
+        """Note a failed load; the same version again doubles the wait."""
+        again = version == self.version
+        self.delay_s = (
+            min(BACKOFF_MOST_S, self.delay_s * 2) if again else BACKOFF_FIRST_S
+        )
+        self.version = version
+        self.reason = reason
+        self.until_s = now_s + self.delay_s
+
+    def holds(self, version: str, now_s: float) -> bool:
+        """Tell whether a version must not be tried yet."""
+        return version == self.version and now_s < self.until_s
 
 
 class Switcher:
@@ -58,10 +92,17 @@
         self.engine = engine
         self.source_url = source_url
         self.on_change = on_change
+        self.changed = asyncio.Event()
+        self.setback = Setback()
+        self.served = ""
+        self.fencing = 0
+        self.denied_s = DENIED_FIRST_S
+        self.rng = random.Random(settings.node_id)
         self.copying: asyncio.Task | None = None
         self.copying_version = ""
         self.ready_version = ""
         self.detail = ""
+        self.copy_fault = ""
 
     @property
     def chart(self):
@@ -84,12 +125,24 @@
                 log.warning("switch: %s", error, extra=fields(code=error.code))
                 delay_s = FAILED_S
             self.on_change()
-            await asyncio.sleep(delay_s)
+            await self.pause(delay_s)
+
+    async def pause(self, delay_s: float) -> None:
+        """Wait, but not longer than until the catalogue changes."""
+        try:
+            async with asyncio.timeout(delay_s):
+                await self.changed.wait()
+        except TimeoutError:
+            pass
+        self.changed.clear()
 
     async def reconcile(self) -> None:
         """Take one step towards the catalogue."""
-        state = await self.observe()
         entry = self.desired()
+        if entry is not None and entry.version:
+            # The copy needs no engine: it goes on while that restarts.
+            self.start_copy(entry)
+        state = await self.observe()
         if entry is None or self.chart.state == "leaving":
             return
         if self.chart.state == "open" and self.gate.version == entry.version:
@@ -98,8 +151,33 @@
         if self.chart.state == "empty" and state.version == entry.version:
             self.open(entry.version, "adopt")
             return
-        if entry.version and self.copied(entry):
-            await self.switch(entry)
+        version = self.next_version(entry, state)
+        if version:
+            await self.switch(entry, version)
+        else:
+            self.detail = self.why_waiting(entry)
+
+    def next_version(self, entry: Entry, state: EngineState) -> str:
+        """Return the version to load now, or an empty text to wait.
+
+        That is the catalogue's once it is whole here. Until then, and after a
+        failed load, an engine that holds nothing gets back the version that it
+        served: the failure of a new one must not take the target away.
+        """
+        now_s = asyncio.get_running_loop().time()
+        ready = self.ready_version == entry.version
+        if ready and not self.setback.holds(entry.version, now_s):
+            return entry.version
+        held = self.served in self.swarm.manifests
+        if self.chart.state == "empty" and self.served and held:
+            return "" if self.setback.holds(self.served, now_s) else self.served
+        return ""
+
+    def why_waiting(self, entry: Entry) -> str:
+        """Say why the target does not have the catalogue's version yet."""
+        if self.setback.version == entry.version:
+            return self.setback.reason
+        return self.swarm.trouble() or self.copy_fault
 
     async def observe(self) -> EngineState:
         """Ask the engine, and close the gate when it is not what we hold."""
@@ -122,50 +200,107 @@
     def open(self, version: str, trigger: str) -> None:
         """Open the gate with a version that the engine reported."""
         self.gate.version = version
+        self.served = version
         self.chart.fire(trigger)
         self.detail = ""
         self.on_change()
 
-    def copied(self, entry: Entry) -> bool:
-        """Tell whether the version is whole here; start its copy if not."""
+    def start_copy(self, entry: Entry) -> None:
+        """Copy the version unless it is whole here or on its way.
+
+        The copy of a version that the catalogue no longer names is cancelled
+        with all its fetches; chunks that the new one shares stay.
+        """
         if self.ready_version == entry.version:
-            return True
-        if self.copying_version != entry.version:
-            if self.copying is not None:
-                self.copying.cancel()
-            self.copying_version = entry.version
-            self.copying = asyncio.get_running_loop().create_task(self.copy(entry))
-        return False
+            return
+        ended = self.copying is None or self.copying.done()
+        if self.copying_version == entry.version and not ended:
+            return
+        if self.copying is not None:
+            self.copying.cancel()
+        self.copying_version = entry.version
+        self.copying = asyncio.get_running_loop().create_task(self.copy(entry))
 
     async def copy(self, entry: Entry) -> None:
         """Copy a version whole and verified."""
-        manifest = await self.swarm.fetch_version(entry.version, entry.distribution)
+        self.swarm.serving = self.gate.version or self.served
+        try:
+            manifest = await self.swarm.fetch_version(entry.version, entry.distribution)
+        except WisteriapulleyError as error:
+            self.copy_fault = str(error)
+            log.error("copy: %s", error, extra=fields(code=error.code))
+            await asyncio.sleep(FAILED_S)
+            return
+        self.copy_fault = ""
         self.ready_version = manifest.digest
+        self.changed.set()
 
-    async def switch(self, entry: Entry) -> None:
+    async def switch(self, entry: Entry, version: str) -> None:
         """Drain, load, verify and open, under a permit."""
         serving = self.chart.state == "open"
-        permit = await self.acquire(entry, serving)
-        if permit.code != ResultCode.OK:
-            await asyncio.sleep(DENIED_S)
+        if not await self.permitted(entry, version, serving):
             return
         try:
-            if serving:
-                self.chart.fire("drain")
-                self.on_change()
-                await self.gate.drained()
-            await self.load(entry, permit.fencing)
+            if serving and not await self.drain(version):
+                return
+            await self.load(version, entry.role)
         finally:
             await self.release()
 
-    async def acquire(self, entry: Entry, serving: bool) -> PermitResult:
+    async def permitted(self, entry: Entry, version: str, serving: bool) -> bool:
+        """Get a permit; tell whether the switch may begin.
+
+        While control is away, an engine that lost its weights may get back the
+        version that it served before: the target serves nothing meanwhile, so
+        none more is out of service, and the catalogue in force here does not
+        change.
+        """
+        try:
+            permit = await self.acquire(entry, version, serving)
+        except WisteriapulleyError as error:
+            if error.code in AWAY and not serving and version == self.served:
+                return True
+            raise
+        if permit.code == ResultCode.OK:
+            self.fencing = permit.fencing
+            self.denied_s = DENIED_FIRST_S
+            return True
+        await asyncio.sleep(self.denied_s * (0.5 + self.rng.random()))
+        self.denied_s = min(DENIED_MOST_S, self.denied_s * 1.5)
+        return False
+
+    async def drain(self, version: str) -> bool:
+        """Close the gate and wait until no request runs.
+
+        Returns
+        -------
+        bool
+            False, with the gate open again, when requests run too long or the
+            catalogue has moved on meanwhile.
+        """
+        self.chart.fire("drain")
+        self.on_change()
+        try:
+            async with asyncio.timeout(self.settings.drain_ms / 1000):
+                await self.gate.drained()
+            entry = self.desired()
+            if entry is not None and entry.version == version:
+                return True
+        except TimeoutError:
+            self.detail = "requests ran longer than drain_ms"
+        if self.chart.can("reopen"):
+            self.chart.fire("reopen")
+            self.on_change()
+        return False
+
+    async def acquire(self, entry: Entry, version: str, serving: bool) -> PermitResult:
         """Ask the leader for a permit."""
         command = AcquirePermit(
             entry.service,
             self.settings.failure_domain,
             self.settings.node_id,
             self.gate.incarnation,
-            entry.version,
+            version,
             serving,
         )
         return await self.control.propose(command)
@@ -177,24 +312,65 @@
         except WisteriapulleyError as error:
             log.warning("permit not released: %s", error)
 
-    async def load(self, entry: Entry, fencing: int) -> None:
-        """Order the load with a fresh lease, then check what the engine says."""
-        lease = await self.control.lease()
-        if lease.remaining_ms <= 0:
-            raise WeightsError(ResultCode.NO_QUORUM, "the lease has ended")
+    async def load(self, version: str, role: str) -> None:
+        """Order the load with a fresh lease, then check what the engine says.
+
+        Raises
+        ------
+        WisteriapulleyError
+            The target is open with the old version when the engine still holds
+            it, else empty.
+        """
+        try:
+            await self.check_lease(version)
+        except WisteriapulleyError:
+            self.reopen_if_drained()
+            raise
         self.chart.fire("load")
         self.on_change()
         try:
-            order = Order(entry.version, self.source_url, fencing, entry.role)
-            await self.engine.load(order)
+            await self.engine.load(Order(version, self.source_url, self.fencing, role))
             state = await self.engine.state()
-            if state.version != entry.version:
+            if state.version != version:
                 raise WeightsError(
                     ResultCode.ENGINE_WRONG_DIGEST,
-                    f"ordered {entry.version}, engine reports {state.version!r}",
+                    f"ordered {version}, engine reports {state.version!r}",
                 )
-        except WeightsError:
+        except WeightsError as error:
+            await self.load_failed(version, error)
+            raise
+        self.open(version, "loaded")
+        if version == self.ready_version:
+            self.swarm.serving = version
+            self.swarm.keep_only({version})
+
+    async def check_lease(self, version: str) -> None:
+        """Make sure that a quorum lives right before an order that changes much."""
+        if version == self.served and self.chart.state == "empty":
+            return
+        lease = await self.control.lease()
+        if lease.remaining_ms <= 0:
+            raise WeightsError(ResultCode.NO_QUORUM, "the lease has ended")
+
+    def reopen_if_drained(self) -> None:
+        """Go on with the old version: the engine has not been ordered."""
+        if self.chart.can("reopen"):
+            self.chart.fire("reopen")
+            self.on_change()
+
+    async def load_failed(self, version: str, error: WeightsError) -> None:
+        """Keep the old version in service if the engine still holds it."""
+        now_s = asyncio.get_running_loop().time()
+        if error.code != ResultCode.ENGINE_FENCED:
+            self.setback.note(version, str(error), now_s)
+        held = ""
+        try:
+            held = (await self.engine.state()).version
+        except WeightsError as fault:
+            log.warning("engine after a failed load: %s", fault)
+        if held and held == self.gate.version:
+            self.chart.fire("kept")
+        else:
             self.chart.fire("fail")
             self.gate.version = ""
-            raise
-        self.open(entry.version, "loaded")
+        self.on_change()
--- a/src/wisteriapulley/sidecar/weights_http.py
+++ b/src/wisteriapulley/sidecar/weights_http.py
@@ -35,19 +35,37 @@
             body=self.find(request).to_bytes(), content_type="application/json"
         )
 
-    async def file(self, request: web.Request) -> web.Response:
-        """Send a range of a file."""
+    async def file(self, request: web.Request) -> web.StreamResponse:
+        """Send a range of a file, chunk by chunk.
+
+        A chunk that is missing ends the answer short of its length, which the
+        engine sees; bytes that are not verified are never sent.
+        """
         manifest = self.find(request)
         path = request.match_info["path"]
         sizes = {file.path: file.size for file in manifest.files}
         if path not in sizes:
             raise WeightsError(ResultCode.SOURCE_UNAVAILABLE, f"{path}: no such file")
-        span = request.http_range
-        start = span.start or 0
-        end = min(span.stop if span.stop is not None else sizes[path], sizes[path])
-        body = self.swarm.store.read(manifest, path, start, end)
-        return web.Response(
-            status=206 if request.headers.get("Range") else 200,
-            body=body,
-            headers={"Content-Range": f"bytes {start}-{end - 1}/{sizes[path]}"},
-        )
+        start, end = byte_range(request, sizes[path])
+        response = web.StreamResponse(status=206 if "Range" in request.headers else 200)
+        response.content_length = end - start
+        if response.status == 206:
+            response.headers["Content-Range"] = f"bytes {start}-{end - 1}/{sizes[path]}"
+        parts = self.swarm.store.iterate(manifest, path, start, end)
+        first = next(parts, b"")
+        await response.prepare(request)
+        await response.write(first)
+        for part in parts:
+            await response.write(part)
+        return response
+
+
+def byte_range(request: web.Request, size: int) -> tuple[int, int]:
+    """Return first byte and end of the range that a request asks for."""
+    try:
+        start, end, _ = request.http_range.indices(size)
+    except ValueError as error:
+        raise web.HTTPRequestRangeNotSatisfiable from error
+    if "Range" in request.headers and start >= end:
+        raise web.HTTPRequestRangeNotSatisfiable
+    return start, end
--- a/src/wisteriapulley/weights/__init__.py
+++ b/src/wisteriapulley/weights/__init__.py
@@ -1,14 +1,19 @@
 """Manifests, chunks and their spreading."""
 
-from wisteriapulley.weights.chunk_store import ChunkStore
+from wisteriapulley.weights.chunk_store import ChunkStore, FolderStore
 from wisteriapulley.weights.manifest import Manifest, build_manifest, verify_folder
 from wisteriapulley.weights.schedule import Fetch, Schedule
+from wisteriapulley.weights.seeders import Peer, Seeders, choose_neighbours
 
 __all__ = [
     "ChunkStore",
     "Fetch",
+    "FolderStore",
     "Manifest",
+    "Peer",
     "Schedule",
+    "Seeders",
     "build_manifest",
+    "choose_neighbours",
     "verify_folder",
 ]
--- a/src/wisteriapulley/weights/chunk_store.py
+++ b/src/wisteriapulley/weights/chunk_store.py
@@ -1,11 +1,19 @@
-"""Verified chunks in memory, bounded."""
+"""Verified chunks, in memory or in a scratch folder; both bounded.
+
+Nothing unverified gets in, and what a scratch folder kept over a restart is
+verified again before it counts.
+"""
+
+import os
+from collections.abc import Iterable, Iterator
+from pathlib import Path
 
 from wisteriapulley.errors import ResultCode, WeightsError
-from wisteriapulley.weights.manifest import Manifest, chunk_digest
+from wisteriapulley.weights.manifest import Manifest, Span, chunk_digest
 
 
 class ChunkStore:
-    """Chunks by digest; nothing unverified gets in.
+    """Chunks by digest, in memory.
 
     Parameters
     ----------
@@ -16,60 +24,159 @@
     def __init__(self, limit_bytes: int = 0):
         self.limit_bytes = limit_bytes
         self.chunks: dict[str, bytes] = {}
+        self.sizes: dict[str, int] = {}
         self.size = 0
 
+    @classmethod
+    def from_settings(cls, scratch_folder: str, limit_bytes: int) -> "ChunkStore":
+        """Make the store that the settings name."""
+        if scratch_folder:
+            return FolderStore(scratch_folder, limit_bytes)
+        return cls(limit_bytes)
+
     def put(self, digest: str, data: bytes) -> None:
         """Keep a chunk if it is what it should be.
 
         Raises
         ------
         WeightsError
-            CHUNK_CORRUPTED, or no room.
+            CHUNK_CORRUPTED, or CHUNK_STORE_FULL.
         """
         if chunk_digest(data) != digest:
             raise WeightsError(
                 ResultCode.CHUNK_CORRUPTED, f"expected {digest}, got other bytes"
             )
-        if digest in self.chunks:
+        if digest in self.sizes:
             return
         if self.limit_bytes and self.size + len(data) > self.limit_bytes:
-            raise WeightsError(
-                ResultCode.DISK_FULL, f"the chunk store holds {self.size} bytes"
-            )
-        self.chunks[digest] = data
+            raise self.full(len(data))
+        self.write(digest, data)
+        self.sizes[digest] = len(data)
         self.size += len(data)
 
+    def full(self, wanted: int) -> WeightsError:
+        """Make the error that says that the store has no room."""
+        return WeightsError(
+            ResultCode.CHUNK_STORE_FULL,
+            f"expected room for {wanted} bytes: {self.size} of {self.limit_bytes}"
+            " are kept; raise chunk_store_bytes",
+            1000,
+        )
+
     def get(self, digest: str) -> bytes | None:
         """Return a chunk, or None."""
         return self.chunks.get(digest)
 
+    def check(self, digest: str) -> bool:
+        """Tell whether a chunk is here and verified."""
+        return digest in self.sizes
+
     def __contains__(self, digest: str) -> bool:
-        return digest in self.chunks
+        return digest in self.sizes
 
-    def keep_only(self, manifests: list[Manifest]) -> None:
+    def write(self, digest: str, data: bytes) -> None:
+        """Keep the bytes of a chunk."""
+        self.chunks[digest] = data
+
+    def erase(self, digest: str) -> None:
+        """Drop the bytes of a chunk."""
+        del self.chunks[digest]
+
+    def drop(self, digest: str) -> None:
+        """Drop a chunk."""
+        self.size -= self.sizes.pop(digest)
+        self.erase(digest)
+
+    def keep_only(self, manifests: Iterable[Manifest]) -> None:
         """Drop chunks that none of `manifests` names."""
         wanted = {span.digest for manifest in manifests for span in manifest.spans}
-        for digest in [d for d in self.chunks if d not in wanted]:
-            self.size -= len(self.chunks.pop(digest))
+        for digest in [d for d in self.sizes if d not in wanted]:
+            self.drop(digest)
 
     def read(self, manifest: Manifest, path: str, start: int, end: int) -> bytes:
-        """Read bytes ``start`` to ``end`` of a file of a complete version.
+        """Read bytes ``start`` to ``end`` of a file.
 
         Raises
         ------
         WeightsError
-            The file is not in the manifest, or a chunk is not here.
+            A chunk is not here.
         """
-        parts = []
-        for span in manifest.spans:
-            if span.path != path or span.offset + span.length <= start:
-                continue
-            if span.offset >= end:
-                break
-            data = self.chunks.get(span.digest)
+        return b"".join(self.iterate(manifest, path, start, end))
+
+    def iterate(
+        self, manifest: Manifest, path: str, start: int, end: int
+    ) -> Iterator[bytes]:
+        """Yield bytes ``start`` to ``end`` of a file, chunk by chunk."""
+        for span in overlapping(manifest, path, start, end):
+            data = self.get(span.digest)
             if data is None:
                 raise WeightsError(
                     ResultCode.SOURCE_UNAVAILABLE, f"chunk {span.index} is not here"
                 )
-            parts.append(data[max(0, start - span.offset) : end - span.offset])
-        return b"".join(parts)
+            yield data[max(0, start - span.offset) : end - span.offset]
+
+
+def overlapping(manifest: Manifest, path: str, start: int, end: int) -> Iterator[Span]:
+    """Yield the chunks of a file that hold some of ``start`` to ``end``."""
+    for span in manifest.spans:
+        if span.path == path and span.offset < end and start < span.end:
+            yield span
+
+
+class FolderStore(ChunkStore):
+    """Chunks as files of a scratch folder, verified on each read.
+
+    Parameters
+    ----------
+    folder : str
+        Made if missing; its files are this store's alone.
+    limit_bytes : int
+        Most bytes kept; 0 for no limit.
+    """
+
+    def __init__(self, folder: str, limit_bytes: int = 0):
+        super().__init__(limit_bytes)
+        self.folder = Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        for path in self.folder.iterdir():
+            self.adopt(path)
+
+    def adopt(self, path: Path) -> None:
+        """Count a file that an earlier run left; drop a half-written one."""
+        if path.suffix:
+            path.unlink()
+            return
+        self.sizes[path.name] = path.stat().st_size
+        self.size += self.sizes[path.name]
+
+    def write(self, digest: str, data: bytes) -> None:
+        """Write a chunk whole: a crash leaves a file that is dropped later."""
+        part = self.folder / f"{digest}.part"
+        try:
+            part.write_bytes(data)
+            os.replace(part, self.folder / digest)
+        except OSError as error:
+            raise WeightsError(
+                ResultCode.CHUNK_STORE_FULL, f"{part}: {error.strerror}", 1000
+            ) from error
+
+    def erase(self, digest: str) -> None:
+        """Remove a chunk's file."""
+        (self.folder / digest).unlink(missing_ok=True)
+
+    def get(self, digest: str) -> bytes | None:
+        """Read and verify a chunk; a damaged one is dropped."""
+        if digest not in self.sizes:
+            return None
+        try:
+            data = (self.folder / digest).read_bytes()
+        except OSError:
+            data = b""
+        if chunk_digest(data) != digest:
+            self.drop(digest)
+            return None
+        return data
+
+    def check(self, digest: str) -> bool:
+        """Tell whether a chunk is here and its bytes still match."""
+        return self.get(digest) is not None
--- /dev/null
+++ b/src/wisteriapulley/weights/copy.py
@@ -0,0 +1,222 @@
+"""One version on its way to this instance."""
+
+import asyncio
+import logging
+import random
+import time
+
+from wisteriapulley.errors import ResultCode, WeightsError, WireError
+from wisteriapulley.errors import WisteriapulleyError as Error
+from wisteriapulley.logs import fields
+from wisteriapulley.statechart import StateChart
+from wisteriapulley.weights.manifest import Manifest, Span
+from wisteriapulley.weights.schedule import ORIGIN, Fetch, Schedule
+from wisteriapulley.wire import Link, messages
+
+log = logging.getLogger(__name__)
+
+# Turns at the origin and deadlines come with time; all else wakes the copy.
+TICK_S = 0.1
+# A chunk of which no part comes for this long is asked elsewhere.
+PART_STALL_S = 10.0
+# How long neighbours may take to say what they hold before the origin is asked:
+# an instance that restarts in a full fleet must not draw on the origin.
+GRACE_S = 1.0
+# Progress of a copy is told to control in so many steps.
+REPORT_STEPS = 20
+
+
+def now_ms() -> float:
+    """Read the monotonic clock in milliseconds."""
+    return time.monotonic() * 1000
+
+
+class Copy:
+    """Fetches the missing chunks of one version.
+
+    Parameters
+    ----------
+    swarm : Swarm
+        Neighbours, sources and the chunk store.
+    manifest : Manifest
+        The version.
+    distribution : str
+        See `Schedule`.
+    """
+
+    def __init__(self, swarm, manifest: Manifest, distribution: str):
+        self.swarm = swarm
+        self.manifest = manifest
+        self.version = manifest.digest
+        self.chart = StateChart("copy")
+        self.schedule = Schedule(
+            swarm.seeders,
+            [span.digest for span in manifest.spans],
+            distribution,
+            swarm.patience_ms,
+            random.Random(swarm.me.node_id + manifest.digest),
+            now_ms(),
+        )
+        self.wake = asyncio.Event()
+        self.flights: dict[Fetch, asyncio.Task] = {}
+        self.begun_s = time.monotonic()
+        self.asked: set[str] = set()
+        self.bytes_done = 0
+        self.fault: WeightsError | None = None
+
+    @property
+    def bytes_shown(self) -> int:
+        """Verified bytes, in steps: 820 instances report each step to control."""
+        step = max(1, self.manifest.size // REPORT_STEPS)
+        whole = self.bytes_done >= self.manifest.size
+        return self.bytes_done if whole else self.bytes_done // step * step
+
+    async def run(self) -> None:
+        """Fetch until every chunk is here and verified."""
+        self.chart.fire("start")
+        try:
+            await self.count_held()
+            self.chart.fire("fetch")
+            self.greet()
+            while not self.schedule.complete:
+                self.launch()
+                await self.wait()
+            self.chart.fire("complete")
+        finally:
+            self.close()
+        self.swarm.tell(force=True)
+        log.info("copy complete", extra=fields(**self.summary()))
+
+    def close(self) -> None:
+        """Stop every fetch; the chunks that are here stay."""
+        for task in tuple(self.flights.values()):
+            task.cancel()
+        if not self.schedule.complete:
+            self.chart.fire("supersede")
+
+    def summary(self) -> dict[str, object]:
+        """Return what the log says of a complete copy."""
+        return {
+            "version": self.version,
+            "seconds": round(time.monotonic() - self.begun_s, 3),
+            "finished_at": time.time(),
+        }
+
+    async def count_held(self) -> None:
+        """Count chunks that are here already, verified."""
+        for span in self.manifest.spans:
+            if self.swarm.store.check(span.digest):
+                self.land(span)
+                # Reading a scratch folder takes its time: let requests pass.
+                await asyncio.sleep(0)
+
+    def land(self, span: Span) -> None:
+        """Count one verified chunk and its equals; cancel other fetches."""
+        self.bytes_done += span.length
+        for fetch in self.schedule.done(span.index, now_ms()):
+            self.stop(fetch)
+
+    def stop(self, fetch: Fetch) -> None:
+        """Cancel a fetch."""
+        task = self.flights.pop(fetch, None)
+        if task is not None:
+            task.cancel()
+
+    def greet(self) -> None:
+        """Tell the neighbours what is here and ask what they hold."""
+        for link in self.swarm.open_links():
+            link.post(self.swarm.have(self.version))
+            self.ask(link)
+
+    def ask(self, link: Link) -> None:
+        """Ask a neighbour what it holds."""
+        self.asked.add(link.peer_id)
+        link.post(messages.HaveQuery(self.version))
+
+    async def wait(self) -> None:
+        """Wait until something happens, or a tick."""
+        try:
+            async with asyncio.timeout(TICK_S):
+                await self.wake.wait()
+        except TimeoutError:
+            pass
+        self.wake.clear()
+
+    def launch(self) -> None:
+        """Start what the schedule says, and replace what is late."""
+        now = now_ms()
+        for fetch in self.schedule.expired(now):
+            log.info("chunk %s from %s is late", fetch.index, fetch.source)
+            self.stop(fetch)
+            self.schedule.failed(fetch, now)
+        for fetch in self.schedule.next_fetches(now, self.may_ask_sources()):
+            task = asyncio.get_running_loop().create_task(self.fetch(fetch))
+            self.flights[fetch] = task
+
+    def may_ask_sources(self) -> bool:
+        """Tell whether the neighbours have said what they hold."""
+        late = time.monotonic() - self.begun_s > GRACE_S
+        expected = self.swarm.expected_links()
+        answered = self.asked <= self.schedule.held.keys() | self.swarm.gone
+        return late or (answered and len(self.asked) >= expected)
+
+    async def fetch(self, fetch: Fetch) -> None:
+        """Fetch one chunk and keep it when it is verified."""
+        span = self.manifest.spans[fetch.index]
+        try:
+            if fetch.source == ORIGIN:
+                data = await self.swarm.from_source(self.version, span)
+            else:
+                data = await self.from_peer(fetch.source, span)
+            self.swarm.store.put(span.digest, data)
+        except Error as error:
+            self.failed(fetch, error)
+        else:
+            self.arrived(fetch, span)
+        finally:
+            self.flights.pop(fetch, None)
+            self.wake.set()
+
+    def arrived(self, fetch: Fetch, span: Span) -> None:
+        """Note a verified chunk."""
+        if fetch.index in self.schedule.missing:
+            self.bytes_done += span.length
+            for other in self.schedule.arrived(fetch, now_ms()):
+                self.stop(other)
+            self.fault = None
+            self.swarm.added(self.version, fetch.index)
+
+    def failed(self, fetch: Fetch, error: Error) -> None:
+        """Note a failed fetch."""
+        log.debug("chunk %s from %s: %s", fetch.index, fetch.source, error)
+        corrupted = error.code == ResultCode.CHUNK_CORRUPTED
+        if corrupted:
+            self.swarm.count_corrupted(fetch.source)
+        if fetch.source == ORIGIN or error.code == ResultCode.CHUNK_STORE_FULL:
+            self.fault = error
+        if fetch.source != ORIGIN and error.code == ResultCode.SOURCE_UNAVAILABLE:
+            self.schedule.refused(fetch, now_ms())
+        else:
+            self.schedule.failed(fetch, now_ms(), corrupted, error.retry_after_ms)
+
+    async def from_peer(self, node_id: str, span: Span) -> bytes:
+        """Fetch a chunk from a neighbour, part by part.
+
+        Raises
+        ------
+        WireError
+            The link closed, stalled, or sent parts that don't fit.
+        """
+        link = self.swarm.link(node_id)
+        if link is None:
+            raise WireError(ResultCode.LINK_CLOSED, node_id)
+        call = link.call(messages.ChunkQuery(span.digest, self.version, span.index))
+        whole = False
+        try:
+            data = await self.swarm.receive_parts(call, span.length, PART_STALL_S)
+            whole = True
+        finally:
+            call.close()
+            if not whole and not link.closed.is_set():
+                link.post(messages.ChunkCancel(call.id))
+        return data
--- a/src/wisteriapulley/weights/manifest.py
+++ b/src/wisteriapulley/weights/manifest.py
@@ -35,6 +35,11 @@
     offset: int
     length: int
 
+    @property
+    def end(self) -> int:
+        """Offset behind its last byte."""
+        return self.offset + self.length
+
 
 class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True, dict=True):
     """Files and chunks of one version.
--- a/src/wisteriapulley/weights/pace.py
+++ b/src/wisteriapulley/weights/pace.py
@@ -61,9 +61,7 @@
         Returns the bytes of live requests so far, up and down.
     """
 
-    def __init__(
-        self, bytes_per_s: float, live_bytes: Callable[[], int] = lambda: 0
-    ):
+    def __init__(self, bytes_per_s: float, live_bytes: Callable[[], int] = lambda: 0):
         self.pace = Pace(bytes_per_s)
         self.live_bytes = live_bytes
         self.live_seen = 0
--- a/src/wisteriapulley/weights/schedule.py
+++ b/src/wisteriapulley/weights/schedule.py
@@ -10,12 +10,15 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from blake3 import blake3
+
+from wisteriapulley.weights.random_set import RandomSet
 from wisteriapulley.weights.seeders import Peer, Seeders
 
 ORIGIN = "<origin>"
-# Fewer leaves the link idle between chunks; more only lengthens the queues at
-# the senders and makes rarest first choose on old news.
-LEAST_IN_FLIGHT = 4
+# Rate x round trip is less than one chunk here; what a fetch waits for is the
+# sender's queue. With fewer in flight senders run dry in mid-burst (docs/design/
+# burst.md has the figures); more only makes rarest first choose on old news.
 MOST_IN_FLIGHT = 24
 # A slow neighbour must not hold more than this of our pipeline.
 MAX_PER_PEER = 2
@@ -45,30 +48,9 @@
     source: str
 
 
-class RandomSet:
-    """Set of chunk indexes with a random pick in constant time."""
-
-    def __init__(self):
-        self.items: list[int] = []
-        self.places: dict[int, int] = {}
-
-    def __len__(self) -> int:
-        return len(self.items)
-
-    def add(self, item: int) -> None:
-        """Add an item that is not in it."""
-        self.places[item] = len(self.items)
-        self.items.append(item)
-
-    def discard(self, item: int) -> None:
-        """Remove an item if it is in it."""
-        place = self.places.pop(item, None)
-        if place is None:
-            return
-        last = self.items.pop()
-        if last != item:
-            self.items[place] = last
-            self.places[last] = place
+def rendezvous(digest: str, node_id: str) -> bytes:
+    """Weigh a member for a name; the highest ranks first."""
+    return blake3(f"{digest}/{node_id}".encode()).digest()
 
 
 class Schedule:
@@ -120,9 +102,6 @@
         self.shunned: set[str] = set()
         self.origin_wait_ms = 0.0
         self.latency_ms = 0.0
-        self.least_latency_ms = 0.0
-        self.last_done_ms = now_ms
-        self.gap_ms = 0.0
         self.turns: list[tuple[int, int]] = []
         self.extras: list[int] = []
         self.set_members(seeders.members.values())
@@ -251,20 +230,14 @@
         """Note a chunk that a fetch brought; return fetches to cancel."""
         begun_ms = self.land(fetch)
         if begun_ms is not None:
-            self.measure(now_ms - begun_ms, now_ms)
+            self.measure(now_ms - begun_ms)
         return self.done(fetch.index, now_ms)
 
-    def measure(self, latency_ms: float, now_ms: float) -> None:
-        """Learn the usual and the least latency, and the gap between chunks."""
+    def measure(self, latency_ms: float) -> None:
+        """Learn the usual latency of a chunk."""
         if not self.latency_ms:
-            self.latency_ms = self.least_latency_ms = latency_ms
+            self.latency_ms = latency_ms
         self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
-        # The least latency drifts up, so that an early one is forgotten.
-        drifted_ms = self.least_latency_ms * 1.02
-        self.least_latency_ms = min(latency_ms, drifted_ms)
-        gap_ms = now_ms - self.last_done_ms
-        self.gap_ms += LATENCY_WEIGHT * (gap_ms - self.gap_ms)
-        self.last_done_ms = now_ms
 
     def failed(
         self,
@@ -306,14 +279,6 @@
 
     # -- what to fetch next ------------------------------------------------
 
-    @property
-    def window(self) -> int:
-        """Chunks in flight: twice rate x round trip, within limits."""
-        if not self.gap_ms:
-            return LEAST_IN_FLIGHT
-        wanted = 2 * self.least_latency_ms / self.gap_ms
-        return int(min(MOST_IN_FLIGHT, max(LEAST_IN_FLIGHT, wanted)))
-
     def next_fetches(self, now_ms: float, origin: bool = True) -> list[Fetch]:
         """Return fetches to start now.
 
@@ -337,13 +302,13 @@
         flying = sum(self.busy.values()) - self.busy.get(ORIGIN, 0)
         for bucket in self.buckets[1:]:
             refused = 0
-            while len(bucket) > refused and flying < self.window and tries:
+            while len(bucket) > refused and flying < MOST_IN_FLIGHT and tries:
                 tries -= 1
                 # Refused ones are moved to the front, out of the draw.
                 index = bucket.items[self.rng.randrange(refused, len(bucket))]
                 source = self.holder(index, now_ms)
                 if source is None:
-                    move(bucket, index, refused)
+                    bucket.move(index, refused)
                     refused += 1
                     continue
                 fetches.append(self.launch(Fetch(index, source), now_ms))
@@ -423,7 +388,7 @@
     def end_game(self, fetches: list[Fetch], now_ms: float) -> None:
         """Ask a second source for chunks that are late, when nothing waits."""
         late_ms = 2 * self.latency_ms
-        room = self.window - len(fetches)
+        room = MOST_IN_FLIGHT - len(fetches)
         for index, sources in tuple(self.in_flight.items()):
             if room <= 0:
                 return
@@ -433,11 +398,3 @@
                 if source is not None:
                     fetches.append(self.launch(Fetch(index, source), now_ms))
                     room -= 1
-
-
-def move(bucket: RandomSet, item: int, place: int) -> None:
-    """Swap an item of a bucket to a place."""
-    here = bucket.places[item]
-    other = bucket.items[place]
-    bucket.items[here], bucket.items[place] = other, item
-    bucket.places[other], bucket.places[item] = here, place
--- a/src/wisteriapulley/weights/seeders.py
+++ b/src/wisteriapulley/weights/seeders.py
@@ -7,8 +7,8 @@
 """
 
 import zlib
-from bisect import bisect_right
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import NamedTuple
 
 SLOTS = 512
@@ -48,6 +48,12 @@
     return mix(seed ^ mix(slot))
 
 
+def weights_of(node_id: str) -> tuple[int, ...]:
+    """Weigh a member for every slot."""
+    seed = seed_of(node_id)
+    return tuple(weight(slot, seed) for slot in range(SLOTS))
+
+
 class Seeders:
     """Ranks of one member among all, and among its failure domain.
 
@@ -59,11 +65,11 @@
 
     def __init__(self, me: Peer):
         self.me = me
-        self.seed = seed_of(me.node_id)
-        self.mine = [weight(slot, self.seed) for slot in range(SLOTS)]
+        self.mine = weights_of(me.node_id)
         self.overall = [0] * SLOTS
         self.in_domain = [0] * SLOTS
         self.members: dict[str, Peer] = {}
+        self.leading: list[bool] = [True] * SLOTS
 
     def set_members(self, members: Iterable[Peer]) -> None:
         """Rank this instance among `members`."""
@@ -73,13 +79,16 @@
         for node_id in wanted.keys() - self.members.keys():
             self.members[node_id] = wanted[node_id]
             self.count(wanted[node_id], 1)
+        domains = {peer.failure_domain for peer in self.members.values()}
+        domains.add(self.me.failure_domain)
+        self.leading = leading_slots(self.me.failure_domain, tuple(sorted(domains)))
 
     def count(self, peer: Peer, step: int) -> None:
         """Count a member in or out."""
-        seed = seed_of(peer.node_id)
         near = peer.failure_domain == self.me.failure_domain
+        theirs = weights_of(peer.node_id)
         for slot, mine in enumerate(self.mine):
-            if weight(slot, seed) > mine:
+            if theirs[slot] > mine:
                 self.overall[slot] += step
                 if near:
                     self.in_domain[slot] += step
@@ -94,12 +103,19 @@
         With the first seeder of all, at most `MOST_COPIES` are drawn.
         """
         slot = slot_of(digest)
-        if self.in_domain[slot] or not self.overall[slot]:
-            return False
-        domains = {peer.failure_domain for peer in self.members.values()}
-        domains.add(self.me.failure_domain)
-        ranked = sorted(domains, key=lambda d: weight(slot, seed_of("/" + d)))
-        return self.me.failure_domain in ranked[: MOST_COPIES - 1]
+        mine = not self.in_domain[slot] and self.overall[slot] > 0
+        return mine and self.leading[slot]
+
+
+@lru_cache(maxsize=8)
+def leading_slots(domain: str, domains: tuple[str, ...]) -> list[bool]:
+    """Tell for each slot whether a failure domain draws copies of its own."""
+    seeds = {name: seed_of("/" + name) for name in domains}
+    return [
+        sorted(domains, key=lambda d, s=slot: weight(s, seeds[d])).index(domain)
+        < MOST_COPIES - 1
+        for slot in range(SLOTS)
+    ]
 
 
 def choose_neighbours(me: Peer, peers: Iterable[Peer], count: int) -> list[str]:
@@ -125,6 +141,9 @@
 
 def successor(me: Peer, pool: list[Peer], ring: int) -> str:
     """Return the member after `me` on a ring."""
-    places = sorted((weight(ring, seed_of(p.node_id)), p.node_id) for p in pool)
-    mine = (weight(ring, seed_of(me.node_id)), me.node_id)
-    return places[bisect_right(places, mine) % len(places)][1]
+
+    def place(peer: Peer) -> tuple[int, str]:
+        return weight(ring, seed_of(peer.node_id)), peer.node_id
+
+    after = [peer for peer in pool if place(peer) > place(me)]
+    return min(after or pool, key=place).node_id
--- a/src/wisteriapulley/weights/source.py
+++ b/src/wisteriapulley/weights/source.py
@@ -1,14 +1,24 @@
 """Origin and weight store: bytes by HTTP range."""
 
-import asyncio
+import time
 
 import aiohttp
 
 from wisteriapulley.errors import ResultCode, WeightsError
 from wisteriapulley.weights.manifest import Manifest, Span, chunk_digest
+from wisteriapulley.weights.pace import LinkBudget
 
-TIMEOUT_S = 60.0
+# A source that sends nothing for this long has stalled.
+STALL_S = 10.0
 PARTIAL_CONTENT = 206
+LIMITED = (429, 503)
+RETRY_AFTER_MS = 1000
+# Longest that a source may put us off: it may have come back long before.
+MOST_RETRY_AFTER_S = 60
+# Bytes that mismatch once were damaged on the way, twice at the source.
+CHANGED_AFTER = 2
+# A changed source stays changed until an operator acts: don't draw on its link.
+CHANGED_RETRY_MS = 30_000
 
 
 class HttpSource:
@@ -23,12 +33,32 @@
         Shared client.
     base_url : str
         Where the source answers.
+    budget : LinkBudget
+        This instance's link.
+    share : LinkBudget
+        What this instance may take of the source's link.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, base_url: str):
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        budget: LinkBudget,
+        share: LinkBudget,
+    ):
         self.session = session
         self.base_url = base_url.rstrip("/")
+        self.budget = budget
+        self.share = share
         self.bytes_received = 0
+        self.wait_until_s = 0.0
+        self.mismatches: dict[tuple[str, int], int] = {}
+        self.timeout = aiohttp.ClientTimeout(sock_connect=STALL_S, sock_read=STALL_S)
+
+    @property
+    def resting(self) -> bool:
+        """Whether it told us to come back later."""
+        return time.monotonic() < self.wait_until_s
 
     async def manifest(self, version: str) -> Manifest:
         """Fetch and check a manifest.
@@ -47,35 +77,58 @@
         Raises
         ------
         WeightsError
-            SOURCE_UNAVAILABLE, or SOURCE_CHANGED when it holds other bytes.
+            SOURCE_UNAVAILABLE; CHUNK_CORRUPTED when other bytes came once, and
+            SOURCE_CHANGED when they came again.
         """
         url = f"{self.base_url}/{version}/files/{span.path}"
-        last = span.offset + span.length - 1
-        headers = {"Range": f"bytes={span.offset}-{last}"}
+        headers = {"Range": f"bytes={span.offset}-{span.end - 1}"}
         data = await self.get(url, headers, PARTIAL_CONTENT)
-        if chunk_digest(data) != span.digest:
-            raise WeightsError(
-                ResultCode.SOURCE_CHANGED,
-                f"{url}: bytes at {span.offset} are not the manifest's",
-            )
-        return data
+        if chunk_digest(data) == span.digest:
+            self.mismatches.pop((version, span.index), None)
+            return data
+        count = self.mismatches.get((version, span.index), 0) + 1
+        self.mismatches[version, span.index] = count
+        changed = count >= CHANGED_AFTER
+        raise WeightsError(
+            ResultCode.SOURCE_CHANGED if changed else ResultCode.CHUNK_CORRUPTED,
+            f"{url}: bytes at {span.offset} are not the manifest's",
+            CHANGED_RETRY_MS if changed else 0,
+        )
 
     async def get(self, url: str, headers: dict[str, str], status: int) -> bytes:
         """Fetch a body."""
         try:
-            async with asyncio.timeout(TIMEOUT_S):
-                async with self.session.get(url, headers=headers) as response:
-                    body = await response.read()
+            async with self.session.get(
+                url, headers=headers, timeout=self.timeout
+            ) as response:
+                if response.status != status:
+                    raise self.refused(url, status, response)
+                return await self.read(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise WeightsError(
-                ResultCode.SOURCE_UNAVAILABLE, f"{url}: {error!r}", 1000
+                ResultCode.SOURCE_UNAVAILABLE, f"{url}: {error!r}", RETRY_AFTER_MS
             ) from error
-        self.bytes_received += len(body)
-        if response.status != status:
-            wait_s = response.headers.get("Retry-After", "1")
-            raise WeightsError(
-                ResultCode.SOURCE_UNAVAILABLE,
-                f"{url}: expected {status}, got {response.status}",
-                int(float(wait_s) * 1000) if wait_s.isdigit() else 1000,
-            )
-        return body
+
+    async def read(self, response: aiohttp.ClientResponse) -> bytes:
+        """Read a body no faster than the link and our share allow."""
+        parts = []
+        async for part in response.content.iter_chunked(self.budget.part_bytes):
+            self.bytes_received += len(part)
+            await self.share.take(len(part))
+            await self.budget.take(len(part))
+            parts.append(part)
+        return b"".join(parts)
+
+    def refused(
+        self, url: str, status: int, response: aiohttp.ClientResponse
+    ) -> WeightsError:
+        """Make the error of a refusal, and rest when the source asks for it."""
+        text = response.headers.get("Retry-After", "")
+        wait_s = min(int(text), MOST_RETRY_AFTER_S) if text.isdigit() else 1
+        if response.status in LIMITED:
+            self.wait_until_s = time.monotonic() + wait_s
+        return WeightsError(
+            ResultCode.SOURCE_UNAVAILABLE,
+            f"{url}: expected {status}, got {response.status}",
+            wait_s * 1000,
+        )
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -40,6 +40,7 @@
     leaseQuery @33 :LeaseQuery;
     lease @34 :Lease;
     timeoutNow @35 :TimeoutNow;
+    chunkCancel @36 :ChunkCancel;
   }
 }
 
@@ -151,9 +152,10 @@
 struct Lease { term @0 :UInt64; leader @1 :Text; remainingMs @2 :UInt32; index @3 :UInt64; }
 
 struct HaveQuery { version @0 :Text; }
-struct Have { version @0 :Text; bitmap @1 :Data; complete @2 :Bool; chunks @3 :UInt32; }
+struct Have { version @0 :Text; bitmap @1 :Data; complete @2 :Bool; chunks @3 :UInt32; added @4 :List(UInt32); }
 struct ChunkQuery { digest @0 :Text; version @1 :Text; index @2 :UInt32; }
-struct Chunk { digest @0 :Text; }
+struct Chunk { digest @0 :Text; offset @1 :UInt64; total @2 :UInt64; }
+struct ChunkCancel { query @0 :UInt64; }
 
 struct LogRecord { term @0 :UInt64; index @1 :UInt64; kind @2 :UInt8; data @3 :Data; }
 struct VoteRequest {
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -216,12 +216,17 @@
 
 
 class Have(NamedTuple):
-    """Bitmap of verified chunks, one bit each, lowest first."""
+    """Bitmap of verified chunks, one bit each, lowest first.
+
+    With `added`, only these are new and the bitmap is empty. A node that has no
+    manifest of the version yet says 0 `chunks`.
+    """
 
     version: str = ""
     bitmap: bytes = b""
     complete: bool = False
     chunks: int = 0
+    added: tuple[int, ...] = ()
 
 
 class ChunkQuery(NamedTuple):
@@ -233,9 +238,17 @@
 
 
 class Chunk(NamedTuple):
-    """A chunk; its bytes are the frame's body."""
+    """Part of a chunk; its bytes are the frame's body."""
 
     digest: str = ""
+    offset: int = 0
+    total: int = 0
+
+
+class ChunkCancel(NamedTuple):
+    """Stop answering the `ChunkQuery` of frame `query`."""
+
+    query: int = 0
 
 
 class LogRecord(NamedTuple):
