--- /dev/null
+++ b/bench/burst.py
@@ -0,0 +1,332 @@
+"""Burst over real processes on loopback, with the brief's link rates.
+
+In one window W the origin's link carries four copies and each instance's two,
+up and down together. The sidecars' own link budget is the limiter of both; the
+baselines run under the same one.
+"""
+
+import argparse
+import asyncio
+import json
+import math
+import random
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+from tests.fleet import Fleet
+
+from bench.virtual_burst import bound
+
+SIZE_BYTES = 8 << 20
+CHUNKS = 128
+WINDOW_S = 10.0
+LINK = 2 * SIZE_BYTES / WINDOW_S
+ORIGIN = 4 * SIZE_BYTES / WINDOW_S
+DOMAINS = ("palermo", "catania", "agrigento")
+POLICIES = ("origin_bytes", "time_to_replicas")
+OWNER = "aste-riunite-trinacria"
+SERVICE = "report-writing"
+COPY_LIMIT_S = 8 * WINDOW_S
+KILLED_SHARE = 0.05
+CORRUPT_EVERY = 100
+LIVE_WORKERS = 8
+LIVE_BEFORE_S = 8.0
+# A worker's pause between answers: a third of the slots is busy, as on a day
+# without trouble, so that queueing does not hide the burst's own cost.
+LIVE_PAUSE_S = 0.05
+
+
+class Burst:
+    """One fleet with bursts of versions."""
+
+    def __init__(self, nodes: int, folder: Path, corrupt_every: int = 0):
+        self.nodes = nodes
+        self.fleet = Fleet(folder)
+        self.corrupt_every = corrupt_every
+        self.seed = 0
+        self.names = [f"node-{number}" for number in range(nodes)]
+
+    async def start(self, entry: bool = False) -> None:
+        """Start control, the origin and every target."""
+        fleet = self.fleet
+        fleet.start_origin(ORIGIN, self.corrupt_every)
+        fleet.start_control(list(DOMAINS))
+        for number, name in enumerate(self.names):
+            fleet.start_target(
+                name,
+                DOMAINS[number % 3],
+                SERVICE,
+                link_bytes_per_s=int(LINK),
+                drain_ms=30_000,
+            )
+        if entry:
+            fleet.start_entry("entry-0", DOMAINS[0])
+        await fleet.wait_ready(["control-1", "control-2", "control-3"])
+        # Links between neighbours settle before the clock starts.
+        await asyncio.sleep(2 + self.nodes / 10)
+
+    def apply(self, distribution: str) -> tuple[str, float]:
+        """Publish a version and name it in the catalogue; return when."""
+        self.seed += 1
+        chunk = SIZE_BYTES // CHUNKS
+        version = self.fleet.publish(self.seed, SIZE_BYTES, chunk)
+        folder = self.fleet.folder / "catalogue"
+        folder.mkdir(exist_ok=True)
+        entry = {
+            "name": "condition-reports",
+            "owner": OWNER,
+            "class": "c",
+            "service": SERVICE,
+            "version": version,
+            "distribution": distribution,
+            "max_unavailable": max(1, self.nodes // 12),
+        }
+        (folder / "reports.json").write_text(json.dumps(entry))
+        begun_s = time.time()
+        self.fleet.apply(folder, OWNER)
+        return version, begun_s
+
+    def finished(self, version: str) -> dict[str, float]:
+        """Return when each instance held the version whole."""
+        times = {}
+        for name in self.names:
+            text = self.fleet.nodes[name].process.log.read_text()
+            for line in text.splitlines():
+                if "copy complete" in line and version in line:
+                    times[name] = json.loads(line)["finished_at"]
+        return times
+
+    async def wait_copied(self, version: str, names: set[str], begun_s: float) -> float:
+        """Wait until all `names` hold the version; return the seconds."""
+        while True:
+            times = self.finished(version)
+            if names <= times.keys():
+                return max(times[name] for name in names) - begun_s
+            if time.time() - begun_s > COPY_LIMIT_S:
+                missing = sorted(names - times.keys())
+                raise RuntimeError(f"not copied: {missing[:5]} of {len(missing)}")
+            await asyncio.sleep(0.2)
+
+    async def wait_loaded(self, version: str, names: set[str]) -> None:
+        """Wait until the engines of `names` have loaded the version."""
+        deadline = time.time() + COPY_LIMIT_S
+        while time.time() < deadline:
+            loaded = {
+                record["engine"]
+                for record in self.fleet.records("target-")
+                if record["event"] == "loaded" and record["version"] == version
+            }
+            if names <= loaded:
+                return
+            await asyncio.sleep(0.2)
+        raise RuntimeError(f"{len(names - loaded)} engines have not loaded {version}")
+
+    def origin_copies(self, version: str) -> float:
+        """Return the bytes that the origin sent of a version, in copies."""
+        sent = sum(
+            record["bytes"]
+            for record in self.fleet.records("origin")
+            if record["event"] == "sent" and version in record["path"]
+        )
+        return sent / SIZE_BYTES
+
+    async def measure(self, distribution: str, killed: int = 0) -> dict[str, object]:
+        """Run one burst."""
+        version, begun_s = self.apply(distribution)
+        names = set(self.names)
+        if killed:
+            await asyncio.sleep(WINDOW_S / 3)
+            for name in random.Random(1).sample(self.names, killed):
+                self.fleet.nodes[name].process.kill()
+                names.discard(name)
+                self.names.remove(name)
+        seconds = await self.wait_copied(version, names, begun_s)
+        await self.wait_loaded(version, names)
+        least_s = bound(self.nodes, distribution) * WINDOW_S
+        return {
+            "nodes": self.nodes,
+            "policy": distribution,
+            "killed": killed,
+            "corrupt_every": self.corrupt_every,
+            "seconds": round(seconds, 2),
+            "bound_seconds": round(least_s, 2),
+            "ratio_to_bound": round(seconds / least_s, 3),
+            "origin_copies": round(self.origin_copies(version), 3),
+            "all_serving_seconds": round(time.time() - begun_s, 1),
+        }
+
+
+def start_baselines(nodes: int) -> subprocess.Popen:
+    """Start the baselines beside a burst."""
+    options = {
+        "nodes": nodes,
+        "size": SIZE_BYTES,
+        "chunk": SIZE_BYTES // CHUNKS,
+        "link": LINK,
+        "origin": ORIGIN,
+    }
+    command = [sys.executable, "-m", "bench.baselines"]
+    command += [
+        text for key, value in options.items() for text in (f"--{key}", f"{value}")
+    ]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+
+async def run_size(nodes: int, baselines: bool) -> list[dict[str, object]]:
+    """Measure both policies, and the baselines in the same run."""
+    folder = Path(tempfile.mkdtemp(prefix="burst-"))
+    burst = Burst(nodes, folder)
+    process = None
+    try:
+        await burst.start()
+        process = start_baselines(nodes) if baselines else None
+        results = [await burst.measure(policy) for policy in POLICIES]
+    finally:
+        burst.fleet.stop()
+        shutil.rmtree(folder, ignore_errors=True)
+    if process is not None:
+        others = json.loads(process.communicate()[0])
+        for result in results:
+            result |= others
+            for name in ("naive", "tree"):
+                speedup = others[f"{name}_seconds"] / result["seconds"]
+                result[f"speedup_over_{name}"] = round(speedup, 2)
+    return results
+
+
+async def run_faults(nodes: int) -> list[dict[str, object]]:
+    """Measure both policies with instances killed and chunks corrupted."""
+    results = []
+    for policy in POLICIES:
+        folder = Path(tempfile.mkdtemp(prefix="burst-"))
+        burst = Burst(nodes, folder, CORRUPT_EVERY)
+        try:
+            await burst.start()
+            killed = math.ceil(nodes * KILLED_SHARE)
+            results.append(await burst.measure(policy, killed))
+        finally:
+            burst.fleet.stop()
+            shutil.rmtree(folder, ignore_errors=True)
+    return results
+
+
+class LiveLoad:
+    """Callers that send requests all the while."""
+
+    def __init__(self, url: str):
+        self.url = url
+        self.latencies: list[tuple[float, float]] = []
+        self.failures = 0
+
+    async def work(self, session: aiohttp.ClientSession, number: int) -> None:
+        """Send one request after the other."""
+        while True:
+            begun_s = time.time()
+            body = {"model": "condition-reports", "prompt": f"p{number}"}
+            headers = {"X-Client-Account": f"dealer-{number}"}
+            async with session.post(self.url, json=body, headers=headers) as answer:
+                await answer.read()
+                self.failures += answer.status != 200
+            self.latencies.append((begun_s, time.time() - begun_s))
+            await asyncio.sleep(LIVE_PAUSE_S)
+
+    def p95(self, start_s: float, end_s: float) -> float:
+        """Return the 95th percentile of a span, in seconds."""
+        chosen = sorted(t for at, t in self.latencies if start_s <= at < end_s)
+        return chosen[int(len(chosen) * 0.95)]
+
+
+async def run_live(nodes: int) -> list[dict[str, object]]:
+    """Measure live requests before, during the copy and during the switch."""
+    folder = Path(tempfile.mkdtemp(prefix="burst-"))
+    burst = Burst(nodes, folder)
+    try:
+        await burst.start(entry=True)
+        names = set(burst.names)
+        version, begun_s = burst.apply(POLICIES[1])
+        await burst.wait_copied(version, names, begun_s)
+        await burst.wait_loaded(version, names)
+        await asyncio.sleep(2)
+        return [await live_burst(burst, policy) for policy in POLICIES]
+    finally:
+        burst.fleet.stop()
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+async def live_burst(burst: Burst, policy: str) -> dict[str, object]:
+    """Run one burst under live requests."""
+    load = LiveLoad(burst.fleet.nodes["entry-0"].http + "/v1/completions")
+    async with aiohttp.ClientSession() as session:
+        tasks = [
+            asyncio.create_task(load.work(session, number))
+            for number in range(LIVE_WORKERS)
+        ]
+        start_s = time.time()
+        await asyncio.sleep(LIVE_BEFORE_S)
+        # Applying blocks this loop for the command's run: it is left out.
+        before_s = time.time()
+        version, begun_s = await asyncio.to_thread(burst.apply, policy)
+        names = set(burst.names)
+        seconds = await burst.wait_copied(version, names, begun_s)
+        copied_s = begun_s + seconds
+        await burst.wait_loaded(version, names)
+        end_s = time.time()
+        for task in tasks:
+            task.cancel()
+        failed = [t for t in await asyncio.gather(*tasks, return_exceptions=True)]
+    first = min(burst.finished(version).values())
+    before = load.p95(start_s, before_s)
+    during = load.p95(begun_s, first)
+    return {
+        "live": policy,
+        "nodes": burst.nodes,
+        "requests": len(load.latencies),
+        "failures": load.failures
+        + sum(isinstance(f, aiohttp.ClientError) for f in failed),
+        "p95_before_ms": round(before * 1000, 2),
+        "p95_copy_ms": round(during * 1000, 2),
+        "p95_ratio": round(during / before, 3),
+        "p95_switch_ms": round(load.p95(first, end_s) * 1000, 2),
+        "copy_seconds": round(copied_s - begun_s, 2),
+    }
+
+
+async def run(args: argparse.Namespace) -> dict[str, object]:
+    """Run the parts that are asked for."""
+    output: dict[str, object] = {
+        "window_seconds": WINDOW_S,
+        "size_bytes": SIZE_BYTES,
+        "chunks": CHUNKS,
+        "bursts": [],
+    }
+    for nodes in args.nodes:
+        output["bursts"] += await run_size(nodes, not args.no_baselines)
+    if args.faults:
+        output["faults"] = await run_faults(args.faults)
+    if args.live:
+        output["live"] = await run_live(args.live)
+    return output
+
+
+def main() -> int:
+    """Run the bench; without options, the whole of it."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--nodes", type=int, nargs="*")
+    parser.add_argument("--faults", type=int, default=0)
+    parser.add_argument("--live", type=int, default=0)
+    parser.add_argument("--no-baselines", action="store_true")
+    args = parser.parse_args()
+    if args.nodes is None and not (args.faults or args.live):
+        args.nodes, args.faults, args.live = [8, 16, 32, 64], 64, 16
+    args.nodes = args.nodes or []
+    print(json.dumps(asyncio.run(run(args))))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/wisteriapulley/sidecar/engine.py
+++ b/src/wisteriapulley/sidecar/engine.py
@@ -13,6 +13,10 @@
 
 ORDER_S = 600.0
 STATE_S = 2.0
+# How often an engine is asked while an order is out, and how often it may say
+# that it loads nothing before the order counts as lost.
+WATCH_S = 1.0
+IDLE_POLLS = 3
 CONFLICT = 409
 
 
@@ -76,6 +80,37 @@
         WeightsError
             ENGINE_FENCED, or ENGINE_LOAD_FAILED with the engine's reason.
         """
+        post = asyncio.get_running_loop().create_task(self.post_order(order))
+        try:
+            await self.watch_order(order, post)
+        finally:
+            post.cancel()
+
+    async def watch_order(self, order: Order, post: asyncio.Task) -> None:
+        """Wait for the answer of an order, or for the state that it asks for.
+
+        The connection of the order may go silent for good while the engine goes
+        on, so its state is asked on other connections meanwhile.
+        """
+        idle = 0
+        while idle < IDLE_POLLS:
+            done, _ = await asyncio.wait({post}, timeout=WATCH_S)
+            if done:
+                return post.result()
+            try:
+                state = await self.state()
+            except WeightsError:
+                continue
+            if state.version == order.version and state.state == "open":
+                return None
+            idle = 0 if state.state == "loading" else idle + 1
+        raise WeightsError(
+            ResultCode.ENGINE_LOAD_FAILED,
+            f"the order got no answer, and the engine is {state.state!r}",
+        )
+
+    async def post_order(self, order: Order) -> None:
+        """Send an order and read the engine's answer."""
         url = f"{self.base_url}/control/load"
         try:
             async with asyncio.timeout(ORDER_S):
--- a/src/wisteriapulley/sidecar/switch.py
+++ b/src/wisteriapulley/sidecar/switch.py
@@ -96,6 +96,7 @@
         self.setback = Setback()
         self.served = ""
         self.fencing = 0
+        self.holding = False
         self.denied_s = DENIED_FIRST_S
         self.rng = random.Random(settings.node_id)
         self.copying: asyncio.Task | None = None
@@ -150,6 +151,8 @@
             return
         if self.chart.state == "empty" and state.version == entry.version:
             self.open(entry.version, "adopt")
+            if self.holding:
+                await self.release()
             return
         version = self.next_version(entry, state)
         if version:
@@ -236,18 +239,25 @@
         self.changed.set()
 
     async def switch(self, entry: Entry, version: str) -> None:
-        """Drain, load, verify and open, under a permit."""
+        """Drain, load, verify and open, under a permit.
+
+        A target that a failed load left empty keeps its permit until it is open
+        again: were it given back, a version that no engine loads would take one
+        target after the other out of service.
+        """
         serving = self.chart.state == "open"
-        if not await self.permitted(entry, version, serving):
+        counted = serving or self.holding
+        if not await self.permitted(entry, version, counted):
             return
         try:
             if serving and not await self.drain(version):
                 return
             await self.load(version, entry.role)
         finally:
-            await self.release()
+            if self.chart.state != "empty":
+                await self.release()
 
-    async def permitted(self, entry: Entry, version: str, serving: bool) -> bool:
+    async def permitted(self, entry: Entry, version: str, counted: bool) -> bool:
         """Get a permit; tell whether the switch may begin.
 
         While control is away, an engine that lost its weights may get back the
@@ -256,13 +266,15 @@
         change.
         """
         try:
-            permit = await self.acquire(entry, version, serving)
+            permit = await self.acquire(entry, version, counted)
         except WisteriapulleyError as error:
-            if error.code in AWAY and not serving and version == self.served:
+            empty = self.chart.state == "empty"
+            if error.code in AWAY and empty and version == self.served:
                 return True
             raise
         if permit.code == ResultCode.OK:
             self.fencing = permit.fencing
+            self.holding = True
             self.denied_s = DENIED_FIRST_S
             return True
         await asyncio.sleep(self.denied_s * (0.5 + self.rng.random()))
@@ -307,6 +319,7 @@
 
     async def release(self) -> None:
         """Give the permit back; a lost release ends with the member's lease."""
+        self.holding = False
         try:
             await self.control.propose(ReleasePermit(self.settings.node_id))
         except WisteriapulleyError as error:
