Bound the SIGTERM test's wait for answers to begin

Cause: a send that failed before its answer left the test waiting for ever (seen once, ten minutes).

--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -11,6 +11,8 @@
 from tests.fleet import Fleet
 
 OWNER = "lettercraft"
+# Bounds a wait that a failed send would leave without end.
+BEGIN_S = 30
 
 
 @pytest.fixture(scope="module")
@@ -98,8 +100,9 @@
                 asyncio.create_task(post(fleet, "/v1/completions", body, begun))
                 for _ in range(6)
             ]
-            for _ in sends:
-                await begun.acquire()
+            async with asyncio.timeout(BEGIN_S):
+                for _ in sends:
+                    await begun.acquire()
             node.process.signal(signal.SIGTERM)
             return await asyncio.gather(*sends)
 
