--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -91,7 +91,9 @@
         with pytest.raises(StorageError):
             join_folder(alone.settings)
 
-    def test_proposals_of_one_turn_share_a_sync(self, alone):
+    def syncs_of_fifty(self, alone):
+        """Propose fifty commands in one turn; return how many syncs they took."""
+
         async def run():
             driver = await alone.start()
             alone.files.syncs = 0
@@ -99,20 +101,15 @@
             await driver.stop()
 
         asyncio.run(run())
-        assert alone.files.syncs == 1
+        return alone.files.syncs
+
+    def test_proposals_of_one_turn_share_a_sync(self, alone):
+        assert self.syncs_of_fifty(alone) == 1
 
     def test_without_group_commit_each_record_has_its_sync(self, tmp_path, monkeypatch):
         alone = Alone(tmp_path, monkeypatch, group_commit=False)
         init_folder(alone.settings)
-
-        async def run():
-            driver = await alone.start()
-            alone.files.syncs = 0
-            await asyncio.gather(*(driver.propose(command(i)) for i in range(50)))
-            await driver.stop()
-
-        asyncio.run(run())
-        assert alone.files.syncs == 50
+        assert self.syncs_of_fifty(alone) == 50
 
     @pytest.mark.parametrize(
         ("number", "code"),
