--- a/tests/test_consensus_fleet.py
+++ b/tests/test_consensus_fleet.py
@@ -1,7 +1,10 @@
 import asyncio
 import json
 import shutil
+import signal
 import time
+import urllib.error
+import urllib.request
 
 import pytest
 
@@ -26,6 +29,18 @@
     return json.loads(fleet.run_cli("control", "members", *options))
 
 
+def ask(node, path):
+    """Ask one instance; return the status of its answer."""
+    token = "lettercraft-token-0123456789"
+    headers = {"Authorization": f"Bearer {token}"}
+    request = urllib.request.Request(node.http + path, headers=headers)
+    try:
+        with urllib.request.urlopen(request, timeout=10) as answer:
+            return answer.status
+    except urllib.error.HTTPError as error:
+        return error.code
+
+
 def settings_path(fleet, name):
     return str(fleet.folder / "settings" / f"{name}.json")
 
@@ -77,3 +92,17 @@
         assert leader not in [m["node_id"] for m in members(fleet)["members"]]
         with pytest.raises(RuntimeError, match="WP606"):
             fleet.run_cli("control", "remove", leader, *options)
+
+    def test_frozen_leader_that_thaws_claims_no_lease(self, fleet):
+        before = members(fleet)
+        frozen = fleet.nodes[before["leader"]]
+        others = [node for node in fleet.nodes.values() if node is not frozen]
+        frozen.process.signal(signal.SIGSTOP)
+        path = "/v1/control/members"
+        wait_until(lambda: 200 in [ask(node, path) for node in others])
+        frozen.process.signal(signal.SIGCONT)
+        # Its answer is made before it has heard of the new term, or after.
+        assert ask(frozen, path) == 503
+        after = members(fleet)
+        assert after["leader"] != before["leader"]
+        assert after["term"] > before["term"]
