--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -25,6 +25,7 @@
 from wisteriapulley.control.members import Changes, MemberTable
 from wisteriapulley.control.operators import MAX_CHANGE_BYTES, operator_routes
 from wisteriapulley.control.permits import PermitSweeper
+from wisteriapulley.control.quorum_members import quorum_routes
 from wisteriapulley.control.reports import ReportTable
 from wisteriapulley.control.senders import check_own, check_sender
 from wisteriapulley.control.state import ControlState
@@ -128,9 +129,8 @@
         self.server.on_open = self.link_opened
         self.server.on_close = self.link_closed
         await self.server.start(settings.wire_listen)
-        self.http = HttpServer(
-            self.metrics, self.is_ready, operator_routes(self), MAX_CHANGE_BYTES
-        )
+        routes = [*operator_routes(self), *quorum_routes(self)]
+        self.http = HttpServer(self.metrics, self.is_ready, routes, MAX_CHANGE_BYTES)
         await self.http.start(settings.http_listen)
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -138,15 +138,16 @@
         self.sweeping.cancel()
         for task in self.releasing.values():
             task.cancel()
+        # The lead is handed over while the links still are open.
+        await self.driver.stop()
         await self.http.stop()
         for keeper in self.peers.values():
             await keeper.stop()
         await self.server.stop()
-        await self.driver.stop()
 
     def is_ready(self) -> bool:
-        """Ready when a leader is known."""
-        return bool(self.driver.replica.leader)
+        """Ready when a leader is known and this disk has its vote."""
+        return self.driver.is_ready()
 
     def heartbeat(self) -> messages.Heartbeat:
         """Make this instance's heartbeat."""
--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -104,6 +104,10 @@
         How long a member stays after its link closed, in milliseconds.
     owner_grace_ms : int
         How long the members of an unreachable control instance stay.
+    group_commit : bool
+        Whether what came since the last sync shares one; off only to measure.
+    snapshot_bytes : int
+        Bytes of log after which a snapshot replaces it.
     """
 
     wire_listen: Address
@@ -115,6 +119,8 @@
     raft_heartbeat_ms: int = 150
     member_lease_ms: int = 5000
     owner_grace_ms: int = 15_000
+    group_commit: bool = True
+    snapshot_bytes: int = 4 << 20
 
 
 class EntrySettings(
