--- a/src/wisteriapulley/cli.py
+++ b/src/wisteriapulley/cli.py
@@ -9,12 +9,7 @@
 import cappa
 
 from wisteriapulley import __version__
-from wisteriapulley.catalogue_commands import (
-    CatalogueCommand,
-    Control,
-    TokenFile,
-    show,
-)
+from wisteriapulley.catalogue_commands import CatalogueCommand, Control, TokenFile
 from wisteriapulley.errors import ResultCode, WisteriapulleyError
 
 EXIT_OK = 0
@@ -107,7 +102,7 @@
 
     def __call__(self) -> int:
         """Print them as JSON."""
-        return show("/v1/control/members", self.control, self.token_file)
+        return show_members(self.control, self.token_file, "GET")
 
 
 @cappa.command(name="remove", help="Take an instance out of the quorum for good.")
@@ -121,8 +116,7 @@
 
     def __call__(self) -> int:
         """Remove it and print who is left."""
-        path = f"/v1/control/members/{self.node_id}"
-        return show(path, self.control, self.token_file, "DELETE")
+        return show_members(self.control, self.token_file, "DELETE", self.node_id)
 
 
 @cappa.command(name="control", help="Control instance: catalogue, claims, permits.")
@@ -159,6 +153,16 @@
         return run_daemon("sidecar", self.settings)
 
 
+def show_members(control: str, token_file: str, method: str, node_id: str = "") -> int:
+    """Ask the leader about the members and print its answer."""
+    from wisteriapulley.control.quorum_client import ask_members
+    from wisteriapulley.operator_client import OperatorClient
+
+    client = OperatorClient.from_files(control, token_file, "")
+    print(ask_members(client, method, node_id))
+    return EXIT_OK
+
+
 @cappa.command(name="build", help="Build the manifest of a file tree.")
 @dataclass
 class ManifestBuild:
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -135,11 +135,11 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop listening, then stop the replica."""
+        # The lead is handed over while the links still are open.
+        await self.driver.stop()
         self.sweeping.cancel()
         for task in self.releasing.values():
             task.cancel()
-        # The lead is handed over while the links still are open.
-        await self.driver.stop()
         await self.http.stop()
         for keeper in self.peers.values():
             await keeper.stop()
--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -54,6 +54,7 @@
     TARGET_FAILED = 414
     ATTEMPT_TOMBSTONED = 415
     LEAVING = 416
+    KEY_UNRESOLVED = 417
 
     MANIFEST_INVALID = 500
     CHUNK_CORRUPTED = 501
@@ -63,6 +64,7 @@
     ENGINE_WRONG_DIGEST = 505
     ENGINE_FENCED = 506
     COPY_SUPERSEDED = 507
+    CHUNK_STORE_FULL = 508
 
     LOG_DAMAGED = 600
     DISK_FULL = 601
@@ -245,6 +247,12 @@
         True,
     ),
     ResultCode.LEAVING: CodeEntry("The instance is leaving.", _RETRY, 503, True),
+    ResultCode.KEY_UNRESOLVED: CodeEntry(
+        "This send did not run, but whether an earlier send of the same key ran is"
+        " not known.",
+        "Send it again with the same key after the stated Retry-After.",
+        503,
+    ),
     ResultCode.MANIFEST_INVALID: CodeEntry(
         "The manifest is malformed or does not match its digest.",
         "Build and publish it again.",
@@ -271,6 +279,10 @@
     ResultCode.COPY_SUPERSEDED: CodeEntry(
         "The catalogue moved on while the copy was in flight.", "Nothing."
     ),
+    ResultCode.CHUNK_STORE_FULL: CodeEntry(
+        "The sidecar's chunk store has no room for the version.",
+        "Raise `chunk_store_bytes`, or free the scratch folder's disk.",
+    ),
     ResultCode.LOG_DAMAGED: CodeEntry(
         "The log is damaged before its tail.",
         "Replace the disk and rejoin: docs/operators/lost-disk.md.",
--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -100,14 +100,14 @@
         Shortest election timeout, in milliseconds.
     lease_ms : int
         Leader lease, in milliseconds; shorter than `election_ms`.
-    member_lease_ms : int
-        How long a member stays after its link closed, in milliseconds.
-    owner_grace_ms : int
-        How long the members of an unreachable control instance stay.
     group_commit : bool
         Whether what came since the last sync shares one; off only to measure.
     snapshot_bytes : int
         Bytes of log after which a snapshot replaces it.
+    member_lease_ms : int
+        How long a member stays after its link closed, in milliseconds.
+    owner_grace_ms : int
+        How long the members of an unreachable control instance stay.
     """
 
     wire_listen: Address
@@ -118,9 +118,9 @@
     lease_ms: int = 700
     raft_heartbeat_ms: int = 150
     member_lease_ms: int = 5000
-    owner_grace_ms: int = 15_000
     group_commit: bool = True
     snapshot_bytes: int = 4 << 20
+    owner_grace_ms: int = 15_000
 
 
 class EntrySettings(
@@ -165,6 +165,14 @@
         Rate of this instance's link, up and down together; 0 for no limit.
     origin_bytes_per_s : int
         Share of the origin's link that this sidecar may take; 0 for no limit.
+    neighbours : int
+        Links that this sidecar opens to others; others open as many to it.
+    patience_ms : int
+        Milliseconds without news of a chunk before the next rank asks the origin.
+    scratch_folder : str
+        Chunks are kept here; empty keeps them in memory.
+    chunk_store_bytes : int
+        Most bytes of chunks kept; 0 for no limit.
     """
 
     wire_listen: Address
@@ -179,6 +187,8 @@
     origin_bytes_per_s: int = 0
     neighbours: int = 8
     patience_ms: int = 2000
+    scratch_folder: str = ""
+    chunk_store_bytes: int = 256 << 30
 
 
 ROLES: dict[str, type[NodeSettings]] = {
