--- a/src/wisteriapulley/catalogue_commands.py
+++ b/src/wisteriapulley/catalogue_commands.py
@@ -142,12 +142,12 @@
         return EXIT_OK
 
 
-def show(path: str, control: str, token_file: str, method: str = "GET") -> int:
+def show(path: str, control: str, token_file: str) -> int:
     """Print what an operators' page answers."""
     from wisteriapulley.operator_client import OperatorClient
 
     client = OperatorClient.from_files(control, token_file, "")
-    sys.stdout.write(client.request(method, path).decode() + "\n")
+    sys.stdout.write(client.request("GET", path).decode() + "\n")
     return EXIT_OK
 
 
