--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -39,6 +39,9 @@
         Seconds a load takes besides the reading.
     lag_s : float
         How old the load that it reports is.
+    load_fault : str
+        What goes wrong in a load: ``refuse`` keeps what it serves, ``crash``
+        loses it, ``damage`` reads one byte wrong, ``silent`` never answers.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         token_s: float = 0.002,
         load_s: float = 0.05,
         lag_s: float = 0.2,
+        load_fault: str = "",
     ):
         self.name = name
         self.records = records
@@ -57,6 +61,7 @@
         self.token_s = token_s
         self.load_s = load_s
         self.lag_s = lag_s
+        self.load_fault = load_fault
         self.slots = asyncio.Semaphore(slots)
         self.version = ""
         self.state = "empty"
@@ -99,7 +104,12 @@
         self.fencing = max(self.fencing, order["fencing"])
         if self.running:
             self.records.add("load_while_running", engine=self.name)
+        if self.load_fault == "refuse":
+            return web.Response(status=500, text="no memory for it")
         self.version, self.state = "", "loading"
+        if self.load_fault == "crash":
+            self.state = "empty"
+            return web.Response(status=500, text="crashed on load")
         try:
             digest = await self.read_weights(order["source_url"], order["version"])
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -110,6 +120,8 @@
         self.records.add(
             "loaded", engine=self.name, version=digest, ordered=order["version"]
         )
+        if self.load_fault == "silent":
+            await asyncio.Event().wait()
         return web.Response(text="loaded")
 
     async def read_weights(self, source_url: str, version: str) -> str:
@@ -135,6 +147,8 @@
             last = min(start + chunk_bytes, file["size"]) - 1
             headers = {"Range": f"bytes={start}-{last}"}
             data = await read(session, url, headers, 206)
+            if self.load_fault == "damage":
+                data = data[:-1] + bytes([data[-1] ^ 1])
             yield blake3(data).hexdigest()
 
     async def cancel(self, request: web.Request) -> web.Response:
@@ -249,6 +263,7 @@
     parser.add_argument("--records", required=True)
     parser.add_argument("--plain", action="store_true")
     parser.add_argument("--ignores-fencing", action="store_true")
+    parser.add_argument("--load-fault", default="")
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--token-s", type=float, default=0.002)
     args = parser.parse_args()
@@ -259,6 +274,7 @@
         fake = FakeEngine(
             args.name, records, not args.ignores_fencing, args.slots, args.token_s
         )
+        fake.load_fault = args.load_fault
     await serve(fake.app, args.port)
     await asyncio.Event().wait()
 
--- /dev/null
+++ b/tests/test_swarm.py
@@ -0,0 +1,218 @@
+import asyncio
+
+import pytest
+
+from tests.weights_kit import CHUNK_BYTES, publish, run_net
+from wisteriapulley.errors import ResultCode, WeightsError
+from wisteriapulley.weights import ChunkStore, FolderStore
+from wisteriapulley.weights.schedule import LEAST_DEADLINE_MS
+from wisteriapulley.weights.swarm import Copy
+
+
+async def fetch_all(net, manifest, nodes=None):
+    await asyncio.gather(
+        *(
+            node.swarm.fetch_version(manifest.digest, "origin_bytes")
+            for node in nodes or net.nodes
+        )
+    )
+
+
+def whole(node, manifest):
+    return all(span.digest in node.swarm.store for span in manifest.spans)
+
+
+class TestSwarm:
+    def test_all_get_all_from_one_copy_of_the_origin(self, tmp_path):
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            await fetch_all(net, manifest)
+            assert all(whole(node, manifest) for node in net.nodes)
+            assert net.sent(manifest.digest) == manifest.size
+
+        run_net(tmp_path, scenario, 4, patience_ms=5000)
+
+    def test_late_comer_draws_nothing_from_the_origin(self, tmp_path):
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            await fetch_all(net, manifest, net.nodes[:3])
+            before = net.sent(manifest.digest)
+            await fetch_all(net, manifest, net.nodes[3:])
+            assert whole(net.nodes[3], manifest)
+            assert net.sent(manifest.digest) == before
+
+        run_net(tmp_path, scenario, 4)
+
+    def test_chunks_of_the_held_version_are_not_fetched_again(self, tmp_path):
+        old, new = publish(tmp_path, 1, 10), publish(tmp_path, 2, 10)
+
+        async def scenario(net):
+            await fetch_all(net, old)
+            net.nodes[0].swarm.serving = old.digest
+            await fetch_all(net, new)
+            assert net.sent(new.digest) == 6 * CHUNK_BYTES
+            assert whole(net.nodes[0], old)
+            net.nodes[0].swarm.keep_only({new.digest})
+            assert net.nodes[0].swarm.store.size == new.size
+            assert list(net.nodes[0].swarm.manifests) == [new.digest]
+
+        run_net(tmp_path, scenario, 1)
+
+    def test_superseded_copy_stops_and_leaves_shared_chunks(self, tmp_path):
+        old, new = publish(tmp_path, 1, 10), publish(tmp_path, 2, 10)
+
+        async def scenario(net):
+            swarm = net.nodes[0].swarm
+            net.origin.link.bytes_per_s = 8 * CHUNK_BYTES
+            task = asyncio.create_task(swarm.fetch_version(old.digest, "origin_bytes"))
+            while swarm.store.size < 4 * CHUNK_BYTES:
+                await asyncio.sleep(0.01)
+            first = swarm.copy
+            task.cancel()
+            net.origin.link.bytes_per_s = 0
+            await swarm.fetch_version(new.digest, "origin_bytes")
+            assert first.chart.state == "superseded"
+            assert not first.flights
+            assert swarm.copy.version == new.digest
+            assert whole(net.nodes[0], new)
+            assert net.sent(new.digest) < new.size
+
+        run_net(tmp_path, scenario, 1)
+
+    def test_peer_that_sends_bad_bytes_is_set_aside(self, tmp_path):
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            await fetch_all(net, manifest, net.nodes[:2])
+            net.nodes[0].corrupt = True
+            await fetch_all(net, manifest, net.nodes[2:])
+            swarm = net.nodes[2].swarm
+            assert whole(net.nodes[2], manifest)
+            assert "n0" in swarm.copy.schedule.shunned
+            assert swarm.corrupted_from["n0"] >= 1
+
+        run_net(tmp_path, scenario, 3)
+
+    def test_silent_peer_is_replaced_in_mid_copy(self, tmp_path):
+        """A peer whose link still beats but that sends no chunk."""
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            await fetch_all(net, manifest, net.nodes[:2])
+            net.nodes[0].mute = True
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            await fetch_all(net, manifest, net.nodes[2:])
+            assert whole(net.nodes[2], manifest)
+            assert loop.time() - begun < 5 * LEAST_DEADLINE_MS / 1000
+
+        run_net(tmp_path, scenario, 3)
+
+    def test_every_seeder_of_a_chunk_killed(self, tmp_path):
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            dead, living = net.nodes[:2], net.nodes[2:]
+            for node in dead:
+                node.mute = True
+            tasks = asyncio.create_task(fetch_all(net, manifest, living))
+            await asyncio.sleep(0.2)
+            for node in dead:
+                await node.server.stop()
+                for link in node.swarm.open_links():
+                    link.close()
+            await tasks
+            assert all(whole(node, manifest) for node in living)
+
+        run_net(tmp_path, scenario, 4)
+
+    @pytest.mark.parametrize("corrupt_every", [3, 5])
+    def test_bytes_damaged_on_the_way_from_the_origin(self, tmp_path, corrupt_every):
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            net.origin.corrupt_every = corrupt_every
+            await fetch_all(net, manifest)
+            assert whole(net.nodes[0], manifest)
+
+        run_net(tmp_path, scenario, 1)
+
+    def test_store_stands_in_for_an_origin_that_changed(self, tmp_path):
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            net.origin.corrupt_every = 1
+            await fetch_all(net, manifest)
+            assert whole(net.nodes[0], manifest)
+
+        run_net(tmp_path, scenario, 1)
+
+    def test_changed_origin_is_reported_with_its_code(self, tmp_path):
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            net.origin.corrupt_every = net.store.corrupt_every = 1
+            swarm = net.nodes[0].swarm
+            task = asyncio.create_task(fetch_all(net, manifest))
+            while "WP503" not in swarm.trouble():
+                await asyncio.sleep(0.01)
+            task.cancel()
+            assert swarm.store.size == 0
+
+        run_net(tmp_path, scenario, 1)
+
+    def test_rate_limited_store_is_asked_again_when_it_says(self, tmp_path):
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            net.origin.requests_per_s = 0.001
+            net.store.requests_per_s = 12
+            await fetch_all(net, manifest)
+            assert whole(net.nodes[0], manifest)
+            assert net.nodes[0].swarm.sources[0].resting
+
+        run_net(tmp_path, scenario, 1)
+
+    def test_version_larger_than_the_store_fails_with_its_code(self, tmp_path):
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            with pytest.raises(WeightsError) as caught:
+                await fetch_all(net, manifest)
+            assert caught.value.code == ResultCode.CHUNK_STORE_FULL
+
+        run_net(tmp_path, scenario, 1, store=ChunkStore(CHUNK_BYTES))
+
+    def test_restart_in_mid_copy_counts_only_what_still_matches(self, tmp_path):
+        manifest = publish(tmp_path, 1)
+        scratch = tmp_path / "scratch"
+        data = (tmp_path / manifest.digest / "files" / "model.bin").read_bytes()
+        store = FolderStore(str(scratch))
+        for span in manifest.spans[:6]:
+            store.put(span.digest, data[span.offset : span.end])
+        (scratch / manifest.spans[0].digest).write_bytes(b"damaged")
+        (scratch / "half.part").write_bytes(b"torn")
+
+        async def scenario(net):
+            await fetch_all(net, manifest)
+            assert net.sent(manifest.digest) == 11 * CHUNK_BYTES
+            assert net.nodes[0].swarm.store.read(manifest, "model.bin", 0, 99999999)
+            assert not (scratch / "half.part").exists()
+
+        run_net(tmp_path, scenario, 1, store=FolderStore(str(scratch)))
+
+    def test_progress_is_reported_in_few_steps(self, tmp_path):
+        manifest = publish(tmp_path, 1)
+
+        async def scenario(net):
+            copy = Copy(net.nodes[0].swarm, manifest, "origin_bytes")
+            shown = set()
+            for done in range(manifest.size + 1):
+                copy.bytes_done = done
+                shown.add(copy.bytes_shown)
+            assert len(shown) <= 22
+            assert manifest.size in shown
+
+        run_net(tmp_path, scenario, 1)
--- /dev/null
+++ b/tests/test_switch.py
@@ -0,0 +1,335 @@
+import asyncio
+import json
+from types import SimpleNamespace
+
+import aiohttp
+import pytest
+
+from tests.fakes.engine import FakeEngine
+from tests.fakes.origin import serve
+from tests.fakes.records import Records, read_records
+from tests.fleet import free_port
+from tests.weights_kit import publish
+from wisteriapulley.control.commands import AcquirePermit, PermitResult
+from wisteriapulley.control.driver import no_quorum
+from wisteriapulley.errors import ResultCode
+from wisteriapulley.settings import Address, SidecarSettings
+from wisteriapulley.sidecar import engine as engine_module
+from wisteriapulley.sidecar import switch as switch_module
+from wisteriapulley.sidecar.engine import ModelEngine
+from wisteriapulley.sidecar.gate import Gate
+from wisteriapulley.sidecar.switch import Switcher
+from wisteriapulley.sidecar.weights_http import PREFIX, WeightsHandlers
+from wisteriapulley.statechart import StateChart
+from wisteriapulley.weights import ChunkStore, Peer
+from wisteriapulley.weights.pace import LinkBudget
+from wisteriapulley.weights.source import HttpSource
+from wisteriapulley.weights.swarm import Swarm
+from wisteriapulley.wire import messages
+
+
+class FakeControl:
+    """Control as the switcher sees it."""
+
+    def __init__(self):
+        self.holder = SimpleNamespace(by_service={}, revision=1)
+        self.away = False
+        self.lease_ms = 500
+        self.deny = False
+        self.index = 10
+        self.held = False
+        self.log = []
+
+    def name(self, version):
+        entry = SimpleNamespace(
+            version=version,
+            distribution="origin_bytes",
+            service="s",
+            role="serve",
+        )
+        self.holder.by_service = {"s": [entry]}
+
+    async def propose(self, command):
+        if self.away:
+            raise no_quorum("control is away")
+        acquires = isinstance(command, AcquirePermit)
+        self.log.append(command)
+        if acquires and self.deny:
+            return PermitResult(ResultCode.PERMIT_DENIED)
+        self.held = acquires
+        self.index += 1
+        return PermitResult(ResultCode.OK, self.index)
+
+    async def lease(self):
+        if self.away:
+            raise no_quorum("control is away")
+        return messages.Lease(1, "c", self.lease_ms)
+
+
+class Target:
+    """Switcher, engine and origin of one target, in one process."""
+
+    async def start(self, folder):
+        self.records = folder / "engine.jsonl"
+        self.fake = FakeEngine("e", Records(str(self.records)), load_s=0.01, lag_s=0)
+        port = free_port()
+        self.runners = [await serve(self.fake.app, port)]
+        self.session = aiohttp.ClientSession()
+        self.control = FakeControl()
+        settings = SidecarSettings(
+            node_id="n0",
+            failure_domain="d",
+            http_listen=Address("127.0.0.1", 0),
+            fleet_key_file="",
+            wire_listen=Address("127.0.0.1", 0),
+            control=(),
+            service="s",
+            target_url=f"http://127.0.0.1:{port}",
+            drain_ms=300,
+        )
+        self.engine = ModelEngine(self.session, settings.target_url)
+        self.gate = Gate(self.engine, 1, StateChart("target"))
+        budget = LinkBudget(0)
+        source = Disk(self.session, "http://127.0.0.1:1", budget, budget)
+        source.folder = folder
+        self.swarm = Swarm(Peer("n0", "d"), ChunkStore(), [source], budget, 1000)
+        from aiohttp import web
+
+        app = web.Application()
+        app.add_routes(WeightsHandlers(self.swarm).routes())
+        port = free_port()
+        self.runners.append(await serve(app, port))
+        self.switcher = Switcher(
+            settings,
+            self.control,
+            self.gate,
+            self.swarm,
+            self.engine,
+            f"http://127.0.0.1:{port}{PREFIX}",
+            lambda: None,
+        )
+        self.task = asyncio.create_task(self.switcher.run())
+
+    async def until(self, condition):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+    async def serving(self, version):
+        await self.until(
+            lambda: self.gate.chart.state == "open" and self.gate.version == version
+        )
+
+    def loads(self):
+        events = read_records(str(self.records))
+        return [r["version"] for r in events if r["event"] == "loaded"]
+
+    async def stop(self):
+        self.task.cancel()
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.session.close()
+
+
+class Disk(HttpSource):
+    """Source that reads from a folder instead of a socket."""
+
+    async def get(self, url, headers, status):
+        path = self.folder / url.removeprefix(self.base_url + "/")
+        data = path.read_bytes()
+        if "Range" not in headers:
+            return data
+        first, last = headers["Range"].removeprefix("bytes=").split("-")
+        return data[int(first) : int(last) + 1]
+
+
+@pytest.fixture
+def run_target(tmp_path, monkeypatch):
+    monkeypatch.setattr(switch_module, "POLL_S", 0.01)
+    monkeypatch.setattr(switch_module, "FAILED_S", 0.01)
+    monkeypatch.setattr(switch_module, "DENIED_FIRST_S", 0.01)
+    monkeypatch.setattr(engine_module, "WATCH_S", 0.05)
+
+    def run(scenario):
+        async def main():
+            target = Target()
+            try:
+                async with asyncio.timeout(15):
+                    await target.start(tmp_path)
+                    await scenario(target)
+            finally:
+                await target.stop()
+
+        asyncio.run(main())
+
+    run.first = publish(tmp_path, 1, 8).digest
+    run.second = publish(tmp_path, 2, 8).digest
+    return run
+
+
+class TestSwitch:
+    def test_switch_and_rollback_by_catalogue(self, run_target):
+        async def scenario(target):
+            for version in (run_target.first, run_target.second, run_target.first):
+                target.control.name(version)
+                await target.serving(version)
+                assert list(target.swarm.manifests) == [version]
+            await target.until(lambda: not target.control.held)
+            fencing = [c for c in target.control.log if isinstance(c, AcquirePermit)]
+            assert [c.serving for c in fencing] == [False, True, True]
+
+        run_target(scenario)
+
+    def test_denied_permit_keeps_the_old_version_open(self, run_target):
+        async def scenario(target):
+            target.control.name(run_target.first)
+            await target.serving(run_target.first)
+            target.control.deny = True
+            target.control.name(run_target.second)
+            await target.until(lambda: len(target.control.log) > 5)
+            assert target.gate.chart.state == "open"
+            assert target.loads() == [run_target.first]
+
+        run_target(scenario)
+
+    def test_ended_lease_gives_no_order(self, run_target):
+        async def scenario(target):
+            target.control.name(run_target.first)
+            await target.serving(run_target.first)
+            target.control.lease_ms = 0
+            target.control.name(run_target.second)
+            await target.until(lambda: "WP206" in target.switcher.detail)
+            await target.serving(run_target.first)
+            assert target.loads() == [run_target.first]
+            target.control.lease_ms = 500
+            await target.serving(run_target.second)
+
+        run_target(scenario)
+
+    def test_long_request_reopens_the_gate(self, run_target):
+        async def scenario(target):
+            target.control.name(run_target.first)
+            await target.serving(run_target.first)
+            target.gate.enter()
+            target.control.name(run_target.second)
+            await target.until(lambda: "drain_ms" in target.switcher.detail)
+            assert target.loads() == [run_target.first]
+            target.gate.leave()
+            await target.serving(run_target.second)
+
+        run_target(scenario)
+
+
+class TestFailedLoad:
+    """A failed load leaves the old version in service and says why."""
+
+    @pytest.mark.parametrize(
+        ("fault", "code", "loads"),
+        [("refuse", "WP504", 1), ("crash", "WP504", 2), ("damage", "WP505", 3)],
+    )
+    def test_old_version_serves_again(self, run_target, fault, code, loads):
+        async def scenario(target):
+            target.control.name(run_target.first)
+            await target.serving(run_target.first)
+            target.fake.load_fault = fault
+            target.control.name(run_target.second)
+            await target.until(lambda: target.switcher.setback.version)
+            target.fake.load_fault = ""
+            await target.serving(run_target.first)
+            await target.until(lambda: code in target.switcher.detail)
+            await target.until(lambda: not target.control.held)
+            assert len(target.loads()) == loads
+            assert run_target.second not in target.loads()
+
+        run_target(scenario)
+
+    def test_target_that_is_out_keeps_its_permit(self, run_target):
+        async def scenario(target):
+            target.control.name(run_target.first)
+            await target.serving(run_target.first)
+            target.fake.load_fault = "crash"
+            target.control.name(run_target.second)
+            await target.until(lambda: target.gate.chart.state == "empty")
+            await asyncio.sleep(0.1)
+            assert target.control.held
+            assert all(
+                c.serving
+                for c in target.control.log[3:]
+                if isinstance(c, AcquirePermit)
+            )
+
+        run_target(scenario)
+
+    def test_next_version_is_not_put_off_by_the_failed_one(self, run_target):
+        async def scenario(target):
+            target.control.name(run_target.first)
+            target.fake.load_fault = "crash"
+            await target.until(lambda: target.switcher.setback.version)
+            target.fake.load_fault = ""
+            target.control.name(run_target.second)
+            await target.serving(run_target.second)
+
+        run_target(scenario)
+
+
+class TestEngineFaults:
+    @pytest.mark.parametrize("fences", [True, False])
+    def test_engine_in_a_wrong_state_is_put_right(self, run_target, fences):
+        """Another order got to the engine, with an old fencing number."""
+
+        async def scenario(target):
+            target.control.name(run_target.first)
+            await target.serving(run_target.first)
+            manifest = await target.swarm.sources[0].manifest(run_target.second)
+            target.fake.fences = fences
+            target.swarm.manifests[run_target.second] = manifest
+            for span in manifest.spans:
+                data = await target.swarm.sources[0].chunk(run_target.second, span)
+                target.swarm.store.put(span.digest, data)
+            closed = []
+            target.gate.chart.on_enter = closed.append
+            order = {
+                "version": run_target.second,
+                "source_url": target.switcher.source_url,
+                "fencing": 1,
+                "role": "serve",
+            }
+            url = target.engine.base_url + "/control/load"
+            async with target.session.post(url, data=json.dumps(order)) as answer:
+                assert answer.status == (409 if fences else 200)
+            if not fences:
+                await target.until(lambda: "open" in closed)
+                assert closed[0] == "empty"
+            assert target.fake.version == target.gate.version == run_target.first
+
+        run_target(scenario)
+
+    def test_refused_fencing_number_is_replaced_by_a_new_permit(self, run_target):
+        async def scenario(target):
+            target.fake.fencing = 13
+            target.control.name(run_target.first)
+            await target.serving(run_target.first)
+            assert target.switcher.fencing >= 13
+
+        run_target(scenario)
+
+    def test_silent_connection_of_an_order_is_left(self, run_target):
+        async def scenario(target):
+            target.fake.load_fault = "silent"
+            target.control.name(run_target.first)
+            await target.serving(run_target.first)
+
+        run_target(scenario)
+
+    def test_engine_that_restarts_while_control_is_away(self, run_target):
+        async def scenario(target):
+            target.control.name(run_target.first)
+            await target.serving(run_target.first)
+            target.control.away = True
+            target.fake.version, target.fake.state = "", "empty"
+            await target.until(lambda: len(target.loads()) == 2)
+            await target.serving(run_target.first)
+            target.control.name(run_target.second)
+            await target.until(lambda: "WP206" in target.switcher.detail)
+            assert target.gate.version == run_target.first
+
+        run_target(scenario)
