--- a/bench/burst.py
+++ b/bench/burst.py
@@ -109,7 +109,8 @@
                 return max(times[name] for name in names) - begun_s
             if time.time() - begun_s > COPY_LIMIT_S:
                 missing = sorted(names - times.keys())
-                raise RuntimeError(f"not copied: {missing[:5]} of {len(missing)}")
+                log = self.fleet.nodes[missing[0]].process.log.read_text()[-3000:]
+                raise RuntimeError(f"{len(missing)} not copied; {missing[0]}: {log}")
             await asyncio.sleep(0.2)
 
     async def wait_loaded(self, version: str, names: set[str]) -> None:
