--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -54,6 +54,7 @@
     TARGET_FAILED = 414
     ATTEMPT_TOMBSTONED = 415
     LEAVING = 416
+    KEY_UNRESOLVED = 417
 
     MANIFEST_INVALID = 500
     CHUNK_CORRUPTED = 501
@@ -69,6 +70,9 @@
     DISK_FULL = 601
     FSYNC_FAILED = 602
     IDENTITY_MISMATCH = 603
+    FOLDER_LOCKED = 604
+    ALREADY_FOUNDED = 605
+    MEMBER_UNKNOWN = 606
 
 
 class CodeEntry(NamedTuple):
@@ -138,10 +142,10 @@
         "The bearer token is missing or unknown.", "Use an operator's token.", 401
     ),
     ResultCode.NO_QUORUM: CodeEntry(
-        "No majority of control instances answered; nothing was accepted here.",
+        "No majority of control instances answered; what was sent may still be"
+        " accepted later.",
         "Resend with the same change id.",
         503,
-        True,
     ),
     ResultCode.STILL_PROPAGATING: CodeEntry(
         "The change is accepted but not yet in force everywhere.",
@@ -243,6 +247,12 @@
         True,
     ),
     ResultCode.LEAVING: CodeEntry("The instance is leaving.", _RETRY, 503, True),
+    ResultCode.KEY_UNRESOLVED: CodeEntry(
+        "This send did not run, but whether an earlier send of the same key ran is"
+        " not known.",
+        "Send it again with the same key after the stated Retry-After.",
+        503,
+    ),
     ResultCode.MANIFEST_INVALID: CodeEntry(
         "The manifest is malformed or does not match its digest.",
         "Build and publish it again.",
@@ -285,6 +295,19 @@
         "The data folder belongs to another instance or fleet.",
         "Point the settings at the right folder.",
     ),
+    ResultCode.FOLDER_LOCKED: CodeEntry(
+        "Another process is in the data folder.", "Stop the other process."
+    ),
+    ResultCode.ALREADY_FOUNDED: CodeEntry(
+        "`control init` met a peer of a cluster that is founded already.",
+        "Run `wisteriapulley control join`.",
+        409,
+    ),
+    ResultCode.MEMBER_UNKNOWN: CodeEntry(
+        "No control instance of that name takes part.",
+        "See `wisteriapulley control members`.",
+        404,
+    ),
 }
 
 
--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -100,6 +100,14 @@
         Shortest election timeout, in milliseconds.
     lease_ms : int
         Leader lease, in milliseconds; shorter than `election_ms`.
+    group_commit : bool
+        Whether what came since the last sync shares one; off only to measure.
+    snapshot_bytes : int
+        Bytes of log after which a snapshot replaces it.
+    member_lease_ms : int
+        How long a member stays after its link closed, in milliseconds.
+    owner_grace_ms : int
+        How long the members of an unreachable control instance stay.
     """
 
     wire_listen: Address
@@ -110,6 +118,9 @@
     lease_ms: int = 700
     raft_heartbeat_ms: int = 150
     member_lease_ms: int = 5000
+    group_commit: bool = True
+    snapshot_bytes: int = 4 << 20
+    owner_grace_ms: int = 15_000
 
 
 class EntrySettings(
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -40,7 +40,8 @@
     leaseQuery @33 :LeaseQuery;
     lease @34 :Lease;
     timeoutNow @35 :TimeoutNow;
-    chunkCancel @36 :ChunkCancel;
+    joinRequest @36 :JoinRequest;
+    chunkCancel @37 :ChunkCancel;
   }
 }
 
@@ -87,6 +88,7 @@
   version @13 :Text;
   bodyDigest @14 :Data;
   resumeFrom @15 :UInt64;
+  expiresAtMs @16 :UInt64;
 }
 struct Cancel { requestId @0 :Text; }
 struct AnswerHead {
@@ -106,6 +108,7 @@
   incarnation @3 :UInt64;
   requestId @4 :Text;
   expiresInMs @5 :UInt32;
+  expiresAtMs @6 :UInt64;
 }
 struct Resolution { state @0 :Text; }
 
@@ -212,3 +215,4 @@
   identity @5 :Text;
 }
 struct TimeoutNow { term @0 :UInt64; leader @1 :Text; }
+struct JoinRequest { term @0 :UInt64; nodeId @1 :Text; identity @2 :Text; }
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -70,6 +70,7 @@
     version: str = ""
     body_digest: bytes = b""
     resume_from: int = 0
+    expires_at_ms: int = 0
 
 
 class Cancel(NamedTuple):
@@ -119,6 +120,7 @@
     incarnation: int = 0
     request_id: str = ""
     expires_in_ms: int = 0
+    expires_at_ms: int = 0
 
 
 class Resolution(NamedTuple):
@@ -336,3 +338,11 @@
 
     term: int = 0
     leader: str = ""
+
+
+class JoinRequest(NamedTuple):
+    """A disk asks the leader to become a learner; its `term` is always 0."""
+
+    term: int = 0
+    node_id: str = ""
+    identity: str = ""
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -76,6 +76,7 @@
                 web.get("/control/state", self.show_state),
                 web.post("/control/load", self.load),
                 web.post("/control/cancel", self.cancel),
+                web.post("/fake/pace", self.set_pace),
                 web.post("/v1/completions", self.completions),
             ]
         )
@@ -159,6 +160,11 @@
             task.cancel()
         return web.Response(text="ok")
 
+    async def set_pace(self, request: web.Request) -> web.Response:
+        """Change the seconds a token: a target turns slow or well."""
+        self.token_s = (await request.json())["token_s"]
+        return web.Response(text="ok")
+
     async def completions(self, request: web.Request) -> web.StreamResponse:
         """Answer a completion; ``max_tokens`` tokens, streamed when asked."""
         body = await request.json()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -167,7 +167,7 @@
     # -- roles -----------------------------------------------------------
 
     def start_control(self, domains: list[str], **more: object) -> None:
-        """Initialise and start one control instance in each domain."""
+        """Start one control instance in each domain: one founds, others join."""
         names = [f"control-{i + 1}" for i in range(len(domains))]
         wires = {name: address(free_port()) for name in names}
         for name, domain in zip(names, domains, strict=True):
@@ -192,7 +192,8 @@
         for settings in self.controls:
             path = self.folder / "settings" / f"{settings['node_id']}.json"
             path.write_text(json.dumps(settings))
-            self.run_cli("control", "init", str(path))
+            founds = settings is self.controls[0]
+            self.run_cli("control", "init" if founds else "join", str(path))
         for settings in self.controls:
             self.start_node("control", settings)
 
@@ -228,10 +229,17 @@
         return self.start_node("entry", settings)
 
     def start_target(
-        self, node_id: str, domain: str, service: str, kind: str = "engine", **more
+        self,
+        node_id: str,
+        domain: str,
+        service: str,
+        kind: str = "engine",
+        fake_options: tuple[str, ...] = (),
+        **more,
     ) -> Node:
         """Start a fake target and the sidecar beside it."""
-        options = ["--name", node_id] + (["--plain"] if kind == "plain" else [])
+        options = ["--name", node_id, *fake_options]
+        options += ["--plain"] if kind == "plain" else []
         port = self.start_fake(f"target-{node_id}", "engine", *options)
         settings = self.common(
             node_id,
