--- a/src/wisteriapulley/sidecar/switch.py
+++ b/src/wisteriapulley/sidecar/switch.py
@@ -321,7 +321,9 @@
         """Give the permit back; a lost release ends with the member's lease."""
         self.holding = False
         try:
-            await self.control.propose(ReleasePermit(self.settings.node_id))
+            await self.control.propose(
+                ReleasePermit(self.settings.node_id, self.fencing)
+            )
         except WisteriapulleyError as error:
             log.warning("permit not released: %s", error)
 
--- a/src/wisteriapulley/weights/copy.py
+++ b/src/wisteriapulley/weights/copy.py
@@ -171,6 +171,10 @@
             self.swarm.store.put(span.digest, data)
         except Error as error:
             self.failed(fetch, error)
+        except Exception as error:
+            # A fault of our own must not keep the chunk in flight for ever.
+            log.exception("chunk %s from %s", fetch.index, fetch.source)
+            self.failed(fetch, WeightsError(ResultCode.SOURCE_UNAVAILABLE, repr(error)))
         else:
             self.arrived(fetch, span)
         finally:
--- a/src/wisteriapulley/weights/schedule.py
+++ b/src/wisteriapulley/weights/schedule.py
@@ -25,7 +25,7 @@
 # Two keep the origin's link busy over the round trip; 820 seeders with more
 # would only queue there.
 MAX_AT_ORIGIN = 2
-# Random chunks tried for a free holder in one call: bounds the call's cost.
+# Random chunks tried for a free holder in one call.
 TRIES = 24
 # The last chunks are asked twice so that one slow sender does not delay the
 # replica; more copies would waste the links of the others.
@@ -39,6 +39,8 @@
 # Chunks that trickle in must not put the next rank off without end.
 MOST_PATIENCE = 20
 LATENCY_WEIGHT = 0.125
+# The origin's answers are watched by their reader; this frees what that misses.
+ORIGIN_DEADLINE_MS = 120_000.0
 
 
 class Fetch(NamedTuple):
@@ -154,11 +156,15 @@
     def forget_held(self, node_id: str, now_ms: float) -> None:
         """Forget what a neighbour holds."""
         for index in self.held.pop(node_id, ()):
-            self.set_copies(index, self.copies[index] - 1)
-            if not self.copies[index]:
-                self.alone_ms[index] = now_ms
-                if index in self.missing:
-                    heapq.heappush(self.turns, (self.rank(index), index))
+            self.lose_holder(index, now_ms)
+
+    def lose_holder(self, index: int, now_ms: float) -> None:
+        """Count a holder out; after the last one the origin's turns begin."""
+        self.set_copies(index, self.copies[index] - 1)
+        if not self.copies[index]:
+            self.alone_ms[index] = now_ms
+            if index in self.missing:
+                heapq.heappush(self.turns, (self.rank(index), index))
 
     def drop_peer(self, node_id: str, now_ms: float) -> None:
         """Forget a neighbour that is gone; its fetches are open again."""
@@ -195,9 +201,9 @@
     def land(self, fetch: Fetch) -> float | None:
         """Take a fetch out of flight; return when it began."""
         sources = self.in_flight.get(fetch.index, {})
-        begun_ms = sources.pop(fetch.source, None)
-        if begun_ms is None:
+        if fetch.source not in sources:
             return None
+        begun_ms = sources.pop(fetch.source)
         self.busy[fetch.source] -= 1
         if not sources:
             del self.in_flight[fetch.index]
@@ -230,15 +236,11 @@
         """Note a chunk that a fetch brought; return fetches to cancel."""
         begun_ms = self.land(fetch)
         if begun_ms is not None:
-            self.measure(now_ms - begun_ms)
+            latency_ms = now_ms - begun_ms
+            self.latency_ms = self.latency_ms or latency_ms
+            self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
         return self.done(fetch.index, now_ms)
 
-    def measure(self, latency_ms: float) -> None:
-        """Learn the usual latency of a chunk."""
-        if not self.latency_ms:
-            self.latency_ms = latency_ms
-        self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
-
     def failed(
         self,
         fetch: Fetch,
@@ -262,19 +264,17 @@
         held = self.held.get(fetch.source, set())
         if fetch.index in held:
             held.discard(fetch.index)
-            self.set_copies(fetch.index, self.copies[fetch.index] - 1)
-            if not self.copies[fetch.index]:
-                self.alone_ms[fetch.index] = now_ms
-                heapq.heappush(self.turns, (self.rank(fetch.index), fetch.index))
+            self.lose_holder(fetch.index, now_ms)
 
     def expired(self, now_ms: float) -> list[Fetch]:
-        """Return fetches from peers whose deadline has passed."""
+        """Return fetches whose deadline has passed."""
         limit_ms = max(LEAST_DEADLINE_MS, DEADLINE_FACTOR * self.latency_ms)
         return [
             Fetch(index, source)
             for index, sources in self.in_flight.items()
             for source, begun_ms in sources.items()
-            if source != ORIGIN and now_ms - begun_ms > limit_ms
+            if now_ms - begun_ms
+            > (ORIGIN_DEADLINE_MS if source == ORIGIN else limit_ms)
         ]
 
     # -- what to fetch next ------------------------------------------------
@@ -361,12 +361,11 @@
 
     def may_ask_origin(self, index: int, now_ms: float) -> bool:
         """Tell whether this instance's turn at the origin has come."""
-        rank = self.rank(index)
+        wait_ms = self.rank(index) * self.patience_ms
         alone_ms = self.alone_ms[index]
-        quiet_ms = now_ms - max(alone_ms, self.news_ms)
-        if quiet_ms >= rank * self.patience_ms:
+        if now_ms - max(alone_ms, self.news_ms) >= wait_ms:
             return True
-        return now_ms - alone_ms >= rank * self.patience_ms * MOST_PATIENCE
+        return now_ms - alone_ms >= wait_ms * MOST_PATIENCE
 
     def next_extra(self, now_ms: float) -> int | None:
         """Return a chunk to bring into our failure domain from the origin."""
@@ -380,10 +379,8 @@
     def held_near(self, index: int) -> bool:
         """Tell whether a neighbour of our failure domain holds a chunk."""
         mine = self.me.failure_domain
-        return any(
-            index in held and self.domains.get(node_id) == mine
-            for node_id, held in self.held.items()
-        )
+        near = (held for n, held in self.held.items() if self.domains.get(n) == mine)
+        return any(index in held for held in near)
 
     def end_game(self, fetches: list[Fetch], now_ms: float) -> None:
         """Ask a second source for chunks that are late, when nothing waits."""
--- a/src/wisteriapulley/weights/source.py
+++ b/src/wisteriapulley/weights/source.py
@@ -9,7 +9,7 @@
 from wisteriapulley.weights.pace import LinkBudget
 
 # A source that sends nothing for this long has stalled.
-STALL_S = 10.0
+STALL_S = 5.0
 PARTIAL_CONTENT = 206
 LIMITED = (429, 503)
 RETRY_AFTER_MS = 1000
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -209,11 +209,10 @@
         async def scenario(target):
             target.control.name(run_target.first)
             await target.serving(run_target.first)
-            target.gate.enter()
-            target.control.name(run_target.second)
-            await target.until(lambda: "drain_ms" in target.switcher.detail)
-            assert target.loads() == [run_target.first]
-            target.gate.leave()
+            with target.gate.entered():
+                target.control.name(run_target.second)
+                await target.until(lambda: "drain_ms" in target.switcher.detail)
+                assert target.loads() == [run_target.first]
             await target.serving(run_target.second)
 
         run_target(scenario)
