--- a/bench/burst.py
+++ b/bench/burst.py
@@ -9,15 +9,19 @@
 import asyncio
 import json
 import math
+import os
 import random
 import shutil
+import socket
 import subprocess
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
 from pathlib import Path
 
 import aiohttp
+from tests import fleet as fleet_module
 from tests.fleet import Fleet
 
 from bench.virtual_burst import bound
@@ -41,6 +45,25 @@
 LIVE_PAUSE_S = 0.05
 
 
+def low_ports() -> Iterator[int]:
+    """Yield free ports below those that the system gives to outgoing links.
+
+    With some hundred processes, a port that was free a moment ago is else taken
+    by a connection before its listener starts.
+    """
+    for port in range(10_000 + os.getpid() % 8_000, 32_000):
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        yield port
+
+
+fleet_module.free_port = low_ports().__next__
+
+
 class Burst:
     """One fleet with bursts of versions."""
 
@@ -184,8 +207,8 @@
     burst = Burst(nodes, folder)
     process = None
     try:
-        await burst.start()
         process = start_baselines(nodes) if baselines else None
+        await burst.start()
         results = [await burst.measure(policy) for policy in POLICIES]
     finally:
         burst.fleet.stop()
