--- a/src/wisteriapulley/entry/answer.py
+++ b/src/wisteriapulley/entry/answer.py
@@ -29,7 +29,9 @@
     abandon: Callable[[], None]
 
 
-async def own_reply(call: Call, request_id: str, timeout_s: float) -> Frame:
+async def own_reply(
+    call: Call, request_id: str, timeout_s: float | None = None
+) -> Frame:
     """Wait for the next reply to this request; drop and count crossed ones.
 
     Raises
@@ -47,13 +49,12 @@
         call.link.crossed_replies += 1
 
 
-async def read_parts(
-    call: Call, request_id: str, timeout_s: float
-) -> AsyncIterator[bytes]:
+async def read_parts(call: Call, request_id: str) -> AsyncIterator[bytes]:
     """Yield the parts of an answer; end only at a matching end mark.
 
-    Credit for what was consumed goes back, so a slow caller holds at most one
-    window of its answer here.
+    Whoever passes them on has one timer for the whole answer: a timer for each
+    part would cost more than the part. Credit for what was consumed goes back,
+    so a slow caller holds at most one window of its answer here.
 
     Raises
     ------
@@ -62,7 +63,7 @@
     """
     offset = crc = consumed = 0
     while True:
-        frame = await own_reply(call, request_id, timeout_s)
+        frame = await own_reply(call, request_id)
         message = frame.message
         if isinstance(message, messages.AnswerEnd):
             if (message.length, message.crc) != (offset, crc):
--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -243,8 +243,7 @@
         """Yield parts; a call that ends early is taken off its target."""
         call = opened.call
         try:
-            remaining_s = max(0.001, request.remaining_s)
-            async for part in read_parts(call, request.request_id, remaining_s):
+            async for part in read_parts(call, request.request_id):
                 yield part
             call.close()
         finally:
--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -30,7 +30,7 @@
         self.node_id = target.member.node_id
         self.incarnation = link.peer.incarnation if link is not None else 0
         self.held = True
-        target.in_flight += 1
+        target.take()
 
     @property
     def link(self) -> Link | None:
@@ -108,10 +108,10 @@
             async with asyncio.timeout(max(0.0, left_s - longest_s)):
                 return await future
         except TimeoutError as error:
+            give_back(future)
             raise too_late() from error
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled() and not future.exception():
-                future.result().release(ok=False, cancelled=True)
+            give_back(future)
             raise
         finally:
             self.waiting.pop(work.id, None)
@@ -143,6 +143,12 @@
         self.start_queued()
 
 
+def give_back(future: asyncio.Future) -> None:
+    """Release a place that was given in the moment its waiter gave up."""
+    if future.done() and not future.cancelled() and not future.exception():
+        future.result().release(ok=False, cancelled=True)
+
+
 def too_late() -> RequestError:
     """Make the error of a queued request that can't be in time any more."""
     return RequestError(
--- a/src/wisteriapulley/entry/targets.py
+++ b/src/wisteriapulley/entry/targets.py
@@ -30,7 +30,11 @@
     in_flight : int
         Requests of this entry that it holds.
     in_flight_at_report : int
-        The same when its last heartbeat came.
+        The most of them since the heartbeat before the last one: what the last
+        may have counted. A report crosses answers on their way, and one taken
+        for another entry's request would leave a place empty for a heartbeat.
+    peak : int
+        The most of them since the last heartbeat.
     gone : bool
         Control no longer names it; it serves on while its link beats.
     displaced : bool
@@ -45,6 +49,7 @@
         self.keeper = keeper
         self.in_flight = 0
         self.in_flight_at_report = 0
+        self.peak = 0
         self.gone = False
         self.displaced = False
         self.asked_s = 0.0
@@ -54,6 +59,11 @@
         """The open link, if there is one."""
         return self.keeper.open_link
 
+    def take(self) -> None:
+        """Count a request of this entry in."""
+        self.in_flight += 1
+        self.peak = max(self.peak, self.in_flight)
+
     def view(self) -> TargetView:
         """Return what placement needs to know of it."""
         return TargetView(
@@ -174,7 +184,8 @@
         """Take in a heartbeat: load as of now, and the target's revision."""
         target = self.targets.get(link.peer_id)
         if target is not None:
-            target.in_flight_at_report = target.in_flight
+            target.in_flight_at_report = target.peak
+            target.peak = target.in_flight
         self.control.heard(link)
 
     def views(self, entry: Entry, avoid: Container[str] = ()) -> list[TargetView]:
--- a/src/wisteriapulley/policy/outliers.py
+++ b/src/wisteriapulley/policy/outliers.py
@@ -16,7 +16,7 @@
 # At most this share is out at once: when many are slow, the load is the cause,
 # and taking targets out would make it worse.
 EJECTED_SHARE = 0.34
-PROBE_FIRST_S = 2.0
+PROBE_FIRST_S = 5.0
 PROBE_MOST_S = 60.0
 GAIN = 0.3
 
--- a/src/wisteriapulley/policy/scheduler.py
+++ b/src/wisteriapulley/policy/scheduler.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from wisteriapulley.errors import RequestError, ResultCode
+from wisteriapulley.policy.drain import DrainRate
 from wisteriapulley.policy.fair_queue import PriorityQueue
 from wisteriapulley.policy.outliers import SLOW_FACTOR, Outliers
 from wisteriapulley.policy.service_times import ServiceTimes
@@ -18,6 +19,9 @@
 # Below this a caller would come back into the same burst.
 LEAST_RETRY_MS = 100
 NO_TARGET_RETRY_MS = 1000
+# A full queue stands at its bound: without room for later arrivals that go first
+# half of what was let in there would be refused late instead of at once.
+HEADROOM = 1.3
 # A probe goes to a target that was at least three times slower.
 PROBE_SLACK = 10.0
 
@@ -53,6 +57,7 @@
         self.queue = PriorityQueue()
         self.times = ServiceTimes()
         self.outliers = Outliers()
+        self.drain = DrainRate()
         self.running: dict[int, Running] = {}
         self.suspected: dict[int, float] = {}
 
@@ -93,8 +98,9 @@
     def check_deadline(self, work: Work, places: int, now_s: float) -> None:
         """Refuse work that would not be answered within its deadline."""
         expected_s = self.times.expect(work).mean
-        wait_s = self.queue.ahead_s(work, expected_s) / places
-        late_s = now_s + wait_s + self.times.longest(work) - work.deadline_s
+        wait_s = self.drain.wait_s(self.queue.ahead_s(work, expected_s), places)
+        answered_s = now_s + HEADROOM * wait_s + self.times.longest(work)
+        late_s = answered_s - work.deadline_s
         if late_s <= 0 and len(self.queue) < MAX_QUEUED:
             return
         raise RequestError(
@@ -147,8 +153,10 @@
             work = self.queue.pop()
             if now_s + self.times.longest(work) > work.deadline_s:
                 yield Start(work, None)
-            else:
-                yield Start(work, self.place(work, room, now_s))
+                continue
+            self.drain.started(self.times.expect(work).mean, now_s)
+            yield Start(work, self.place(work, room, now_s))
+        self.drain.emptied()
 
     # -- outcomes --------------------------------------------------------
 
@@ -181,6 +189,8 @@
         A target ten times slower would otherwise be found only when its first
         requests have taken ten times as long.
         """
+        if self.queue:
+            self.drain.watch(now_s)
         for work_id, run in self.running.items():
             if run.expected_s <= 0 or run.probe:
                 continue
--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -63,6 +63,7 @@
         self.attempts = AttemptTable()
         self.sender = AnswerSender()
         self.running = 0
+        self.sending = 0
         self.idle = asyncio.Event()
         self.idle.set()
         self.tasks: dict[str, asyncio.Task] = {}
@@ -196,7 +197,7 @@
     ) -> None:
         """Wait for an attempt's end and send its kept answer."""
         waiter = self.finished.get(key)
-        with self.entered():
+        with self.sent():
             if waiter is not None:
                 await waiter.wait()
             if attempt.state == TOMBSTONE:
@@ -279,15 +280,30 @@
 
     @contextmanager
     def entered(self):
-        """Count a request in for as long as the block runs."""
+        """Count a request as load of the target while the block runs."""
         self.running += 1
         self.idle.clear()
         try:
             yield
         finally:
             self.running -= 1
-            if self.running == 0:
-                self.idle.set()
+            self.check_idle()
+
+    @contextmanager
+    def sent(self):
+        """Count an answer that has still to go out; it is no load."""
+        self.sending += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.sending -= 1
+            self.check_idle()
+
+    def check_idle(self) -> None:
+        """Say when nothing runs and no answer is still to go out."""
+        if self.running == 0 and self.sending == 0:
+            self.idle.set()
 
     async def drained(self) -> None:
         """Wait until no request runs."""
--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -58,11 +58,11 @@
             The link closed, or no reply came within `timeout_s`.
         """
         try:
-            if self.replies.empty():
+            if timeout_s is None or not self.replies.empty():
+                item = await self.replies.get()
+            else:
                 async with asyncio.timeout(timeout_s):
                     item = await self.replies.get()
-            else:
-                item = self.replies.get_nowait()
         except TimeoutError as error:
             raise WireError(
                 ResultCode.LINK_TIMEOUT,
