Close connections that bring no request

Cause: aiohttp waits for ever for a connection's first header line, so a caller that sends it byte by byte holds a socket without end; a path or method that no route has was answered without a code.

Change: connections without a request in progress are swept; 404 and 405 carry a code.

--- a/src/wisteriapulley/http_server.py
+++ b/src/wisteriapulley/http_server.py
@@ -1,5 +1,7 @@
 """The small HTTP server that every daemon shows: health, metrics, routes."""
 
+import asyncio
+import time
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -16,6 +18,10 @@
 from wisteriapulley.settings import Address
 
 MAX_BODY_BYTES = 8 << 20
+# A connection without a request in progress is closed after this, whether it is
+# an idle one of the balancer or one that sends its headers byte by byte.
+IDLE_S = 20.0
+SWEEP_S = 1.0
 
 
 class HttpServer:
@@ -40,8 +46,10 @@
     ):
         self.metrics = metrics
         self.is_ready = is_ready
+        self.active: set[object] = set()
         self.app = web.Application(
-            middlewares=[coded_errors], client_max_size=max_body_bytes
+            middlewares=[self.count_active, coded_errors],
+            client_max_size=max_body_bytes,
         )
         self.app.add_routes(
             [
@@ -56,6 +64,7 @@
 
     async def start(self, address: Address) -> None:
         """Listen at `address`."""
+        self.sweeping = asyncio.get_running_loop().create_task(self.sweep())
         self.runner = web.AppRunner(
             self.app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
         )
@@ -72,9 +81,37 @@
 
     async def stop(self) -> None:
         """Stop listening."""
+        self.sweeping.cancel()
         if self.runner is not None:
             await self.runner.cleanup()
 
+    async def sweep(self) -> None:
+        """Close connections that bring no request for too long.
+
+        aiohttp waits for ever for the first header line of a connection: callers
+        that send it byte by byte would hold sockets and memory without end.
+        """
+        first_seen: dict[object, float] = {}
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now_s = time.monotonic()
+            connections = self.runner.server.connections if self.runner.server else []
+            idle = [c for c in connections if c not in self.active]
+            first_seen = {c: first_seen.get(c, now_s) for c in idle}
+            for connection, seen_s in first_seen.items():
+                if now_s - seen_s > IDLE_S:
+                    connection.force_close()
+
+    @web.middleware
+    async def count_active(self, request: web.Request, handler) -> web.StreamResponse:
+        """Know which connections have a request in progress."""
+        protocol = request.protocol
+        self.active.add(protocol)
+        try:
+            return await handler(request)
+        finally:
+            self.active.discard(protocol)
+
     async def live(self, request: web.Request) -> web.Response:
         """Answer that the loop runs."""
         return web.Response(text="live\n")
@@ -144,3 +181,13 @@
         return error_response(
             WisteriapulleyError(ResultCode.BODY_TOO_LARGE, str(error.text))
         )
+    except web.HTTPNotFound:
+        return error_response(
+            WisteriapulleyError(ResultCode.REQUEST_MALFORMED, "no such path")
+        )
+    except web.HTTPMethodNotAllowed as error:
+        return error_response(
+            WisteriapulleyError(
+                ResultCode.REQUEST_MALFORMED, f"no method {error.method} here"
+            )
+        )
