--- a/src/wisteriapulley/cli.py
+++ b/src/wisteriapulley/cli.py
@@ -9,31 +9,23 @@
 import cappa
 
 from wisteriapulley import __version__
-from wisteriapulley.errors import WisteriapulleyError
+from wisteriapulley.catalogue_commands import CatalogueCommand, Control, TokenFile
+from wisteriapulley.errors import ResultCode, WisteriapulleyError
 
 EXIT_OK = 0
 EXIT_ERROR = 1
-EXIT_DIFFERS = 3
+EXIT_CONFLICT = 4
+EXIT_NO_QUORUM = 5
+EXIT_STILL_PROPAGATING = 6
+# A script tells by these whether to resend, to look, or to correct a file.
+EXIT_BY_CODE = {
+    ResultCode.REVISION_CONFLICT: EXIT_CONFLICT,
+    ResultCode.CHANGE_ID_CONFLICT: EXIT_CONFLICT,
+    ResultCode.NO_QUORUM: EXIT_NO_QUORUM,
+    ResultCode.STILL_PROPAGATING: EXIT_STILL_PROPAGATING,
+}
 
 SettingsFile = Annotated[str, cappa.Arg(help="JSON settings file.")]
-Folder = Annotated[str, cappa.Arg(help="Folder with one JSON file an entry.")]
-Control = Annotated[
-    str,
-    cappa.Arg(
-        long=True,
-        default=cappa.Env("WISTERIAPULLEY_CONTROL"),
-        help="Operators' addresses of control instances, ip:port, by commas.",
-    ),
-]
-TokenFile = Annotated[
-    str,
-    cappa.Arg(
-        long=True,
-        default=cappa.Env("WISTERIAPULLEY_TOKEN_FILE"),
-        help="File that holds the operator's bearer token.",
-    ),
-]
-Owner = Annotated[str, cappa.Arg(long=True, help="Owner whose entries these are.")]
 
 
 def run_daemon(role: str, path: str) -> int:
@@ -62,188 +54,115 @@
         return run_daemon("control", self.settings)
 
 
-@cappa.command(name="init", help="Make the data folder of a founding instance, once.")
+@cappa.command(name="init", help="Found the fleet's cluster: on one instance, once.")
 @dataclass
 class ControlInit:
-    """Make a founding instance's data folder."""
+    """Found the cluster on this instance."""
 
     settings: SettingsFile
 
     def __call__(self) -> int:
-        """Write the identity."""
+        """Write the identity of the one founding voter."""
         from wisteriapulley.consensus.setup import init_folder
+        from wisteriapulley.control.founding import refuse_if_founded
         from wisteriapulley.settings import load_settings
 
         settings = load_settings(self.settings, "control")
-        init_folder(settings)
-        print(f"{settings.data_folder}: initialised for {settings.node_id}")
+        refuse_if_founded(settings)
+        identity = init_folder(settings)
+        print(f"{settings.data_folder}: {settings.node_id} founds, {identity.identity}")
         return EXIT_OK
 
 
-@cappa.command(name="control", help="Control instance: catalogue, claims, permits.")
+@cappa.command(name="join", help="Make the folder of an instance that joins.")
 @dataclass
-class ControlCommand:
-    """Control instance."""
-
-    command: cappa.Subcommands[ControlRun | ControlInit]
-
-
-@cappa.command(name="entry", help="Entry: serves callers.")
-@dataclass
-class EntryCommand:
-    """Entry."""
+class ControlJoin:
+    """Make the folder of an instance that joins."""
 
     settings: SettingsFile
 
     def __call__(self) -> int:
-        """Run until SIGTERM."""
-        return run_daemon("entry", self.settings)
-
-
-@cappa.command(name="sidecar", help="Sidecar: beside each target.")
-@dataclass
-class SidecarCommand:
-    """Sidecar."""
-
-    settings: SettingsFile
-
-    def __call__(self) -> int:
-        """Run until SIGTERM."""
-        return run_daemon("sidecar", self.settings)
-
-
-@cappa.command(name="check", help="Check a folder of entries.")
-@dataclass
-class CatalogueCheck:
-    """Check a folder of entries."""
-
-    folder: Folder
-
-    def __call__(self) -> int:
-        """Print how many entries are fine."""
-        from wisteriapulley.catalogue import load_folder
+        """Write the identity of a learner."""
+        from wisteriapulley.consensus.setup import join_folder
+        from wisteriapulley.settings import load_settings
 
-        print(f"{self.folder}: {len(load_folder(self.folder))} entries are valid")
+        settings = load_settings(self.settings, "control")
+        identity = join_folder(settings)
+        print(f"{settings.data_folder}: {settings.node_id} joins, {identity.identity}")
         return EXIT_OK
 
 
-@cappa.command(name="diff", help="Show what apply would change.")
+@cappa.command(name="members", help="Show who votes, who learns and how far each is.")
 @dataclass
-class CatalogueDiff:
-    """Show what apply would change."""
+class ControlMembers:
+    """Show the members of the quorum."""
 
-    folder: Folder
     control: Control
     token_file: TokenFile
-    owner: Owner
 
     def __call__(self) -> int:
-        """Print a line each change; exit 3 when there is one."""
-        from wisteriapulley.operator_client import OperatorClient, show_diff
-
-        client = OperatorClient.from_files(self.control, self.token_file, self.owner)
-        lines = list(show_diff(client, self.folder))
-        print("\n".join(lines) if lines else "no difference")
-        return EXIT_DIFFERS if lines else EXIT_OK
+        """Print them as JSON."""
+        return show_members(self.control, self.token_file, "GET")
 
 
-@cappa.command(name="apply", help="Make the accepted entries those of a folder.")
+@cappa.command(name="remove", help="Take an instance out of the quorum for good.")
 @dataclass
-class CatalogueApply:
-    """Make the accepted entries those of a folder."""
+class ControlRemove:
+    """Remove a member."""
 
-    folder: Folder
+    node_id: Annotated[str, cappa.Arg(help="Control instance to remove.")]
     control: Control
     token_file: TokenFile
-    owner: Owner
-    change_id: Annotated[
-        str, cappa.Arg(long=True, help="Number of this change; the same on a resend.")
-    ] = ""
-    wait: Annotated[
-        int, cappa.Arg(long=True, help="Wait so many seconds until in force.")
-    ] = 0
 
     def __call__(self) -> int:
-        """Apply and print the revision."""
-        from wisteriapulley.operator_client import OperatorClient, apply_folder
+        """Remove it and print who is left."""
+        return show_members(self.control, self.token_file, "DELETE", self.node_id)
 
-        client = OperatorClient.from_files(self.control, self.token_file, self.owner)
-        revision = apply_folder(client, self.folder, self.change_id)
-        print(f"accepted at revision {revision}")
-        if self.wait:
-            from wisteriapulley.operator_client import wait_in_force
-
-            wait_in_force(client, revision, self.wait)
-        return EXIT_OK
 
-
-@cappa.command(name="get", help="Print the accepted catalogue as JSON.")
+@cappa.command(name="control", help="Control instance: catalogue, claims, permits.")
 @dataclass
-class CatalogueGet:
-    """Print the accepted catalogue."""
-
-    control: Control
-    token_file: TokenFile
+class ControlCommand:
+    """Control instance."""
 
-    def __call__(self) -> int:
-        """Print it."""
-        return show("/v1/catalogue", self.control, self.token_file)
+    command: cappa.Subcommands[
+        ControlRun | ControlInit | ControlJoin | ControlMembers | ControlRemove
+    ]
 
 
-@cappa.command(name="history", help="Print the accepted changes as JSON.")
+@cappa.command(name="entry", help="Entry: serves callers.")
 @dataclass
-class CatalogueHistory:
-    """Print the accepted changes."""
+class EntryCommand:
+    """Entry."""
 
-    control: Control
-    token_file: TokenFile
+    settings: SettingsFile
 
     def __call__(self) -> int:
-        """Print them."""
-        return show("/v1/catalogue/history", self.control, self.token_file)
+        """Run until SIGTERM."""
+        return run_daemon("entry", self.settings)
 
 
-@cappa.command(name="status", help="Show what is in force by failure domain.")
+@cappa.command(name="sidecar", help="Sidecar: beside each target.")
 @dataclass
-class CatalogueStatus:
-    """Show what is in force."""
+class SidecarCommand:
+    """Sidecar."""
 
-    control: Control
-    token_file: TokenFile
+    settings: SettingsFile
 
     def __call__(self) -> int:
-        """Print a table."""
-        from wisteriapulley.operator_client import OperatorClient, status_table
-
-        client = OperatorClient.from_files(self.control, self.token_file, "")
-        print("\n".join(status_table(client.status())))
-        return EXIT_OK
+        """Run until SIGTERM."""
+        return run_daemon("sidecar", self.settings)
 
 
-def show(path: str, control: str, token_file: str) -> int:
-    """Print what an operators' page answers."""
+def show_members(control: str, token_file: str, method: str, node_id: str = "") -> int:
+    """Ask the leader about the members and print its answer."""
+    from wisteriapulley.control.quorum_client import ask_members
     from wisteriapulley.operator_client import OperatorClient
 
     client = OperatorClient.from_files(control, token_file, "")
-    sys.stdout.write(client.request("GET", path).decode() + "\n")
+    print(ask_members(client, method, node_id))
     return EXIT_OK
 
 
-@cappa.command(name="catalogue", help="Check, diff, apply and watch the catalogue.")
-@dataclass
-class CatalogueCommand:
-    """The catalogue."""
-
-    command: cappa.Subcommands[
-        CatalogueCheck
-        | CatalogueDiff
-        | CatalogueApply
-        | CatalogueGet
-        | CatalogueHistory
-        | CatalogueStatus
-    ]
-
-
 @cappa.command(name="build", help="Build the manifest of a file tree.")
 @dataclass
 class ManifestBuild:
@@ -340,13 +259,14 @@
     Returns
     -------
     int
-        0, 1 on an error, 2 on wrong usage, 3 when ``diff`` finds one.
+        0, 1 on an error, 2 on wrong usage, 3 when ``diff`` finds one, 4 on a
+        conflict, 5 without a quorum, 6 when not yet in force everywhere.
     """
     try:
         return cappa.invoke(Main, argv=argv, version=__version__) or EXIT_OK
     except WisteriapulleyError as error:
         print(error, file=sys.stderr)
-        return EXIT_ERROR
+        return EXIT_BY_CODE.get(error.code, EXIT_ERROR)
 
 
 if __name__ == "__main__":
--- a/src/wisteriapulley/daemon.py
+++ b/src/wisteriapulley/daemon.py
@@ -18,6 +18,7 @@
     "entry": ("wisteriapulley.entry.service", "EntryService"),
     "sidecar": ("wisteriapulley.sidecar.service", "SidecarService"),
 }
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_FAILED = 1
 
 
@@ -65,8 +66,8 @@
     """
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    for number in STOP_SIGNALS:
+        signal.signal(number, lambda *_: loop.call_soon_threadsafe(stop.set))
     service.fatal = loop.create_future()
     async with aiomisc.entrypoint(service, log_config=False, catch_signals=()):
         stopping = loop.create_task(stop.wait())
@@ -74,6 +75,10 @@
             (stopping, service.fatal), return_when=asyncio.FIRST_COMPLETED
         )
         stopping.cancel()
+    # Handlers of Python go before the process does: a signal in between would
+    # end a clean exit as a kill.
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
     if service.fatal.done():
         service.fatal.result()
 
--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -64,11 +64,15 @@
     ENGINE_WRONG_DIGEST = 505
     ENGINE_FENCED = 506
     COPY_SUPERSEDED = 507
+    CHUNK_STORE_FULL = 508
 
     LOG_DAMAGED = 600
     DISK_FULL = 601
     FSYNC_FAILED = 602
     IDENTITY_MISMATCH = 603
+    FOLDER_LOCKED = 604
+    ALREADY_FOUNDED = 605
+    MEMBER_UNKNOWN = 606
 
 
 class CodeEntry(NamedTuple):
@@ -138,10 +142,10 @@
         "The bearer token is missing or unknown.", "Use an operator's token.", 401
     ),
     ResultCode.NO_QUORUM: CodeEntry(
-        "No majority of control instances answered; nothing was accepted here.",
+        "No majority of control instances answered; what was sent may still be"
+        " accepted later.",
         "Resend with the same change id.",
         503,
-        True,
     ),
     ResultCode.STILL_PROPAGATING: CodeEntry(
         "The change is accepted but not yet in force everywhere.",
@@ -275,6 +279,10 @@
     ResultCode.COPY_SUPERSEDED: CodeEntry(
         "The catalogue moved on while the copy was in flight.", "Nothing."
     ),
+    ResultCode.CHUNK_STORE_FULL: CodeEntry(
+        "The sidecar's chunk store has no room for the version.",
+        "Raise `chunk_store_bytes`, or free the scratch folder's disk.",
+    ),
     ResultCode.LOG_DAMAGED: CodeEntry(
         "The log is damaged before its tail.",
         "Replace the disk and rejoin: docs/operators/lost-disk.md.",
@@ -287,6 +295,19 @@
         "The data folder belongs to another instance or fleet.",
         "Point the settings at the right folder.",
     ),
+    ResultCode.FOLDER_LOCKED: CodeEntry(
+        "Another process is in the data folder.", "Stop the other process."
+    ),
+    ResultCode.ALREADY_FOUNDED: CodeEntry(
+        "`control init` met a peer of a cluster that is founded already.",
+        "Run `wisteriapulley control join`.",
+        409,
+    ),
+    ResultCode.MEMBER_UNKNOWN: CodeEntry(
+        "No control instance of that name takes part.",
+        "See `wisteriapulley control members`.",
+        404,
+    ),
 }
 
 
