Test bad input at the HTTP edge and answers over a real link

Cause: nothing showed that malformed, oversized, slow or non-UTF-8 requests, slow callers, crossed frames and cut answers end as they should.

--- a/src/wisteriapulley/http_server.py
+++ b/src/wisteriapulley/http_server.py
@@ -18,9 +18,10 @@
 from wisteriapulley.settings import Address
 
 MAX_BODY_BYTES = 8 << 20
-# A connection without a request in progress is closed after this, whether it is
-# an idle one of the balancer or one that sends its headers byte by byte.
-IDLE_S = 20.0
+# A new connection has this long to bring a request, byte by byte or not.
+FIRST_REQUEST_S = 20.0
+# One that brought some may rest this long, as balancers let theirs.
+KEPT_S = 600.0
 SWEEP_S = 1.0
 
 
@@ -46,7 +47,9 @@
     ):
         self.metrics = metrics
         self.is_ready = is_ready
+        self.first_request_s = FIRST_REQUEST_S
         self.active: set[object] = set()
+        self.served: set[object] = set()
         self.app = web.Application(
             middlewares=[self.count_active, coded_errors],
             client_max_size=max_body_bytes,
@@ -91,15 +94,17 @@
         aiohttp waits for ever for the first header line of a connection: callers
         that send it byte by byte would hold sockets and memory without end.
         """
-        first_seen: dict[object, float] = {}
+        idle_since_s: dict[object, float] = {}
         while True:
             await asyncio.sleep(SWEEP_S)
             now_s = time.monotonic()
-            connections = self.runner.server.connections if self.runner.server else []
-            idle = [c for c in connections if c not in self.active]
-            first_seen = {c: first_seen.get(c, now_s) for c in idle}
-            for connection, seen_s in first_seen.items():
-                if now_s - seen_s > IDLE_S:
+            connections = set(self.runner.server.connections)
+            self.served &= connections
+            idle = connections - self.active
+            idle_since_s = {c: idle_since_s.get(c, now_s) for c in idle}
+            for connection, since_s in idle_since_s.items():
+                limit_s = KEPT_S if connection in self.served else self.first_request_s
+                if now_s - since_s > limit_s:
                     connection.force_close()
 
     @web.middleware
@@ -111,6 +116,7 @@
             return await handler(request)
         finally:
             self.active.discard(protocol)
+            self.served.add(protocol)
 
     async def live(self, request: web.Request) -> web.Response:
         """Answer that the loop runs."""
@@ -181,13 +187,11 @@
         return error_response(
             WisteriapulleyError(ResultCode.BODY_TOO_LARGE, str(error.text))
         )
-    except web.HTTPNotFound:
-        return error_response(
-            WisteriapulleyError(ResultCode.REQUEST_MALFORMED, "no such path")
-        )
-    except web.HTTPMethodNotAllowed as error:
-        return error_response(
+    except (web.HTTPNotFound, web.HTTPMethodNotAllowed) as error:
+        response = error_response(
             WisteriapulleyError(
-                ResultCode.REQUEST_MALFORMED, f"no method {error.method} here"
+                ResultCode.REQUEST_MALFORMED, f"{request.method} {error.reason}"
             )
         )
+        response.set_status(error.status)
+        return response
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,161 @@
+"""Bad input at the HTTP edge: raw bytes in, a clear answer out."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+
+import pytest
+
+from wisteriapulley import http_server
+from wisteriapulley.catalogue import Entry
+from wisteriapulley.entry import body as body_module
+from wisteriapulley.entry.body import BodyBudget, HeldBody
+from wisteriapulley.entry.metrics import EntryMetrics
+from wisteriapulley.entry.request import parse_request
+from wisteriapulley.errors import ResultCode, WisteriapulleyError
+from wisteriapulley.http_server import HttpServer, error_response
+from wisteriapulley.metrics import Metrics
+from wisteriapulley.settings import Address
+
+ENTRIES = {
+    name: SimpleNamespace(entry=Entry(name=name, owner="o", traffic_class="c", **more))
+    for name, more in {
+        "drafts": {"service": "m", "version": "0" * 64},
+        "letters": {"service": "p", "idempotent": False},
+        "titles": {"service": "t"},
+    }.items()
+}
+MAX_BYTES = 1000
+
+
+async def start(budget=None):
+    """Serve what an entry would parse; answer what it made of it."""
+    from aiohttp import web
+
+    budget = budget or BodyBudget()
+
+    async def handle(request):
+        held = HeldBody(budget, MAX_BYTES)
+        try:
+            caller = parse_request(request, await held.read(request), ENTRIES)
+            return web.json_response([caller.path, caller.units])
+        except WisteriapulleyError as error:
+            return error_response(error)
+        finally:
+            held.release()
+
+    server = HttpServer(
+        Metrics("n", "entry"), lambda: True, [web.route("*", "/{rest:.*}", handle)]
+    )
+    await server.start(Address("127.0.0.1", 0))
+    return server
+
+
+async def send_raw(server, data):
+    address = server.address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(data)
+    answer = await asyncio.wait_for(reader.read(), 20)
+    writer.close()
+    return answer
+
+
+def http(path, body=b"", *headers, method="POST"):
+    lines = [f"{method} {path} HTTP/1.1", "Host: x", "Connection: close", *headers]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+def ask(data, **more):
+    """Return status and body of the answer to raw bytes."""
+
+    async def run():
+        server = await start(**more)
+        try:
+            return await send_raw(server, data)
+        finally:
+            await server.stop()
+
+    head, _, body = asyncio.run(run()).partition(b"\r\n\r\n")
+    return int(head.split()[1]), body
+
+
+ACCOUNT = "X-Client-Account: dealer"
+KEY = "Idempotency-Key: k"
+COMPLETION = json.dumps({"model": "drafts"}).encode()
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("data", "code"),
+        [
+            (http("/v1/completions", b"{", ACCOUNT), 400),
+            (http("/v1/completions", b"\xff\xfe{}", ACCOUNT), 400),
+            (http("/v1/completions", b"[" * 900, ACCOUNT), 400),
+            (http("/v1/completions", b'{"model": 3}', ACCOUNT), 400),
+            (http("/v1/completions", COMPLETION), 400),
+            (http("/v1/completions", COMPLETION, "X-Client-Account: a\xe9"), 400),
+            (http("/v1/completions", COMPLETION, f"{ACCOUNT}{'x' * 200}"), 400),
+            (
+                http(
+                    "/v1/completions", COMPLETION, ACCOUNT, "X-Request-Timeout-Ms: -1"
+                ),
+                400,
+            ),
+            (http("/v1/completions", b"x" * 2000, ACCOUNT), 413),
+            (http("/services/letters/x", b"", ACCOUNT), 401),
+            (http("/services/letters/x", b"", ACCOUNT, KEY), 401),
+            (http("/services/letters/x", b"", ACCOUNT, KEY, method="PUT"), 400),
+            (http("/services/none/x", b"", ACCOUNT), 408),
+        ],
+    )
+    def test_each_has_its_code_and_did_not_run(self, data, code):
+        _, body = ask(data)
+        error = json.loads(body)["error"]
+        assert (error["code"], error["not_run"]) == (code, True)
+
+    def test_no_http_is_answered_and_closed(self):
+        assert ask(b"\x16\x03\x01\x02\x00garbage\r\n\r\n")[0] == 400
+
+    def test_engine_paths_are_not_for_callers(self):
+        # Guards: /services/<model>/control/load reached the engine.
+        _, body = ask(http("/services/drafts/control/load", b"{}", ACCOUNT))
+        assert json.loads(body)["error"]["code"] == ResultCode.UNKNOWN_MODEL
+
+    def test_path_goes_on_as_it_was_encoded(self):
+        _, body = ask(http("/services/titles/a%2Fb%3Fc?q=%20", b"", ACCOUNT))
+        assert json.loads(body)[0] == "/a%2Fb%3Fc?q=%20"
+
+    def test_bodies_beyond_the_budget_are_refused(self):
+        _, body = ask(
+            http("/services/titles/x", b"x" * 100, ACCOUNT), budget=BodyBudget(50)
+        )
+        assert json.loads(body)["error"]["code"] == ResultCode.OVERLOADED
+
+    def test_slow_body_is_refused(self, monkeypatch):
+        monkeypatch.setattr(body_module, "BODY_READ_S", 0.05)
+        data = http("/services/titles/x", b"", ACCOUNT)
+        data = data.replace(b"Content-Length: 0", b"Content-Length: 9")
+        _, body = ask(data)
+        assert json.loads(body)["error"]["code"] == ResultCode.REQUEST_MALFORMED
+
+    def test_slow_headers_are_cut_off(self, monkeypatch):
+        monkeypatch.setattr(http_server, "SWEEP_S", 0.02)
+        monkeypatch.setattr(http_server, "FIRST_REQUEST_S", 0.05)
+
+        async def run():
+            server = await start()
+            try:
+                return await send_raw(server, b"GET / HTTP/1.1\r\nHo")
+            finally:
+                await server.stop()
+
+        assert asyncio.run(run()) == b""
+
+    def test_invented_accounts_do_not_grow_the_metrics(self):
+        measured = EntryMetrics(Metrics("n", "entry"), max_accounts=2)
+        for number in range(50):
+            measured.answered(f"refused-{number}", "c", 403, 0.1)
+            measured.answered(f"served-{number}", "c", 0, 0.1)
+        assert measured.accounts == {"served-0", "served-1"}
+        assert len(measured.requests.get_all()) == 4
