Show resumed, cut, retried and abandoned answers on real links

Cause: resuming a cut stream, the error of a retried request and taking abandoned work off the engine were written but not run by any test.

A cut before any byte had reached the caller was not resumed; it is now.

--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -272,7 +272,7 @@
         except WisteriapulleyError:
             other.release(ok=False)
             return None
-        if header(opened.head, RESUMED_HEADER) != str(sent):
+        if (header(opened.head, RESUMED_HEADER) or "0") != str(sent):
             other.release(ok=False, cancelled=True)
             self.cancel(opened.call, request)
             return None
--- a/tests/fakes/caller.py
+++ b/tests/fakes/caller.py
@@ -100,6 +100,7 @@
             outcome = await self.send_once(session, workload, name, headers)
             if outcome.status and not (outcome.not_run and outcome.status == 503):
                 break
+            headers["Idempotency-Resend"] = "1"
             await asyncio.sleep(0.2)
         self.outcomes.append(
             outcome._replace(key=key, seconds=time.monotonic() - started)
