--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -243,8 +243,7 @@
         """Yield parts; a call that ends early is taken off its target."""
         call = opened.call
         try:
-            remaining_s = max(0.001, request.remaining_s)
-            async for part in read_parts(call, request.request_id, remaining_s):
+            async for part in read_parts(call, request.request_id):
                 yield part
             call.close()
         finally:
@@ -273,7 +272,7 @@
         except WisteriapulleyError:
             other.release(ok=False)
             return None
-        if header(opened.head, RESUMED_HEADER) != str(sent):
+        if (header(opened.head, RESUMED_HEADER) or "0") != str(sent):
             other.release(ok=False, cancelled=True)
             self.cancel(opened.call, request)
             return None
--- a/src/wisteriapulley/http_server.py
+++ b/src/wisteriapulley/http_server.py
@@ -1,5 +1,7 @@
 """The small HTTP server that every daemon shows: health, metrics, routes."""
 
+import asyncio
+import time
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -16,6 +18,11 @@
 from wisteriapulley.settings import Address
 
 MAX_BODY_BYTES = 8 << 20
+# A new connection has this long to bring a request, byte by byte or not.
+FIRST_REQUEST_S = 20.0
+# One that brought some may rest this long, as balancers let theirs.
+KEPT_S = 600.0
+SWEEP_S = 1.0
 
 
 class HttpServer:
@@ -40,8 +47,12 @@
     ):
         self.metrics = metrics
         self.is_ready = is_ready
+        self.first_request_s = FIRST_REQUEST_S
+        self.active: set[object] = set()
+        self.served: set[object] = set()
         self.app = web.Application(
-            middlewares=[coded_errors], client_max_size=max_body_bytes
+            middlewares=[self.count_active, coded_errors],
+            client_max_size=max_body_bytes,
         )
         self.app.add_routes(
             [
@@ -56,6 +67,7 @@
 
     async def start(self, address: Address) -> None:
         """Listen at `address`."""
+        self.sweeping = asyncio.get_running_loop().create_task(self.sweep())
         self.runner = web.AppRunner(
             self.app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
         )
@@ -72,9 +84,40 @@
 
     async def stop(self) -> None:
         """Stop listening."""
+        self.sweeping.cancel()
         if self.runner is not None:
             await self.runner.cleanup()
 
+    async def sweep(self) -> None:
+        """Close connections that bring no request for too long.
+
+        aiohttp waits for ever for the first header line of a connection: callers
+        that send it byte by byte would hold sockets and memory without end.
+        """
+        idle_since_s: dict[object, float] = {}
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now_s = time.monotonic()
+            connections = set(self.runner.server.connections)
+            self.served &= connections
+            idle = connections - self.active
+            idle_since_s = {c: idle_since_s.get(c, now_s) for c in idle}
+            for connection, since_s in idle_since_s.items():
+                limit_s = KEPT_S if connection in self.served else self.first_request_s
+                if now_s - since_s > limit_s:
+                    connection.force_close()
+
+    @web.middleware
+    async def count_active(self, request: web.Request, handler) -> web.StreamResponse:
+        """Know which connections have a request in progress."""
+        protocol = request.protocol
+        self.active.add(protocol)
+        try:
+            return await handler(request)
+        finally:
+            self.active.discard(protocol)
+            self.served.add(protocol)
+
     async def live(self, request: web.Request) -> web.Response:
         """Answer that the loop runs."""
         return web.Response(text="live\n")
@@ -144,3 +187,11 @@
         return error_response(
             WisteriapulleyError(ResultCode.BODY_TOO_LARGE, str(error.text))
         )
+    except (web.HTTPNotFound, web.HTTPMethodNotAllowed) as error:
+        response = error_response(
+            WisteriapulleyError(
+                ResultCode.REQUEST_MALFORMED, f"{request.method} {error.reason}"
+            )
+        )
+        response.set_status(error.status)
+        return response
