Ask the origin when the only holder of a chunk is silent

A neighbour that beats but sends nothing still counted as a holder, so no rank's turn at the origin came.

--- a/src/wisteriapulley/weights/copy.py
+++ b/src/wisteriapulley/weights/copy.py
@@ -10,7 +10,7 @@
 from wisteriapulley.logs import fields
 from wisteriapulley.statechart import StateChart
 from wisteriapulley.weights.manifest import Manifest, Span
-from wisteriapulley.weights.schedule import ORIGIN, Fetch, Schedule
+from wisteriapulley.weights.schedule import ORIGIN, SLOW_PEER_MS, Fetch, Schedule
 from wisteriapulley.wire import Link, messages
 
 log = logging.getLogger(__name__)
@@ -61,6 +61,7 @@
         self.flights: dict[Fetch, asyncio.Task] = {}
         self.begun_s = time.monotonic()
         self.asked: set[str] = set()
+        self.ask_again: dict[str, float] = {}
         self.bytes_done = 0
         self.fault: WeightsError | None = None
 
@@ -149,6 +150,12 @@
             log.info("chunk %s from %s is late", fetch.index, fetch.source)
             self.stop(fetch)
             self.schedule.failed(fetch, now)
+            self.ask_again[fetch.source] = now + SLOW_PEER_MS
+        for node_id in [n for n, at in self.ask_again.items() if now >= at]:
+            del self.ask_again[node_id]
+            link = self.swarm.link(node_id)
+            if link is not None:
+                self.ask(link)
         for fetch in self.schedule.next_fetches(now, self.may_ask_sources()):
             task = asyncio.get_running_loop().create_task(self.fetch(fetch))
             self.flights[fetch] = task
--- a/src/wisteriapulley/weights/schedule.py
+++ b/src/wisteriapulley/weights/schedule.py
@@ -25,8 +25,7 @@
 # Two keep the origin's link busy over the round trip; 820 seeders with more
 # would only queue there.
 MAX_AT_ORIGIN = 2
-# Random chunks tried for a free holder in one call.
-TRIES = 24
+TRIES = 24  # Random chunks tried for a free holder in one call.
 # The last chunks are asked twice so that one slow sender does not delay the
 # replica; more copies would waste the links of the others.
 END_GAME_SOURCES = 2
@@ -256,6 +255,9 @@
         self.slow_until[fetch.source] = now_ms + (retry_after_ms or SLOW_PEER_MS)
         if corrupted:
             self.shunned.add(fetch.source)
+        if corrupted or not retry_after_ms:
+            # What it holds no longer counts, or its chunks would never be asked
+            # of the origin; it is asked again what it holds after a while.
             self.drop_peer(fetch.source, now_ms)
 
     def refused(self, fetch: Fetch, now_ms: float) -> None:
