--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -316,6 +316,7 @@
             target.fake.load_fault = "silent"
             target.control.name(run_target.first)
             await target.serving(run_target.first)
+            assert not target.switcher.setback.version
 
         run_target(scenario)
 
