--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -5,6 +5,7 @@
 from tests.weights_kit import CHUNK_BYTES, publish, run_net
 from wisteriapulley.errors import ResultCode, WeightsError
 from wisteriapulley.weights import ChunkStore, FolderStore
+from wisteriapulley.weights import copy as copy_module
 from wisteriapulley.weights.swarm import Copy
 
 
@@ -94,8 +95,9 @@
 
         run_net(tmp_path, scenario, 3)
 
-    def test_silent_peer_is_replaced_in_mid_copy(self, tmp_path):
+    def test_silent_peer_is_replaced_in_mid_copy(self, tmp_path, monkeypatch):
         """The only holder's link beats but sends no chunk: the origin is asked."""
+        monkeypatch.setattr(copy_module, "PART_STALL_S", 1e9)
         manifest = publish(tmp_path, 1)
 
         async def scenario(net):
