Count a lease from when it was asked for

An answer that was long on its way, or a stopped process, made an ended lease look fresh. The test failed before (lease of 20 ms answered after 50 ms), passes now.

--- a/src/wisteriapulley/sidecar/switch.py
+++ b/src/wisteriapulley/sidecar/switch.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+import time
 
 from wisteriapulley.catalogue import Entry
 from wisteriapulley.control.client import ControlClient
@@ -363,8 +364,11 @@
         """Make sure that a quorum lives right before an order that changes much."""
         if version == self.served and self.chart.state == "empty":
             return
+        sent_s = time.monotonic()
         lease = await self.control.lease()
-        if lease.remaining_ms <= 0:
+        # Counted from when it was asked for: the answer may have been long on
+        # its way, or this process stopped meanwhile.
+        if time.monotonic() >= sent_s + lease.remaining_ms / 1000:
             raise WeightsError(ResultCode.NO_QUORUM, "the lease has ended")
 
     def reopen_if_drained(self) -> None:
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -35,6 +35,7 @@
         self.holder = SimpleNamespace(by_service={}, revision=1)
         self.away = False
         self.lease_ms = 500
+        self.lease_delay_s = 0.0
         self.deny = False
         self.index = 10
         self.held = False
@@ -63,6 +64,7 @@
     async def lease(self):
         if self.away:
             raise no_quorum("control is away")
+        await asyncio.sleep(self.lease_delay_s)
         return messages.Lease(1, "c", self.lease_ms)
 
 
@@ -191,11 +193,13 @@
 
         run_target(scenario)
 
-    def test_ended_lease_gives_no_order(self, run_target):
+    @pytest.mark.parametrize(("lease_ms", "delay_s"), [(0, 0.0), (20, 0.05)])
+    def test_ended_lease_gives_no_order(self, run_target, lease_ms, delay_s):
         async def scenario(target):
             target.control.name(run_target.first)
             await target.serving(run_target.first)
-            target.control.lease_ms = 0
+            target.control.lease_ms = lease_ms
+            target.control.lease_delay_s = delay_s
             target.control.name(run_target.second)
             await target.until(lambda: "WP206" in target.switcher.detail)
             await target.serving(run_target.first)
