--- a/bench/burst.py
+++ b/bench/burst.py
@@ -256,13 +256,17 @@
             async with session.post(self.url, json=body, headers=headers) as answer:
                 await answer.read()
                 self.failures += answer.status != 200
-            self.latencies.append((begun_s, time.time() - begun_s))
+            if answer.status == 200:
+                self.latencies.append((begun_s, time.time() - begun_s))
             await asyncio.sleep(LIVE_PAUSE_S)
 
     def p95(self, start_s: float, end_s: float) -> float:
-        """Return the 95th percentile of a span, in seconds."""
+        """Return the 95th percentile of whole answers in a span, in seconds.
+
+        Not a number when none was whole: a refusal is quick, but no answer.
+        """
         chosen = sorted(t for at, t in self.latencies if start_s <= at < end_s)
-        return chosen[int(len(chosen) * 0.95)]
+        return chosen[int(len(chosen) * 0.95)] if chosen else math.nan
 
 
 async def run_live(nodes: int) -> list[dict[str, object]]:
@@ -309,7 +313,7 @@
     return {
         "live": policy,
         "nodes": burst.nodes,
-        "requests": len(load.latencies),
+        "whole_answers": len(load.latencies),
         "failures": load.failures
         + sum(isinstance(f, aiohttp.ClientError) for f in failed),
         "p95_before_ms": round(before * 1000, 2),
