Run every fault at every step and judge the promises by records

Cause: the promises were judged in one run without faults, and only for keyed requests. Now 16 faults and 8 pairs meet 17 steps on a fleet of ten daemons whose links pass an in-process relay; every single send is logged and the seven promises are judged from callers' and targets' records.

A sidecar gets `wire_advertise`: without it no relay could stand between entries and sidecars. free_port now picks below the ephemeral range: under five fleets an outgoing connection took a daemon's port twice.

Ruled out: bytes dropped on a held link (TCP would send them again), so a hold keeps them and only silence loses them.

--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,4 @@
 	$(PYTHON) -m bench.$(subst bench-,,$@)
 
 clean:
-	rm -rf .demo .pytest_cache .ruff_cache .hypothesis
+	rm -rf .demo .matrix .pytest_cache .ruff_cache .hypothesis
--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -165,6 +165,9 @@
         Rate of this instance's link, up and down together; 0 for no limit.
     origin_bytes_per_s : int
         Share of the origin's link that this sidecar may take; 0 for no limit.
+    wire_advertise : Address
+        Where others reach `wire_listen`, when that differs (a relay or
+        translated address between them); by default `wire_listen` itself.
     """
 
     wire_listen: Address
@@ -179,6 +182,7 @@
     origin_bytes_per_s: int = 0
     neighbours: int = 8
     patience_ms: int = 2000
+    wire_advertise: Address | None = None
 
 
 ROLES: dict[str, type[NodeSettings]] = {
@@ -232,7 +236,7 @@
         raise SettingsError(ResultCode.SETTINGS_INVALID, f"{path}: {error}") from error
 
 
-ADDRESS_KEYS = ("http_listen", "wire_listen", "address")
+ADDRESS_KEYS = ("http_listen", "wire_listen", "wire_advertise", "address")
 
 
 def addresses(tree: object, key: str = "") -> object:
--- a/src/wisteriapulley/sidecar/service.py
+++ b/src/wisteriapulley/sidecar/service.py
@@ -174,7 +174,7 @@
                 "sidecar",
                 self.settings.service,
                 self.settings.failure_domain,
-                str(self.wire_address),
+                str(self.settings.wire_advertise or self.wire_address),
                 self.leaving,
                 self.sequence,
             )
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import json
+import time
 
 import aiohttp
 from aiohttp import web
@@ -163,6 +164,7 @@
             self.waiting -= 1
         self.running += 1
         version = self.version
+        started_at = time.time()
         try:
             return await self.generate(request, body, version)
         finally:
@@ -178,6 +180,7 @@
                 prompt=body.get("prompt", ""),
                 version=version,
                 version_at_end=self.version,
+                started_at=started_at,
             )
 
     async def generate(
@@ -233,6 +236,7 @@
             prompt=body,
             version="",
             version_at_end="",
+            started_at=time.time(),
         )
         await asyncio.sleep(self.work_s)
         return web.json_response({"path": request.path, "echo": body})
@@ -257,13 +261,20 @@
     parser.add_argument("--ignores-fencing", action="store_true")
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--token-s", type=float, default=0.002)
+    parser.add_argument("--load-s", type=float, default=0.05)
+    parser.add_argument("--work-s", type=float, default=0.005)
     args = parser.parse_args()
     records = Records(args.records)
     if args.plain:
-        fake = FakePlainService(args.name, records)
+        fake = FakePlainService(args.name, records, args.work_s)
     else:
         fake = FakeEngine(
-            args.name, records, not args.ignores_fencing, args.slots, args.token_s
+            args.name,
+            records,
+            not args.ignores_fencing,
+            args.slots,
+            args.token_s,
+            args.load_s,
         )
     await serve(fake.app, args.port)
     await asyncio.Event().wait()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,8 +1,10 @@
 """Starts a fleet of real processes on loopback, with fakes around it."""
 
 import asyncio
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,13 +23,23 @@
     "lettercraft-token-0123456789": "lettercraft",
 }
 READY_S = 30.0
+LISTEN_PORTS = (12000, 32000)
+GIVEN_PORTS: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that was free a moment ago.
+
+    It lies below the range that outgoing connections draw from: one of those
+    could take the port before the process that it is meant for listens.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*LISTEN_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            if port not in GIVEN_PORTS:
+                GIVEN_PORTS.add(port)
+                return port
 
 
 def address(port: int) -> str:
@@ -335,8 +347,6 @@
 
 def seeded_bytes(seed: int, size: int) -> bytes:
     """Return the same random bytes for the same seed."""
-    import random
-
     return random.Random(seed).randbytes(size)
 
 
--- /dev/null
+++ b/tests/matrix/__main__.py
@@ -0,0 +1,199 @@
+"""``make matrix``: runs cells on several fleets and writes the table.
+
+``--only fault=kill,step=copy`` chooses cells, ``--fleets`` how many fleets run
+side by side, ``--seconds`` when to stop; cells not reached are said as not run.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import subprocess
+import sys
+import time
+
+import msgspec
+
+from tests.matrix.cell import (
+    Cell,
+    Result,
+    all_cells,
+    run_cell,
+    skipped,
+    why_not_applicable,
+)
+from tests.matrix.page import write_page
+from tests.matrix.rig import FOLDER, Rig
+
+STATES = ("held", "broken", "not_run", "not_applicable")
+CELL_S = 90.0
+KEPT = FOLDER / "results.json"
+
+
+@dataclasses.dataclass
+class Shard:
+    """The cells of one fleet, one after another."""
+
+    number: int
+    cells: list[Cell]
+    seed: int
+    build: str
+    until: float
+
+    async def run(self) -> list[Result]:
+        """Run them; a fleet that did not recover is replaced."""
+        results: list[Result] = []
+        rig: Rig | None = None
+        for number, cell in enumerate(self.cells):
+            if time.monotonic() > self.until:
+                results.append(skipped(cell, self.seed, "not_run", "out of time"))
+                continue
+            try:
+                if rig is None:
+                    rig = await self.start_rig()
+                async with asyncio.timeout(CELL_S):
+                    result = await run_cell(rig, cell, number, self.seed)
+            except (RuntimeError, TimeoutError, OSError) as error:
+                reason = f"the cell could not run: {str(error)[:200] or repr(error)}"
+                result = skipped(cell, self.seed, "not_run", reason)
+                result = result._replace(recovered=False)
+            say(result)
+            results.append(result)
+            if not result.recovered and rig is not None:
+                await rig.close()
+                rig = None
+        if rig is not None:
+            await rig.close()
+        return results
+
+    async def start_rig(self) -> Rig:
+        """Start a fleet; again when another process took one of its ports."""
+        for last in (False, False, True):
+            rig = Rig(FOLDER / f"fleet-{self.number}", self.build)
+            try:
+                await rig.start()
+                return rig
+            except RuntimeError:
+                await rig.close()
+                if last:
+                    raise
+        raise AssertionError("unreachable")
+
+
+def say(result: Result) -> None:
+    """Print one cell, so that a long run shows what it found."""
+    broken = [
+        f"{name}: {found.reason}"
+        for name, found in result.promises.items()
+        if found.state == "broken"
+    ]
+    states = {found.state for found in result.promises.values()}
+    state = "BROKEN" if broken else "not run" if states == {"not_run"} else "held"
+    late = "" if result.recovered else " (did not recover)"
+    counts = f"{result.requests}/{result.answered}/{result.refused}/{result.failed}"
+    print(f"{state:<8}{result.cell:<34}{result.victim:<11}{counts}{late}", flush=True)
+    if state == "not run":
+        print(f"    {next(iter(result.promises.values())).reason}", flush=True)
+    for line in broken:
+        print(f"    {line}", flush=True)
+
+
+def chosen(only: str) -> list[Cell]:
+    """Return the cells that ``--only`` names; ``fault=a|b,step=c``."""
+    wanted = dict(part.split("=") for part in only.split(",") if part)
+    faults = set(wanted.get("fault", "").split("|")) - {""}
+    steps = set(wanted.get("step", "").split("|")) - {""}
+    return [
+        cell
+        for cell in all_cells()
+        if (not faults or "+".join(cell.faults) in faults)
+        and (not steps or cell.step in steps)
+    ]
+
+
+def run_shards(args: argparse.Namespace, cells: list[Cell]) -> list[Result]:
+    """Run the cells on `fleets` processes of this program."""
+    processes = []
+    FOLDER.mkdir(exist_ok=True)
+    for number in range(args.fleets):
+        mine = [c.name for c in cells[number :: args.fleets]]
+        path = FOLDER / f"cells-{number}.json"
+        path.write_text(json.dumps(mine))
+        (FOLDER / f"results-{number}.json").unlink(missing_ok=True)
+        command = ["--shard", str(number), "--seed", str(args.seed)]
+        command += ["--seconds", str(args.seconds), "--build", args.build]
+        processes.append(
+            subprocess.Popen([sys.executable, "-m", "tests.matrix", *command])
+        )
+    results: list[Result] = []
+    for number, process in enumerate(processes):
+        process.wait()
+        path = FOLDER / f"results-{number}.json"
+        if not path.exists():
+            raise SystemExit(f"fleet {number} ended with {process.returncode}")
+        results += msgspec.json.decode(path.read_bytes(), type=list[Result])
+    return results
+
+
+def run_shard(args: argparse.Namespace) -> None:
+    """Run one shard's cells and leave the results in a file."""
+    names = json.loads((FOLDER / f"cells-{args.shard}.json").read_text())
+    named = {cell.name: cell for cell in all_cells()}
+    until = time.monotonic() + args.seconds
+    shard = Shard(args.shard, [named[n] for n in names], args.seed, args.build, until)
+    results = asyncio.run(shard.run())
+    (FOLDER / f"results-{args.shard}.json").write_bytes(msgspec.json.encode(results))
+
+
+def main() -> int:
+    """Run, print and write the page."""
+    parser = argparse.ArgumentParser(prog="make matrix")
+    parser.add_argument("--only", default="")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--fleets", type=int, default=2)
+    parser.add_argument("--seconds", type=float, default=3600)
+    parser.add_argument("--build", default="", help="broken build, to prove a check")
+    parser.add_argument("--shard", type=int, default=-1)
+    parser.add_argument("--keep-page", action="store_true", help="print only")
+    parser.add_argument("--merge", action="store_true", help="add to earlier runs")
+    args = parser.parse_args()
+    if args.shard >= 0:
+        run_shard(args)
+        return 0
+    wanted = chosen(args.only)
+    reasons = {cell: why_not_applicable(cell) for cell in wanted}
+    results = [
+        skipped(cell, args.seed, "not_applicable", reason)
+        for cell, reason in reasons.items()
+        if reason
+    ]
+    results += run_shards(args, [cell for cell in wanted if not reasons[cell]])
+    figures = count(results)
+    if not args.build and not args.keep_page:
+        everything = merged(results) if args.merge else results
+        KEPT.write_bytes(msgspec.json.encode(everything))
+        write_page(everything, count(everything))
+    print(json.dumps(figures))
+    return 1 if figures["broken"] else 0
+
+
+def count(results: list[Result]) -> dict:
+    """Count cells, and promises by state."""
+    states = [p.state for r in results for p in r.promises.values()]
+    figures: dict = {"cells": len({result.cell for result in results})}
+    figures |= {state: states.count(state) for state in STATES}
+    return figures | {"seeds": sorted({result.seed for result in results})}
+
+
+def merged(results: list[Result]) -> list[Result]:
+    """Replace results of earlier slices by these, cell by cell and seed by seed."""
+    kept: dict[tuple[str, int], Result] = {}
+    if KEPT.exists():
+        for result in msgspec.json.decode(KEPT.read_bytes(), type=list[Result]):
+            kept[result.cell, result.seed] = result
+    kept |= {(result.cell, result.seed): result for result in results}
+    return list(kept.values())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/matrix/callers.py
@@ -0,0 +1,121 @@
+"""Callers of a cell: every single send is logged, not only the last one."""
+
+import asyncio
+import contextlib
+import itertools
+import time
+from typing import NamedTuple
+
+import aiohttp
+
+from tests.fakes.caller import EXPIRY_MS, RESENDS, Callers, Outcome, Workload
+
+HEALTH_S = 0.2
+
+
+class Send(NamedTuple):
+    """One send of one request; `started` and `ended` in wall clock seconds."""
+
+    started: float
+    ended: float
+    outcome: Outcome
+
+
+class CellCallers(Callers):
+    """Callers behind a balancer that sends only to entries that are ready.
+
+    Parameters
+    ----------
+    entries : list of str
+        Base URLs.
+    workloads : list of Workload
+        Sent in turn.
+    rate : float
+        Requests a second.
+    seed : int
+        Of the choice of entries.
+    prefix : str
+        Begins every request's name, so that cells never share one.
+    """
+
+    def __init__(self, entries, workloads, rate, seed, prefix: str):
+        super().__init__(entries, workloads, rate, seed)
+        self.all_entries = list(entries)
+        self.prefix = prefix
+        self.sends: list[Send] = []
+        self.names = (f"{prefix}-{i}" for i in itertools.count(1))
+
+    async def run(self) -> None:
+        """Send at the rate until `stopping`; then wait for the last answers."""
+        async with aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=30),
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        ) as self.session:
+            health = asyncio.create_task(self.watch_health())
+            self.tasks: set[asyncio.Task] = set()
+            for workload in itertools.cycle(self.workloads):
+                if self.stopping:
+                    break
+                self.burst([workload])
+                await asyncio.sleep(1 / self.rate)
+            await asyncio.gather(*self.tasks)
+            health.cancel()
+
+    def burst(self, workloads: list[Workload]) -> None:
+        """Send workloads at once, besides the steady ones."""
+        for workload in workloads:
+            self.started += 1
+            task = asyncio.create_task(self.send(self.session, workload))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def resend_lost(self, workload: Workload, count: int = 6) -> None:
+        """Hang up on keyed requests and send the same again elsewhere."""
+        await asyncio.gather(*(self.resend_one(workload) for _ in range(count)))
+
+    async def resend_one(self, workload: Workload) -> None:
+        """Hang up before the answer, then resend until it is answered."""
+        self.started += 1
+        name = next(self.names)
+        headers = {
+            "X-Client-Account": workload.account,
+            "Idempotency-Key": f"key-{name}",
+            "Idempotency-Expires": str(int(time.time() * 1000) + EXPIRY_MS),
+        }
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.03 + self.rng.random() / 10):
+                await self.send_once(self.session, workload, name, headers)
+        for _ in range(RESENDS):
+            outcome = await self.send_once(self.session, workload, name, headers)
+            if outcome.status == 200:
+                return
+            await asyncio.sleep(0.3)
+
+    async def watch_health(self) -> None:
+        """Keep the list of ready entries, as the platform's balancer does."""
+        while True:
+            ready = [url for url in self.all_entries if await self.is_ready(url)]
+            self.entries = ready or self.all_entries
+            await asyncio.sleep(HEALTH_S)
+
+    async def is_ready(self, url: str) -> bool:
+        """Ask one entry."""
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            timeout = aiohttp.ClientTimeout(total=0.5)
+            async with self.session.get(f"{url}/health/ready", timeout=timeout) as got:
+                return got.status == 200
+        return False
+
+    async def send_once(self, session, workload, name, headers) -> Outcome:
+        """Send once and log it."""
+        started = time.time()
+        try:
+            outcome = await super().send_once(session, workload, name, headers)
+        except (ValueError, KeyError, IndexError):
+            # Not even the shape of an answer to this request.
+            account = workload.account
+            outcome = Outcome(name, account, "", 200, 0, False, False, True, "", 0.0)
+        key = headers.get("Idempotency-Key", "")
+        outcome = outcome._replace(key=key)
+        self.sends.append(Send(started, time.time(), outcome))
+        return outcome
--- /dev/null
+++ b/tests/matrix/rig.py
@@ -0,0 +1,261 @@
+"""One small fleet whose every link passes a relay."""
+
+import asyncio
+import contextlib
+import shutil
+import time
+import uuid
+
+import aiohttp
+
+from tests.fakes.caller import Workload
+from tests.fleet import ROOT, TOKENS, Fleet, Node
+from tests.matrix.promises import Accepted, Sighting
+from tests.relay import Relay
+
+OWNER = "aste-riunite-trinacria"
+TOKEN = next(token for token, owner in TOKENS.items() if owner == OWNER)
+DOMAINS = ["palermo", "catania", "agrigento"]
+MODEL_BYTES = 1 << 20
+CHUNK_BYTES = 1 << 16
+ORIGIN_BYTES_PER_S = 1.5e6
+# Small, so that a few dozen changes fold the log.
+SNAPSHOT_BYTES = 16_384
+POLL_S = 0.05
+TIMING = {"heartbeat_ms": 200, "silence_ms": 800}
+CONTROLS = [f"control-{i}" for i in (1, 2, 3)]
+ENTRIES = ["entry-1", "entry-2"]
+ENGINES = [f"engine-{i}" for i in (1, 2, 3)]
+PLAIN = ["plain-1", "plain-2"]
+# engine-2 takes any fencing number, as some engines of the brief do.
+IGNORES_FENCING = "engine-2"
+
+STREAM = Workload("reports", "/v1/completions", True, True, 40, "dealer-1")
+LONG_STREAM = Workload("reports", "/v1/completions", True, True, 900, "dealer-1")
+UNARY = Workload("reports", "/v1/completions", True, False, 6, "dealer-2")
+KEYED = Workload("bids", "/services/bids/bid", False, False, 1, "dealer-3")
+PLAIN_CALL = Workload("titles", "/services/titles/check", True, False, 1, "dealer-4")
+STEADY = [STREAM, KEYED, UNARY, PLAIN_CALL]
+
+
+class Rig(Fleet):
+    """A fleet of ten daemons; `relays` is keyed by who connects to whom.
+
+    Parameters
+    ----------
+    folder : Path
+        Of this run.
+    build : str
+        Name of a broken build of ``broken.json``; empty for the real one.
+    """
+
+    def __init__(self, folder, build: str = ""):
+        shutil.rmtree(folder, ignore_errors=True)
+        folder.mkdir(parents=True)
+        super().__init__(folder)
+        self.build = build
+        self.relays: dict[tuple[str, str], Relay] = {}
+        self.wires: dict[str, str] = {}
+        self.entries: dict[str, dict] = {}
+        self.versions: set[str] = {""}
+        self.seed = 0
+        self.sightings: list[Sighting] = []
+        self.rows: dict[str, dict] = {}
+        self.own_revision: dict[str, int] = {}
+        self.leader = CONTROLS[0]
+        self.session: aiohttp.ClientSession | None = None
+        self.watching: asyncio.Task | None = None
+
+    # -- starting --------------------------------------------------------
+
+    def start_node(self, role: str, settings: dict) -> Node:
+        """Put a relay on each link, then start the daemon."""
+        name = settings["node_id"]
+        self.wires[name] = settings.get("wire_listen", "")
+        if "control" in settings:
+            settings["control"] = [
+                self.relay(name, control, wire)
+                for control, wire in zip(CONTROLS, settings["control"], strict=True)
+            ]
+        for peer in settings.get("peers", ()):
+            peer["address"] = self.relay(name, peer["node_id"], peer["address"])
+        if role == "sidecar":
+            settings["wire_advertise"] = self.relay("any", name, self.wires[name])
+            for key, far in (("target_url", "target"), ("origin_url", "origin")):
+                near = settings[key].removeprefix("http://")
+                settings[key] = f"http://{self.relay(name, far, near)}"
+        node = super().start_node(role, settings)
+        return node
+
+    def start_process(self, name: str, command: list[str]):
+        """Start a daemon of the broken build, when there is one."""
+        if self.build and command[1] == "wisteriapulley.cli":
+            command = ["-m", "tests.matrix.broken", self.build, *command[2:]]
+        return super().start_process(name, command)
+
+    def relay(self, near: str, far: str, destination: str) -> str:
+        """Return the address of a relay on one link."""
+        relay = self.relays[near, far] = Relay(destination)
+        return relay.address
+
+    def of(self, node_id: str) -> list[Relay]:
+        """Return the relays of every link of a node."""
+        return [relay for ends, relay in self.relays.items() if node_id in ends]
+
+    async def start(self) -> None:
+        """Start the whole fleet and wait until it serves."""
+        self.session = aiohttp.ClientSession(
+            headers={"Authorization": f"Bearer {TOKEN}"},
+            timeout=aiohttp.ClientTimeout(total=5),
+        )
+        self.start_origin(ORIGIN_BYTES_PER_S)
+        self.start_control(DOMAINS, snapshot_bytes=SNAPSHOT_BYTES, **TIMING)
+        slow = ("--token-s", "0.005", "--load-s", "0.4")
+        for name, domain in zip(ENGINES, DOMAINS, strict=True):
+            fences = ("--ignores-fencing",) if name == IGNORES_FENCING else ()
+            self.start_target(
+                name, domain, "models", "engine", (*slow, *fences), **TIMING
+            )
+        for name, domain in zip(PLAIN, DOMAINS, strict=False):
+            work = ("--work-s", "0.1")
+            self.start_target(name, domain, "auction", "plain", work, **TIMING)
+        for name, domain in zip(ENTRIES, DOMAINS, strict=False):
+            self.start_entry(name, domain, **TIMING)
+        for relay in self.relays.values():
+            await relay.start()
+        await self.wait_ready(CONTROLS)
+        self.watching = asyncio.create_task(self.watch())
+        for name, service, more in (
+            ("reports", "models", {"version": self.new_version()}),
+            ("bids", "auction", {"idempotent": False}),
+            ("titles", "auction", {}),
+        ):
+            entry = {"name": name, "owner": OWNER, "class": name, "service": service}
+            self.entries[name] = entry | more
+            await self.accept(name)
+        await self.wait_ready()
+
+    async def close(self) -> None:
+        """End the fleet, its relays and its session."""
+        if self.watching is not None:
+            self.watching.cancel()
+        for relay in self.relays.values():
+            await relay.stop()
+        self.stop()
+        await self.session.close()
+
+    def new_version(self) -> str:
+        """Publish new weights."""
+        self.seed += 1
+        version = self.publish(self.seed, MODEL_BYTES, CHUNK_BYTES)
+        self.versions.add(version)
+        return version
+
+    # -- operators -------------------------------------------------------
+
+    async def ask(self, control: str, method: str, path: str, body=None) -> dict | None:
+        """Ask one control instance; None when it does not answer well."""
+        url = self.nodes[control].http + path
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with self.session.request(method, url, json=body) as response:
+                answer = await response.json()
+                return None if response.status == 503 else answer
+        return None
+
+    async def ask_any(self, method: str, path: str, body=None) -> dict:
+        """Ask each control instance in turn until one answers."""
+        for _ in range(40):
+            for control in CONTROLS:
+                answer = await self.ask(control, method, path, body)
+                if answer is not None:
+                    return answer
+            await asyncio.sleep(0.2)
+        raise RuntimeError("no control instance answered for eight seconds")
+
+    async def change(self, name: str, change_id: str = "", **values) -> dict:
+        """Build a change of one entry on what is accepted now."""
+        image = await self.ask_any("GET", "/v1/catalogue")
+        base = image["entries"].get(name, {"revision": 0})["revision"]
+        entry = self.entries[name] | values
+        put = {"entry": entry, "base_revision": base}
+        change_id = change_id or uuid.uuid4().hex
+        return {"change_id": change_id, "owner": OWNER, "puts": [put]}
+
+    async def accept(self, name: str, **values) -> Accepted:
+        """Have a change of one entry accepted, resending until answered."""
+        change = await self.change(name, **values)
+        result = await self.ask_any("POST", "/v1/catalogue/changes", change)
+        if result.get("code") != 0:
+            raise RuntimeError(f"change refused: {result}")
+        self.entries[name] |= values
+        return Accepted(change["change_id"], result["revision"], time.time())
+
+    async def watch(self) -> None:
+        """Note every node's revision as each control instance shows it."""
+        while True:
+            await asyncio.gather(*(self.watch_one(control) for control in CONTROLS))
+            await asyncio.sleep(POLL_S)
+
+    async def watch_one(self, control: str) -> None:
+        """Note what one control instance shows."""
+        status = await self.ask(control, "GET", "/v1/status")
+        if status is None:
+            return
+        now = time.time()
+        own = self.nodes[control].settings["failure_domain"]
+        self.see(now, control, control, own, status["revision"])
+        self.own_revision[control] = status["revision"]
+        self.leader = status["leader"] or self.leader
+        for row in status["nodes"]:
+            self.rows[row["node_id"]] = row
+            domain, revision = row["failure_domain"], row["revision"]
+            self.see(now, control, row["node_id"], domain, revision)
+
+    def see(self, now, control, node_id, domain, revision) -> None:
+        """Note a sighting when the revision differs from the last one."""
+        self.sightings.append(Sighting(now, control, node_id, domain, revision))
+
+    async def listens(self, node_id: str, timeout_s: float = 10.0) -> bool:
+        """Wait until a daemon that was started answers at all."""
+        until = time.monotonic() + timeout_s
+        while time.monotonic() < until:
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                url = f"{self.nodes[node_id].http}/health/live"
+                async with self.session.get(url):
+                    return True
+            await asyncio.sleep(0.01)
+        return False
+
+    # -- state -----------------------------------------------------------
+
+    def settled(self, revision: int) -> bool:
+        """Tell whether every node serves what was accepted."""
+        version = self.entries["reports"]["version"]
+        nodes = [*ENTRIES, *ENGINES, *PLAIN]
+        rows = [self.rows.get(name) for name in nodes]
+        held = [self.own_revision.get(name, 0) for name in CONTROLS]
+        return min(held) >= revision and all(
+            row is not None
+            and row["revision"] >= revision
+            and row["state"] == "open"
+            and (row["node_id"] not in ENGINES or row["version"] == version)
+            for row in rows
+        )
+
+    async def settle(self, revision: int, timeout_s: float = 25.0) -> bool:
+        """Wait until every node serves again; tell whether it came so far."""
+        until = time.monotonic() + timeout_s
+        while time.monotonic() < until:
+            if self.settled(revision):
+                with contextlib.suppress(RuntimeError, TimeoutError):
+                    await asyncio.wait_for(self.wait_ready(), until - time.monotonic())
+                    return True
+            await asyncio.sleep(POLL_S)
+        return False
+
+    def log_of(self, node_id: str) -> str:
+        """Return the end of a daemon's log."""
+        return (self.folder / "logs" / f"{node_id}.log").read_text()[-1500:]
+
+
+FOLDER = ROOT / ".matrix"
--- /dev/null
+++ b/tests/test_matrix.py
@@ -0,0 +1,147 @@
+"""The relay, the promises' checks, and a bounded part of the fault matrix."""
+
+import asyncio
+import json
+
+import pytest
+
+from tests.fakes.caller import Outcome
+from tests.matrix.broken import BUILDS
+from tests.matrix.callers import Send
+from tests.matrix.cell import MATRIX, Cell, all_cells, run_cell
+from tests.matrix.faults import FAULTS
+from tests.matrix.promises import PROMISES, Accepted, CellLog, Sighting, Stop, judge
+from tests.matrix.rig import Rig
+from tests.matrix.steps import STEPS
+from tests.relay import Relay
+
+V1, V2 = "1" * 64, "2" * 64
+SETTLED = [Cell(("cut",), "copy"), Cell(("sigterm",), "stream")]
+SETTLED += [Cell(("operators_race",), "accept"), Cell(("freeze",), "claim")]
+
+
+def send(name="n", status=200, not_run=False, **values):
+    outcome = Outcome(name, "a", "", status, 0, not_run, True, True, "", 0.0)
+    return Send(1.0, 2.0, outcome._replace(**values))
+
+
+def ran(name="n", engine="engine-1", version=V1, end=V1, key="", at=1.5):
+    names = ("prompt", "engine", "version", "version_at_end", "key", "started_at")
+    values = (name, engine, version, end, key, at)
+    return {**dict(zip(names, values, strict=True)), "account": "a"}
+
+
+def log(sends=None, runs=None, **values):
+    sends = [send()] if sends is None else sends
+    runs = [ran()] if runs is None else runs
+    clean = CellLog(
+        len({s.outcome.name for s in sends}),
+        sends,
+        runs,
+        {"", V1, V2},
+        [],
+        False,
+        [Accepted("c", 2, 10.0)],
+        [Sighting(11.0, "control-1", "entry-1", "d", 2)],
+        {},
+        set(),
+        [],
+    )
+    return clean._replace(**values)
+
+
+STOP = Stop("engine-1", "sidecar", 1.4, 9.0)
+BROKEN = [
+    ("whole_weights", log(runs=[ran(end=V2)])),
+    ("whole_weights", log(runs=[ran(version="3" * 64, end="3" * 64)])),
+    ("own_whole_answer", log([send(own_answer=False)])),
+    ("own_whole_answer", log([send(whole=False)])),
+    ("own_whole_answer", log([send(status=0)])),
+    ("own_whole_answer", log(runs=[])),
+    ("own_whole_answer", log(started=2)),
+    ("not_run", log([send(status=503, not_run=True)])),
+    ("at_most_once", log(runs=[ran(key="k"), ran(key="k", engine="engine-2")])),
+    ("leaving", log(runs=[ran(at=5.0)], stops=[STOP])),
+    ("graceful", log([send(status=0)], stops=[STOP])),
+    ("configuration", log(operators=["two racing changes were accepted"])),
+    ("configuration", log(sightings=[Sighting(30.0, "c", "entry-1", "d", 2)])),
+    (
+        "configuration",
+        log(sightings=[Sighting(11.0, "c", "n", "d", r) for r in (2, 1)]),
+    ),
+]
+
+
+class TestPromises:
+    def test_clean_log_holds_every_promise_that_applies(self):
+        states = {name: found.state for name, found in judge(log()).items()}
+        applies = {name for name, state in states.items() if state == "held"}
+        assert applies == set(PROMISES) - {"leaving", "graceful"}
+
+    @pytest.mark.parametrize(("promise", "broken"), BROKEN)
+    def test_check_fails_on_what_breaks_its_promise(self, promise, broken):
+        assert judge(broken)[promise].state == "broken"
+
+
+class TestRelay:
+    @pytest.mark.parametrize("act", ["hold", "silence", "cut"])
+    def test_fault_stops_bytes_and_new_connections_work_after_it(self, act):
+        async def run():
+            async def echo(reader, writer):
+                while data := await reader.read(100):
+                    writer.write(data)
+
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            relay = Relay(f"127.0.0.1:{port}")
+            await relay.start()
+            ends = relay.address.split(":")
+            reader, writer = await asyncio.open_connection(*ends)
+            writer.write(b"before")
+            assert await reader.read(100) == b"before"
+            getattr(relay, act)()
+            writer.write(b"during")
+            reading = asyncio.create_task(reader.read(100))
+            done, _ = await asyncio.wait({reading}, timeout=0.1)
+            assert not done or reading.exception() or reading.result() == b""
+            relay.heal()
+            if act == "hold":
+                assert await reading == b"during"
+            reading.cancel()
+            other_reader, other = await asyncio.open_connection(*ends)
+            other.write(b"after")
+            assert await other_reader.read(100) == b"after"
+            await relay.stop()
+            server.close()
+
+        asyncio.run(run())
+
+
+class TestMatrix:
+    def test_data_names_what_the_code_has(self):
+        assert set(MATRIX["faults"]) == set(FAULTS)
+        assert MATRIX["steps"] == list(STEPS)
+        assert {build["promise"] for build in BUILDS.values()} == set(PROMISES)
+        assert len({cell.name for cell in all_cells()}) == len(list(all_cells()))
+
+    def test_settled_cells_hold(self, tmp_path):
+        async def run():
+            rig = Rig(tmp_path / "fleet")
+            try:
+                await rig.start()
+                return [
+                    await run_cell(rig, cell, number, 1)
+                    for number, cell in enumerate(SETTLED)
+                ]
+            finally:
+                await rig.close()
+
+        results = asyncio.run(run())
+        found = {r.cell: r.promises for r in results}
+        broken = [
+            (cell, promise, judgement.reason)
+            for cell, promises in found.items()
+            for promise, judgement in promises.items()
+            if judgement.state in ("broken", "not_run")
+        ]
+        assert not broken, json.dumps(broken, indent=1)
