--- a/src/wisteriapulley/reference.py
+++ b/src/wisteriapulley/reference.py
@@ -1,21 +1,40 @@
 """Generates the reference pages that mirror code."""
 
-from collections.abc import Iterator
+import dataclasses
+import inspect
+import typing
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
+import msgspec
+
+from wisteriapulley import cli
 from wisteriapulley.errors import CODE_TABLE
+from wisteriapulley.settings import ROLES, Address, Peer
+from wisteriapulley.wire import messages
 
-RESULT_CODES_PAGE = Path("docs/reference/result-codes.md")
+FOLDER = Path("docs/reference")
+RESULT_CODES_PAGE = FOLDER / "result-codes.md"
 
 
-def result_code_lines() -> Iterator[str]:
-    """Yield the lines of the result code table."""
-    yield "# Result codes"
+def header(title: str, source: str) -> Iterator[str]:
+    """Yield a page's first lines."""
+    yield f"# {title}"
     yield ""
-    yield "Generated from `src/wisteriapulley/errors.py` by `make docs`."
+    yield f"Generated from `src/wisteriapulley/{source}` by `make docs`."
     yield ""
-    yield "| code | name | meaning | HTTP | not run | what to do |"
-    yield "| --- | --- | --- | --- | --- | --- |"
+
+
+def table(*names: str) -> Iterator[str]:
+    """Yield the head of a table."""
+    yield f"| {' | '.join(names)} |"
+    yield "|" + " --- |" * len(names)
+
+
+def result_code_lines() -> Iterator[str]:
+    """Yield the lines of the result code table."""
+    yield from header("Result codes", "errors.py")
+    yield from table("code", "name", "meaning", "HTTP", "not run", "what to do")
     for code, entry in CODE_TABLE.items():
         promise = "yes" if entry.not_run else ""
         yield (
@@ -24,10 +43,124 @@
         )
 
 
+def type_text(hint: object) -> str:
+    """Name a type as a reader of JSON or of the wire sees it."""
+    if hint is Address:
+        return "ip:port"
+    if hint is Peer:
+        return "object of node_id and address"
+    arguments = typing.get_args(hint)
+    if typing.get_origin(hint) is tuple:
+        return f"list of {type_text(arguments[0])}"
+    if arguments:
+        return " or ".join(type_text(a) for a in arguments if a is not type(None))
+    return getattr(hint, "__name__", str(hint))
+
+
+def setting_lines() -> Iterator[str]:
+    """Yield the settings of each role."""
+    yield from header("Settings", "settings.py")
+    yield "One JSON object a daemon; `wisteriapulley settings check ROLE FILE` checks it."
+    for role, kind in ROLES.items():
+        yield ""
+        yield f"## {role}"
+        yield ""
+        described = descriptions(kind)
+        yield from table("key", "type", "default", "meaning")
+        for field in msgspec.structs.fields(kind):
+            default = "required"
+            if field.default is not msgspec.NODEFAULT:
+                default = f"`{msgspec.json.encode(field.default).decode()}`"
+            meaning = described.get(field.name, "")
+            yield f"| `{field.name}` | {type_text(field.type)} | {default} | {meaning} |"
+
+
+def descriptions(kind: type) -> dict[str, str]:
+    """Read the attributes that a class and its bases document."""
+    found: dict[str, str] = {}
+    for base in reversed(kind.__mro__):
+        names: list[str] = []
+        documented = inspect.cleandoc(base.__dict__.get("__doc__") or "")
+        for line in documented.partition("Attributes\n")[2].splitlines():
+            if " : " in line and not line.startswith(" "):
+                names = line.partition(" : ")[0].split(", ")
+                found |= dict.fromkeys(names, "")
+            elif line.startswith("    "):
+                for name in names:
+                    found[name] = f"{found[name]} {line.strip()}".strip()
+    return found
+
+
+def command_lines() -> Iterator[str]:
+    """Yield every command with its arguments."""
+    yield from header("Command line", "cli.py")
+    yield "Exit status: 0, 1 on an error (its code and message on standard error), 2"
+    yield "on wrong usage, 3 when `catalogue diff` finds a difference."
+    yield from command_sections(cli.Main, ())
+
+
+def command_sections(kind: type, names: tuple[str, ...]) -> Iterator[str]:
+    """Yield the sections of a command and those below it."""
+    command = kind.__cappa__
+    names = (*names, command.name)
+    hints = typing.get_type_hints(kind, include_extras=True)
+    below = hints.get("command")
+    if below is not None:
+        for choice in typing.get_args(typing.get_args(below)[0]):
+            yield from command_sections(choice, names)
+        return
+    yield ""
+    yield f"## `{' '.join(names)}`"
+    yield ""
+    yield command.help or ""
+    fields = dataclasses.fields(kind)
+    if fields:
+        yield ""
+        yield from table("argument", "meaning")
+    for field in fields:
+        yield f"| {argument_text(field, hints[field.name])} |"
+
+
+def argument_text(field: dataclasses.Field, hint: object) -> str:
+    """Describe one argument: its spelling and help."""
+    argument = next(a for a in hint.__metadata__ if hasattr(a, "help"))
+    spelling = field.name
+    if argument.long:
+        spelling = f"--{field.name.replace('_', '-')}"
+    return f"`{spelling}` | {argument.help}"
+
+
+def wire_lines() -> Iterator[str]:
+    """Yield every message of the links."""
+    yield from header("Wire", "wire/messages.py")
+    yield "Frames between the system's own processes; `wire/messages.capnp` is the"
+    yield "schema, and a test holds both together. Bodies follow the message raw."
+    for name, kind in vars(messages).items():
+        if not (inspect.isclass(kind) and hasattr(kind, "_fields")):
+            continue
+        yield ""
+        yield f"## {name}"
+        yield ""
+        yield (inspect.getdoc(kind) or "").partition("\n\n")[0].replace("\n", " ")
+        yield ""
+        yield from table("field", "type")
+        for field, hint in typing.get_type_hints(kind).items():
+            yield f"| `{field}` | {type_text(hint)} |"
+
+
+PAGES: dict[Path, Callable[[], Iterator[str]]] = {
+    RESULT_CODES_PAGE: result_code_lines,
+    FOLDER / "settings.md": setting_lines,
+    FOLDER / "cli.md": command_lines,
+    FOLDER / "wire.md": wire_lines,
+}
+
+
 def main() -> None:
     """Write the pages."""
-    RESULT_CODES_PAGE.parent.mkdir(parents=True, exist_ok=True)
-    RESULT_CODES_PAGE.write_text("\n".join(result_code_lines()) + "\n")
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    for page, lines in PAGES.items():
+        page.write_text("\n".join(lines()) + "\n")
 
 
 if __name__ == "__main__":
