--- a/src/wisteriapulley/reference.py
+++ b/src/wisteriapulley/reference.py
@@ -60,7 +60,8 @@
 def setting_lines() -> Iterator[str]:
     """Yield the settings of each role."""
     yield from header("Settings", "settings.py")
-    yield "One JSON object a daemon; `wisteriapulley settings check ROLE FILE` checks it."
+    yield "One JSON object a daemon; `wisteriapulley settings check ROLE FILE`"
+    yield "checks it."
     for role, kind in ROLES.items():
         yield ""
         yield f"## {role}"
@@ -72,7 +73,8 @@
             if field.default is not msgspec.NODEFAULT:
                 default = f"`{msgspec.json.encode(field.default).decode()}`"
             meaning = described.get(field.name, "")
-            yield f"| `{field.name}` | {type_text(field.type)} | {default} | {meaning} |"
+            kind_text = type_text(field.type)
+            yield f"| `{field.name}` | {kind_text} | {default} | {meaning} |"
 
 
 def descriptions(kind: type) -> dict[str, str]:
--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import msgspec
 
@@ -27,7 +28,7 @@
 
 STATES = ("held", "broken", "not_run", "not_applicable")
 CELL_S = 90.0
-KEPT = FOLDER / "results.json"
+KEPT = "results.json"
 
 
 @dataclasses.dataclass
@@ -39,6 +40,7 @@
     seed: int
     build: str
     until: float
+    folder: Path
 
     async def run(self) -> list[Result]:
         """Run them; a fleet that did not recover is replaced."""
@@ -69,7 +71,7 @@
     async def start_rig(self) -> Rig:
         """Start a fleet; again when another process took one of its ports."""
         for last in (False, False, True):
-            rig = Rig(FOLDER / f"fleet-{self.number}", self.build)
+            rig = Rig(self.folder / f"fleet-{self.number}", self.build)
             try:
                 await rig.start()
                 return rig
@@ -114,21 +116,22 @@
 def run_shards(args: argparse.Namespace, cells: list[Cell]) -> list[Result]:
     """Run the cells on `fleets` processes of this program."""
     processes = []
-    FOLDER.mkdir(exist_ok=True)
+    args.folder.mkdir(exist_ok=True)
     for number in range(args.fleets):
         mine = [c.name for c in cells[number :: args.fleets]]
-        path = FOLDER / f"cells-{number}.json"
+        path = args.folder / f"cells-{number}.json"
         path.write_text(json.dumps(mine))
-        (FOLDER / f"results-{number}.json").unlink(missing_ok=True)
+        (args.folder / f"results-{number}.json").unlink(missing_ok=True)
         command = ["--shard", str(number), "--seed", str(args.seed)]
         command += ["--seconds", str(args.seconds), "--build", args.build]
+        command += ["--folder", str(args.folder)]
         processes.append(
             subprocess.Popen([sys.executable, "-m", "tests.matrix", *command])
         )
     results: list[Result] = []
     for number, process in enumerate(processes):
         process.wait()
-        path = FOLDER / f"results-{number}.json"
+        path = args.folder / f"results-{number}.json"
         if not path.exists():
             raise SystemExit(f"fleet {number} ended with {process.returncode}")
         results += msgspec.json.decode(path.read_bytes(), type=list[Result])
@@ -137,12 +140,16 @@
 
 def run_shard(args: argparse.Namespace) -> None:
     """Run one shard's cells and leave the results in a file."""
-    names = json.loads((FOLDER / f"cells-{args.shard}.json").read_text())
+    names = json.loads((args.folder / f"cells-{args.shard}.json").read_text())
     named = {cell.name: cell for cell in all_cells()}
     until = time.monotonic() + args.seconds
-    shard = Shard(args.shard, [named[n] for n in names], args.seed, args.build, until)
+    shard = Shard(
+        args.shard, [named[n] for n in names], args.seed, args.build, until, args.folder
+    )
     results = asyncio.run(shard.run())
-    (FOLDER / f"results-{args.shard}.json").write_bytes(msgspec.json.encode(results))
+    (args.folder / f"results-{args.shard}.json").write_bytes(
+        msgspec.json.encode(results)
+    )
 
 
 def main() -> int:
@@ -153,6 +160,7 @@
     parser.add_argument("--fleets", type=int, default=2)
     parser.add_argument("--seconds", type=float, default=3600)
     parser.add_argument("--build", default="", help="broken build, to prove a check")
+    parser.add_argument("--folder", type=Path, default=FOLDER)
     parser.add_argument("--shard", type=int, default=-1)
     parser.add_argument("--keep-page", action="store_true", help="print only")
     parser.add_argument("--merge", action="store_true", help="add to earlier runs")
@@ -170,8 +178,8 @@
     results += run_shards(args, [cell for cell in wanted if not reasons[cell]])
     figures = count(results)
     if not args.build and not args.keep_page:
-        everything = merged(results) if args.merge else results
-        KEPT.write_bytes(msgspec.json.encode(everything))
+        everything = merged(results, args.folder / KEPT) if args.merge else results
+        (args.folder / KEPT).write_bytes(msgspec.json.encode(everything))
         write_page(everything, count(everything))
     print(json.dumps(figures))
     return 1 if figures["broken"] else 0
@@ -185,11 +193,11 @@
     return figures | {"seeds": sorted({result.seed for result in results})}
 
 
-def merged(results: list[Result]) -> list[Result]:
+def merged(results: list[Result], path: Path) -> list[Result]:
     """Replace results of earlier slices by these, cell by cell and seed by seed."""
     kept: dict[tuple[str, int], Result] = {}
-    if KEPT.exists():
-        for result in msgspec.json.decode(KEPT.read_bytes(), type=list[Result]):
+    if path.exists():
+        for result in msgspec.json.decode(path.read_bytes(), type=list[Result]):
             kept[result.cell, result.seed] = result
     kept |= {(result.cell, result.seed): result for result in results}
     return list(kept.values())
--- a/tests/matrix/faults.py
+++ b/tests/matrix/faults.py
@@ -195,7 +195,7 @@
 async def resend(context: Context, victim: str) -> None:
     """Resend a change and requests whose answers are lost."""
     rig = context.rig
-    change = await rig.change("titles", limits={"deadline_ms": 8000})
+    change = await rig.change("bids", priority=3)
     path = "/v1/catalogue/changes"
     lost = asyncio.create_task(rig.ask_any("POST", path, change))
     await asyncio.sleep(0.002)
@@ -204,7 +204,7 @@
     if answers[0] != answers[1] or answers[0].get("code") != 0:
         context.operators.append(f"a resend got another result: {answers}")
         return
-    rig.entries["titles"] = change["puts"][0]["entry"]
+    rig.entries["bids"] = change["puts"][0]["entry"]
     revision = answers[0]["revision"]
     context.accepted.append(Accepted(change["change_id"], revision, time.time()))
     await context.callers.resend_lost(KEYED)
