--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -168,6 +168,14 @@
     wire_advertise : Address
         Where others reach `wire_listen`, when that differs (a relay or
         translated address between them); by default `wire_listen` itself.
+    neighbours : int
+        Links that this sidecar opens to others; others open as many to it.
+    patience_ms : int
+        Milliseconds without news of a chunk before the next rank asks the origin.
+    scratch_folder : str
+        Chunks are kept here; empty keeps them in memory.
+    chunk_store_bytes : int
+        Most bytes of chunks kept; 0 for no limit.
     """
 
     wire_listen: Address
@@ -183,6 +191,8 @@
     neighbours: int = 8
     patience_ms: int = 2000
     wire_advertise: Address | None = None
+    scratch_folder: str = ""
+    chunk_store_bytes: int = 256 << 30
 
 
 ROLES: dict[str, type[NodeSettings]] = {
