Let the version before serve until each target has switched

Ruled out: preferring targets with the new version, which would put the whole load on the first of them. Change: any target that is open with an accepted version takes requests; the rest of a cut answer is asked only of targets with the version of its start, so no answer mixes two.

--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -42,6 +42,19 @@
     """The request never left this entry."""
 
 
+class Rest(NamedTuple):
+    """What of an answer is asked for: bytes from `start`, of `version` only.
+
+    An empty version leaves the choice to the target.
+    """
+
+    start: int
+    version: str
+
+
+WHOLE = Rest(0, "")
+
+
 class OpenAnswer(NamedTuple):
     """Answer whose head has come, and the call that brings its parts."""
 
@@ -155,7 +168,7 @@
         slot: Slot,
         attempt: int,
         incarnation: int,
-        resume_from: int = 0,
+        rest: Rest = WHOLE,
     ) -> OpenAnswer:
         """Dispatch and wait for the answer's head.
 
@@ -170,9 +183,7 @@
         remaining_s = request.remaining_s
         if remaining_s <= 0:
             raise NotSentError(ResultCode.DEADLINE_EXCEEDED, "before dispatch")
-        message = dispatch_message(
-            request, attempt, incarnation, remaining_s, resume_from
-        )
+        message = dispatch_message(request, attempt, incarnation, remaining_s, rest)
         try:
             call = link.call(message, request.body)
         except WireError as error:
@@ -262,12 +273,12 @@
         if not can_resume or request.remaining_s <= 0 or not self.budget.spend():
             return None
         try:
-            other = await self.placer.acquire(request, {slot.node_id})
+            other = await self.placer.acquire(request, {slot.node_id}, head.version)
         except RequestError:
             return None
         try:
             opened = await self.open(
-                request, other, attempt + 1, other.incarnation, sent
+                request, other, attempt + 1, other.incarnation, Rest(sent, head.version)
             )
         except WisteriapulleyError:
             other.release(ok=False)
@@ -309,7 +320,7 @@
     attempt: int,
     incarnation: int,
     remaining_s: float,
-    resume_from: int,
+    rest: Rest,
 ) -> messages.Dispatch:
     """Build the frame that carries a request to a sidecar."""
     entry = request.entry
@@ -327,8 +338,8 @@
         attempt,
         incarnation,
         expires_in_ms(request),
-        entry.version,
+        rest.version,
         b"",
-        resume_from,
+        rest.start,
         request.expires_ms,
     )
--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -47,7 +47,7 @@
 
 
 class Pool:
-    """Requests of one service and version, waiting and running."""
+    """Requests of one service, waiting and running."""
 
     def __init__(self, targets: Targets, rng: random.Random):
         self.targets = targets
@@ -55,11 +55,13 @@
         self.waiting: dict[int, asyncio.Future] = {}
         self.entry: Entry | None = None
 
-    def views(self, avoid: Sequence[str] = ()) -> list[TargetView]:
+    def views(self, avoid: Sequence[str] = (), version: str = "") -> list[TargetView]:
         """Return the targets that may take a request now."""
-        return self.targets.views(self.entry, avoid)
+        return self.targets.views(self.entry, avoid, version)
 
-    async def acquire(self, work: Work, entry: Entry, avoid: set[str]) -> Slot:
+    async def acquire(
+        self, work: Work, entry: Entry, avoid: set[str], version: str = ""
+    ) -> Slot:
         """Wait for a place.
 
         Raises
@@ -68,7 +70,7 @@
             Refused at once, or as soon as it can no longer be in time.
         """
         self.entry = entry
-        views = self.views(avoid)
+        views = self.views(avoid, version)
         now_s = time.monotonic()
         limit = entry.limits.in_flight
         if avoid:
@@ -157,7 +159,7 @@
 
 
 class Placer:
-    """Places requests: one scheduler for each service and version.
+    """Places requests: one scheduler for each service.
 
     Parameters
     ----------
@@ -173,9 +175,13 @@
         self.pools: dict[str, Pool] = {}
         self.numbers = itertools.count(1)
 
-    async def acquire(self, request: CallerRequest, avoid: set[str]) -> Slot:
+    async def acquire(
+        self, request: CallerRequest, avoid: set[str], version: str = ""
+    ) -> Slot:
         """Wait for a place at a target of the request's service.
 
+        With `version`, only at one that is open with it.
+
         Raises
         ------
         RequestError
@@ -193,7 +199,7 @@
             request.units,
             request.deadline_s,
         )
-        return await pool.acquire(work, entry, avoid)
+        return await pool.acquire(work, entry, avoid, version)
 
     async def run(self) -> None:
         """Sweep for ever."""
--- a/src/wisteriapulley/entry/targets.py
+++ b/src/wisteriapulley/entry/targets.py
@@ -78,13 +78,28 @@
         silence_s = asyncio.get_running_loop().time() - self.link.last_received
         return silence_s > quiet_s
 
-    def serves(self, version: str) -> bool:
-        """Tell whether it is open with `version`, by its own heartbeats."""
+    def serves(self, entry: Entry, version: str = "") -> bool:
+        """Tell whether it takes requests of an entry, by its own heartbeats.
+
+        Whichever accepted version it is open with will do: while hundreds of
+        targets still copy a new version, the one before goes on answering.
+
+        Parameters
+        ----------
+        entry : Entry
+            Whose request it is.
+        version : str, optional
+            The only version that will do, for the rest of a cut answer.
+        """
         link = self.link
         if link is None or self.member.leaving or self.displaced:
             return False
         beat = link.peer_heartbeat
-        return beat.state == "open" and beat.version == version and not beat.leaving
+        if beat.state != "open" or beat.leaving:
+            return False
+        if version:
+            return beat.version == version
+        return bool(beat.version) == bool(entry.version)
 
     def is_spent(self, now_s: float) -> bool:
         """Tell whether its link may close."""
@@ -188,7 +203,9 @@
             target.peak = target.in_flight
         self.control.heard(link)
 
-    def views(self, entry: Entry, avoid: Container[str] = ()) -> list[TargetView]:
+    def views(
+        self, entry: Entry, avoid: Container[str] = (), version: str = ""
+    ) -> list[TargetView]:
         """Return the targets that may take a request of an entry now.
 
         One that has been quiet may be leaving or cut off without our hearing
@@ -201,7 +218,7 @@
             if target.member.service == entry.service
             and name not in avoid
             and name not in entry.leaving
-            and target.serves(entry.version)
+            and target.serves(entry, version)
         ]
         heard = [target for target in open_targets if not target.is_quiet(quiet_s)]
         return [target.view() for target in heard or open_targets]
--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -142,8 +142,7 @@
         "The bearer token is missing or unknown.", "Use an operator's token.", 401
     ),
     ResultCode.NO_QUORUM: CodeEntry(
-        "No majority of control instances answered; what was sent may still be"
-        " accepted later.",
+        "No majority answered; a change that was sent may or may not be accepted.",
         "Resend with the same change id.",
         503,
     ),
--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -1,7 +1,7 @@
 """The request gate: runs dispatched requests at the target.
 
-Requests pass only while the target is open with the version the catalogue
-names. A switch first drains the gate, so no request spans two versions.
+Requests pass only while the target is open with a version that the catalogue
+named. A switch first drains the gate, so no request spans two versions.
 """
 
 import asyncio
@@ -98,7 +98,8 @@
             raise RequestError(
                 ResultCode.GATE_CLOSED, "the sidecar has restarted", RETRY_AFTER_MS
             )
-        if self.chart.state != "open" or message.version != self.version:
+        other = message.version not in ("", self.version)
+        if self.chart.state != "open" or other:
             raise RequestError(
                 ResultCode.GATE_CLOSED,
                 f"the target is {self.chart.state} with {self.version[:12]!r}",
