Check that a restarted watcher waits for a confirmed catalogue

The watcher now hears whether the instance holds a lease, restarts, and may never go below what was in force; a variant that trusts any instance joins. Both stand in make test, so that a change of the holder shows there.

--- a/specs/cluster.py
+++ b/specs/cluster.py
@@ -101,7 +101,9 @@
         self.steps = 0
         self.commands = 0
         self.disks = 0
+        self.holder_class = holder_class
         self.holder = holder_class()
+        self.in_force = 0
         # A node that a quorum once confirmed: one that none did takes nothing
         # in, and the check of its revisions would be empty.
         self.holder.confirmed = True
@@ -361,15 +363,27 @@
             node.replica.propose(f"command-{self.commands}".encode())
 
     def watch(self, name: str) -> None:
-        """Let the watcher hear an instance, which may be cut off or lag."""
+        """Let the watcher hear an instance, which may be cut off or lag.
+
+        A leader that holds a lease and has applied what it committed confirms.
+        What a watcher has in force goes down neither while it runs nor when it
+        restarts.
+        """
         node = self.nodes[name]
         if node.replica is None:
             return
-        before = self.holder.revision
+        leased = node.replica.lease_left_ms(self.clock(node)) > 0
+        fresh = leased and node.replica.applied_index >= node.replica.commit_index
         content = msgspec.msgpack.encode(CatalogueImage(node.state.revision, {}))
-        self.holder.offer(CatalogueUpdate(node.state.revision, False, content))
-        after = self.holder.revision
-        require(after >= before, "no_revision_reverts", f"{before} became {after}")
+        self.holder.offer(CatalogueUpdate(node.state.revision, fresh, content))
+        if self.holder.confirmed:
+            before, self.in_force = self.in_force, self.holder.revision
+            detail = f"{before} became {self.in_force}"
+            require(self.in_force >= before, "no_revision_reverts", detail)
+
+    def restart_watcher(self) -> None:
+        """Let the watcher forget what it had in force."""
+        self.holder = self.holder_class()
 
     def compact(self, name: str) -> None:
         """Replace a node's log by a snapshot, keeping a record or none."""
--- a/specs/mutants.py
+++ b/specs/mutants.py
@@ -132,6 +132,14 @@
         return super().offer(update)
 
 
+class TrustsAnyInstance(CatalogueHolder):
+    """A node that starts with what any instance tells, quorum or not."""
+
+    def offer(self, update) -> bool:
+        """Take every update for a confirmed one."""
+        return super().offer(update._replace(fresh=True))
+
+
 SAFETY = ("election_safety", "leader_completeness", "log_matching", "no_commit_lost")
 
 
@@ -162,4 +170,9 @@
         {"holder_class": TakesAnyRevision},
         ("no_revision_reverts",),
     ),
+    Mutant(
+        "trusts_any_instance",
+        {"holder_class": TrustsAnyInstance},
+        ("no_revision_reverts",),
+    ),
 )
--- a/specs/replica_machine.py
+++ b/specs/replica_machine.py
@@ -60,6 +60,11 @@
             node.replica.remove_member(name)
 
 
+def restart_watcher(cluster: Cluster, name: str) -> None:
+    """Restart the watcher of the catalogue."""
+    cluster.restart_watcher()
+
+
 FAULTS = (
     crash,
     crash_before_sync,
@@ -69,6 +74,7 @@
     freeze,
     compact,
     remove,
+    restart_watcher,
 )
 names = st.sampled_from(NAMES)
 durations = st.sampled_from([100, 400, 1300, 3000])
--- a/tests/test_check_spec.py
+++ b/tests/test_check_spec.py
@@ -9,7 +9,13 @@
 
 # `make check-spec` runs many more: this part takes a few seconds.
 EXAMPLES = 6
-QUICK_MUTANTS = ("forgets_vote", "votes_for_short_log", "ignores_clock")
+QUICK_MUTANTS = (
+    "forgets_vote",
+    "votes_for_short_log",
+    "ignores_clock",
+    "takes_any_revision",
+    "trusts_any_instance",
+)
 
 
 class TestReplicaSpec:
