Stop waiting for a frozen leader once another leads

Cause: a follower waited for its forwarded proposal until the frozen leader's link was silent or 3.5 s were over, though a new leader stood after 1 to 2 s.

--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -23,6 +23,7 @@
     no_quorum,
 )
 from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES, Fanout
+from wisteriapulley.control.forward import forward
 from wisteriapulley.control.members import Changes, MemberTable
 from wisteriapulley.control.operators import MAX_CHANGE_BYTES, operator_routes
 from wisteriapulley.control.permits import PermitSweeper
@@ -40,7 +41,6 @@
 
 log = logging.getLogger(__name__)
 
-FORWARD_S = 3.5
 SWEEP_S = 0.25
 # Changes that come together are told together.
 FLUSH_S = 0.01
@@ -184,10 +184,13 @@
         if link is None:
             raise no_quorum("no leader is known")
         try:
-            frame = await link.request(messages.Propose(encode(command)), FORWARD_S)
+            return await forward(
+                link,
+                messages.Propose(encode(command)),
+                lambda: self.driver.replica.leader == link.peer_id,
+            )
         except WireError as error:
             raise no_quorum(f"the leader's answer was lost: {error}") from error
-        return frame.message.result
 
     # -- frames ----------------------------------------------------------
 
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -9,7 +9,8 @@
 from wisteriapulley.control.client import ISOLATED_S, ISOLATED_STATE, ControlClient
 from wisteriapulley.control.commands import ReleasePermit
 from wisteriapulley.control.driver import no_quorum
-from wisteriapulley.errors import ResultCode, WisteriapulleyError
+from wisteriapulley.control.forward import FORWARD_S, LEADER_CHECK_S, forward
+from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
 from wisteriapulley.settings import Address, EntrySettings
 from wisteriapulley.wire import LinkServer, messages
 from wisteriapulley.wire.handshake import Identity
@@ -121,3 +122,36 @@
             await until(lambda: client.patience_s == ISOLATED_S / 100)
 
         run(scenario, isolated, healthy)
+
+
+class Unanswered:
+    """A link to a frozen leader: no reply ever comes."""
+
+    def __init__(self):
+        self.waits = 0
+        self.open = True
+
+    def call(self, message):
+        return self
+
+    async def reply(self, timeout_s):
+        self.waits += 1
+        raise WireError(ResultCode.LINK_TIMEOUT, "frozen")
+
+    def close(self):
+        self.open = False
+
+
+class TestForward:
+    def test_stops_waiting_once_another_leads(self):
+        """Regression: a frozen leader held each forwarded claim for 3.5 s."""
+        link = Unanswered()
+        with pytest.raises(WireError):
+            asyncio.run(forward(link, messages.Propose(), lambda: link.waits < 3))
+        assert (link.waits, link.open) == (3, False)
+
+    def test_gives_up_on_a_leader_that_never_answers(self):
+        link = Unanswered()
+        with pytest.raises(WireError):
+            asyncio.run(forward(link, messages.Propose(), lambda: True))
+        assert link.waits == int(FORWARD_S / LEADER_CHECK_S)
