Close the gate by its chart in the tests of a refused claim

Cause: two tests closed a target's gate by giving it another version; since the version before serves until a switch that no longer closes it. Change: the gate is closed by draining, as a switch does. The assertions are the same.

--- a/tests/test_entry_once.py
+++ b/tests/test_entry_once.py
@@ -227,7 +227,7 @@
     async def test_closed_gate_leaves_a_tombstone_and_another_target_runs(
         self, control, sides, entry
     ):
-        sides[0].gate.version = "other"
+        sides[0].gate.chart.fire("drain")
         assert await entry.send() == b"letter"
         assert (sides[0].ran, sides[1].ran) == ([], ["k"])
         assert [a.state for a in sides[0].gate.attempts.attempts.values()] == [
@@ -333,11 +333,11 @@
     @with_fleet(sides=1)
     async def test_claim_known_not_to_run_is_released(self, control, sides, entry):
         # Otherwise a resend after its target has gone could only say "may have".
-        sides[0].gate.version = "other"
+        sides[0].gate.chart.fire("drain")
         assert await entry.refused() == ResultCode.NO_TARGET
         (claim,) = control.ledger.claims.values()
         assert claim.target == ""
-        sides[0].gate.version = ""
+        sides[0].gate.chart.fire("reopen")
         assert await entry.send() == b"letter"
 
     @with_fleet()
