Serve on with the version before while a new one spreads

Change: a dispatch names the version that its target says it serves, and the gate checks it; the newest alone is used once half of the open targets have it. A stream is resumed only at a target of the same version.

Seen: tests of the entry and the whole path pass (26).

--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -171,7 +171,7 @@
         if remaining_s <= 0:
             raise NotSentError(ResultCode.DEADLINE_EXCEEDED, "before dispatch")
         message = dispatch_message(
-            request, attempt, incarnation, remaining_s, resume_from
+            request, attempt, incarnation, remaining_s, resume_from, slot.version
         )
         try:
             call = link.call(message, request.body)
@@ -272,7 +272,8 @@
         except WisteriapulleyError:
             other.release(ok=False)
             return None
-        if (header(opened.head, RESUMED_HEADER) or "0") != str(sent):
+        resumed_from = header(opened.head, RESUMED_HEADER) or "0"
+        if resumed_from != str(sent) or opened.head.version != head.version:
             other.release(ok=False, cancelled=True)
             self.cancel(opened.call, request)
             return None
@@ -310,6 +311,7 @@
     incarnation: int,
     remaining_s: float,
     resume_from: int,
+    version: str,
 ) -> messages.Dispatch:
     """Build the frame that carries a request to a sidecar."""
     entry = request.entry
@@ -327,7 +329,7 @@
         attempt,
         incarnation,
         expires_in_ms(request),
-        entry.version,
+        version,
         b"",
         resume_from,
         request.expires_ms,
--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -29,6 +29,7 @@
         link = target.link
         self.node_id = target.member.node_id
         self.incarnation = link.peer.incarnation if link is not None else 0
+        self.version = target.version
         self.held = True
         target.take()
 
--- a/src/wisteriapulley/entry/targets.py
+++ b/src/wisteriapulley/entry/targets.py
@@ -59,6 +59,11 @@
         """The open link, if there is one."""
         return self.keeper.open_link
 
+    @property
+    def version(self) -> str:
+        """The version it last said that it serves."""
+        return self.link.peer_heartbeat.version if self.link is not None else ""
+
     def take(self) -> None:
         """Count a request of this entry in."""
         self.in_flight += 1
@@ -78,13 +83,13 @@
         silence_s = asyncio.get_running_loop().time() - self.link.last_received
         return silence_s > quiet_s
 
-    def serves(self, version: str) -> bool:
-        """Tell whether it is open with `version`, by its own heartbeats."""
+    def serves(self) -> bool:
+        """Tell whether it is open, by its own heartbeats."""
         link = self.link
         if link is None or self.member.leaving or self.displaced:
             return False
         beat = link.peer_heartbeat
-        return beat.state == "open" and beat.version == version and not beat.leaving
+        return beat.state == "open" and not beat.leaving
 
     def is_spent(self, now_s: float) -> bool:
         """Tell whether its link may close."""
@@ -201,10 +206,18 @@
             if target.member.service == entry.service
             and name not in avoid
             and name not in entry.leaving
-            and target.serves(entry.version)
+            and target.serves()
+            and bool(target.version) == bool(entry.version)
         ]
         heard = [target for target in open_targets if not target.is_quiet(quiet_s)]
-        return [target.view() for target in heard or open_targets]
+        usable = heard or open_targets
+        current = [target for target in usable if target.version == entry.version]
+        # While a new version spreads, the one before serves on: waiting for the
+        # copies would refuse everything for minutes, and sending all to the
+        # first that switched would drown it. Each answer is of one version, the
+        # one its dispatch names and its target's gate checks.
+        chosen = current if 2 * len(current) >= len(usable) else usable
+        return [target.view() for target in chosen]
 
     def link_to(self, name: str, incarnation: int) -> Link | None:
         """Return the link to the target of a claim; None while it opens.
--- a/tests/test_entry_dispatch.py
+++ b/tests/test_entry_dispatch.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
+import msgspec
 from aiohttp import web
 
-from tests.test_entry_once import with_fleet
+from tests.test_entry_once import ENTRY, with_fleet
 from wisteriapulley.errors import CODE_TABLE, ResultCode
 
 
@@ -86,3 +87,18 @@
         entry.cut(sides[0])
         sides[0].hold.set()
         assert await sending == b"letter"
+
+    @with_fleet()
+    async def test_version_before_serves_while_the_new_one_spreads(
+        self, control, sides, entry
+    ):
+        # Guards: every request was refused until the first target had switched.
+        for side in sides:
+            side.serve_version("a")
+        model = msgspec.structs.replace(ENTRY, version="b")
+        while len(entry.targets.views(model)) != 2:
+            await asyncio.sleep(0.01)
+        assert await entry.send(key="", entry=model) == b"letter"
+        sides[1].serve_version("b")
+        while [v.node_id for v in entry.targets.views(model)] != ["t1"]:
+            await asyncio.sleep(0.01)
--- a/tests/test_entry_once.py
+++ b/tests/test_entry_once.py
@@ -102,6 +102,10 @@
             self.name, incarnation, "sidecar", "s", "d", str(address)
         )
 
+    def serve_version(self, version):
+        self.gate.version = version
+        self.server.beat()
+
     async def restart(self, incarnation):
         await self.server.stop()
         await self.start_gate(self.gate.engine, incarnation)
