--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -283,7 +283,8 @@
         except WisteriapulleyError:
             other.release(ok=False)
             return None
-        if (header(opened.head, RESUMED_HEADER) or "0") != str(sent):
+        resumed_from = header(opened.head, RESUMED_HEADER) or "0"
+        if resumed_from != str(sent) or opened.head.version != head.version:
             other.release(ok=False, cancelled=True)
             self.cancel(opened.call, request)
             return None
