End no answer that spans a stale order; write down all measured bursts

An engine that ignores fencing numbers can take an old order in mid-answer and be put right before its end: the fault matrix got a mixed answer whole (stale_order@run). With `fences` false the sidecar now asks the engine's version after the last byte, and compares the count of its own orders; the end mark is sent only if both stand.

--- a/bench/burst.py
+++ b/bench/burst.py
@@ -317,8 +317,8 @@
         "failures": load.failures
         + sum(isinstance(f, aiohttp.ClientError) for f in failed),
         "p95_before_ms": round(before * 1000, 2),
-        "p95_copy_ms": round(during * 1000, 2),
-        "p95_ratio": round(during / before, 3),
+        "p95_copy_ms": None if math.isnan(during) else round(during * 1000, 2),
+        "p95_ratio": None if math.isnan(during) else round(during / before, 3),
         "p95_switch_ms": round(load.p95(first, end_s) * 1000, 2),
         "copy_seconds": round(copied_s - begun_s, 2),
     }
--- a/src/wisteriapulley/sidecar/engine.py
+++ b/src/wisteriapulley/sidecar/engine.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 import aiohttp
@@ -49,11 +50,17 @@
         Shared client.
     base_url : str
         Where the engine answers.
+    fences : bool
+        Whether it refuses an order with an old fencing number.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, base_url: str):
+    def __init__(
+        self, session: aiohttp.ClientSession, base_url: str, fences: bool = True
+    ):
         self.session = session
         self.base_url = base_url.rstrip("/")
+        self.fences = fences
+        self.orders = 0
 
     async def state(self) -> EngineState:
         """Ask the engine what it serves.
@@ -72,6 +79,36 @@
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as e:
             raise WeightsError(ResultCode.TARGET_FAILED, f"{url}: {e!r}") from e
 
+    async def verify(self, version: str, orders: int) -> None:
+        """Make sure, after an answer's last byte, that it has one version.
+
+        An engine that refuses old orders changes only when the gate has drained
+        it. Another one may have taken a stale order in mid-answer, and may even
+        have been put right again since; so `orders` must be what it was before.
+
+        Raises
+        ------
+        WeightsError
+            ENGINE_WRONG_DIGEST: the answer must not count as whole.
+        """
+        if self.fences:
+            return
+        state = await self.state()
+        if state.version != version or self.orders != orders:
+            raise WeightsError(
+                ResultCode.ENGINE_WRONG_DIGEST,
+                f"answer of {version}, but the engine now reports {state.version!r}",
+            )
+
+    async def verified(
+        self, parts: AsyncIterator[bytes], version: str
+    ) -> AsyncIterator[bytes]:
+        """Yield the parts of an answer, then `verify` before it ends."""
+        orders = self.orders
+        async for part in parts:
+            yield part
+        await self.verify(version, orders)
+
     async def load(self, order: Order) -> None:
         """Order a load and wait until the engine says that it is done.
 
@@ -80,6 +117,7 @@
         WeightsError
             ENGINE_FENCED, or ENGINE_LOAD_FAILED with the engine's reason.
         """
+        self.orders += 1
         post = asyncio.get_running_loop().create_task(self.post_order(order))
         try:
             await self.watch_order(order, post)
@@ -139,9 +177,21 @@
 class PlainService:
     """Service without weights: always of the empty version."""
 
-    def __init__(self, session: aiohttp.ClientSession, base_url: str):
+    def __init__(
+        self, session: aiohttp.ClientSession, base_url: str, fences: bool = True
+    ):
         self.session = session
         self.base_url = base_url.rstrip("/")
+        self.orders = 0
+
+    async def verify(self, version: str, orders: int) -> None:
+        """Do nothing: it has no weights that could change."""
+
+    def verified(
+        self, parts: AsyncIterator[bytes], version: str
+    ) -> AsyncIterator[bytes]:
+        """Return the parts as they are."""
+        return parts
 
     async def state(self) -> EngineState:
         """Ask whether the service answers its health page.
--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -13,6 +13,7 @@
 from yarl import URL
 
 from wisteriapulley.errors import RequestError, ResultCode
+from wisteriapulley.errors import WisteriapulleyError as Error
 from wisteriapulley.sidecar.answers import (
     VERSION_HEADER,
     AnswerSender,
@@ -170,7 +171,7 @@
                 # No connection was made, so no byte of it reached the target.
                 log.warning("keyed request %s: %r", message.request_id, error)
                 attempt.fire("not_begun")
-            except (aiohttp.ClientError, OSError, TimeoutError, RequestError) as error:
+            except (aiohttp.ClientError, OSError, TimeoutError, Error) as error:
                 log.warning("keyed request %s: %r", message.request_id, error)
             finally:
                 if attempt.state == RUNNING:
@@ -180,10 +181,12 @@
     async def run_whole(self, message: messages.Dispatch, body: bytes) -> KeptAnswer:
         """Run at the target and read the whole answer."""
         timeout_ms = max(message.remaining_ms, message.expires_in_ms)
+        orders = self.engine.orders
         async with self.open_target(message, body, timeout_ms) as response:
             data = await read_bounded(response, MAX_KEPT_ANSWER_BYTES, too_long)
             headers = tuple(tuple(header) for header in plain_headers(response))
             version = response.headers.get(VERSION_HEADER, "")
+            await self.engine.verify(message.version, orders)
             return KeptAnswer(response.status, headers, version, data)
 
     async def send_attempt(
@@ -251,7 +254,7 @@
                 length if length is not None else -1,
             )
             link.post(head, reply_to=frame.id)
-            parts = response.content.iter_any()
+            parts = self.engine.verified(response.content.iter_any(), message.version)
             await self.sender.send_parts(link, message.request_id, frame, parts)
 
     def open_target(self, message: messages.Dispatch, body: bytes, timeout_ms: int):
--- a/src/wisteriapulley/sidecar/service.py
+++ b/src/wisteriapulley/sidecar/service.py
@@ -71,7 +71,7 @@
             auto_decompress=False,
         )
         adapter = ModelEngine if settings.kind == "engine" else PlainService
-        self.engine = adapter(self.session, settings.target_url)
+        self.engine = adapter(self.session, settings.target_url, settings.fences)
         self.gate = Gate(self.engine, self.incarnation, self.chart)
         budget = LinkBudget(settings.link_bytes_per_s, self.meter.total)
         share = LinkBudget(settings.origin_bytes_per_s)
--- a/tests/test_entry_once.py
+++ b/tests/test_entry_once.py
@@ -23,6 +23,7 @@
     WisteriapulleyError,
 )
 from wisteriapulley.settings import Address
+from wisteriapulley.sidecar.engine import PlainService
 from wisteriapulley.sidecar.gate import Gate
 from wisteriapulley.statechart import StateChart
 from wisteriapulley.wire import LinkServer, messages
@@ -73,9 +74,7 @@
         await site.start()
         port = site._server.sockets[0].getsockname()[1]
         self.session = aiohttp.ClientSession()
-        engine = SimpleNamespace(
-            session=self.session, base_url=f"http://127.0.0.1:{port}"
-        )
+        engine = PlainService(self.session, f"http://127.0.0.1:{port}")
         await self.start_gate(engine, incarnation)
         return self
 
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -12,7 +12,7 @@
 from tests.weights_kit import publish
 from wisteriapulley.control.commands import AcquirePermit, PermitResult
 from wisteriapulley.control.driver import no_quorum
-from wisteriapulley.errors import ResultCode
+from wisteriapulley.errors import ResultCode, WeightsError
 from wisteriapulley.settings import Address, SidecarSettings
 from wisteriapulley.sidecar import engine as engine_module
 from wisteriapulley.sidecar import switch as switch_module
@@ -25,7 +25,7 @@
 from wisteriapulley.weights.pace import LinkBudget
 from wisteriapulley.weights.source import HttpSource
 from wisteriapulley.weights.swarm import Swarm
-from wisteriapulley.wire import messages
+from wisteriapulley.wire import Frame, messages
 
 
 class FakeControl:
@@ -68,6 +68,22 @@
         return messages.Lease(1, "c", self.lease_ms)
 
 
+class FakeLink:
+    """Link that takes every answer at once."""
+
+    def __init__(self):
+        self.posted = []
+        self.closed = asyncio.Event()
+        self.peer_id = "entry-0"
+        self.peer = messages.Hello(node_id="entry-0", role="entry")
+
+    def post(self, message, reply_to=0, body=b""):
+        self.posted.append(message)
+
+    async def drain(self):
+        """Take more at once."""
+
+
 class Target:
     """Switcher, engine and origin of one target, in one process."""
 
@@ -121,6 +137,26 @@
             lambda: self.gate.chart.state == "open" and self.gate.version == version
         )
 
+    async def hold(self, version):
+        """Put another version into the chunk store."""
+        source = self.swarm.sources[0]
+        manifest = await source.manifest(version)
+        self.swarm.manifests[version] = manifest
+        for span in manifest.spans:
+            self.swarm.store.put(span.digest, await source.chunk(version, span))
+
+    async def stale_order(self, version):
+        """Order a load with an old fencing number; return the status."""
+        order = {
+            "version": version,
+            "source_url": self.switcher.source_url,
+            "fencing": 1,
+            "role": "serve",
+        }
+        url = self.engine.base_url + "/control/load"
+        async with self.session.post(url, data=json.dumps(order)) as answer:
+            return answer.status
+
     def loads(self):
         events = read_records(str(self.records))
         return [r["version"] for r in events if r["event"] == "loaded"]
@@ -282,23 +318,12 @@
         async def scenario(target):
             target.control.name(run_target.first)
             await target.serving(run_target.first)
-            manifest = await target.swarm.sources[0].manifest(run_target.second)
+            await target.hold(run_target.second)
             target.fake.fences = fences
-            target.swarm.manifests[run_target.second] = manifest
-            for span in manifest.spans:
-                data = await target.swarm.sources[0].chunk(run_target.second, span)
-                target.swarm.store.put(span.digest, data)
             closed = []
             target.gate.chart.on_enter = closed.append
-            order = {
-                "version": run_target.second,
-                "source_url": target.switcher.source_url,
-                "fencing": 1,
-                "role": "serve",
-            }
-            url = target.engine.base_url + "/control/load"
-            async with target.session.post(url, data=json.dumps(order)) as answer:
-                assert answer.status == (409 if fences else 200)
+            status = await target.stale_order(run_target.second)
+            assert status == (409 if fences else 200)
             if not fences:
                 await target.until(lambda: "open" in closed)
                 assert closed[0] == "empty"
@@ -337,3 +362,40 @@
             assert target.gate.version == run_target.first
 
         run_target(scenario)
+
+    @pytest.mark.parametrize("changed", [False, True])
+    def test_answer_that_spans_a_stale_order_has_no_end(self, run_target, changed):
+        """Found by the fault matrix: stale_order@run."""
+
+        async def scenario(target):
+            target.fake.fences = target.engine.fences = False
+            target.fake.token_s = 0.02
+            target.control.name(run_target.first)
+            await target.serving(run_target.first)
+            await target.hold(run_target.second)
+            link = FakeLink()
+            body = json.dumps({"prompt": "p", "max_tokens": 20, "stream": True})
+            dispatch = messages.Dispatch(
+                request_id="r",
+                method="POST",
+                path="/v1/completions",
+                remaining_ms=5000,
+                incarnation=1,
+                version=run_target.first,
+            )
+            frame = Frame(1, 0, dispatch, body.encode())
+            task = asyncio.create_task(
+                target.gate.receive_dispatch(link, dispatch, frame)
+            )
+            await target.until(lambda: link.posted)
+            if changed:
+                assert await target.stale_order(run_target.second) == 200
+                with pytest.raises(WeightsError) as caught:
+                    await task
+                assert caught.value.code == ResultCode.ENGINE_WRONG_DIGEST
+            else:
+                await task
+            ended = [m for m in link.posted if isinstance(m, messages.AnswerEnd)]
+            assert len(ended) == (not changed)
+
+        run_target(scenario)
