--- a/src/wisteriapulley/entry/targets.py
+++ b/src/wisteriapulley/entry/targets.py
@@ -30,7 +30,11 @@
     in_flight : int
         Requests of this entry that it holds.
     in_flight_at_report : int
-        The same when its last heartbeat came.
+        The most of them since the heartbeat before the last one: what the last
+        may have counted. A report crosses answers on their way, and one taken
+        for another entry's request would leave a place empty for a heartbeat.
+    peak : int
+        The most of them since the last heartbeat.
     gone : bool
         Control no longer names it; it serves on while its link beats.
     displaced : bool
@@ -45,6 +49,7 @@
         self.keeper = keeper
         self.in_flight = 0
         self.in_flight_at_report = 0
+        self.peak = 0
         self.gone = False
         self.displaced = False
         self.asked_s = 0.0
@@ -54,6 +59,11 @@
         """The open link, if there is one."""
         return self.keeper.open_link
 
+    def take(self) -> None:
+        """Count a request of this entry in."""
+        self.in_flight += 1
+        self.peak = max(self.peak, self.in_flight)
+
     def view(self) -> TargetView:
         """Return what placement needs to know of it."""
         return TargetView(
@@ -68,13 +78,28 @@
         silence_s = asyncio.get_running_loop().time() - self.link.last_received
         return silence_s > quiet_s
 
-    def serves(self, version: str) -> bool:
-        """Tell whether it is open with `version`, by its own heartbeats."""
+    def serves(self, entry: Entry, version: str = "") -> bool:
+        """Tell whether it takes requests of an entry, by its own heartbeats.
+
+        Whichever accepted version it is open with will do: while hundreds of
+        targets still copy a new version, the one before goes on answering.
+
+        Parameters
+        ----------
+        entry : Entry
+            Whose request it is.
+        version : str, optional
+            The only version that will do, for the rest of a cut answer.
+        """
         link = self.link
         if link is None or self.member.leaving or self.displaced:
             return False
         beat = link.peer_heartbeat
-        return beat.state == "open" and beat.version == version and not beat.leaving
+        if beat.state != "open" or beat.leaving:
+            return False
+        if version:
+            return beat.version == version
+        return bool(beat.version) == bool(entry.version)
 
     def is_spent(self, now_s: float) -> bool:
         """Tell whether its link may close."""
@@ -174,10 +199,13 @@
         """Take in a heartbeat: load as of now, and the target's revision."""
         target = self.targets.get(link.peer_id)
         if target is not None:
-            target.in_flight_at_report = target.in_flight
+            target.in_flight_at_report = target.peak
+            target.peak = target.in_flight
         self.control.heard(link)
 
-    def views(self, entry: Entry, avoid: Container[str] = ()) -> list[TargetView]:
+    def views(
+        self, entry: Entry, avoid: Container[str] = (), version: str = ""
+    ) -> list[TargetView]:
         """Return the targets that may take a request of an entry now.
 
         One that has been quiet may be leaving or cut off without our hearing
@@ -190,7 +218,7 @@
             if target.member.service == entry.service
             and name not in avoid
             and name not in entry.leaving
-            and target.serves(entry.version)
+            and target.serves(entry, version)
         ]
         heard = [target for target in open_targets if not target.is_quiet(quiet_s)]
         return [target.view() for target in heard or open_targets]
--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -165,6 +165,9 @@
         Rate of this instance's link, up and down together; 0 for no limit.
     origin_bytes_per_s : int
         Share of the origin's link that this sidecar may take; 0 for no limit.
+    wire_advertise : Address
+        Where others reach `wire_listen`, when that differs (a relay or
+        translated address between them); by default `wire_listen` itself.
     neighbours : int
         Links that this sidecar opens to others; others open as many to it.
     patience_ms : int
@@ -187,6 +190,7 @@
     origin_bytes_per_s: int = 0
     neighbours: int = 8
     patience_ms: int = 2000
+    wire_advertise: Address | None = None
     scratch_folder: str = ""
     chunk_store_bytes: int = 256 << 30
 
@@ -242,7 +246,7 @@
         raise SettingsError(ResultCode.SETTINGS_INVALID, f"{path}: {error}") from error
 
 
-ADDRESS_KEYS = ("http_listen", "wire_listen", "address")
+ADDRESS_KEYS = ("http_listen", "wire_listen", "wire_advertise", "address")
 
 
 def addresses(tree: object, key: str = "") -> object:
