Count an answer as whole only when its engine kept its version

With a Content-Length a caller also took an answer as whole before its end mark came.

Change: the gate asks the engine for its version after the last byte and closes itself when it differs; answers to callers are chunked, so that the last chunk follows the end mark. It costs one call to the engine a request; not measured yet.

--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -258,8 +258,8 @@
             response.headers[header.name] = header.value
         response.headers["X-Request-Id"] = caller.request_id
         response.headers["X-Result-Code"] = "0"
-        if head.length >= 0:
-            response.content_length = head.length
+        # No Content-Length: a caller would take the answer as whole at its last
+        # byte, before the end mark has vouched for it. The last chunk comes after.
         return response
 
     async def cut(
--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -7,12 +7,13 @@
 import asyncio
 import logging
 import time
+from collections.abc import AsyncIterator
 from contextlib import contextmanager
 
 import aiohttp
 from yarl import URL
 
-from wisteriapulley.errors import RequestError, ResultCode
+from wisteriapulley.errors import RequestError, ResultCode, WisteriapulleyError
 from wisteriapulley.sidecar.answers import (
     VERSION_HEADER,
     AnswerSender,
@@ -40,6 +41,7 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 RESUME_HEADER = "X-Resume-From"
 UNKNOWN = "unknown"
+FAILURES = (aiohttp.ClientError, OSError, TimeoutError, WisteriapulleyError)
 
 
 class Gate:
@@ -171,7 +173,7 @@
                 # No connection was made, so no byte of it reached the target.
                 log.warning("keyed request %s: %r", message.request_id, error)
                 attempt.fire("not_begun")
-            except (aiohttp.ClientError, OSError, TimeoutError, RequestError) as error:
+            except FAILURES as error:
                 log.warning("keyed request %s: %r", message.request_id, error)
             finally:
                 if attempt.state == RUNNING:
@@ -183,6 +185,7 @@
         timeout_ms = max(message.remaining_ms, message.expires_in_ms)
         async with self.open_target(message, body, timeout_ms) as response:
             data = await read_bounded(response, MAX_KEPT_ANSWER_BYTES, too_long)
+            await self.check_version(message)
             headers = tuple(tuple(header) for header in plain_headers(response))
             version = response.headers.get(VERSION_HEADER, "")
             return KeptAnswer(response.status, headers, version, data)
@@ -252,9 +255,41 @@
                 length if length is not None else -1,
             )
             link.post(head, reply_to=frame.id)
-            parts = response.content.iter_any()
+            parts = self.checked_parts(message, response)
             await self.sender.send_parts(link, message.request_id, frame, parts)
 
+    async def checked_parts(
+        self, message: messages.Dispatch, response: aiohttp.ClientResponse
+    ) -> AsyncIterator[bytes]:
+        """Yield the body; raise before its end if the version changed under it."""
+        async for data in response.content.iter_any():
+            yield data
+        await self.check_version(message)
+
+    async def check_version(self, message: messages.Dispatch) -> None:
+        """Check that the engine still serves the version of a dispatch.
+
+        An engine that ignores fencing may have taken an old order while the
+        request ran: its answer is then of mixed weights.
+
+        Raises
+        ------
+        WisteriapulleyError
+            ANSWER_CUT, or TARGET_FAILED when the engine does not say.
+        """
+        if not message.version:
+            return
+        state = await self.engine.state()
+        if state.version == message.version:
+            return
+        if self.chart.can("lose"):
+            self.chart.fire("lose")
+            self.version = ""
+        raise RequestError(
+            ResultCode.ANSWER_CUT,
+            f"the engine went from {message.version[:12]} to {state.version[:12]!r}",
+        )
+
     def open_target(self, message: messages.Dispatch, body: bytes, timeout_ms: int):
         """Open the request at the target."""
         headers = {header.name: header.value for header in message.headers}
--- a/tests/test_entry_dispatch.py
+++ b/tests/test_entry_dispatch.py
@@ -102,3 +102,17 @@
         sides[1].serve_version("b")
         while [v.node_id for v in entry.targets.views(model)] != ["t1"]:
             await asyncio.sleep(0.01)
+
+    @with_fleet(sides=1)
+    async def test_answer_whose_engine_changed_version_is_not_whole(
+        self, control, sides, entry
+    ):
+        # Guards: an engine that ignores fencing took an old order in a stream.
+        sides[0].serve_version("a")
+        sides[0].loaded = "b"
+        model = msgspec.structs.replace(ENTRY, version="a")
+        while len(entry.targets.views(model)) != 1:
+            await asyncio.sleep(0.01)
+        code = await entry.refused(key="", entry=model)
+        assert code == ResultCode.ANSWER_CUT
+        assert sides[0].gate.chart.state != "open"
--- a/tests/test_entry_once.py
+++ b/tests/test_entry_once.py
@@ -70,6 +70,7 @@
         self.hold.set()
         self.begun = asyncio.Event()
         self.cancelled = []
+        self.loaded = ""
         self.respond = echo
 
     async def start(self, incarnation=1):
@@ -85,6 +86,7 @@
             session=self.session,
             base_url=f"http://127.0.0.1:{port}",
             cancel=self.cancel,
+            state=self.state,
         )
         await self.start_gate(engine, incarnation)
         return self
@@ -126,6 +128,9 @@
         self.begun.set()
         return await self.respond(self, request)
 
+    async def state(self):
+        return SimpleNamespace(version=self.loaded or self.gate.version)
+
     async def cancel(self, request_id):
         self.cancelled.append(request_id)
 
