--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -1,7 +1,7 @@
 """The request gate: runs dispatched requests at the target.
 
-Requests pass only while the target is open with the version the catalogue
-names. A switch first drains the gate, so no request spans two versions.
+Requests pass only while the target is open with a version that the catalogue
+named. A switch first drains the gate, so no request spans two versions.
 """
 
 import asyncio
@@ -100,7 +100,8 @@
             raise RequestError(
                 ResultCode.GATE_CLOSED, "the sidecar has restarted", RETRY_AFTER_MS
             )
-        if self.chart.state != "open" or message.version != self.version:
+        other = message.version not in ("", self.version)
+        if self.chart.state != "open" or other:
             raise RequestError(
                 ResultCode.GATE_CLOSED,
                 f"the target is {self.chart.state} with {self.version[:12]!r}",
@@ -183,9 +184,10 @@
     async def run_whole(self, message: messages.Dispatch, body: bytes) -> KeptAnswer:
         """Run at the target and read the whole answer."""
         timeout_ms = max(message.remaining_ms, message.expires_in_ms)
+        served = self.version
         async with self.open_target(message, body, timeout_ms) as response:
             data = await read_bounded(response, MAX_KEPT_ANSWER_BYTES, too_long)
-            await self.check_version(message)
+            await self.check_version(served)
             headers = tuple(tuple(header) for header in plain_headers(response))
             version = response.headers.get(VERSION_HEADER, "")
             return KeptAnswer(response.status, headers, version, data)
@@ -243,6 +245,7 @@
         self, link: Link, message: messages.Dispatch, frame: Frame
     ) -> None:
         """Send head, parts and end mark of the target's answer."""
+        served = self.version
         async with self.open_target(
             message, frame.body, message.remaining_ms
         ) as response:
@@ -255,19 +258,19 @@
                 length if length is not None else -1,
             )
             link.post(head, reply_to=frame.id)
-            parts = self.checked_parts(message, response)
+            parts = self.checked_parts(served, response)
             await self.sender.send_parts(link, message.request_id, frame, parts)
 
     async def checked_parts(
-        self, message: messages.Dispatch, response: aiohttp.ClientResponse
+        self, served: str, response: aiohttp.ClientResponse
     ) -> AsyncIterator[bytes]:
         """Yield the body; raise before its end if the version changed under it."""
         async for data in response.content.iter_any():
             yield data
-        await self.check_version(message)
+        await self.check_version(served)
 
-    async def check_version(self, message: messages.Dispatch) -> None:
-        """Check that the engine still serves the version of a dispatch.
+    async def check_version(self, served: str) -> None:
+        """Check that the engine still serves the version a request began with.
 
         An engine that ignores fencing may have taken an old order while the
         request ran: its answer is then of mixed weights.
@@ -277,17 +280,17 @@
         WisteriapulleyError
             ANSWER_CUT, or TARGET_FAILED when the engine does not say.
         """
-        if not message.version:
+        if not served:
             return
         state = await self.engine.state()
-        if state.version == message.version:
+        if state.version == served:
             return
         if self.chart.can("lose"):
             self.chart.fire("lose")
             self.version = ""
         raise RequestError(
             ResultCode.ANSWER_CUT,
-            f"the engine went from {message.version[:12]} to {state.version[:12]!r}",
+            f"the engine went from {served[:12]} to {state.version[:12]!r}",
         )
 
     def open_target(self, message: messages.Dispatch, body: bytes, timeout_ms: int):
