--- a/src/wisteriapulley/entry/answer.py
+++ b/src/wisteriapulley/entry/answer.py
@@ -6,8 +6,8 @@
 
 from wisteriapulley.errors import RequestError, ResultCode
 from wisteriapulley.wire import Call, Frame, messages
+from wisteriapulley.wire.call import raise_failure
 from wisteriapulley.wire.flow import CREDIT_BYTES
-from wisteriapulley.wire.link import raise_failure
 
 
 class Answer(NamedTuple):
--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -236,7 +236,9 @@
             slot.release(ok=True)
         except WisteriapulleyError as error:
             slot.release(ok=False)
-            resumed = await self.resume(request, opened.head, slot, attempt, sent)
+            resumed = await self.resume(
+                request, opened.head, slot, attempt, sent, error
+            )
             if resumed is None:
                 raise self.in_time(request, error) from error
             try:
@@ -267,9 +269,15 @@
         slot: Slot,
         attempt: int,
         sent: int,
+        error: WisteriapulleyError,
     ) -> Answer | None:
-        """Ask another target for the rest of a cut answer; None if it can't."""
+        """Ask another target for the rest of a cut answer; None if it can't.
+
+        One whose engine changed its version has no rest: what came is mixed.
+        """
         can_resume = header(head, "x-resumable") and not request.key
+        if error.code == ResultCode.ENGINE_WRONG_DIGEST:
+            return None
         if not can_resume or request.remaining_s <= 0 or not self.budget.spend():
             return None
         try:
--- a/src/wisteriapulley/entry/once.py
+++ b/src/wisteriapulley/entry/once.py
@@ -40,7 +40,7 @@
 )
 from wisteriapulley.logs import fields
 from wisteriapulley.wire import Call, Link, messages
-from wisteriapulley.wire.link import raise_failure
+from wisteriapulley.wire.call import raise_failure
 
 log = logging.getLogger(__name__)
 
--- a/src/wisteriapulley/sidecar/engine.py
+++ b/src/wisteriapulley/sidecar/engine.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 import aiohttp
@@ -100,15 +99,6 @@
                 f"answer of {version}, but the engine now reports {state.version!r}",
             )
 
-    async def verified(
-        self, parts: AsyncIterator[bytes], version: str
-    ) -> AsyncIterator[bytes]:
-        """Yield the parts of an answer, then `verify` before it ends."""
-        orders = self.orders
-        async for part in parts:
-            yield part
-        await self.verify(version, orders)
-
     async def load(self, order: Order) -> None:
         """Order a load and wait until the engine says that it is done.
 
@@ -187,12 +177,6 @@
     async def verify(self, version: str, orders: int) -> None:
         """Do nothing: it has no weights that could change."""
 
-    def verified(
-        self, parts: AsyncIterator[bytes], version: str
-    ) -> AsyncIterator[bytes]:
-        """Return the parts as they are."""
-        return parts
-
     async def state(self) -> EngineState:
         """Ask whether the service answers its health page.
 
--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -7,13 +7,19 @@
 import asyncio
 import logging
 import time
+from collections.abc import AsyncIterator
 from contextlib import contextmanager
+from typing import NamedTuple
 
 import aiohttp
 from yarl import URL
 
-from wisteriapulley.errors import RequestError, ResultCode
-from wisteriapulley.errors import WisteriapulleyError as Error
+from wisteriapulley.errors import (
+    RequestError,
+    ResultCode,
+    WeightsError,
+    WisteriapulleyError,
+)
 from wisteriapulley.sidecar.answers import (
     VERSION_HEADER,
     AnswerSender,
@@ -41,6 +47,14 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 RESUME_HEADER = "X-Resume-From"
 UNKNOWN = "unknown"
+FAILURES = (aiohttp.ClientError, OSError, TimeoutError, WisteriapulleyError)
+
+
+class Served(NamedTuple):
+    """What the engine served when a request began: version and orders so far."""
+
+    version: str
+    orders: int
 
 
 class Gate:
@@ -173,7 +187,7 @@
                 # No connection was made, so no byte of it reached the target.
                 log.warning("keyed request %s: %r", message.request_id, error)
                 attempt.fire("not_begun")
-            except (aiohttp.ClientError, OSError, TimeoutError, Error) as error:
+            except FAILURES as error:
                 log.warning("keyed request %s: %r", message.request_id, error)
             finally:
                 if attempt.state == RUNNING:
@@ -183,12 +197,12 @@
     async def run_whole(self, message: messages.Dispatch, body: bytes) -> KeptAnswer:
         """Run at the target and read the whole answer."""
         timeout_ms = max(message.remaining_ms, message.expires_in_ms)
-        orders = self.engine.orders
+        served = Served(self.version, self.engine.orders)
         async with self.open_target(message, body, timeout_ms) as response:
             data = await read_bounded(response, MAX_KEPT_ANSWER_BYTES, too_long)
+            await self.check_version(served)
             headers = tuple(tuple(header) for header in plain_headers(response))
             version = response.headers.get(VERSION_HEADER, "")
-            await self.engine.verify(message.version, orders)
             return KeptAnswer(response.status, headers, version, data)
 
     async def send_attempt(
@@ -244,6 +258,7 @@
         self, link: Link, message: messages.Dispatch, frame: Frame
     ) -> None:
         """Send head, parts and end mark of the target's answer."""
+        served = Served(self.version, self.engine.orders)
         async with self.open_target(
             message, frame.body, message.remaining_ms
         ) as response:
@@ -256,9 +271,36 @@
                 length if length is not None else -1,
             )
             link.post(head, reply_to=frame.id)
-            parts = self.engine.verified(response.content.iter_any(), message.version)
+            parts = self.checked_parts(served, response)
             await self.sender.send_parts(link, message.request_id, frame, parts)
 
+    async def checked_parts(
+        self, served: Served, response: aiohttp.ClientResponse
+    ) -> AsyncIterator[bytes]:
+        """Yield the body; raise before its end if the version changed under it."""
+        async for data in response.content.iter_any():
+            yield data
+        await self.check_version(served)
+
+    async def check_version(self, served: Served) -> None:
+        """Check that the engine still serves what a request began with.
+
+        An engine that ignores fencing may have taken an old order while the
+        request ran: its answer is then of mixed weights.
+
+        Raises
+        ------
+        WeightsError
+            ENGINE_WRONG_DIGEST: the answer must not count as whole.
+        """
+        try:
+            await self.engine.verify(served.version, served.orders)
+        except WeightsError:
+            if self.chart.can("lose"):
+                self.chart.fire("lose")
+                self.version = ""
+            raise
+
     def open_target(self, message: messages.Dispatch, body: bytes, timeout_ms: int):
         """Open the request at the target."""
         headers = {header.name: header.value for header in message.headers}
--- a/src/wisteriapulley/weights/swarm.py
+++ b/src/wisteriapulley/weights/swarm.py
@@ -16,7 +16,7 @@
 from wisteriapulley.weights.source import HttpSource
 from wisteriapulley.weights.upload import Uploader
 from wisteriapulley.wire import Frame, Link, messages
-from wisteriapulley.wire.link import Call, raise_failure
+from wisteriapulley.wire.call import Call, raise_failure
 
 log = logging.getLogger(__name__)
 
--- a/src/wisteriapulley/wire/__init__.py
+++ b/src/wisteriapulley/wire/__init__.py
@@ -1,9 +1,11 @@
 """Links between the system's own processes."""
 
 from wisteriapulley.wire import messages
+from wisteriapulley.wire.call import Call
 from wisteriapulley.wire.codec import Frame, decode, encode
-from wisteriapulley.wire.link import Call, Link, LinkServer, connect
+from wisteriapulley.wire.link import Link, connect
 from wisteriapulley.wire.messages import Failure
+from wisteriapulley.wire.server import LinkServer
 
 __all__ = [
     "Call",
--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -3,17 +3,17 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 from wisteriapulley.errors import (
     ResultCode,
-    SettingsError,
     WireError,
     WisteriapulleyError,
 )
 from wisteriapulley.logs import fields
 from wisteriapulley.settings import Address
 from wisteriapulley.wire import codec, handshake
+from wisteriapulley.wire.call import Call, raise_failure
 from wisteriapulley.wire.codec import Frame
 from wisteriapulley.wire.framing import FrameBuffer
 from wisteriapulley.wire.handshake import Identity
@@ -24,64 +24,12 @@
 HANDSHAKE_S = 5.0
 # The handshake is read before the peer is known: nothing long is taken.
 HANDSHAKE_BYTES = 4096
-# Connections that have not yet proved the key; more are closed at once, so that
-# whoever opens sockets and says nothing takes no more memory than this.
-MAX_HANDSHAKES = 128
 # A peer that beats but does not read would grow our buffer without end.
 WRITE_LIMIT_BYTES = 128 << 20
 
 Handler = Callable[["Link", Frame], Awaitable[None]]
 
 
-class Call:
-    """A request in flight: its replies, in order.
-
-    Parameters
-    ----------
-    link : Link
-        Where it was sent.
-    id : int
-        Frame id that replies name.
-    """
-
-    def __init__(self, link: "Link", id: int):
-        self.link = link
-        self.id = id
-        self.replies: asyncio.Queue[Frame | WireError] = asyncio.Queue()
-
-    async def reply(self, timeout_s: float | None = None) -> Frame:
-        """Wait for the next reply.
-
-        Raises
-        ------
-        WireError
-            The link closed, or no reply came within `timeout_s`.
-        """
-        try:
-            if timeout_s is None or not self.replies.empty():
-                item = await self.replies.get()
-            else:
-                async with asyncio.timeout(timeout_s):
-                    item = await self.replies.get()
-        except TimeoutError as error:
-            raise WireError(
-                ResultCode.LINK_TIMEOUT,
-                f"{self.link.peer_id} sent no reply within {timeout_s} s",
-            ) from error
-        if isinstance(item, WireError):
-            raise item
-        return item
-
-    async def __aiter__(self) -> AsyncIterator[Frame]:
-        """Yield replies until the consumer stops or the link closes."""
-        while True:
-            yield await self.reply()
-
-    def close(self) -> None:
-        """Forget the call; later replies are dropped and counted."""
-        self.link.calls.pop(self.id, None)
-
-
 class Link(asyncio.Protocol):
     """One authenticated connection between two processes.
 
@@ -359,18 +307,6 @@
             self.on_close(self)
 
 
-def raise_failure(frame: Frame) -> None:
-    """Raise what a `Failure` frame carries; let others pass."""
-    if isinstance(frame.message, Failure):
-        failure = frame.message
-        try:
-            code = ResultCode(failure.code)
-        except ValueError:
-            # A newer peer's code says nothing here, least of all "not run".
-            code = ResultCode.UNEXPECTED_MESSAGE
-        raise WisteriapulleyError(code, failure.message, failure.retry_after_ms)
-
-
 async def connect(
     address: Address,
     identity: Identity,
@@ -401,111 +337,3 @@
         raise
     link.start(heartbeat_ms, silence_ms)
     return link
-
-
-class LinkServer:
-    """Accepts links at one address.
-
-    Parameters
-    ----------
-    identity : Identity
-        Who this process is.
-    handler : callable
-        Awaited with each frame that is no reply.
-    heartbeat : callable
-        Makes the heartbeat to send.
-    heartbeat_ms, silence_ms : int
-        Milliseconds between heartbeats, and of silence before closing.
-    """
-
-    def __init__(
-        self,
-        identity: Identity,
-        handler: Handler,
-        heartbeat: Callable[[], Heartbeat],
-        heartbeat_ms: int,
-        silence_ms: int,
-    ):
-        self.identity = identity
-        self.handler = handler
-        self.heartbeat = heartbeat
-        self.heartbeat_ms = heartbeat_ms
-        self.silence_ms = silence_ms
-        self.links: set[Link] = set()
-        self.handshakes = 0
-        self.accepting: set[asyncio.Task] = set()
-        self.server: asyncio.Server | None = None
-        self.on_open: Callable[[Link], None] | None = None
-        self.on_close: Callable[[Link], None] | None = None
-
-    async def start(self, address: Address) -> Address:
-        """Listen; return the address with its real port.
-
-        Raises
-        ------
-        SettingsError
-            ADDRESS_CLASH: the address is taken or not of this instance.
-        """
-        try:
-            self.server = await asyncio.get_running_loop().create_server(
-                self.new_link, address.host, address.port
-            )
-        except OSError as error:
-            raise SettingsError(
-                ResultCode.ADDRESS_CLASH, f"$.wire_listen {address}: {error}"
-            ) from error
-        port = self.server.sockets[0].getsockname()[1]
-        return Address(address.host, port)
-
-    def new_link(self) -> Link:
-        """Make the link of one connection."""
-        link = Link(self.handler, self.heartbeat)
-        link.on_connect = self.connected
-        return link
-
-    def connected(self, link: Link) -> None:
-        """Authenticate a new connection beside the others."""
-        task = asyncio.get_running_loop().create_task(self.accept(link))
-        self.accepting.add(task)
-        task.add_done_callback(self.accepting.discard)
-
-    async def accept(self, link: Link) -> None:
-        """Authenticate one connection and keep its link."""
-        self.handshakes += 1
-        try:
-            if self.handshakes > MAX_HANDSHAKES:
-                raise WireError(
-                    ResultCode.AUTHENTICATION_FAILED, "too many handshakes at once"
-                )
-            await link.authenticate(self.identity, opener=False)
-        except WireError as error:
-            log.warning("link refused: %s", error, extra=fields(code=error.code))
-            link.close(error)
-            return
-        finally:
-            self.handshakes -= 1
-        link.on_close = self.forget
-        self.links.add(link)
-        if self.on_open is not None:
-            self.on_open(link)
-        link.start(self.heartbeat_ms, self.silence_ms)
-
-    def forget(self, link: Link) -> None:
-        """Drop a closed link."""
-        self.links.discard(link)
-        if self.on_close is not None:
-            self.on_close(link)
-
-    def beat(self) -> None:
-        """Send a heartbeat on every link now."""
-        for link in tuple(self.links):
-            link.beat()
-
-    async def stop(self) -> None:
-        """Stop listening and close every link."""
-        if self.server is not None:
-            self.server.close()
-        for task in tuple(self.accepting):
-            task.cancel()
-        for link in tuple(self.links):
-            link.close()
--- /dev/null
+++ b/src/wisteriapulley/wire/server.py
@@ -0,0 +1,126 @@
+"""Accepts links at one address."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from wisteriapulley.errors import ResultCode, SettingsError, WireError
+from wisteriapulley.logs import fields
+from wisteriapulley.settings import Address
+from wisteriapulley.wire.handshake import Identity
+from wisteriapulley.wire.link import Handler, Link
+from wisteriapulley.wire.messages import Heartbeat
+
+log = logging.getLogger(__name__)
+
+# Connections that have not yet proved the key; more are closed at once, so that
+# whoever opens sockets and says nothing takes no more memory than this.
+MAX_HANDSHAKES = 128
+
+
+class LinkServer:
+    """Accepts links at one address.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who this process is.
+    handler : callable
+        Awaited with each frame that is no reply.
+    heartbeat : callable
+        Makes the heartbeat to send.
+    heartbeat_ms, silence_ms : int
+        Milliseconds between heartbeats, and of silence before closing.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        handler: Handler,
+        heartbeat: Callable[[], Heartbeat],
+        heartbeat_ms: int,
+        silence_ms: int,
+    ):
+        self.identity = identity
+        self.handler = handler
+        self.heartbeat = heartbeat
+        self.heartbeat_ms = heartbeat_ms
+        self.silence_ms = silence_ms
+        self.links: set[Link] = set()
+        self.handshakes = 0
+        self.accepting: set[asyncio.Task] = set()
+        self.server: asyncio.Server | None = None
+        self.on_open: Callable[[Link], None] | None = None
+        self.on_close: Callable[[Link], None] | None = None
+
+    async def start(self, address: Address) -> Address:
+        """Listen; return the address with its real port.
+
+        Raises
+        ------
+        SettingsError
+            ADDRESS_CLASH: the address is taken or not of this instance.
+        """
+        try:
+            self.server = await asyncio.get_running_loop().create_server(
+                self.new_link, address.host, address.port
+            )
+        except OSError as error:
+            raise SettingsError(
+                ResultCode.ADDRESS_CLASH, f"$.wire_listen {address}: {error}"
+            ) from error
+        port = self.server.sockets[0].getsockname()[1]
+        return Address(address.host, port)
+
+    def new_link(self) -> Link:
+        """Make the link of one connection."""
+        link = Link(self.handler, self.heartbeat)
+        link.on_connect = self.connected
+        return link
+
+    def connected(self, link: Link) -> None:
+        """Authenticate a new connection beside the others."""
+        task = asyncio.get_running_loop().create_task(self.accept(link))
+        self.accepting.add(task)
+        task.add_done_callback(self.accepting.discard)
+
+    async def accept(self, link: Link) -> None:
+        """Authenticate one connection and keep its link."""
+        self.handshakes += 1
+        try:
+            if self.handshakes > MAX_HANDSHAKES:
+                raise WireError(
+                    ResultCode.AUTHENTICATION_FAILED, "too many handshakes at once"
+                )
+            await link.authenticate(self.identity, opener=False)
+        except WireError as error:
+            log.warning("link refused: %s", error, extra=fields(code=error.code))
+            link.close(error)
+            return
+        finally:
+            self.handshakes -= 1
+        link.on_close = self.forget
+        self.links.add(link)
+        if self.on_open is not None:
+            self.on_open(link)
+        link.start(self.heartbeat_ms, self.silence_ms)
+
+    def forget(self, link: Link) -> None:
+        """Drop a closed link."""
+        self.links.discard(link)
+        if self.on_close is not None:
+            self.on_close(link)
+
+    def beat(self) -> None:
+        """Send a heartbeat on every link now."""
+        for link in tuple(self.links):
+            link.beat()
+
+    async def stop(self) -> None:
+        """Stop listening and close every link."""
+        if self.server is not None:
+            self.server.close()
+        for task in tuple(self.accepting):
+            task.cancel()
+        for link in tuple(self.links):
+            link.close()
--- a/tests/test_entry_dispatch.py
+++ b/tests/test_entry_dispatch.py
@@ -105,3 +105,17 @@
         # Both go on: the load of all would drown the first that switched.
         assert [v.node_id for v in entry.targets.views(model)] == ["t0", "t1"]
         assert await entry.send(key="", entry=model) == b"letter"
+
+    @with_fleet(sides=1)
+    async def test_answer_whose_engine_changed_version_is_not_whole(
+        self, control, sides, entry
+    ):
+        # Guards: an engine that ignores fencing took an old order in a stream.
+        sides[0].serve_version("a")
+        sides[0].loaded = "b"
+        model = msgspec.structs.replace(ENTRY, version="a")
+        while len(entry.targets.views(model)) != 1:
+            await asyncio.sleep(0.01)
+        code = await entry.refused(key="", entry=model)
+        assert code == ResultCode.ENGINE_WRONG_DIGEST
+        assert sides[0].gate.chart.state != "open"
--- a/tests/test_entry_once.py
+++ b/tests/test_entry_once.py
@@ -20,6 +20,7 @@
     CODE_TABLE,
     RequestError,
     ResultCode,
+    WeightsError,
     WisteriapulleyError,
 )
 from wisteriapulley.settings import Address
@@ -71,6 +72,7 @@
         self.hold.set()
         self.begun = asyncio.Event()
         self.cancelled = []
+        self.loaded = ""
         self.respond = echo
 
     async def start(self, incarnation=1):
@@ -84,6 +86,7 @@
         self.session = aiohttp.ClientSession()
         engine = PlainService(self.session, f"http://127.0.0.1:{port}")
         engine.cancel = self.cancel
+        engine.verify = self.verify
         await self.start_gate(engine, incarnation)
         return self
 
@@ -124,6 +127,10 @@
         self.begun.set()
         return await self.respond(self, request)
 
+    async def verify(self, version, orders):
+        if self.loaded not in ("", version):
+            raise WeightsError(ResultCode.ENGINE_WRONG_DIGEST, self.loaded)
+
     async def cancel(self, request_id):
         self.cancelled.append(request_id)
 
