--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,6 +15,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from functools import lru_cache
 from pathlib import Path
 from typing import NamedTuple
 
@@ -28,14 +29,16 @@
 from wisteriapulley.control.members import MemberTable
 from wisteriapulley.policy import LeastOutstanding, TargetView, Work
 from wisteriapulley.weights.schedule import Peer, Schedule
+from wisteriapulley.weights.seeders import Seeders
 from wisteriapulley.wire import Frame, codec, messages
 
 REPEATS = 2
 SETTLE_S = 2.0
+MEMBERS = 820
 NODES = (100, 330, 1000, 1330)
 ENTRIES = (10, 30, 100)
 CLAIMS = (2000, 5000, 20_000)
-CHUNKS = (125, 250, 500)
+CHUNKS = (250, 1000, 4000)
 TARGETS = (4, 16, 64)
 
 
@@ -156,19 +159,28 @@
     return ledger, wire_bytes * count // 100
 
 
+@lru_cache
+def burst(count: int) -> tuple[list[Peer], Seeders]:
+    """Rank one of `count` instances of a burst."""
+    peers = [Peer(f"peer-{i}", f"d-{i % 8}") for i in range(count)]
+    seeders = Seeders(peers[0])
+    seeders.set_members(peers)
+    return peers, seeders
+
+
 def schedule(count: int) -> tuple[object, int]:
-    """Plan a copy of `count` chunks among 16 neighbours, to its end."""
-    peers = [Peer(f"peer-{i}", f"d-{i % 8}") for i in range(16)]
+    """Plan a copy of `count` chunks from 15 neighbours, among 820 members."""
+    peers, seeders = burst(MEMBERS)
     digests = [f"{number:064x}" for number in range(count)]
-    plan = Schedule(peers[0], digests, "time_to_replicas", 2000, random.Random(1), 0)
-    plan.set_members(peers)
-    for peer in peers[1:]:
-        plan.set_have(peer.node_id, range(count))
+    rng = random.Random(1)
+    plan = Schedule(seeders, digests, "time_to_replicas", 2000, rng, 0)
+    for peer in peers[1:16]:
+        plan.set_have(peer.node_id, range(count), 0.0)
     now_ms = 0.0
     while not plan.complete:
         now_ms += 20
         for fetch in plan.next_fetches(now_ms):
-            plan.done(fetch.index)
+            plan.done(fetch.index, now_ms)
     return plan, (count + 7) // 8
 
 
@@ -242,6 +254,7 @@
 def main() -> None:
     """Print each slope, then all as one JSON object."""
     figures = {}
+    burst(MEMBERS)
     for name, (sizes, measure) in MEASURES.items():
         found = slope(sizes, measure)
         figures[name] = found._asdict() | {"points": [p._asdict() for p in found[3]]}
--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -163,12 +163,16 @@
     parser.add_argument("--folder", type=Path, default=FOLDER)
     parser.add_argument("--shard", type=int, default=-1)
     parser.add_argument("--keep-page", action="store_true", help="print only")
+    parser.add_argument("--again", action="store_true", help="only what is not held")
     parser.add_argument("--merge", action="store_true", help="add to earlier runs")
     args = parser.parse_args()
     if args.shard >= 0:
         run_shard(args)
         return 0
     wanted = chosen(args.only)
+    if args.again:
+        held = settled(args.folder / KEPT)
+        wanted = [cell for cell in wanted if cell.name not in held]
     reasons = {cell: why_not_applicable(cell) for cell in wanted}
     results = [
         skipped(cell, args.seed, "not_applicable", reason)
@@ -193,6 +197,17 @@
     return figures | {"seeds": sorted({result.seed for result in results})}
 
 
+def settled(path: Path) -> set[str]:
+    """Return the cells of earlier runs that held and served again."""
+    results = msgspec.json.decode(path.read_bytes(), type=list[Result])
+    done = {"held", "not_applicable"}
+    return {
+        result.cell
+        for result in results
+        if result.recovered and {p.state for p in result.promises.values()} <= done
+    }
+
+
 def merged(results: list[Result], path: Path) -> list[Result]:
     """Replace results of earlier slices by these, cell by cell and seed by seed."""
     kept: dict[tuple[str, int], Result] = {}
