--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -1,7 +1,7 @@
 """The request gate: runs dispatched requests at the target.
 
-Requests pass only while the target is open with the version the catalogue
-names. A switch first drains the gate, so no request spans two versions.
+Requests pass only while the target is open with a version that the catalogue
+named. A switch first drains the gate, so no request spans two versions.
 """
 
 import asyncio
@@ -63,6 +63,7 @@
         self.attempts = AttemptTable()
         self.sender = AnswerSender()
         self.running = 0
+        self.sending = 0
         self.idle = asyncio.Event()
         self.idle.set()
         self.tasks: dict[str, asyncio.Task] = {}
@@ -97,7 +98,8 @@
             raise RequestError(
                 ResultCode.GATE_CLOSED, "the sidecar has restarted", RETRY_AFTER_MS
             )
-        if self.chart.state != "open" or message.version != self.version:
+        other = message.version not in ("", self.version)
+        if self.chart.state != "open" or other:
             raise RequestError(
                 ResultCode.GATE_CLOSED,
                 f"the target is {self.chart.state} with {self.version[:12]!r}",
@@ -196,7 +198,7 @@
     ) -> None:
         """Wait for an attempt's end and send its kept answer."""
         waiter = self.finished.get(key)
-        with self.entered():
+        with self.sent():
             if waiter is not None:
                 await waiter.wait()
             if attempt.state == TOMBSTONE:
@@ -279,15 +281,30 @@
 
     @contextmanager
     def entered(self):
-        """Count a request in for as long as the block runs."""
+        """Count a request as load of the target while the block runs."""
         self.running += 1
         self.idle.clear()
         try:
             yield
         finally:
             self.running -= 1
-            if self.running == 0:
-                self.idle.set()
+            self.check_idle()
+
+    @contextmanager
+    def sent(self):
+        """Count an answer that has still to go out; it is no load."""
+        self.sending += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.sending -= 1
+            self.check_idle()
+
+    def check_idle(self) -> None:
+        """Say when nothing runs and no answer is still to go out."""
+        if self.running == 0 and self.sending == 0:
+            self.idle.set()
 
     async def drained(self) -> None:
         """Wait until no request runs."""
