--- a/src/wisteriapulley/cli.py
+++ b/src/wisteriapulley/cli.py
@@ -25,6 +25,8 @@
     ResultCode.STILL_PROPAGATING: EXIT_STILL_PROPAGATING,
 }
 
+MEMBERS_PATH = "/v1/control/members"
+
 SettingsFile = Annotated[str, cappa.Arg(help="JSON settings file.")]
 
 
@@ -155,11 +157,11 @@
 
 def show_members(control: str, token_file: str, method: str, node_id: str = "") -> int:
     """Ask the leader about the members and print its answer."""
-    from wisteriapulley.control.quorum_client import ask_members
     from wisteriapulley.operator_client import OperatorClient
 
     client = OperatorClient.from_files(control, token_file, "")
-    print(ask_members(client, method, node_id))
+    path = f"{MEMBERS_PATH}/{node_id}" if node_id else MEMBERS_PATH
+    print(client.request(method, path).decode())
     return EXIT_OK
 
 
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from functools import singledispatchmethod
 
 import aiomisc
@@ -34,7 +33,7 @@
 from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.metrics import Metrics
-from wisteriapulley.settings import ControlSettings, load_fleet_key, load_operators
+from wisteriapulley.settings import ControlSettings, load_operators
 from wisteriapulley.wire import Frame, Link, LinkServer, messages
 from wisteriapulley.wire.handshake import Identity
 from wisteriapulley.wire.keeper import LinkKeeper
@@ -78,17 +77,10 @@
     async def start(self) -> None:
         """Open the disk, listen, and join the peers."""
         settings = self.settings
-        incarnation = time.time_ns() // 1000
-        self.identity = Identity(
-            settings.node_id,
-            "control",
-            settings.failure_domain,
-            incarnation,
-            load_fleet_key(settings.fleet_key_file),
-        )
+        self.identity = Identity.from_settings(settings, "control")
         self.members = MemberTable(
             settings.node_id,
-            incarnation,
+            self.identity.incarnation,
             settings.member_lease_ms,
             settings.owner_grace_ms,
         )
--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -34,7 +34,7 @@
 from wisteriapulley.logs import fields
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy import Admission
-from wisteriapulley.settings import EntrySettings, load_fleet_key
+from wisteriapulley.settings import EntrySettings
 from wisteriapulley.wire import Frame, Link, messages
 from wisteriapulley.wire.handshake import Identity
 
@@ -76,14 +76,8 @@
     async def start(self) -> None:
         """Watch the catalogue, link to targets, and listen."""
         settings = self.settings
-        self.incarnation = time.time_ns() // 1000
-        self.identity = Identity(
-            settings.node_id,
-            "entry",
-            settings.failure_domain,
-            self.incarnation,
-            load_fleet_key(settings.fleet_key_file),
-        )
+        self.identity = Identity.from_settings(settings, "entry")
+        self.incarnation = self.identity.incarnation
         self.control = ControlClient(
             settings,
             self.identity,
--- a/src/wisteriapulley/sidecar/service.py
+++ b/src/wisteriapulley/sidecar/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from functools import singledispatchmethod
 
 import aiohttp
@@ -12,7 +11,7 @@
 from wisteriapulley.errors import ResultCode, WireError
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.metrics import Metrics
-from wisteriapulley.settings import SidecarSettings, load_fleet_key
+from wisteriapulley.settings import SidecarSettings
 from wisteriapulley.sidecar.engine import ModelEngine, PlainService
 from wisteriapulley.sidecar.gate import Gate
 from wisteriapulley.sidecar.neighbours import LiveMeter, Neighbours
@@ -57,14 +56,8 @@
     async def start(self) -> None:
         """Listen, announce the target, and start reconciling."""
         settings = self.settings
-        self.incarnation = time.time_ns() // 1000
-        self.identity = Identity(
-            settings.node_id,
-            "sidecar",
-            settings.failure_domain,
-            self.incarnation,
-            load_fleet_key(settings.fleet_key_file),
-        )
+        self.identity = Identity.from_settings(settings, "sidecar")
+        self.incarnation = self.identity.incarnation
         self.session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=None),
             connector=aiohttp.TCPConnector(limit=0),
--- a/src/wisteriapulley/wire/handshake.py
+++ b/src/wisteriapulley/wire/handshake.py
@@ -6,8 +6,10 @@
 
 import hmac
 import secrets
+import time
 
 from wisteriapulley.errors import ResultCode, WireError
+from wisteriapulley.settings import NodeSettings, load_fleet_key
 from wisteriapulley.wire.messages import Hello, Proof
 
 PROTOCOL = 1
@@ -36,6 +38,23 @@
         self.incarnation = incarnation
         self.key = key
 
+    @classmethod
+    def from_settings(cls, settings: NodeSettings, role: str) -> "Identity":
+        """Make the identity of a daemon that starts now.
+
+        Raises
+        ------
+        SettingsError
+            The fleet key file is missing or too short.
+        """
+        return cls(
+            settings.node_id,
+            role,
+            settings.failure_domain,
+            time.time_ns() // 1000,
+            load_fleet_key(settings.fleet_key_file),
+        )
+
     def hello(self) -> Hello:
         """Make the first frame of a link, with a fresh nonce."""
         return Hello(
