--- a/src/wisteriapulley/wire/keeper.py
+++ b/src/wisteriapulley/wire/keeper.py
@@ -56,7 +56,6 @@
         self.link: Link | None = None
         self.task: asyncio.Task | None = None
         self.rng = random.Random(identity.node_id)
-        self.changed = asyncio.Event()
 
     @property
     def open_link(self) -> Link | None:
@@ -94,7 +93,6 @@
             self.settings.heartbeat_ms,
             self.settings.silence_ms,
         )
-        self.changed.set()
         try:
             if self.on_open is not None:
                 await self.on_open(self.link)
