--- a/src/wisteriapulley/control/followers.py
+++ b/src/wisteriapulley/control/followers.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES
+from wisteriapulley.regions import Regions
 from wisteriapulley.wire import Link, messages
 
 log = logging.getLogger(__name__)
@@ -18,8 +19,8 @@
 class Followers:
     """Links that follow one control instance."""
 
-    def __init__(self, region: str, regions: dict[str, str]):
-        self.region = region
+    def __init__(self, failure_domain: str, regions: Regions):
+        self.failure_domain = failure_domain
         self.regions = regions
         self.links: set[Link] = set()
 
@@ -33,8 +34,7 @@
 
     def is_near(self, link: Link) -> bool:
         """Tell whether a follower is in this instance's region."""
-        domain = link.peer.failure_domain
-        return self.regions.get(domain, domain) == self.region
+        return self.regions.same(link.peer.failure_domain, self.failure_domain)
 
     def open_links(self, role: str = "") -> Iterable[Link]:
         """Yield links that have room, of one role or of all."""
--- /dev/null
+++ b/src/wisteriapulley/control/news.py
@@ -0,0 +1,169 @@
+"""What one control instance tells the entries and sidecars that follow it."""
+
+import asyncio
+from collections.abc import Callable
+
+from wisteriapulley.clocks import steady_ms
+from wisteriapulley.control.driver import Driver
+from wisteriapulley.control.followers import Followers
+from wisteriapulley.control.orders import unpack_table
+from wisteriapulley.control.state import ControlState
+from wisteriapulley.control.targets import TargetTable
+from wisteriapulley.errors import WisteriapulleyError
+from wisteriapulley.regions import Regions
+from wisteriapulley.routing import Engine, Origin, RoutingTable
+from wisteriapulley.settings import ControlSettings
+from wisteriapulley.weights.named import NamedVersions
+from wisteriapulley.wire import Frame, Link, messages
+
+# A follower that asks for the table waits no longer for a quorum's word on it.
+FRESH_S = 0.8
+# Older than any time that a replaced version of weights may still serve.
+LONG_AGO_MS = 3_600_000.0
+
+
+class News:
+    """Routing tables, weights and targets, as they are told to followers.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Where the instance is.
+    state : ControlState
+        What committed commands drive.
+    on_weights : callable
+        Called with model and version of weights that are new here.
+
+    Attributes
+    ----------
+    driver : Driver
+        Asks a quorum; set once there is one.
+    table : RoutingTable
+        The table in force here.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        state: ControlState,
+        on_weights: Callable[[str, int], object],
+    ):
+        self.state = state
+        self.on_weights = on_weights
+        self.driver: Driver | None = None
+        self.followers = Followers(
+            settings.failure_domain, Regions(settings.failure_domain_regions)
+        )
+        self.targets = TargetTable(settings.target_lease_ms)
+        self.versions = NamedVersions()
+        self.told_routing = 0
+        self.told_models: list[messages.ModelState] = []
+        self.told_hosts: tuple[str, ...] = ()
+        self.table = RoutingTable(0)
+
+    def restored(self) -> None:
+        """Take in what the disk held: it was named before this start, long ago."""
+        for model, version in self.state.weights.items():
+            self.versions.note(model, version, steady_ms() - LONG_AGO_MS)
+        self.flush()
+
+    def origin(self) -> Origin | None:
+        """Return the origin of weights, if the table in force names one."""
+        return self.table.origin()
+
+    def known_hosts(self) -> tuple[str, ...]:
+        """Return the hosts of all instances that take part, as far as known."""
+        return tuple(sorted(self.driver.replica.members.everyone()))
+
+    def flush_hosts(self) -> bool:
+        """Tell followers of other hosts than before; tell whether there are."""
+        hosts = self.known_hosts()
+        if hosts == self.told_hosts:
+            return False
+        self.told_hosts = hosts
+        self.followers.push_hosts(hosts)
+        return True
+
+    def flush(self) -> None:
+        """Tell followers of a routing table or of weights that are new here."""
+        if self.state.routing.version > self.told_routing:
+            self.told_routing = self.state.routing.version
+            self.table = unpack_table(self.state.routing.table)
+            self.followers.push_routing(self.routing(fresh=False))
+        if self.note_weights():
+            self.followers.push_models(self.models())
+
+    def note_weights(self) -> bool:
+        """Note since when each version of weights is in force here."""
+        for model, version in self.state.weights.items():
+            if self.versions.note(model, version, steady_ms()):
+                self.on_weights(model, version)
+        states = [
+            state._replace(named=tuple(named.version for named in state.named))
+            for state in self.models().models
+        ]
+        changed, self.told_models = states != self.told_models, states
+        return changed
+
+    def routing(self, fresh: bool, known: int = 0) -> messages.RoutingNews:
+        """Make the news of the table in force; no content when `known` is it."""
+        routing = self.state.routing
+        content = routing.table if routing.version > known else b""
+        return messages.RoutingNews(routing.version, fresh, content)
+
+    def models(self) -> messages.ModelNews:
+        """Make the news of the weights in force."""
+        engines = self.table.engines().items()
+        return messages.ModelNews(
+            tuple(self.model_state(service, engine) for service, engine in engines)
+        )
+
+    def model_state(self, service: str, engine: Engine) -> messages.ModelState:
+        """Describe one model service."""
+        now_ms = steady_ms()
+        return messages.ModelState(
+            service,
+            engine.model,
+            tuple(
+                messages.VersionAge(version, int(now_ms - since_ms))
+                for version, since_ms in self.versions.of(engine.model)
+            ),
+            engine.slots,
+            engine.stride,
+            engine.step_ms,
+            engine.step_ms_per_request,
+            engine.prefill_tokens_per_ms,
+        )
+
+    def target_news(self) -> messages.TargetNews:
+        """Make the news of all targets heard here."""
+        return messages.TargetNews(tuple(self.targets.news(steady_ms())))
+
+    # -- followers and other instances -----------------------------------
+
+    async def answer_follow(
+        self, message: messages.Follow, link: Link, frame: Frame
+    ) -> None:
+        """Take a follower in: tell it all news, and answer with the table."""
+        self.followers.add(link)
+        link.post(self.target_news())
+        link.post(messages.ControlNews(self.known_hosts()))
+        link.post(self.models())
+        news = await self.fresh_routing(message.routing_version)
+        link.post(news, reply_to=frame.id)
+
+    async def fresh_routing(self, known: int) -> messages.RoutingNews:
+        """Return the table in force, confirmed by a quorum if one answers."""
+        try:
+            async with asyncio.timeout(FRESH_S):
+                await self.driver.read_barrier()
+            fresh = True
+        except (WisteriapulleyError, TimeoutError):
+            fresh = False
+        return self.routing(fresh, known)
+
+    def take_targets(self, message: messages.TargetNews) -> None:
+        """Take in, and pass on, what another instance heard of targets."""
+        now_ms = steady_ms()
+        changed = [t for t in message.targets if self.targets.take(t, now_ms)]
+        self.followers.push_targets(changed, True)
--- a/src/wisteriapulley/control/orders.py
+++ b/src/wisteriapulley/control/orders.py
@@ -133,15 +133,15 @@
 
     def heard(self, state: TargetState) -> None:
         """Take a target's announcement and tell entries before it is answered."""
-        self.pass_on(state, self.service.targets.take(state, steady_ms()))
+        self.pass_on(state, self.service.news.targets.take(state, steady_ms()))
 
     def left(self, target_id: str) -> None:
         """Take a target's word that it ends."""
-        self.pass_on(self.service.targets.gone(target_id, steady_ms()), True)
+        self.pass_on(self.service.news.targets.gone(target_id, steady_ms()), True)
 
     def pass_on(self, state: TargetState, changed: bool) -> None:
         """Tell entries of a target, and the other instances if it changed."""
-        self.service.followers.push_targets((state,), changed)
+        self.service.news.followers.push_targets((state,), changed)
         if changed:
             log.info("target changed", extra=target_fields(state))
             self.service.tell_peers(messages.TargetNews((state,)))
--- /dev/null
+++ b/src/wisteriapulley/control/pieces.py
@@ -0,0 +1,101 @@
+"""Hands pieces of weights on from one control instance."""
+
+from collections.abc import Callable
+
+from wisteriapulley.control.driver import Driver
+from wisteriapulley.regions import Regions
+from wisteriapulley.routing import Origin
+from wisteriapulley.settings import ControlSettings
+from wisteriapulley.weights.pieces import PieceSource
+from wisteriapulley.weights.relay import LinkSource, Relay, reply_of
+from wisteriapulley.wire import Frame, Link, messages
+
+
+class PieceServer:
+    """Pieces that this instance holds, and where it takes them from.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Where the instance is.
+    driver : Driver
+        Its links to the others.
+    origin : callable
+        Returns the origin of weights that the routing table names, if any.
+    open_origin : callable, optional
+        Makes the client of the origin from its address; an adapter's.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        driver: Driver,
+        origin: Callable[[], Origin | None],
+        open_origin: Callable[[str], PieceSource] | None = None,
+    ):
+        self.settings = settings
+        self.regions = Regions(settings.failure_domain_regions)
+        self.driver = driver
+        self.origin = origin
+        self.open_origin = open_origin
+        self.relay = Relay(self.sources)
+
+    def stop(self) -> None:
+        """Stop fetching."""
+        self.relay.stop()
+
+    # -- where from ------------------------------------------------------
+
+    def sources(self) -> list[PieceSource]:
+        """Return where pieces come from, best first; see `weights.relay`."""
+        origin = self.origin()
+        if origin is None or self.open_origin is None:
+            return []
+        direct = self.open_origin(origin.address)
+        upstream = self.upstream(self.regions.of(origin.failure_domain))
+        if upstream is None:
+            return [direct]
+        return [LinkSource(upstream), direct]
+
+    def upstream(self, home: str) -> Link | None:
+        """Return the instance to take pieces from; None for the origin itself.
+
+        Of each region the instance with the lowest node id that is reached
+        asks outside its region.
+        """
+        own = self.regions.of(self.settings.failure_domain)
+        head = self.head_of(own)
+        if head is not None and head.peer_id < self.settings.node_id:
+            return head
+        return None if own == home else self.head_of(home)
+
+    def head_of(self, region: str) -> Link | None:
+        """Return the link to a region's other instance with the lowest node id."""
+        links = filter(None, map(self.driver.link_to, sorted(self.driver.peers)))
+        for link in links:
+            if self.regions.of(link.peer.failure_domain) == region:
+                return link
+        return None
+
+    # -- questions -------------------------------------------------------
+
+    async def answer_manifest(
+        self, query: messages.ManifestQuery, link: Link, frame: Frame
+    ) -> None:
+        """Answer with a manifest, and begin to fetch its pieces."""
+        manifest = await self.relay.manifest(query.model, query.version)
+        self.relay.prefetch(manifest.model, manifest.version)
+        link.post(reply_of(manifest), reply_to=frame.id)
+
+    def answer_held(self, query: messages.HeldQuery, link: Link, frame: Frame) -> None:
+        """Answer how much of a version is held here."""
+        link.post(self.relay.held(query.model, query.version), reply_to=frame.id)
+
+    async def answer_piece(
+        self, query: messages.PieceQuery, link: Link, frame: Frame
+    ) -> None:
+        """Answer with a part of a piece."""
+        data = await self.relay.piece(query.model, query.version, query.position)
+        length = query.length or len(data)
+        part = data[query.offset : query.offset + length]
+        link.post(messages.Piece(len(data)), reply_to=frame.id, body=part)
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -24,26 +24,23 @@
     no_quorum,
 )
 from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES, Fanout
-from wisteriapulley.control.followers import Followers
 from wisteriapulley.control.forward import forward
 from wisteriapulley.control.members import Changes, MemberTable
+from wisteriapulley.control.news import News
 from wisteriapulley.control.operators import MAX_CHANGE_BYTES, operator_routes
-from wisteriapulley.control.orders import Orders, unpack_table
+from wisteriapulley.control.orders import Orders
 from wisteriapulley.control.permits import PermitSweeper
+from wisteriapulley.control.pieces import PieceServer
 from wisteriapulley.control.quorum_members import quorum_routes
 from wisteriapulley.control.reports import ReportTable
 from wisteriapulley.control.seeds import prepare_folder
 from wisteriapulley.control.senders import check_own, check_sender
 from wisteriapulley.control.state import ControlState
-from wisteriapulley.control.targets import TargetTable
 from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.metrics import Metrics
-from wisteriapulley.routing import Engine, RoutingTable
 from wisteriapulley.settings import Address, ControlSettings, load_operators
-from wisteriapulley.weights.named import NamedVersions
 from wisteriapulley.weights.pieces import PieceSource
-from wisteriapulley.weights.relay import LinkSource, Relay, reply_of
 from wisteriapulley.wire import Frame, Link, LinkServer, messages
 from wisteriapulley.wire.handshake import Identity
 from wisteriapulley.wire.keeper import LinkKeeper
@@ -55,10 +52,6 @@
 FLUSH_S = 0.01
 # A target counts as gone when it stayed away so many member leases.
 GONE_LEASES = 2
-# A follower that asks for the table waits no longer for a quorum's word on it.
-FRESH_S = 0.8
-# Older than any time that a replaced version of weights may still serve.
-LONG_AGO_MS = 3_600_000.0
 
 
 class ControlService(aiomisc.Service):
@@ -82,20 +75,13 @@
         self.sweeper = PermitSweeper(GONE_LEASES * settings.member_lease_ms)
         self.releasing: dict[str, asyncio.Task] = {}
         self.flushing: asyncio.TimerHandle | None = None
-        regions = settings.failure_domain_regions
-        region = regions.get(settings.failure_domain, settings.failure_domain)
-        self.followers = Followers(region, regions)
-        self.targets = TargetTable(settings.target_lease_ms)
-        self.orders = Orders(self)
-        self.versions = NamedVersions()
-        self.told_routing = 0
-        self.told_models: list[messages.ModelState] = []
-        self.table = RoutingTable(0)
-        self.relay = Relay(self.piece_sources)
-        # Makes the client of the weights' origin from its address; an adapter
-        # sets it where the routing table names an origin.
+        # Makes the client of the weights' origin from its address; an adapter sets
+        # it before the start, where the routing table names an origin.
         self.open_origin: Callable[[str], PieceSource] | None = None
-        self.told_hosts: tuple[str, ...] = ()
+        self.orders = Orders(self)
+        self.news = News(
+            settings, self.state, lambda *key: self.pieces.relay.prefetch(*key)
+        )
 
     @classmethod
     def from_settings(cls, settings: ControlSettings) -> "ControlService":
@@ -125,14 +111,15 @@
         self.driver = Driver(
             settings, self.state, self.peers, self.applied, self.fatal.set_exception
         )
+        self.news.driver = self.driver
+        self.pieces = PieceServer(
+            settings, self.driver, self.news.origin, self.open_origin
+        )
         await self.listen()
         for keeper in self.peers.values():
             keeper.start()
         self.meet_hosts(seed.host for seed in settings.seeds)
-        # What the disk held was named before this start, nobody knows when.
-        for model, version in self.state.weights.items():
-            self.versions.note(model, version, steady_ms() - LONG_AGO_MS)
-        self.flush_routing()
+        self.news.restored()
         self.driver.start()
         self.sweeping = asyncio.get_running_loop().create_task(self.sweep_loop())
 
@@ -158,18 +145,10 @@
             self.peers[host] = self.new_keeper(Address(host, port))
             self.peers[host].start()
 
-    def known_hosts(self) -> tuple[str, ...]:
-        """Return the hosts of all instances that take part, as far as known."""
-        return tuple(sorted(self.driver.replica.members.everyone()))
-
     def tell_hosts(self) -> None:
         """Meet new instances, and tell followers of them."""
-        hosts = self.known_hosts()
-        if not self.settings.seeds or hosts == self.told_hosts:
-            return
-        self.told_hosts = hosts
-        self.meet_hosts(hosts)
-        self.followers.push_hosts(hosts)
+        if self.settings.seeds and self.news.flush_hosts():
+            self.meet_hosts(self.news.told_hosts)
 
     async def listen(self) -> None:
         """Open both listeners."""
@@ -195,7 +174,7 @@
         self.sweeping.cancel()
         for task in self.releasing.values():
             task.cancel()
-        self.relay.stop()
+        self.pieces.stop()
         await self.http.stop()
         for keeper in self.peers.values():
             await keeper.stop()
@@ -230,93 +209,7 @@
         """Send watchers what is due, also a revision that a snapshot brought."""
         self.flushing = None
         self.fanout.flush()
-        self.flush_routing()
-
-    def flush_routing(self) -> None:
-        """Tell followers of a routing table or of weights that are new here."""
-        if self.state.routing.version > self.told_routing:
-            self.told_routing = self.state.routing.version
-            self.table = unpack_table(self.state.routing.table)
-            self.followers.push_routing(self.routing_news(fresh=False))
-        if self.note_weights():
-            self.followers.push_models(self.model_news())
-
-    def note_weights(self) -> bool:
-        """Note since when each version of weights is in force here."""
-        for model, version in self.state.weights.items():
-            if self.versions.note(model, version, steady_ms()):
-                self.relay.prefetch(model, version)
-        states = [
-            state._replace(named=tuple(named.version for named in state.named))
-            for state in self.model_news().models
-        ]
-        changed, self.told_models = states != self.told_models, states
-        return changed
-
-    def piece_sources(self) -> list[PieceSource]:
-        """Return where pieces come from, best first; see `weights.relay`."""
-        origin = self.table.origin()
-        if origin is None or self.open_origin is None:
-            return []
-        direct = self.open_origin(origin.address)
-        regions = self.settings.failure_domain_regions
-        home = regions.get(origin.failure_domain, origin.failure_domain)
-        upstream = self.upstream(home)
-        if upstream is None:
-            return [direct]
-        return [LinkSource(upstream), direct]
-
-    def upstream(self, home: str) -> Link | None:
-        """Return the instance to take pieces from; None for the origin itself.
-
-        Of each region the instance with the lowest node id that is reached
-        asks outside its region.
-        """
-        own = self.followers.region
-        head = self.head_of(own)
-        if head is not None and head.peer_id < self.settings.node_id:
-            return head
-        return None if own == home else self.head_of(home)
-
-    def head_of(self, region: str) -> Link | None:
-        """Return the link to a region's other instance with the lowest node id."""
-        links = filter(None, map(self.driver.link_to, sorted(self.peers)))
-        regions = self.settings.failure_domain_regions
-        for link in links:
-            domain = link.peer.failure_domain
-            if regions.get(domain, domain) == region:
-                return link
-        return None
-
-    def routing_news(self, fresh: bool, known: int = 0) -> messages.RoutingNews:
-        """Make the news of the table in force; no content when `known` is it."""
-        routing = self.state.routing
-        content = routing.table if routing.version > known else b""
-        return messages.RoutingNews(routing.version, fresh, content)
-
-    def model_news(self) -> messages.ModelNews:
-        """Make the news of the weights in force."""
-        engines = self.table.engines().items()
-        return messages.ModelNews(
-            tuple(self.model_state(service, engine) for service, engine in engines)
-        )
-
-    def model_state(self, service: str, engine: Engine) -> messages.ModelState:
-        """Describe one model service."""
-        now_ms = steady_ms()
-        return messages.ModelState(
-            service,
-            engine.model,
-            tuple(
-                messages.VersionAge(version, int(now_ms - since_ms))
-                for version, since_ms in self.versions.of(engine.model)
-            ),
-            engine.slots,
-            engine.stride,
-            engine.step_ms,
-            engine.step_ms_per_request,
-            engine.prefill_tokens_per_ms,
-        )
+        self.news.flush()
 
     async def propose(self, command: Command) -> bytes:
         """Commit a command, here or through the leader's link.
@@ -440,68 +333,44 @@
     async def receive_follow(
         self, message: messages.Follow, link: Link, frame: Frame
     ) -> None:
-        """Handle the message `Follow`: answer with the table, then all news."""
-        self.followers.add(link)
-        link.post(messages.TargetNews(tuple(self.targets.news(steady_ms()))))
-        link.post(messages.ControlNews(self.known_hosts()))
-        link.post(self.model_news())
-        news = await self.fresh_routing(message.routing_version)
-        link.post(news, reply_to=frame.id)
-
-    async def fresh_routing(self, known: int) -> messages.RoutingNews:
-        """Return the table in force, confirmed by a quorum if one answers."""
-        try:
-            async with asyncio.timeout(FRESH_S):
-                await self.driver.read_barrier()
-            fresh = True
-        except (WisteriapulleyError, TimeoutError):
-            fresh = False
-        return self.routing_news(fresh, known)
+        """Handle the message `Follow`."""
+        await self.news.answer_follow(message, link, frame)
 
     @receive.register
     async def receive_manifest_query(
         self, message: messages.ManifestQuery, link: Link, frame: Frame
     ) -> None:
         """Handle the message `ManifestQuery`."""
-        manifest = await self.relay.manifest(message.model, message.version)
-        self.relay.prefetch(manifest.model, manifest.version)
-        link.post(reply_of(manifest), reply_to=frame.id)
+        await self.pieces.answer_manifest(message, link, frame)
 
     @receive.register
     async def receive_held_query(
         self, message: messages.HeldQuery, link: Link, frame: Frame
     ) -> None:
         """Handle the message `HeldQuery`."""
-        held = self.relay.held(message.model, message.version)
-        link.post(held, reply_to=frame.id)
+        self.pieces.answer_held(message, link, frame)
 
     @receive.register
     async def receive_piece_query(
         self, message: messages.PieceQuery, link: Link, frame: Frame
     ) -> None:
         """Handle the message `PieceQuery`."""
-        data = await self.relay.piece(message.model, message.version, message.position)
-        length = message.length or len(data)
-        part = data[message.offset : message.offset + length]
-        link.post(messages.Piece(len(data)), reply_to=frame.id, body=part)
+        await self.pieces.answer_piece(message, link, frame)
 
     @receive.register
     async def receive_targets(
         self, message: messages.TargetNews, link: Link, frame: Frame
     ) -> None:
         """Handle the message `TargetNews` of another instance."""
-        if link.peer.role != "control":
-            return
-        now_ms = steady_ms()
-        changed = [t for t in message.targets if self.targets.take(t, now_ms)]
-        self.followers.push_targets(changed, True)
+        if link.peer.role == "control":
+            self.news.take_targets(message)
 
     # -- members ---------------------------------------------------------
 
     async def greet_peer(self, link: Link) -> None:
         """Tell a peer all members that this instance owns."""
         link.post(self.members.full_update())
-        link.post(messages.TargetNews(tuple(self.targets.news(steady_ms()))))
+        link.post(self.news.target_news())
         for node_id in self.attached:
             if node_id in self.reports.progress:
                 link.post(self.reports.progress[node_id].report)
@@ -542,7 +411,7 @@
     def link_closed(self, link: Link) -> None:
         """Drop a watcher; members stay until their lease or grace ends."""
         self.fanout.remove(link)
-        self.followers.remove(link)
+        self.news.followers.remove(link)
         name = link.peer_id
         if self.peer_links.get(name) is link:
             del self.peer_links[name]
@@ -565,7 +434,7 @@
         self.tell(self.members.sweep(now_ms))
         self.reports.keep(self.members.view)
         self.release_permits(now_ms)
-        self.targets.sweep(now_ms)
+        self.news.targets.sweep(now_ms)
         self.tell_hosts()
         if self.flushing is None:
             self.flush()
--- a/src/wisteriapulley/direct/placing.py
+++ b/src/wisteriapulley/direct/placing.py
@@ -2,29 +2,25 @@
 
 import logging
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from wisteriapulley.clocks import steady_s
 from wisteriapulley.control.following import ControlFollower
 from wisteriapulley.direct.registry import Target, TargetRegistry
 from wisteriapulley.direct.settings import DirectSettings
+from wisteriapulley.direct.sidecars import Sidecars
 from wisteriapulley.direct.types import CallerRequest, Refusal, RefusalKind
-from wisteriapulley.errors import WisteriapulleyError
-from wisteriapulley.policy.choice import Places, Surroundings, by_preference
+from wisteriapulley.policy.choice import Load, Surroundings, by_preference
+from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine, Route
-from wisteriapulley.settings import Address
-from wisteriapulley.wire import Frame, Link, messages
+from wisteriapulley.wire import Link, messages
 from wisteriapulley.wire.handshake import Identity
-from wisteriapulley.wire.keeper import LinkKeeper
 
 log = logging.getLogger(__name__)
 
 # Sidecars that a request asks in turn before it is refused.
 MOST_ASKED = 6
-# A sidecar answers at once or when a place opens; one that does neither within
-# this time beyond the wait asked for is stalled.
-ANSWER_S = 0.25
 # Requests of one entry at an engine whose sidecar does not answer: few, since
 # nobody counts what the other entries send there.
 UNGUARDED = 2
@@ -37,8 +33,6 @@
 # the emulator, six engines at 1.2 times the peak: 0.64 in time without, 0.75 with it.
 TRANSIT_MS = 130.0
 DEFAULT_RETRY_S = 0.25
-# What a sidecar that grants nothing now says in its heartbeats.
-CLOSED_STATE = "closed"
 # Milliseconds before a replaced version's time ends at which nothing more is sent
 # to it: a request begins with its first token, not when it is sent.
 VERSION_MARGIN_MS = 900.0
@@ -66,7 +60,7 @@
     Parameters
     ----------
     settings : DirectSettings
-        Where the entry is, and the sidecars' port.
+        Where the entry is.
     identity : Identity
         Who it is.
     registry : TargetRegistry
@@ -83,84 +77,17 @@
         follower: ControlFollower,
     ):
         self.settings = settings
-        self.identity = identity
         self.registry = registry
         self.follower = follower
+        self.sidecars = Sidecars(settings, identity, registry)
         self.around = Surroundings(
-            settings.failure_domain, settings.failure_domain_regions
+            settings.failure_domain, Regions(settings.failure_domain_regions)
         )
-        self.keepers: dict[str, LinkKeeper] = {}
-        self.asked: dict[str, int] = {}
         self.random = random.Random(identity.node_id)
 
-    # -- links to sidecars -----------------------------------------------
-
-    def keep_links(self, services: Iterable[str]) -> None:
-        """Keep a link to the sidecar of every target of model services."""
-        hosts = {
-            target.host
-            for service in services
-            for target in self.registry.of_service(service)
-            if not target.state.gone
-        }
-        for host in hosts - set(self.keepers):
-            address = Address(host, self.settings.sidecar_port)
-            keeper = LinkKeeper(
-                [address],
-                self.identity,
-                self.handle,
-                messages.Heartbeat,
-                self.settings,
-            )
-            self.keepers[host] = keeper
-            keeper.start()
-
-    async def drop_links(self, targets: Iterable[Target]) -> None:
-        """Close links to sidecars of targets that are gone for good."""
-        kept = {target.host for target in self.registry.targets.values()}
-        for target in targets:
-            keeper = self.keepers.pop(target.host, None)
-            if keeper is not None and target.host not in kept:
-                await keeper.stop()
-
     async def stop(self) -> None:
         """Close all links."""
-        for keeper in self.keepers.values():
-            await keeper.stop()
-
-    async def handle(self, link: Link, frame: Frame) -> None:
-        """Take a frame that answers nothing: sidecars send none."""
-        log.warning("unexpected %s", type(frame.message).__name__)
-
-    def link_to(self, target: Target) -> Link | None:
-        """Return the open link to a target's sidecar."""
-        keeper = self.keepers.get(target.host)
-        return keeper.open_link if keeper is not None else None
-
-    # -- choosing --------------------------------------------------------
-
-    def load_of(self, target: Target) -> Places:
-        """Return a plain target's load: what this entry has there."""
-        return Places(target.outstanding, target.slots)
-
-    def grants_places(self, target: Target) -> bool:
-        """Tell whether an engine's sidecar grants places, as it last said.
-
-        Without this an engine that loads weights looks empty, is asked first and
-        takes the request's few tries: of the requests refused while newcomers
-        loaded, nine in ten had asked no other.
-        """
-        link = self.link_to(target)
-        return link is None or link.peer_heartbeat.state != CLOSED_STATE
-
-    def engine_load(self, target: Target) -> Places:
-        """Return an engine's load, as its sidecar last said it."""
-        link = self.link_to(target)
-        if link is None:
-            return Places(target.slots, target.slots)
-        said = link.peer_heartbeat
-        taken = said.running + said.waiting + self.asked.get(target.host, 0)
-        return Places(taken, target.slots)
+        await self.sidecars.stop()
 
     async def place(
         self,
@@ -179,21 +106,12 @@
             if target.target_id not in tried
         ]
         if not targets:
-            return Refusal(RefusalKind.UNAVAILABLE, DEFAULT_RETRY_S, "no target")
+            kind = RefusalKind.UNAVAILABLE if tried else RefusalKind.NOT_READY
+            return Refusal(kind, DEFAULT_RETRY_S, "no target")
         if engine is None:
             return self.place_plain(targets, now_s)
         return await self.place_engine(request, route, engine, targets, priority, now_s)
 
-    def place_plain(self, targets: list[Target], now_s: float) -> Place | Refusal:
-        """Take the least loaded plain target."""
-        order = by_preference(
-            targets, self.load_of, self.around, self.random.random, now_s
-        )
-        for target in order:
-            if target.outstanding < target.slots:
-                return self.booked(target, 0)
-        return Refusal(RefusalKind.OVERLOADED, DEFAULT_RETRY_S, "targets full")
-
     def booked(
         self, target: Target, version: int, release: Callable[[], None] | None = None
     ) -> Place:
@@ -207,6 +125,20 @@
 
         return Place(target, version, give_back)
 
+    # -- plain targets ---------------------------------------------------
+
+    def place_plain(self, targets: list[Target], now_s: float) -> Place | Refusal:
+        """Take the least loaded plain target."""
+        order = by_preference(
+            targets, plain_load, self.around, self.random.random, now_s
+        )
+        for target in order:
+            if target.outstanding < target.slots:
+                return self.booked(target, 0)
+        return Refusal(RefusalKind.OVERLOADED, DEFAULT_RETRY_S, "targets full")
+
+    # -- engines ---------------------------------------------------------
+
     async def place_engine(
         self,
         request: CallerRequest,
@@ -217,20 +149,22 @@
         now_s: float,
     ) -> Place | Refusal:
         """Ask sidecars in turn for a place."""
-        able = [target for target in targets if self.grants_places(target)]
+        able = [target for target in targets if self.sidecars.may_be_asked(target)]
         order = by_preference(
-            able, self.engine_load, self.around, self.random.random, now_s
+            able, self.sidecars.load_of, self.around, self.random.random, now_s
         )
-        wish = self.urgency(request, route, priority, now_s)
+        question = self.question(request, route, priority, now_s)
         retry_ms: list[int] = []
         for target in order[:MOST_ASKED]:
-            link = self.link_to(target)
+            link = self.sidecars.link_to(target)
             if link is None:
                 place = self.place_unguarded(target, engine)
                 if place is not None:
                     return place
                 continue
-            answer = await self.ask(link, request, target, wish)
+            answer = await self.sidecars.ask(
+                link, target, question._replace(target_id=target.target_id)
+            )
             if answer is None:
                 continue
             if answer.granted:
@@ -240,59 +174,19 @@
         retry_s = min(retry_ms) / 1000 if retry_ms else DEFAULT_RETRY_S
         return Refusal(RefusalKind.OVERLOADED, retry_s, "no place in time")
 
-    def urgency(
+    def question(
         self, request: CallerRequest, route: Route, priority: int, now_s: float
-    ) -> Urgency:
-        """Return how long the first event may take, and the rank of a request.
-
-        Load: callers that were refused come back, while new ones come too. One
-        whose objective has passed gains little by going first, and each new one
-        that it delays loses much; so it waits behind those that can be in time.
-        """
-        waited_ms = (now_s - request.arrived_s) * 1000
-        spent_ms = max(0.0, route.timeout_ms - request.patience_s * 1000)
-        left_ms = route.latency_ms - waited_ms - spent_ms - TRANSIT_MS
-        if left_ms > 0 and spent_ms < route.latency_ms / 2:
-            return Urgency(left_ms, priority, False)
-        return Urgency(LATE_WAIT_MS, priority + LATE_PRIORITY, True)
-
-    async def ask(
-        self,
-        link: Link,
-        request: CallerRequest,
-        target: Target,
-        wish: Urgency,
-    ) -> messages.Reserved | None:
-        """Ask one sidecar; None when it does not answer."""
-        message = messages.Reserve(
+    ) -> messages.Reserve:
+        """Make the question for a place."""
+        wish = urgency(request, route, priority, now_s)
+        return messages.Reserve(
             request.request_id,
             request.prompt_tokens,
             request.answer_tokens,
             wish.priority,
             int(wish.wait_ms),
-            target.target_id,
-            wish.late,
+            late=wish.late,
         )
-        host = target.host
-        self.asked[host] = self.asked.get(host, 0) + 1
-        try:
-            frame = await link.request(message, wish.wait_ms / 1000 + ANSWER_S)
-            return frame.message
-        except WisteriapulleyError as error:
-            log.info("sidecar of %s did not answer: %s", target.target_id, error)
-            self.give_back(link, request)
-            return None
-        except BaseException:
-            # The caller has left: the place must not stay taken.
-            self.give_back(link, request)
-            raise
-        finally:
-            self.asked[host] -= 1
-
-    def give_back(self, link: Link, request: CallerRequest) -> None:
-        """Tell a sidecar that a place is not needed any more."""
-        if not link.closed.is_set():
-            link.post(messages.Release(request.request_id))
 
     def granted(
         self,
@@ -303,12 +197,14 @@
         answer: messages.Reserved,
     ) -> Place | Refusal:
         """Use a granted place, if its version of the weights still may serve."""
+
+        def give_back() -> None:
+            self.sidecars.give_back(link, request.request_id)
+
         if not self.may_serve(engine.model, answer.version):
-            self.give_back(link, request)
+            give_back()
             return Refusal(RefusalKind.UNAVAILABLE, DEFAULT_RETRY_S, "old weights")
-        return self.booked(
-            target, answer.version, lambda: self.give_back(link, request)
-        )
+        return self.booked(target, answer.version, give_back)
 
     def place_unguarded(self, target: Target, engine: Engine) -> Place | None:
         """Use an engine without its sidecar, for few requests at once."""
@@ -326,3 +222,25 @@
             return True
         age_ms = (steady_s() - replaced_s) * 1000
         return age_ms < self.settings.old_version_ms - VERSION_MARGIN_MS
+
+
+def plain_load(target: Target) -> Load:
+    """Return a plain target's load: what this entry has there."""
+    return Load(target.outstanding, target.slots)
+
+
+def urgency(
+    request: CallerRequest, route: Route, priority: int, now_s: float
+) -> Urgency:
+    """Return how long the first event may take, and the rank of a request.
+
+    Load: callers that were refused come back, while new ones come too. One
+    whose objective has passed gains little by going first, and each new one
+    that it delays loses much; so it waits behind those that can be in time.
+    """
+    waited_ms = (now_s - request.arrived_s) * 1000
+    spent_ms = max(0.0, route.timeout_ms - request.patience_s * 1000)
+    left_ms = route.latency_ms - waited_ms - spent_ms - TRANSIT_MS
+    if left_ms > 0 and spent_ms < route.latency_ms / 2:
+        return Urgency(left_ms, priority, False)
+    return Urgency(LATE_WAIT_MS, priority + LATE_PRIORITY, True)
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -57,6 +57,11 @@
         """Host and port."""
         return self.state.address
 
+    @property
+    def failure_domain(self) -> str:
+        """Where it is."""
+        return self.state.failure_domain
+
     @property
     def host(self) -> str:
         """The host alone."""
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -16,7 +16,7 @@
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.logs import fields, lines_lost
 from wisteriapulley.metrics import Metrics
-from wisteriapulley.routing import EdgeLimits, RouteIndex, RoutingTable
+from wisteriapulley.routing import EdgeLimits, RoutingTable
 from wisteriapulley.wire import messages
 from wisteriapulley.wire.handshake import Identity
 
@@ -101,7 +101,7 @@
 
     def table_changed(self, table: RoutingTable) -> None:
         """Use a newer routing table."""
-        self.dispatcher.index = RouteIndex(table)
+        self.dispatcher.use(table)
         self.ingress.most_body_bytes = table.limits.body_bytes
         self.keep_links()
 
@@ -115,7 +115,7 @@
 
     def keep_links(self) -> None:
         """Keep links to the sidecars of all model services."""
-        self.placing.keep_links(self.follower.table.engines())
+        self.placing.sidecars.keep_links(self.follower.table.engines())
 
     async def sweep(self) -> None:
         """Forget targets that ended."""
@@ -125,4 +125,4 @@
             self.lines_lost.set({}, lines_lost())
             dropped = self.registry.sweep(loop.time())
             if dropped:
-                await self.placing.drop_links(dropped)
+                await self.placing.sidecars.drop_links(dropped)
--- /dev/null
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -0,0 +1,194 @@
+"""One entry's links to the sidecars of engines, and its questions to them."""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Iterable
+
+from wisteriapulley.direct.registry import Target, TargetRegistry
+from wisteriapulley.direct.settings import DirectSettings
+from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
+from wisteriapulley.policy.choice import Load
+from wisteriapulley.settings import Address
+from wisteriapulley.wire import Frame, Link, messages
+from wisteriapulley.wire.call import Call, raise_failure
+from wisteriapulley.wire.handshake import Identity
+from wisteriapulley.wire.keeper import LinkKeeper
+
+log = logging.getLogger(__name__)
+
+# A sidecar answers at once, or tells at once that the request waits; one from
+# which nothing at all comes within this time is stalled. Ten round trips between
+# regions, and far below an objective, so that another one can still be asked.
+HEARD_S = 0.12
+# Beyond the wait that was asked for, until a verdict counts as lost.
+ANSWER_S = 0.25
+# What a sidecar says in its heartbeats: it grants nothing now, or nothing yet.
+CLOSED_STATE = "closed"
+OPENING_STATE = "opening"
+# An engine that still loads its weights is asked after those that have room.
+OPENING_LOAD = 1.0
+
+
+class Sidecars:
+    """Links to the sidecars of all engines that an entry knows.
+
+    Parameters
+    ----------
+    settings : DirectSettings
+        The sidecars' port.
+    identity : Identity
+        Who the entry is.
+    registry : TargetRegistry
+        The targets.
+    """
+
+    def __init__(
+        self, settings: DirectSettings, identity: Identity, registry: TargetRegistry
+    ):
+        self.settings = settings
+        self.identity = identity
+        self.registry = registry
+        self.keepers: dict[str, LinkKeeper] = {}
+        self.asked: Counter[str] = Counter()
+        # By host: when a question was sent that nothing at all followed.
+        self.unheard_s: dict[str, float] = {}
+
+    # -- links -----------------------------------------------------------
+
+    def keep_links(self, services: Iterable[str]) -> None:
+        """Keep a link to the sidecar of every target of model services."""
+        hosts = {
+            target.host
+            for service in services
+            for target in self.registry.of_service(service)
+            if not target.state.gone
+        }
+        for host in hosts - set(self.keepers):
+            address = Address(host, self.settings.sidecar_port)
+            keeper = LinkKeeper(
+                [address],
+                self.identity,
+                self.handle,
+                messages.Heartbeat,
+                self.settings,
+            )
+            self.keepers[host] = keeper
+            keeper.start()
+
+    async def drop_links(self, targets: Iterable[Target]) -> None:
+        """Close links to sidecars of hosts that no known target is on any more."""
+        kept = {target.host for target in self.registry.targets.values()}
+        for host in {target.host for target in targets} - kept:
+            self.unheard_s.pop(host, None)
+            keeper = self.keepers.pop(host, None)
+            if keeper is not None:
+                await keeper.stop()
+
+    async def stop(self) -> None:
+        """Close all links."""
+        for keeper in self.keepers.values():
+            await keeper.stop()
+
+    async def handle(self, link: Link, frame: Frame) -> None:
+        """Take a frame that answers nothing: sidecars send none."""
+        log.warning("unexpected %s", type(frame.message).__name__)
+
+    def link_to(self, target: Target) -> Link | None:
+        """Return the open link to a target's sidecar."""
+        keeper = self.keepers.get(target.host)
+        return keeper.open_link if keeper is not None else None
+
+    # -- what they said --------------------------------------------------
+
+    def may_be_asked(self, target: Target) -> bool:
+        """Tell whether a sidecar may grant a place, as far as it last said.
+
+        Without this an engine that loads weights looks empty, is asked first and
+        takes the request's few tries: of the requests refused while newcomers
+        loaded, nine in ten had asked no other.
+        """
+        link = self.link_to(target)
+        if link is None:
+            return True
+        return link.peer_heartbeat.state != CLOSED_STATE and not self.is_stalled(
+            target.host, link
+        )
+
+    def is_stalled(self, host: str, link: Link) -> bool:
+        """Tell whether nothing came since a question that was not answered.
+
+        Load: an instance that is frozen or overloaded, while its link still counts
+        as open for a second or more. Harm prevented: each request in that time
+        would spend what it has left of its objective on waiting there.
+        """
+        return link.last_received <= self.unheard_s.get(host, float("-inf"))
+
+    def load_of(self, target: Target) -> Load:
+        """Return an engine's load, as its sidecar last said it."""
+        link = self.link_to(target)
+        if link is None:
+            return Load(target.slots, target.slots)
+        said = link.peer_heartbeat
+        taken = said.running + said.waiting + self.asked[target.host]
+        if said.state == OPENING_STATE:
+            taken += OPENING_LOAD * target.slots
+        return Load(taken, target.slots)
+
+    # -- questions -------------------------------------------------------
+
+    async def ask(
+        self, link: Link, target: Target, question: messages.Reserve
+    ) -> messages.Reserved | None:
+        """Ask one sidecar for a place; None when it does not answer."""
+        host = target.host
+        asked_s = asyncio.get_running_loop().time()
+        self.asked[host] += 1
+        try:
+            return await self.verdict(link, question)
+        except WisteriapulleyError as error:
+            log.info("sidecar of %s did not answer: %s", target.target_id, error)
+            if link.last_received <= asked_s:
+                self.unheard_s[host] = asked_s
+            self.give_back(link, question.request_id)
+            return None
+        except BaseException:
+            # The caller has left: the place must not stay taken.
+            self.give_back(link, question.request_id)
+            raise
+        finally:
+            self.asked[host] -= 1
+
+    async def verdict(
+        self, link: Link, question: messages.Reserve
+    ) -> messages.Reserved:
+        """Send a question, and wait for the verdict.
+
+        Raises
+        ------
+        WisteriapulleyError
+            Nothing came soon, or no verdict in time.
+        """
+        call = link.call(question)
+        try:
+            frame = await self.reply(link, call, question.wait_ms / 1000)
+        finally:
+            call.close()
+        raise_failure(frame)
+        return frame.message
+
+    async def reply(self, link: Link, call: Call, wait_s: float) -> Frame:
+        """Wait for the reply as long as the link is not silent."""
+        asked_s = asyncio.get_running_loop().time()
+        try:
+            return await call.reply(HEARD_S)
+        except WireError as error:
+            silent = link.last_received <= asked_s
+            if silent or error.code is not ResultCode.LINK_TIMEOUT:
+                raise
+        return await call.reply(max(0.0, wait_s - HEARD_S) + ANSWER_S)
+
+    def give_back(self, link: Link, request_id: str) -> None:
+        """Tell a sidecar that a place is not needed any more."""
+        if not link.closed.is_set():
+            link.post(messages.Release(request_id))
--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -73,14 +73,17 @@
 class RefusalKind(Enum):
     """Why a request gets no target's answer.
 
-    `OVERLOADED` and `UNAVAILABLE` promise that it did not run and never will.
-    `FAILED` and `TIMED_OUT` promise nothing.
+    `OVERLOADED`, `UNAVAILABLE` and `NOT_READY` promise that it did not run and
+    never will: no place in time, something missing that another attempt may find,
+    or an entry that knows no routing table or target yet. `FAILED` and
+    `TIMED_OUT` promise nothing.
     """
 
     NO_ROUTE = "no_route"
     BAD_KEY = "bad_key"
     OVERLOADED = "overloaded"
     UNAVAILABLE = "unavailable"
+    NOT_READY = "not_ready"
     FAILED = "failed"
     TIMED_OUT = "timed_out"
 
--- a/src/wisteriapulley/platform/daemons.py
+++ b/src/wisteriapulley/platform/daemons.py
@@ -1,6 +1,7 @@
 """Puts the product's daemons together with the platform's formats."""
 
 import asyncio
+import gc
 import logging
 import os
 from collections.abc import Callable
@@ -137,6 +138,8 @@
         lambda changed: service.meet_hosts(seed.host for seed in changed.seeds()),
     )
     watch.start()
+    gc.freeze()
+    gc.enable()
     log.info("started", extra=fields(role=role))
     try:
         await serve(service)
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -31,6 +31,7 @@
     RefusalKind.BAD_KEY: 401,
     RefusalKind.OVERLOADED: 503,
     RefusalKind.UNAVAILABLE: 503,
+    RefusalKind.NOT_READY: 503,
     RefusalKind.FAILED: 502,
     RefusalKind.TIMED_OUT: 504,
 }
--- a/src/wisteriapulley/policy/choice.py
+++ b/src/wisteriapulley/policy/choice.py
@@ -7,9 +7,9 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol, TypeVar
 
-from wisteriapulley.direct.registry import Target
+from wisteriapulley.regions import Regions
 
 # Load, as a share of a target's slots, that crossing a border is worth: a request
 # leaves its region when the other one is emptier by this much.
@@ -19,43 +19,60 @@
 COLD_LOAD = 0.5
 
 
-class Places(NamedTuple):
+class Load(NamedTuple):
     """What is known of a target's load: requests there, and its slots."""
 
-    taken: int
+    taken: float
     slots: int
 
 
+class Placed(Protocol):
+    """What the order needs to know of a target itself.
+
+    Attributes
+    ----------
+    failure_domain : str
+        Where it is.
+    cold_until_s : float
+        Until when it is slow after its start, on the loop's clock.
+    """
+
+    failure_domain: str
+    cold_until_s: float
+
+
+AnyTarget = TypeVar("AnyTarget", bound=Placed)
+
+
 class Surroundings(NamedTuple):
     """Where an entry is, and which failure domains make up each region."""
 
     failure_domain: str
-    regions: dict[str, str]
+    regions: Regions
 
     def distance(self, failure_domain: str) -> float:
         """Return what it costs to send to a failure domain, as a load."""
         if failure_domain == self.failure_domain:
             return 0.0
-        own = self.regions.get(self.failure_domain, self.failure_domain)
-        if self.regions.get(failure_domain, failure_domain) == own:
+        if self.regions.same(failure_domain, self.failure_domain):
             return CROSS_DOMAIN_LOAD
         return CROSS_REGION_LOAD
 
 
 def by_preference(
-    targets: Iterable[Target],
-    places: Callable[[Target], Places],
+    targets: Iterable[AnyTarget],
+    load_of: Callable[[AnyTarget], Load],
     around: Surroundings,
     tiebreak: Callable[[], float],
     now_s: float,
-) -> list[Target]:
+) -> list[AnyTarget]:
     """Order targets, the one to ask first before the others.
 
     Parameters
     ----------
-    targets : iterable of Target
+    targets : iterable
         Those that take requests.
-    places : callable
+    load_of : callable
         Load of a target.
     around : Surroundings
         Where the entry is.
@@ -65,12 +82,12 @@
         The loop's clock.
     """
 
-    def cost(target: Target) -> float:
-        load = places(target)
+    def cost(target: AnyTarget) -> float:
+        load = load_of(target)
         cold = COLD_LOAD if now_s < target.cold_until_s else 0.0
         return (
             load.taken / load.slots
-            + around.distance(target.state.failure_domain)
+            + around.distance(target.failure_domain)
             + cold
             + 0.05 * tiebreak()
         )
--- a/src/wisteriapulley/policy/comeback.py
+++ b/src/wisteriapulley/policy/comeback.py
@@ -1,10 +1,11 @@
 """When a refused caller is told to come back. Pure.
 
-Load pattern: more requests than places for some seconds. A caller that is refused
-then can't be in time any more, whenever it comes back; while the overload lasts it
-would only take the place of one that can. Harm prevented: all who were refused
-come back within a quarter of a second, find the same overload, and are refused
-for good. So they are spread over the later part of what they can wait.
+Load pattern: more requests than places for some seconds, or a fleet that has just
+started and has none yet. A caller that is refused then can't be in time any more,
+whenever it comes back; while the overload lasts it would only take the place of
+one that can. Harm prevented: all who were refused come back within a quarter of a
+second, find the same, and are refused for good. So they are spread over the later
+part of what they can wait.
 """
 
 from collections.abc import Callable
@@ -17,15 +18,16 @@
 
 
 def comeback_s(
-    overloaded: bool, hint_s: float, left_s: float, random: Callable[[], float]
+    spread: bool, hint_s: float, left_s: float, random: Callable[[], float]
 ) -> float:
     """Return when a caller is to come back.
 
     Parameters
     ----------
-    overloaded : bool
-        Whether it was refused for want of places; otherwise something was missing
-        that may be back soon, and `hint_s` says when.
+    spread : bool
+        Whether it was refused for want of places, by an entry that just started or
+        under load; otherwise something was missing that may be back soon, and
+        `hint_s` says when.
     hint_s : float
         When there may be a place.
     left_s : float
@@ -34,7 +36,7 @@
         Numbers below 1, spread evenly.
     """
     most_s = max(0.0, left_s) * MOST_SHARE
-    if not overloaded:
+    if not spread:
         return min(hint_s, most_s)
     spread_s = most_s * (FIRST_SHARE + (1 - FIRST_SHARE) * random())
     return min(most_s, max(hint_s, spread_s))
--- a/src/wisteriapulley/policy/places.py
+++ b/src/wisteriapulley/policy/places.py
@@ -13,6 +13,7 @@
 
 import heapq
 from collections.abc import Iterator
+from enum import Enum
 from typing import NamedTuple
 
 from wisteriapulley.policy.passes import PassClock
@@ -40,6 +41,14 @@
 LEAST_RETRY_MS = 50.0
 
 
+class PlacesState(Enum):
+    """Whether places are granted now, soon, or not at all."""
+
+    OPEN = "open"
+    OPENING = "opening"
+    CLOSED = "closed"
+
+
 class PlaceRequest(NamedTuple):
     """One request's wish for a place.
 
@@ -125,6 +134,17 @@
         self.event_pace_ms = FIRST_EVENT_PACE_MS
         # When the engine is to take nothing more for a while, if that is planned.
         self.closes_ms: float | None = None
+        # When closed places are expected to open: the engine loads, and nothing
+        # runs that the load has to wait for.
+        self.opens_ms: float | None = None
+
+    @property
+    def state(self) -> PlacesState:
+        """Whether places are granted."""
+        if self.open:
+            return PlacesState.OPEN
+        opening = self.opens_ms is not None
+        return PlacesState.OPENING if opening else PlacesState.CLOSED
 
     @property
     def limit(self) -> int:
@@ -154,15 +174,18 @@
 
     def ask(self, request: PlaceRequest, now_ms: float) -> Verdict:
         """Grant a place, let the request wait, or deny it at once."""
-        if not self.open:
+        if self.state is PlacesState.CLOSED:
             return Verdict(request.request_id, denied=True)
         if request.late and not self.has_room():
             return Verdict(request.request_id, denied=True, retry_ms=self.hold_ms)
         ahead = sum(w.priority <= request.priority for w in self.queue)
         place_ms = self.place_wait_ms(ahead)
         event_ms = self.first_event_ms(request.prompt_tokens, now_ms)
+        if self.state is PlacesState.OPENING:
+            place_ms = max(place_ms, self.opens_ms - now_ms)
+            event_ms += self.queued_reading_ms()
         in_time = place_ms + event_ms <= request.wait_ms
-        if not in_time and not self.is_late_by_itself():
+        if not in_time and not (self.open and self.is_late_by_itself()):
             return Verdict(
                 request.request_id,
                 denied=True,
@@ -170,7 +193,7 @@
             )
         if self.overruns(request, place_ms + event_ms, now_ms):
             return Verdict(request.request_id, denied=True, retry_ms=LEAST_RETRY_MS)
-        if place_ms == 0:
+        if place_ms <= 0 and self.open:
             return self.grant(request, now_ms)
         self.numbers += 1
         until_ms = now_ms + request.wait_ms - event_ms
@@ -178,6 +201,17 @@
         heapq.heappush(self.queue, entry)
         return Verdict(request.request_id)
 
+    def queued_reading_ms(self) -> float:
+        """Return how long the prompts in the queue take to read.
+
+        Load: engines that come back after a loss of all, and callers that ask
+        before they have loaded. Harm prevented: those callers were refused, and
+        then the engines stood empty; but all that wait are read at once when the
+        places open, so only so many may wait as can be in time.
+        """
+        tokens = sum(waiting.request.prompt_tokens for waiting in self.queue)
+        return tokens / self.engine.prefill_tokens_per_ms
+
     def has_room(self) -> bool:
         """Tell whether a request may have a place though it comes late.
 
@@ -243,6 +277,7 @@
     def close(self) -> None:
         """Grant nothing more; what waits is denied by the next `advance`."""
         self.open = False
+        self.opens_ms = None
 
     def advance(self, now_ms: float) -> Iterator[Verdict]:
         """Yield verdicts on requests that waited.
@@ -253,11 +288,11 @@
         self.expire_held(now_ms)
         while self.queue:
             first = self.queue[0]
-            if not self.open or now_ms > first.until_ms:
+            if self.state is PlacesState.CLOSED or now_ms > first.until_ms:
                 heapq.heappop(self.queue)
                 retry_ms = max(LEAST_RETRY_MS, self.place_wait_ms(len(self.queue)))
                 yield Verdict(first.request.request_id, denied=True, retry_ms=retry_ms)
-            elif len(self.held) < self.limit:
+            elif self.open and len(self.held) < self.limit:
                 heapq.heappop(self.queue)
                 yield self.grant(first.request, now_ms)
             else:
--- /dev/null
+++ b/src/wisteriapulley/rollout/granting.py
@@ -0,0 +1,201 @@
+"""Answers entries that ask for a place at the engine."""
+
+import asyncio
+import logging
+from functools import singledispatchmethod
+
+from wisteriapulley.errors import ResultCode, WireError
+from wisteriapulley.logs import fields
+from wisteriapulley.policy.places import PlaceRequest, Places, Verdict
+from wisteriapulley.rollout.knowledge import Knowledge
+from wisteriapulley.routing import Engine
+from wisteriapulley.wire import Frame, Link, LinkServer, messages
+
+log = logging.getLogger(__name__)
+
+# Waiting requests are looked at this often; half a pass of an engine.
+ADVANCE_S = 0.02
+# Load is told to entries at most this often.
+BEAT_S = 0.03
+
+
+class Granting:
+    """Places of one engine, and those that wait for one.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        What the engine holds.
+    """
+
+    def __init__(self, knowledge: Knowledge):
+        self.knowledge = knowledge
+        self.places = Places(Engine(""))
+        self.waiting: dict[str, asyncio.Future[Verdict]] = {}
+        self.beat_at: asyncio.TimerHandle | None = None
+        self.server: LinkServer | None = None
+
+    def now_ms(self) -> float:
+        """Return the loop's clock in milliseconds."""
+        return asyncio.get_running_loop().time() * 1000
+
+    def open(self, may_serve: bool) -> None:
+        """Open or close the places, and tell those that wait and ask."""
+        if may_serve == self.places.open:
+            return
+        self.places.open = may_serve
+        if may_serve:
+            self.places.opens_ms = None
+        log.info(
+            "places open" if may_serve else "places closed",
+            extra=fields(version=self.knowledge.held_version()),
+        )
+        self.advance()
+        self.beat_soon()
+
+    def opens_in(self, pause_ms: float) -> None:
+        """Let requests wait for places that open after a time."""
+        self.places.opens_ms = self.now_ms() + pause_ms
+        self.beat_soon()
+
+    def stays_closed(self) -> None:
+        """Deny those that wait for places that do not open."""
+        if self.places.opens_ms is None:
+            return
+        self.places.opens_ms = None
+        self.advance()
+        self.beat_soon()
+
+    # -- what entries are told -------------------------------------------
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Tell the load, and whether places are open."""
+        return messages.Heartbeat(
+            state=self.places.state.value,
+            running=len(self.places.held),
+            waiting=len(self.places.queue),
+        )
+
+    def beat_soon(self) -> None:
+        """Tell entries of a changed load, but not of each change by itself."""
+        if self.beat_at is None:
+            loop = asyncio.get_running_loop()
+            self.beat_at = loop.call_later(BEAT_S, self.beat)
+
+    def beat(self) -> None:
+        """Tell the entries of the own region of the load.
+
+        Entries of other regions send here only when their own region is full:
+        the regular heartbeat is enough for them. Telling all of each change took
+        half of the bytes that crossed the borders.
+        """
+        self.beat_at = None
+        for link in tuple(self.server.links):
+            if self.knowledge.is_near(link):
+                link.beat()
+
+    # -- those that wait -------------------------------------------------
+
+    async def advance_loop(self) -> None:
+        """Deny what can't be in time any more."""
+        while True:
+            await asyncio.sleep(ADVANCE_S)
+            if self.places.queue:
+                self.advance()
+
+    def advance(self) -> None:
+        """Answer those that waited and now have a verdict."""
+        for verdict in self.places.advance(self.now_ms()):
+            future = self.waiting.get(verdict.request_id)
+            if future is not None and not future.done():
+                future.set_result(verdict)
+            elif verdict.granted:
+                self.places.release(verdict.request_id, self.now_ms())
+
+    async def wait(self, request_id: str) -> Verdict:
+        """Wait for the verdict on a request in the queue."""
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[request_id] = future
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.places.release(request_id, self.now_ms())
+            raise
+        finally:
+            self.waiting.pop(request_id, None)
+
+    # -- frames ----------------------------------------------------------
+
+    async def handle(self, link: Link, frame: Frame) -> None:
+        """Handle a frame that is no reply."""
+        await self.receive(frame.message, link, frame)
+
+    @singledispatchmethod
+    async def receive(self, message: tuple, link: Link, frame: Frame) -> None:
+        """Take in a message, by its kind."""
+        raise WireError(
+            ResultCode.UNEXPECTED_MESSAGE,
+            f"a sidecar takes no {type(message).__name__}",
+        )
+
+    @receive.register
+    async def receive_reserve(
+        self, message: messages.Reserve, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `Reserve`."""
+        verdict = self.places.ask(place_request(message, link), self.now_ms())
+        if not verdict.granted and not verdict.denied:
+            # Whoever asked takes a sidecar that says nothing for stalled.
+            link.beat()
+            verdict = await self.wait(message.request_id)
+        if verdict.granted and link.closed.is_set():
+            self.places.release(message.request_id, self.now_ms())
+            return
+        self.beat_soon()
+        link.post(self.reserved(verdict), reply_to=frame.id)
+
+    def reserved(self, verdict: Verdict) -> messages.Reserved:
+        """Make the answer to a reservation."""
+        return messages.Reserved(
+            verdict.granted,
+            self.knowledge.held_version(),
+            int(verdict.retry_ms),
+            len(self.places.held),
+            len(self.places.queue),
+            not self.places.open,
+        )
+
+    @receive.register
+    async def receive_release(
+        self, message: messages.Release, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `Release`."""
+        self.places.release(message.request_id, self.now_ms())
+        future = self.waiting.get(message.request_id)
+        if future is not None and not future.done():
+            future.set_result(Verdict(message.request_id, denied=True))
+        self.advance()
+        self.beat_soon()
+
+    def link_closed(self, link: Link) -> None:
+        """Take back what an entry held that is gone."""
+        self.places.release_owner(owner_of(link))
+        self.advance()
+
+
+def owner_of(link: Link) -> str:
+    """Name the entry's incarnation behind a link."""
+    return f"{link.peer_id}/{link.peer.incarnation}"
+
+
+def place_request(message: messages.Reserve, link: Link) -> PlaceRequest:
+    """Read a reservation from the wire."""
+    return PlaceRequest(
+        message.request_id,
+        owner_of(link),
+        message.prompt_tokens,
+        message.answer_tokens,
+        message.priority,
+        message.wait_ms,
+        message.late,
+    )
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -35,8 +35,8 @@
             "sidecar": "side",
         }
         for name, role in roles.items():
-            program, script, argument = role["run"].split()
-            assert (program, argument) == ("python3", name)
+            program, option, script, argument = role["run"].split()
+            assert (program, option, argument) == ("python3", "-S", name)
             assert (ROOT / script).is_file()
 
     def test_clean_build_starts_every_role(self, checkout):
@@ -56,6 +56,26 @@
             )
             assert (done.returncode, done.stderr[:5]) == (1, "WP100")
 
+    def test_start_imports_nothing_that_no_daemon_uses(self, checkout):
+        """A start reads no certificates of authorities and no coloured logs."""
+        code = (
+            "import runpy, sys, ssl\n"
+            "run = runpy.run_path('deploy/run.py')\n"
+            "run['spare_imports']()\n"
+            "sys.path.insert(0, 'target/app')\n"
+            "import aiohttp, aiomisc\n"
+            "assert sys.modules['rich'] is None\n"
+            "context = ssl.create_default_context()\n"
+            "assert context.cert_store_stats()['x509_ca'] == 0\n"
+        )
+        subprocess.run(
+            [sys.executable, "-S", "-c", code],
+            cwd=checkout,
+            env={"PATH": os.environ["PATH"], "PYTHONPATH": "target/deps"},
+            check=True,
+            timeout=BUILD_S,
+        )
+
     def test_second_build_installs_nothing(self, checkout):
         stamp = (checkout / "target" / "deps").stat().st_mtime_ns
         subprocess.run(
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -7,6 +7,7 @@
 from wisteriapulley.direct.dispatch import Dispatcher
 from wisteriapulley.direct.placing import Place
 from wisteriapulley.direct.registry import TargetRegistry
+from wisteriapulley.direct.sending import patience_s
 from wisteriapulley.direct.settings import DirectSettings
 from wisteriapulley.direct.types import (
     BrokenAnswerError,
@@ -250,3 +251,63 @@
         )
         assert refusal.kind is RefusalKind.FAILED
         assert len(client.plans) == 2
+
+
+class TestStartingEntry:
+    """Load: callers that come to an entry which has just started."""
+
+    def dispatcher(self):
+        registry = TargetRegistry()
+        return Dispatcher(
+            SETTINGS,
+            registry,
+            FakePlacing(registry),
+            FakeClient(),
+            EntryMetrics(Metrics("e", "entry")),
+        )
+
+    async def ask(self, dispatcher, **more):
+        now_s = asyncio.get_running_loop().time()
+        request = CallerRequest(
+            "id", "POST", "/x", "h", "/x", (), b"", "k", now_s, 6.0, **more
+        )
+        return await dispatcher.serve(request, FakeCaller())
+
+    def test_request_waits_for_the_first_table(self):
+        async def run():
+            dispatcher = self.dispatcher()
+            asking = asyncio.create_task(self.ask(dispatcher))
+            await asyncio.sleep(0)
+            dispatcher.use(RoutingTable(1))
+            return await asking
+
+        assert asyncio.run(run()).kind is RefusalKind.NO_ROUTE
+
+    def test_those_refused_are_spread_over_what_they_can_wait(self):
+        async def run():
+            dispatcher = self.dispatcher()
+            asks = [self.ask(dispatcher) for _ in range(20)]
+            return await asyncio.gather(*asks)
+
+        refusals = asyncio.run(run())
+        assert {r.kind for r in refusals} == {RefusalKind.NOT_READY}
+        pauses = [r.retry_s for r in refusals]
+        # All came back half a second later before, and most were refused for good.
+        assert min(pauses) > 0.75
+        assert max(pauses) - min(pauses) > 0.3
+        assert max(pauses) < 6.0 / 3
+
+
+class TestPatience:
+    def patience_s(self, has_sends_left, kind=RouteKind.IDEMPOTENT):
+        route = Route("r", "h", "/", kind, (Split("s", 1),), 6000, 400, 400, 1)
+        return patience_s(route, 1.0, has_sends_left)
+
+    def test_last_send_has_all_of_the_time(self):
+        assert self.patience_s(has_sends_left=False) is None
+
+    def test_earlier_send_leaves_time_for_another(self):
+        assert self.patience_s(has_sends_left=True) == 0.5
+
+    def test_non_idempotent_request_is_never_given_up_early(self):
+        assert self.patience_s(True, RouteKind.NON_IDEMPOTENT) is None
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -90,6 +90,31 @@
         places.close()
         assert [v.denied for v in places.advance(1.0)] == [True]
 
+    def test_requests_wait_for_an_engine_that_loads(self):
+        # Load: engines that come back after a loss of all, and callers that ask
+        # while they load.
+        places = Places(ENGINE)
+        places.opens_ms = 100.0
+        first = places.ask(wish(1, 200), 0.0)
+        assert not first.granted and not first.denied
+        # All that wait are read at once: the last of them would come too late.
+        verdicts = [places.ask(wish(n, 1500), 0.0) for n in range(2, 8)]
+        assert 1 <= sum(not v.denied for v in verdicts) <= 4
+        assert list(places.advance(90.0)) == []
+        places.open, places.opens_ms = True, None
+        granted = [v.request_id for v in places.advance(110.0) if v.granted]
+        assert granted[0] == "r1" and len(granted) >= 2
+
+    def test_engine_that_opens_too_late_is_not_waited_for(self):
+        places = Places(ENGINE)
+        places.opens_ms = 350.0
+        assert places.ask(wish(1, 200), 0.0).denied
+        places.opens_ms = 100.0
+        assert not places.ask(wish(2, 200), 0.0).denied
+        # The load failed: what waits is told so at once.
+        places.opens_ms = None
+        assert [v.denied for v in places.advance(50.0)] == [True]
+
     def test_before_a_change_only_what_ends_by_then(self):
         # Load: an engine that is to load weights in a second, and a mix of short
         # and long answers.
--- /dev/null
+++ b/tests/test_sidecars.py
@@ -0,0 +1,133 @@
+"""An entry's questions to the sidecars of engines."""
+
+import asyncio
+
+from tests.test_direct_dispatch import SETTINGS
+from wisteriapulley.direct.registry import TargetRegistry
+from wisteriapulley.direct.sidecars import HEARD_S, OPENING_STATE, Sidecars
+from wisteriapulley.wire import Frame, messages
+from wisteriapulley.wire.call import Call
+from wisteriapulley.wire.handshake import Identity
+from wisteriapulley.wire.messages import TargetState
+
+QUESTION = messages.Reserve("r", 100, 50, 1, 400)
+GRANT = messages.Reserved(True, 1)
+IDENTITY = Identity("e", "entry", "z", 1, b"k" * 40)
+
+
+class FakeLink:
+    """A link whose far end answers, only says that it is alive, or is silent."""
+
+    def __init__(self, answer_s=None, alive_s=None):
+        self.answer_s, self.alive_s = answer_s, alive_s
+        self.last_received = 0.0
+        self.closed = asyncio.Event()
+        self.peer_heartbeat = messages.Heartbeat(state="open")
+        self.peer_id = "sidecar"
+        self.calls = {}
+        self.posted = []
+
+    def call(self, message):
+        call = self.calls[1] = Call(self, 1)
+        loop = asyncio.get_running_loop()
+        if self.alive_s is not None:
+            loop.call_later(self.alive_s, self.heard)
+        if self.answer_s is not None:
+            loop.call_later(self.answer_s, self.answer, call)
+        return call
+
+    def heard(self):
+        self.last_received = asyncio.get_running_loop().time()
+
+    def answer(self, call):
+        self.heard()
+        call.replies.put_nowait(Frame(1, 1, GRANT, b""))
+
+    def post(self, message):
+        self.posted.append(message)
+
+
+class FakeKeeper:
+    def __init__(self, link):
+        self.open_link = link
+        self.stopped = False
+
+    async def stop(self):
+        self.stopped = True
+
+
+def state(target_id, host="10.0.0.1", port=80, **more):
+    return TargetState(
+        target_id, "s", f"{host}:{port}", "z", sequence=1, slots=8, **more
+    )
+
+
+def play(scenario, **link):
+    async def run():
+        registry = TargetRegistry()
+        registry.take([state("i-1")], 0.0)
+        sidecars = Sidecars(SETTINGS, IDENTITY, registry)
+        fake = FakeLink(**link)
+        sidecars.keepers["10.0.0.1"] = FakeKeeper(fake)
+        await scenario(sidecars, fake, registry)
+
+    asyncio.run(run())
+
+
+class TestSidecars:
+    def test_silent_one_is_left_alone_until_it_is_heard(self):
+        """A frozen instance's link counts as open for a second or more."""
+
+        async def scenario(sidecars, link, registry):
+            target = registry.targets["i-1"]
+            assert sidecars.may_be_asked(target)
+            assert await sidecars.ask(link, target, QUESTION) is None
+            assert link.posted == [messages.Release("r")]
+            assert not sidecars.may_be_asked(target)
+            assert sidecars.asked["10.0.0.1"] == 0
+            link.heard()
+            assert sidecars.may_be_asked(target)
+
+        play(scenario)
+
+    def test_verdict_is_waited_for_where_the_request_stands_in_a_queue(self):
+        async def scenario(sidecars, link, registry):
+            answer = await sidecars.ask(link, registry.targets["i-1"], QUESTION)
+            assert answer == GRANT
+
+        play(scenario, alive_s=0.01, answer_s=2 * HEARD_S)
+
+    def test_caller_that_left_gives_its_place_back(self):
+        async def scenario(sidecars, link, registry):
+            target = registry.targets["i-1"]
+            asking = asyncio.create_task(sidecars.ask(link, target, QUESTION))
+            await asyncio.sleep(0)
+            asking.cancel()
+            await asyncio.gather(asking, return_exceptions=True)
+            assert link.posted == [messages.Release("r")]
+            assert sidecars.may_be_asked(target)
+
+        play(scenario)
+
+    def test_opening_engine_comes_after_one_with_room(self):
+        async def scenario(sidecars, link, registry):
+            target = registry.targets["i-1"]
+            link.peer_heartbeat = messages.Heartbeat(state=OPENING_STATE)
+            assert sidecars.may_be_asked(target)
+            assert sidecars.load_of(target).taken >= target.slots
+
+        play(scenario)
+
+    def test_link_stays_while_another_target_is_on_its_host(self):
+        async def scenario(sidecars, link, registry):
+            keeper = sidecars.keepers["10.0.0.1"]
+            older = registry.targets.pop("i-1")
+            registry.take([state("i-2", port=81)], 0.0)
+            await sidecars.drop_links([older])
+            assert sidecars.keepers["10.0.0.1"] is keeper
+            assert not keeper.stopped
+            registry.targets.clear()
+            await sidecars.drop_links([older])
+            assert keeper.stopped and not sidecars.keepers
+
+        play(scenario)
