--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -58,17 +58,27 @@
         Arguments after the interpreter.
     log : Path
         Standard output and error.
+    variables : dict, optional
+        Of its environment, beside ours.
     """
 
-    def __init__(self, name: str, command: list[str], log: Path):
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        log: Path,
+        variables: dict[str, str] | None = None,
+    ):
         self.name = name
         self.command = command
         self.log = log
+        self.variables = variables or {}
         self.popen: subprocess.Popen | None = None
 
     def start(self) -> None:
         """Start it, appending to its log."""
         environment = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
+        environment |= self.variables
         with open(self.log, "ab") as output:
             self.popen = subprocess.Popen(
                 [sys.executable, *self.command],
@@ -289,6 +299,7 @@
     def run_cli(self, *arguments: str, check: bool = True) -> str:
         """Run a command of the project; return its standard output."""
         environment = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
+        environment |= self.variables
         done = subprocess.run(
             [sys.executable, "-m", "wisteriapulley.cli", *arguments],
             capture_output=True,
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -42,15 +42,18 @@
     ----------
     destination : str
         ``host:port``.
+    listen : (str, int), optional
+        Where to listen; any free port of loopback by default.
     """
 
-    def __init__(self, destination: str):
+    def __init__(self, destination: str, listen: tuple[str, int] = ("127.0.0.1", 0)):
         self.host, port = destination.rsplit(":", 1)
         self.port = int(port)
         self.socket = socket.socket()
-        self.socket.bind(("127.0.0.1", 0))
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind(listen)
         self.socket.listen(128)
-        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        self.address = f"{listen[0]}:{self.socket.getsockname()[1]}"
         self.towards = Direction()
         self.back = Direction()
         self.refusing = False
@@ -87,6 +90,10 @@
     def cut(self) -> None:
         """Close every connection and refuse new ones."""
         self.refusing = True
+        self.reset()
+
+    def reset(self) -> None:
+        """Close every connection; new ones are taken."""
         for task in tuple(self.connections):
             task.cancel()
 
