--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,6 +18,7 @@
 from soak.plan import Shape
 from soak.promises import GRACE_S, Judge
 from soak.targets import Announcer, SoakEngine, SoakPlain
+from wisteriapulley.consensus import frames
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +34,8 @@
 # is found, and does not end the run.
 STOP_S = GRACE_S + 10.0
 START_S = 60.0
+# A process that ended by itself is started again after this.
+RESTART_S = 0.3
 
 
 class Node:
@@ -73,6 +76,8 @@
         self.incarnation = 0
         self.bootstrap = True
         self.stopping = False
+        # Whether it should run now: nothing of the run has taken it down.
+        self.wanted = False
 
     def address(self, offset: int) -> str:
         """Return an address of this process."""
@@ -123,11 +128,13 @@
         if self.is_up or self.stopping:
             return
         self.data.mkdir(parents=True, exist_ok=True)
+        self.wanted = True
         self.incarnation += 1
         self.process.start()
 
     def kill(self) -> None:
         """Kill it."""
+        self.wanted = False
         if self.is_up:
             self.process.kill()
 
@@ -135,7 +142,7 @@
         """Send a stop signal, and wait as long as the platform would, and longer."""
         if not self.is_up or self.stopping:
             return
-        self.stopping = True
+        self.stopping, self.wanted = True, False
         popen, began_s = self.process.popen, time.monotonic()
         self.process.signal(signal.SIGTERM)
         while popen.poll() is None and time.monotonic() < began_s + STOP_S:
@@ -312,13 +319,32 @@
         self.rewrite(name, bootstrap=False)
 
     def tear(self, name: str) -> None:
-        """Kill a control instance as if a write that was not synced was torn."""
+        """Kill a control instance as if a write that was not synced was torn.
+
+        Its log then ends in the beginning of a frame, or in bytes that never
+        reached the disk and read as zeros. Other bytes no torn write leaves.
+        """
         node = self.nodes[name]
         node.kill()
         path = node.data / "log"
-        if path.exists():
-            with open(path, "ab") as file:
-                file.write(self.rng.randbytes(self.rng.randint(1, 40)))
+        if not path.exists():
+            return
+        first = next(frames.scan(path.read_bytes()), None)
+        torn = bytes(self.rng.randint(8, 64))
+        if first is not None and self.rng.random() < 0.5:
+            torn = path.read_bytes()[: self.rng.randint(1, first.end - 1)]
+        with open(path, "ab") as file:
+            file.write(torn)
+
+    async def supervise(self) -> None:
+        """Start again what ended by itself, as the platform does; it is a finding."""
+        while True:
+            await asyncio.sleep(RESTART_S)
+            for node in self.nodes.values():
+                if node.wanted and not node.is_up:
+                    status = node.process.popen.returncode
+                    self.judge.found("own exit", f"{node.name} ended with {status}")
+                    node.start()
 
     def resident_bytes(self) -> int:
         """Return the memory of all processes."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -69,7 +69,7 @@
         self.progression = Progression(self.judge)
         self.plan = draw(seed, seconds, shape)
         self.callers: list[Caller] = []
-        self.probes: list[asyncio.Task] = []
+        self.watching: list[asyncio.Task] = []
         self.harm: set[asyncio.Task] = set()
 
     async def play(self) -> Outcome:
@@ -97,6 +97,8 @@
     async def start(self) -> None:
         """Start everything, and wait until all is served."""
         await self.fleet.start()
+        loop = asyncio.get_running_loop()
+        self.watching.append(loop.create_task(self.fleet.supervise()))
         self.operator.start()
         self.operator.change()
         await self.until("the first configuration", self.is_configured)
@@ -105,7 +107,7 @@
                 Caller(f"{name}-{number}", name, address, self.judge)
                 for number in range(CALLERS_EACH)
             ]
-            self.probes.append(self.probe(name, address))
+            self.watching.append(self.probe(name, address))
         for caller in self.callers:
             caller.start()
         await self.until("the first answers", self.all_served)
@@ -124,9 +126,9 @@
 
     async def stop(self) -> None:
         """End everything."""
-        for task in (*self.probes, *self.harm):
+        for task in (*self.watching, *self.harm):
             task.cancel()
-        await asyncio.gather(*self.probes, *self.harm, return_exceptions=True)
+        await asyncio.gather(*self.watching, *self.harm, return_exceptions=True)
         for caller in self.callers:
             await caller.stop()
         await self.operator.stop()
