Run a control instance on every instance with a disk; one without only observes

The role now runs on a share of the instances: one of two or three in a failure domain, two of four to seven, which is those with a disk on all four sites. An instance without one joins as an observer from a temporary folder and never votes, since its restart forgets what it synced.

--- a/src/wisteriapulley/consensus/membership.py
+++ b/src/wisteriapulley/consensus/membership.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from wisteriapulley.consensus.replication import Replication
-from wisteriapulley.consensus.types import Members, RecordKind
+from wisteriapulley.consensus.types import OBSERVER_PREFIX, Members, RecordKind
 from wisteriapulley.wire.messages import JoinRequest
 
 # A voter that answered nothing for so long gives its place to a learner: twice
@@ -100,8 +100,11 @@
         """Tell whether a learner is to vote.
 
         A learner takes the place of a voter only when that one is silent, so
-        that a full set of voters that answer never changes.
+        that a full set of voters that answer never changes. An instance without
+        a disk of its own never votes: a restart forgets what it agreed to.
         """
+        if self.members.learners[node_id].startswith(OBSERVER_PREFIX):
+            return False
         voters = self.members.voters
         if not self.voters_wanted or node_id in voters:
             return True
--- a/src/wisteriapulley/consensus/types.py
+++ b/src/wisteriapulley/consensus/types.py
@@ -35,6 +35,10 @@
     voted_for: str = ""
 
 
+# Identities of disks that never vote: what they sync is gone with the process.
+OBSERVER_PREFIX = "observer-"
+
+
 class Members(msgspec.Struct, frozen=True):
     """Who takes part: disk identity by node id.
 
--- a/src/wisteriapulley/control/seeds.py
+++ b/src/wisteriapulley/control/seeds.py
@@ -4,11 +4,16 @@
 host, so that an address of a seed names its node. The seeds that start together
 on empty disks are the first voters: each writes the same configuration, with an
 identity that follows from its host, so no instance has to be first. Every later
-disk gets a random identity and joins as a learner.
+disk gets a random identity and joins as a learner. An instance without a disk
+copies the log to a temporary folder; it answers operators and targets, and never
+votes.
 """
 
+import tempfile
 from pathlib import Path
 
+import msgspec
+
 from wisteriapulley.consensus.files import Files
 from wisteriapulley.consensus.storage import (
     IDENTITY_NAME,
@@ -18,12 +23,30 @@
     new_identity,
     write_identity,
 )
-from wisteriapulley.consensus.types import Members
+from wisteriapulley.consensus.types import OBSERVER_PREFIX, Members
 from wisteriapulley.settings import ControlSettings
 
 FIRST_PREFIX = "first-"
 
 
+def with_folder(settings: ControlSettings) -> ControlSettings:
+    """Give an instance without a disk a temporary folder, as an observer.
+
+    Raises
+    ------
+    StorageError
+        The temporary folder can't be written.
+    """
+    if settings.data_folder:
+        return settings
+    folder = tempfile.mkdtemp(prefix="control-")
+    identity = OBSERVER_PREFIX + new_identity()
+    write_identity(
+        folder, DiskIdentity(settings.node_id, identity, Members({})), Files()
+    )
+    return msgspec.structs.replace(settings, data_folder=folder)
+
+
 def prepare_folder(settings: ControlSettings, files: Files | None = None) -> None:
     """Give an empty data folder its identity; leave any other as it is.
 
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -33,7 +33,7 @@
 from wisteriapulley.control.pieces import PieceServer
 from wisteriapulley.control.quorum_members import quorum_routes
 from wisteriapulley.control.reports import ReportTable
-from wisteriapulley.control.seeds import prepare_folder
+from wisteriapulley.control.seeds import prepare_folder, with_folder
 from wisteriapulley.control.senders import check_own, check_sender
 from wisteriapulley.control.state import ControlState
 from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
@@ -90,7 +90,7 @@
 
     async def start(self) -> None:
         """Open the disk, listen, and join the peers."""
-        settings = self.settings
+        settings = self.settings = with_folder(self.settings)
         self.identity = Identity.from_settings(settings, "control")
         self.members = MemberTable(
             settings.node_id,
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,8 +6,14 @@
 from wisteriapulley.consensus import Members, Replica
 from wisteriapulley.consensus.replica import MAX_PENDING
 from wisteriapulley.consensus.replication import MAX_INFLIGHT
+from wisteriapulley.consensus.types import OBSERVER_PREFIX
 from wisteriapulley.errors import ResultCode, StorageError
-from wisteriapulley.wire.messages import AppendRequest, LogRecord, TimeoutNow
+from wisteriapulley.wire.messages import (
+    AppendRequest,
+    JoinRequest,
+    LogRecord,
+    TimeoutNow,
+)
 
 
 class Quiet(Cluster):
@@ -281,6 +287,22 @@
         cluster.commit()
         assert revisions(cluster) == [4, 4, 4, 4]
 
+    def test_observer_never_votes(self, cluster):
+        """An instance without a disk forgets at a restart what it agreed to."""
+        self.wanted_three(cluster)
+        leader = cluster.leader.replica
+        leader.note_join(JoinRequest(0, "x", OBSERVER_PREFIX + "1"))
+        cluster.pass_ms(500)
+        assert leader.members.learners["x"] == OBSERVER_PREFIX + "1"
+        # Neither in place of a silent voter, nor where voters are missing.
+        leader.progress["x"].identity = OBSERVER_PREFIX + "1"
+        leader.progress["x"].match_index = leader.commit_index
+        leader.answers = lambda node_id: True
+        leader.is_silent = lambda node_id: node_id != leader.node_id
+        assert not leader.wants_vote_of("x")
+        leader.voters_wanted = 5
+        assert not leader.wants_vote_of("x")
+
     def test_removed_member_neither_disturbs_nor_comes_back(self, cluster):
         removed = cluster.followers[0]
         leader = cluster.leader
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,5 +1,6 @@
 """The deploy file builds and starts from a clean checkout, without the users' kit."""
 
+import math
 import os
 import shutil
 import subprocess
@@ -39,6 +40,16 @@
             assert (program, option, argument) == ("python3", "-S", name)
             assert (ROOT / script).is_file()
 
+    @pytest.mark.parametrize(
+        "instances,with_disk", [(2, 1), (3, 1), (4, 2), (5, 2), (6, 2), (7, 2)]
+    )
+    def test_every_instance_with_a_disk_is_a_control_instance(
+        self, instances, with_disk
+    ):
+        """With one in each failure domain, a loss of two left no majority."""
+        share = DEPLOY["roles"]["control"]["share"]
+        assert math.ceil(share * instances) == with_disk
+
     def test_clean_build_starts_every_role(self, checkout):
         assert set(os.listdir(checkout / "target")) == {"deps", "app"}
         for role in DEPLOY["roles"]:
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -3,7 +3,12 @@
 import json
 
 from wisteriapulley.consensus.storage import read_identity
-from wisteriapulley.control.seeds import first_identity, prepare_folder
+from wisteriapulley.consensus.types import OBSERVER_PREFIX
+from wisteriapulley.control.seeds import (
+    first_identity,
+    prepare_folder,
+    with_folder,
+)
 from wisteriapulley.settings import Address, ControlSettings
 
 HOSTS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
@@ -58,3 +63,19 @@
         (tmp_path / "identity.json.new").write_bytes(b"{")
         prepare_folder(settings(tmp_path))
         assert read_identity(str(tmp_path)).identity.startswith("first-")
+
+
+class TestInstanceWithoutDisk:
+    def test_observes_from_a_temporary_folder(self):
+        given = with_folder(settings(""))
+        prepare_folder(given)
+        identity = read_identity(given.data_folder)
+        assert identity.identity.startswith(OBSERVER_PREFIX)
+        assert identity.members.voters == {}
+
+    def test_forgets_at_each_start(self):
+        one, two = (with_folder(settings("")).data_folder for _ in "12")
+        assert read_identity(one).identity != read_identity(two).identity
+
+    def test_disk_of_its_own_is_used(self, tmp_path):
+        assert with_folder(settings(tmp_path)).data_folder == str(tmp_path)
