--- a/src/wisteriapulley/platform/daemons.py
+++ b/src/wisteriapulley/platform/daemons.py
@@ -11,9 +11,9 @@
 
 from wisteriapulley.logs import fields
 from wisteriapulley.platform import names
-from wisteriapulley.platform.reload import SettingsWatch
 from wisteriapulley.platform.settings import PlatformSettings
 from wisteriapulley.settings import Address
+from wisteriapulley.settings_watch import SettingsWatch
 
 log = logging.getLogger(__name__)
 
@@ -135,6 +135,7 @@
     watch = SettingsWatch(
         os.environ[SETTINGS_VARIABLE],
         settings,
+        PlatformSettings.from_file,
         lambda changed: service.meet_hosts(seed.host for seed in changed.seeds()),
     )
     watch.start()
--- a/src/wisteriapulley/platform/reload.py
+++ b/src/wisteriapulley/settings_watch.py
@@ -5,10 +5,10 @@
 import os
 import signal
 from collections.abc import Callable
+from typing import Generic, TypeVar
 
 from wisteriapulley.errors import WisteriapulleyError
 from wisteriapulley.logs import fields
-from wisteriapulley.platform.settings import PlatformSettings
 
 log = logging.getLogger(__name__)
 
@@ -17,13 +17,20 @@
 LOOK_S = 1.0
 
 
-class SettingsWatch:
+AnySettings = TypeVar("AnySettings")
+
+
+class SettingsWatch(Generic[AnySettings]):
     """Reads the settings again whenever they may have changed.
 
     Parameters
     ----------
     path : str
         The file.
+    settings : object
+        As read at the start.
+    read : callable
+        Reads the file.
     on_change : callable
         Called with settings that differ from the last ones.
     """
@@ -31,10 +38,12 @@
     def __init__(
         self,
         path: str,
-        settings: PlatformSettings,
-        on_change: Callable[[PlatformSettings], None],
+        settings: AnySettings,
+        read: Callable[[str], AnySettings],
+        on_change: Callable[[AnySettings], None],
     ):
         self.path = path
+        self.read = read
         self.settings = settings
         self.on_change = on_change
         self.signalled = asyncio.Event()
@@ -79,7 +88,7 @@
         """Read the file; one that can't be read leaves all as it is."""
         self.stamp = self.file_stamp()
         try:
-            settings = PlatformSettings.from_file(self.path)
+            settings = self.read(self.path)
         except WisteriapulleyError as error:
             log.warning("settings not reloaded: %s", error)
             return
--- /dev/null
+++ b/tests/test_settings_watch.py
@@ -0,0 +1,61 @@
+"""A settings file that changes, with a signal or without one."""
+
+import asyncio
+import signal
+
+from wisteriapulley import settings_watch
+from wisteriapulley.errors import ResultCode, SettingsError
+from wisteriapulley.settings_watch import SettingsWatch
+
+
+def read(path):
+    with open(path) as file:
+        text = file.read()
+    if text == "bad":
+        raise SettingsError(ResultCode.SETTINGS_UNREADABLE, path)
+    return text
+
+
+def play(tmp_path, scenario):
+    async def run():
+        path = tmp_path / "settings"
+        path.write_text("one")
+        seen = asyncio.Queue()
+        watch = SettingsWatch(str(path), "one", read, seen.put_nowait)
+        watch.start()
+        try:
+            await scenario(path, watch, seen)
+        finally:
+            watch.stop()
+
+    asyncio.run(run())
+
+
+class TestSettingsWatch:
+    def test_signal_reads_the_file(self, tmp_path):
+        async def scenario(path, watch, seen):
+            path.write_text("two")
+            signal.raise_signal(signal.SIGHUP)
+            assert await seen.get() == "two"
+
+        play(tmp_path, scenario)
+
+    def test_change_without_a_signal_is_noticed(self, tmp_path, monkeypatch):
+        monkeypatch.setattr(settings_watch, "LOOK_S", 0.01)
+
+        async def scenario(path, watch, seen):
+            path.write_text("changed")
+            assert await seen.get() == "changed"
+
+        play(tmp_path, scenario)
+
+    def test_file_that_cannot_be_read_changes_nothing(self, tmp_path):
+        async def scenario(path, watch, seen):
+            path.write_text("bad")
+            watch.reload()
+            assert seen.empty() and watch.settings == "one"
+            path.write_text("one")
+            watch.reload()
+            assert seen.empty()
+
+        play(tmp_path, scenario)
