--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,14 @@
 PYTHON = PYTHONPATH=src $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format docs check-spec matrix clean day \
-	bench-control bench-burst bench-load bench-slopes
+.PHONY: demo test lint format docs check-spec matrix clean day soak \
+	# Fresh seeds of the soak; SECONDS of faults each.
+SEEDS ?= 5
+SECONDS ?= 30
+soak: $(STAMP)
+	$(PYTHON) -m soak --seeds $(SEEDS) --seconds $(SECONDS)
+
+bench-control bench-burst bench-load bench-slopes
 
 $(STAMP): requirements.txt requirements-dev.txt
 	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
@@ -44,4 +50,4 @@
 	$(KIT) run $(SITE) $(DAY) --why "$(WHY)"
 
 clean:
-	rm -rf .demo .matrix .pytest_cache .ruff_cache .hypothesis
+	rm -rf .demo .matrix .soak .pytest_cache .ruff_cache .hypothesis
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from soak.plan import draw
+from soak.regressions import REGRESSIONS
 from soak.run import Outcome
 from soak.seeds import SeedOptions, play
 
@@ -23,6 +24,9 @@
     parser.add_argument("--jobs", type=int, default=1, help="seeds at once")
     parser.add_argument("--untimed", action="store_true", help="the machine is busy")
     parser.add_argument("--timeline", action="store_true", help="print the faults only")
+    parser.add_argument(
+        "--regressions", action="store_true", help="all seeds that once failed"
+    )
     parser.add_argument("--keep", action="store_true", help="keep logs of good seeds")
     return parser.parse_args()
 
@@ -43,6 +47,8 @@
         not given.untimed,
         given.keep,
     )
+    if given.regressions:
+        given.seed = [regression.seed for regression in REGRESSIONS]
     seeds = given.seed or [secrets.randbelow(1 << 31) for _ in range(given.seeds)]
     if given.timeline:
         for seed in seeds:
--- /dev/null
+++ b/soak/regressions.py
@@ -0,0 +1,22 @@
+"""Seeds that once showed something, each with its cause."""
+
+from typing import NamedTuple
+
+
+class Regression(NamedTuple):
+    """A seed, the length that it was played with, and why it failed."""
+
+    seed: int
+    seconds: float
+    cause: str
+
+
+REGRESSIONS = (
+    Regression(1924131696, 30.0, "a stop during the imports ended with -15, not 0"),
+    Regression(
+        1174528048,
+        30.0,
+        "the soak tore logs as no disk does: two instances stopped with LOG_DAMAGED",
+    ),
+    Regression(2, 8.0, "the stand-in engine failed after it had told of a run"),
+)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -67,6 +67,24 @@
             )
             assert (done.returncode, done.stderr[:5]) == (1, "WP100")
 
+    def test_stop_during_the_imports_is_a_clean_end(self, tmp_path):
+        """Guards soak seed 1924131696: it ended with -15."""
+        shutil.copytree(ROOT / "deploy", tmp_path / "deploy")
+        slow = tmp_path / "target" / "app" / "wisteriapulley"
+        slow.mkdir(parents=True)
+        (slow / "__init__.py").write_text("")
+        text = "import time\nprint('importing', flush=True)\ntime.sleep(600)\n"
+        (slow / "clocks.py").write_text(text)
+        process = subprocess.Popen(
+            [sys.executable, "-S", "deploy/run.py", "entry"],
+            cwd=tmp_path,
+            stdout=subprocess.PIPE,
+        )
+        assert process.stdout.readline() == b"importing\n"
+        process.terminate()
+        assert process.wait(BUILD_S) == 0
+        process.stdout.close()
+
     def test_start_imports_nothing_that_no_daemon_uses(self, checkout):
         """A start reads no certificates of authorities and no coloured logs."""
         code = (
