Let an observer write in its temporary folder without renames

An observer's files are written in place and never synced, since nothing there outlives its process. The test refuses renames and syncs, and failed before.

--- a/src/wisteriapulley/consensus/files.py
+++ b/src/wisteriapulley/consensus/files.py
@@ -98,3 +98,25 @@
                 f" {error.strerror}; stop the other control instance",
             ) from error
         return descriptor
+
+
+class VolatileFiles(Files):
+    """Files of a temporary folder, which ends with its process.
+
+    Nothing there outlives a crash, so nothing is synced, and a file is written in
+    its place: a temporary folder of the platform takes no renames.
+    """
+
+    def fsync(self, descriptor: int) -> None:
+        """Sync nothing."""
+
+    def sync_folder(self, folder: Path) -> None:
+        """Sync nothing."""
+
+    def replace(self, path: Path, data: bytes) -> None:
+        """Write a file in its place."""
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            self.write_all(path, descriptor, data)
+        finally:
+            os.close(descriptor)
--- a/src/wisteriapulley/control/driver.py
+++ b/src/wisteriapulley/control/driver.py
@@ -18,6 +18,7 @@
 from wisteriapulley.consensus.log import Log
 from wisteriapulley.consensus.storage import DiskIdentity, read_identity
 from wisteriapulley.control.commands import Command, Result, encode
+from wisteriapulley.control.seeds import files_of
 from wisteriapulley.control.state import ControlState, stamp
 from wisteriapulley.errors import ResultCode, StorageError, WireError
 from wisteriapulley.errors import WisteriapulleyError as Error
@@ -98,7 +99,7 @@
                 f"{settings.data_folder}: belongs to {identity.node_id!r}, settings"
                 f" say {settings.node_id!r}",
             )
-        self.storage = Storage.open(settings.data_folder)
+        self.storage = Storage.open(settings.data_folder, files_of(identity))
         if self.storage.snapshot is not None:
             state.restore(self.storage.read_snapshot())
         self.replica = self.new_replica(identity)
--- a/src/wisteriapulley/control/seeds.py
+++ b/src/wisteriapulley/control/seeds.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from wisteriapulley.consensus.files import Files
+from wisteriapulley.consensus.files import Files, VolatileFiles
 from wisteriapulley.consensus.storage import (
     IDENTITY_NAME,
     LOG_NAME,
@@ -41,9 +41,8 @@
         return settings
     folder = tempfile.mkdtemp(prefix="control-")
     identity = OBSERVER_PREFIX + new_identity()
-    write_identity(
-        folder, DiskIdentity(settings.node_id, identity, Members({})), Files()
-    )
+    held = DiskIdentity(settings.node_id, identity, Members({}))
+    write_identity(folder, held, VolatileFiles())
     return msgspec.structs.replace(settings, data_folder=folder)
 
 
@@ -81,3 +80,10 @@
         identity = members.voters[settings.node_id]
         return DiskIdentity(settings.node_id, identity, members)
     return DiskIdentity(settings.node_id, new_identity(), Members({}))
+
+
+def files_of(identity: DiskIdentity) -> Files:
+    """Return the file operations for a folder: an observer's is temporary."""
+    if identity.identity.startswith(OBSERVER_PREFIX):
+        return VolatileFiles()
+    return Files()
--- a/tests/test_seeds.py
+++ b/tests/test_seeds.py
@@ -1,10 +1,15 @@
 """Control instances that find each other through seeds, in one process."""
 
+import errno
 import json
+import os
 
+from wisteriapulley.consensus import HardState, Members, Record, RecordKind, Storage
+from wisteriapulley.consensus.log import Log
 from wisteriapulley.consensus.storage import read_identity
-from wisteriapulley.consensus.types import OBSERVER_PREFIX
+from wisteriapulley.consensus.types import OBSERVER_PREFIX, Snapshot
 from wisteriapulley.control.seeds import (
+    files_of,
     first_identity,
     prepare_folder,
     with_folder,
@@ -77,5 +82,24 @@
         one, two = (with_folder(settings("")).data_folder for _ in "12")
         assert read_identity(one).identity != read_identity(two).identity
 
+    def test_needs_no_rename_and_no_sync(self, monkeypatch):
+        """The platform's temporary folders refuse a rename: an observer ended."""
+
+        def refuse(*arguments):
+            raise OSError(errno.EROFS, "Read-only file system")
+
+        monkeypatch.setattr(os, "rename", refuse)
+        monkeypatch.setattr(os, "fsync", refuse)
+        given = with_folder(settings(""))
+        prepare_folder(given)
+        identity = read_identity(given.data_folder)
+        storage = Storage.open(given.data_folder, files_of(identity))
+        record = Record(1, 1, RecordKind.COMMAND, b"x")
+        storage.save(HardState(1, ""), (record,))
+        snapshot = Snapshot(1, 1, Members({}), b"state")
+        storage.save_snapshot(snapshot, HardState(1, ""), Log(1, 1))
+        assert storage.read_snapshot() == b"state"
+        storage.close()
+
     def test_disk_of_its_own_is_used(self, tmp_path):
         assert with_folder(settings(tmp_path)).data_folder == str(tmp_path)
