--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -49,7 +49,7 @@
         monkeypatch.setattr(
             driver_module.Storage,
             "open",
-            classmethod(lambda cls, folder: real_open(folder, files)),
+            classmethod(lambda cls, folder, others: real_open(folder, files)),
         )
         self.fatal = []
 
