--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,7 @@
 STAMP = $(VENV)/.installed
 
 .PHONY: demo test lint format docs check-spec matrix clean day soak \
-	# Fresh seeds of the soak; SECONDS of faults each.
-SEEDS ?= 5
-SECONDS ?= 30
-soak: $(STAMP)
-	$(PYTHON) -m soak --seeds $(SEEDS) --seconds $(SECONDS)
-
-bench-control bench-burst bench-load bench-slopes
+	bench-control bench-burst bench-load bench-slopes
 
 $(STAMP): requirements.txt requirements-dev.txt
 	test -x $(VENV)/bin/python || python3 -m venv $(VENV)
@@ -43,6 +37,12 @@
 bench-control bench-burst bench-load bench-slopes: $(STAMP)
 	$(PYTHON) -m bench.$(subst bench-,,$@)
 
+# Fresh seeds of the soak; SECONDS of faults each.
+SEEDS ?= 5
+SECONDS ?= 30
+soak: $(STAMP)
+	$(PYTHON) -m soak --seeds $(SEEDS) --seconds $(SECONDS)
+
 # One day of a deployment, where the users' kit is at hand.
 KIT ?= ../given/kit/more/system/bin/fleetbench
 WHY ?= a look at one day
