--- a/tests/test_control_news.py
+++ b/tests/test_control_news.py
@@ -1,33 +1,15 @@
 """What a control instance tells of weights that are in force."""
 
-import asyncio
-
+from tests.fakes.links import WrittenLink
 from wisteriapulley.control.news import News
 from wisteriapulley.control.state import ControlState
 from wisteriapulley.routing import Engine, RoutingTable
 from wisteriapulley.routing.table import Service
 from wisteriapulley.settings import Address, ControlSettings
-from wisteriapulley.wire import codec, messages
-from wisteriapulley.wire.handshake import Hello
+from wisteriapulley.wire import messages
 from wisteriapulley.wire.messages import ModelNews, ModelState, VersionAge
 
 
-class FakeLink:
-    def __init__(self):
-        self.peer = Hello(1, "entry-x", "entry", 1, "z", b"")
-        self.closed = asyncio.Event()
-        self.taken = []
-
-    def write_buffer_bytes(self):
-        return 0
-
-    def check_writable(self):
-        return
-
-    def write(self, data):
-        self.taken.append(codec.decode(data[codec.HEADER.size :]).message)
-
-
 class Instance:
     """One instance's news, with one follower."""
 
@@ -52,7 +34,7 @@
         )
         service = Service("s", engine=Engine("m"))
         self.news.table = RoutingTable(1, services=(service,))
-        self.link = FakeLink()
+        self.link = WrittenLink()
         self.news.followers.add(self.link)
 
     def named(self):
--- a/tests/test_target_feed.py
+++ b/tests/test_target_feed.py
@@ -5,14 +5,14 @@
 
 import pytest
 
+from tests.fakes.links import WrittenLink
 from wisteriapulley.control import target_feed
 from wisteriapulley.control.followers import Followers
 from wisteriapulley.control.target_feed import BATCH_S, BEATS_S, TargetFeed
 from wisteriapulley.control.targets import Change, TargetTable
 from wisteriapulley.direct.registry import SILENCE_S, TargetRegistry
 from wisteriapulley.regions import Regions
-from wisteriapulley.wire import codec, messages
-from wisteriapulley.wire.handshake import Hello
+from wisteriapulley.wire import messages
 from wisteriapulley.wire.messages import TargetState
 
 HEARTBEAT_S = 1.2
@@ -23,29 +23,6 @@
     return TargetState(f"i-{number}", "s", address, "z", sequence=sequence, **more)
 
 
-class FakeLink:
-    """A follower's link; keeps the messages that were written."""
-
-    def __init__(self, role, lossy=None):
-        self.peer = Hello(1, f"{role}-x", role, 1, "z", b"")
-        self.closed = asyncio.Event()
-        self.lossy = lossy
-        self.taken = []
-
-    def write_buffer_bytes(self):
-        return 0
-
-    def check_writable(self):
-        return
-
-    def write(self, data):
-        if self.lossy is None or self.lossy.random() >= 0.3:
-            self.taken.append(codec.decode(data[codec.HEADER.size :]).message)
-
-    def post(self, message):
-        self.taken.append(message)
-
-
 class Instance:
     """One control instance's feed on a clock of the test's own."""
 
@@ -57,7 +34,7 @@
         self.feed = TargetFeed(TargetTable(7200), self.followers, self.told.append)
 
     def follower(self, role, lossy=None):
-        link = FakeLink(role, lossy)
+        link = WrittenLink(role, lossy)
         self.followers.add(link)
         return link
 
@@ -121,7 +98,9 @@
             instance.feed.told([state(1)])
             instance.now_ms = 1000.0
             beat = messages.TargetBeat("i-1", 0, 1, False, 10)
-            instance.feed.take_beats(messages.TargetBeats((beat,)), FakeLink("control"))
+            instance.feed.take_beats(
+                messages.TargetBeats((beat,)), WrittenLink("control")
+            )
             instance.feed.beat_if_due(1000.0)
             await asyncio.sleep(2 * BATCH_S)
             assert instance.told == []
@@ -130,7 +109,7 @@
 
     def test_missed_news_are_asked_for(self, monkeypatch):
         async def scenario(instance):
-            link = FakeLink("control")
+            link = WrittenLink("control")
             beats = (
                 messages.TargetBeat("i-1", 0, 4, False, 0),
                 messages.TargetBeat("i-2", 0, 4, False, 0),
