--- a/src/wisteriapulley/control/following.py
+++ b/src/wisteriapulley/control/following.py
@@ -54,7 +54,11 @@
     Attributes
     ----------
     is_heard : bool
-        Whether its link is open and it has answered.
+        Whether it has answered over the link that is open.
+    chosen_s : float
+        When its first connection was begun; long ago once a link has closed.
+    heard_s : float
+        When it last could be relied on.
     """
 
     def __init__(self, keeper: LinkKeeper, now_s: float):
@@ -64,7 +68,10 @@
         self.heard_s = now_s
 
     def gives_news(self, now_s: float) -> bool:
-        """Tell whether it can be relied on, or has not had time to answer yet."""
+        """Tell, and note, whether it can be relied on.
+
+        One that has not had time to answer yet counts as one that can.
+        """
         link = self.keeper.open_link
         if link is None or not self.is_heard:
             return now_s - self.chosen_s < FIRST_ANSWER_S
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -112,6 +112,13 @@
     def take_beats(self, beats: Iterable[TargetBeat], now_s: float) -> list[str]:
         """Take in that targets were heard again.
 
+        Parameters
+        ----------
+        beats : iterable of TargetBeat
+            From one control instance.
+        now_s : float
+            The loop's clock.
+
         Returns
         -------
         list of str
