Try a peer again after an eighth of its absence

Cause: after a loss of all, sidecars and entries try control instances from 0.2 s on, and these listen at 0.6 to 0.9 s; a pause that doubles from the first try has grown to 0.4 to 0.8 s by then. Ruled out: the connection itself (1 to 6 ms) and TCP, which refuses at once. Now the next try comes after an eighth of the time that the peer has been away, at 1 s at the most.

A loss costs more tries: 33 in place of 12 to a peer that stays away for 8 s.

--- a/src/wisteriapulley/wire/keeper.py
+++ b/src/wisteriapulley/wire/keeper.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+from wisteriapulley.clocks import steady_s
 from wisteriapulley.errors import WisteriapulleyError
 from wisteriapulley.settings import Address, NodeSettings
 from wisteriapulley.wire.handshake import Identity
@@ -13,10 +14,12 @@
 
 log = logging.getLogger(__name__)
 
-# A peer that restarts is met again soon, and a dead one is not hammered: at
-# 1,000 sidecars behind one control instance the spread keeps reconnects apart.
-BACKOFF_FIRST_S = 0.05
-BACKOFF_MOST_S = 1.0
+# Share of the time that a peer has been away after which it is tried again. A process
+# that starts is met within a few hundredths of a second of its first moment, since
+# whoever waits for it serves nobody; a peer that stays away is tried once a second.
+PAUSE_SHARE = 0.125
+PAUSE_LEAST_S = 0.05
+PAUSE_MOST_S = 1.0
 
 
 class LinkKeeper:
@@ -71,17 +74,16 @@
     async def run(self) -> None:
         """Connect for ever."""
         position = 0
-        backoff_s = BACKOFF_FIRST_S
+        met_s = steady_s()
         while True:
             address = self.addresses[position % len(self.addresses)]
             position += 1
             try:
                 await self.hold(address)
-                backoff_s = BACKOFF_FIRST_S
+                met_s = steady_s()
             except WisteriapulleyError as error:
                 log.debug("link to %s: %s", address, error)
-            await asyncio.sleep(backoff_s * (0.5 + self.rng.random()))
-            backoff_s = min(BACKOFF_MOST_S, backoff_s * 2)
+            await asyncio.sleep(pause_s(steady_s() - met_s, self.rng.random()))
 
     async def hold(self, address: Address) -> None:
         """Open a link and wait until it closes."""
@@ -106,3 +108,21 @@
             self.task.cancel()
         if self.link is not None:
             self.link.close()
+
+
+def pause_s(away_s: float, spread: float) -> float:
+    """Return how long to wait before a peer is tried again.
+
+    Load: all processes start again after a loss of power, and those that others
+    wait for start last. Harm prevented: a pause that doubles from the first try
+    has grown to most of a second by then.
+
+    Parameters
+    ----------
+    away_s : float
+        Seconds since it was last linked, or first tried.
+    spread : float
+        Random number below 1: keeps the tries of many processes apart.
+    """
+    mean_s = min(PAUSE_MOST_S, max(PAUSE_LEAST_S, away_s * PAUSE_SHARE))
+    return mean_s * (0.5 + spread)
