Wait for a sidecar's first word by observed times, and ask slow ones last

Cause: five sidecars with links narrowed by 91 in 100 were asked like all others: the load that they told of was old and low, and any heartbeat, however old, counted as a sign that the question was being worked on. Each such request waited 0.12 to 0.4 s before the next sidecar was asked. Ruled out: silence (heartbeats came all the while), the engines' queues.

Now a queue that lets a request wait says so in an answer of its own, the first word is waited for by the observed mean and deviation of all first words (25 to 120 ms), and a sidecar's slowest answer, fading by half in 3 s, counts as load: 0.1 s as much as a full engine. policy/answer_times.py; a fixed time to be heard is gone.

--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -7,7 +7,8 @@
 
 from wisteriapulley.direct.registry import Target, TargetRegistry
 from wisteriapulley.direct.settings import DirectSettings
-from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
+from wisteriapulley.errors import WisteriapulleyError
+from wisteriapulley.policy.answer_times import AnswerTimes
 from wisteriapulley.policy.choice import Load
 from wisteriapulley.policy.subset import Member, SubsetLimits, choose_subset
 from wisteriapulley.regions import Regions
@@ -19,10 +20,6 @@
 
 log = logging.getLogger(__name__)
 
-# A sidecar answers at once, or tells at once that the request waits; one from
-# which nothing at all comes within this time is stalled. Far above a round trip
-# between regions, and far below an objective, so that another can still be asked.
-HEARD_S = 0.12
 # Beyond the wait that was asked for, until a verdict counts as lost.
 ANSWER_S = 0.25
 # Sidecars that one entry asks, of each service. A request is offered to six at most,
@@ -34,6 +31,10 @@
 OPENING_STATE = "opening"
 # An engine that still loads its weights is asked after those that have room.
 OPENING_LOAD = 1.0
+# Load, as a share of an engine's places, that a second until its sidecar's answer
+# counts for: a tenth of a second is a quarter of an objective, and as bad as an
+# engine without a place.
+SLOW_LOAD_PER_S = 10.0
 
 
 class Sidecars:
@@ -61,6 +62,7 @@
         # Hosts of the sidecars that are asked for places; see `policy.subset`.
         self.chosen: set[str] = set()
         self.asked: Counter[str] = Counter()
+        self.times = AnswerTimes()
         # By host: when a question was sent that nothing at all followed.
         self.unheard_s: dict[str, float] = {}
 
@@ -102,6 +104,7 @@
         busy = {t.host for t in self.registry.targets.values() if t.outstanding}
         for host in set(self.keepers) - self.chosen - busy:
             self.unheard_s.pop(host, None)
+            self.times.forget(host)
             await self.keepers.pop(host).stop()
 
     async def stop(self) -> None:
@@ -152,6 +155,9 @@
         taken = said.running + said.waiting + self.asked[target.host]
         if said.state == OPENING_STATE:
             taken += OPENING_LOAD * target.slots
+        now_s = asyncio.get_running_loop().time()
+        slow_s = self.times.expected_s(target.host, now_s)
+        taken += SLOW_LOAD_PER_S * slow_s * target.slots
         return Load(taken, target.slots)
 
     # -- questions -------------------------------------------------------
@@ -164,7 +170,7 @@
         asked_s = asyncio.get_running_loop().time()
         self.asked[host] += 1
         try:
-            return await self.verdict(link, question)
+            return await self.verdict(link, host, question)
         except WisteriapulleyError as error:
             log.info("sidecar of %s did not answer: %s", target.target_id, error)
             if link.last_received <= asked_s:
@@ -179,33 +185,37 @@
             self.asked[host] -= 1
 
     async def verdict(
-        self, link: Link, question: messages.Reserve
+        self, link: Link, host: str, question: messages.Reserve
     ) -> messages.Reserved:
         """Send a question, and wait for the verdict.
 
         Raises
         ------
         WisteriapulleyError
-            Nothing came soon, or no verdict in time.
+            No word came soon, or no verdict in time.
         """
         call = link.call(question)
         try:
-            frame = await self.reply(link, call, question.wait_ms / 1000)
+            frame = await self.first_word(call, host)
+            raise_failure(frame)
+            if frame.message.queued:
+                frame = await call.reply(question.wait_ms / 1000 + ANSWER_S)
+                raise_failure(frame)
         finally:
             call.close()
-        raise_failure(frame)
         return frame.message
 
-    async def reply(self, link: Link, call: Call, wait_s: float) -> Frame:
-        """Wait for the reply as long as the link is not silent."""
-        asked_s = asyncio.get_running_loop().time()
+    async def first_word(self, call: Call, host: str) -> Frame:
+        """Wait for the first answer of a sidecar, and note how long it took."""
+        loop = asyncio.get_running_loop()
+        asked_s = loop.time()
         try:
-            return await call.reply(HEARD_S)
-        except WireError as error:
-            silent = link.last_received <= asked_s
-            if silent or error.code is not ResultCode.LINK_TIMEOUT:
-                raise
-        return await call.reply(max(0.0, wait_s - HEARD_S) + ANSWER_S)
+            frame = await call.reply(self.times.patience_s())
+        except WisteriapulleyError:
+            self.times.silent(host, loop.time())
+            raise
+        self.times.answered(host, loop.time() - asked_s, loop.time())
+        return frame
 
     def give_back(self, link: Link, request_id: str) -> None:
         """Tell a sidecar that a place is not needed any more."""
--- a/src/wisteriapulley/rollout/granting.py
+++ b/src/wisteriapulley/rollout/granting.py
@@ -169,7 +169,8 @@
         if not verdict.granted and not verdict.denied:
             self.queued.set()
             # Whoever asked takes a sidecar that says nothing for stalled.
-            link.beat()
+            queued = self.reserved(verdict)._replace(queued=True)
+            link.post(queued, reply_to=frame.id)
             verdict = await self.wait(message.request_id)
         if verdict.granted and link.closed.is_set():
             self.places.release(message.request_id, self.now_ms())
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -306,6 +306,7 @@
   running @3 :UInt32;
   waiting @4 :UInt32;
   closed @5 :Bool;
+  queued @6 :Bool;
 }
 struct Release { requestId @0 :Text; }
 struct HeldQuery { model @0 :Text; version @1 :UInt64; known @2 :UInt32; waitMs @3 :UInt32; }
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -516,7 +516,8 @@
     """Whether a place was granted, for requests on weights of `version`.
 
     Without a place, `retry_ms` says when one is likely; `closed` that the
-    target takes nothing now, whatever its load.
+    target takes nothing now, whatever its load; `queued` that the request waits
+    and another answer follows.
     """
 
     granted: bool = False
@@ -525,6 +526,7 @@
     running: int = 0
     waiting: int = 0
     closed: bool = False
+    queued: bool = False
 
 
 class Release(NamedTuple):
--- /dev/null
+++ b/tests/test_answer_times.py
@@ -0,0 +1,45 @@
+"""How long an entry waits for sidecars, some of them slow."""
+
+import random
+
+import pytest
+
+from wisteriapulley.policy.answer_times import HALF_S, LEAST_S, MOST_S, AnswerTimes
+
+
+@pytest.fixture
+def times():
+    """Return what an entry knows after some calm seconds."""
+    known, rng = AnswerTimes(), random.Random(1)
+    for n in range(200):
+        known.answered(f"h{n % 20}", 0.002 + 0.004 * rng.random(), 0.01 * n)
+    return known
+
+
+class TestAnswerTimes:
+    def test_next_one_is_asked_soon_where_answers_are_quick(self, times):
+        assert times.patience_s() == LEAST_S
+
+    def test_slow_fleet_is_waited_for(self, times):
+        """An entry whose own processor is busy must not give all of them up."""
+        for n in range(100):
+            times.silent(f"h{n % 20}", 2.0 + 0.01 * n)
+        assert times.patience_s() > 2 * LEAST_S
+        for n in range(100):
+            times.answered(f"h{n % 20}", 10.0, 4.0)
+        assert times.patience_s() == MOST_S
+
+    def test_one_slow_answer_counts_at_once_and_fades(self, times):
+        times.silent("h3", 2.0)
+        assert times.expected_s("h3", 2.0) == MOST_S
+        assert times.expected_s("h3", 2.0 + 2 * HALF_S) == pytest.approx(MOST_S / 4)
+        assert times.expected_s("h4", 2.0) < 0.01
+
+    def test_quick_answers_after_a_slow_one_count_slowly(self, times):
+        times.silent("h3", 2.0)
+        times.answered("h3", 0.003, 2.1)
+        assert times.expected_s("h3", 2.1) > MOST_S / 2
+
+    def test_unknown_and_forgotten_ones_are_not_slow(self, times):
+        times.forget("h3")
+        assert times.expected_s("h3", 2.0) == 0.0 == times.expected_s("new", 2.0)
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -4,7 +4,8 @@
 
 from tests.test_direct_dispatch import SETTINGS
 from wisteriapulley.direct.registry import TargetRegistry
-from wisteriapulley.direct.sidecars import HEARD_S, OPENING_STATE, Sidecars
+from wisteriapulley.direct.sidecars import OPENING_STATE, Sidecars
+from wisteriapulley.policy.answer_times import MOST_S
 from wisteriapulley.wire import Frame, messages
 from wisteriapulley.wire.call import Call
 from wisteriapulley.wire.handshake import Identity
@@ -12,14 +13,15 @@
 
 QUESTION = messages.Reserve("r", 100, 50, 1, 400)
 GRANT = messages.Reserved(True, 1)
+QUEUED = messages.Reserved(queued=True)
 IDENTITY = Identity("e", "entry", "z", 1, b"k" * 40)
 
 
 class FakeLink:
-    """A link whose far end answers, only says that it is alive, or is silent."""
+    """A link whose far end answers, queues, only beats, or is silent."""
 
-    def __init__(self, answer_s=None, alive_s=None):
-        self.answer_s, self.alive_s = answer_s, alive_s
+    def __init__(self, answer_s=None, alive_s=None, queued_s=None):
+        self.answer_s, self.alive_s, self.queued_s = answer_s, alive_s, queued_s
         self.last_received = 0.0
         self.closed = asyncio.Event()
         self.peer_heartbeat = messages.Heartbeat(state="open")
@@ -32,16 +34,18 @@
         loop = asyncio.get_running_loop()
         if self.alive_s is not None:
             loop.call_later(self.alive_s, self.heard)
+        if self.queued_s is not None:
+            loop.call_later(self.queued_s, self.answer, call, QUEUED)
         if self.answer_s is not None:
-            loop.call_later(self.answer_s, self.answer, call)
+            loop.call_later(self.answer_s, self.answer, call, GRANT)
         return call
 
     def heard(self):
         self.last_received = asyncio.get_running_loop().time()
 
-    def answer(self, call):
+    def answer(self, call, message):
         self.heard()
-        call.replies.put_nowait(Frame(1, 1, GRANT, b""))
+        call.replies.put_nowait(Frame(1, 1, message, b""))
 
     def post(self, message):
         self.posted.append(message)
@@ -95,7 +99,27 @@
             answer = await sidecars.ask(link, registry.targets["i-1"], QUESTION)
             assert answer == GRANT
 
-        play(scenario, alive_s=0.01, answer_s=2 * HEARD_S)
+        play(scenario, queued_s=0.01, answer_s=2 * MOST_S)
+
+    def test_heartbeat_does_not_stand_for_an_answer(self):
+        """Over a narrow link old heartbeats come while the question still waits."""
+
+        async def scenario(sidecars, link, registry):
+            assert await sidecars.ask(link, registry.targets["i-1"], QUESTION) is None
+            assert link.posted == [messages.Release("r")]
+
+        play(scenario, alive_s=0.01, answer_s=2 * MOST_S)
+
+    def test_slow_one_is_asked_after_busy_ones_that_answer(self):
+        """Of the requests placed at five such sidecars, all waited over 150 ms."""
+
+        async def scenario(sidecars, link, registry):
+            target = registry.targets["i-1"]
+            await sidecars.ask(link, target, QUESTION)
+            load = sidecars.load_of(target)
+            assert load.taken > load.slots
+
+        play(scenario, alive_s=0.01, answer_s=2 * MOST_S)
 
     def test_caller_that_left_gives_its_place_back(self):
         async def scenario(sidecars, link, registry):
