Ask an origin that is away once a second where another instance is to find it back

Cause: while the origin is away every control instance comes to ask it itself, one piece at a time but ten times a second; at its return five of them draw the same first pieces beside the one that all others take theirs from, over 4.4 Mbit/s. Ruled out: the time in which the return is seen (0.1 s), links between regions. Now they pause for a second.

--- a/src/wisteriapulley/weights/relay.py
+++ b/src/wisteriapulley/weights/relay.py
@@ -43,6 +43,9 @@
 # an instance that else takes them from another: it may be cut off from that one, or
 # that one from the origin. Far above a round through the instances between.
 STALLED_S = 2.5
+# An instance that else takes pieces from another asks an origin that is away no sooner
+# again: the first to find it back is then the one from which all others take theirs.
+SPARING_PAUSE_S = 1.0
 # The origin may hand out spoilt bytes and lose its connections.
 TRIES = 8
 # One more try costs a connection at most; the origin's return is found as soon.
@@ -85,7 +88,11 @@
 
 
 class Sparingly:
-    """Another holder, asked for one piece at a time."""
+    """Another holder, asked for one piece at a time, and seldom while it gives none.
+
+    Load: the origin is away while all instances wait for it. Harm prevented: at its
+    return each of them draws the same pieces over one narrow link.
+    """
 
     at_once = 1
 
@@ -100,7 +107,11 @@
 
     async def piece(self, model: str, version: int, position: int) -> bytes:
         """Return a piece, not verified."""
-        return await self.holder.piece(model, version, position)
+        try:
+            return await self.holder.piece(model, version, position)
+        except WisteriapulleyError:
+            await asyncio.sleep(SPARING_PAUSE_S)
+            raise
 
 
 async def held_over(link: Link, manifest: PieceManifest, known: int) -> frozenset[int]:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,6 +1,7 @@
 """When engines change versions, and what may serve meanwhile."""
 
 import asyncio
+import contextlib
 import hashlib
 
 import pytest
@@ -14,6 +15,7 @@
     turn_of,
 )
 from wisteriapulley.weights import relay as relay_module
+from wisteriapulley.weights.download import Download
 from wisteriapulley.weights.have import unpack_bitmap
 from wisteriapulley.weights.named import KEPT, NamedVersions
 from wisteriapulley.weights.pieces import PieceManifest
@@ -187,6 +189,27 @@
         # Each of five asked the origin itself for a tenth of its pieces at the most.
         assert len(direct.asked) <= 5 * 4
 
+    def test_it_is_asked_seldom_by_those_that_take_pieces_from_another(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(relay_module, "SPARING_PAUSE_S", 0.05)
+        origin = AwaySource(failures=10**6)
+
+        async def run():
+            relay = Relay(lambda: [origin])
+            manifest = await relay.manifest("m", 7)
+            sparingly = relay_module.Sparingly(origin)
+            download = Download(
+                manifest, range(40), lambda s: [sparingly], None, 4, 0.001
+            )
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await download.run()
+
+        asyncio.run(run())
+        # One question in each pause, and the first.
+        assert 1 <= 10**6 - origin.failures <= 0.2 / 0.05 + 1
+
     def test_goes_on_by_itself_at_its_return(self, monkeypatch):
         monkeypatch.setattr(relay_module, "RETRY_S", 0)
         monkeypatch.setattr(relay_module, "RETRY_ALL_S", 0)
