--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -119,12 +119,11 @@
         account = self.index.account(request.key) if request.key else None
         if account is None and self.index.table.needs_keys and not route.public:
             return self.not_in_table(RefusalKind.BAD_KEY, "unknown key")
+        # A caller that states no time, or too long a one, waits for the route's limit.
         limit_s = min(route.timeout_ms / 1000, request.patience_s)
-        returned = self.returning[route.name].has_returned(
-            request.patience_s, request.arrived_s
-        )
-        deadline_s = request.arrived_s + limit_s
-        return Admitted(request, route, account, deadline_s, returned)
+        arrived_s = request.arrived_s
+        returned = self.returning[route.name].has_returned(limit_s, arrived_s)
+        return Admitted(request, route, account, arrived_s + limit_s, returned)
 
     def not_in_table(self, kind: RefusalKind, reason: str) -> Refusal:
         """Refuse for good only by a table that a quorum has confirmed.
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -198,23 +198,48 @@
         assert caller.body == events(1, 3) and len(client.plans) == 1
 
 
+def dispatcher_without_targets(confirmed=True):
+    """Return a dispatcher that only admits, with one route to `/a/`."""
+    dispatcher = Dispatcher(
+        SETTINGS,
+        TargetRegistry(),
+        None,
+        None,
+        EntryMetrics(Metrics("e", "entry")),
+        lambda: confirmed,
+    )
+    split = (Split("s", 1),)
+    route = Route("r", "h", "/a/", RouteKind.STREAM, split, 6000, 400, 400, 1, 2)
+    table = RoutingTable(1, (route,), (Service("s"),), (Account("a", ("k",)),))
+    dispatcher.index = RouteIndex(table)
+    return dispatcher
+
+
+class TestReturnedCallers:
+    """Load: callers are refused on a route, and some of them come back."""
+
+    def admit(self, *patiences_s):
+        dispatcher = dispatcher_without_targets()
+        dispatcher.returning["r"].refused(0.0)
+        requests = (
+            CallerRequest("id", "POST", "/a/", "h", "/a/", (), b"", "k", 1.0, each)
+            for each in patiences_s
+        )
+        return [dispatcher.admit(request).returned for request in requests]
+
+    def test_known_by_the_time_that_they_state(self):
+        assert self.admit(6.0, 5.3, 4.4) == [False, False, True]
+
+    def test_caller_that_states_no_time_makes_no_other_one_late(self):
+        """It counts as waiting for the route's limit, not for half a minute."""
+        assert self.admit(30.0, 5.3) == [False, False]
+
+
 class TestTableNotConfirmed:
     """An entry that just started may hold a table older than the one in force."""
 
     def admit(self, confirmed, path, key):
-        dispatcher = Dispatcher(
-            SETTINGS,
-            TargetRegistry(),
-            None,
-            None,
-            EntryMetrics(Metrics("e", "entry")),
-            lambda: confirmed,
-        )
-        split = (Split("s", 1),)
-        route = Route("r", "h", "/a/", RouteKind.STREAM, split, 6000, 400, 400, 1, 2)
-        table = RoutingTable(1, (route,), (Service("s"),), (Account("a", ("k",)),))
-        dispatcher.index = RouteIndex(table)
-        return dispatcher.admit(
+        return dispatcher_without_targets(confirmed).admit(
             CallerRequest("id", "POST", path, "h", path, (), b"", key, 0.0, 5.0)
         )
 
