Take only a timeout for a slow sidecar, not a link that closes

Cause, read and not played: a sidecar that starts again closes its links, and was then asked last for some seconds though its engine had all places free. The new test fails without the change.

--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -7,7 +7,7 @@
 
 from wisteriapulley.direct.registry import Target, TargetRegistry
 from wisteriapulley.direct.settings import DirectSettings
-from wisteriapulley.errors import WisteriapulleyError
+from wisteriapulley.errors import ResultCode, WisteriapulleyError
 from wisteriapulley.policy.answer_times import AnswerTimes
 from wisteriapulley.policy.choice import Load
 from wisteriapulley.policy.subset import Member, SubsetLimits, choose_subset
@@ -211,8 +211,9 @@
         asked_s = loop.time()
         try:
             frame = await call.reply(self.times.patience_s())
-        except WisteriapulleyError:
-            self.times.silent(host, loop.time())
+        except WisteriapulleyError as error:
+            if error.code is ResultCode.LINK_TIMEOUT:
+                self.times.silent(host, loop.time())
             raise
         self.times.answered(host, loop.time() - asked_s, loop.time())
         return frame
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -27,6 +27,17 @@
     return folder
 
 
+def run_code(checkout, code):
+    """Run some lines as a daemon's start would, in a built checkout."""
+    subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        cwd=checkout,
+        env={"PATH": os.environ["PATH"], "PYTHONPATH": "target/deps"},
+        check=True,
+        timeout=BUILD_S,
+    )
+
+
 class TestDeployFile:
     def test_roles(self):
         roles = DEPLOY["roles"]
@@ -97,13 +108,7 @@
             "context = ssl.create_default_context()\n"
             "assert context.cert_store_stats()['x509_ca'] == 0\n"
         )
-        subprocess.run(
-            [sys.executable, "-S", "-c", code],
-            cwd=checkout,
-            env={"PATH": os.environ["PATH"], "PYTHONPATH": "target/deps"},
-            check=True,
-            timeout=BUILD_S,
-        )
+        run_code(checkout, code)
 
     def test_entry_that_waits_for_its_turn_has_imported_little(self, checkout):
         """It shares its processor with the control instance that all wait for."""
@@ -113,13 +118,7 @@
             "import wisteriapulley.platform.daemons\n"
             "assert not {'asyncio', 'aiohttp', 'aiomisc', 'capnp'} & set(sys.modules)\n"
         )
-        subprocess.run(
-            [sys.executable, "-S", "-c", code],
-            cwd=checkout,
-            env={"PATH": os.environ["PATH"], "PYTHONPATH": "target/deps"},
-            check=True,
-            timeout=BUILD_S,
-        )
+        run_code(checkout, code)
 
     def test_second_build_installs_nothing(self, checkout):
         stamp = (checkout / "target" / "deps").stat().st_mtime_ns
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -5,6 +5,7 @@
 from tests.test_direct_dispatch import SETTINGS
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.sidecars import OPENING_STATE, Sidecars
+from wisteriapulley.errors import ResultCode, WireError
 from wisteriapulley.policy.answer_times import MOST_S
 from wisteriapulley.wire import Frame, messages
 from wisteriapulley.wire.call import Call
@@ -110,6 +111,20 @@
 
         play(scenario, alive_s=0.01, answer_s=2 * MOST_S)
 
+    def test_link_that_closes_tells_nothing_of_how_quick_the_next_is(self):
+        """A sidecar that has just started again has places, and is not slow."""
+
+        async def scenario(sidecars, link, registry):
+            target = registry.targets["i-1"]
+            asking = asyncio.create_task(sidecars.ask(link, target, QUESTION))
+            await asyncio.sleep(0)
+            closed = WireError(ResultCode.LINK_CLOSED, "sidecar")
+            link.calls[1].replies.put_nowait(closed)
+            assert await asking is None
+            assert sidecars.load_of(target).taken == 0
+
+        play(scenario)
+
     def test_slow_one_is_asked_after_busy_ones_that_answer(self):
         """Of the requests placed at five such sidecars, all waited over 150 ms."""
 
