--- a/src/wisteriapulley/policy/answer_times.py
+++ b/src/wisteriapulley/policy/answer_times.py
@@ -6,6 +6,8 @@
 that waits for them has spent its objective when the next one is asked.
 """
 
+from typing import NamedTuple
+
 # Gains of the mean and of the deviation, and deviations to wait: as TCP's
 # retransmission timer has them (RFC 6298).
 MEAN_GAIN = 0.125
@@ -21,7 +23,7 @@
 HALF_S = 3.0
 
 
-class Slow:
+class Slow(NamedTuple):
     """The slowest answer of one sidecar, as it fades.
 
     Attributes
@@ -32,11 +34,8 @@
         When it was noted.
     """
 
-    __slots__ = ("noted_s", "took_s")
-
-    def __init__(self, took_s: float, noted_s: float):
-        self.took_s = took_s
-        self.noted_s = noted_s
+    took_s: float
+    noted_s: float
 
     def now(self, now_s: float) -> float:
         """Return what is left of it."""
