Move the balancer's listener and the closing of idle connections out of the adapter

Both know nothing of the platform but a path, which is passed in. Behaviour as before; the tests call the function where it stands now, their checks are unchanged.

--- a/src/wisteriapulley/platform/daemons.py
+++ b/src/wisteriapulley/platform/daemons.py
@@ -53,17 +53,18 @@
 def new_entry(settings: PlatformSettings, key_file: str) -> "aiomisc.Service":
     """Make an entry."""
     from wisteriapulley.direct.service import DirectEntryService
+    from wisteriapulley.platform import names
     from wisteriapulley.platform.http import HttpClient
     from wisteriapulley.platform.ingress import Ingress
-    from wisteriapulley.platform.readiness import ReadinessCall
     from wisteriapulley.platform.target_client import HttpTargetClient
+    from wisteriapulley.readiness import ReadinessCall
 
     class PlatformEntry(DirectEntryService):
         """An entry that also answers the balancer."""
 
         async def start(self) -> None:
             """Listen for the balancer, then start."""
-            self.readiness = ReadinessCall(self.is_ready)
+            self.readiness = ReadinessCall(names.READY_CALL, self.is_ready)
             await self.readiness.start(self.settings.ready_listen)
             await super().start()
 
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -14,6 +14,7 @@
     RefusalKind,
 )
 from wisteriapulley.errors import ResultCode, SettingsError
+from wisteriapulley.idle_connections import close_idle
 from wisteriapulley.platform import names
 from wisteriapulley.settings import Address
 
@@ -187,31 +188,10 @@
         until_s = loop.time() + most_s
         await asyncio.sleep(listen_s)
         await self.site.stop()
-        self.close_idle()
+        close_idle(self.server, self.active)
         while self.active and loop.time() < until_s:
             await asyncio.sleep(0.05)
 
-    def close_idle(self) -> None:
-        """Close connections without a request; others close after their answer.
-
-        The library only ends the task of an idle connection and leaves it open:
-        what a caller still sends on it would be read by nobody.
-        """
-        for connection in self.server.connections:
-            idle = self.is_idle(connection)
-            connection.close()
-            if idle and connection.transport is not None:
-                connection.transport.close()
-
-    def is_idle(self, connection: web.RequestHandler) -> bool:
-        """Tell whether a connection waits for a request.
-
-        One whose request is parsed, but not yet handled, waits no more.
-        """
-        waiter = connection._waiter
-        waits = waiter is not None and not waiter.done()
-        return waits and connection not in self.active
-
     async def stop(self) -> None:
         """Close all connections."""
         if self.runner is not None:
--- a/src/wisteriapulley/platform/readiness.py
+++ b/src/wisteriapulley/readiness.py
@@ -1,17 +1,25 @@
-"""Answers the platform's balancer."""
+"""A listener that tells a balancer whether work may come."""
 
 from collections.abc import Callable
 
 from aiohttp import web
 
-from wisteriapulley.platform import names
 from wisteriapulley.settings import Address
 
 
 class ReadinessCall:
-    """Answers the balancer's question."""
-
-    def __init__(self, is_ready: Callable[[], bool]):
+    """Answers the balancer's question.
+
+    Parameters
+    ----------
+    path : str
+        What the balancer asks for.
+    is_ready : callable
+        Tells whether work may come.
+    """
+
+    def __init__(self, path: str, is_ready: Callable[[], bool]):
+        self.path = path
         self.is_ready = is_ready
         self.runner: web.ServerRunner | None = None
 
@@ -26,7 +34,7 @@
 
     async def answer(self, request: web.BaseRequest) -> web.Response:
         """Answer 200 while ready, else 503."""
-        if request.path != names.READY_CALL:
+        if request.path != self.path:
             return web.Response(status=404)
         return web.Response(status=200 if self.is_ready() else 503)
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from wisteriapulley.idle_connections import close_idle
 from wisteriapulley.platform.ingress import Ingress
 from wisteriapulley.settings import Address
 
@@ -45,7 +46,7 @@
 class TestCloseIdle:
     def test_idle_connection_is_closed(self):
         async def scenario(ingress, served, reader, writer):
-            ingress.close_idle()
+            close_idle(ingress.server, ingress.active)
             assert await reader.read() == b""
 
         play(scenario)
@@ -59,7 +60,7 @@
                 await asyncio.sleep(0.001)
             connection.data_received(REQUEST)
             ingress.closing = True
-            ingress.close_idle()
+            close_idle(ingress.server, ingress.active)
             answer = await reader.read()
             assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"ok")
             assert b"connection: close" in answer.lower()
