Say what the rule of returned callers can't tell, and reword two comments

Found on a last reading of the change: the module claimed to know returned callers however much new ones differ, which its own last caveat contradicts; a comment on the origin's pause was hard to follow, and a test's docstring gave a measured figure.

--- a/src/wisteriapulley/policy/returning.py
+++ b/src/wisteriapulley/policy/returning.py
@@ -7,7 +7,9 @@
 
 Nobody says who was refused: another entry did it, and each attempt has its own id.
 But `policy.comeback` sends a caller away for a known share of what it had left, so
-that it states less time than any new caller does, however much these differ.
+that it states less time than new callers do, as long as these differ by less than that
+share. One that waits for much less than others of its route counts as returned while
+callers are refused there.
 """
 
 from wisteriapulley.policy.comeback import LEAST_SHARE
--- a/src/wisteriapulley/weights/relay.py
+++ b/src/wisteriapulley/weights/relay.py
@@ -43,8 +43,8 @@
 # an instance that else takes them from another: it may be cut off from that one, or
 # that one from the origin. Far above a round through the instances between.
 STALLED_S = 2.5
-# An instance that else takes pieces from another asks an origin that is away no sooner
-# again: the first to find it back is then the one from which all others take theirs.
+# An instance that takes its pieces from another waits so long before it asks an origin
+# again that gave none: the one that all others take theirs from finds it back first.
 SPARING_PAUSE_S = 1.0
 # The origin may hand out spoilt bytes and lose its connections.
 TRIES = 8
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -126,7 +126,7 @@
         play(scenario)
 
     def test_slow_one_is_asked_after_busy_ones_that_answer(self):
-        """Of the requests placed at five such sidecars, all waited over 150 ms."""
+        """Load: a narrow link, whose sidecar still tells of the low load it had."""
 
         async def scenario(sidecars, link, registry):
             target = registry.targets["i-1"]
