Wake for the note of a commit, and let its tests wait for the note

The note of a commit is written by a turn of the driver after 100 ms; an idle instance's next turn may come up to 100 ms after that. The test gave it 150 ms. Ruled out: the second start; it applies what the note says in its first turn, before anything is awaited.

Change: the driver wakes when the note is due (the fault in the product: a stop within 0.2 s lost the note, where 0.1 s was meant). The two tests that slept 150 ms wait until the note is on the disk; what they check afterwards is unchanged, and the time is now checked by itself, without a clock (fails before: the driver would sleep 8 s).

--- a/src/wisteriapulley/control/driver.py
+++ b/src/wisteriapulley/control/driver.py
@@ -188,9 +188,18 @@
         deadline_ms = (
             replica.next_beat_ms if replica.is_leader else (replica.election_at_ms)
         )
+        if self.owes_note:
+            # Without this an idle instance notes a commit only at its next tick,
+            # up to IDLE_S late, and a stop until then loses the note.
+            deadline_ms = min(deadline_ms, self.next_note_ms)
         pause_s = (deadline_ms - steady_ms()) / 1000
         return min(max(pause_s, TICK_S), IDLE_S)
 
+    @property
+    def owes_note(self) -> bool:
+        """Whether more is applied than the disk's note says is committed."""
+        return self.replica.applied_index > self.storage.committed
+
     async def run(self) -> None:
         """Take effects one batch at a time: sync, send, apply.
 
@@ -336,12 +345,11 @@
 
     async def note_committed(self) -> None:
         """Note on the disk how far the log is committed, but not each time."""
-        applied = self.replica.applied_index
         now_ms = steady_ms()
-        if applied <= self.storage.committed or now_ms < self.next_note_ms:
+        if not self.owes_note or now_ms < self.next_note_ms:
             return
         self.next_note_ms = now_ms + NOTE_EVERY_MS
-        await self.on_disk(self.storage.note_committed, applied)
+        await self.on_disk(self.storage.note_committed, self.replica.applied_index)
 
     async def compact_if_due(self) -> None:
         """Replace the log by a snapshot when it has outgrown the state.
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -68,6 +68,11 @@
             await asyncio.sleep(0.01)
         return driver
 
+    async def noted(self):
+        """Wait until the disk's note says that all that is applied is committed."""
+        while self.driver.storage.committed < self.driver.replica.applied_index:
+            await asyncio.sleep(0.01)
+
 
 real_open = Storage.open
 
@@ -170,7 +175,7 @@
         async def run():
             driver = await alone.start()
             await driver.propose(command(1))
-            await asyncio.sleep(0.15)
+            await alone.noted()
             alone.files.full = True
             await self.refused(driver, 2)
             await driver.stop()
@@ -253,11 +258,30 @@
         asyncio.run(run())
         assert [error.code for error in alone.fatal] == [code]
 
+    def test_note_of_a_commit_is_not_left_to_the_next_idle_tick(
+        self, alone, monkeypatch
+    ):
+        """An instance that is killed after a tenth of a second has its note."""
+        monkeypatch.setattr(driver_module, "IDLE_S", 30.0)
+        monkeypatch.setattr(driver_module, "steady_ms", lambda: 1000.0)
+
+        async def run():
+            driver = alone.open()
+            driver.replica.election_at_ms = 9000.0
+            assert driver.pause_s() == 8.0
+            driver.replica.applied_index = driver.storage.committed + 1
+            driver.next_note_ms = 1000.0 + driver_module.NOTE_EVERY_MS
+            due_s = driver.pause_s()
+            await driver.stop()
+            return due_s
+
+        assert asyncio.run(run()) == driver_module.NOTE_EVERY_MS / 1000
+
     def test_record_of_a_stopped_instance_is_known_at_its_start(self, alone):
         async def run():
             driver = await alone.start()
             await driver.propose(command(1))
-            await asyncio.sleep(0.15)
+            await alone.noted()
             await driver.stop()
 
         asyncio.run(run())
