Fetch a new engine's weights while it still starts; read pieces back in eights

Cause: engines added at 5.0 s hold their copy 6.3 s after their sidecar has its word of the version, where the link takes 5.2 s. Reading 96 pieces back one after another takes 38 to 46 ms, twice on a way.

Ruled out: the link (5.5 s a copy from the first piece to the last); the verification as a main part.

Change: a sidecar whose engine never answered yet fetches the pieces, if a control instance holds all of them, and puts them there once the engine takes them; at most 16 MiB wait in memory. A question how much is held no longer makes the instance draw. Pieces are read back eight at a time.

--- a/src/wisteriapulley/rollout/changing.py
+++ b/src/wisteriapulley/rollout/changing.py
@@ -167,7 +167,7 @@
         manifest = await self.staging.manifest(goal.model, goal.version)
         log.info("copy begins", extra=fields(version=manifest.version))
         self.manifest = manifest
-        await self.staging.look(manifest)
+        await self.staging.prepare(manifest)
         self.expect_opening(manifest)
         await self.staging.copy(manifest)
         log.info("copy is whole", extra=fields(version=manifest.version))
--- a/src/wisteriapulley/rollout/staging.py
+++ b/src/wisteriapulley/rollout/staging.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from wisteriapulley.errors import ResultCode, WeightsError, WisteriapulleyError
@@ -38,6 +38,13 @@
 # Pieces that are copied at the same time: their parts keep a link of 3.8 Mbit/s busy
 # over a round trip of some milliseconds, and a live request waits behind two at most.
 IN_FLIGHT = 2
+# An engine that has not started yet is asked again after so long, and this much of its
+# copy is held in memory meanwhile.
+ENGINE_PAUSE_S = 0.2
+MOST_AHEAD_BYTES = 16 << 20
+# Pieces that are read back at the same time: the engine is on the same instance, and
+# most of the time goes into waiting for its answers.
+READ_AT_ONCE = 8
 # Times that a whole copy is verified and mended before it is begun anew.
 MOST_PASSES = 5
 
@@ -149,7 +156,9 @@
         self.pace = pace
         self.digests: dict[int, bytes] = {}
         self.model = ""
+        # Whether it is known what lies there, and whether it ever was.
         self.known = False
+        self.answered = False
         self.done_share = 0.0
         # The copy in progress.
         self.download: Download | None = None
@@ -200,10 +209,46 @@
             return
         self.model = manifest.model
         self.digests = {}
-        for position in sorted(await self.engine.staged(manifest.model)):
-            if position < len(manifest.digests):
-                await self.check(manifest, position)
-        self.known = True
+        staged = await self.engine.staged(manifest.model)
+        total = len(manifest.digests)
+        await self.check_all(manifest, [p for p in sorted(staged) if p < total])
+        self.known = self.answered = True
+
+    async def prepare(self, manifest: PieceManifest) -> None:
+        """Learn what lies there, unless a new engine can't tell yet.
+
+        Load: engines are added while the traffic steps up, and each starts a second
+        after its sidecar. Gain: its copy begins meanwhile, where a control instance
+        holds all of it and so draws nothing more from the origin.
+
+        Raises
+        ------
+        WisteriapulleyError
+            The engine does not answer, and nothing is to be fetched ahead.
+        """
+        try:
+            await self.look(manifest)
+        except WisteriapulleyError as error:
+            if self.answered:
+                raise
+            if await self.held_share(manifest.model, manifest.version) < 1:
+                raise
+            log.info("pieces are fetched ahead of the engine: %s", error)
+
+    async def check_all(
+        self, manifest: PieceManifest, positions: Sequence[int]
+    ) -> list[int]:
+        """Read pieces back, some at a time; return those that are not as they should.
+
+        Load: a restart of all engines, whose pieces lie beside them. Nobody is served
+        until they are read back.
+        """
+        bad: list[int] = []
+        for first in range(0, len(positions), READ_AT_ONCE):
+            batch = positions[first : first + READ_AT_ONCE]
+            fits = await asyncio.gather(*(self.check(manifest, p) for p in batch))
+            bad += [p for p, is_good in zip(batch, fits, strict=True) if not is_good]
+        return bad
 
     async def check(self, manifest: PieceManifest, position: int) -> bool:
         """Read a piece back; tell whether it is the manifest's."""
@@ -222,27 +267,63 @@
     async def copy(self, manifest: PieceManifest) -> None:
         """Copy what is missing, from whichever instance holds it."""
         self.done_share = 0.0
-        await self.look(manifest)
+        await self.prepare(manifest)
+        self.note_done(manifest)
         missing = self.missing(manifest)
-        total = max(1, len(manifest.digests))
-        self.done_share = 1 - len(missing) / total
         if not missing:
             return
+        ahead = max(1, MOST_AHEAD_BYTES // max(1, manifest.chunk_bytes))
+        fetched: asyncio.Queue[tuple[int, bytes]] = asyncio.Queue(ahead)
 
-        async def stage(position: int, data: bytes) -> None:
-            self.digests.pop(position, None)
-            await self.engine.stage(manifest.model, position, data)
-            self.digests[position] = manifest.digests[position]
-            self.done_share = 1 - len(self.missing(manifest)) / total
+        async def keep(position: int, data: bytes) -> None:
+            await fetched.put((position, data))
 
         self.download = Download(
-            manifest, missing, self.holders, stage, IN_FLIGHT, RETRY_S
+            manifest, missing, self.holders, keep, IN_FLIGHT, RETRY_S
+        )
+        staging = asyncio.get_running_loop().create_task(
+            self.stage_all(manifest, fetched)
         )
         try:
             await self.download.run()
+            await staging
         finally:
+            staging.cancel()
             self.download = None
-        self.done_share = 1.0
+
+    async def stage_all(self, manifest: PieceManifest, fetched: asyncio.Queue) -> None:
+        """Put fetched pieces there, once the engine takes them, until none lacks."""
+        while not self.known:
+            try:
+                await self.look(manifest)
+            except WisteriapulleyError:
+                # Logged by `prepare`; the pieces wait here meanwhile.
+                await asyncio.sleep(ENGINE_PAUSE_S)
+        missing = self.missing(manifest)
+        self.download.keep_only(missing)
+        while missing:
+            position, data = await fetched.get()
+            if position in missing:
+                await self.stage(manifest, position, data)
+                missing = self.missing(manifest)
+
+    async def stage(self, manifest: PieceManifest, position: int, data: bytes) -> None:
+        """Put one piece there, however often that takes."""
+        self.digests.pop(position, None)
+        while True:
+            try:
+                await self.engine.stage(manifest.model, position, data)
+                break
+            except WisteriapulleyError as error:
+                log.info("piece not taken: %s", error)
+            await asyncio.sleep(RETRY_S)
+        self.digests[position] = manifest.digests[position]
+        self.note_done(manifest)
+
+    def note_done(self, manifest: PieceManifest) -> None:
+        """Note how much of a copy is there."""
+        total = max(1, len(manifest.digests))
+        self.done_share = 1 - len(self.missing(manifest)) / total
 
     def holders(self, stalled_s: float) -> list[PieceHolder]:
         """Return the control instances to copy from: others only while near ones fail.
@@ -264,11 +345,7 @@
             CHUNK_CORRUPTED: pieces turn bad again and again.
         """
         for _ in range(MOST_PASSES):
-            bad = [
-                position
-                for position in range(len(manifest.digests))
-                if not await self.check(manifest, position)
-            ]
+            bad = await self.check_all(manifest, range(len(manifest.digests)))
             if not bad:
                 return
             log.warning(
--- a/src/wisteriapulley/weights/download.py
+++ b/src/wisteriapulley/weights/download.py
@@ -144,6 +144,12 @@
                 for source in self.sources.values():
                     source.watching.cancel()
 
+    def keep_only(self, missing: Iterable[int]) -> None:
+        """Leave out pieces that are missing no more."""
+        wanted = set(missing)
+        self.missing = {p: None for p in self.missing if p in wanted}
+        self.news.set()
+
     def stalled_s(self) -> float:
         """Return the seconds since a piece last came."""
         return steady_s() - self.came_s
--- a/src/wisteriapulley/weights/relay.py
+++ b/src/wisteriapulley/weights/relay.py
@@ -336,10 +336,11 @@
     async def held_soon(self, query: messages.HeldQuery) -> messages.Held:
         """Return which pieces are held once they are more than are known.
 
-        Whoever asks wants them all: they are fetched, unless a newer version is.
+        Whoever waits for more wants them all: they are fetched, unless a newer
+        version is. One that does not wait only looks.
         """
         held = self.held(query.model, query.version)
-        if held.pieces < held.total or not held.total:
+        if query.wait_ms and (held.pieces < held.total or not held.total):
             self.prefetch(query.model, query.version)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(query.wait_ms / 1000):
