Let only the look ahead of a new engine leave a version undrawn

Cause: found on reading again. There no question with no time to wait made an instance fetch what it lacks. But sidecars that weigh a newer version against the one they copy ask just so, and without it nobody draws the newer one until the older copies have ended.

Change: the question says whether it only looks (`HeldQuery.only_looks`); only the look ahead of a new engine does. The driver also sleeps as before while its disk is full and its note can't be written.

Test: a version that is weighed against another is drawn (fails before: nothing is prefetched); a look draws nothing.

--- a/src/wisteriapulley/control/driver.py
+++ b/src/wisteriapulley/control/driver.py
@@ -188,7 +188,7 @@
         deadline_ms = (
             replica.next_beat_ms if replica.is_leader else (replica.election_at_ms)
         )
-        if self.owes_note:
+        if self.owes_note and not self.suspended:
             # Without this an idle instance notes a commit only at its next tick,
             # up to IDLE_S late, and a stop until then loses the note.
             deadline_ms = min(deadline_ms, self.next_note_ms)
--- a/src/wisteriapulley/rollout/staging.py
+++ b/src/wisteriapulley/rollout/staging.py
@@ -179,16 +179,27 @@
         frame = await self.ask(query, MANIFEST_S)
         return PieceManifest(*frame.message)
 
-    async def held_share(self, model: str, version: int) -> float:
-        """Return how much of a version the nearest control instance holds."""
+    async def held_share(
+        self, model: str, version: int, only_looks: bool = False
+    ) -> float:
+        """Return how much of a version the nearest control instance holds.
+
+        It fetches what it lacks, unless the question `only_looks`.
+        """
+        query = messages.HeldQuery(model, version, only_looks=only_looks)
         try:
-            frame = await self.ask(messages.HeldQuery(model, version), PART_S)
+            frame = await self.ask(query, PART_S)
         except WisteriapulleyError as error:
             log.info("not known how much is held: %s", error)
             return 0.0
         held: messages.Held = frame.message
         return held.pieces / held.total if held.total else 0.0
 
+    async def is_held(self, manifest: PieceManifest) -> bool:
+        """Tell whether a control instance holds a whole version already."""
+        share = await self.held_share(manifest.model, manifest.version, only_looks=True)
+        return share == 1
+
     async def ask(self, query: tuple, limit_s: float):
         """Ask one control instance after another."""
         failure: WisteriapulleyError | None = None
@@ -231,7 +242,7 @@
         except WisteriapulleyError as error:
             if self.answered:
                 raise
-            if await self.held_share(manifest.model, manifest.version) < 1:
+            if not await self.is_held(manifest):
                 raise
             log.info("pieces are fetched ahead of the engine: %s", error)
 
--- a/src/wisteriapulley/weights/relay.py
+++ b/src/wisteriapulley/weights/relay.py
@@ -336,11 +336,12 @@
     async def held_soon(self, query: messages.HeldQuery) -> messages.Held:
         """Return which pieces are held once they are more than are known.
 
-        Whoever waits for more wants them all: they are fetched, unless a newer
-        version is. One that does not wait only looks.
+        Whoever asks wants them all, unless it only looks: they are fetched, but not
+        in place of a newer version.
         """
         held = self.held(query.model, query.version)
-        if query.wait_ms and (held.pieces < held.total or not held.total):
+        is_whole = held.total and held.pieces == held.total
+        if not (is_whole or query.only_looks):
             self.prefetch(query.model, query.version)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(query.wait_ms / 1000):
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -309,5 +309,5 @@
   queued @6 :Bool;
 }
 struct Release { requestId @0 :Text; }
-struct HeldQuery { model @0 :Text; version @1 :UInt64; known @2 :UInt32; waitMs @3 :UInt32; }
+struct HeldQuery { model @0 :Text; version @1 :UInt64; known @2 :UInt32; waitMs @3 :UInt32; onlyLooks @4 :Bool; }
 struct Held { pieces @0 :UInt32; total @1 :UInt32; bitmap @2 :Data; }
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -538,13 +538,15 @@
 class HeldQuery(NamedTuple):
     """Ask a control instance which pieces of a version of weights it holds.
 
-    It answers once it holds more than `known`, or after `wait_ms`.
+    It answers once it holds more than `known`, or after `wait_ms`, and fetches what it
+    lacks, unless the sender `only_looks`.
     """
 
     model: str = ""
     version: int = 0
     known: int = 0
     wait_ms: int = 0
+    only_looks: bool = False
 
 
 class Held(NamedTuple):
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -74,6 +74,28 @@
 
         serve(scenario)
 
+    def test_version_that_is_weighed_against_another_is_drawn(self):
+        """Load: a second version is named while sidecars still copy the first."""
+
+        async def scenario(server, origin):
+            await ask_manifest(server)
+            query, link = messages.HeldQuery("m", 7), FakeLink()
+            await server.answer_held(query, link, Frame(2, 0, query, b""))
+            await server.relay.prefetching["m"][1]
+            assert len(server.relay.pieces) == 40
+
+        serve(scenario)
+
+    def test_question_that_only_looks_draws_nothing(self):
+        async def scenario(server, origin):
+            await ask_manifest(server)
+            query, link = messages.HeldQuery("m", 7, only_looks=True), FakeLink()
+            await server.answer_held(query, link, Frame(2, 0, query, b""))
+            assert link.posted[0].pieces == 0
+            assert not server.relay.prefetching
+
+        serve(scenario)
+
     def test_pieces_are_drawn_ahead_of_newcomers(self, monkeypatch):
         monkeypatch.setattr(pieces_module, "DRAW_AHEAD_S", 0.0)
 
