Put heartbeats off between entries and sidecars while other frames go

Ruled out: longer intervals, which lengthen the time until a silent peer is found; sparing on links to control instances, whose followers ask again at each heartbeat for what they lack.

Change: between entries and sidecars a heartbeat with nothing new is due one interval after the last frame, whatever it was. A link is never silent for longer than before.

--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -79,10 +79,15 @@
                 self.handle,
                 messages.Heartbeat,
                 self.settings,
+                self.link_opened,
             )
             self.keepers[host] = keeper
             keeper.start()
 
+    async def link_opened(self, link: Link) -> None:
+        """Spare heartbeats where questions go anyway."""
+        link.sparing = True
+
     def hosts_of(self, service: str) -> list[str]:
         """Return the hosts of the targets to ask for places of a service."""
         members = {
--- a/src/wisteriapulley/rollout/granting.py
+++ b/src/wisteriapulley/rollout/granting.py
@@ -201,6 +201,10 @@
         self.advance()
         self.beat_soon()
 
+    def link_opened(self, link: Link) -> None:
+        """Spare heartbeats where entries are told of loads and places anyway."""
+        link.sparing = True
+
     def link_closed(self, link: Link) -> None:
         """Take back what an entry held that is gone."""
         self.places.release_owner(owner_of(link))
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -83,6 +83,7 @@
             settings.silence_ms,
         )
         self.granting.server = self.server
+        self.server.on_open = self.granting.link_opened
         self.server.on_close = self.granting.link_closed
         await self.http.start(settings.http_listen)
         await self.server.start(settings.wire_listen)
--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -41,6 +41,12 @@
         Awaited with each frame that is no reply.
     heartbeat : callable
         Makes the heartbeat to send.
+
+    Attributes
+    ----------
+    sparing : bool
+        Whether a heartbeat with nothing new is put off after other frames. Only for
+        peers that take no heartbeat as an occasion to act.
     """
 
     def __init__(self, handler: Handler, heartbeat: Callable[[], Heartbeat]):
@@ -62,6 +68,8 @@
         self.closed = asyncio.Event()
         self.reason: WireError | None = None
         self.last_received = 0.0
+        self.sparing = False
+        self.last_sent = 0.0
         self.bytes_sent = 0
         self.bytes_received = 0
         self.late_replies = 0
@@ -217,6 +225,7 @@
     def write(self, data: bytes) -> None:
         """Send encoded bytes."""
         self.transport.write(data)
+        self.last_sent = asyncio.get_running_loop().time()
         self.bytes_sent += len(data)
 
     def write_buffer_bytes(self) -> int:
@@ -309,10 +318,21 @@
                 )
             )
             return
-        self.beat()
-        self.beating = loop.call_later(
-            heartbeat_s, self.beat_again, heartbeat_s, silence_s
-        )
+        pause_s = self.spared_s(heartbeat_s)
+        if pause_s <= 0:
+            self.beat()
+            pause_s = heartbeat_s
+        self.beating = loop.call_later(pause_s, self.beat_again, heartbeat_s, silence_s)
+
+    def spared_s(self, heartbeat_s: float) -> float:
+        """Return for how long no heartbeat is needed, in seconds.
+
+        Load: an entry and a sidecar that exchange some frames a second. Any of them
+        is a sign of life, so heartbeats besides only cost processor time.
+        """
+        if not self.sparing or self.heartbeat() != self.told_heartbeat:
+            return 0.0
+        return self.last_sent + heartbeat_s - asyncio.get_running_loop().time()
 
     def beat(self) -> None:
         """Send a heartbeat now: what is new of it, or a header alone."""
