--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -113,6 +113,18 @@
             asyncio.run(run())
         assert caught.value.code == ResultCode.AUTHENTICATION_FAILED
 
+    def play(self, scenario):
+        """Play a scenario on a link that has just been opened."""
+
+        async def run():
+            server, link = await self.pair(None)
+            link.beat()
+            await scenario(link)
+            link.close()
+            await server.stop()
+
+        asyncio.run(run())
+
     def beaten(self, link, sent_s_ago):
         """Return the bytes of a regular heartbeat, long or short after a frame."""
         link.last_sent = asyncio.get_running_loop().time() - sent_s_ago
@@ -121,45 +133,33 @@
         return link.bytes_sent - before
 
     def test_sparing_link_beats_only_when_it_is_quiet_or_has_news(self):
-        async def run():
-            server, link = await self.pair(None)
+        async def scenario(link):
             link.sparing = True
-            link.beat()
             assert self.beaten(link, sent_s_ago=1800.0) == 0
             assert self.beaten(link, sent_s_ago=3600.0) == codec.HEADER.size
             link.heartbeat = lambda: messages.Heartbeat(7)
             assert self.beaten(link, sent_s_ago=1800.0) > codec.HEADER.size
-            link.close()
-            await server.stop()
 
-        asyncio.run(run())
+        self.play(scenario)
 
     def test_next_beat_of_a_sparing_link_follows_its_last_frame(self):
         """However busy it is, it is never silent for longer than an interval."""
 
-        async def run():
-            server, link = await self.pair(None)
+        async def scenario(link):
             link.sparing = True
-            link.beat()
             assert self.beaten(link, sent_s_ago=1800.0) == 0
-            loop = asyncio.get_running_loop()
-            assert link.beating.when() - loop.time() <= 1800.0
-            link.close()
-            await server.stop()
+            due_s = link.beating.when() - asyncio.get_running_loop().time()
+            assert due_s <= 1800.0
 
-        asyncio.run(run())
+        self.play(scenario)
 
     def test_other_links_beat_however_busy_they_are(self):
         """Followers ask again for what they lack at each heartbeat."""
 
-        async def run():
-            server, link = await self.pair(None)
-            link.beat()
+        async def scenario(link):
             assert self.beaten(link, sent_s_ago=0.0) == codec.HEADER.size
-            link.close()
-            await server.stop()
 
-        asyncio.run(run())
+        self.play(scenario)
 
     def test_heartbeats_tell_only_what_is_new(self):
         async def run():
