--- a/src/wisteriapulley/rollout/staging.py
+++ b/src/wisteriapulley/rollout/staging.py
@@ -310,13 +310,13 @@
             except WisteriapulleyError:
                 # Logged by `prepare`; the pieces wait here meanwhile.
                 await asyncio.sleep(ENGINE_PAUSE_S)
-        missing = self.missing(manifest)
+        missing = set(self.missing(manifest))
         self.download.keep_only(missing)
         while missing:
             position, data = await fetched.get()
             if position in missing:
                 await self.stage(manifest, position, data)
-                missing = self.missing(manifest)
+                missing.remove(position)
 
     async def stage(self, manifest: PieceManifest, position: int, data: bytes) -> None:
         """Put one piece there, however often that takes."""
--- a/src/wisteriapulley/wire/codec.py
+++ b/src/wisteriapulley/wire/codec.py
@@ -52,8 +52,10 @@
     ----------
     name : str
         In the message class.
+    wire_name : str
+        In the schema.
     schema : capnp schema field
-        In the schema, where access by name looks it up again each time.
+        Its entry there: access by name looks it up again each time.
     element : type or None
         Message class of the value, or of a list's items.
     is_list : bool
@@ -61,15 +63,11 @@
     """
 
     name: str
+    wire_name: str
     schema: object
     element: "type | None"
     is_list: bool
 
-    @property
-    def wire_name(self) -> str:
-        """Name in the schema."""
-        return camel(self.name)
-
 
 def camel(name: str) -> str:
     """Turn ``snake_case`` or ``PascalCase`` into ``camelCase``."""
@@ -91,7 +89,7 @@
     is_list = typing.get_origin(hint) is tuple
     inner = typing.get_args(hint)[0] if is_list else hint
     element = inner if hasattr(inner, "_fields") else None
-    return FieldCodec(name, schema, element, is_list)
+    return FieldCodec(name, camel(name), schema, element, is_list)
 
 
 CODECS = {
