Log which request a target ended under, by a digest that all its attempts share

Callers saw engines end one after the other, and nothing in the logs could tell whether one request came again and again: attempts have ids of their own, path and body are not logged, and 'stream broke off' looks the same for a target that has ended and for a connection that has.

An entry now asks once, by a connection, whether a target that broke off still listens, and logs 'target ended under request' with a digest of host, path, client account and body under the fleet key. No decision changes.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 
+from wisteriapulley.direct.crashes import CrashWatch
 from wisteriapulley.direct.placing import Place, Placing
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.registry import TargetRegistry
@@ -64,6 +65,8 @@
         Sends.
     metrics : EntryMetrics
         Counts.
+    crashes : CrashWatch
+        Learns under which requests targets end.
     is_confirmed : callable, optional
         Tells whether a quorum has confirmed the table since this entry started;
         without it, every table counts as confirmed.
@@ -76,6 +79,7 @@
         placing: Placing,
         client: TargetClient,
         metrics: EntryMetrics,
+        crashes: CrashWatch,
         is_confirmed: Callable[[], bool] = lambda: True,
     ):
         self.metrics = metrics
@@ -83,7 +87,7 @@
         self.settings = settings
         self.registry = registry
         self.placing = placing
-        self.sender = Sender(registry, client, metrics)
+        self.sender = Sender(registry, client, metrics, crashes)
         self.index: RouteIndex | None = None
         self.has_table = asyncio.Event()
         self.budgets: dict[str, SharedRetryBudget] = {}
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from wisteriapulley.direct.crashes import CrashWatch
 from wisteriapulley.direct.placing import Place
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.registry import Target, TargetRegistry
@@ -52,14 +53,21 @@
         Sends.
     metrics : EntryMetrics
         Counts.
+    crashes : CrashWatch
+        Learns which requests targets broke off.
     """
 
     def __init__(
-        self, registry: TargetRegistry, client: TargetClient, metrics: EntryMetrics
+        self,
+        registry: TargetRegistry,
+        client: TargetClient,
+        metrics: EntryMetrics,
+        crashes: CrashWatch,
     ):
         self.registry = registry
         self.client = client
         self.metrics = metrics
+        self.crashes = crashes
 
     def now_s(self) -> float:
         """Return the loop's clock."""
@@ -102,6 +110,7 @@
         except (BrokenAnswerError, TimeoutError) as error:
             progress.may_have_run = True
             self.judge_silence(place)
+            await self.crashes.broke_off(admitted, target)
             return Refusal(RefusalKind.FAILED, reason=f"no answer: {error!r}")
         try:
             return await self.pass_on(admitted, place, head, progress, answer)
@@ -199,6 +208,7 @@
             body = b"".join([part async for part in head.parts()])
         except BrokenAnswerError as error:
             self.registry.judge(target, True, self.now_s())
+            await self.crashes.broke_off(admitted, target)
             return Refusal(RefusalKind.FAILED, reason=f"answer broke off: {error}")
         await answer.start(head.status, head.headers, len(body))
         await answer.write(body)
@@ -225,6 +235,7 @@
             events.break_off()
             self.judge_silence(place)
             self.log_broken(admitted, target, events.last_id, error)
+            await self.crashes.broke_off(admitted, target)
             return Refusal(RefusalKind.FAILED, reason="stream broke off")
         if events.rest:
             events.break_off()
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -7,7 +7,9 @@
 import aiomisc
 
 from wisteriapulley.control.following import ControlFollower
+from wisteriapulley.direct.crashes import CrashWatch
 from wisteriapulley.direct.dispatch import Dispatcher
+from wisteriapulley.direct.liveness import Liveness
 from wisteriapulley.direct.placing import Placing
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.settings import DirectSettings
@@ -65,6 +67,7 @@
             self.placing,
             client,
             EntryMetrics(self.metrics),
+            CrashWatch(self.identity.key, Liveness()),
             lambda: self.follower.fresh,
         )
         self.ingress = new_ingress(self.dispatcher.serve, EdgeLimits().body_bytes)
--- a/src/wisteriapulley/explain.py
+++ b/src/wisteriapulley/explain.py
@@ -17,6 +17,7 @@
     "places closed",
     "places open",
     "engine holds",
+    "target ended under request",
     "the engine does not answer",
     "weights not in place",
     "target changed",
--- /dev/null
+++ b/src/wisteriapulley/policy/fingerprint.py
@@ -0,0 +1,40 @@
+"""What names a request whichever attempt, connection and entry it comes by. Pure."""
+
+import hashlib
+
+DIGEST_BYTES = 16
+# Tells these digests from others under the same key.
+PURPOSE = b"wp-request"
+# Longer keys are not taken by the digest.
+MOST_KEY_BYTES = hashlib.blake2b.MAX_KEY_SIZE
+LENGTH_BYTES = 8
+
+
+def fingerprint(key: bytes, host: str, path: str, account: str, body: bytes) -> bytes:
+    """Return the keyed digest of what makes two requests the same one.
+
+    Without the key nobody can tell from a log or a frame what a caller sent.
+
+    Parameters
+    ----------
+    key : bytes
+        The fleet key, so that all entries make the same digest.
+    host, path : str
+        What selects the route, without the query.
+    account : str
+        The caller's client account; empty without one.
+    body : bytes
+        The whole body.
+
+    Returns
+    -------
+    bytes
+        `DIGEST_BYTES` long.
+    """
+    digest = hashlib.blake2b(
+        digest_size=DIGEST_BYTES, key=key[:MOST_KEY_BYTES], person=PURPOSE
+    )
+    for part in (host.encode(), path.encode(), account.encode(), body):
+        digest.update(len(part).to_bytes(LENGTH_BYTES, "little"))
+        digest.update(part)
+    return digest.digest()
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from wisteriapulley.direct.crashes import CrashWatch
 from wisteriapulley.direct.dispatch import Dispatcher
+from wisteriapulley.direct.liveness import Liveness
 from wisteriapulley.direct.placing import Place
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.sending import patience_s
@@ -121,6 +123,15 @@
         self.was_cut = True
 
 
+def watch(ended=False):
+    """Return a watch to which all targets have ended, or none."""
+
+    async def refuses(address):
+        return ended
+
+    return CrashWatch(b"k" * 40, Liveness(refuses))
+
+
 def events(first, last):
     return b"".join(b"id: %d\ndata: x\n\n" % n for n in range(first, last + 1))
 
@@ -132,6 +143,7 @@
     attempts=2,
     targets=3,
     begins_in_s=None,
+    ended=False,
 ):
     """Serve one request; return what became of it."""
     route = Route(
@@ -149,7 +161,12 @@
     placing = FakePlacing(registry, begins_in_s)
     client, caller = FakeClient(*answers), FakeCaller()
     dispatcher = Dispatcher(
-        SETTINGS, registry, placing, client, EntryMetrics(Metrics("e", "entry"))
+        SETTINGS,
+        registry,
+        placing,
+        client,
+        EntryMetrics(Metrics("e", "entry")),
+        watch(ended),
     )
     table = RoutingTable(1, (route,), (Service("s"),), (Account("a", ("k",)),))
     dispatcher.index = RouteIndex(table)
@@ -206,6 +223,7 @@
         None,
         None,
         EntryMetrics(Metrics("e", "entry")),
+        watch(),
         lambda: confirmed,
     )
     split = (Split("s", 1),)
@@ -368,6 +386,7 @@
             FakePlacing(registry),
             FakeClient(),
             EntryMetrics(Metrics("e", "entry")),
+            watch(),
         )
 
     async def ask(self, dispatcher, **more):
