Quarantine a request under which targets end one after the other, in the whole fleet

Cause: a bound over the whole fleet that nobody kept. An entry forgot a request with its attempt, and each attempt of a caller was a new request to every entry, with as many targets as its route allows. Ruled out: no attempt was sent to more targets than its route's attempts (so not the budgets), and all engines that ended had just begun the same sizes of the same route and account (so not the engines by themselves).

Change: an entry whose target broke off asks by a connection whether the target has ended, and tells control instances under which requests it did, by a keyed digest of host, path, client account and body. They merge what all entries tell, keep what is quarantined on their disks, and tell every entry. With the third target a request is quarantined: no entry sends it any more, and its caller is refused at once as not run, without a time to come back. Neighbours are told from it: a whole answer clears, and a request under which no target ended that did not end under another one too goes free until the fourth. Planned ends, lost hosts and cut links count for nothing.

--- a/src/wisteriapulley/control/followers.py
+++ b/src/wisteriapulley/control/followers.py
@@ -88,6 +88,10 @@
         if beats:
             broadcast(self.open_links(ENTRY), messages.TargetBeats(beats))
 
+    def push_suspects(self, news: messages.SuspectNews) -> None:
+        """Tell entries under which requests targets ended."""
+        broadcast(self.open_links(ENTRY), news)
+
     def push_hosts(self, news: messages.ControlNews) -> None:
         """Tell everyone where control instances are."""
         broadcast(self.open_links(), news)
--- a/src/wisteriapulley/control/following.py
+++ b/src/wisteriapulley/control/following.py
@@ -24,7 +24,7 @@
 from wisteriapulley.routing import Engine, RoutingTable
 from wisteriapulley.settings import Address, NodeSettings
 from wisteriapulley.weights.named import NamedVersions
-from wisteriapulley.wire import Frame, Link, messages
+from wisteriapulley.wire import Frame, Link, broadcast, messages
 from wisteriapulley.wire.handshake import Identity
 from wisteriapulley.wire.keeper import LinkKeeper
 
@@ -126,6 +126,9 @@
         self.on_table: Callable[[RoutingTable], None] = ignore
         self.on_models: Callable[[], None] = ignore
         self.on_targets: Callable[[tuple[messages.TargetState, ...]], None] = ignore
+        self.on_suspects: Callable[[messages.SuspectNews], None] = ignore
+        # Makes what an instance is told that is followed from now on.
+        self.own_news: Callable[[], messages.SuspectNews] = messages.SuspectNews
         # Takes beats of targets; returns those of which news were missed.
         self.on_beats: Callable[[tuple[messages.TargetBeat, ...]], list[str]] = no_names
 
@@ -148,6 +151,10 @@
         links = (followed.keeper.open_link for followed in self.followed.values())
         return [link for link in links if link is not None]
 
+    def tell(self, news: messages.SuspectNews) -> None:
+        """Tell the instances that are followed."""
+        broadcast(self.open_links(), news)
+
     # -- whom to follow --------------------------------------------------
 
     def meet(self, hosts: Iterable[str]) -> None:
@@ -220,6 +227,9 @@
         link.on_heartbeat = self.heard_heartbeat
         link.on_close = self.link_closed
         log.info("control instance found", extra=fields(peer=link.peer_id))
+        own = self.own_news()
+        if own.suspects:
+            link.post(own)
         await self.pull(link)
         followed = self.followed_by(link)
         if followed is not None:
@@ -335,6 +345,11 @@
         """Handle the message `TargetNews`."""
         self.on_targets(message.targets)
 
+    @take.register
+    def take_suspects(self, message: messages.SuspectNews) -> None:
+        """Handle the message `SuspectNews`."""
+        self.on_suspects(message)
+
     @take.register
     def take_hosts(self, message: messages.ControlNews) -> None:
         """Handle the message `ControlNews`."""
--- a/src/wisteriapulley/control/news.py
+++ b/src/wisteriapulley/control/news.py
@@ -5,9 +5,10 @@
 
 from wisteriapulley.clocks import steady_ms
 from wisteriapulley.control.driver import Driver
-from wisteriapulley.control.followers import Followers
+from wisteriapulley.control.followers import ENTRY, Followers
 from wisteriapulley.control.orders import unpack_table
 from wisteriapulley.control.state import ControlState
+from wisteriapulley.control.suspect_feed import SuspectFeed
 from wisteriapulley.control.target_feed import TargetFeed
 from wisteriapulley.control.targets import TargetTable
 from wisteriapulley.errors import WisteriapulleyError
@@ -61,6 +62,7 @@
         self.targets = TargetTable(settings.target_lease_ms)
         self.tell_peers = tell_peers
         self.feed = TargetFeed(self.targets, self.followers, tell_peers)
+        self.suspects = SuspectFeed(self.followers, tell_peers)
         self.versions = NamedVersions()
         self.told_routing = 0
         self.told_models: list[messages.ModelState] = []
@@ -182,6 +184,8 @@
         link.post(self.feed.all_news())
         link.post(self.known_hosts())
         link.post(self.models())
+        if link.peer.role == ENTRY:
+            self.suspects.tell_all(link)
         if self.state.routing.version > message.routing_version:
             # Not confirmed yet, but it was in force: a follower that has none may
             # serve by it half a second before a quorum answers.
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
+from pathlib import Path
 
 import aiomisc
 import msgspec
@@ -36,6 +37,7 @@
 from wisteriapulley.control.seeds import prepare_folder, with_folder
 from wisteriapulley.control.senders import check_own, check_sender
 from wisteriapulley.control.state import ControlState
+from wisteriapulley.control.suspect_store import SuspectStore
 from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.metrics import Metrics
@@ -123,6 +125,7 @@
             keeper.start()
         self.meet_hosts(seed.host for seed in settings.seeds)
         self.news.restored()
+        self.news.suspects.restore(SuspectStore(Path(settings.data_folder)))
         self.driver.start()
         self.sweeping = asyncio.get_running_loop().create_task(self.sweep_loop())
 
@@ -392,6 +395,14 @@
         """Handle the message `TargetQuery`."""
         self.news.feed.answer(message, link)
 
+    @receive.register
+    async def receive_suspects(
+        self, message: messages.SuspectNews, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `SuspectNews` of an entry or another instance."""
+        if link.peer.role in ("control", "entry"):
+            self.news.suspects.take(message, link.peer.role == "entry")
+
     # -- members ---------------------------------------------------------
 
     async def greet_peer(self, link: Link) -> None:
@@ -399,6 +410,7 @@
         self.news.met(link.peer)
         link.post(self.members.full_update())
         link.post(self.news.feed.all_news())
+        self.news.suspects.tell_all(link)
         for node_id in self.attached:
             if node_id in self.reports.progress:
                 link.post(self.reports.progress[node_id].report)
@@ -468,6 +480,7 @@
         self.release_permits(now_ms)
         self.news.targets.sweep(now_ms)
         self.news.feed.beat_if_due(now_ms)
+        self.news.suspects.sweep()
         self.tell_hosts()
         if self.flushing is None:
             self.flush()
--- /dev/null
+++ b/src/wisteriapulley/control/suspect_feed.py
@@ -0,0 +1,96 @@
+"""Passes on under which requests targets ended, from each entry to all others."""
+
+from collections.abc import Callable, Iterable
+
+from wisteriapulley.clocks import steady_s
+from wisteriapulley.control.followers import Followers
+from wisteriapulley.control.suspect_store import SuspectStore
+from wisteriapulley.policy.crash_suspects import CrashSuspects
+from wisteriapulley.policy.token_bucket import TokenBucket
+from wisteriapulley.wire import Link, messages
+
+# News of requests under which fewer than two targets ended that one instance passes
+# on in a second, and at once. Load: hundreds of targets end together, under
+# thousands of requests. Harm prevented: each of these would be told to each entry.
+# One that goes on ending targets is told in any case.
+FIRST_PER_S = 100.0
+FIRST_AT_ONCE = 300.0
+FIRST = 1
+
+
+class SuspectFeed:
+    """News of suspects on their way through one control instance.
+
+    Parameters
+    ----------
+    followers : Followers
+        Entries that follow this instance.
+    tell_peers : callable
+        Sends a message to every other control instance.
+
+    Attributes
+    ----------
+    suspects : CrashSuspects
+        What is known here.
+    store : SuspectStore or None
+        Where quarantined requests are kept; set once there is a data folder.
+    """
+
+    def __init__(self, followers: Followers, tell_peers: Callable[[tuple], None]):
+        self.followers = followers
+        self.tell_peers = tell_peers
+        self.suspects = CrashSuspects()
+        self.store: SuspectStore | None = None
+        self.first = TokenBucket(FIRST_PER_S, FIRST_AT_ONCE)
+
+    def restore(self, store: SuspectStore) -> None:
+        """Take in what the disk holds, and keep it there from now on."""
+        self.store = store
+        self.suspects.take(store.load(), steady_s())
+
+    def take(self, news: messages.SuspectNews, from_entry: bool) -> None:
+        """Take news in, and pass on what was not known.
+
+        Parameters
+        ----------
+        news : SuspectNews
+            What an entry or another instance tells.
+        from_entry : bool
+            Whether other instances still have to be told: one that was told by an
+            entry tells them all itself.
+        """
+        before = self.suspects.quarantined()
+        changed = self.suspects.take(news.suspects, steady_s())
+        told = self.news(filter(self.may_pass, changed))
+        if told.suspects:
+            self.followers.push_suspects(told)
+            if from_entry:
+                self.tell_peers(told)
+        if before != self.suspects.quarantined():
+            self.keep()
+
+    def may_pass(self, digest: bytes) -> bool:
+        """Tell whether news of a request go on to others."""
+        record = self.suspects.records.get(digest)
+        if record is None:
+            return False
+        return len(record.ended) > FIRST or self.first.take(steady_s())
+
+    def keep(self) -> None:
+        """Write the quarantined requests."""
+        if self.store is not None:
+            self.store.save(self.news(self.suspects.quarantined()).suspects)
+
+    def news(self, digests: Iterable[bytes] | None = None) -> messages.SuspectNews:
+        """Make the news of some requests, or of all."""
+        return messages.SuspectNews(tuple(self.suspects.news(steady_s(), digests)))
+
+    def tell_all(self, link: Link) -> None:
+        """Tell a new link all that is known."""
+        news = self.news()
+        if news.suspects:
+            link.post(news)
+
+    def sweep(self) -> None:
+        """Forget what is long past."""
+        self.suspects.sweep(steady_s())
--- /dev/null
+++ b/src/wisteriapulley/control/suspect_store.py
@@ -0,0 +1,89 @@
+"""Keeps quarantined requests over a restart of all processes."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from wisteriapulley.consensus.files import Files
+from wisteriapulley.errors import StorageError
+from wisteriapulley.wire.messages import Suspect
+
+log = logging.getLogger(__name__)
+
+FILE_NAME = "quarantined"
+
+
+class Stored(msgspec.Struct, frozen=True, array_like=True):
+    """One request on disk; see `wire.messages.Suspect`.
+
+    `at_s` is the Unix time at which the last target ended.
+    """
+
+    digest: bytes
+    cleared: int
+    ended: tuple[str, ...]
+    at_s: float
+
+
+class SuspectStore:
+    """A small file in a control instance's data folder.
+
+    What it holds is told by entries and by other instances too; only when all of
+    them end at the same moment is it the last copy. So a failure to write is logged,
+    and nothing waits for a write.
+
+    Parameters
+    ----------
+    folder : Path
+        The data folder.
+    files : Files
+        File operations.
+    """
+
+    def __init__(self, folder: Path, files: Files | None = None):
+        self.path = folder / FILE_NAME
+        self.files = files or Files()
+        self.wanted: bytes | None = None
+        self.writing: asyncio.Task | None = None
+
+    def load(self) -> tuple[Suspect, ...]:
+        """Read what is on the disk; nothing where it can't be read."""
+        try:
+            stored = msgspec.msgpack.decode(
+                self.path.read_bytes(), type=tuple[Stored, ...]
+            )
+        except FileNotFoundError:
+            return ()
+        except (OSError, msgspec.MsgspecError) as error:
+            log.error("quarantined requests can't be read: %s: %s", self.path, error)
+            return ()
+        now_s = time.time()
+        return tuple(
+            Suspect(s.digest, s.cleared, s.ended, max(0, int(now_s - s.at_s)))
+            for s in stored
+        )
+
+    def save(self, suspects: Iterable[Suspect]) -> None:
+        """Write soon; while one write goes on, only the newest content waits."""
+        now_s = time.time()
+        stored = tuple(
+            Stored(s.digest, s.cleared, s.ended, now_s - s.age_s) for s in suspects
+        )
+        self.wanted = msgspec.msgpack.encode(stored)
+        if self.writing is None:
+            self.writing = asyncio.get_running_loop().create_task(self.write_all())
+
+    async def write_all(self) -> None:
+        """Write until nothing newer waits; a disk that stalls blocks nobody."""
+        try:
+            while self.wanted is not None:
+                data, self.wanted = self.wanted, None
+                await asyncio.to_thread(self.files.replace, self.path, data)
+        except (OSError, StorageError) as error:
+            log.error("quarantined requests not written: %s: %s", self.path, error)
+        finally:
+            self.writing = None
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -43,9 +43,11 @@
     RefusalKind.OVERLOADED: ResultCode.OVERLOADED,
     RefusalKind.UNAVAILABLE: ResultCode.NO_TARGET,
     RefusalKind.NOT_READY: ResultCode.NO_TARGET,
+    RefusalKind.QUARANTINED: ResultCode.QUARANTINED,
     RefusalKind.FAILED: ResultCode.MAY_HAVE_RUN,
     RefusalKind.TIMED_OUT: ResultCode.DEADLINE_EXCEEDED,
 }
+QUARANTINED = Refusal(RefusalKind.QUARANTINED, reason="targets end under this request")
 # Refusals after which coming back at once would meet the same again.
 SPREAD_KINDS = frozenset({RefusalKind.OVERLOADED, RefusalKind.NOT_READY})
 
@@ -66,7 +68,7 @@
     metrics : EntryMetrics
         Counts.
     crashes : CrashWatch
-        Learns under which requests targets end.
+        Knows under which requests targets end.
     is_confirmed : callable, optional
         Tells whether a quorum has confirmed the table since this entry started;
         without it, every table counts as confirmed.
@@ -87,6 +89,7 @@
         self.settings = settings
         self.registry = registry
         self.placing = placing
+        self.crashes = crashes
         self.sender = Sender(registry, client, metrics, crashes)
         self.index: RouteIndex | None = None
         self.has_table = asyncio.Event()
@@ -238,9 +241,15 @@
         progress = Progress(admitted.request, service, admitted.route.attempts)
         refusal: Refusal | None = None
         while progress.has_sends_left:
+            if self.crashes.is_quarantined(admitted, progress):
+                return self.final(admitted, progress, QUARANTINED)
             place = await self.next_place(admitted, progress)
             if isinstance(place, Refusal):
                 return self.final(admitted, progress, refusal or place)
+            if self.crashes.is_quarantined(admitted, progress):
+                # What others tell may have come while it waited for the place.
+                place.release()
+                return self.final(admitted, progress, QUARANTINED)
             if progress.sends and not self.budget(service).take(self.now_s()):
                 place.release()
                 return self.final(admitted, progress, refusal)
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -65,6 +65,8 @@
         Targets that are not asked again.
     events : EventSplitter
         Events that the caller has.
+    fingerprint : bytes
+        Names the request whichever attempt it comes by; empty until it is needed.
     """
 
     def __init__(self, request: CallerRequest, service: str = "", most_sends: int = 1):
@@ -74,6 +76,7 @@
         self.may_have_run = False
         self.tried: set[str] = set()
         self.events = EventSplitter(request.resume_after)
+        self.fingerprint = b""
 
     @property
     def has_sends_left(self) -> bool:
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -56,6 +56,11 @@
         """The incarnation."""
         return self.state.target_id
 
+    @property
+    def start(self) -> str:
+        """Name of this start: a target may start again under its id."""
+        return f"{self.state.target_id}/{self.state.started_ms}"
+
     @property
     def address(self) -> str:
         """Host and port."""
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -110,7 +110,7 @@
         except (BrokenAnswerError, TimeoutError) as error:
             progress.may_have_run = True
             self.judge_silence(place)
-            await self.crashes.broke_off(admitted, target)
+            await self.crashes.broke_off(admitted, target, progress)
             return Refusal(RefusalKind.FAILED, reason=f"no answer: {error!r}")
         try:
             return await self.pass_on(admitted, place, head, progress, answer)
@@ -172,7 +172,7 @@
             return Refusal(RefusalKind.FAILED, reason=f"target said {head.status}")
         if admitted.route.kind is RouteKind.STREAM and head.status == HTTP_OK:
             return await self.stream(admitted, place, head, progress, answer)
-        return await self.whole(admitted, target, head, answer)
+        return await self.whole(admitted, target, head, progress, answer)
 
     def may_repeat(
         self, admitted: Admitted, progress: Progress, answer: CallerAnswer
@@ -198,6 +198,7 @@
         admitted: Admitted,
         target: Target,
         head: TargetAnswer,
+        progress: Progress,
         answer: CallerAnswer,
     ) -> Refusal | None:
         """Read an answer whole, then pass it on.
@@ -208,11 +209,12 @@
             body = b"".join([part async for part in head.parts()])
         except BrokenAnswerError as error:
             self.registry.judge(target, True, self.now_s())
-            await self.crashes.broke_off(admitted, target)
+            await self.crashes.broke_off(admitted, target, progress)
             return Refusal(RefusalKind.FAILED, reason=f"answer broke off: {error}")
         await answer.start(head.status, head.headers, len(body))
         await answer.write(body)
         await answer.finish()
+        self.crashes.answered(admitted, progress)
         self.log_answered(admitted, target, head.status)
         return None
 
@@ -235,7 +237,7 @@
             events.break_off()
             self.judge_silence(place)
             self.log_broken(admitted, target, events.last_id, error)
-            await self.crashes.broke_off(admitted, target)
+            await self.crashes.broke_off(admitted, target, progress)
             return Refusal(RefusalKind.FAILED, reason="stream broke off")
         if events.rest:
             events.break_off()
@@ -243,6 +245,7 @@
         if not answer.started:
             await answer.start(head.status, head.headers, None)
         await answer.finish()
+        self.crashes.answered(admitted, progress)
         self.log_answered(admitted, target, head.status, events.events)
         return None
 
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -55,19 +55,25 @@
         self.follower.on_table = self.table_changed
         self.follower.on_targets = self.targets_changed
         self.follower.on_beats = self.targets_heard
+        self.crashes = CrashWatch(self.identity.key, Liveness(), self.follower.tell)
+        self.follower.on_suspects = self.crashes.take
+        self.follower.own_news = self.crashes.news
         self.placing = Placing(settings, self.identity, self.registry, self.follower)
         self.metrics = Metrics(settings.node_id, "entry")
         self.http = HttpServer(self.metrics, self.is_ready)
         self.lines_lost = self.metrics.gauge(
             "log_lines_lost", "Log lines dropped since the start."
         )
+        self.quarantined = self.metrics.gauge(
+            "requests_quarantined", "Requests that are sent to no target any more."
+        )
         self.dispatcher = Dispatcher(
             settings,
             self.registry,
             self.placing,
             client,
             EntryMetrics(self.metrics),
-            CrashWatch(self.identity.key, Liveness()),
+            self.crashes,
             lambda: self.follower.fresh,
         )
         self.ingress = new_ingress(self.dispatcher.serve, EdgeLimits().body_bytes)
@@ -129,6 +135,8 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self.lines_lost.set({}, lines_lost())
+            self.crashes.sweep()
+            self.quarantined.set({}, len(self.crashes.suspects.quarantined()))
             if self.registry.sweep(loop.time()):
                 self.keep_links()
             await self.placing.sidecars.drop_links()
--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -73,10 +73,10 @@
 class RefusalKind(Enum):
     """Why a request gets no target's answer.
 
-    `OVERLOADED`, `UNAVAILABLE` and `NOT_READY` promise that it did not run and
-    never will: no place in time, something missing that another attempt may find,
-    or an entry that knows no routing table or target yet. `FAILED` and
-    `TIMED_OUT` promise nothing.
+    `OVERLOADED`, `UNAVAILABLE`, `NOT_READY` and `QUARANTINED` promise that it did
+    not run and never will: no place in time, something missing that another attempt
+    may find, an entry that knows no routing table or target yet, or a request under
+    which targets end. `FAILED` and `TIMED_OUT` promise nothing.
     """
 
     NO_ROUTE = "no_route"
@@ -84,6 +84,7 @@
     OVERLOADED = "overloaded"
     UNAVAILABLE = "unavailable"
     NOT_READY = "not_ready"
+    QUARANTINED = "quarantined"
     FAILED = "failed"
     TIMED_OUT = "timed_out"
 
--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -57,6 +57,7 @@
     LEAVING = 416
     KEY_UNRESOLVED = 417
     NO_ROUTE = 418
+    QUARANTINED = 419
 
     MANIFEST_INVALID = 500
     CHUNK_CORRUPTED = 501
@@ -266,6 +267,12 @@
         404,
         True,
     ),
+    ResultCode.QUARANTINED: CodeEntry(
+        "Targets ended each time that they ran this request, so it is sent no more.",
+        "Change the request; find its fingerprint in the entries' logs.",
+        503,
+        True,
+    ),
     ResultCode.MANIFEST_INVALID: CodeEntry(
         "The manifest is malformed or does not match its digest.",
         "Build and publish it again.",
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -33,6 +33,7 @@
     RefusalKind.OVERLOADED: 503,
     RefusalKind.UNAVAILABLE: 503,
     RefusalKind.NOT_READY: 503,
+    RefusalKind.QUARANTINED: 503,
     RefusalKind.FAILED: 502,
     RefusalKind.TIMED_OUT: 504,
 }
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -59,6 +59,7 @@
     held @52 :Held;
     targetBeats @53 :TargetBeats;
     targetQuery @54 :TargetQuery;
+    suspectNews @55 :SuspectNews;
   }
 }
 
@@ -311,3 +312,10 @@
 struct Release { requestId @0 :Text; }
 struct HeldQuery { model @0 :Text; version @1 :UInt64; known @2 :UInt32; waitMs @3 :UInt32; onlyLooks @4 :Bool; }
 struct Held { pieces @0 :UInt32; total @1 :UInt32; bitmap @2 :Data; }
+struct Suspect {
+  digest @0 :Data;
+  cleared @1 :UInt32;
+  ended @2 :List(Text);
+  ageS @3 :UInt32;
+}
+struct SuspectNews { suspects @0 :List(Suspect); }
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -558,3 +558,23 @@
     pieces: int = 0
     total: int = 0
     bitmap: bytes = b""
+
+
+class Suspect(NamedTuple):
+    """A request under which targets ended; see `policy.crash_suspects`.
+
+    `digest` names the request, `ended` the starts of targets that ended under it
+    since it was `cleared` for the last time; `age_s` is how long ago the last of
+    them ended.
+    """
+
+    digest: bytes = b""
+    cleared: int = 0
+    ended: tuple[str, ...] = ()
+    age_s: int = 0
+
+
+class SuspectNews(NamedTuple):
+    """Requests under which targets ended, or that were cleared of it."""
+
+    suspects: tuple[Suspect, ...] = ()
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -83,11 +83,16 @@
         self.services.remove(service)
         await service.stop()
 
+    async def stop_services(self):
+        """Stop the entries together, since each waits for its callers, then control."""
+        entries = [service for service in self.services if service != self.control]
+        await asyncio.gather(*(self.stop_service(entry) for entry in entries))
+        await self.stop_service(self.control)
+
     async def stop(self):
         self.beating.cancel()
         await self.session.close()
-        for service in reversed(tuple(self.services)):
-            await service.stop()
+        await self.stop_services()
         for target in self.targets:
             await target.stop()
 
@@ -184,3 +189,97 @@
             assert 200 not in statuses
 
         play(tmp_path, scenario)
+
+    def test_is_refused_at_once_as_not_run(self, tmp_path):
+        async def scenario(fleet):
+            await fleet.insist(2 * ENTRIES)
+            runs = [len(target.runs) for target in fleet.targets]
+            for number in range(ENTRIES):
+                # Coming back does not help, so no time to come back is named.
+                assert await fleet.ask(number, CRASHING) == (503, None)
+            assert [len(target.runs) for target in fleet.targets] == runs
+
+        play(tmp_path, scenario)
+
+    def test_leaves_all_other_requests_alone(self, tmp_path):
+        async def scenario(fleet):
+            await fleet.insist(2 * ENTRIES)
+            for number in range(ENTRIES):
+                for body in (b"other body", b""):
+                    assert (await fleet.ask(number, body))[0] == 200
+
+        play(tmp_path, scenario)
+
+    def test_neighbours_are_served_while_targets_end(self, tmp_path):
+        """Each target that ends runs other requests, which come again as they are."""
+
+        async def scenario(fleet):
+            for target in fleet.targets:
+                target.work_s = 0.1
+            done = asyncio.Event()
+
+            async def neighbour(name):
+                statuses = []
+                while not done.is_set():
+                    status, _ = await fleet.ask(len(statuses) % ENTRIES, name)
+                    statuses.append(status)
+                return statuses
+
+            bodies = [b"neighbour %d" % number for number in range(8)]
+            running = [asyncio.create_task(neighbour(body)) for body in bodies]
+            await fleet.insist(3 * ENTRIES)
+            done.set()
+            for statuses in await asyncio.gather(*running):
+                assert 503 not in statuses[-3:]
+            for number in range(ENTRIES):
+                for body in bodies:
+                    assert (await fleet.ask(number, body))[0] == 200
+
+        play(tmp_path, scenario)
+
+
+class TestQuarantineLasts:
+    def test_entry_that_starts_again_is_told(self, tmp_path):
+        async def scenario(fleet):
+            await fleet.insist(2 * ENTRIES)
+            ended = fleet.ended()
+            await fleet.stop_service(fleet.entries[0])
+            await fleet.start_entry(0)
+            await fleet.until(lambda: fleet.serves(0))
+            assert (await fleet.ask(0, CRASHING))[0] == 503
+            assert fleet.ended() == ended
+
+        play(tmp_path, scenario)
+
+    def test_control_instance_that_starts_again_is_told(self, tmp_path):
+        """Its disk holds nothing yet of what entries tell."""
+
+        async def scenario(fleet):
+            await fleet.stop_service(fleet.control)
+            await fleet.ask(0, CRASHING)
+            await fleet.ask(0, CRASHING)
+            ended = fleet.ended()
+            fleet.control = await fleet.start_service(new_control, "127.0.0.1")
+
+            async def told():
+                return bool(fleet.entries[1].crashes.suspects.quarantined())
+
+            await fleet.until(told)
+            assert (await fleet.ask(1, CRASHING))[0] == 503
+            assert fleet.ended() == ended
+
+        play(tmp_path, scenario)
+
+    def test_survives_a_restart_of_all(self, tmp_path):
+        async def scenario(fleet):
+            await fleet.insist(2 * ENTRIES)
+            ended = fleet.ended()
+            await fleet.stop_services()
+            fleet.control = await fleet.start_service(new_control, "127.0.0.1")
+            for number in range(ENTRIES):
+                await fleet.start_entry(number)
+                await fleet.until(lambda number=number: fleet.serves(number))
+                assert (await fleet.ask(number, CRASHING))[0] == 503
+            assert fleet.ended() == ended
+
+        play(tmp_path, scenario)
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -129,7 +129,7 @@
     async def refuses(address):
         return ended
 
-    return CrashWatch(b"k" * 40, Liveness(refuses))
+    return CrashWatch(b"k" * 40, Liveness(refuses), lambda news: None)
 
 
 def events(first, last):
