Log the rate that a target states, and whether a sidecar granted a place

Callers' requests went to targets that had named a limit, and nothing in the logs could tell whether an entry had been told one, which, and whether the request went there with a place or without.

The adapter reads the rate of an answer; an entry keeps the newest word of each start of a target and logs changes, what can't be read once, and with each placement whether a sidecar granted it and the rate known then. No decision changes.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -281,6 +281,8 @@
                 weights=place.version,
                 prompt_tokens=admitted.request.prompt_tokens,
                 answer_tokens=admitted.request.answer_tokens,
+                granted=place.granted,
+                rate=target.rate.per_s,
                 outstanding=target.outstanding,
                 heard_ms=int((now_s - target.heard_s) * 1000),
                 waited_ms=int((now_s - admitted.request.arrived_s) * 1000),
--- a/src/wisteriapulley/direct/placing.py
+++ b/src/wisteriapulley/direct/placing.py
@@ -65,12 +65,15 @@
     begins_by_s : float or None
         When its first event must have come, on the loop's clock, since the
         version's time ends then.
+    granted : bool
+        Whether the target's sidecar granted it.
     """
 
     target: Target
     version: int
     release: Callable[[], None]
     begins_by_s: float | None = None
+    granted: bool = False
 
 
 class Placing:
@@ -144,7 +147,8 @@
             if release is not None:
                 release()
 
-        return Place(target, version, give_back, begins_by_s)
+        granted = release is not None
+        return Place(target, version, give_back, begins_by_s, granted)
 
     # -- plain targets ---------------------------------------------------
 
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from wisteriapulley.control.targets import is_newer, knows, merged
+from wisteriapulley.policy.stated_rate import KnownRate
 from wisteriapulley.wire.messages import TargetBeat, TargetState
 
 # Silence after which a target counts as gone, while others are still heard of.
@@ -34,6 +35,8 @@
         Requests of this entry that it holds.
     slots : int
         Requests that it runs at once, as far as known.
+    rate : KnownRate
+        Requests a second that it takes, where its answers say so.
     """
 
     def __init__(self, state: TargetState, heard_s: float):
@@ -50,6 +53,7 @@
         self.samples = 0
         self.aside_until_s = 0.0
         self.replaced = False
+        self.rate = KnownRate()
 
     @property
     def target_id(self) -> str:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -35,6 +35,8 @@
 # Less time than this is no use to a target.
 LEAST_SEND_S = 0.05
 HTTP_OK = 200
+# Characters of a target's text that a log line shows.
+SHOWN = 40
 SERVER_ERROR = 500
 # When to come back after a target was not reached, or did not take the request:
 # another one, or another entry, can serve it at once.
@@ -101,6 +103,7 @@
             progress.events.last_id,
             not admitted.route.repeatable,
         )
+        sent_s = self.now_s()
         try:
             head = await self.head(admitted, place, plan, progress)
         except NotSentError as error:
@@ -112,11 +115,31 @@
             self.judge_silence(place)
             await self.crashes.broke_off(admitted, target, progress)
             return Refusal(RefusalKind.FAILED, reason=f"no answer: {error!r}")
+        if not head.other_instance:
+            self.hear_rate(target, head, sent_s)
         try:
             return await self.pass_on(admitted, place, head, progress, answer)
         finally:
             head.close()
 
+    def hear_rate(self, target: Target, head: TargetAnswer, sent_s: float) -> None:
+        """Take in what a target says of the requests that it takes."""
+        if target.rate.hear(head.rate, sent_s, self.now_s()):
+            log.info(
+                "target states a rate",
+                extra=fields(target=target.target_id, per_s=target.rate.per_s),
+            )
+        if target.rate.is_first_unreadable(head.rate):
+            log.warning(
+                "rate can't be read",
+                extra=fields(
+                    target=target.target_id,
+                    expected="a decimal number of requests a second",
+                    got=head.rate.unreadable[:SHOWN],
+                    kept_per_s=target.rate.per_s,
+                ),
+            )
+
     def judge_silence(self, place: Place) -> None:
         """Note that a target broke off, unless the entry itself gave it up.
 
--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
+from wisteriapulley.policy.stated_rate import StatedRate
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -153,6 +155,8 @@
         Whether another incarnation has the address.
     load : TargetLoad or None
         The target's load.
+    rate : StatedRate
+        What the target says of the requests that it takes.
     """
 
     status: int
@@ -161,6 +165,7 @@
     not_run: bool
     other_instance: bool
     load: TargetLoad | None
+    rate: StatedRate
 
     def parts(self) -> AsyncIterator[bytes]:
         """Yield the body as it comes.
--- a/src/wisteriapulley/platform/names.py
+++ b/src/wisteriapulley/platform/names.py
@@ -16,6 +16,8 @@
 NOT_RUN = "X-Not-Executed"
 # Running, waiting and slots, separated by commas.
 LOAD = "X-Server-Load"
+# Requests a second that the target takes from all senders together.
+RATE = "Server-Limit"
 KEY_SCHEME = "Bearer "
 
 OTHER_INSTANCE_STATUS = 421
--- a/src/wisteriapulley/platform/target_client.py
+++ b/src/wisteriapulley/platform/target_client.py
@@ -1,6 +1,8 @@
 """Sends requests to targets, and reads their answers."""
 
 import contextlib
+import math
+import re
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -17,7 +19,9 @@
 )
 from wisteriapulley.platform import names
 from wisteriapulley.platform.http import HttpClient
+from wisteriapulley.policy.stated_rate import StatedRate
 
+DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -61,6 +65,7 @@
         self.other_instance = response.status == names.OTHER_INSTANCE_STATUS
         self.not_run = bool(told) or self.other_instance
         self.load = parse_load(response.headers.get(names.LOAD, ""))
+        self.rate = parse_rate(response.headers.getall(names.RATE, []))
 
     def belongs_to(self, request_id: str) -> bool:
         """Tell whether the answer names the request; refusals need not."""
@@ -110,3 +115,14 @@
         running, waiting, slots = map(int, text.split(","))
         return TargetLoad(running, waiting, slots)
     return None
+
+
+def parse_rate(texts: list[str]) -> StatedRate:
+    """Read a target's stated rate; of several the lowest one that can be read."""
+    rates, unreadable = [], ""
+    for text in texts:
+        if DECIMAL.fullmatch(text) and math.isfinite(float(text)):
+            rates.append(float(text))
+        else:
+            unreadable = text
+    return StatedRate(min(rates, default=None), unreadable)
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -20,6 +20,7 @@
 )
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.metrics import Metrics
+from wisteriapulley.policy.stated_rate import StatedRate
 from wisteriapulley.routing import (
     Account,
     Route,
@@ -54,6 +55,7 @@
         self.not_run = said.get("not_run", False)
         self.other_instance = said.get("other_instance", False)
         self.load = None
+        self.rate = said.get("rate", StatedRate())
         self.closed = False
 
     async def parts(self):
