Add two failing tests: a target gets more than the rate it states

A plain target behind three entries and an engine with its sidecar state two requests a second and are flooded for seven seconds: 331 and 169 came in the worst four seconds, where 17 are allowed.

--- a/tests/fakes/plain.py
+++ b/tests/fakes/plain.py
@@ -23,6 +23,10 @@
         Bodies that it began to run, in order.
     work_s : float
         How long an answer takes.
+    rate : str
+        Requests a second that its answers name; empty for none.
+    arrivals : list of float
+        When requests came, on the loop's clock.
     """
 
     def __init__(self, number, crashed_by=frozenset()):
@@ -32,6 +36,8 @@
         self.start_number = 0
         self.runs = []
         self.work_s = 0.0
+        self.rate = ""
+        self.arrivals = []
         self.open_transports = set()
         self.app.add_routes([web.route("*", "/{tail:.*}", self.serve)])
 
@@ -53,6 +59,7 @@
 
     async def answer(self, request):
         body = await request.read()
+        self.arrivals.append(asyncio.get_running_loop().time())
         self.runs.append(body)
         if body in self.crashed_by:
             await self.crash()
@@ -62,6 +69,8 @@
             "X-Request-Attempt-Id": request.headers["X-Request-Attempt-Id"],
             "X-Server-Stamp": f"stamp.{self.target_id}",
         }
+        if self.rate:
+            headers["Server-Limit"] = self.rate
         return web.Response(body=b"answer to " + body, headers=headers)
 
     async def crash(self):
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -89,6 +89,9 @@
         self.runs = []
         self.bad_loads = 0
         self.break_after = 0
+        # Requests a second that its answers name; empty for none.
+        self.rate = ""
+        self.arrivals = []
         self.app.add_routes(
             [
                 web.get("/api/report", self.report),
@@ -160,11 +163,14 @@
         refused = self.refusal(request)
         if refused is not None:
             return refused
+        self.arrivals.append(asyncio.get_running_loop().time())
         self.runs.append((request.method, request.raw_path, body, request.headers))
         headers = {
             "X-Request-Attempt-Id": request.headers["X-Request-Attempt-Id"],
             "X-Server-Stamp": f"stamp.{self.target_id}",
         }
+        if self.rate:
+            headers["Server-Limit"] = self.rate
         if request.method == "GET":
             return web.Response(body=b"plain answer", headers=headers)
         return await self.stream(request, headers)
--- /dev/null
+++ b/tests/test_stated_limit.py
@@ -0,0 +1,85 @@
+"""A target states how many requests a second it takes from all entries together."""
+
+import asyncio
+
+from tests import plain_fleet, test_platform_path
+from tests.fakes.plain import PlainTarget
+from tests.plain_fleet import ENTRIES, Fleet
+
+PER_S = 2.0
+# What the users allow: in any window one and a half times the rate, and five more,
+# once the senders were told half a second ago.
+WINDOW_S = 4.0
+SHARE = 1.5
+SLACK = 5
+TOLD_S = 0.5
+FLOOD_S = 7.0
+PAUSE_S = 0.05
+
+
+def most_in_window(arrivals, since_s):
+    """Count the most requests that came in any window from a time on."""
+    times = sorted(at_s for at_s in arrivals if at_s >= since_s)
+    return max(
+        (sum(at_s <= t < at_s + WINDOW_S for t in times) for at_s in times), default=0
+    )
+
+
+def allowed(per_s):
+    return SHARE * per_s * WINDOW_S + SLACK
+
+
+async def flood(ask, senders):
+    """Send from several callers without a pause, for a time; return the statuses."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + FLOOD_S
+    answers = []
+
+    async def insist(number):
+        while loop.time() < until_s:
+            answers.append(await ask(number))
+            await asyncio.sleep(PAUSE_S)
+
+    await asyncio.gather(*(insist(number) for number in range(senders)))
+    return answers
+
+
+class TestPlainTarget:
+    def test_gets_no_more_than_it_states_from_all_entries_together(self, tmp_path):
+        target = PlainTarget(0)
+        fleet = Fleet(tmp_path, [target])
+
+        async def scenario(fleet):
+            target.rate = str(PER_S)
+            for number in range(ENTRIES):
+                assert (await fleet.ask(number, b"told"))[0] == 200
+            told_s = asyncio.get_running_loop().time() + TOLD_S
+            answers = await flood(
+                lambda number: fleet.ask(number % ENTRIES, b"more"), 2 * ENTRIES
+            )
+            assert most_in_window(target.arrivals, told_s) <= allowed(PER_S)
+            refused = [wait for status, wait in answers if status == 503]
+            assert refused and all(float(wait) > 0 for wait in refused)
+            assert any(status == 200 for status, _ in answers)
+
+        plain_fleet.play(fleet, scenario)
+
+
+class TestEngine:
+    def test_gets_no_more_than_it_states(self, tmp_path):
+        async def scenario(path):
+            path.engine.rate = str(PER_S)
+            assert (await path.ask())[0] == 200
+            told_s = asyncio.get_running_loop().time() + TOLD_S
+
+            async def ask(number):
+                status, _, headers = await path.ask(id=f"request-{number}")
+                return status, headers.get("Retry-After")
+
+            answers = await flood(ask, 6)
+            assert most_in_window(path.engine.arrivals, told_s) <= allowed(PER_S)
+            refused = [wait for status, wait in answers if status == 503]
+            assert refused and all(float(wait) > 0 for wait in refused)
+            assert any(status == 200 for status, _ in answers)
+
+        test_platform_path.play(tmp_path, scenario)
