Keep the rate that a target states, over all entries together

Cause: a bound over the whole fleet that nobody kept. Ruled out: limits kept by each entry alone (both servers got as much as all others), and requests that passed by their sidecars (the excess lasted until the servers' end, at granted places).

Change: whoever sees all requests to a target holds its limit. An engine's sidecar takes a token for each place it grants, denies the others at once with the time until the next token, and tells entries to ask it last meanwhile; entries tell it what answers name, also when a link to it opens. A plain target has no sidecar, so one control instance, chosen by rendezvous among those that reach each other, lets each request pass; it lets three quarters of the rate pass, so that two holders on both sides of a cut keep within one and a half times it. An entry that reaches none lets a twentieth pass. A rate belongs to one start of a target, ends with an answer without it that was asked for after it was stated, and what is no rate changes nothing.

With 1, 6 and 30 entries that press on one target, tests/test_rate_limits.py.

--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -33,6 +33,7 @@
 from wisteriapulley.control.permits import PermitSweeper
 from wisteriapulley.control.pieces import PieceServer
 from wisteriapulley.control.quorum_members import quorum_routes
+from wisteriapulley.control.rate_holder import RateHolder
 from wisteriapulley.control.reports import ReportTable
 from wisteriapulley.control.seeds import prepare_folder, with_folder
 from wisteriapulley.control.senders import check_own, check_sender
@@ -81,6 +82,7 @@
         # it before the start, where the routing table names an origin.
         self.open_origin: Callable[[str], PieceSource] | None = None
         self.orders = Orders(self)
+        self.rates = RateHolder(settings.node_id, self.open_peer_links)
         self.news = News(
             settings,
             self.state,
@@ -403,6 +405,22 @@
         if link.peer.role in ("control", "entry"):
             self.news.suspects.take(message, link.peer.role == "entry")
 
+    @receive.register
+    async def receive_target_rate(
+        self, message: messages.TargetRate, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `TargetRate` of an entry or another instance."""
+        self.rates.hear(message, from_entry=link.peer.role != "control")
+
+    @receive.register
+    async def receive_passage_query(
+        self, message: messages.PassageQuery, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `PassageQuery` of an entry or another instance."""
+        from_entry = link.peer.role != "control"
+        answer = await self.rates.answer(message, from_entry)
+        link.post(answer, reply_to=frame.id)
+
     # -- members ---------------------------------------------------------
 
     async def greet_peer(self, link: Link) -> None:
@@ -421,18 +439,21 @@
         A peer whose link is stalled misses reports and beats; it gets them again
         with the next ones. It never misses a change of members or targets.
         """
-        links = (keeper.open_link for keeper in self.peers.values())
         may_miss = isinstance(message, messages.Report | messages.TargetBeats)
         broadcast(
             (
                 link
-                for link in links
-                if link is not None
-                and not (may_miss and link.write_buffer_bytes() > MAX_BUFFERED_BYTES)
+                for link in self.open_peer_links().values()
+                if not (may_miss and link.write_buffer_bytes() > MAX_BUFFERED_BYTES)
             ),
             message,
         )
 
+    def open_peer_links(self) -> dict[str, Link]:
+        """Return the open links to the other instances, by node id."""
+        links = {name: keeper.open_link for name, keeper in self.peers.items()}
+        return {name: link for name, link in links.items() if link is not None}
+
     def tell(self, changes: Changes) -> None:
         """Tell peers of own members and watchers of the view."""
         if changes.own:
@@ -481,6 +502,7 @@
         self.news.targets.sweep(now_ms)
         self.news.feed.beat_if_due(now_ms)
         self.news.suspects.sweep()
+        self.rates.sweep()
         self.tell_hosts()
         if self.flushing is None:
             self.flush()
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -90,7 +90,7 @@
         self.registry = registry
         self.placing = placing
         self.crashes = crashes
-        self.sender = Sender(registry, client, metrics, crashes)
+        self.sender = Sender(registry, client, metrics, crashes, placing.heard_rate)
         self.index: RouteIndex | None = None
         self.has_table = asyncio.Event()
         self.budgets: dict[str, SharedRetryBudget] = {}
--- /dev/null
+++ b/src/wisteriapulley/direct/limited.py
@@ -0,0 +1,106 @@
+"""An entry's part in the limits of targets that state a rate."""
+
+import logging
+from collections.abc import Callable
+
+from wisteriapulley.direct.registry import Target
+from wisteriapulley.errors import WisteriapulleyError
+from wisteriapulley.policy.stated_rate import RateLimits
+from wisteriapulley.wire import Link
+from wisteriapulley.wire.messages import Passage, PassageQuery, TargetRate
+
+log = logging.getLogger(__name__)
+
+# A control instance that runs answers within two round trips; a request that is held
+# for longer loses a third of its objective.
+ASK_S = 0.15
+# Of a stated rate that one entry lets pass while nobody who holds the limit answers:
+# a fleet of so many entries still keeps the whole.
+ALONE_SHARE = 1 / 20
+
+
+class LimitedTargets:
+    """Questions whether a request may pass to a target that states a rate.
+
+    Parameters
+    ----------
+    links : callable
+        Returns the open links to control instances, the nearest first.
+    """
+
+    def __init__(self, links: Callable[[], list[Link]]):
+        self.links = links
+        self.alone = RateLimits(ALONE_SHARE)
+        # By start of the target: when it may be asked for again.
+        self.full_until_s: dict[str, float] = {}
+
+    async def wait_s(self, target: Target, now_s: float) -> float:
+        """Return how long until a request may be sent to a plain target; 0 for now.
+
+        A target that has just been found at its limit is not asked for again until
+        then, so that requests are refused at once.
+        """
+        if target.rate.per_s is None:
+            return 0.0
+        until_s = self.full_until_s.get(target.start, now_s)
+        if until_s > now_s:
+            return until_s - now_s
+        passage = await self.ask(target, now_s)
+        if passage is None:
+            return self.alone_wait_s(target, now_s)
+        if not passage.limited and target.rate.heard_s <= now_s:
+            target.rate.end(now_s)
+        if passage.granted:
+            return 0.0
+        wait_s = passage.wait_ms / 1000
+        self.full_until_s[target.start] = now_s + wait_s
+        return wait_s
+
+    async def ask(self, target: Target, now_s: float) -> Passage | None:
+        """Ask for a passage; None where nobody answers."""
+        age_ms = max(0, int((now_s - target.rate.heard_s) * 1000))
+        query = PassageQuery(target.start, target.rate.per_s, age_ms)
+        for link in self.links():
+            try:
+                return (await link.request(query, ASK_S)).message
+            except WisteriapulleyError as error:
+                log.info("no passage from %s: %s", link.peer_id, error)
+        return None
+
+    def alone_wait_s(self, target: Target, now_s: float) -> float:
+        """Return how long until a request may pass without anybody else's word."""
+        self.alone.hear(target.start, target.rate.per_s, target.rate.heard_s)
+        if self.alone.take(target.start, now_s):
+            return 0.0
+        return self.alone.wait_s(target.start, now_s)
+
+    def heard(self, target: Target, link: Link | None, now_s: float) -> None:
+        """Tell whoever holds a target's limit what it states now.
+
+        Parameters
+        ----------
+        target : Target
+            The target.
+        link : Link or None
+            To its sidecar, which holds the limit; None for a plain target.
+        now_s : float
+            The loop's clock.
+        """
+        holders = [link] if link is not None else self.links()[:1]
+        news = rate_news(target, now_s)
+        for holder in holders:
+            if not holder.closed.is_set():
+                holder.post(news)
+
+    def sweep(self, now_s: float) -> None:
+        """Forget targets that are long gone."""
+        self.alone.sweep(now_s)
+        for start, until_s in tuple(self.full_until_s.items()):
+            if until_s <= now_s:
+                del self.full_until_s[start]
+
+
+def rate_news(target: Target, now_s: float) -> TargetRate:
+    """Say what a target states, and how long ago that was heard."""
+    age_ms = max(0, int((now_s - target.rate.heard_s) * 1000))
+    return TargetRate(target.start, target.rate.per_s or 0.0, age_ms)
--- a/src/wisteriapulley/direct/placing.py
+++ b/src/wisteriapulley/direct/placing.py
@@ -8,6 +8,7 @@
 
 from wisteriapulley.clocks import steady_s
 from wisteriapulley.control.following import ControlFollower
+from wisteriapulley.direct.limited import LimitedTargets
 from wisteriapulley.direct.progress import Admitted
 from wisteriapulley.direct.registry import Target, TargetRegistry
 from wisteriapulley.direct.settings import DirectSettings
@@ -102,6 +103,7 @@
         self.registry = registry
         self.follower = follower
         self.sidecars = Sidecars(settings, identity, registry)
+        self.limited = LimitedTargets(follower.open_links)
         self.around = Surroundings(
             settings.failure_domain, Regions(settings.failure_domain_regions)
         )
@@ -129,7 +131,7 @@
             kind = RefusalKind.UNAVAILABLE if tried else RefusalKind.NOT_READY
             return Refusal(kind, DEFAULT_RETRY_S, "no target")
         if engine is None:
-            return self.place_plain(targets, now_s)
+            return await self.place_plain(targets, now_s)
         return await self.place_engine(admitted, engine, targets, now_s)
 
     def booked(
@@ -152,16 +154,27 @@
 
     # -- plain targets ---------------------------------------------------
 
-    def place_plain(self, targets: list[Target], now_s: float) -> Place | Refusal:
-        """Take the least loaded plain target."""
+    async def place_plain(self, targets: list[Target], now_s: float) -> Place | Refusal:
+        """Take the least loaded plain target whose stated rate allows it."""
         order = by_preference(
             targets, plain_load, self.around, self.random.random, now_s
         )
+        waits_s: list[float] = []
         for target in order:
-            if target.outstanding < target.slots:
+            if target.outstanding >= target.slots:
+                continue
+            wait_s = await self.limited.wait_s(target, now_s)
+            if not wait_s:
                 return self.booked(target, 0)
+            waits_s.append(wait_s)
+        if waits_s:
+            return Refusal(RefusalKind.OVERLOADED, min(waits_s), "targets at limit")
         return Refusal(RefusalKind.OVERLOADED, DEFAULT_RETRY_S, "targets full")
 
+    def heard_rate(self, target: Target, now_s: float) -> None:
+        """Tell whoever holds a target's limit what it states now."""
+        self.limited.heard(target, self.sidecars.link_to(target), now_s)
+
     # -- engines ---------------------------------------------------------
 
     async def place_engine(
@@ -221,7 +234,7 @@
             request.answer_tokens,
             wish.priority,
             int(wish.wait_ms),
-            target.target_id,
+            target.start,
             late=wish.late,
         )
 
@@ -256,6 +269,9 @@
         left_ms = self.left_ms(engine.model, version)
         if left_ms is not None and left_ms <= UNGUARDED_MARGIN_MS:
             return None
+        now_s = asyncio.get_running_loop().time()
+        if target.rate.per_s is not None and self.limited.alone_wait_s(target, now_s):
+            return None
         return self.booked(target, version)
 
     def left_ms(self, model: str, version: int) -> float | None:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from wisteriapulley.direct.crashes import CrashWatch
 from wisteriapulley.direct.placing import Place
@@ -57,6 +58,8 @@
         Counts.
     crashes : CrashWatch
         Learns which requests targets broke off.
+    heard_rate : callable
+        Called with a target and the time, when it states a rate or none any more.
     """
 
     def __init__(
@@ -65,11 +68,13 @@
         client: TargetClient,
         metrics: EntryMetrics,
         crashes: CrashWatch,
+        heard_rate: Callable[[Target, float], None],
     ):
         self.registry = registry
         self.client = client
         self.metrics = metrics
         self.crashes = crashes
+        self.heard_rate = heard_rate
 
     def now_s(self) -> float:
         """Return the loop's clock."""
@@ -124,7 +129,10 @@
 
     def hear_rate(self, target: Target, head: TargetAnswer, sent_s: float) -> None:
         """Take in what a target says of the requests that it takes."""
+        known_per_s = target.rate.per_s
         if target.rate.hear(head.rate, sent_s, self.now_s()):
+            self.heard_rate(target, self.now_s())
+        if target.rate.per_s != known_per_s:
             log.info(
                 "target states a rate",
                 extra=fields(target=target.target_id, per_s=target.rate.per_s),
--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -1,10 +1,12 @@
 """One entry's links to the sidecars of engines, and its questions to them."""
 
 import asyncio
+import functools
 import logging
 from collections import Counter
 from collections.abc import Iterable
 
+from wisteriapulley.direct.limited import rate_news
 from wisteriapulley.direct.registry import Target, TargetRegistry
 from wisteriapulley.direct.settings import DirectSettings
 from wisteriapulley.errors import ResultCode, WisteriapulleyError
@@ -29,8 +31,11 @@
 # What a sidecar says in its heartbeats: it grants nothing now, or nothing yet.
 CLOSED_STATE = "closed"
 OPENING_STATE = "opening"
-# An engine that still loads its weights is asked after those that have room.
-OPENING_LOAD = 1.0
+# It grants, but the rate that its engine states holds requests back now.
+LIMITED_STATE = "limited"
+# An engine that still loads its weights, or is at its limit, is asked after those that
+# have room.
+LATER_LOAD = 1.0
 # Load, as a share of an engine's places, that a second until its sidecar's answer
 # counts for: a tenth of a second is a quarter of an objective, and as bad as an
 # engine without a place.
@@ -79,14 +84,21 @@
                 self.handle,
                 messages.Heartbeat,
                 self.settings,
-                self.link_opened,
+                functools.partial(self.link_opened, host),
             )
             self.keepers[host] = keeper
             keeper.start()
 
-    async def link_opened(self, link: Link) -> None:
-        """Spare heartbeats where questions go anyway."""
+    async def link_opened(self, host: str, link: Link) -> None:
+        """Spare heartbeats where questions go anyway; tell rates before any question.
+
+        A sidecar that has started again knows of none.
+        """
         link.sparing = True
+        now_s = asyncio.get_running_loop().time()
+        for target in self.registry.targets.values():
+            if target.host == host and target.rate.per_s is not None:
+                link.post(rate_news(target, now_s))
 
     def hosts_of(self, service: str) -> list[str]:
         """Return the hosts of the targets to ask for places of a service."""
@@ -158,8 +170,8 @@
             return Load(target.slots, target.slots)
         said = link.peer_heartbeat
         taken = said.running + said.waiting + self.asked[target.host]
-        if said.state == OPENING_STATE:
-            taken += OPENING_LOAD * target.slots
+        if said.state in (OPENING_STATE, LIMITED_STATE):
+            taken += LATER_LOAD * target.slots
         slow_s = self.times.expected_s(target.host, now_s)
         taken += SLOW_LOAD_PER_S * slow_s * target.slots
         return Load(taken, target.slots)
--- a/src/wisteriapulley/policy/places.py
+++ b/src/wisteriapulley/policy/places.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from wisteriapulley.policy.passes import PassClock
+from wisteriapulley.policy.stated_rate import RateLimits
 from wisteriapulley.routing import Engine
 
 # Requests granted beyond the slots: an ended request's place is known here only
@@ -50,9 +51,13 @@
 
 
 class PlacesState(Enum):
-    """Whether places are granted now, soon, or not at all."""
+    """Whether places are granted now, soon, or not at all.
+
+    `LIMITED` is open, but for the rate that the engine states.
+    """
 
     OPEN = "open"
+    LIMITED = "limited"
     OPENING = "opening"
     CLOSED = "closed"
 
@@ -74,6 +79,8 @@
         Time until the first event must come.
     late : bool
         Whether the request's objective has passed already.
+    target : str
+        The engine's start that the request is for.
     """
 
     request_id: str
@@ -83,6 +90,7 @@
     priority: int
     wait_ms: float
     late: bool = False
+    target: str = ""
 
 
 class Held(NamedTuple):
@@ -147,6 +155,9 @@
         self.opens_ms: float | None = None
         # When nothing may begin any more on the weights that the engine holds.
         self.ends_ms: float | None = None
+        # What the engine says that it takes, and which start of it was asked for last.
+        self.rates = RateLimits()
+        self.target = ""
 
     @property
     def state(self) -> PlacesState:
@@ -186,6 +197,11 @@
         """Grant a place, let the request wait, or deny it at once."""
         if self.state is PlacesState.CLOSED:
             return Verdict(request.request_id, denied=True)
+        self.target = request.target
+        rate_ms = self.rate_wait_ms(request.target, now_ms)
+        if rate_ms > 0:
+            retry_ms = max(LEAST_RETRY_MS, rate_ms)
+            return Verdict(request.request_id, denied=True, retry_ms=retry_ms)
         if request.late:
             return self.ask_late(request, now_ms)
         ahead = sum(w.priority <= request.priority for w in self.queue)
@@ -227,6 +243,10 @@
             return self.grant(request, now_ms)
         return self.wait(request, now_ms + request.wait_ms - event_ms)
 
+    def rate_wait_ms(self, target: str, now_ms: float) -> float:
+        """Return how long until the engine's stated rate lets a request begin."""
+        return self.rates.wait_s(target, now_ms / 1000) * 1000
+
     def may_read_late(self, now_ms: float) -> bool:
         """Tell whether the next pass may read one more late prompt."""
         self.passes.advance(now_ms, self.pass_ms(), len(self.held))
@@ -306,6 +326,7 @@
 
     def grant(self, request: PlaceRequest, now_ms: float) -> Verdict:
         """Give a place."""
+        self.rates.take(request.target, now_ms / 1000)
         self.passes.advance(now_ms, self.pass_ms(), len(self.held))
         self.passes.add(request.prompt_tokens / self.engine.prefill_tokens_per_ms)
         self.held[request.request_id] = Held(
@@ -353,8 +374,7 @@
             first = self.queue[0]
             if self.state is PlacesState.CLOSED or self.is_lost(first, now_ms):
                 heapq.heappop(self.queue)
-                retry_ms = max(LEAST_RETRY_MS, self.place_wait_ms(len(self.queue)))
-                yield Verdict(first.request.request_id, denied=True, retry_ms=retry_ms)
+                yield self.denied(first, now_ms)
             elif self.may_go(first.request, now_ms):
                 heapq.heappop(self.queue)
                 yield self.grant(first.request, now_ms)
@@ -365,10 +385,13 @@
     def is_lost(self, waiting: Waiting, now_ms: float) -> bool:
         """Tell whether a request waits in vain.
 
-        Its time has passed, or it is late and new ones take all that there is.
+        Its time has passed, or it is late and new ones take all that there is. One
+        that the engine's stated rate holds back may have a place elsewhere at once.
         """
         if now_ms > waiting.until_ms:
             return True
+        if self.rate_wait_ms(waiting.request.target, now_ms) > 0:
+            return True
         return waiting.request.late and self.open and not self.has_room()
 
     def may_go(self, request: PlaceRequest, now_ms: float) -> bool:
@@ -387,8 +410,14 @@
         self.queue = [w for w in self.queue if w not in late]
         heapq.heapify(self.queue)
         for waiting in late:
-            retry_ms = max(LEAST_RETRY_MS, self.place_wait_ms(len(self.queue)))
-            yield Verdict(waiting.request.request_id, denied=True, retry_ms=retry_ms)
+            yield self.denied(waiting, now_ms)
+
+    def denied(self, waiting: Waiting, now_ms: float) -> Verdict:
+        """Deny a request that waited; tell when another may have a place."""
+        place_ms = self.place_wait_ms(len(self.queue))
+        rate_ms = self.rate_wait_ms(waiting.request.target, now_ms)
+        retry_ms = max(LEAST_RETRY_MS, place_ms, rate_ms)
+        return Verdict(waiting.request.request_id, denied=True, retry_ms=retry_ms)
 
     def expire_held(self, now_ms: float) -> None:
         """Take places back that were forgotten."""
--- a/src/wisteriapulley/policy/stated_rate.py
+++ b/src/wisteriapulley/policy/stated_rate.py
@@ -1,10 +1,16 @@
-"""The rate that a target states in its answers, as one entry knows it. Pure."""
+"""The rate that a target states in its answers, and what may pass by it. Pure."""
 
 from typing import NamedTuple
 
+from wisteriapulley.policy.token_bucket import TokenBucket
+
 # A target that states that it takes nothing is asked so often all the same, in
 # requests a second: only its answers tell when that ends.
 LEAST_PER_S = 0.1
+# Of a rate that passes at once after a rest, in seconds; one request in any case.
+BURST_S = 0.5
+# A target of which nothing was heard for so long is forgotten.
+KEPT_S = 600.0
 
 
 class StatedRate(NamedTuple):
@@ -39,7 +45,7 @@
         self.was_unreadable = False
 
     def hear(self, stated: StatedRate, sent_s: float, now_s: float) -> bool:
-        """Take an answer's word in; tell whether it changes anything.
+        """Take an answer's word in; tell whether it says that there is a rate, or was.
 
         Parameters
         ----------
@@ -56,10 +62,12 @@
                 return False
             self.per_s, self.heard_s = None, now_s
             return True
-        per_s = max(LEAST_PER_S, stated.per_s)
-        changed = per_s != self.per_s
-        self.per_s, self.heard_s = per_s, now_s
-        return changed
+        self.per_s, self.heard_s = max(LEAST_PER_S, stated.per_s), now_s
+        return True
+
+    def end(self, now_s: float) -> None:
+        """Note that others heard that the target states no rate any more."""
+        self.per_s, self.heard_s = None, now_s
 
     def is_first_unreadable(self, stated: StatedRate) -> bool:
         """Tell whether a target states for the first time what is no rate."""
@@ -67,3 +75,93 @@
             return False
         self.was_unreadable = True
         return True
+
+
+class Limit(NamedTuple):
+    """A target's stated rate, and what may pass by it.
+
+    Attributes
+    ----------
+    per_s : float or None
+        As stated; None once the target states none any more.
+    heard_s : float
+        When that was heard.
+    bucket : TokenBucket
+        Requests that may pass.
+    """
+
+    per_s: float | None
+    heard_s: float
+    bucket: TokenBucket
+
+
+class RateLimits:
+    """Lets requests pass to targets that state a rate: one of these for each target.
+
+    Load: a target in need takes a few requests a second, and each entry knows only
+    its own. Harm prevented: limits that entries keep by themselves add up, and a
+    split of the rate is exceeded while entries come, go or restart.
+
+    Parameters
+    ----------
+    share : float
+        Of a stated rate that passes here.
+    """
+
+    def __init__(self, share: float = 1.0):
+        self.share = share
+        self.limits: dict[str, Limit] = {}
+
+    def hear(self, target: str, per_s: float | None, heard_s: float) -> None:
+        """Take in a target's word, unless newer words of it are known.
+
+        Nothing passes at once by a limit that is new here: requests that were sent
+        before it was known are still on their way.
+
+        Parameters
+        ----------
+        target : str
+            The target, one start of it.
+        per_s : float or None
+            Requests a second; None where it states no rate any more.
+        heard_s : float
+            When an entry heard that.
+        """
+        known = self.limits.get(target)
+        if known is not None and heard_s < known.heard_s:
+            return
+        if known is None and per_s is None:
+            return
+        rate = self.share * per_s if per_s is not None else 0.0
+        burst = max(1.0, rate * BURST_S)
+        if known is None or known.per_s is None:
+            bucket = TokenBucket(rate, burst, left=0.0)
+        else:
+            bucket = known.bucket
+            bucket.change(rate, burst, heard_s)
+        self.limits[target] = Limit(per_s, heard_s, bucket)
+
+    def is_limited(self, target: str) -> bool:
+        """Tell whether a target states a rate, as far as known here."""
+        limit = self.limits.get(target)
+        return limit is not None and limit.per_s is not None
+
+    def wait_s(self, target: str, now_s: float) -> float:
+        """Return how long until a request may pass; 0 for now."""
+        limit = self.limits.get(target)
+        if limit is None or limit.per_s is None:
+            return 0.0
+        return limit.bucket.wait_s(now_s)
+
+    def take(self, target: str, now_s: float) -> bool:
+        """Let a request pass, if one may."""
+        limit = self.limits.get(target)
+        if limit is None or limit.per_s is None:
+            return True
+        return limit.bucket.take(now_s)
+
+    def sweep(self, now_s: float) -> None:
+        """Forget targets of which nothing was heard for long."""
+        for target, limit in tuple(self.limits.items()):
+            if now_s - limit.heard_s > KEPT_S:
+                del self.limits[target]
--- a/src/wisteriapulley/rollout/granting.py
+++ b/src/wisteriapulley/rollout/granting.py
@@ -6,7 +6,7 @@
 
 from wisteriapulley.errors import ResultCode, WireError
 from wisteriapulley.logs import fields
-from wisteriapulley.policy.places import PlaceRequest, Places, Verdict
+from wisteriapulley.policy.places import PlaceRequest, Places, PlacesState, Verdict
 from wisteriapulley.rollout.knowledge import Knowledge
 from wisteriapulley.routing import Engine
 from wisteriapulley.wire import Frame, Link, LinkServer, messages
@@ -36,6 +36,8 @@
         self.places = Places(Engine(""))
         self.waiting: dict[str, asyncio.Future[Verdict]] = {}
         self.beat_at: asyncio.TimerHandle | None = None
+        # When the engine's stated rate lets a request begin again.
+        self.passes_at: asyncio.TimerHandle | None = None
         self.server: LinkServer | None = None
         # Set while requests wait: an engine with room needs no look at its queue.
         self.queued = asyncio.Event()
@@ -86,8 +88,10 @@
 
     def heartbeat(self) -> messages.Heartbeat:
         """Tell the load, and whether places are open."""
+        limited = self.places.open and self.rate_wait_s() > 0
+        state = PlacesState.LIMITED if limited else self.places.state
         return messages.Heartbeat(
-            state=self.places.state.value,
+            state=state.value,
             running=len(self.places.held),
             waiting=len(self.places.queue),
         )
@@ -110,6 +114,26 @@
         for link in self.near_links():
             link.beat()
 
+    def rate_wait_s(self) -> float:
+        """Return how long until the engine's stated rate lets a request begin."""
+        return self.places.rate_wait_ms(self.places.target, self.now_ms()) / 1000
+
+    def tell_limit(self) -> None:
+        """Tell entries that the engine is at its limit, and when it is no more.
+
+        Entries ask one that is at its limit after the others.
+        """
+        wait_s = self.rate_wait_s()
+        if wait_s > 0 and self.passes_at is None:
+            loop = asyncio.get_running_loop()
+            self.passes_at = loop.call_later(wait_s, self.passes_again)
+        self.beat_soon()
+
+    def passes_again(self) -> None:
+        """Tell entries that a request may begin."""
+        self.passes_at = None
+        self.tell_limit()
+
     def near_links(self) -> list[Link]:
         """Return the links of entries in the own region."""
         return [link for link in self.server.links if self.knowledge.is_near(link)]
@@ -175,7 +199,7 @@
         if verdict.granted and link.closed.is_set():
             self.places.release(message.request_id, self.now_ms())
             return
-        self.beat_soon()
+        self.tell_limit()
         link.post(self.reserved(verdict), reply_to=frame.id)
 
     def reserved(self, verdict: Verdict) -> messages.Reserved:
@@ -201,6 +225,17 @@
         self.advance()
         self.beat_soon()
 
+    @receive.register
+    async def receive_target_rate(
+        self, message: messages.TargetRate, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `TargetRate`."""
+        heard_s = self.now_ms() / 1000 - message.age_ms / 1000
+        self.places.rates.hear(message.target, message.per_s or None, heard_s)
+        self.places.target = message.target
+        self.advance()
+        self.tell_limit()
+
     def link_opened(self, link: Link) -> None:
         """Spare heartbeats where entries are told of loads and places anyway."""
         link.sparing = True
@@ -226,4 +261,5 @@
         message.priority,
         message.wait_ms,
         message.late,
+        message.target,
     )
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -60,6 +60,9 @@
     targetBeats @53 :TargetBeats;
     targetQuery @54 :TargetQuery;
     suspectNews @55 :SuspectNews;
+    targetRate @56 :TargetRate;
+    passageQuery @57 :PassageQuery;
+    passage @58 :Passage;
   }
 }
 
@@ -297,7 +300,7 @@
   answerTokens @2 :UInt32;
   priority @3 :UInt32;
   waitMs @4 :UInt32;
-  targetId @5 :Text;
+  target @5 :Text;
   late @6 :Bool;
 }
 struct Reserved {
@@ -319,3 +322,6 @@
   ageS @3 :UInt32;
 }
 struct SuspectNews { suspects @0 :List(Suspect); }
+struct TargetRate { target @0 :Text; perS @1 :Float64; ageMs @2 :UInt64; }
+struct PassageQuery { target @0 :Text; perS @1 :Float64; ageMs @2 :UInt64; }
+struct Passage { granted @0 :Bool; waitMs @1 :UInt32; limited @2 :Bool; }
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -500,7 +500,8 @@
 class Reserve(NamedTuple):
     """Ask a sidecar for a place at its target, for at most `wait_ms` from now.
 
-    `late` says that the request's objective has passed already.
+    `target` names one start of it; `late` says that the request's objective has
+    passed already.
     """
 
     request_id: str = ""
@@ -508,7 +509,7 @@
     answer_tokens: int = 0
     priority: int = 0
     wait_ms: int = 0
-    target_id: str = ""
+    target: str = ""
     late: bool = False
 
 
@@ -578,3 +579,37 @@
     """Requests under which targets ended, or that were cleared of it."""
 
     suspects: tuple[Suspect, ...] = ()
+
+
+class TargetRate(NamedTuple):
+    """What a target said `age_ms` ago of the requests that it takes.
+
+    `target` names one start of it; `per_s` is in requests a second, 0 where it
+    states no rate any more.
+    """
+
+    target: str = ""
+    per_s: float = 0.0
+    age_ms: int = 0
+
+
+class PassageQuery(NamedTuple):
+    """Ask a control instance whether a request may pass to a target that states a rate.
+
+    What follows `target` is what the entry knows; see `TargetRate`.
+    """
+
+    target: str = ""
+    per_s: float = 0.0
+    age_ms: int = 0
+
+
+class Passage(NamedTuple):
+    """Whether a request may pass; without it, `wait_ms` says when one may.
+
+    `limited` says whether the target still states a rate, as far as known.
+    """
+
+    granted: bool = False
+    wait_ms: int = 0
+    limited: bool = False
--- /dev/null
+++ b/tests/test_rate_limits.py
@@ -0,0 +1,392 @@
+"""Who lets requests pass to targets that state a rate."""
+
+import asyncio
+import itertools
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from tests.fakes.links import WrittenLink
+from tests.test_granting import Asker, granting_of, reserve
+from tests.test_places import ENGINE, open_places, wish
+from wisteriapulley.control.rate_holder import RateHolder
+from wisteriapulley.direct.limited import LimitedTargets
+from wisteriapulley.direct.registry import Target
+from wisteriapulley.errors import ResultCode, WireError
+from wisteriapulley.policy.stated_rate import BURST_S, KEPT_S, RateLimits
+from wisteriapulley.rollout.granting import PlacesState
+from wisteriapulley.wire import Frame, codec, messages
+from wisteriapulley.wire.messages import Passage, PassageQuery, TargetRate, TargetState
+
+WINDOW_S = 4.0
+ONE = "i-1/0"
+
+
+def allowed(per_s):
+    """Return what the users allow in any window, over all entries."""
+    return 1.5 * per_s * WINDOW_S + 5
+
+
+def most_in_window(times):
+    return max(
+        (sum(at_s <= t < at_s + WINDOW_S for t in times) for at_s in times), default=0
+    )
+
+
+def pressed(limits, per_s, seconds, senders=1):
+    """Press on a limit; return when requests passed."""
+    passed, step_s = [], 0.02
+    for step in range(int(seconds / step_s)):
+        now_s = step * step_s
+        for _ in range(senders):
+            limits.hear(ONE, per_s, now_s)
+            if limits.take(ONE, now_s):
+                passed.append(now_s)
+    return passed
+
+
+class TestRateLimits:
+    @pytest.mark.parametrize("per_s", [0.1, 1.0, 1.5, 10.0, 40.0])
+    def test_passes_the_rate_and_no_more(self, per_s):
+        seconds = 40.0
+        passed = pressed(RateLimits(), per_s, seconds)
+        assert most_in_window(passed) <= allowed(per_s)
+        assert len(passed) >= 0.9 * (per_s * seconds - 1)
+
+    def test_nothing_passes_at_once_by_a_limit_that_is_new(self):
+        limits = RateLimits()
+        limits.hear(ONE, 2.0, 10.0)
+        assert not limits.take(ONE, 10.0)
+        assert limits.wait_s(ONE, 10.0) == pytest.approx(0.5)
+        assert limits.take(ONE, 10.5)
+
+    def test_target_without_a_word_is_not_limited(self):
+        limits = RateLimits()
+        assert limits.wait_s(ONE, 0.0) == 0.0
+        assert all(limits.take(ONE, 0.0) for _ in range(100))
+
+    def test_another_start_begins_without_a_limit(self):
+        limits = RateLimits()
+        limits.hear(ONE, 1.0, 0.0)
+        assert not limits.take(ONE, 0.1)
+        assert limits.take("i-1/1700000000000", 0.1)
+
+    def test_newer_word_counts_whoever_tells_it(self):
+        limits = RateLimits()
+        limits.hear(ONE, 1.0, 5.0)
+        limits.hear(ONE, None, 6.0)
+        limits.hear(ONE, 1.0, 5.5)
+        assert not limits.is_limited(ONE)
+        limits.hear(ONE, 3.0, 7.0)
+        limits.hear(ONE, None, 6.5)
+        assert limits.is_limited(ONE)
+
+    def test_change_gives_no_new_burst(self):
+        """Two answers in turn name two rates."""
+        limits, passed = RateLimits(), []
+        for step in range(400):
+            now_s = step * 0.02
+            limits.hear(ONE, 1.0 + step % 2, now_s)
+            if limits.take(ONE, now_s):
+                passed.append(now_s)
+        assert most_in_window(passed) <= allowed(1.0)
+
+    def test_rest_gives_a_short_burst(self):
+        limits = RateLimits()
+        limits.hear(ONE, 20.0, 0.0)
+        assert not limits.take(ONE, 0.0)
+        passed = sum(limits.take(ONE, 100.0) for _ in range(100))
+        assert passed == 20 * BURST_S
+
+    def test_very_large_rate_stops_nothing(self):
+        limits = RateLimits()
+        limits.hear(ONE, 1e300, 0.0)
+        assert not limits.take(ONE, 0.0)
+        assert all(limits.take(ONE, 0.01) for _ in range(1000))
+
+    def test_target_that_is_gone_is_forgotten(self):
+        limits = RateLimits()
+        limits.hear(ONE, 1.0, 0.0)
+        limits.sweep(KEPT_S)
+        assert limits.limits
+        limits.sweep(KEPT_S + 1)
+        assert not limits.limits
+
+
+class TestPlacesWithARate:
+    def limited(self, per_s=2.0):
+        places = open_places()
+        places.rates.hear("", per_s, 0.0)
+        return places
+
+    def test_request_beyond_it_is_denied_at_once_with_a_time(self):
+        places = self.limited()
+        verdict = places.ask(wish(1), 0.0)
+        assert verdict.denied and verdict.retry_ms == pytest.approx(500.0)
+        assert places.ask(wish(2), 500.0).granted
+        assert places.ask(wish(3), 500.0).denied
+        assert not places.queue
+
+    def test_those_that_wait_when_it_is_stated_may_go_elsewhere(self):
+        places = open_places()
+        for number in range(40):
+            places.ask(wish(number, tokens=1, wait_ms=5000.0), 0.0)
+        assert places.queue
+        waiting = len(places.queue)
+        places.rates.hear("", 1.0, 0.0)
+        verdicts = list(places.advance(1.0))
+        assert len(verdicts) == waiting
+        assert all(verdict.denied and verdict.retry_ms > 0 for verdict in verdicts)
+
+    def test_ends_with_the_word_that_there_is_none(self):
+        places = self.limited()
+        assert places.ask(wish(1), 0.0).denied
+        places.rates.hear("", None, 0.1)
+        assert places.ask(wish(2), 100.0).granted
+        assert places.ask(wish(3), 100.0).granted
+
+
+class TestSidecar:
+    def test_keeps_a_rate_over_all_entries(self):
+        """Load: six entries press; each of them knows only its own requests."""
+        clock = itertools.count()
+        granted = []
+
+        async def run():
+            granting = granting_of(ENGINE)
+            now = SimpleNamespace(ms=0.0)
+            granting.now_ms = lambda: now.ms
+            links = [Asker() for _ in range(6)]
+            news = TargetRate("", 1.5, 0)
+            await granting.receive(news, links[0], Frame(0, 0, news))
+            assert granting.heartbeat().state == PlacesState.LIMITED.value
+            for step in range(600):
+                now.ms = step * 20.0
+                link = links[step % 6]
+                number = next(clock)
+                await reserve(granting, link, number, wait_ms=400)
+                verdict = link.taken[-1]
+                if verdict.granted:
+                    granted.append(now.ms / 1000)
+                    granting.places.release(f"r{number}", now.ms)
+                else:
+                    assert verdict.retry_ms > 0
+            granting.passes_at.cancel()
+
+        asyncio.run(run())
+        assert most_in_window(granted) <= allowed(1.5)
+        assert len(granted) >= 0.9 * (1.5 * 12 - 1)
+
+
+class Holder(WrittenLink):
+    """A link to another control instance, or to one that is away."""
+
+    peer_id = "control-x"
+
+    def __init__(self, decide=None):
+        super().__init__("control")
+        self.decide = decide
+        self.asked = []
+
+    async def request(self, message, timeout_s):
+        self.asked.append(message)
+        if self.decide is None:
+            raise WireError(ResultCode.LINK_TIMEOUT, "no reply")
+        return Frame(1, 1, await self.decide(message))
+
+
+def run_with_clock(scenario):
+    """Run a scenario on a loop whose clock the scenario sets."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        now = SimpleNamespace(s=100.0)
+        loop.time, original = (lambda: now.s), loop.time
+        try:
+            await scenario(now)
+        finally:
+            loop.time = original
+
+    asyncio.run(run())
+
+
+class TestRateHolder:
+    def holders(self, *names):
+        """Return instances that all reach each other."""
+        holders = {}
+        for own in names:
+            holders[own] = RateHolder(own, lambda own=own: links[own])
+
+        def link_to(name):
+            async def decide(message):
+                return await holders[name].answer(message, from_entry=False)
+
+            return Holder(decide)
+
+        links = {
+            own: {name: link_to(name) for name in names if name != own} for own in names
+        }
+        return holders, links
+
+    def test_one_instance_decides_for_all(self):
+        async def scenario(now):
+            holders, _ = self.holders("a", "b", "c")
+            for number in range(60):
+                target = f"i-{number}/0"
+                query = PassageQuery(target, 1.0, 0)
+                for holder in holders.values():
+                    await holder.answer(query, from_entry=True)
+                held = [h for h in holders.values() if target in h.limits.limits]
+                assert len(held) == 1
+            assert all(holder.limits.limits for holder in holders.values())
+
+        run_with_clock(scenario)
+
+    @pytest.mark.parametrize("entries", [1, 6, 30])
+    @pytest.mark.parametrize("per_s", [0.5, 1.5, 10.0])
+    def test_entries_together_keep_to_the_rate(self, entries, per_s):
+        """Load: all entries press at one target, through any instance."""
+        passed = []
+
+        async def scenario(now):
+            holders, _ = self.holders("a", "b", "c")
+            rng = random.Random(entries)
+            for _ in range(600):
+                now.s += 0.02
+                for entry in range(entries):
+                    if rng.random() < 0.5:
+                        holder = holders["abc"[entry % 3]]
+                        query = PassageQuery(ONE, per_s, 0)
+                        answer = await holder.answer(query, from_entry=True)
+                        assert answer.granted or answer.wait_ms > 0
+                        if answer.granted:
+                            passed.append(now.s)
+
+        run_with_clock(scenario)
+        assert most_in_window(passed) <= allowed(per_s)
+        assert len(passed) >= 0.5 * per_s * 12 - 1
+
+    @pytest.mark.parametrize("per_s", [0.5, 1.5, 10.0])
+    def test_two_holders_of_a_cut_together_keep_to_the_rate(self, per_s):
+        passed = []
+
+        async def scenario(now):
+            apart = [RateHolder(name, dict) for name in "ab"]
+            for _ in range(600):
+                now.s += 0.02
+                for holder in apart:
+                    query = PassageQuery(ONE, per_s, 0)
+                    if (await holder.answer(query, from_entry=True)).granted:
+                        passed.append(now.s)
+
+        run_with_clock(scenario)
+        assert most_in_window(passed) <= allowed(per_s)
+
+    def test_holder_that_is_away_lets_nothing_pass(self):
+        async def scenario(now):
+            holder = RateHolder("a", lambda: {"b": Holder(), "c": Holder()})
+            answers = [
+                await holder.answer(PassageQuery(f"i-{n}/0", 1.0, 0), from_entry=True)
+                for n in range(20)
+            ]
+            assert Passage(False, 500, True) in answers
+
+        run_with_clock(scenario)
+
+    def test_end_reaches_the_holder_and_then_the_others(self):
+        async def scenario(now):
+            holders, links = self.holders("a", "b")
+            query = PassageQuery(ONE, 1.0, 0)
+            assert not (await holders["a"].answer(query, from_entry=True)).granted
+            now.s += 1.0
+            news = TargetRate(ONE, 0.0, 0)
+            for own, holder in holders.items():
+                holder.hear(news, from_entry=True)
+                for name, link in links[own].items():
+                    for message in link.taken:
+                        holders[name].hear(message, from_entry=False)
+            now.s += 0.1
+            late = PassageQuery(ONE, 1.0, 1100)
+            answer = await holders["b"].answer(late, from_entry=True)
+            assert answer == Passage(True, 0, False)
+
+        run_with_clock(scenario)
+
+
+def limited_target(per_s=2.0, heard_s=0.0):
+    target = Target(TargetState("i-1", "s", "10.0.0.1:80", "z"), 0.0)
+    target.rate.per_s, target.rate.heard_s = per_s, heard_s
+    return target
+
+
+class TestLimitedTargets:
+    def ask(self, answers, times_s):
+        """Ask for one target at some times; return the waits and the questions."""
+
+        async def run():
+            replies = iter(answers)
+
+            async def decide(message):
+                return next(replies)
+
+            link = Holder(decide if answers else None)
+            limited = LimitedTargets(lambda: [link])
+            target = limited_target()
+            waits_s = [await limited.wait_s(target, now_s) for now_s in times_s]
+            return waits_s, link.asked, target
+
+        return asyncio.run(run())
+
+    def test_target_without_a_rate_is_not_asked_for(self):
+        async def run():
+            limited = LimitedTargets(list)
+            return await limited.wait_s(limited_target(per_s=None), 1.0)
+
+        assert asyncio.run(run()) == 0.0
+
+    def test_full_target_is_asked_for_again_only_when_a_request_may_pass(self):
+        answers = [Passage(False, 400, True), Passage(True, 0, True)]
+        waits_s, asked, _ = self.ask(answers, [1.0, 1.1, 1.3, 1.5])
+        assert waits_s == pytest.approx([0.4, 0.3, 0.1, 0.0])
+        assert asked == [PassageQuery(ONE, 2.0, 1000), PassageQuery(ONE, 2.0, 1500)]
+
+    def test_end_that_others_heard_is_taken_over(self):
+        waits_s, asked, target = self.ask([Passage(True, 0, False)], [1.0, 1.1])
+        assert waits_s == [0.0, 0.0] and len(asked) == 1
+        assert target.rate.per_s is None
+
+    def test_entry_that_is_alone_lets_little_pass(self):
+        """Load: a whole fleet of entries is cut off from all control instances."""
+        times_s = [step * 0.02 for step in range(1, 3000)]
+        waits_s, _, _ = self.ask([], times_s)
+        passed = sum(wait_s == 0 for wait_s in waits_s)
+        assert 2 <= passed <= 2.0 * 60 / 20
+        assert all(wait_s >= 0 for wait_s in waits_s)
+
+    def test_sidecar_is_told_before_any_other(self):
+        async def run():
+            control, sidecar = Holder(), WrittenLink("sidecar")
+            limited = LimitedTargets(lambda: [control])
+            limited.heard(limited_target(), sidecar, 0.5)
+            limited.heard(limited_target(None), None, 0.5)
+            return control.taken, sidecar.taken
+
+        control, sidecar = asyncio.run(run())
+        assert sidecar == [TargetRate(ONE, 2.0, 500)]
+        assert control == [TargetRate(ONE, 0.0, 500)]
+
+
+class TestMessages:
+    @pytest.mark.parametrize(
+        "message",
+        [
+            TargetRate(ONE, 1.5, 20),
+            PassageQuery(ONE, 1e300, 1 << 40),
+            Passage(False, 500, True),
+            messages.SuspectNews((messages.Suspect(b"d" * 16, 1, ("a", "b"), 9),)),
+        ],
+    )
+    def test_survive_the_wire(self, message):
+        data = codec.encode(Frame(1, 0, message))
+        assert codec.decode(data[codec.HEADER.size :]).message == message
