Forget in sidecars what earlier starts of an engine stated

A sidecar kept the stated rate of each start of its engine for as long as it ran; it now drops what was not heard for ten minutes, like the other holders.

--- a/src/wisteriapulley/rollout/granting.py
+++ b/src/wisteriapulley/rollout/granting.py
@@ -134,6 +134,10 @@
         self.passes_at = None
         self.tell_limit()
 
+    def forget_rates(self) -> None:
+        """Forget what earlier starts of the engine stated."""
+        self.places.rates.sweep(self.now_ms() / 1000)
+
     def near_links(self) -> list[Link]:
         """Return the links of entries in the own region."""
         return [link for link in self.server.links if self.knowledge.is_near(link)]
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -121,6 +121,7 @@
             self.settle()
             await self.changing.adjust()
             self.changing.plan()
+            self.granting.forget_rates()
             self.show()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self.pause_s()):
