Tell new links of the heaviest suspects only; a target's failure clears none

A control instance sent all it held, up to 220 kB, to each entry that connected, and all entries connect at once after a loss of all; now the 256 that tell most, without those cleared. An answer of 500 or more cleared a suspect, but says nothing of what the request does elsewhere.

--- a/src/wisteriapulley/control/suspect_feed.py
+++ b/src/wisteriapulley/control/suspect_feed.py
@@ -81,13 +81,13 @@
         if self.store is not None:
             self.store.save(self.news(self.suspects.quarantined()).suspects)
 
-    def news(self, digests: Iterable[bytes] | None = None) -> messages.SuspectNews:
-        """Make the news of some requests, or of all."""
+    def news(self, digests: Iterable[bytes]) -> messages.SuspectNews:
+        """Make the news of some requests."""
         return messages.SuspectNews(tuple(self.suspects.news(steady_s(), digests)))
 
     def tell_all(self, link: Link) -> None:
-        """Tell a new link all that is known."""
-        news = self.news()
+        """Tell a new link what it needs to know."""
+        news = self.news(self.suspects.heaviest())
         if news.suspects:
             link.post(news)
 
--- a/src/wisteriapulley/direct/crashes.py
+++ b/src/wisteriapulley/direct/crashes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from wisteriapulley.clocks import steady_s
 from wisteriapulley.direct.liveness import Liveness
@@ -130,8 +130,12 @@
         changed, self.untold = self.untold, set()
         self.tell(self.news(changed))
 
-    def news(self, digests: set[bytes] | None = None) -> SuspectNews:
-        """Make the news of some requests, or of all."""
+    def own_news(self) -> SuspectNews:
+        """Make what an instance is told that is followed from now on."""
+        return self.news(self.suspects.heaviest())
+
+    def news(self, digests: Iterable[bytes]) -> SuspectNews:
+        """Make the news of some requests."""
         return SuspectNews(tuple(self.suspects.news(steady_s(), digests)))
 
     def take(self, news: SuspectNews) -> None:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -195,9 +195,8 @@
         if head.not_run:
             return Refusal(RefusalKind.OVERLOADED, NOT_TAKEN_RETRY_S, "target refused")
         progress.may_have_run = True
-        failed = head.status >= SERVER_ERROR
-        self.registry.judge(target, failed, self.now_s())
-        if failed and self.may_repeat(admitted, progress, answer):
+        self.registry.judge(target, failed(head), self.now_s())
+        if failed(head) and self.may_repeat(admitted, progress, answer):
             return Refusal(RefusalKind.FAILED, reason=f"target said {head.status}")
         if answer.started and head.status != HTTP_OK:
             return Refusal(RefusalKind.FAILED, reason=f"target said {head.status}")
@@ -245,7 +244,8 @@
         await answer.start(head.status, head.headers, len(body))
         await answer.write(body)
         await answer.finish()
-        self.crashes.answered(admitted, progress)
+        if not failed(head):
+            self.crashes.answered(admitted, progress)
         self.log_answered(admitted, target, head.status)
         return None
 
@@ -347,6 +347,11 @@
         )
 
 
+def failed(head: TargetAnswer) -> bool:
+    """Tell whether a target answers that it failed."""
+    return head.status >= SERVER_ERROR
+
+
 def patience_s(route: Route, remaining_s: float, has_sends_left: bool) -> float | None:
     """Return how long to wait for a head; None for as long as the request has.
 
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -57,7 +57,7 @@
         self.follower.on_beats = self.targets_heard
         self.crashes = CrashWatch(self.identity.key, Liveness(), self.follower.tell)
         self.follower.on_suspects = self.crashes.take
-        self.follower.own_news = self.crashes.news
+        self.follower.own_news = self.crashes.own_news
         self.placing = Placing(settings, self.identity, self.registry, self.follower)
         self.metrics = Metrics(settings.node_id, "entry")
         self.http = HttpServer(self.metrics, self.is_ready)
--- a/src/wisteriapulley/policy/crash_suspects.py
+++ b/src/wisteriapulley/policy/crash_suspects.py
@@ -11,6 +11,7 @@
 entries merge to the same whatever their order, and however often they come.
 """
 
+import heapq
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
@@ -25,8 +26,10 @@
 # A suspect that ends nothing more is forgotten after so long, and so is a quarantine:
 # what the request met may have been mended since.
 KEPT_S = 86_400.0
-# Suspects held at once: each takes some 300 bytes.
+# Suspects held at once: each takes half a kilobyte.
 MOST_SUSPECTS = 1024
+# Suspects that a new link is told of: a frame stays below 60 kB.
+MOST_TOLD = 256
 
 
 class Record(NamedTuple):
@@ -146,6 +149,11 @@
 
     # -- as others are told ----------------------------------------------
 
+    def heaviest(self) -> list[bytes]:
+        """Return the suspects that a new link is told of."""
+        suspects = (digest for digest, r in self.records.items() if r.ended)
+        return heapq.nlargest(MOST_TOLD, suspects, key=self.weight)
+
     def take(self, suspects: Iterable[Suspect], now_s: float) -> list[bytes]:
         """Take in what others tell; return the digests of which that is news."""
         return [
@@ -154,11 +162,9 @@
             if self.merge(suspect.digest, record_of(suspect, now_s))
         ]
 
-    def news(
-        self, now_s: float, digests: Iterable[bytes] | None = None
-    ) -> Iterator[Suspect]:
-        """Yield what is known of some requests, or of all, with its age."""
-        for digest in self.records if digests is None else digests:
+    def news(self, now_s: float, digests: Iterable[bytes]) -> Iterator[Suspect]:
+        """Yield what is known of some requests, with its age."""
+        for digest in digests:
             record = self.records.get(digest)
             if record is not None:
                 age_s = max(0, int(now_s - record.at_s))
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from wisteriapulley.policy.crash_suspects import ENDED_ALONE, CrashSuspects, Record
+from wisteriapulley.policy.crash_suspects import (
+    ENDED_ALONE,
+    MOST_TOLD,
+    CrashSuspects,
+    Record,
+)
 from wisteriapulley.wire.messages import Suspect
 
 ONE, OTHER, CULPRIT = b"1" * 16, b"2" * 16, b"3" * 16
@@ -71,7 +76,7 @@
         assert suspects.is_quarantined(ONE)
 
     def test_ends_told_after_the_clearing_are_not_counted_again(self):
-        suspects, late = after("a", "b"), tuple(after("a", "b", "c").news(3.0))
+        suspects, late = after("a", "b"), tuple(after("a", "b", "c").news(3.0, [ONE]))
         suspects.answered(ONE, 5.0)
         assert suspects.take(late, 6.0) == []
         assert not suspects.is_quarantined(ONE)
@@ -93,8 +98,18 @@
         assert suspects.is_quarantined(ONE)
         assert OTHER not in suspects.records
 
+    def test_new_link_is_told_of_the_heaviest(self):
+        suspects = after("a", "b", "c")
+        for number in range(2 * MOST_TOLD):
+            suspects.target_ended(number.to_bytes(16, "little"), "z", 5.0)
+        suspects.target_ended(OTHER, "z", 6.0)
+        suspects.answered(OTHER, 7.0)
+        told = suspects.heaviest()
+        assert len(told) == MOST_TOLD
+        assert told[0] == ONE and OTHER not in told
+
     def test_news_say_how_long_ago(self):
-        news = tuple(after("a", "b").news(11.9))
+        news = tuple(after("a", "b").news(11.9, [ONE]))
         assert news == (Suspect(ONE, 0, ("a", "b"), 10),)
 
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -104,6 +104,15 @@
         assert blamed.ended and not cleared.ended
         assert cleared.cleared == blamed.cleared + 1
 
+    def test_failure_of_a_target_clears_nothing(self):
+        """It tells nothing of how the request goes on elsewhere."""
+        broken = FakeAnswer([b""], breaks=True)
+        failure = FakeAnswer(status=500)
+        crashes = watch(ended=True)
+        serve(broken, failure, kind=RouteKind.IDEMPOTENT, crashes=crashes)
+        (record,) = crashes.suspects.records.values()
+        assert record.ended
+
     def test_word_that_is_late_is_taken_in(self):
         """A host that answers slowly: the request goes on, and is judged later."""
 
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -150,6 +150,7 @@
     targets=3,
     begins_in_s=None,
     ended=False,
+    crashes=None,
 ):
     """Serve one request; return what became of it."""
     route = Route(
@@ -172,7 +173,7 @@
         placing,
         client,
         EntryMetrics(Metrics("e", "entry")),
-        watch(ended),
+        crashes or watch(ended),
     )
     table = RoutingTable(1, (route,), (Service("s"),), (Account("a", ("k",)),))
     dispatcher.index = RouteIndex(table)
