Give each test run of the platform's path loopback hosts of its own

Two test runs at once on one machine failed: 8 tests, WP102 ADDRESS_CLASH on 127.0.0.1:9102. The platform's settings name ports of the metrics that are the same on every host, so each run now takes hosts of 127.0.0.0/8 that are drawn.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -42,6 +42,17 @@
                 return port
 
 
+def free_hosts(count: int) -> list[str]:
+    """Return loopback hosts next to each other that no other run uses.
+
+    The platform's settings name ports that are the same on every host.
+    """
+    rng = random.SystemRandom()
+    network = f"127.{rng.randrange(1, 255)}.{rng.randrange(255)}"
+    first = rng.randrange(1, 255 - count)
+    return [f"{network}.{first + number}" for number in range(count)]
+
+
 def address(port: int) -> str:
     """Return the loopback address of a port."""
     return f"127.0.0.1:{port}"
--- a/tests/plain_fleet.py
+++ b/tests/plain_fleet.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from tests.fakes.platform import Origin, configuration
-from tests.fleet import free_port
+from tests.fleet import free_hosts, free_port
 from tests.test_platform_path import KEY, PATIENCE_S, settings_file
 from wisteriapulley.platform import names
 from wisteriapulley.platform.daemons import new_control, new_entry
@@ -33,6 +33,7 @@
 
     def __init__(self, folder, targets):
         self.folder = folder
+        self.control_host, *self.entry_hosts = free_hosts(1 + ENTRIES)
         self.base = free_port()
         self.targets = targets
         self.services = []
@@ -44,7 +45,7 @@
         for target in self.targets:
             await target.start()
         self.session = aiohttp.ClientSession()
-        self.control = await self.start_service(new_control, "127.0.0.1")
+        await self.start_control()
         for number in range(ENTRIES):
             await self.start_entry(number)
         self.beating = asyncio.create_task(self.beat_loop())
@@ -56,15 +57,18 @@
     async def start_service(self, make, host):
         folder = self.folder / host
         folder.mkdir(exist_ok=True)
-        own = settings_file(str(folder), host, self.base)
+        own = settings_file(str(folder), host, self.base, seed=self.control_host)
         service = make(own, str(self.folder / "key"))
         service.fatal = asyncio.get_running_loop().create_future()
         await service.start()
         self.services.append(service)
         return service
 
+    async def start_control(self):
+        self.control = await self.start_service(new_control, self.control_host)
+
     async def start_entry(self, number):
-        host = f"127.0.0.{number + 2}"
+        host = self.entry_hosts[number]
         self.entries[number] = await self.start_service(new_entry, host)
 
     async def stop_service(self, service):
@@ -91,7 +95,7 @@
                 await asyncio.sleep(0.02)
 
     async def post(self, path, body):
-        url = f"http://127.0.0.1:{self.base + 10}{path}"
+        url = f"http://{self.control_host}:{self.base + 10}{path}"
         async with self.session.post(url, data=body) as answer:
             return answer.status == 200
 
@@ -121,7 +125,7 @@
 
     async def ask(self, number, body, path="/p/x", key="key-1"):
         """Send a request to an entry; return the status and when to come back."""
-        url = f"http://127.0.0.{number + 2}:{self.base + 8}{path}"
+        url = f"http://{self.entry_hosts[number]}:{self.base + 8}{path}"
         headers = {
             "Host": "plain.example",
             "X-Request-Attempt-Id": f"id-{number}-{body.decode()}",
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -5,7 +5,6 @@
 from tests import plain_fleet
 from tests.fakes.plain import PlainTarget
 from tests.plain_fleet import ENTRIES, Fleet
-from wisteriapulley.platform.daemons import new_control
 
 CRASHING = b"crashing body"
 TARGETS = 12
@@ -124,7 +123,7 @@
             await fleet.ask(0, CRASHING)
             await fleet.ask(0, CRASHING)
             ended = fleet.ended()
-            fleet.control = await fleet.start_service(new_control, "127.0.0.1")
+            await fleet.start_control()
 
             async def told():
                 return bool(fleet.entries[1].crashes.suspects.quarantined())
@@ -140,7 +139,7 @@
             await fleet.insist(2 * ENTRIES)
             ended = fleet.ended()
             await fleet.stop_services()
-            fleet.control = await fleet.start_service(new_control, "127.0.0.1")
+            await fleet.start_control()
             for number in range(ENTRIES):
                 await fleet.start_entry(number)
                 await fleet.until(lambda number=number: fleet.serves(number))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.fakes.platform import EVENTS, Engine, Origin, configuration
-from tests.fleet import free_port
+from tests.fleet import free_hosts, free_port
 from wisteriapulley.platform import names
 from wisteriapulley.platform.daemons import new_control, new_entry, new_sidecar
 from wisteriapulley.platform.settings import PlatformSettings
@@ -17,14 +17,15 @@
 
 
 def settings_file(folder, host, base, **more):
-    """Write a settings file in the platform's format."""
+    """Write a settings file in the platform's format; `seed` is the host itself."""
+    seed = more.get("seed", host)
     text = f"""
 node-name = "node-{host}"
 ip-address = "{host}"
 zone = "palermo"
 region = "palermo"
 internal-port-range = [{base},{base + 15}]
-seed-nodes = ["127.0.0.1:{base + 10}"]
+seed-nodes = ["{seed}:{base + 10}"]
 bootstrap = true
 data-directory = "{folder}"
 heartbeat-interval-ms = 1200
@@ -55,6 +56,7 @@
 
     def __init__(self, folder):
         self.folder = folder
+        (self.host,) = free_hosts(1)
         self.base = free_port()
         self.origin = Origin()
         self.engine = Engine(self.origin)
@@ -65,9 +67,9 @@
         key = self.folder / "key"
         key.write_text(KEY)
         await self.origin.start()
-        await self.engine.start()
+        await self.engine.start(self.host)
         own = settings_file(
-            str(self.folder), "127.0.0.1", self.base, app=self.engine.address
+            str(self.folder), self.host, self.base, app=self.engine.address
         )
         self.control = new_control(own, str(key))
         self.sidecar = new_sidecar(own, str(key))
@@ -88,7 +90,7 @@
         await self.origin.stop()
 
     def url(self, port, path):
-        return f"http://127.0.0.1:{self.base + port}{path}"
+        return f"http://{self.host}:{self.base + port}{path}"
 
     async def post(self, path, body):
         async with self.session.post(self.url(10, path), data=body) as answer:
