Let engines at their limit take no tries from those that have room

Cause, on the emulator: an engine that states a rate runs little, looks empty, and is asked first; it denies, and took one of the six tries of each request.

Change: a denial by a stated rate says so, takes no try, and is remembered by the entry until a request may pass, for a second at most. When to come back is told by full engines first: one at its limit takes the next few requests only.

The test in test_placing.py asks ten engines of which nine are at their limit; before, the tenth was not asked.

--- a/src/wisteriapulley/direct/limited.py
+++ b/src/wisteriapulley/direct/limited.py
@@ -14,6 +14,9 @@
 # A control instance that runs answers within two round trips; a request that is held
 # for longer loses a third of its objective.
 ASK_S = 0.15
+# A target at its limit is asked for again after so long at the latest: its rate may
+# have changed.
+FULL_MOST_S = 1.0
 # Of a stated rate that one entry lets pass while nobody who holds the limit answers:
 # a fleet of so many entries still keeps the whole.
 ALONE_SHARE = 1 / 20
@@ -42,9 +45,9 @@
         """
         if target.rate.per_s is None:
             return 0.0
-        until_s = self.full_until_s.get(target.start, now_s)
-        if until_s > now_s:
-            return until_s - now_s
+        full_s = self.full_s(target, now_s)
+        if full_s:
+            return full_s
         passage = await self.ask(target, now_s)
         if passage is None:
             return self.alone_wait_s(target, now_s)
@@ -53,9 +56,17 @@
         if passage.granted:
             return 0.0
         wait_s = passage.wait_ms / 1000
-        self.full_until_s[target.start] = now_s + wait_s
+        self.note_full(target, wait_s, now_s)
         return wait_s
 
+    def full_s(self, target: Target, now_s: float) -> float:
+        """Return how long a target is known to be at its limit."""
+        return max(0.0, self.full_until_s.get(target.start, now_s) - now_s)
+
+    def note_full(self, target: Target, wait_s: float, now_s: float) -> None:
+        """Note that a target is at its limit for some time."""
+        self.full_until_s[target.start] = now_s + min(wait_s, FULL_MOST_S)
+
     async def ask(self, target: Target, now_s: float) -> Passage | None:
         """Ask for a passage; None where nobody answers."""
         age_ms = max(0, int((now_s - target.rate.heard_s) * 1000))
--- a/src/wisteriapulley/direct/placing.py
+++ b/src/wisteriapulley/direct/placing.py
@@ -77,6 +77,43 @@
     granted: bool = False
 
 
+class Denials:
+    """How the sidecars that one request asked denied it a place.
+
+    Attributes
+    ----------
+    others : int
+        How many denied it for another reason than their engine's stated rate. One at
+        its limit denies at once, and tells nothing of the others.
+    full_s, limited_s : list of float
+        When those that are full are likely to have a place, and those at their limit
+        to let a request pass.
+    """
+
+    def __init__(self):
+        self.others = 0
+        self.full_s: list[float] = []
+        self.limited_s: list[float] = []
+
+    def add(self, answer: messages.Reserved | None) -> None:
+        """Take in an answer; None from a sidecar that gave none."""
+        if answer is not None and answer.limited:
+            self.limited_s.append(answer.retry_ms / 1000)
+            return
+        self.others += 1
+        if answer is not None and not answer.closed:
+            self.full_s.append(answer.retry_ms / 1000)
+
+    @property
+    def retry_s(self) -> float:
+        """When to come back.
+
+        An engine at its limit takes the next few requests only, so that its time is
+        told where no other engine names one.
+        """
+        return min(self.full_s or self.limited_s or (DEFAULT_RETRY_S,))
+
+
 class Placing:
     """Places of all targets that an entry knows.
 
@@ -185,36 +222,44 @@
         now_s: float,
     ) -> Place | Refusal:
         """Ask sidecars in turn for a place."""
-        able = [
-            target
-            for target in targets
-            if self.sidecars.is_chosen(target) and self.sidecars.may_be_asked(target)
-        ]
-        order = by_preference(
-            able,
-            lambda target: self.sidecars.load_of(target, now_s),
-            self.around,
-            self.random.random,
-            now_s,
-        )
-        retry_ms: list[int] = []
-        for target in order[:MOST_ASKED]:
+        denials = Denials()
+        for target in self.engines_in_order(targets, now_s):
+            wait_s = self.limited.full_s(target, now_s)
+            if wait_s:
+                denials.limited_s.append(wait_s)
+                continue
+            if denials.others == MOST_ASKED:
+                break
             link = self.sidecars.link_to(target)
             if link is None:
                 place = self.place_unguarded(target, engine)
                 if place is not None:
                     return place
+                denials.others += 1
                 continue
             question = self.question(admitted, engine, target)
             answer = await self.sidecars.ask(link, target, question)
-            if answer is None:
-                continue
-            if answer.granted:
+            if answer is not None and answer.granted:
                 return self.granted(link, admitted.request, target, engine, answer)
-            if not answer.closed:
-                retry_ms.append(answer.retry_ms)
-        retry_s = min(retry_ms) / 1000 if retry_ms else DEFAULT_RETRY_S
-        return Refusal(RefusalKind.OVERLOADED, retry_s, "no place in time")
+            denials.add(answer)
+            if answer is not None and answer.limited:
+                self.limited.note_full(target, answer.retry_ms / 1000, now_s)
+        return Refusal(RefusalKind.OVERLOADED, denials.retry_s, "no place in time")
+
+    def engines_in_order(self, targets: list[Target], now_s: float) -> list[Target]:
+        """Return the engines whose sidecars may grant a place, the best one first."""
+        able = (
+            target
+            for target in targets
+            if self.sidecars.is_chosen(target) and self.sidecars.may_be_asked(target)
+        )
+        return by_preference(
+            able,
+            lambda target: self.sidecars.load_of(target, now_s),
+            self.around,
+            self.random.random,
+            now_s,
+        )
 
     def question(
         self, admitted: Admitted, engine: Engine, target: Target
--- a/src/wisteriapulley/policy/places.py
+++ b/src/wisteriapulley/policy/places.py
@@ -111,12 +111,16 @@
 
 
 class Verdict(NamedTuple):
-    """What becomes of a request now; neither granted nor denied means it waits."""
+    """What becomes of a request now; neither granted nor denied means it waits.
+
+    `limited` says that the engine's stated rate is why it is denied.
+    """
 
     request_id: str
     granted: bool = False
     denied: bool = False
     retry_ms: float = 0.0
+    limited: bool = False
 
 
 class Places:
@@ -201,7 +205,9 @@
         rate_ms = self.rate_wait_ms(request.target, now_ms)
         if rate_ms > 0:
             retry_ms = max(LEAST_RETRY_MS, rate_ms)
-            return Verdict(request.request_id, denied=True, retry_ms=retry_ms)
+            return Verdict(
+                request.request_id, denied=True, retry_ms=retry_ms, limited=True
+            )
         if request.late:
             return self.ask_late(request, now_ms)
         ahead = sum(w.priority <= request.priority for w in self.queue)
@@ -416,8 +422,12 @@
         """Deny a request that waited; tell when another may have a place."""
         place_ms = self.place_wait_ms(len(self.queue))
         rate_ms = self.rate_wait_ms(waiting.request.target, now_ms)
-        retry_ms = max(LEAST_RETRY_MS, place_ms, rate_ms)
-        return Verdict(waiting.request.request_id, denied=True, retry_ms=retry_ms)
+        return Verdict(
+            waiting.request.request_id,
+            denied=True,
+            retry_ms=max(LEAST_RETRY_MS, place_ms, rate_ms),
+            limited=rate_ms > 0,
+        )
 
     def expire_held(self, now_ms: float) -> None:
         """Take places back that were forgotten."""
--- a/src/wisteriapulley/rollout/granting.py
+++ b/src/wisteriapulley/rollout/granting.py
@@ -215,6 +215,7 @@
             len(self.places.held),
             len(self.places.queue),
             not self.places.open,
+            limited=verdict.limited,
         )
 
     @receive.register
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -311,6 +311,7 @@
   waiting @4 :UInt32;
   closed @5 :Bool;
   queued @6 :Bool;
+  limited @7 :Bool;
 }
 struct Release { requestId @0 :Text; }
 struct HeldQuery { model @0 :Text; version @1 :UInt64; known @2 :UInt32; waitMs @3 :UInt32; onlyLooks @4 :Bool; }
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -518,7 +518,7 @@
 
     Without a place, `retry_ms` says when one is likely; `closed` that the
     target takes nothing now, whatever its load; `queued` that the request waits
-    and another answer follows.
+    and another answer follows; `limited` that the target's stated rate is had.
     """
 
     granted: bool = False
@@ -528,6 +528,7 @@
     waiting: int = 0
     closed: bool = False
     queued: bool = False
+    limited: bool = False
 
 
 class Release(NamedTuple):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -94,3 +94,28 @@
         sidecars = FakeSidecars(DENIED, DENIED, DENIED)
         place(sidecars, returned=True)
         assert all(question.late for question in sidecars.questions)
+
+
+class TestEnginesAtTheirLimit:
+    """Engines that state a rate look empty, and deny at once."""
+
+    LIMITED = messages.Reserved(retry_ms=600, limited=True)
+
+    def test_take_no_tries_from_those_that_have_room(self):
+        """Load: half of the engines are at their limit, the others busy."""
+        sidecars = FakeSidecars(*[self.LIMITED] * 9, messages.Reserved(True, 1))
+        placed = place(sidecars, count=10)
+        assert not isinstance(placed, Refusal)
+        assert len(sidecars.questions) == 10
+
+    def test_all_at_their_limit_refuse_with_the_time_until_the_first(self):
+        sooner = messages.Reserved(retry_ms=300, limited=True)
+        placed = place(FakeSidecars(self.LIMITED, sooner, self.LIMITED))
+        assert placed.retry_s == 0.3
+
+    def test_full_engine_tells_when_to_come_back_before_one_at_its_limit(self):
+        """All that are refused can't come back for the next few requests."""
+        sooner = messages.Reserved(retry_ms=100, limited=True)
+        full = messages.Reserved(retry_ms=400)
+        placed = place(FakeSidecars(sooner, full, self.LIMITED))
+        assert placed.retry_s == 0.4
