--- a/src/wisteriapulley/explain.py
+++ b/src/wisteriapulley/explain.py
@@ -18,6 +18,7 @@
     "places open",
     "engine holds",
     "target ended under request",
+    "target states a rate",
     "the engine does not answer",
     "weights not in place",
     "target changed",
