--- a/src/wisteriapulley/emulator/fleet.py
+++ b/src/wisteriapulley/emulator/fleet.py
@@ -64,6 +64,10 @@
         Whether refused callers are told to come back later, and spread.
     patience_spread : float
         Callers wait for up to this share less than the most patient one.
+    limited : int
+        Engines that state a rate.
+    limit_per_s : float
+        That rate, in requests a second.
     seed : int
         Of the arrivals.
     """
@@ -82,6 +86,8 @@
     late_last: bool = True
     spread_returns: bool = True
     patience_spread: float = 0.15
+    limited: int = 0
+    limit_per_s: float = 1.2
     seed: int = 1
 
 
@@ -128,6 +134,7 @@
         self.expected = expected
         self.at_ms = at_ms
         self.order: list[int] = []
+        self.tries = 0
         self.returns = 0
         self.earned = 0.0
         self.end = "refused"
@@ -148,6 +155,8 @@
         self.held_at: dict[str, int] = {}
         self.waiting: dict[str, Ask] = {}
         self.places = [self.new_places() for _ in range(scenario.engines)]
+        for places in self.places[: scenario.limited]:
+            places.rates.hear("", scenario.limit_per_s, 0.0)
         self.engines = [
             EmulatedEngine(ENGINE, self.later, self.first_event, self.ended)
             for _ in range(scenario.engines)
@@ -205,7 +214,7 @@
         ask.returned = self.returning.has_returned(stated_s, self.now_ms / 1000)
         able = [n for n, places in enumerate(self.places) if places.open]
         able.sort(key=lambda n: (self.load_of(n), self.rng.random()))
-        ask.order = able[: self.scenario.asked]
+        ask.order, ask.tries = able, self.scenario.asked
         self.ask_next(ask)
 
     def load_of(self, number: int) -> int:
@@ -215,7 +224,7 @@
 
     def ask_next(self, ask: Ask) -> None:
         """Ask sidecars in turn until one grants a place or lets it wait."""
-        while ask.order:
+        while ask.order and ask.tries:
             number = ask.order.pop(0)
             verdict = self.places[number].ask(self.wish(ask), self.now_ms)
             self.held_at[ask.request_id] = number
@@ -225,6 +234,7 @@
             if not verdict.denied:
                 self.waiting[ask.request_id] = ask
                 return
+            ask.tries -= not verdict.limited
         self.refuse(ask)
 
     def wish(self, ask: Ask) -> PlaceRequest:
--- a/src/wisteriapulley/policy/places.py
+++ b/src/wisteriapulley/policy/places.py
@@ -202,7 +202,7 @@
         if self.state is PlacesState.CLOSED:
             return Verdict(request.request_id, denied=True)
         self.target = request.target
-        rate_ms = self.rate_wait_ms(request.target, now_ms)
+        rate_ms = self.rate_wait_ms(request, now_ms)
         if rate_ms > 0:
             retry_ms = max(LEAST_RETRY_MS, rate_ms)
             return Verdict(
@@ -249,9 +249,9 @@
             return self.grant(request, now_ms)
         return self.wait(request, now_ms + request.wait_ms - event_ms)
 
-    def rate_wait_ms(self, target: str, now_ms: float) -> float:
+    def rate_wait_ms(self, request: PlaceRequest, now_ms: float) -> float:
         """Return how long until the engine's stated rate lets a request begin."""
-        return self.rates.wait_s(target, now_ms / 1000) * 1000
+        return self.rates.wait_s(request.target, now_ms / 1000, request.late) * 1000
 
     def may_read_late(self, now_ms: float) -> bool:
         """Tell whether the next pass may read one more late prompt."""
@@ -396,7 +396,7 @@
         """
         if now_ms > waiting.until_ms:
             return True
-        if self.rate_wait_ms(waiting.request.target, now_ms) > 0:
+        if self.rate_wait_ms(waiting.request, now_ms) > 0:
             return True
         return waiting.request.late and self.open and not self.has_room()
 
@@ -421,7 +421,7 @@
     def denied(self, waiting: Waiting, now_ms: float) -> Verdict:
         """Deny a request that waited; tell when another may have a place."""
         place_ms = self.place_wait_ms(len(self.queue))
-        rate_ms = self.rate_wait_ms(waiting.request.target, now_ms)
+        rate_ms = self.rate_wait_ms(waiting.request, now_ms)
         return Verdict(
             waiting.request.request_id,
             denied=True,
--- a/src/wisteriapulley/policy/stated_rate.py
+++ b/src/wisteriapulley/policy/stated_rate.py
@@ -7,8 +7,11 @@
 # A target that states that it takes nothing is asked so often all the same, in
 # requests a second: only its answers tell when that ends.
 LEAST_PER_S = 0.1
-# Of a rate that passes at once after a rest, in seconds; one request in any case.
+# Of a rate that passes at once after a rest, in seconds.
 BURST_S = 0.5
+# Requests that pass at once after a rest in any case. A late request passes only where
+# another one could, so that those in time have what there is.
+LEAST_BURST = 2.0
 # A target of which nothing was heard for so long is forgotten.
 KEPT_S = 600.0
 
@@ -133,7 +136,7 @@
         if known is None and per_s is None:
             return
         rate = self.share * per_s if per_s is not None else 0.0
-        burst = max(1.0, rate * BURST_S)
+        burst = max(LEAST_BURST, rate * BURST_S)
         if known is None or known.per_s is None:
             bucket = TokenBucket(rate, burst, left=0.0)
         else:
@@ -146,12 +149,17 @@
         limit = self.limits.get(target)
         return limit is not None and limit.per_s is not None
 
-    def wait_s(self, target: str, now_s: float) -> float:
-        """Return how long until a request may pass; 0 for now."""
+    def wait_s(self, target: str, now_s: float, late: bool = False) -> float:
+        """Return how long until a request may pass; 0 for now.
+
+        Load: a target takes a quarter of what comes, and callers that were refused
+        come back while new ones come. Harm prevented: half of what passes is late,
+        and worth little to its callers.
+        """
         limit = self.limits.get(target)
         if limit is None or limit.per_s is None:
             return 0.0
-        return limit.bucket.wait_s(now_s)
+        return limit.bucket.wait_s(now_s, LEAST_BURST if late else 1.0)
 
     def take(self, target: str, now_s: float) -> bool:
         """Let a request pass, if one may."""
--- a/src/wisteriapulley/policy/token_bucket.py
+++ b/src/wisteriapulley/policy/token_bucket.py
@@ -1,7 +1,7 @@
 """A rate with a bounded burst. Pure."""
 
-# Whoever comes when a token is due finds it there, whatever the rounding.
-ONE = 1.0 - 1e-9
+# Of a token: whoever comes when one is due finds it there.
+ROUNDING = 1e-9
 
 
 class TokenBucket:
@@ -36,12 +36,13 @@
         self.rate, self.burst = rate, burst
         self.left = min(self.left, burst)
 
-    def wait_s(self, now_s: float) -> float:
-        """Return how long until there is a token; infinite without a rate."""
+    def wait_s(self, now_s: float, tokens: float = 1.0) -> float:
+        """Return how long until there are so many tokens; infinite without a rate."""
         self.fill(now_s)
-        if self.left >= ONE:
+        lacking = tokens - self.left
+        if lacking <= ROUNDING:
             return 0.0
-        return (1.0 - self.left) / self.rate if self.rate else float("inf")
+        return lacking / self.rate if self.rate else float("inf")
 
     def take(self, now_s: float) -> bool:
         """Take a token, if there is one."""
--- a/src/wisteriapulley/rollout/granting.py
+++ b/src/wisteriapulley/rollout/granting.py
@@ -116,7 +116,7 @@
 
     def rate_wait_s(self) -> float:
         """Return how long until the engine's stated rate lets a request begin."""
-        return self.places.rate_wait_ms(self.places.target, self.now_ms()) / 1000
+        return self.places.rates.wait_s(self.places.target, self.now_ms() / 1000)
 
     def tell_limit(self) -> None:
         """Tell entries that the engine is at its limit, and when it is no more.
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -12,6 +12,20 @@
 
 
 class TestEmulator:
+    LIMITED = {"mix": "lettercraft", "engines": 14, "load": 0.76, "change_s": 0.0}
+
+    def test_engines_at_their_limit_take_no_tries(self):
+        # Load: half of the engines state a rate far below their share, and the others
+        # have room for the rest.
+        outcomes = [play(limited=7, seed=seed, **self.LIMITED) for seed in range(1, 4)]
+        assert in_time(outcomes) > 0.95
+
+    def test_late_requests_leave_a_limit_to_those_in_time(self):
+        # Load: all engines together take a quarter of what comes. Whoever passes by
+        # the limit should be in time.
+        outcomes = [play(limited=14, seed=seed, **self.LIMITED) for seed in range(1, 4)]
+        assert sum(o.in_time for o in outcomes) > 4 * sum(o.late for o in outcomes)
+
     def test_same_seed_same_outcome(self):
         assert play(seed=3) == play(seed=3)
 
