Take in an ended target where there is no room for one more suspect

Found on reading. With a full table whose records all tell more, the new one was dropped at once, and reading it back raised KeyError in a task of its own: the entry neither logged the end nor told of it. Test: a table of one.

--- a/src/wisteriapulley/control/suspect_feed.py
+++ b/src/wisteriapulley/control/suspect_feed.py
@@ -15,6 +15,7 @@
 # One that goes on ending targets is told in any case.
 FIRST_PER_S = 100.0
 FIRST_AT_ONCE = 300.0
+# Targets that ended under a request of which news are bounded so.
 FIRST = 1
 
 
--- a/src/wisteriapulley/policy/crash_suspects.py
+++ b/src/wisteriapulley/policy/crash_suspects.py
@@ -101,12 +101,12 @@
         Returns
         -------
         Record
-            What is known of the request now.
+            What is known of the request now, even where there is no room to hold it.
         """
         known = self.records.get(digest)
-        cleared = known.cleared if known is not None else 0
-        self.merge(digest, Record(cleared, (start,), now_s))
-        return self.records[digest]
+        record = Record(known.cleared if known is not None else 0, (start,), now_s)
+        self.merge(digest, record)
+        return self.records.get(digest, record)
 
     def answered(self, digest: bytes, now_s: float) -> bool:
         """Clear a request that was answered whole; tell whether that is news."""
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -108,6 +108,13 @@
         assert len(told) == MOST_TOLD
         assert told[0] == ONE and OTHER not in told
 
+    def test_suspect_that_tells_least_is_not_held(self):
+        """All that is held tells more than one more request under one target."""
+        suspects = after("a", "b", "c", most=1)
+        record = suspects.target_ended(OTHER, "d", 9.0)
+        assert record.ended == ("d",)
+        assert list(suspects.records) == [ONE]
+
     def test_news_say_how_long_ago(self):
         news = tuple(after("a", "b").news(11.9, [ONE]))
         assert news == (Suspect(ONE, 0, ("a", "b"), 10),)
