Let a question without a rate pass, in place of an error

Found on reading. A question that names no rate made a limit of 0, whose wait can't be told in milliseconds (OverflowError). No entry sends one; test: twenty of them.

--- a/src/wisteriapulley/control/rate_holder.py
+++ b/src/wisteriapulley/control/rate_holder.py
@@ -72,7 +72,7 @@
     def decide(self, query: PassageQuery) -> Passage:
         """Let a request pass, or say when one may."""
         now_s = asyncio.get_running_loop().time()
-        self.limits.hear(query.target, query.per_s, now_s - query.age_ms / 1000)
+        self.hear_at(query, now_s)
         if self.limits.take(query.target, now_s):
             return Passage(True, 0, self.limits.is_limited(query.target))
         wait_s = self.limits.wait_s(query.target, now_s)
@@ -84,9 +84,12 @@
         if link is not None:
             link.post(news)
             return
-        now_s = asyncio.get_running_loop().time()
-        heard_s = now_s - news.age_ms / 1000
-        self.limits.hear(news.target, news.per_s or None, heard_s)
+        self.hear_at(news, asyncio.get_running_loop().time())
+
+    def hear_at(self, word: TargetRate | PassageQuery, now_s: float) -> None:
+        """Take in what an entry knows of a target's rate."""
+        heard_s = now_s - word.age_ms / 1000
+        self.limits.hear(word.target, word.per_s or None, heard_s)
 
     def sweep(self) -> None:
         """Forget targets that are long gone."""
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -283,6 +283,15 @@
         run_with_clock(scenario)
         assert most_in_window(passed) <= allowed(per_s)
 
+    def test_question_without_a_rate_passes(self):
+        async def scenario(now):
+            holder = RateHolder("a", dict)
+            for _ in range(20):
+                answer = await holder.answer(PassageQuery(ONE, 0.0, 0), True)
+                assert answer == Passage(True, 0, False)
+
+        run_with_clock(scenario)
+
     def test_holder_that_is_away_lets_nothing_pass(self):
         async def scenario(now):
             holder = RateHolder("a", lambda: {"b": Holder(), "c": Holder()})
