Split the fixed allowance of second sends by the number of entries

Callers of a service in trouble on a large fleet: the fixed allowance of second sends in a window was split by twenty, however many entries there are, so that sixty of them could send three times as much at a service whose first sends all fail.

Control instances now count the entries that follow them, tell each other in their heartbeats, and tell the sum; an entry keeps the largest number it was told, since instances that are cut off know of fewer. Below twenty entries nothing changes.

--- a/src/wisteriapulley/control/followers.py
+++ b/src/wisteriapulley/control/followers.py
@@ -27,14 +27,21 @@
         self.failure_domain = failure_domain
         self.regions = regions
         self.links: set[Link] = set()
+        self.entries = 0
 
     def add(self, link: Link) -> None:
         """Take a follower in."""
         self.links.add(link)
+        self.count_entries()
 
     def remove(self, link: Link) -> None:
         """Forget a follower."""
         self.links.discard(link)
+        self.count_entries()
+
+    def count_entries(self) -> None:
+        """Know how many of the followers are entries."""
+        self.entries = sum(link.peer.role == ENTRY for link in self.links)
 
     def is_near(self, link: Link) -> bool:
         """Tell whether a follower is in this instance's region."""
--- a/src/wisteriapulley/control/following.py
+++ b/src/wisteriapulley/control/following.py
@@ -155,6 +155,11 @@
         """Tell the instances that are followed."""
         broadcast(self.open_links(), news)
 
+    def entries_told(self) -> int:
+        """Return how many entries there are, as far as an instance knows."""
+        told = (link.peer_heartbeat.entries for link in self.open_links())
+        return max(told, default=0)
+
     # -- whom to follow --------------------------------------------------
 
     def meet(self, hosts: Iterable[str]) -> None:
--- a/src/wisteriapulley/control/nearest.py
+++ b/src/wisteriapulley/control/nearest.py
@@ -6,7 +6,8 @@
 the next ones as soon as one of them is silent or cut off from its quorum.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from wisteriapulley.policy.subset import Member
 from wisteriapulley.regions import Regions
@@ -53,6 +54,18 @@
     return sorted(instances, key=distance)
 
 
+def entries_in_fleet(followers: Sequence[int]) -> int:
+    """Estimate the entries of a fleet, from those that follow each instance.
+
+    Parameters
+    ----------
+    followers : sequence of int
+        Entries that follow each instance.
+    """
+    each = min(FOLLOWED, len(followers))
+    return math.ceil(sum(followers) / each)
+
+
 def to_follow(order: Iterable[str], is_heard: Callable[[str], bool]) -> list[str]:
     """Return the first instances of an order, until enough of them are heard.
 
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -27,6 +27,7 @@
 from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES, Fanout
 from wisteriapulley.control.forward import forward
 from wisteriapulley.control.members import Changes, MemberTable
+from wisteriapulley.control.nearest import entries_in_fleet
 from wisteriapulley.control.news import News
 from wisteriapulley.control.operators import MAX_CHANGE_BYTES, operator_routes
 from wisteriapulley.control.orders import Orders
@@ -81,6 +82,7 @@
         # Makes the client of the weights' origin from its address; an adapter sets
         # it before the start, where the routing table names an origin.
         self.open_origin: Callable[[str], PieceSource] | None = None
+        self.entries = 0
         self.orders = Orders(self)
         self.rates = RateHolder(settings.node_id, self.open_peer_links)
         self.news = News(
@@ -202,8 +204,16 @@
             False,
             state,
             routing_version=self.state.routing.version,
+            followers=self.news.followers.entries,
+            entries=self.entries,
         )
 
+    def count_entries(self) -> None:
+        """Know how many entries there are, by what each instance says of its own."""
+        links = self.open_peer_links().values()
+        others = (link.peer_heartbeat.followers for link in links)
+        self.entries = entries_in_fleet([self.news.followers.entries, *others])
+
     # -- the replicated state --------------------------------------------
 
     def applied(self, result: object) -> None:
@@ -503,6 +513,7 @@
         self.news.feed.beat_if_due(now_ms)
         self.news.suspects.sweep()
         self.rates.sweep()
+        self.count_entries()
         self.tell_hosts()
         if self.flushing is None:
             self.flush()
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -94,6 +94,8 @@
         self.index: RouteIndex | None = None
         self.has_table = asyncio.Event()
         self.budgets: dict[str, SharedRetryBudget] = {}
+        # Of the whole fleet, as far as known.
+        self.entries = 0
         # By route.
         self.returning: defaultdict[str, Returning] = defaultdict(Returning)
         self.random = random.Random(settings.node_id)
@@ -111,8 +113,15 @@
                 self.settings.retry_slack,
                 self.settings.retry_window_s,
             )
+            self.budgets[service].know_entries(self.entries)
         return self.budgets[service]
 
+    def know_entries(self, entries: int) -> None:
+        """Take in how many entries share the budgets."""
+        self.entries = max(self.entries, entries)
+        for budget in self.budgets.values():
+            budget.know_entries(self.entries)
+
     # -- admission -------------------------------------------------------
 
     def admit(self, request: CallerRequest) -> Admitted | Refusal:
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -136,6 +136,7 @@
             await asyncio.sleep(SWEEP_S)
             self.lines_lost.set({}, lines_lost())
             self.crashes.sweep()
+            self.dispatcher.know_entries(self.follower.entries_told())
             self.placing.limited.sweep(loop.time())
             self.quarantined.set({}, len(self.crashes.suspects.quarantined()))
             if self.registry.sweep(loop.time()):
--- a/src/wisteriapulley/policy/shared_budget.py
+++ b/src/wisteriapulley/policy/shared_budget.py
@@ -11,9 +11,9 @@
 # Of the allowed ratio; requests are unevenly spread over entries and a window
 # may begin anywhere, so that the whole stays below the allowance.
 RATIO_SHARE = 0.7
-# Share of the fixed allowance for each entry: a fleet of more entries than this
-# is kept below it by the ratio alone being lower.
-SLACK_SHARE = 1 / 20
+# The fixed allowance is split by so many entries at the least: what control instances
+# know of their number lags while entries start.
+LEAST_ENTRIES = 20
 
 
 class SharedRetryBudget:
@@ -31,11 +31,20 @@
 
     def __init__(self, ratio: float, slack: float, window_s: float):
         self.ratio = ratio * RATIO_SHARE
-        self.slack = slack * SLACK_SHARE
+        self.slack = slack
+        self.entries = LEAST_ENTRIES
         self.window_s = window_s
         self.requests: deque[float] = deque()
         self.sends: deque[float] = deque()
 
+    def know_entries(self, entries: int) -> None:
+        """Take in how many entries share the allowance.
+
+        The largest number that was told counts: instances that are cut off know of
+        fewer entries than go on sending.
+        """
+        self.entries = max(self.entries, entries)
+
     def note_request(self, now_s: float) -> None:
         """Count a request of a caller."""
         self.requests.append(now_s)
@@ -44,7 +53,8 @@
     def take(self, now_s: float) -> bool:
         """Book a second send; False when the share is spent."""
         self.forget(now_s)
-        if len(self.sends) + 1 > self.slack + self.ratio * len(self.requests):
+        allowed = self.slack / self.entries + self.ratio * len(self.requests)
+        if len(self.sends) + 1 > allowed:
             return False
         self.sends.append(now_s)
         return True
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -83,6 +83,8 @@
   running @4 :UInt32;
   waiting @5 :UInt32;
   routingVersion @6 :UInt64;
+  followers @7 :UInt32;
+  entries @8 :UInt32;
 }
 struct Failure {
   code @0 :UInt16;
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -21,7 +21,10 @@
 
 
 class Heartbeat(NamedTuple):
-    """Periodic state of the sender: its revisions, and a target's load."""
+    """Periodic state of the sender: its revisions, and a target's load.
+
+    A control instance says how many entries follow it, and how many there are.
+    """
 
     revision: int = 0
     leaving: bool = False
@@ -30,6 +33,8 @@
     running: int = 0
     waiting: int = 0
     routing_version: int = 0
+    followers: int = 0
+    entries: int = 0
 
 
 class Failure(NamedTuple):
