--- a/deploy/run.py
+++ b/deploy/run.py
@@ -1,15 +1,20 @@
 """Starts one daemon on the platform: ``run.py ROLE``.
 
-Signals are handled before anything slow is imported: until then a change of
+Signals are handled before anything else is imported: until then a change of
 settings must not end the process, and a stop ends it cleanly. The build leaves a
 compiled copy of the package under ``target/app``; compiling it at each start took a
 third of the start.
 """
 
-import gc
-import os
 import signal
 import sys
+
+if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+
+import gc
+import os
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -48,6 +53,4 @@
 
 
 if __name__ == "__main__":
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     sys.exit(start(sys.argv[1]))
