Let the soak tear no log of an instance that is down

Two faults tore its log 0.8 s apart, and it was down from the first to after the second. The log holds 19 bytes of its first frame and then 7 more of the same: a whole header with a payload that fails its checksum, at an end that is marked as synced up to there. No disk leaves that, since a process that is down writes nothing; the check of the storage is right and stays. Test: the second tear leaves the log as it is; it failed before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -322,12 +322,14 @@
         """Kill a control instance as if a write that was not synced was torn.
 
         Its log then ends in the beginning of a frame, or in bytes that never
-        reached the disk and read as zeros. Other bytes no torn write leaves.
+        reached the disk and read as zeros. Other bytes no torn write leaves, and
+        one that is down already writes none.
         """
         node = self.nodes[name]
+        was_up = node.is_up
         node.kill()
         path = node.data / "log"
-        if not path.exists():
+        if not was_up or not path.exists():
             return
         first = next(frames.scan(path.read_bytes()), None)
         torn = bytes(self.rng.randint(8, 64))
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -18,7 +18,12 @@
         30.0,
         "the soak tore logs as no disk does: two instances stopped with LOG_DAMAGED",
     ),
-    Regression(2018774583, 20.0, "a stop before the first own line ended with -15"),
+    Regression(
+        2018774583,
+        20.0,
+        "a stop before the first own line ended with -15; the soak tore a log twice"
+        " while its instance was down, as no disk does: LOG_DAMAGED",
+    ),
     Regression(425507962, 20.0, "a stop before the first own line ended with -15"),
     Regression(2, 8.0, "the stand-in engine failed after it had told of a run"),
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,11 @@
 """The soak: its plan, its judge, and a short run of the real programs."""
 
 import asyncio
+import random
+from types import SimpleNamespace
 
 import pytest
+from soak.fleet import SoakFleet
 from soak.plan import (
     REPAIR_S,
     WEIGHTS,
@@ -24,6 +27,8 @@
 )
 from soak.run import FAULTS, SoakRun
 
+from wisteriapulley.consensus.frames import pack_committed
+
 SHAPE = Shape.of_size(2, 3)
 SENT = Sent("id", "entry-1", "POST", "/once/", b"body", 10.0, False, 1)
 RUN = Run("id", "i-1", "POST", "/once/", b"body", "account", False, 10.1)
@@ -186,6 +191,22 @@
         assert promises(kept) == ["monotonic"]
 
 
+class TestTornLog:
+    """Faults overlap: a log may be torn while its instance is down already."""
+
+    def test_instance_that_is_down_tears_nothing_more(self, tmp_path):
+        content = pack_committed(1) + pack_committed(2)
+        (tmp_path / "log").write_bytes(content)
+        node = SimpleNamespace(data=tmp_path, is_up=True)
+        node.kill = lambda: setattr(node, "is_up", False)
+        fleet = SimpleNamespace(nodes={"c": node}, rng=random.Random(1))
+        SoakFleet.tear(fleet, "c")
+        torn = (tmp_path / "log").read_bytes()
+        assert torn.startswith(content) and len(torn) > len(content)
+        SoakFleet.tear(fleet, "c")
+        assert (tmp_path / "log").read_bytes() == torn
+
+
 class TestShortRun:
     def test_real_programs_keep_their_promises(self, tmp_path):
         run = SoakRun(tmp_path, 20, 5.0, Shape.of_size(1, 2), timed=False)
