Decode all that a target states in one place; log requests that are turned away

The logs of the incident could not tell whether an answer that turned a request away asked for rest, nor which target it was, where the request found another one. All statements of an answer (load, rate, rest, leaving) are now decoded once, into one type; the line 'target turned a request away' shows them. No decision is changed by it.

--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -130,20 +130,21 @@
     def hear_rate(self, target: Target, head: TargetAnswer, sent_s: float) -> None:
         """Take in what a target says of the requests that it takes."""
         known_per_s = target.rate.per_s
-        if target.rate.hear(head.rate, sent_s, self.now_s()):
+        stated = head.says.rate
+        if target.rate.hear(stated, sent_s, self.now_s()):
             self.heard_rate(target, self.now_s())
         if target.rate.per_s != known_per_s:
             log.info(
                 "target states a rate",
                 extra=fields(target=target.target_id, per_s=target.rate.per_s),
             )
-        if target.rate.is_first_unreadable(head.rate):
+        if target.rate.is_first_unreadable(stated):
             log.warning(
                 "rate can't be read",
                 extra=fields(
                     target=target.target_id,
                     expected="a decimal number of requests a second",
-                    got=head.rate.unreadable[:SHOWN],
+                    got=stated.unreadable[:SHOWN],
                     kept_per_s=target.rate.per_s,
                 ),
             )
@@ -186,13 +187,15 @@
     ) -> Refusal | None:
         """Pass an answer on, unless it says that another target may do better."""
         target = place.target
-        if head.load is not None and head.load.slots:
-            target.slots = head.load.slots
+        load = head.says.load
+        if load is not None and load.slots:
+            target.slots = load.slots
         if head.other_instance:
             self.registry.other_at(target, self.now_s())
             reason = "another instance"
             return Refusal(RefusalKind.UNAVAILABLE, NOT_TAKEN_RETRY_S, reason)
         if head.not_run:
+            self.log_turned_away(admitted, target, head)
             return Refusal(RefusalKind.OVERLOADED, NOT_TAKEN_RETRY_S, "target refused")
         progress.may_have_run = True
         self.registry.judge(target, failed(head), self.now_s())
@@ -332,6 +335,23 @@
             ),
         )
 
+    def log_turned_away(
+        self, admitted: Admitted, target: Target, head: TargetAnswer
+    ) -> None:
+        """Log that a target did not run a request, and what it said of itself."""
+        says = head.says
+        log.info(
+            "target turned a request away",
+            extra=fields(
+                admitted.request.request_id,
+                target=target.target_id,
+                status=head.status,
+                rest_s=says.rest.seconds,
+                leaving=says.leaving,
+                load=says.load,
+            ),
+        )
+
     def log_broken(
         self, admitted: Admitted, target: Target, last_event: str, error: Exception
     ) -> None:
--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
-from wisteriapulley.policy.stated_rate import StatedRate
+from wisteriapulley.policy.statements import Statements
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -122,14 +122,6 @@
     fresh_connection: bool = False
 
 
-class TargetLoad(NamedTuple):
-    """Load that a target tells with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class NotSentError(Exception):
     """No connection to the target: the request did not run."""
 
@@ -153,10 +145,8 @@
         Whether the target says that it did not run the request.
     other_instance : bool
         Whether another incarnation has the address.
-    load : TargetLoad or None
-        The target's load.
-    rate : StatedRate
-        What the target says of the requests that it takes.
+    says : Statements
+        What the target says of itself.
     """
 
     status: int
@@ -164,8 +154,7 @@
     length: int | None
     not_run: bool
     other_instance: bool
-    load: TargetLoad | None
-    rate: StatedRate
+    says: Statements
 
     def parts(self) -> AsyncIterator[bytes]:
         """Yield the body as it comes.
--- a/src/wisteriapulley/platform/names.py
+++ b/src/wisteriapulley/platform/names.py
@@ -18,9 +18,16 @@
 LOAD = "X-Server-Load"
 # Requests a second that the target takes from all senders together.
 RATE = "Server-Limit"
+# Seconds for which a target that is unavailable wants nothing from who it answers.
+REST = "Retry-After"
+# Whether the target is about to end.
+LEAVING = "Server-Leaving"
+IS_LEAVING = "1"
+DATE = "Date"
 KEY_SCHEME = "Bearer "
 
 OTHER_INSTANCE_STATUS = 421
+UNAVAILABLE_STATUS = 503
 
 # Headers of one connection: never passed on.
 CONNECTION_HEADERS = frozenset(
--- a/src/wisteriapulley/platform/target_client.py
+++ b/src/wisteriapulley/platform/target_client.py
@@ -1,8 +1,5 @@
 """Sends requests to targets, and reads their answers."""
 
-import contextlib
-import math
-import re
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -15,13 +12,11 @@
     Headers,
     NotSentError,
     SendPlan,
-    TargetLoad,
 )
 from wisteriapulley.platform import names
 from wisteriapulley.platform.http import HttpClient
-from wisteriapulley.policy.stated_rate import StatedRate
+from wisteriapulley.platform.statements import parse_statements
 
-DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -64,8 +59,7 @@
         told = response.headers.get(names.NOT_RUN, "")
         self.other_instance = response.status == names.OTHER_INSTANCE_STATUS
         self.not_run = bool(told) or self.other_instance
-        self.load = parse_load(response.headers.get(names.LOAD, ""))
-        self.rate = parse_rate(response.headers.getall(names.RATE, []))
+        self.says = parse_statements(response.status, response.headers)
 
     def belongs_to(self, request_id: str) -> bool:
         """Tell whether the answer names the request; refusals need not."""
@@ -107,22 +101,3 @@
         for name, value in response.raw_headers
         if name.decode("latin-1").lower() not in names.CONNECTION_HEADERS
     )
-
-
-def parse_load(text: str) -> TargetLoad | None:
-    """Read a target's load; None where it tells none that can be read."""
-    with contextlib.suppress(ValueError):
-        running, waiting, slots = map(int, text.split(","))
-        return TargetLoad(running, waiting, slots)
-    return None
-
-
-def parse_rate(texts: list[str]) -> StatedRate:
-    """Read a target's stated rate; of several the lowest one that can be read."""
-    rates, unreadable = [], ""
-    for text in texts:
-        if DECIMAL.fullmatch(text) and math.isfinite(float(text)):
-            rates.append(float(text))
-        else:
-            unreadable = text
-    return StatedRate(min(rates, default=None), unreadable)
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -20,7 +20,7 @@
 )
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.metrics import Metrics
-from wisteriapulley.policy.stated_rate import StatedRate
+from wisteriapulley.policy.statements import Statements
 from wisteriapulley.routing import (
     Account,
     Route,
@@ -54,8 +54,7 @@
         self.chunks, self.breaks = parts, breaks
         self.not_run = said.get("not_run", False)
         self.other_instance = said.get("other_instance", False)
-        self.load = None
-        self.rate = said.get("rate", StatedRate())
+        self.says = said.get("says", Statements())
         self.closed = False
 
     async def parts(self):
--- a/tests/test_stated_rate.py
+++ b/tests/test_stated_rate.py
@@ -3,8 +3,9 @@
 import pytest
 
 from tests.test_direct_dispatch import FakeAnswer, events, serve
-from wisteriapulley.platform.target_client import parse_rate
+from wisteriapulley.platform.statements import parse_rate
 from wisteriapulley.policy.stated_rate import LEAST_PER_S, KnownRate, StatedRate
+from wisteriapulley.policy.statements import Statements
 
 NONE = StatedRate()
 
@@ -77,19 +78,26 @@
 
     def test_rate_is_told_with_its_target(self, caplog):
         caplog.set_level("INFO")
-        serve(FakeAnswer([events(1, 2)], rate=StatedRate(1.5)))
+        serve(FakeAnswer([events(1, 2)], says=Statements(rate=StatedRate(1.5))))
         (line,) = self.lines(caplog, "target states a rate")
         assert (line.target, line.per_s) == ("i-0", 1.5)
 
     def test_unreadable_rate_is_told(self, caplog):
-        serve(FakeAnswer([events(1, 2)], rate=StatedRate(None, "x" * 500)))
+        serve(
+            FakeAnswer(
+                [events(1, 2)], says=Statements(rate=StatedRate(None, "x" * 500))
+            )
+        )
         (line,) = self.lines(caplog, "rate can't be read")
         assert len(line.got) < 100
 
     def test_other_instance_says_nothing_of_the_target(self, caplog):
         caplog.set_level("INFO")
         other = FakeAnswer(
-            status=421, other_instance=True, not_run=True, rate=StatedRate(1.0)
+            status=421,
+            other_instance=True,
+            not_run=True,
+            says=Statements(rate=StatedRate(1.0)),
         )
         serve(other, FakeAnswer([events(1, 2)]))
         assert not self.lines(caplog, "target states a rate")
