--- a/tests/fakes/plain.py
+++ b/tests/fakes/plain.py
@@ -4,10 +4,10 @@
 
 from aiohttp import web
 
-from tests.fakes.platform import Listener
+from tests.fakes.platform import Stating
 
 
-class PlainTarget(Listener):
+class PlainTarget(Stating):
     """Answers at once, or crashes.
 
     Parameters
@@ -23,10 +23,6 @@
         Bodies that it began to run, in order.
     work_s : float
         How long an answer takes.
-    rate : str
-        Requests a second that its answers name; empty for none.
-    arrivals : list of float
-        When requests came, on the loop's clock.
     """
 
     def __init__(self, number, crashed_by=frozenset()):
@@ -36,8 +32,6 @@
         self.start_number = 0
         self.runs = []
         self.work_s = 0.0
-        self.rate = ""
-        self.arrivals = []
         self.open_transports = set()
         self.app.add_routes([web.route("*", "/{tail:.*}", self.serve)])
 
@@ -59,7 +53,9 @@
 
     async def answer(self, request):
         body = await request.read()
-        self.arrivals.append(asyncio.get_running_loop().time())
+        away = self.arrived(request)
+        if away is not None:
+            return away
         self.runs.append(body)
         if body in self.crashed_by:
             await self.crash()
@@ -68,9 +64,8 @@
         headers = {
             "X-Request-Attempt-Id": request.headers["X-Request-Attempt-Id"],
             "X-Server-Stamp": f"stamp.{self.target_id}",
+            **self.stated(),
         }
-        if self.rate:
-            headers["Server-Limit"] = self.rate
         return web.Response(body=b"answer to " + body, headers=headers)
 
     async def crash(self):
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -27,6 +27,53 @@
         await self.runner.cleanup()
 
 
+class Stating(Listener):
+    """A target whose answers state something of itself.
+
+    Attributes
+    ----------
+    rate : str
+        Requests a second that its answers name; empty for none.
+    rest : str
+        It turns all requests away and asks for so much rest; None while it does not.
+        Empty where it turns away without asking for rest.
+    leaving : bool
+        Whether its answers say that it leaves.
+    arrivals : list of float
+        When requests came that were meant for it, on the loop's clock.
+    turned_away : int
+        How many it turned away.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.rate = ""
+        self.rest = None
+        self.leaving = False
+        self.arrivals = []
+        self.turned_away = 0
+
+    def stated(self):
+        """Return the headers of what it states with any answer."""
+        headers = {}
+        if self.rate:
+            headers["Server-Limit"] = self.rate
+        if self.leaving:
+            headers["Server-Leaving"] = "1"
+        return headers
+
+    def arrived(self, request):
+        """Note a request; return the answer that turns it away, if it is."""
+        self.arrivals.append(asyncio.get_running_loop().time())
+        if self.rest is None:
+            return None
+        self.turned_away += 1
+        headers = {"X-Not-Executed": "1", **self.stated()}
+        if self.rest:
+            headers["Retry-After"] = self.rest
+        return web.Response(status=503, headers=headers)
+
+
 class Origin(Listener):
     """Hands out weights; `spoil` positions come wrong once each."""
 
@@ -73,7 +120,7 @@
         return web.Response(body=data)
 
 
-class Engine(Listener):
+class Engine(Stating):
     """A model engine: a staging place, orders, and streams of events."""
 
     def __init__(self, origin, target_id="i-1", version=1, event_s=0.005):
@@ -89,9 +136,6 @@
         self.runs = []
         self.bad_loads = 0
         self.break_after = 0
-        # Requests a second that its answers name; empty for none.
-        self.rate = ""
-        self.arrivals = []
         self.app.add_routes(
             [
                 web.get("/api/report", self.report),
@@ -113,7 +157,8 @@
                 "sequence": self.sequence,
                 "waiting": 0,
                 "running": 0,
-            }
+            },
+            headers=self.stated(),
         )
 
     async def stage(self, request):
@@ -163,14 +208,15 @@
         refused = self.refusal(request)
         if refused is not None:
             return refused
-        self.arrivals.append(asyncio.get_running_loop().time())
+        away = self.arrived(request)
+        if away is not None:
+            return away
         self.runs.append((request.method, request.raw_path, body, request.headers))
         headers = {
             "X-Request-Attempt-Id": request.headers["X-Request-Attempt-Id"],
             "X-Server-Stamp": f"stamp.{self.target_id}",
+            **self.stated(),
         }
-        if self.rate:
-            headers["Server-Limit"] = self.rate
         if request.method == "GET":
             return web.Response(body=b"plain answer", headers=headers)
         return await self.stream(request, headers)
