Send nothing to a target during the rest that it asks for

Callers saw: while three of nine engines turned all requests away with a rest of 3 s, 127 of 136 refusals of proper requests said that a target refused, though the others had room: each request went to such an engine first, and often with its second send too.

Cause: nobody read the rest. An answer that a target did not run a request was remembered by that request alone, so that the next one went there again; the engine looked empty.

Ruled out: a rest that is known too late (the excess lasts as long as the shedding, not for the time of a place that waits), and one kept for each caller (requests of all callers go on).

Change: a target takes in all statements of an answer in one method, and every choice asks it one question: how long until a request may go there. It is asked again when a place was granted or waited for. Where all targets rest, requests are refused at once with the time until the first rest ends, without a second send.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from wisteriapulley.direct.crashes import CrashWatch
+from wisteriapulley.direct.hearing import Hearing
 from wisteriapulley.direct.placing import Place, Placing
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.registry import TargetRegistry
@@ -90,7 +91,8 @@
         self.registry = registry
         self.placing = placing
         self.crashes = crashes
-        self.sender = Sender(registry, client, metrics, crashes, placing.heard_rate)
+        hearing = Hearing(placing.heard_rate)
+        self.sender = Sender(registry, client, metrics, crashes, hearing)
         self.index: RouteIndex | None = None
         self.has_table = asyncio.Event()
         self.budgets: dict[str, SharedRetryBudget] = {}
@@ -254,7 +256,7 @@
                 return self.final(admitted, progress, QUARANTINED)
             place = await self.next_place(admitted, progress)
             if isinstance(place, Refusal):
-                return self.final(admitted, progress, refusal or place)
+                return self.final(admitted, progress, joined(refusal, place))
             if self.crashes.is_quarantined(admitted, progress):
                 # What others tell may have come while it waited for the place.
                 place.release()
@@ -318,3 +320,16 @@
         if refusal.kind is RefusalKind.FAILED:
             return Refusal(RefusalKind.UNAVAILABLE, FAILED_RETRY_S, refusal.reason)
         return refusal
+
+
+def joined(refusal: Refusal | None, no_place: Refusal) -> Refusal:
+    """Return the last word on a request that no further target can be found for.
+
+    One that was turned away is told when there may be a place for it.
+    """
+    if refusal is None:
+        return no_place
+    is_full = no_place.kind is RefusalKind.OVERLOADED
+    if is_full and refusal.kind is RefusalKind.OVERLOADED:
+        return refusal._replace(retry_s=no_place.retry_s)
+    return refusal
--- /dev/null
+++ b/src/wisteriapulley/direct/hearing.py
@@ -0,0 +1,69 @@
+"""Takes in what targets say of themselves, whatever request they answer."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from wisteriapulley.direct.registry import Target
+from wisteriapulley.logs import fields
+from wisteriapulley.policy.statements import Statements
+
+log = logging.getLogger(__name__)
+
+# Characters of a target's text that a log line shows.
+SHOWN = 40
+
+
+class Hearing:
+    """Statements of all targets that an entry sends to.
+
+    Parameters
+    ----------
+    heard_rate : callable
+        Called with a target and the time, when it states a rate or none any more.
+    """
+
+    def __init__(self, heard_rate: Callable[[Target, float], None]):
+        self.heard_rate = heard_rate
+
+    def hear(self, target: Target, says: Statements, sent_s: float) -> None:
+        """Take in what an answer of a target says of it; log what changes."""
+        now_s = asyncio.get_running_loop().time()
+        known_per_s = target.rate.per_s
+        heard = target.hear(says, sent_s, now_s)
+        if heard.rate:
+            self.heard_rate(target, now_s)
+        if target.rate.per_s != known_per_s:
+            log.info(
+                "target states a rate",
+                extra=fields(target=target.target_id, per_s=target.rate.per_s),
+            )
+        if heard.rest:
+            log.info(
+                "target asks for rest",
+                extra=fields(target=target.target_id, rest_s=says.rest.seconds),
+            )
+        self.log_unreadable(target, says)
+
+    def log_unreadable(self, target: Target, says: Statements) -> None:
+        """Log what can't be read, once for each target."""
+        if target.rate.is_first_unreadable(says.rate):
+            log.warning(
+                "rate can't be read",
+                extra=fields(
+                    target=target.target_id,
+                    expected="a decimal number of requests a second",
+                    got=says.rate.unreadable[:SHOWN],
+                    kept_per_s=target.rate.per_s,
+                ),
+            )
+        if target.rest.is_first_unreadable(says.rest):
+            log.warning(
+                "rest can't be read",
+                extra=fields(
+                    target=target.target_id,
+                    expected="a decimal number of seconds, or a date",
+                    got=says.rest.unreadable[:SHOWN],
+                    taken_s=says.rest.seconds,
+                ),
+            )
--- a/src/wisteriapulley/direct/placing.py
+++ b/src/wisteriapulley/direct/placing.py
@@ -83,11 +83,11 @@
     Attributes
     ----------
     others : int
-        How many denied it for another reason than their engine's stated rate. One at
-        its limit denies at once, and tells nothing of the others.
+        How many denied it for another reason than their engine's own word. One that
+        is at its limit or rests denies at once, and tells nothing of the others.
     full_s, limited_s : list of float
         When those that are full are likely to have a place, and those at their limit
-        to let a request pass.
+        or at rest to let a request pass.
     """
 
     def __init__(self):
@@ -95,6 +95,11 @@
         self.full_s: list[float] = []
         self.limited_s: list[float] = []
 
+    def held_back(self, wait_s: float) -> None:
+        """Take in that a target lets no request pass for a time, infinite for ever."""
+        if wait_s < float("inf"):
+            self.limited_s.append(wait_s)
+
     def add(self, answer: messages.Reserved | None) -> None:
         """Take in an answer; None from a sidecar that gave none."""
         if answer is not None and answer.limited:
@@ -165,12 +170,23 @@
             if target.target_id not in tried
         ]
         if not targets:
-            kind = RefusalKind.UNAVAILABLE if tried else RefusalKind.NOT_READY
-            return Refusal(kind, DEFAULT_RETRY_S, "no target")
+            return self.no_target(service, tried, now_s)
         if engine is None:
             return await self.place_plain(targets, now_s)
         return await self.place_engine(admitted, engine, targets, now_s)
 
+    def no_target(self, service: str, tried: set[str], now_s: float) -> Refusal:
+        """Say that no target takes a request now, and when the first one may."""
+        rest_s = self.registry.rest_s(service, now_s)
+        if rest_s:
+            return Refusal(RefusalKind.OVERLOADED, rest_s, "targets rest")
+        kind = RefusalKind.UNAVAILABLE if tried else RefusalKind.NOT_READY
+        return Refusal(kind, DEFAULT_RETRY_S, "no target")
+
+    def now_s(self) -> float:
+        """Return the loop's clock."""
+        return asyncio.get_running_loop().time()
+
     def booked(
         self,
         target: Target,
@@ -201,11 +217,14 @@
             if target.outstanding >= target.slots:
                 continue
             wait_s = await self.limited.wait_s(target, now_s)
+            # What the target said to others may have come meanwhile.
+            wait_s = max(wait_s, target.wait_s(self.now_s()))
             if not wait_s:
                 return self.booked(target, 0)
-            waits_s.append(wait_s)
+            if wait_s < float("inf"):
+                waits_s.append(wait_s)
         if waits_s:
-            return Refusal(RefusalKind.OVERLOADED, min(waits_s), "targets at limit")
+            return Refusal(RefusalKind.OVERLOADED, min(waits_s), "targets hold back")
         return Refusal(RefusalKind.OVERLOADED, DEFAULT_RETRY_S, "targets full")
 
     def heard_rate(self, target: Target, now_s: float) -> None:
@@ -224,9 +243,11 @@
         """Ask sidecars in turn for a place."""
         denials = Denials()
         for target in self.engines_in_order(targets, now_s):
-            wait_s = self.limited.full_s(target, now_s)
+            wait_s = max(
+                self.limited.full_s(target, now_s), target.wait_s(self.now_s())
+            )
             if wait_s:
-                denials.limited_s.append(wait_s)
+                denials.held_back(wait_s)
                 continue
             if denials.others == MOST_ASKED:
                 break
@@ -240,7 +261,13 @@
             question = self.question(admitted, engine, target)
             answer = await self.sidecars.ask(link, target, question)
             if answer is not None and answer.granted:
-                return self.granted(link, admitted.request, target, engine, answer)
+                wait_s = target.wait_s(self.now_s())
+                if not wait_s:
+                    return self.granted(link, admitted.request, target, engine, answer)
+                # The engine's word to this instance came after its sidecar's.
+                self.sidecars.give_back(link, admitted.request.request_id)
+                denials.held_back(wait_s)
+                continue
             denials.add(answer)
             if answer is not None and answer.limited:
                 self.limited.note_full(target, answer.retry_ms / 1000, now_s)
@@ -270,7 +297,7 @@
         Harm prevented: with the time that it had at first it is admitted there, and
         comes late in a place that another would have used in time.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = self.now_s()
         wish = urgency(admitted, engine, now_s)
         request = admitted.request
         return messages.Reserve(
@@ -302,7 +329,7 @@
         if left_ms <= DROP_MARGIN_MS:
             give_back()
             return Refusal(RefusalKind.UNAVAILABLE, DEFAULT_RETRY_S, "old weights")
-        now_s = asyncio.get_running_loop().time()
+        now_s = self.now_s()
         begins_by_s = now_s + (left_ms - DROP_MARGIN_MS) / 1000
         return self.booked(target, answer.version, give_back, begins_by_s)
 
@@ -314,7 +341,7 @@
         left_ms = self.left_ms(engine.model, version)
         if left_ms is not None and left_ms <= UNGUARDED_MARGIN_MS:
             return None
-        now_s = asyncio.get_running_loop().time()
+        now_s = self.now_s()
         if target.rate.per_s is not None and self.limited.alone_wait_s(target, now_s):
             return None
         return self.booked(target, version)
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -1,9 +1,11 @@
 """Targets as one entry knows them: announced, and seen by its own sends. Pure."""
 
 from collections.abc import Iterable, Iterator
+from typing import NamedTuple
 
 from wisteriapulley.control.targets import is_newer, knows, merged
 from wisteriapulley.policy.stated_rate import KnownRate
+from wisteriapulley.policy.statements import KnownRest, Statements
 from wisteriapulley.wire.messages import TargetBeat, TargetState
 
 # Silence after which a target counts as gone, while others are still heard of.
@@ -22,6 +24,21 @@
 GAIN = 0.25
 
 
+class Heard(NamedTuple):
+    """What the statements of one answer changed.
+
+    Attributes
+    ----------
+    rate : bool
+        Whether a rate is stated, or none any more: whoever holds it is to know.
+    rest : bool
+        Whether a rest begins.
+    """
+
+    rate: bool
+    rest: bool
+
+
 class Target:
     """One incarnation of a target.
 
@@ -37,6 +54,8 @@
         Requests that it runs at once, as far as known.
     rate : KnownRate
         Requests a second that it takes, where its answers say so.
+    rest : KnownRest
+        Time for which it wants nothing from this instance.
     """
 
     def __init__(self, state: TargetState, heard_s: float):
@@ -54,6 +73,7 @@
         self.aside_until_s = 0.0
         self.replaced = False
         self.rate = KnownRate()
+        self.rest = KnownRest()
 
     @property
     def target_id(self) -> str:
@@ -95,12 +115,40 @@
         if not failed:
             self.down_s = DOWN_FIRST_S
 
+    def hear(self, says: Statements, sent_s: float, now_s: float) -> Heard:
+        """Take in what an answer of this very incarnation says of it.
+
+        Parameters
+        ----------
+        says : Statements
+            The answer's word.
+        sent_s : float
+            When its request was sent.
+        now_s : float
+            The loop's clock.
+        """
+        if says.load is not None and says.load.slots:
+            self.slots = says.load.slots
+        return Heard(
+            self.rate.hear(says.rate, sent_s, now_s),
+            self.rest.hear(says.rest, now_s),
+        )
+
+    @property
+    def ends(self) -> bool:
+        """Whether it never takes a request again."""
+        return self.state.leaving or self.state.gone or self.replaced
+
+    def wait_s(self, now_s: float) -> float:
+        """Return how long until a request may be sent here; 0 for now."""
+        if self.ends:
+            return float("inf")
+        until_s = max(self.down_until_s, self.aside_until_s, self.rest.until_s)
+        return max(0.0, until_s - now_s)
+
     def takes_work(self, now_s: float) -> bool:
         """Tell whether requests may be sent here."""
-        state = self.state
-        if state.leaving or state.gone or self.replaced:
-            return False
-        return now_s >= self.down_until_s and now_s >= self.aside_until_s
+        return not self.wait_s(now_s)
 
 
 class TargetRegistry:
@@ -191,12 +239,26 @@
 
     def candidates(self, service: str, now_s: float) -> list[Target]:
         """Return the targets of a service that take requests now."""
+        return [t for t in self.alive(service, now_s) if t.takes_work(now_s)]
+
+    def alive(self, service: str, now_s: float) -> Iterator[Target]:
+        """Yield the targets of a service that were heard lately."""
         silent_s = SILENCE_S if now_s - self.news_s < NEWS_S else float("inf")
-        return [
-            target
-            for target in self.of_service(service)
-            if target.takes_work(now_s) and now_s - target.heard_s < silent_s
-        ]
+        for target in self.of_service(service):
+            if now_s - target.heard_s < silent_s:
+                yield target
+
+    def rest_s(self, service: str, now_s: float) -> float:
+        """Return how long until a service whose targets rest takes requests again.
+
+        0 where one takes requests now, or none rests: the others may be back any
+        time.
+        """
+        alive = list(self.alive(service, now_s))
+        if not any(now_s < target.rest.until_s for target in alive):
+            return 0.0
+        wait_s = min(target.wait_s(now_s) for target in alive)
+        return wait_s if wait_s < float("inf") else 0.0
 
     def judge(self, target: Target, failed: bool, now_s: float) -> None:
         """Take in how a request ended; set a target aside that fails alone."""
@@ -224,6 +286,8 @@
             if now_s - target.heard_s > 4 * SILENCE_S
             and now_s - self.news_s < NEWS_S
             and not target.outstanding
+            # It may be heard again, and then is still owed its rest.
+            and now_s >= target.rest.until_s
         ]
         for target in dropped:
             del self.targets[target.target_id]
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 
 from wisteriapulley.direct.crashes import CrashWatch
+from wisteriapulley.direct.hearing import Hearing
 from wisteriapulley.direct.placing import Place
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.registry import Target, TargetRegistry
@@ -36,8 +36,6 @@
 # Less time than this is no use to a target.
 LEAST_SEND_S = 0.05
 HTTP_OK = 200
-# Characters of a target's text that a log line shows.
-SHOWN = 40
 SERVER_ERROR = 500
 # When to come back after a target was not reached, or did not take the request:
 # another one, or another entry, can serve it at once.
@@ -58,8 +56,8 @@
         Counts.
     crashes : CrashWatch
         Learns which requests targets broke off.
-    heard_rate : callable
-        Called with a target and the time, when it states a rate or none any more.
+    hearing : Hearing
+        Takes in what targets say of themselves.
     """
 
     def __init__(
@@ -68,13 +66,13 @@
         client: TargetClient,
         metrics: EntryMetrics,
         crashes: CrashWatch,
-        heard_rate: Callable[[Target, float], None],
+        hearing: Hearing,
     ):
         self.registry = registry
         self.client = client
         self.metrics = metrics
         self.crashes = crashes
-        self.heard_rate = heard_rate
+        self.hearing = hearing
 
     def now_s(self) -> float:
         """Return the loop's clock."""
@@ -121,34 +119,12 @@
             await self.crashes.broke_off(admitted, target, progress)
             return Refusal(RefusalKind.FAILED, reason=f"no answer: {error!r}")
         if not head.other_instance:
-            self.hear_rate(target, head, sent_s)
+            self.hearing.hear(target, head.says, sent_s)
         try:
             return await self.pass_on(admitted, place, head, progress, answer)
         finally:
             head.close()
 
-    def hear_rate(self, target: Target, head: TargetAnswer, sent_s: float) -> None:
-        """Take in what a target says of the requests that it takes."""
-        known_per_s = target.rate.per_s
-        stated = head.says.rate
-        if target.rate.hear(stated, sent_s, self.now_s()):
-            self.heard_rate(target, self.now_s())
-        if target.rate.per_s != known_per_s:
-            log.info(
-                "target states a rate",
-                extra=fields(target=target.target_id, per_s=target.rate.per_s),
-            )
-        if target.rate.is_first_unreadable(stated):
-            log.warning(
-                "rate can't be read",
-                extra=fields(
-                    target=target.target_id,
-                    expected="a decimal number of requests a second",
-                    got=stated.unreadable[:SHOWN],
-                    kept_per_s=target.rate.per_s,
-                ),
-            )
-
     def judge_silence(self, place: Place) -> None:
         """Note that a target broke off, unless the entry itself gave it up.
 
@@ -187,16 +163,15 @@
     ) -> Refusal | None:
         """Pass an answer on, unless it says that another target may do better."""
         target = place.target
-        load = head.says.load
-        if load is not None and load.slots:
-            target.slots = load.slots
         if head.other_instance:
             self.registry.other_at(target, self.now_s())
             reason = "another instance"
             return Refusal(RefusalKind.UNAVAILABLE, NOT_TAKEN_RETRY_S, reason)
         if head.not_run:
             self.log_turned_away(admitted, target, head)
-            return Refusal(RefusalKind.OVERLOADED, NOT_TAKEN_RETRY_S, "target refused")
+            rest_s = self.registry.rest_s(progress.service, self.now_s())
+            retry_s = max(NOT_TAKEN_RETRY_S, rest_s)
+            return Refusal(RefusalKind.OVERLOADED, retry_s, "target refused")
         progress.may_have_run = True
         self.registry.judge(target, failed(head), self.now_s())
         if failed(head) and self.may_repeat(admitted, progress, answer):
@@ -217,9 +192,14 @@
             and progress.has_sends_left
             and not answer.started
             and left_s > LEAST_SEND_S
-            and len(self.registry.candidates(progress.service, self.now_s())) > 1
+            and self.has_another(progress)
         )
 
+    def has_another(self, progress: Progress) -> bool:
+        """Tell whether a request may go to a target that was not tried."""
+        candidates = self.registry.candidates(progress.service, self.now_s())
+        return any(target.target_id not in progress.tried for target in candidates)
+
     def head_came(self, admitted: Admitted, target: Target) -> None:
         """Note the time to a stream's first event."""
         took_s = self.now_s() - admitted.request.arrived_s
--- a/src/wisteriapulley/policy/statements.py
+++ b/src/wisteriapulley/policy/statements.py
@@ -47,3 +47,36 @@
     rate: StatedRate = StatedRate()
     rest: StatedRest = StatedRest()
     leaving: bool = False
+
+
+class KnownRest:
+    """The rest that one start of a target has asked this instance for.
+
+    Attributes
+    ----------
+    until_s : float
+        When it ends, on the loop's clock.
+    """
+
+    def __init__(self):
+        self.until_s = float("-inf")
+        self.was_unreadable = False
+
+    def hear(self, stated: StatedRest, now_s: float) -> bool:
+        """Take an answer's word in; tell whether a rest begins.
+
+        Neither a shorter word nor an answer without one ends a rest: answers
+        overtake each other.
+        """
+        if not stated.seconds:
+            return False
+        begins = now_s >= self.until_s
+        self.until_s = max(self.until_s, now_s + stated.seconds)
+        return begins
+
+    def is_first_unreadable(self, stated: StatedRest) -> bool:
+        """Tell whether a target states for the first time what is no time."""
+        if not stated.unreadable or self.was_unreadable:
+            return False
+        self.was_unreadable = True
+        return True
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -45,14 +45,37 @@
         async def scenario(fleet):
             resting.arrivals.clear()
             resting.rest = str(REST_S)
+
+            async def told():
+                await fleet.ask(0, b"told")
+                return resting.turned_away
+
+            await fleet.until(told)
             answers = await insist(
-                lambda name: fleet.ask(0, name.encode()), REST_S + TOLD_S
+                lambda name: fleet.ask(0, name.encode()), REST_S - TOLD_S
             )
             assert in_rest(resting.arrivals) <= MOST_IN_REST
             assert {status for status, _ in answers} == {200}
 
         plain_fleet.play(Fleet(tmp_path, [resting, other]), scenario)
 
+    def test_all_at_rest_refuse_at_once(self, tmp_path):
+        targets = [PlainTarget(0), PlainTarget(1)]
+
+        async def scenario(fleet):
+            for target in targets:
+                target.arrivals.clear()
+                target.rest = str(REST_S)
+            answers = await insist(lambda name: fleet.ask(0, name.encode()), REST_S / 2)
+            assert all(in_rest(target.arrivals) <= MOST_IN_REST for target in targets)
+            # Each target is told once; what was on its way then comes on top.
+            sends = sum(target.turned_away for target in targets)
+            assert sends <= len(targets) * CALLERS < len(answers)
+            assert {status for status, _ in answers} == {503}
+            assert all(0 < float(wait) for _, wait in answers)
+
+        plain_fleet.play(Fleet(tmp_path, targets), scenario)
+
 
 class TestEngine:
     def test_gets_no_more_while_it_rests(self, tmp_path):
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -1,15 +1,31 @@
 """What targets say of themselves in the heads of their answers."""
 
+import asyncio
+from types import SimpleNamespace
+
 import pytest
 from multidict import CIMultiDict
 
-from tests.test_direct_dispatch import FakeAnswer, events, serve
+from tests.test_direct_dispatch import SETTINGS, FakeAnswer, events, serve
+from tests.test_placing import ENGINE, IDENTITY, ROUTE, FakeSidecars
+from wisteriapulley.direct.placing import Place, Placing
+from wisteriapulley.direct.progress import Admitted
+from wisteriapulley.direct.registry import TargetRegistry
+from wisteriapulley.direct.types import CallerRequest, Refusal, RefusalKind
 from wisteriapulley.platform.statements import (
     MOST_REST_S,
     parse_rest,
     parse_statements,
 )
-from wisteriapulley.policy.statements import StatedRest, Statements, TargetLoad
+from wisteriapulley.policy.statements import (
+    KnownRest,
+    StatedRest,
+    Statements,
+    TargetLoad,
+)
+from wisteriapulley.weights.named import NamedVersions
+from wisteriapulley.wire import messages
+from wisteriapulley.wire.messages import TargetState
 
 DATE = "Thu, 03 Dec 2026 12:00:00 GMT"
 
@@ -92,3 +108,160 @@
             r for r in caplog.records if r.message == "target turned a request away"
         ]
         assert (line.target, line.status, line.rest_s) == ("i-0", 503, 3.0)
+
+
+class TestKnownRest:
+    def heard(self, *words):
+        known = KnownRest()
+        begins = [known.hear(StatedRest(rest_s), now_s) for rest_s, now_s in words]
+        return known, begins
+
+    def test_longest_word_counts(self):
+        known, begins = self.heard((3.0, 1.0), (1.0, 1.5), (5.0, 2.0), (0.0, 2.5))
+        assert known.until_s == 7.0
+        assert begins == [True, False, False, False]
+
+    def test_begins_again_after_its_end(self):
+        known, begins = self.heard((1.0, 1.0), (1.0, 2.0))
+        assert known.until_s == 3.0
+        assert begins == [True, True]
+
+    def test_what_is_no_time_is_told_once(self):
+        known, bad = KnownRest(), StatedRest(0.0, "soon")
+        assert [known.is_first_unreadable(bad) for _ in range(2)] == [True, False]
+
+
+def registry_of(*names, now_s=0.0):
+    registry = TargetRegistry()
+    registry.take([state_of(name) for name in names], now_s)
+    return registry
+
+
+def state_of(name, **more):
+    fields = {"sequence": 1, "started_ms": 1, "slots": 4, **more}
+    return TargetState(name, "s", f"{name}:80", "z", **fields)
+
+
+class TestTargetAtRest:
+    """Whose word it is, and for how long."""
+
+    REST = Statements(rest=StatedRest(30.0))
+
+    def test_news_of_control_instances_end_no_rest(self):
+        registry = registry_of("a")
+        target = registry.targets["a"]
+        target.hear(self.REST, 0.9, 1.0)
+        registry.take([state_of("a", sequence=2)], 2.0)
+        target.hear(Statements(), 0.8, 2.0)
+        assert registry.candidates("s", 3.0) == []
+        assert target.wait_s(3.0) == 28.0
+
+    def test_later_start_is_owed_nothing(self):
+        registry = registry_of("a")
+        registry.targets["a"].hear(self.REST, 0.9, 1.0)
+        registry.take([state_of("a", sequence=0, started_ms=2)], 2.0)
+        assert [t.target_id for t in registry.candidates("s", 2.0)] == ["a"]
+
+    def test_sweep_does_not_forget_a_rest(self):
+        registry = registry_of("a")
+        registry.targets["a"].hear(self.REST, 0.9, 1.0)
+        registry.news_s = 25.0
+        assert registry.sweep(25.0) == []
+        registry.take([state_of("a", sequence=2)], 25.0)
+        assert registry.candidates("s", 26.0) == []
+        registry.news_s = 60.0
+        assert [t.target_id for t in registry.sweep(60.0)] == ["a"]
+
+    def test_service_tells_when_its_first_rest_ends(self):
+        registry = registry_of("a", "b", "c")
+        a, b, c = registry.targets.values()
+        a.hear(self.REST, 0.9, 1.0)
+        assert registry.rest_s("s", 1.0) == 0.0
+        b.hear(Statements(rest=StatedRest(3.0)), 0.9, 1.0)
+        c.state = c.state._replace(leaving=True)
+        assert registry.rest_s("s", 1.5) == 2.5
+        b.state = b.state._replace(gone=True)
+        assert registry.rest_s("s", 1.5) == 29.5
+
+
+class TestLastMoment:
+    """A place that was granted or waited for before the word is no leave to send."""
+
+    def placed(self, rests):
+        """Place a request at engines, the first of which asks for rest meanwhile."""
+
+        async def run():
+            registry = registry_of("a", "b")
+            placing = Placing(
+                SETTINGS,
+                IDENTITY,
+                registry,
+                SimpleNamespace(versions=NamedVersions(), open_links=list),
+            )
+            given_back = []
+
+            class Granting(FakeSidecars):
+                async def ask(self, link, target, question):
+                    if len(self.questions) < rests:
+                        now_s = asyncio.get_running_loop().time()
+                        target.hear(Statements(rest=StatedRest(3.0)), now_s, now_s)
+                    return await super().ask(link, target, question)
+
+                def give_back(self, link, request_id):
+                    given_back.append(request_id)
+
+            placing.sidecars = Granting(*[messages.Reserved(True, 1)] * 2)
+            now_s = asyncio.get_running_loop().time()
+            registry.take([state_of(n, sequence=2) for n in "ab"], now_s)
+            request = CallerRequest(
+                "q", "POST", "/", "h", "/", (), b"", "", now_s, 5.4, 900, 90
+            )
+            admitted = Admitted(request, ROUTE, None, now_s + 5.4)
+            placed = await placing.place(admitted, "s", ENGINE, set(), now_s)
+            return placed, given_back, registry
+
+        return asyncio.run(run())
+
+    def test_place_is_given_back_and_another_engine_asked(self):
+        placed, given_back, registry = self.placed(rests=1)
+        assert isinstance(placed, Place)
+        assert given_back == ["q"]
+        assert not registry.targets[placed.target.target_id].rest.until_s > 0
+
+    def test_without_another_engine_the_end_of_the_rest_is_told(self):
+        placed, given_back, _ = self.placed(rests=2)
+        assert isinstance(placed, Refusal)
+        assert given_back == ["q", "q"]
+        assert 2.0 < placed.retry_s <= 3.0
+
+
+class TestRequestThatIsTurnedAway:
+    REST = Statements(rest=StatedRest(1.2))
+
+    def away(self):
+        return FakeAnswer(status=503, not_run=True, says=self.REST)
+
+    def test_no_second_send_where_all_rest(self):
+        refusal, _, client = serve(self.away(), targets=1)
+        assert len(client.plans) == 1
+        assert refusal.kind is RefusalKind.OVERLOADED
+        assert refusal.retry_s >= 1.1
+
+    def test_two_sends_tell_when_the_first_rest_ends(self):
+        refusal, _, client = serve(self.away(), self.away(), targets=2)
+        assert len(client.plans) == 2
+        assert refusal.retry_s >= 1.1
+
+    def test_word_without_the_promise_that_it_did_not_run_counts(self):
+        """A failure is passed on, and the target left alone all the same."""
+        failed = FakeAnswer(status=503, says=self.REST)
+        refusal, caller, client = serve(failed, targets=1)
+        assert refusal is None and caller.status == 503
+
+    def test_other_instance_asks_for_nothing(self, caplog):
+        caplog.set_level("INFO")
+        other = FakeAnswer(
+            status=421, other_instance=True, not_run=True, says=self.REST
+        )
+        serve(other, FakeAnswer([events(1, 2)]))
+        assert not [r for r in caplog.records if r.message == "target asks for rest"]
