Send nothing to a target whose answers say that it leaves

Callers saw nothing yet: the stand-ins' test had all callers served. But an entry that has lost its control instances, or a target that reports nothing, went on sending until the target's process was gone, and what it sent last ended with it.

Leaving was known by the word of control instances alone.

Change: the word is one of the statements that a target takes in, holds until it starts again, and counts wherever control instances' word does: in the choice, for links to sidecars, and for requests under which targets end. Sidecars read it from the engine's reports. Requests in progress go on to their end.

--- a/src/wisteriapulley/direct/crashes.py
+++ b/src/wisteriapulley/direct/crashes.py
@@ -78,7 +78,7 @@
         A target that had said that it leaves ends as planned. The word that takes
         longer than `VERDICT_S` still is taken in when it comes.
         """
-        if target.state.leaving or target.state.gone:
+        if target.leaves:
             return
         loop = asyncio.get_running_loop()
         task = loop.create_task(self.judge(admitted, target, progress))
--- a/src/wisteriapulley/direct/hearing.py
+++ b/src/wisteriapulley/direct/hearing.py
@@ -43,6 +43,8 @@
                 "target asks for rest",
                 extra=fields(target=target.target_id, rest_s=says.rest.seconds),
             )
+        if heard.leaving:
+            log.info("target says it leaves", extra=fields(target=target.target_id))
         self.log_unreadable(target, says)
 
     def log_unreadable(self, target: Target, says: Statements) -> None:
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -12,6 +12,9 @@
 SILENCE_S = 5.0
 # Without any news for so long the control instances are away, not the targets.
 NEWS_S = 2.5
+# A target that said that it leaves is known for so long after it was heard last: late
+# news must not bring it back.
+LEAVING_KEPT_S = 600.0
 # A target that could not be reached is left alone for so long, then doubled.
 DOWN_FIRST_S = 0.5
 DOWN_MOST_S = 4.0
@@ -33,10 +36,13 @@
         Whether a rate is stated, or none any more: whoever holds it is to know.
     rest : bool
         Whether a rest begins.
+    leaving : bool
+        Whether it is the first word that the target leaves.
     """
 
     rate: bool
     rest: bool
+    leaving: bool
 
 
 class Target:
@@ -56,6 +62,8 @@
         Requests a second that it takes, where its answers say so.
     rest : KnownRest
         Time for which it wants nothing from this instance.
+    said_leaving : bool
+        Whether its answers said that it is about to end. That holds until it ends.
     """
 
     def __init__(self, state: TargetState, heard_s: float):
@@ -74,6 +82,7 @@
         self.replaced = False
         self.rate = KnownRate()
         self.rest = KnownRest()
+        self.said_leaving = False
 
     @property
     def target_id(self) -> str:
@@ -129,15 +138,23 @@
         """
         if says.load is not None and says.load.slots:
             self.slots = says.load.slots
+        leaving = says.leaving and not self.said_leaving
+        self.said_leaving |= says.leaving
         return Heard(
             self.rate.hear(says.rate, sent_s, now_s),
             self.rest.hear(says.rest, now_s),
+            leaving,
         )
 
+    @property
+    def leaves(self) -> bool:
+        """Whether it, or control instances, said that it ends as planned."""
+        return self.said_leaving or self.state.leaving or self.state.gone
+
     @property
     def ends(self) -> bool:
         """Whether it never takes a request again."""
-        return self.state.leaving or self.state.gone or self.replaced
+        return self.leaves or self.replaced
 
     def wait_s(self, now_s: float) -> float:
         """Return how long until a request may be sent here; 0 for now."""
@@ -278,12 +295,16 @@
         target.samples = 0
         target.failed = 0.0
 
+    def kept_s(self, target: Target) -> float:
+        """Return how long a target is known that is not heard any more."""
+        return LEAVING_KEPT_S if target.said_leaving else 4 * SILENCE_S
+
     def sweep(self, now_s: float) -> list[Target]:
         """Forget targets that ended long ago; return them."""
         dropped = [
             target
             for target in self.targets.values()
-            if now_s - target.heard_s > 4 * SILENCE_S
+            if now_s - target.heard_s > self.kept_s(target)
             and now_s - self.news_s < NEWS_S
             and not target.outstanding
             # It may be heard again, and then is still owed its rest.
--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -105,7 +105,7 @@
         members = {
             Member(target.host, target.failure_domain)
             for target in self.registry.of_service(service)
-            if not (target.state.gone or target.state.leaving or target.replaced)
+            if not target.ends
         }
         return choose_subset(members, self.own, self.regions, LINKS)
 
--- a/src/wisteriapulley/platform/engine.py
+++ b/src/wisteriapulley/platform/engine.py
@@ -6,6 +6,8 @@
 from wisteriapulley.errors import ResultCode, WeightsError
 from wisteriapulley.platform import names
 from wisteriapulley.platform.http import HttpClient
+from wisteriapulley.platform.statements import parse_statements
+from wisteriapulley.policy.statements import Statements
 from wisteriapulley.rollout.engine import EngineReport, OrderOutcome
 from wisteriapulley.settings import Address
 
@@ -71,7 +73,14 @@
     async def call(
         self, method: str, path: str, **options: object
     ) -> tuple[int, bytes]:
-        """Make one call.
+        """Make one call; see `answer`."""
+        status, body, _ = await self.answer(method, path, **options)
+        return status, body
+
+    async def answer(
+        self, method: str, path: str, **options: object
+    ) -> tuple[int, bytes, Statements]:
+        """Make one call; return status, body and what the engine says of itself.
 
         Raises
         ------
@@ -83,20 +92,21 @@
             async with self.http.kept.request(
                 method, self.base + path, timeout=timeout, **options
             ) as response:
-                return response.status, await response.read()
+                says = parse_statements(response.status, response.headers)
+                return response.status, await response.read(), says
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise unavailable(path, repr(error)) from error
 
     async def report(self) -> EngineReport:
         """Return the engine's state."""
-        status, body = await self.call("GET", names.REPORT_CALL)
+        status, body, says = await self.answer("GET", names.REPORT_CALL)
         if status != HTTP_OK:
             raise unavailable(names.REPORT_CALL, f"status {status}")
         try:
             wire = msgspec.json.decode(body, type=WireReport)
         except msgspec.DecodeError as error:
             raise unavailable(names.REPORT_CALL, str(error)) from error
-        return decode_report(wire)
+        return decode_report(wire)._replace(leaving=says.leaving)
 
     async def staged(self, model: str) -> set[int]:
         """Return which pieces lie there."""
--- a/src/wisteriapulley/rollout/changing.py
+++ b/src/wisteriapulley/rollout/changing.py
@@ -111,7 +111,7 @@
         """Begin what is to be done, unless it is in progress."""
         knowledge = self.knowledge
         figures = knowledge.figures
-        if figures is None:
+        if figures is None or knowledge.report.leaving:
             return
         wanted, held = knowledge.wanted_version(), knowledge.held_version()
         if held and held >= wanted:
--- a/src/wisteriapulley/rollout/engine.py
+++ b/src/wisteriapulley/rollout/engine.py
@@ -17,6 +17,8 @@
         Requests.
     started_ms : int
         Unix time of its start; 0 where it does not say.
+    leaving : bool
+        Whether it is about to end.
     """
 
     versions: dict[str, int]
@@ -24,6 +26,13 @@
     running: int = 0
     waiting: int = 0
     started_ms: int = 0
+    leaving: bool = False
+
+    def after(self, earlier: "EngineReport") -> "EngineReport":
+        """Return this report with what an earlier one of the same start settled."""
+        same_start = self.started_ms == earlier.started_ms
+        leaving = self.leaving or (earlier.leaving and same_start)
+        return self._replace(leaving=leaving)
 
 
 class OrderOutcome(Enum):
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -147,7 +147,7 @@
         """Ask for the engine's report; none counts as holding nothing."""
         known = self.knowledge.report
         try:
-            report = await self.engine.report()
+            report = (await self.engine.report()).after(known)
         except WisteriapulleyError as error:
             if known.versions or not self.looked:
                 log.warning("the engine does not answer: %s", error)
@@ -160,6 +160,8 @@
             log.warning("engine started again", extra=fields(at_ms=report.started_ms))
             self.granting.engine_started_again()
             self.changing.staging.known = False
+        if report.leaving and not known.leaving:
+            log.info("engine says it leaves", extra=fields())
         self.looked = True
         self.knowledge.report = report
 
@@ -176,7 +178,8 @@
         knowledge = self.knowledge
         if not knowledge.held_version() or knowledge.figures is None:
             return False
-        if self.changing.ordering or knowledge.report.busy:
+        report = knowledge.report
+        if self.changing.ordering or report.busy or report.leaving:
             return False
         left_ms = self.left_ms()
         return left_ms is None or left_ms > 0
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -136,6 +136,8 @@
         self.runs = []
         self.bad_loads = 0
         self.break_after = 0
+        # Unix milliseconds of its start.
+        self.born = 1
         self.app.add_routes(
             [
                 web.get("/api/report", self.report),
@@ -157,6 +159,7 @@
                 "sequence": self.sequence,
                 "waiting": 0,
                 "running": 0,
+                "born": self.born,
             },
             headers=self.stated(),
         )
