Leave targets alone for a while that turn requests away; count it in the choice

Callers saw: while some targets turn all away, requests refused or late though others had room, also where no rest was asked for.

Cause: a target that turns requests away answers within milliseconds, so it looks empty to entries and to its sidecar, is asked first and takes both sends of a request; and the sidecar, which grants the places, never heard what its engine did with them.

Change: a circuit breaker for each start of a target. Two requests in a row turned away, or one with a rest, open it for 0.05 s, doubled each time up to 0.5 s; then one request passes, and more as they are taken. A request that can't be sent again goes there last. Entries keep one for each target; a sidecar keeps one for its engine, told by a field of the message that gives the place back, so that no message is added. It also learns no holding time from such places.

--- a/bench/turned_away.py
+++ b/bench/turned_away.py
@@ -33,6 +33,7 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy.choice import Load
+from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.policy.statements import StatedRest, Statements, TargetLoad
 from wisteriapulley.rollout.granting import Granting
 from wisteriapulley.routing import (
@@ -293,9 +294,17 @@
         await asyncio.sleep(HOP_S)
         return link.replies.pop(number)
 
-    def give_back(self, link: SidecarLink, request_id: str, *outcome: object) -> None:
+    def give_back(
+        self,
+        link: SidecarLink,
+        request_id: str,
+        outcome: SendOutcome = SendOutcome.UNKNOWN,
+        rests: bool = False,
+    ) -> None:
         """Give a place back."""
-        link.post(messages.Release(request_id, *outcome))
+        taken = outcome is SendOutcome.TAKEN
+        turned_away = outcome is SendOutcome.TURNED_AWAY
+        link.post(messages.Release(request_id, taken, turned_away, rests))
 
 
 class Caller:
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -269,7 +269,7 @@
             try:
                 refusal = await self.sender.send(admitted, place, progress, answer)
             finally:
-                place.release()
+                place.release(progress.outcome)
             if refusal is None:
                 return None
             if progress.may_have_run and not admitted.route.repeatable:
@@ -305,9 +305,11 @@
         self, admitted: Admitted, progress: Progress
     ) -> Place | Refusal:
         """Find a place for the next send."""
-        engine = self.index.services[progress.service].engine
+        service, now_s = progress.service, self.now_s()
+        engine = self.index.services[service].engine
+        is_last = progress.is_last_send or not self.budget(service).has_left(now_s)
         return await self.placing.place(
-            admitted, progress.service, engine, progress.tried, self.now_s()
+            admitted, service, engine, progress.tried, now_s, is_last
         )
 
     def final(
--- a/src/wisteriapulley/direct/placing.py
+++ b/src/wisteriapulley/direct/placing.py
@@ -13,8 +13,13 @@
 from wisteriapulley.direct.registry import Target, TargetRegistry
 from wisteriapulley.direct.settings import DirectSettings
 from wisteriapulley.direct.sidecars import Sidecars
-from wisteriapulley.direct.types import CallerRequest, Refusal, RefusalKind
+from wisteriapulley.direct.types import (
+    CallerRequest,
+    Refusal,
+    RefusalKind,
+)
 from wisteriapulley.policy.choice import Load, Surroundings, by_preference
+from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine
 from wisteriapulley.wire import Link, messages
@@ -50,6 +55,10 @@
 DROP_MARGIN_MS = 100.0
 
 
+# Ends a request's place; told what its target did with it.
+Release = Callable[[SendOutcome], None]
+
+
 class Urgency(NamedTuple):
     """How urgent a request is: until when, its rank, and whether it is late."""
 
@@ -72,7 +81,7 @@
 
     target: Target
     version: int
-    release: Callable[[], None]
+    release: Release
     begins_by_s: float | None = None
     granted: bool = False
 
@@ -162,24 +171,30 @@
         engine: Engine | None,
         tried: set[str],
         now_s: float,
+        is_last: bool = False,
     ) -> Place | Refusal:
-        """Find a place for a request, or say at once that there is none."""
+        """Find a place for a request, or say at once that there is none.
+
+        `is_last` says that it can't be sent again if its target turns it away.
+        """
         targets = [
             target
-            for target in self.registry.candidates(service, now_s)
+            for target in self.registry.candidates(service, now_s, is_last)
             if target.target_id not in tried
         ]
         if not targets:
-            return self.no_target(service, tried, now_s)
+            return self.no_target(service, tried, now_s, is_last)
         if engine is None:
-            return await self.place_plain(targets, now_s)
-        return await self.place_engine(admitted, engine, targets, now_s)
-
-    def no_target(self, service: str, tried: set[str], now_s: float) -> Refusal:
-        """Say that no target takes a request now, and when the first one may."""
-        rest_s = self.registry.rest_s(service, now_s)
-        if rest_s:
-            return Refusal(RefusalKind.OVERLOADED, rest_s, "targets rest")
+            return await self.place_plain(targets, now_s, is_last)
+        return await self.place_engine(admitted, engine, targets, now_s, is_last)
+
+    def no_target(
+        self, service: str, tried: set[str], now_s: float, is_last: bool
+    ) -> Refusal:
+        """Say that no target takes a request now, and when one may again."""
+        wait_s = self.registry.holds_back_s(service, now_s, is_last)
+        if wait_s:
+            return Refusal(RefusalKind.OVERLOADED, wait_s, "targets hold back")
         kind = RefusalKind.UNAVAILABLE if tried else RefusalKind.NOT_READY
         return Refusal(kind, DEFAULT_RETRY_S, "no target")
 
@@ -191,23 +206,26 @@
         self,
         target: Target,
         version: int,
-        release: Callable[[], None] | None = None,
+        release: Release | None = None,
         begins_by_s: float | None = None,
     ) -> Place:
         """Count a request at a target until it is released."""
-        target.outstanding += 1
+        sent_s = self.now_s()
+        target.sent(sent_s)
 
-        def give_back() -> None:
-            target.outstanding -= 1
+        def give_back(outcome: SendOutcome = SendOutcome.UNKNOWN) -> None:
+            target.ended(sent_s, self.now_s(), outcome)
             if release is not None:
-                release()
+                release(outcome)
 
         granted = release is not None
         return Place(target, version, give_back, begins_by_s, granted)
 
     # -- plain targets ---------------------------------------------------
 
-    async def place_plain(self, targets: list[Target], now_s: float) -> Place | Refusal:
+    async def place_plain(
+        self, targets: list[Target], now_s: float, is_last: bool
+    ) -> Place | Refusal:
         """Take the least loaded plain target whose stated rate allows it."""
         order = by_preference(
             targets, plain_load, self.around, self.random.random, now_s
@@ -218,7 +236,7 @@
                 continue
             wait_s = await self.limited.wait_s(target, now_s)
             # What the target said to others may have come meanwhile.
-            wait_s = max(wait_s, target.wait_s(self.now_s()))
+            wait_s = max(wait_s, target.wait_s(self.now_s(), is_last))
             if not wait_s:
                 return self.booked(target, 0)
             if wait_s < float("inf"):
@@ -239,12 +257,14 @@
         engine: Engine,
         targets: list[Target],
         now_s: float,
+        is_last: bool,
     ) -> Place | Refusal:
         """Ask sidecars in turn for a place."""
         denials = Denials()
         for target in self.engines_in_order(targets, now_s):
             wait_s = max(
-                self.limited.full_s(target, now_s), target.wait_s(self.now_s())
+                self.limited.full_s(target, now_s),
+                target.wait_s(self.now_s(), is_last),
             )
             if wait_s:
                 denials.held_back(wait_s)
@@ -258,10 +278,10 @@
                     return place
                 denials.others += 1
                 continue
-            question = self.question(admitted, engine, target)
+            question = self.question(admitted, engine, target, is_last)
             answer = await self.sidecars.ask(link, target, question)
             if answer is not None and answer.granted:
-                wait_s = target.wait_s(self.now_s())
+                wait_s = target.wait_s(self.now_s(), is_last)
                 if not wait_s:
                     return self.granted(link, admitted.request, target, engine, answer)
                 # The engine's word to this instance came after its sidecar's.
@@ -289,7 +309,7 @@
         )
 
     def question(
-        self, admitted: Admitted, engine: Engine, target: Target
+        self, admitted: Admitted, engine: Engine, target: Target, is_last: bool
     ) -> messages.Reserve:
         """Make the question for a place, by the time that is left now.
 
@@ -308,6 +328,7 @@
             int(wish.wait_ms),
             target.start,
             late=wish.late,
+            is_last=is_last,
         )
 
     def granted(
@@ -320,8 +341,9 @@
     ) -> Place | Refusal:
         """Use a granted place, if its version of the weights still may serve."""
 
-        def give_back() -> None:
-            self.sidecars.give_back(link, request.request_id)
+        def give_back(outcome: SendOutcome = SendOutcome.UNKNOWN) -> None:
+            rests = self.now_s() < target.rest.until_s
+            self.sidecars.give_back(link, request.request_id, outcome, rests)
 
         left_ms = self.left_ms(engine.model, answer.version)
         if left_ms is None:
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -4,6 +4,7 @@
 
 from wisteriapulley.direct.events import EventSplitter
 from wisteriapulley.direct.types import CallerRequest
+from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.routing import Account, Route
 
 
@@ -63,6 +64,8 @@
         Whether one of them may have begun to work on it.
     tried : set of str
         Targets that are not asked again.
+    outcome : SendOutcome
+        Of the last send.
     events : EventSplitter
         Events that the caller has.
     fingerprint : bytes
@@ -75,6 +78,7 @@
         self.sends = 0
         self.may_have_run = False
         self.tried: set[str] = set()
+        self.outcome = SendOutcome.UNKNOWN
         self.events = EventSplitter(request.resume_after)
         self.fingerprint = b""
 
@@ -82,3 +86,8 @@
     def has_sends_left(self) -> bool:
         """Whether the route allows one more target."""
         return self.sends < self.most_sends
+
+    @property
+    def is_last_send(self) -> bool:
+        """Whether the route allows no further target after the next one."""
+        return self.sends + 1 >= self.most_sends
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from wisteriapulley.control.targets import is_newer, knows, merged
+from wisteriapulley.policy.circuit_breaker import CircuitBreaker, SendOutcome
 from wisteriapulley.policy.stated_rate import KnownRate
 from wisteriapulley.policy.statements import KnownRest, Statements
 from wisteriapulley.wire.messages import TargetBeat, TargetState
@@ -83,6 +84,7 @@
         self.rate = KnownRate()
         self.rest = KnownRest()
         self.said_leaving = False
+        self.breaker = CircuitBreaker()
 
     @property
     def target_id(self) -> str:
@@ -112,6 +114,16 @@
         self.slots = max(1, state.slots)
         self.cold_until_s = heard_s + state.cold_ms / 1000
 
+    def sent(self, now_s: float) -> None:
+        """Note that a request goes here."""
+        self.outstanding += 1
+        self.breaker.sent(now_s)
+
+    def ended(self, sent_s: float, now_s: float, outcome: SendOutcome) -> None:
+        """Note that a request is here no more, and what became of it."""
+        self.outstanding -= 1
+        self.breaker.ended(outcome, sent_s, now_s, now_s < self.rest.until_s)
+
     def unreachable(self, now_s: float) -> None:
         """Note that it could not be reached."""
         self.down_until_s = now_s + self.down_s
@@ -156,16 +168,25 @@
         """Whether it never takes a request again."""
         return self.leaves or self.replaced
 
-    def wait_s(self, now_s: float) -> float:
-        """Return how long until a request may be sent here; 0 for now."""
+    def wait_s(self, now_s: float, is_last: bool = False) -> float:
+        """Return how long until a request may be sent here; 0 for now.
+
+        Parameters
+        ----------
+        now_s : float
+            The loop's clock.
+        is_last : bool
+            Whether the request can't be sent again if it is turned away.
+        """
         if self.ends:
             return float("inf")
-        until_s = max(self.down_until_s, self.aside_until_s, self.rest.until_s)
-        return max(0.0, until_s - now_s)
+        until_s = max(self.down_until_s, self.aside_until_s)
+        return max(0.0, until_s - now_s, self.holds_back_s(now_s, is_last))
 
-    def takes_work(self, now_s: float) -> bool:
-        """Tell whether requests may be sent here."""
-        return not self.wait_s(now_s)
+    def holds_back_s(self, now_s: float, is_last: bool = False) -> float:
+        """Return how long it wants no requests, or none may be tried; 0 for now."""
+        rest_s = max(0.0, self.rest.until_s - now_s)
+        return max(rest_s, self.breaker.wait_s(now_s, is_last))
 
 
 class TargetRegistry:
@@ -254,9 +275,21 @@
         """Yield all targets of a service."""
         return (t for t in self.targets.values() if t.state.service == service)
 
-    def candidates(self, service: str, now_s: float) -> list[Target]:
-        """Return the targets of a service that take requests now."""
-        return [t for t in self.alive(service, now_s) if t.takes_work(now_s)]
+    def candidates(
+        self, service: str, now_s: float, is_last: bool = False
+    ) -> list[Target]:
+        """Return the targets of a service that take requests now.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        now_s : float
+            The loop's clock.
+        is_last : bool
+            Whether the request can't be sent again if it is turned away.
+        """
+        return [t for t in self.alive(service, now_s) if not t.wait_s(now_s, is_last)]
 
     def alive(self, service: str, now_s: float) -> Iterator[Target]:
         """Yield the targets of a service that were heard lately."""
@@ -265,16 +298,16 @@
             if now_s - target.heard_s < silent_s:
                 yield target
 
-    def rest_s(self, service: str, now_s: float) -> float:
-        """Return how long until a service whose targets rest takes requests again.
+    def holds_back_s(self, service: str, now_s: float, is_last: bool = False) -> float:
+        """Return how long until a service whose targets hold back has one that not.
 
-        0 where one takes requests now, or none rests: the others may be back any
-        time.
+        0 where one takes requests now, or none holds back: those that are away may
+        be back any time.
         """
         alive = list(self.alive(service, now_s))
-        if not any(now_s < target.rest.until_s for target in alive):
+        if not any(target.holds_back_s(now_s, is_last) for target in alive):
             return 0.0
-        wait_s = min(target.wait_s(now_s) for target in alive)
+        wait_s = min(target.wait_s(now_s, is_last) for target in alive)
         return wait_s if wait_s < float("inf") else 0.0
 
     def judge(self, target: Target, failed: bool, now_s: float) -> None:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -20,6 +20,7 @@
 )
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.logs import fields
+from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.routing import Route, RouteKind
 
 log = logging.getLogger(__name__)
@@ -37,6 +38,7 @@
 LEAST_SEND_S = 0.05
 HTTP_OK = 200
 SERVER_ERROR = 500
+UNAVAILABLE = 503
 # When to come back after a target was not reached, or did not take the request:
 # another one, or another entry, can serve it at once.
 UNREACHED_RETRY_S = 0.3
@@ -94,6 +96,7 @@
         """
         target = place.target
         progress.tried.add(target.target_id)
+        progress.outcome = SendOutcome.UNKNOWN
         remaining_s = admitted.deadline_s - self.now_s()
         if remaining_s < LEAST_SEND_S:
             return Refusal(RefusalKind.TIMED_OUT, reason="no time left")
@@ -119,6 +122,7 @@
             await self.crashes.broke_off(admitted, target, progress)
             return Refusal(RefusalKind.FAILED, reason=f"no answer: {error!r}")
         if not head.other_instance:
+            progress.outcome = outcome_of(head)
             self.hearing.hear(target, head.says, sent_s)
         try:
             return await self.pass_on(admitted, place, head, progress, answer)
@@ -169,8 +173,8 @@
             return Refusal(RefusalKind.UNAVAILABLE, NOT_TAKEN_RETRY_S, reason)
         if head.not_run:
             self.log_turned_away(admitted, target, head)
-            rest_s = self.registry.rest_s(progress.service, self.now_s())
-            retry_s = max(NOT_TAKEN_RETRY_S, rest_s)
+            wait_s = self.registry.holds_back_s(progress.service, self.now_s())
+            retry_s = max(NOT_TAKEN_RETRY_S, wait_s)
             return Refusal(RefusalKind.OVERLOADED, retry_s, "target refused")
         progress.may_have_run = True
         self.registry.judge(target, failed(head), self.now_s())
@@ -352,6 +356,13 @@
     return head.status >= SERVER_ERROR
 
 
+def outcome_of(head: TargetAnswer) -> SendOutcome:
+    """Tell what a target did with a request; see `Statements` for what it said."""
+    if head.status == UNAVAILABLE and (head.not_run or head.says.rest.seconds):
+        return SendOutcome.TURNED_AWAY
+    return SendOutcome.UNKNOWN if head.not_run else SendOutcome.TAKEN
+
+
 def patience_s(route: Route, remaining_s: float, has_sends_left: bool) -> float | None:
     """Return how long to wait for a head; None for as long as the request has.
 
--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -12,6 +12,7 @@
 from wisteriapulley.errors import ResultCode, WisteriapulleyError
 from wisteriapulley.policy.answer_times import AnswerTimes
 from wisteriapulley.policy.choice import Load
+from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.policy.subset import Member, SubsetLimits, choose_subset
 from wisteriapulley.regions import Regions
 from wisteriapulley.settings import Address
@@ -31,7 +32,8 @@
 # What a sidecar says in its heartbeats: it grants nothing now, or nothing yet.
 CLOSED_STATE = "closed"
 OPENING_STATE = "opening"
-# It grants, but the rate that its engine states holds requests back now.
+# It grants, but its engine holds requests back now: it states a rate, or turned some
+# away.
 LIMITED_STATE = "limited"
 # An engine that still loads its weights, or is at its limit, is asked after those that
 # have room.
@@ -234,7 +236,18 @@
         self.times.answered(host, loop.time() - asked_s, loop.time())
         return frame
 
-    def give_back(self, link: Link, request_id: str) -> None:
-        """Tell a sidecar that a place is not needed any more."""
+    def give_back(
+        self,
+        link: Link,
+        request_id: str,
+        outcome: SendOutcome = SendOutcome.UNKNOWN,
+        rests: bool = False,
+    ) -> None:
+        """Tell a sidecar that a place is not needed any more, and what its engine did.
+
+        Only entries see whether the engine took what its sidecar granted.
+        """
         if not link.closed.is_set():
-            link.post(messages.Release(request_id))
+            taken = outcome is SendOutcome.TAKEN
+            turned_away = outcome is SendOutcome.TURNED_AWAY
+            link.post(messages.Release(request_id, taken, turned_away, rests))
--- a/src/wisteriapulley/policy/places.py
+++ b/src/wisteriapulley/policy/places.py
@@ -16,6 +16,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from wisteriapulley.policy.circuit_breaker import CircuitBreaker, SendOutcome
 from wisteriapulley.policy.passes import PassClock
 from wisteriapulley.policy.stated_rate import RateLimits
 from wisteriapulley.routing import Engine
@@ -81,6 +82,8 @@
         Whether the request's objective has passed already.
     target : str
         The engine's start that the request is for.
+    is_last : bool
+        Whether it can't be sent again if the engine turns it away.
     """
 
     request_id: str
@@ -91,6 +94,7 @@
     wait_ms: float
     late: bool = False
     target: str = ""
+    is_last: bool = False
 
 
 class Held(NamedTuple):
@@ -113,7 +117,8 @@
 class Verdict(NamedTuple):
     """What becomes of a request now; neither granted nor denied means it waits.
 
-    `limited` says that the engine's stated rate is why it is denied.
+    `limited` says that the engine itself holds requests back: it states a rate, or
+    turned some away.
     """
 
     request_id: str
@@ -162,6 +167,8 @@
         # What the engine says that it takes, and which start of it was asked for last.
         self.rates = RateLimits()
         self.target = ""
+        # What it did with the requests that were granted.
+        self.breaker = CircuitBreaker()
 
     @property
     def state(self) -> PlacesState:
@@ -201,10 +208,10 @@
         """Grant a place, let the request wait, or deny it at once."""
         if self.state is PlacesState.CLOSED:
             return Verdict(request.request_id, denied=True)
-        self.target = request.target
-        rate_ms = self.rate_wait_ms(request, now_ms)
-        if rate_ms > 0:
-            retry_ms = max(LEAST_RETRY_MS, rate_ms)
+        self.is_for(request.target)
+        held_back_ms = self.held_back_ms(request, now_ms)
+        if held_back_ms > 0:
+            retry_ms = max(LEAST_RETRY_MS, held_back_ms)
             return Verdict(
                 request.request_id, denied=True, retry_ms=retry_ms, limited=True
             )
@@ -249,9 +256,22 @@
             return self.grant(request, now_ms)
         return self.wait(request, now_ms + request.wait_ms - event_ms)
 
-    def rate_wait_ms(self, request: PlaceRequest, now_ms: float) -> float:
-        """Return how long until the engine's stated rate lets a request begin."""
-        return self.rates.wait_s(request.target, now_ms / 1000, request.late) * 1000
+    def is_for(self, target: str) -> None:
+        """Know which start of the engine requests are for; each is judged anew."""
+        if target != self.target:
+            self.target = target
+            self.breaker = CircuitBreaker()
+
+    def held_back_ms(self, request: PlaceRequest, now_ms: float) -> float:
+        """Return how long until what the engine says and does lets a request begin."""
+        rate_s = self.rates.wait_s(request.target, now_ms / 1000, request.late)
+        breaker_s = self.breaker.wait_s(now_ms / 1000, request.is_last)
+        return max(rate_s, breaker_s) * 1000
+
+    def holds_back_s(self, now_s: float) -> float:
+        """Return how long the engine takes no request in time."""
+        rate_s = self.rates.wait_s(self.target, now_s)
+        return max(rate_s, self.breaker.wait_s(now_s))
 
     def may_read_late(self, now_ms: float) -> bool:
         """Tell whether the next pass may read one more late prompt."""
@@ -333,6 +353,7 @@
     def grant(self, request: PlaceRequest, now_ms: float) -> Verdict:
         """Give a place."""
         self.rates.take(request.target, now_ms / 1000)
+        self.breaker.sent(now_ms / 1000)
         self.passes.advance(now_ms, self.pass_ms(), len(self.held))
         self.passes.add(request.prompt_tokens / self.engine.prefill_tokens_per_ms)
         self.held[request.request_id] = Held(
@@ -340,6 +361,26 @@
         )
         return Verdict(request.request_id, granted=True)
 
+    def ended(
+        self,
+        request_id: str,
+        outcome: SendOutcome,
+        now_ms: float,
+        rests: bool = False,
+    ) -> None:
+        """Take a place back, and learn what the engine did with its request.
+
+        `rests` says that the engine asked the sender for rest.
+        """
+        held = self.held.get(request_id)
+        if held is not None:
+            sent_s = held.since_ms / 1000
+            self.breaker.ended(outcome, sent_s, now_ms / 1000, rests)
+            if outcome is SendOutcome.TURNED_AWAY:
+                # How long it was held says nothing of the time that requests take.
+                del self.held[request_id]
+        self.release(request_id, now_ms)
+
     def release(self, request_id: str, now_ms: float) -> None:
         """Take a place back, or the request out of the queue."""
         held = self.held.pop(request_id, None)
@@ -362,6 +403,7 @@
     def forget_held(self) -> None:
         """Take back all places at once: the engine runs none of it any more."""
         self.held.clear()
+        self.breaker = CircuitBreaker()
         self.passes = PassClock()
 
     def close(self) -> None:
@@ -392,11 +434,11 @@
         """Tell whether a request waits in vain.
 
         Its time has passed, or it is late and new ones take all that there is. One
-        that the engine's stated rate holds back may have a place elsewhere at once.
+        that the engine itself holds back may have a place elsewhere at once.
         """
         if now_ms > waiting.until_ms:
             return True
-        if self.rate_wait_ms(waiting.request, now_ms) > 0:
+        if self.held_back_ms(waiting.request, now_ms) > 0:
             return True
         return waiting.request.late and self.open and not self.has_room()
 
@@ -421,12 +463,12 @@
     def denied(self, waiting: Waiting, now_ms: float) -> Verdict:
         """Deny a request that waited; tell when another may have a place."""
         place_ms = self.place_wait_ms(len(self.queue))
-        rate_ms = self.rate_wait_ms(waiting.request, now_ms)
+        held_back_ms = self.held_back_ms(waiting.request, now_ms)
         return Verdict(
             waiting.request.request_id,
             denied=True,
-            retry_ms=max(LEAST_RETRY_MS, place_ms, rate_ms),
-            limited=rate_ms > 0,
+            retry_ms=max(LEAST_RETRY_MS, place_ms, held_back_ms),
+            limited=held_back_ms > 0,
         )
 
     def expire_held(self, now_ms: float) -> None:
--- a/src/wisteriapulley/policy/shared_budget.py
+++ b/src/wisteriapulley/policy/shared_budget.py
@@ -50,11 +50,15 @@
         self.requests.append(now_s)
         self.forget(now_s)
 
-    def take(self, now_s: float) -> bool:
-        """Book a second send; False when the share is spent."""
+    def has_left(self, now_s: float) -> bool:
+        """Tell whether a second send may be booked."""
         self.forget(now_s)
         allowed = self.slack / self.entries + self.ratio * len(self.requests)
-        if len(self.sends) + 1 > allowed:
+        return len(self.sends) + 1 <= allowed
+
+    def take(self, now_s: float) -> bool:
+        """Book a second send; False when the share is spent."""
+        if not self.has_left(now_s):
             return False
         self.sends.append(now_s)
         return True
--- a/src/wisteriapulley/rollout/granting.py
+++ b/src/wisteriapulley/rollout/granting.py
@@ -6,6 +6,7 @@
 
 from wisteriapulley.errors import ResultCode, WireError
 from wisteriapulley.logs import fields
+from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.policy.places import PlaceRequest, Places, PlacesState, Verdict
 from wisteriapulley.rollout.knowledge import Knowledge
 from wisteriapulley.routing import Engine
@@ -36,7 +37,7 @@
         self.places = Places(Engine(""))
         self.waiting: dict[str, asyncio.Future[Verdict]] = {}
         self.beat_at: asyncio.TimerHandle | None = None
-        # When the engine's stated rate lets a request begin again.
+        # When the engine lets a request begin again that holds requests back.
         self.passes_at: asyncio.TimerHandle | None = None
         self.server: LinkServer | None = None
         # Set while requests wait: an engine with room needs no look at its queue.
@@ -88,7 +89,7 @@
 
     def heartbeat(self) -> messages.Heartbeat:
         """Tell the load, and whether places are open."""
-        limited = self.places.open and self.rate_wait_s() > 0
+        limited = self.places.open and self.holds_back_s() > 0
         state = PlacesState.LIMITED if limited else self.places.state
         return messages.Heartbeat(
             state=state.value,
@@ -114,16 +115,16 @@
         for link in self.near_links():
             link.beat()
 
-    def rate_wait_s(self) -> float:
-        """Return how long until the engine's stated rate lets a request begin."""
-        return self.places.rates.wait_s(self.places.target, self.now_ms() / 1000)
+    def holds_back_s(self) -> float:
+        """Return how long the engine holds requests back; 0 for not now."""
+        return self.places.holds_back_s(self.now_ms() / 1000)
 
     def tell_limit(self) -> None:
-        """Tell entries that the engine is at its limit, and when it is no more.
+        """Tell entries that the engine holds requests back, and when it does no more.
 
-        Entries ask one that is at its limit after the others.
+        Entries ask one that does after the others.
         """
-        wait_s = self.rate_wait_s()
+        wait_s = self.holds_back_s()
         if wait_s > 0 and self.passes_at is None:
             loop = asyncio.get_running_loop()
             self.passes_at = loop.call_later(wait_s, self.passes_again)
@@ -223,12 +224,25 @@
         self, message: messages.Release, link: Link, frame: Frame
     ) -> None:
         """Handle the message `Release`."""
-        self.places.release(message.request_id, self.now_ms())
+        self.places.ended(
+            message.request_id, outcome_of(message), self.now_ms(), message.rests
+        )
         future = self.waiting.get(message.request_id)
         if future is not None and not future.done():
             future.set_result(Verdict(message.request_id, denied=True))
         self.advance()
-        self.beat_soon()
+        if message.turned_away:
+            self.log_turned_away(link)
+            self.tell_limit()
+        else:
+            self.beat_soon()
+
+    def log_turned_away(self, link: Link) -> None:
+        """Log that the engine turned away what was granted, and what follows."""
+        log.info(
+            "engine turned a request away",
+            extra=fields(entry=link.peer_id, pause_s=round(self.holds_back_s(), 3)),
+        )
 
     @receive.register
     async def receive_target_rate(
@@ -237,7 +251,7 @@
         """Handle the message `TargetRate`."""
         heard_s = self.now_ms() / 1000 - message.age_ms / 1000
         self.places.rates.hear(message.target, message.per_s or None, heard_s)
-        self.places.target = message.target
+        self.places.is_for(message.target)
         self.advance()
         self.tell_limit()
 
@@ -256,6 +270,13 @@
     return f"{link.peer_id}/{link.peer.incarnation}"
 
 
+def outcome_of(message: messages.Release) -> SendOutcome:
+    """Read from the wire what an engine did with a request."""
+    if message.turned_away:
+        return SendOutcome.TURNED_AWAY
+    return SendOutcome.TAKEN if message.taken else SendOutcome.UNKNOWN
+
+
 def place_request(message: messages.Reserve, link: Link) -> PlaceRequest:
     """Read a reservation from the wire."""
     return PlaceRequest(
@@ -267,4 +288,5 @@
         message.wait_ms,
         message.late,
         message.target,
+        message.is_last,
     )
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -304,6 +304,7 @@
   waitMs @4 :UInt32;
   target @5 :Text;
   late @6 :Bool;
+  isLast @7 :Bool;
 }
 struct Reserved {
   granted @0 :Bool;
@@ -315,7 +316,7 @@
   queued @6 :Bool;
   limited @7 :Bool;
 }
-struct Release { requestId @0 :Text; }
+struct Release { requestId @0 :Text; taken @1 :Bool; turnedAway @2 :Bool; rests @3 :Bool; }
 struct HeldQuery { model @0 :Text; version @1 :UInt64; known @2 :UInt32; waitMs @3 :UInt32; onlyLooks @4 :Bool; }
 struct Held { pieces @0 :UInt32; total @1 :UInt32; bitmap @2 :Data; }
 struct Suspect {
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -506,7 +506,7 @@
     """Ask a sidecar for a place at its target, for at most `wait_ms` from now.
 
     `target` names one start of it; `late` says that the request's objective has
-    passed already.
+    passed already, `is_last` that it can't be sent again if the target turns it away.
     """
 
     request_id: str = ""
@@ -516,6 +516,7 @@
     wait_ms: int = 0
     target: str = ""
     late: bool = False
+    is_last: bool = False
 
 
 class Reserved(NamedTuple):
@@ -523,7 +524,8 @@
 
     Without a place, `retry_ms` says when one is likely; `closed` that the
     target takes nothing now, whatever its load; `queued` that the request waits
-    and another answer follows; `limited` that the target's stated rate is had.
+    and another answer follows; `limited` that the target itself holds
+    requests back: it states a rate, or turned some away.
     """
 
     granted: bool = False
@@ -537,9 +539,16 @@
 
 
 class Release(NamedTuple):
-    """Give a reserved place back."""
+    """Give a reserved place back.
+
+    `taken` and `turned_away` say what the target did with the request, where it was
+    sent and that is known; `rests` that the target asked the sender for rest.
+    """
 
     request_id: str = ""
+    taken: bool = False
+    turned_away: bool = False
+    rests: bool = False
 
 
 class HeldQuery(NamedTuple):
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -91,7 +91,7 @@
         self.out = 0
         self.rates = []
 
-    async def place(self, admitted, service, engine, tried, now_s):
+    async def place(self, admitted, service, engine, tried, now_s, is_last=False):
         for target in self.registry.candidates(service, now_s):
             if target.target_id not in tried:
                 self.out += 1
@@ -99,7 +99,7 @@
                 return Place(target, 1, self.give_back, by_s)
         return Refusal(RefusalKind.UNAVAILABLE, 0.25, "no target")
 
-    def give_back(self):
+    def give_back(self, outcome=None):
         self.out -= 1
 
     def heard_rate(self, target, now_s):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -47,7 +47,7 @@
         await asyncio.sleep(self.verdict_s)
         return self.verdicts.pop(0)
 
-    def give_back(self, link, request_id):
+    def give_back(self, link, request_id, *outcome):
         pass
 
 
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -5,6 +5,7 @@
 from tests import plain_fleet, test_platform_path
 from tests.fakes.plain import PlainTarget
 from tests.plain_fleet import Fleet
+from wisteriapulley.policy.circuit_breaker import MOST_PAUSE_S
 
 # What the users allow: so many requests from one instance between half a second
 # after the answer and the end of the rest.
@@ -76,6 +77,26 @@
 
         plain_fleet.play(Fleet(tmp_path, targets), scenario)
 
+    def test_one_that_turns_all_away_without_a_word_costs_no_caller(self, tmp_path):
+        """It looks empty, and would be asked first each time."""
+        away, other = PlainTarget(0), PlainTarget(1)
+
+        async def scenario(fleet):
+            away.rest = ""
+
+            async def told():
+                await fleet.ask(0, b"told")
+                return away.turned_away >= 2
+
+            await fleet.until(told)
+            before = away.turned_away
+            answers = await insist(lambda name: fleet.ask(0, name.encode()), REST_S)
+            most = REST_S / MOST_PAUSE_S + CALLERS
+            assert away.turned_away - before <= most < len(answers)
+            assert {status for status, _ in answers} == {200}
+
+        plain_fleet.play(Fleet(tmp_path, [away, other]), scenario)
+
 
 class TestEngine:
     def test_gets_no_more_while_it_rests(self, tmp_path):
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -176,12 +176,12 @@
         registry = registry_of("a", "b", "c")
         a, b, c = registry.targets.values()
         a.hear(self.REST, 0.9, 1.0)
-        assert registry.rest_s("s", 1.0) == 0.0
+        assert registry.holds_back_s("s", 1.0) == 0.0
         b.hear(Statements(rest=StatedRest(3.0)), 0.9, 1.0)
         c.state = c.state._replace(leaving=True)
-        assert registry.rest_s("s", 1.5) == 2.5
+        assert registry.holds_back_s("s", 1.5) == 2.5
         b.state = b.state._replace(gone=True)
-        assert registry.rest_s("s", 1.5) == 29.5
+        assert registry.holds_back_s("s", 1.5) == 29.5
 
 
 class TestLastMoment:
@@ -207,7 +207,7 @@
                         target.hear(Statements(rest=StatedRest(3.0)), now_s, now_s)
                     return await super().ask(link, target, question)
 
-                def give_back(self, link, request_id):
+                def give_back(self, link, request_id, *outcome):
                     given_back.append(request_id)
 
             placing.sidecars = Granting(*[messages.Reserved(True, 1)] * 2)
