--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -39,6 +39,7 @@
 HTTP_OK = 200
 SERVER_ERROR = 500
 UNAVAILABLE = 503
+TOO_MANY_REQUESTS = 429
 # When to come back after a target was not reached, or did not take the request:
 # another one, or another entry, can serve it at once.
 UNREACHED_RETRY_S = 0.3
@@ -357,8 +358,12 @@
 
 
 def outcome_of(head: TargetAnswer) -> SendOutcome:
-    """Tell what a target did with a request; see `Statements` for what it said."""
-    if head.status == UNAVAILABLE and (head.not_run or head.says.rest.seconds):
+    """Tell what a target did with a request.
+
+    Other refusals are for the request's sake, and tell nothing of the target.
+    """
+    busy = head.not_run and head.status in (UNAVAILABLE, TOO_MANY_REQUESTS)
+    if busy or head.says.rest.seconds:
         return SendOutcome.TURNED_AWAY
     return SendOutcome.UNKNOWN if head.not_run else SendOutcome.TAKEN
 
--- a/tests/test_circuit_breaker.py
+++ b/tests/test_circuit_breaker.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from tests.test_direct_dispatch import FakeAnswer
 from tests.test_places import ENGINE, wish
 from tests.test_statements import registry_of
+from wisteriapulley.direct.sending import outcome_of
 from wisteriapulley.policy.circuit_breaker import (
     FIRST_PAUSE_S,
     MOST_PAUSE_S,
@@ -15,6 +17,7 @@
     SendOutcome,
 )
 from wisteriapulley.policy.places import Places
+from wisteriapulley.policy.statements import StatedRest, Statements
 
 TAKEN, AWAY = SendOutcome.TAKEN, SendOutcome.TURNED_AWAY
 UNKNOWN = SendOutcome.UNKNOWN
@@ -144,6 +147,24 @@
         assert last_s <= 20.0 + MOST_PAUSE_S + WHOLE * TAKEN_S
 
 
+class TestOutcome:
+    @pytest.mark.parametrize(
+        ("status", "said", "outcome"),
+        [
+            (200, {}, TAKEN),
+            (500, {}, TAKEN),
+            (503, {}, TAKEN),
+            (503, {"not_run": True}, AWAY),
+            (429, {"not_run": True}, AWAY),
+            (503, {"says": Statements(rest=StatedRest(1.0))}, AWAY),
+            # Refused for what the request is.
+            (400, {"not_run": True}, UNKNOWN),
+        ],
+    )
+    def test_is_known_by_status_and_what_the_target_says(self, status, said, outcome):
+        assert outcome_of(FakeAnswer(status=status, **said)) is outcome
+
+
 class TestTarget:
     def test_is_no_candidate_while_it_is_left_alone(self):
         registry = registry_of("a", "b")
