Make no calls to an engine during the rest that it asks its sidecar for

By the rule all requests of an instance count, and a sidecar asks for a report every 0.05 to 0.4 s. The engine still counts as what it last said, so that one that turns reports away loses no places.

--- a/src/wisteriapulley/direct/placing.py
+++ b/src/wisteriapulley/direct/placing.py
@@ -342,7 +342,7 @@
         """Use a granted place, if its version of the weights still may serve."""
 
         def give_back(outcome: SendOutcome = SendOutcome.UNKNOWN) -> None:
-            rests = self.now_s() < target.rest.until_s
+            rests = target.rest.wait_s(self.now_s()) > 0
             self.sidecars.give_back(link, request.request_id, outcome, rests)
 
         left_ms = self.left_ms(engine.model, answer.version)
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -122,7 +122,7 @@
     def ended(self, sent_s: float, now_s: float, outcome: SendOutcome) -> None:
         """Note that a request is here no more, and what became of it."""
         self.outstanding -= 1
-        self.breaker.ended(outcome, sent_s, now_s, now_s < self.rest.until_s)
+        self.breaker.ended(outcome, sent_s, now_s, self.rest.wait_s(now_s) > 0)
 
     def unreachable(self, now_s: float) -> None:
         """Note that it could not be reached."""
@@ -185,8 +185,7 @@
 
     def holds_back_s(self, now_s: float, is_last: bool = False) -> float:
         """Return how long it wants no requests, or none may be tried; 0 for now."""
-        rest_s = max(0.0, self.rest.until_s - now_s)
-        return max(rest_s, self.breaker.wait_s(now_s, is_last))
+        return max(self.rest.wait_s(now_s), self.breaker.wait_s(now_s, is_last))
 
 
 class TargetRegistry:
@@ -341,7 +340,7 @@
             and now_s - self.news_s < NEWS_S
             and not target.outstanding
             # It may be heard again, and then is still owed its rest.
-            and now_s >= target.rest.until_s
+            and not target.rest.wait_s(now_s)
         ]
         for target in dropped:
             del self.targets[target.target_id]
--- a/src/wisteriapulley/platform/engine.py
+++ b/src/wisteriapulley/platform/engine.py
@@ -1,5 +1,7 @@
 """The engine beside a sidecar."""
 
+import asyncio
+
 import aiohttp
 import msgspec
 
@@ -7,7 +9,7 @@
 from wisteriapulley.platform import names
 from wisteriapulley.platform.http import HttpClient
 from wisteriapulley.platform.statements import parse_statements
-from wisteriapulley.policy.statements import Statements
+from wisteriapulley.policy.statements import KnownRest, Statements
 from wisteriapulley.rollout.engine import EngineReport, OrderOutcome
 from wisteriapulley.settings import Address
 
@@ -69,6 +71,7 @@
     def __init__(self, http: HttpClient, address: Address):
         self.http = http
         self.base = f"http://{address}"
+        self.rest = KnownRest()
 
     async def call(
         self, method: str, path: str, **options: object
@@ -85,14 +88,18 @@
         Raises
         ------
         WeightsError
-            SOURCE_UNAVAILABLE: the engine does not answer.
+            SOURCE_UNAVAILABLE: the engine does not answer, or rests.
         """
+        loop = asyncio.get_running_loop()
+        if self.rest.wait_s(loop.time()):
+            raise unavailable(path, "it asked for rest")
         timeout = aiohttp.ClientTimeout(total=CALL_S)
         try:
             async with self.http.kept.request(
                 method, self.base + path, timeout=timeout, **options
             ) as response:
                 says = parse_statements(response.status, response.headers)
+                self.rest.hear(says.rest, loop.time())
                 return response.status, await response.read(), says
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise unavailable(path, repr(error)) from error
--- a/src/wisteriapulley/policy/statements.py
+++ b/src/wisteriapulley/policy/statements.py
@@ -74,6 +74,10 @@
         self.until_s = max(self.until_s, now_s + stated.seconds)
         return begins
 
+    def wait_s(self, now_s: float) -> float:
+        """Return how long it still lasts; 0 for not at all."""
+        return max(0.0, self.until_s - now_s)
+
     def is_first_unreadable(self, stated: StatedRest) -> bool:
         """Tell whether a target states for the first time what is no time."""
         if not stated.unreadable or self.was_unreadable:
--- a/src/wisteriapulley/rollout/engine.py
+++ b/src/wisteriapulley/rollout/engine.py
@@ -3,6 +3,8 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
+from wisteriapulley.policy.statements import KnownRest
+
 
 class EngineReport(NamedTuple):
     """State of an engine.
@@ -44,7 +46,15 @@
 
 
 class EngineClient(Protocol):
-    """The engine; every call raises WeightsError when it does not answer."""
+    """The engine; every call raises WeightsError when it does not answer.
+
+    Attributes
+    ----------
+    rest : KnownRest
+        Time for which it wants no calls; none is made meanwhile.
+    """
+
+    rest: KnownRest
 
     async def report(self) -> EngineReport:
         """Return its state."""
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -144,11 +144,16 @@
         self.gauge.set({"state": "log_lines_lost"}, lines_lost())
 
     async def look(self) -> None:
-        """Ask for the engine's report; none counts as holding nothing."""
+        """Ask for the engine's report; none counts as holding nothing.
+
+        One that asks its sidecar for rest still is what it last said.
+        """
         known = self.knowledge.report
         try:
             report = (await self.engine.report()).after(known)
         except WisteriapulleyError as error:
+            if self.engine.rest.wait_s(asyncio.get_running_loop().time()):
+                return
             if known.versions or not self.looked:
                 log.warning("the engine does not answer: %s", error)
             report = EngineReport({})
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -138,6 +138,9 @@
         self.break_after = 0
         # Unix milliseconds of its start.
         self.born = 1
+        # Rest that it asks its sidecar for in place of a report; empty for none.
+        self.report_rest = ""
+        self.report_times = []
         self.app.add_routes(
             [
                 web.get("/api/report", self.report),
@@ -149,6 +152,9 @@
         )
 
     async def report(self, request):
+        self.report_times.append(asyncio.get_running_loop().time())
+        if self.report_rest:
+            return web.Response(status=503, headers={"Retry-After": self.report_rest})
         models = [{"name": "model", "version": self.version, "adapters": []}]
         return web.json_response(
             {
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -113,3 +113,21 @@
             assert set(answers) == {503}
 
         test_platform_path.play(tmp_path, scenario)
+
+    def test_sidecar_that_is_turned_away_itself_calls_no_more(self, tmp_path):
+        async def scenario(whole):
+            engine = whole.engine
+            engine.report_rest = str(REST_S)
+            engine.report_times.clear()
+
+            async def told():
+                return engine.report_times
+
+            await whole.until(told)
+            await asyncio.sleep(REST_S)
+            assert in_rest(engine.report_times) <= MOST_IN_REST
+            # What it knew of the engine still holds.
+            engine.report_rest = ""
+            assert (await whole.ask())[0] == 200
+
+        test_platform_path.play(tmp_path, scenario)
