Take an engine that holds no weights for one that has started again; soak both rules

Callers saw nothing: found by the soak, whose targets now turn requests away with a rest and say that they leave, and whose judge counts what reaches them.

Cause: a sidecar goes on taking its engine for one that leaves while the start that it states is the same, and an engine need not state one. One that is back before a report is missed counted as leaving for ever.

Change: an engine that starts again holds no weights, so that a report without weights ends it too.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -33,6 +33,7 @@
     ENGINE_DARK = "engine_dark"
     ENGINE_RELEASE = "engine_release"
     TARGET_GREY = "target_grey"
+    TARGET_REST = "target_rest"
     ORIGIN_AWAY = "origin_away"
     ORIGIN_GARBLE = "origin_garble"
     STAGED_ROT = "staged_rot"
@@ -48,6 +49,7 @@
         Kind.TERM,
         Kind.HUP,
         Kind.ENGINE_RELEASE,
+        Kind.TARGET_REST,
         Kind.CONFIG,
         Kind.CONFIG_RACE,
         Kind.CONFIG_BAD,
@@ -92,6 +94,11 @@
 }
 
 
+# Mean time between two targets that ask for rest. These are drawn apart, so that the
+# other faults of a seed stay what they are.
+REST_PAUSE_S = 4.0
+
+
 class Fault(NamedTuple):
     """One fault: `for_s` is how long it lasts, or until a process is started again."""
 
@@ -149,8 +156,20 @@
     pause_s : float
         Mean time between two of them.
     """
-    rng = random.Random(seed)
-    return list(admissible(sorted(drawn(rng, seconds, shape, pause_s))))
+    faults = [
+        *drawn(random.Random(seed), seconds, shape, pause_s),
+        *rests(random.Random(f"rests/{seed}"), seconds, shape),
+    ]
+    return list(admissible(sorted(faults, key=lambda fault: fault.at_s)))
+
+
+def rests(rng: random.Random, seconds: float, shape: Shape) -> Iterator[Fault]:
+    """Yield targets that turn all requests away and ask for rest."""
+    at_s = CALM_S + rng.expovariate(1 / REST_PAUSE_S)
+    while at_s < CALM_S + seconds:
+        name = rng.choice(candidates(Kind.TARGET_REST, shape))
+        yield Fault(at_s, Kind.TARGET_REST, name, rng.uniform(1.0, 3.0))
+        at_s += rng.expovariate(1 / REST_PAUSE_S)
 
 
 def drawn(
@@ -177,6 +196,8 @@
         return shape.sidecars
     if kind in NODE_KINDS or kind in LINK_KINDS:
         return shape.nodes
+    if kind is Kind.TARGET_REST:
+        return shape.plain + shape.sidecars
     return shape.plain if kind is Kind.TARGET_GREY else ("",)
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -16,6 +16,10 @@
 VERSION_S = 8.5
 # An acknowledged configuration is what is read, after this.
 APPLY_S = 2.0
+# While a target rests, so many requests of one entry may reach it, not counted those
+# that were on their way when it said so.
+MOST_IN_REST = 2
+ON_THEIR_WAY_S = 0.5
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -56,6 +60,15 @@
     right: bool
 
 
+class Told(NamedTuple):
+    """What a target said to one entry: that it leaves, or that it rests until then."""
+
+    entry: str
+    target_id: str
+    at_s: float
+    until_s: float
+
+
 class Finding(NamedTuple):
     """A promise that was broken."""
 
@@ -83,6 +96,8 @@
         self.ended: dict[str, Ended] = {}
         self.faults: list[tuple[Fault, float, float]] = []
         self.left_s: dict[str, float] = {}
+        self.told: dict[tuple[str, str], list[Told]] = defaultdict(list)
+        self.in_rest: Counter[Told] = Counter()
         self.named_s: dict[int, float] = {}
         self.findings: list[Finding] = []
         self.checked: Counter[str] = Counter()
@@ -131,8 +146,47 @@
         if ended.status == 200 and ended.whole:
             self.check("whole", ended.right, f"{ended} of {self.sent[ended[0]]}")
 
+    def note_told(
+        self, request_id: str, target_id: str, at_s: float, rest_s: float = 0.0
+    ) -> None:
+        """Note that a target told an entry that it leaves, or wants rest."""
+        if request_id in self.sent:
+            entry = self.sent[request_id].entry
+            until_s = at_s + rest_s if rest_s else float("inf")
+            told = Told(entry, target_id, at_s, until_s)
+            self.told[entry, target_id].append(told)
+
+    def note_arrival(self, request_id: str, target_id: str, at_s: float) -> None:
+        """Note and check that a request reaches a target."""
+        sent = self.sent.get(request_id)
+        if sent is None or not self.timed:
+            return
+        for told in self.told[sent.entry, target_id]:
+            if self.entry_disturbed(told, at_s):
+                continue
+            if told.until_s == float("inf"):
+                late = sent.at_s - told.at_s > DRAIN_S
+                self.check("leaving", not late, f"{sent} at {at_s:.2f} s, {told}")
+            elif told.at_s + ON_THEIR_WAY_S < at_s < told.until_s:
+                self.in_rest[told] += 1
+                few = self.in_rest[told] <= MOST_IN_REST
+                self.check("rest", few, f"{sent} at {at_s:.2f} s, {told}")
+
     # -- in time ---------------------------------------------------------
 
+    def entry_disturbed(self, told: Told, to_s: float) -> bool:
+        """Tell whether an entry was restarted, frozen or cut off since it was told.
+
+        Of an engine that went dark it may not have heard the word.
+        """
+        target = told.target_id.rpartition("-")[0]
+        excuses = {(Kind.ENGINE_DARK, target), (Kind.KILL_ALL, "")}
+        return any(
+            began_s <= to_s and ended_s + ON_THEIR_WAY_S >= told.at_s
+            for fault, began_s, ended_s in self.faults
+            if fault.name == told.entry or (fault.kind, fault.name) in excuses
+        )
+
     def disturbed(self, from_s: float, to_s: float, but: frozenset = PLANNED) -> bool:
         """Tell whether a failure touched a time, or its aftermath did."""
         return any(
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -25,5 +25,12 @@
         " while its instance was down, as no disk does: LOG_DAMAGED",
     ),
     Regression(425507962, 20.0, "a stop before the first own line ended with -15"),
+    Regression(
+        1401761072,
+        15.0,
+        "an engine that started again within a report's time counted as leaving for"
+        " ever, so that it never loaded weights",
+    ),
+    Regression(1184179776, 15.0, "the same engine that counted as leaving"),
     Regression(2, 8.0, "the stand-in engine failed after it had told of a run"),
 )
--- a/soak/run.py
+++ b/soak/run.py
@@ -270,6 +270,14 @@
         await asyncio.sleep(fault.for_s)
         target.grey = False
 
+    async def target_rest(self, fault: Fault) -> None:
+        """Let a target turn all requests away, and ask for rest."""
+        targets = {**self.fleet.plain, **self.fleet.engines}
+        target = targets[fault.name]
+        target.rest_s = round(fault.for_s, 2)
+        await asyncio.sleep(fault.for_s)
+        target.rest_s = 0.0
+
     async def origin_away(self, fault: Fault) -> None:
         """Cut the origin off."""
         (path,) = self.fleet.network.of("origin")
@@ -337,6 +345,7 @@
     Kind.ENGINE_DARK: SoakRun.engine_dark,
     Kind.ENGINE_RELEASE: SoakRun.engine_release,
     Kind.TARGET_GREY: SoakRun.target_grey,
+    Kind.TARGET_REST: SoakRun.target_rest,
     Kind.ORIGIN_AWAY: SoakRun.origin_away,
     Kind.ORIGIN_GARBLE: SoakRun.origin_garble,
     Kind.STAGED_ROT: SoakRun.staged_rot,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -56,6 +56,33 @@
     )
 
 
+def met(target, request: web.Request) -> web.Response | None:
+    """Tell the judge of a request that is meant for a target; turn it away at rest.
+
+    Parameters
+    ----------
+    target : SoakEngine or SoakPlain
+        The target.
+    request : web.Request
+        A request that names this start of it.
+    """
+    now_s = time.monotonic()
+    request_id = request.headers.get(names.REQUEST_ID, "")
+    target.judge.note_arrival(request_id, target.target_id, now_s)
+    if target.leaving:
+        target.judge.note_told(request_id, target.target_id, now_s)
+    if not target.rest_s:
+        return None
+    target.judge.note_told(request_id, target.target_id, now_s, target.rest_s)
+    said = {names.NOT_RUN: "rest", names.REST: str(target.rest_s), **stated(target)}
+    return web.Response(status=names.UNAVAILABLE_STATUS, headers=said)
+
+
+def stated(target) -> dict[str, str]:
+    """Return what a target says of itself with every answer."""
+    return {names.LEAVING: names.IS_LEAVING} if target.leaving else {}
+
+
 class SoakEngine(Engine):
     """An engine that runs few requests at once, crashes and comes back."""
 
@@ -65,7 +92,7 @@
         self.name = name
         self.incarnation = 1
         self.running: dict[int, web.Request] = {}
-        self.leaving = False
+        self.rest_s = 0.0
         for position in range(origin.chunks):
             self.staged[position] = origin.bytes_of(1, position)
 
@@ -88,7 +115,10 @@
         """Refuse beyond the slots as not run."""
         if len(self.running) >= ENGINE_SLOTS:
             return web.Response(status=503, headers={names.NOT_RUN: "full"})
-        return super().refusal(request)
+        refused = super().refusal(request)
+        if refused is not None:
+            return refused
+        return met(self, request)
 
     def loaded(self, version: int) -> None:
         """Hold a version, unless a crash forgot the order."""
@@ -115,6 +145,7 @@
             names.REQUEST_ID: request_id,
             "X-Server-Stamp": f"stamp.{self.target_id}",
             "Content-Type": "text/event-stream",
+            **stated(self),
         }
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
@@ -139,6 +170,7 @@
         self.target_id = f"{name}-i1"
         self.grey = False
         self.leaving = False
+        self.rest_s = 0.0
         self.served = 0
         self.running = 0
         self.app.add_routes([web.route("*", "/{tail:.*}", self.serve)])
@@ -148,6 +180,9 @@
         body = await request.read()
         if request.headers.get(names.EXPECTED_TARGET) != self.target_id:
             return web.Response(status=421, headers={names.NOT_RUN: "other"})
+        away = met(self, request)
+        if away is not None:
+            return away
         if self.running >= PLAIN_SLOTS:
             return web.Response(status=503, headers={names.NOT_RUN: "full"})
         self.judge.note_run(run_of(request, body, self.target_id, 0))
--- a/src/wisteriapulley/rollout/engine.py
+++ b/src/wisteriapulley/rollout/engine.py
@@ -31,8 +31,12 @@
     leaving: bool = False
 
     def after(self, earlier: "EngineReport") -> "EngineReport":
-        """Return this report with what an earlier one of the same start settled."""
-        same_start = self.started_ms == earlier.started_ms
+        """Return this report with what an earlier one of the same start settled.
+
+        An engine that starts again holds no weights, whether or not it says when it
+        started.
+        """
+        same_start = self.started_ms == earlier.started_ms and bool(self.versions)
         leaving = self.leaving or (earlier.leaving and same_start)
         return self._replace(leaving=leaving)
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tests import plain_fleet, test_platform_path
 from tests.fakes.plain import PlainTarget
 from tests.fakes.platform import EVENTS
@@ -9,6 +11,7 @@
 from tests.test_rest import insist
 from tests.test_statements import registry_of, state_of
 from wisteriapulley.policy.statements import Statements
+from wisteriapulley.rollout.engine import EngineReport
 
 # After so long a target that said that it leaves gets nothing any more.
 DRAIN_S = 2.0
@@ -79,7 +82,10 @@
 
         test_platform_path.play(tmp_path, scenario)
 
-    def test_next_start_is_granted_again(self, tmp_path):
+    @pytest.mark.parametrize("states_its_start", [True, False])
+    def test_next_start_is_granted_again(self, tmp_path, states_its_start):
+        """It may be back before its sidecar misses a report."""
+
         async def scenario(whole):
             whole.engine.leaving = True
             places = whole.sidecar.granting.places
@@ -89,7 +95,8 @@
 
             await whole.until(closed)
             whole.engine.leaving = False
-            whole.engine.born += 1
+            whole.engine.version = 0
+            whole.engine.born += states_its_start
 
             async def is_open():
                 return places.open
@@ -99,6 +106,22 @@
         test_platform_path.play(tmp_path, scenario)
 
 
+class TestReports:
+    HELD = EngineReport({"m": 1})
+
+    def test_leaving_holds_for_the_start_that_said_so(self):
+        leaving = self.HELD._replace(leaving=True)
+        assert self.HELD.after(leaving).leaving
+        assert leaving.after(self.HELD).leaving
+
+    def test_engine_without_weights_has_started_again(self):
+        """It may be back before a report is missed, and need not say when it began."""
+        leaving = self.HELD._replace(leaving=True)
+        started = EngineReport({}).after(leaving)
+        assert not started.leaving
+        assert not self.HELD.after(started).leaving
+
+
 class TestTarget:
     def test_no_later_word_ends_it(self):
         registry = registry_of("a", "b")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,13 +44,47 @@
     return [finding.promise for finding in kept.findings]
 
 
+class TestWhatTargetsSay:
+    """Each start of a target says it to each entry by itself."""
+
+    def judged(self, arrivals, rest_s=0.0, faults=(), sent_s=()):
+        kept = Judge("account")
+        kept.faults.extend(faults)
+        kept.note_sent(SENT)
+        kept.note_told("id", "plain-1-i1", 10.0, rest_s)
+        for number, at_s in enumerate(arrivals):
+            begun_s = sent_s[number] if sent_s else at_s
+            sent = SENT._replace(request_id=f"r{number}", at_s=begun_s)
+            kept.note_sent(sent)
+            kept.note_arrival(f"r{number}", "plain-1-i1", at_s)
+        return [finding.promise for finding in kept.findings]
+
+    def test_two_requests_in_a_rest_are_allowed(self):
+        assert self.judged([10.2, 10.3, 10.4, 11.0, 11.5, 13.1, 13.2], 3.0) == []
+        assert self.judged([11.0, 11.5, 12.0], 3.0) == ["rest"]
+
+    def test_entry_that_was_restarted_is_excused(self):
+        fault = Fault(0.0, Kind.KILL, "entry-1", 0.1)
+        assert self.judged([11.0, 11.5, 12.0], 3.0, [(fault, 10.6, 10.7)]) == []
+        other = fault._replace(name="entry-2")
+        assert self.judged([11.0, 11.5, 12.0], 3.0, [(other, 10.6, 10.7)]) == ["rest"]
+
+    def test_request_sent_long_after_the_word_that_a_target_leaves(self):
+        assert self.judged([11.0, 14.0], sent_s=[11.0, 12.0]) == []
+        assert self.judged([13.0]) == ["leaving"]
+
+
 class TestPlan:
     def test_seed_decides_all(self):
         assert draw(7, 30, SHAPE) == draw(7, 30, SHAPE)
         assert draw(7, 30, SHAPE) != draw(8, 30, SHAPE)
 
     def test_every_kind_can_be_drawn_and_injected(self):
-        assert set(WEIGHTS) == set(Kind) == set(FAULTS)
+        # Targets that rest are drawn apart from the others.
+        assert Kind.TARGET_REST not in WEIGHTS
+        assert {*WEIGHTS, Kind.TARGET_REST} == set(Kind) == set(FAULTS)
+        rests = [f for f in draw(1, 60.0, SHAPE) if f.kind is Kind.TARGET_REST]
+        assert {fault.name for fault in rests} > set(SHAPE.plain)
         assert all(candidates(kind, SHAPE) for kind in Kind)
 
     @pytest.mark.parametrize("seed", range(20))
