--- a/src/wisteriapulley/direct/placing.py
+++ b/src/wisteriapulley/direct/placing.py
@@ -13,11 +13,7 @@
 from wisteriapulley.direct.registry import Target, TargetRegistry
 from wisteriapulley.direct.settings import DirectSettings
 from wisteriapulley.direct.sidecars import Sidecars
-from wisteriapulley.direct.types import (
-    CallerRequest,
-    Refusal,
-    RefusalKind,
-)
+from wisteriapulley.direct.types import CallerRequest, Refusal, RefusalKind
 from wisteriapulley.policy.choice import Load, Surroundings, by_preference
 from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.regions import Regions
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -178,10 +178,14 @@
         is_last : bool
             Whether the request can't be sent again if it is turned away.
         """
-        if self.ends:
+        state = self.state
+        if state.leaving or state.gone or self.replaced or self.said_leaving:
             return float("inf")
-        until_s = max(self.down_until_s, self.aside_until_s)
-        return max(0.0, until_s - now_s, self.holds_back_s(now_s, is_last))
+        until_s = max(self.down_until_s, self.aside_until_s, self.rest.until_s)
+        wait_s = until_s - now_s if until_s > now_s else 0.0
+        if self.breaker.allowed:
+            return max(wait_s, self.breaker.wait_s(now_s, is_last))
+        return wait_s
 
     def holds_back_s(self, now_s: float, is_last: bool = False) -> float:
         """Return how long it wants no requests, or none may be tried; 0 for now."""
@@ -288,14 +292,16 @@
         is_last : bool
             Whether the request can't be sent again if it is turned away.
         """
-        return [t for t in self.alive(service, now_s) if not t.wait_s(now_s, is_last)]
+        heard_s = self.heard_since_s(now_s)
+        return [
+            target
+            for target in self.of_service(service)
+            if target.heard_s > heard_s and not target.wait_s(now_s, is_last)
+        ]
 
-    def alive(self, service: str, now_s: float) -> Iterator[Target]:
-        """Yield the targets of a service that were heard lately."""
-        silent_s = SILENCE_S if now_s - self.news_s < NEWS_S else float("inf")
-        for target in self.of_service(service):
-            if now_s - target.heard_s < silent_s:
-                yield target
+    def heard_since_s(self, now_s: float) -> float:
+        """Return since when a target must have been heard to count as alive."""
+        return now_s - SILENCE_S if now_s - self.news_s < NEWS_S else float("-inf")
 
     def holds_back_s(self, service: str, now_s: float, is_last: bool = False) -> float:
         """Return how long until a service whose targets hold back has one that not.
@@ -303,7 +309,8 @@
         0 where one takes requests now, or none holds back: those that are away may
         be back any time.
         """
-        alive = list(self.alive(service, now_s))
+        heard_s = self.heard_since_s(now_s)
+        alive = [t for t in self.of_service(service) if t.heard_s > heard_s]
         if not any(target.holds_back_s(now_s, is_last) for target in alive):
             return 0.0
         wait_s = min(target.wait_s(now_s, is_last) for target in alive)
