Let explain name the targets that turned a request away, and show who rests or leaves

The lines that were added for it are now read: a cause ends with the targets that turned the request away, and words of rest and leaving stand among what happened around it.

--- a/src/wisteriapulley/explain.py
+++ b/src/wisteriapulley/explain.py
@@ -19,6 +19,10 @@
     "engine holds",
     "target ended under request",
     "target states a rate",
+    "target asks for rest",
+    "target says it leaves",
+    "engine says it leaves",
+    "engine turned a request away",
     "the engine does not answer",
     "weights not in place",
     "target changed",
@@ -140,9 +144,9 @@
     if last is None:
         return f"no last word: the entry {own[0].node} ended while it was served"
     if last.message == "answered":
-        return answered_cause(last, sends, broken, around)
+        return answered_cause(last, sends, broken, around) + turned_away(own)
     if last.message == "refused":
-        return refused_cause(last, sends, around)
+        return refused_cause(last, sends, around) + turned_away(own)
     if last.message == "answer cut":
         where = broken[-1].fields.get("target") if broken else "its target"
         return (
@@ -152,6 +156,16 @@
     return "its caller left before the answer was whole"
 
 
+def turned_away(own: tuple[LogLine, ...]) -> str:
+    """Name the targets that turned a request away; empty where none did."""
+    names = [
+        str(line.fields.get("target"))
+        for line in own
+        if line.message == "target turned a request away"
+    ]
+    return f"; turned away by {', '.join(names)}" if names else ""
+
+
 def answered_cause(
     last: LogLine,
     sends: list[LogLine],
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -62,7 +62,17 @@
     yield line(1.7, "answered", request_id=name, target="i-1", status=200, took_ms=700)
 
 
+def turned_away_once(name):
+    yield placed(name, 1.0)
+    yield line(
+        1.01, "target turned a request away", request_id=name, target="i-1", rest_s=3.0
+    )
+    yield placed(name, 1.02, "i-2", 2)
+    yield line(1.2, "answered", request_id=name, target="i-2", status=200, took_ms=200)
+
+
 CAUSES = {
+    turned_away_once: "turned away by i-1",
     refused_under_load: "refused (overloaded): no place in time",
     cut_by_a_death: "cut in mid-answer: i-1 broke off",
     went_on: "i-1 broke off and i-2 went on",
