--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -190,7 +190,7 @@
         self.entry_addresses: dict[str, str] = {}
         self.control_addresses: dict[str, str] = {}
         (folder / "settings").mkdir(parents=True)
-        self.block = free_block(len(shape.nodes) * PORTS_EACH)
+        *self.block, self.claim = free_block(len(shape.nodes) * PORTS_EACH)
         self.nodes = {
             name: self.new_node(number, name) for number, name in enumerate(shape.nodes)
         }
@@ -300,6 +300,7 @@
         for target in (*self.engines.values(), *self.plain.values(), self.origin):
             await target.stop()
         await self.network.stop()
+        self.claim.close()
 
     # -- harm ------------------------------------------------------------
 
@@ -354,14 +355,24 @@
         return sum(node.process.resident_bytes() for node in running)
 
 
-def free_block(ports: int) -> tuple[str, int]:
-    """Return the start of a loopback network, and a port range that is free on it."""
+def free_block(ports: int) -> tuple[str, int, socket.socket]:
+    """Return the start of a loopback network, and a port range that is free on it.
+
+    The socket keeps the network from other runs until it is closed.
+    """
     chooser = random.SystemRandom()
     while True:
         network = f"127.{chooser.randint(16, 240)}"
         first = chooser.randrange(*FIRST_PORTS)
-        if first + ports < STAND_IN_PORT and is_free(f"{network}.1.1", first):
-            return network, first
+        if first + ports >= STAND_IN_PORT or not is_free(f"{network}.1.1", first):
+            continue
+        claim = socket.socket()
+        try:
+            claim.bind((f"{network}.255.254", STAND_IN_PORT))
+        except OSError:
+            claim.close()
+            continue
+        return network, first, claim
 
 
 def is_free(host: str, port: int) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 import pytest
-from soak.fleet import SoakFleet
+from soak.fleet import SoakFleet, free_block
 from soak.plan import (
     REPAIR_S,
     WEIGHTS,
@@ -241,6 +241,14 @@
         assert (tmp_path / "log").read_bytes() == torn
 
 
+class TestNetworks:
+    def test_runs_at_the_same_time_have_networks_of_their_own(self):
+        blocks = [free_block(100) for _ in range(100)]
+        assert len({network for network, _, _ in blocks}) == 100
+        for _, _, claim in blocks:
+            claim.close()
+
+
 class TestShortRun:
     def test_real_programs_keep_their_promises(self, tmp_path):
         run = SoakRun(tmp_path, 20, 5.0, Shape.of_size(1, 2), timed=False)
