Decode home regions and cold limits, and agree on the interfaces of the hard-load parts

Cause: the decoder dropped home-regions, cold-start-s and cold-per-s, and no message carried evacuations, pace or admission levels. Change: fields of the routing table, of ModelState, Heartbeat and Load, and the message EvacuationNews. Trailing fields with their default are left out of a stored table, so that an earlier release reads a table that uses none of them.

--- a/src/wisteriapulley/control/control_api.py
+++ b/src/wisteriapulley/control/control_api.py
@@ -33,7 +33,24 @@
 
 def pack_table(table: RoutingTable) -> bytes:
     """Encode a routing table for the log and the wire."""
-    return zlib.compress(msgspec.msgpack.encode(table))
+    return zlib.compress(msgspec.msgpack.encode(without_trailing_defaults(table)))
+
+
+def without_trailing_defaults(value: object) -> object:
+    """Return a table or a part of it without the last fields that have their default.
+
+    An instance of an earlier release reads tables that use none of the newer fields:
+    it rejects an array that is longer than its own type.
+    """
+    if not isinstance(value, tuple):
+        return value
+    items = [without_trailing_defaults(item) for item in value]
+    defaults = getattr(value, "_field_defaults", {})
+    for name in reversed(getattr(value, "_fields", ())):
+        if name not in defaults or getattr(value, name) != defaults[name]:
+            break
+        items.pop()
+    return items
 
 
 def unpack_table(content: bytes) -> RoutingTable:
--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -179,8 +179,14 @@
             engine.step_ms,
             engine.step_ms_per_request,
             engine.prefill_tokens_per_ms,
+            *self.cold_limits(service),
         )
 
+    def cold_limits(self, service: str) -> tuple[float, float]:
+        """Return `cold_start_s` and `cold_per_s` of a service."""
+        found = next(s for s in self.table.services if s.name == service)
+        return found.cold_start_s, found.cold_per_s
+
     # -- followers and other instances -----------------------------------
 
     async def answer_follow(
--- a/src/wisteriapulley/platform/documents.py
+++ b/src/wisteriapulley/platform/documents.py
@@ -50,6 +50,7 @@
     attempts: int = 1
     public: bool = False
     stream_resumption: bool = False
+    home_regions: list[str] = []
 
 
 class WireEngineModel(msgspec.Struct):
@@ -81,6 +82,9 @@
     name: str
     health_check_path: str = ""
     max_connections: int = 0
+    # How long a target is cold after its start, and what it bears meanwhile.
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: WireEngine | None = None
     # Address of the origin of the weights; the origin is not a target.
     origin: str = ""
@@ -103,6 +107,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    home_regions: list[str] = []
 
 
 class WireConfiguration(msgspec.Struct):
@@ -177,7 +182,7 @@
         wire.version,
         tuple(map(to_route, wire.routes)),
         tuple(map(to_service, wire.services)),
-        tuple(Account(t.name, tuple(t.api_keys), t.priority) for t in wire.tenants),
+        tuple(map(to_account, wire.tenants)),
         EdgeLimits(*msgspec.structs.astuple(wire.limits)),
     )
 
@@ -207,6 +212,14 @@
         wire.attempts,
         wire.public,
         wire.stream_resumption,
+        tuple(wire.home_regions),
+    )
+
+
+def to_account(wire: WireTenant) -> Account:
+    """Return the product's form of a client account."""
+    return Account(
+        wire.name, tuple(wire.api_keys), wire.priority, tuple(wire.home_regions)
     )
 
 
@@ -219,7 +232,13 @@
     if wire.engine is not None and wire.engine.models:
         engine = to_engine(wire.engine)
     return Service(
-        wire.name, wire.health_check_path, wire.max_connections, engine, origin
+        wire.name,
+        wire.health_check_path,
+        wire.max_connections,
+        engine,
+        origin,
+        wire.cold_start_s,
+        wire.cold_per_s,
     )
 
 
--- a/src/wisteriapulley/routing/table.py
+++ b/src/wisteriapulley/routing/table.py
@@ -46,6 +46,8 @@
         Whether requests need no key.
     resumable : bool
         Whether another target may resume a stream after its last event.
+    homes : tuple of str
+        Regions that may serve the requests; empty for all.
     """
 
     name: str
@@ -60,6 +62,7 @@
     attempts: int = 1
     public: bool = False
     resumable: bool = False
+    homes: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -110,13 +113,23 @@
 
 
 class Service(NamedTuple):
-    """Targets of one name; `engine` and `origin` are None for a plain service."""
+    """Targets of one name; `engine` and `origin` are None for a plain service.
+
+    Attributes
+    ----------
+    cold_start_s : float
+        How long a target is cold after its start, in seconds.
+    cold_per_s : float
+        Requests per second that a cold target bears; 0 without a limit.
+    """
 
     name: str
     health_path: str = ""
     max_connections: int = 0
     engine: Engine | None = None
     origin: Origin | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class EdgeLimits(NamedTuple):
@@ -129,11 +142,16 @@
 
 
 class Account(NamedTuple):
-    """A client account; its priority, if set, overrides the route's."""
+    """A client account; its priority, if set, overrides the route's.
+
+    `homes` are the regions that may serve its requests, empty for all. They bind in
+    addition to those of the route.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    homes: tuple[str, ...] = ()
 
 
 class RoutingTable(NamedTuple):
--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -353,7 +353,7 @@
             return
         sent, current = self.sent_heartbeat, self.heartbeat()
         self.sent_heartbeat = current
-        load = Load(current.running, current.waiting)
+        load = Load(*(getattr(current, name) for name in Load._fields))
         if current == sent:
             self.write(codec.KEEP_ALIVE)
         elif merge_heartbeat(sent, load) == current:
@@ -411,7 +411,7 @@
     if isinstance(update, Heartbeat):
         return update
     if isinstance(update, Load):
-        return heartbeat._replace(running=update.running, waiting=update.waiting)
+        return heartbeat._replace(**update._asdict())
     return heartbeat
 
 
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -63,6 +63,7 @@
     targetRate @56 :TargetRate;
     passageQuery @57 :PassageQuery;
     passage @58 :Passage;
+    evacuationNews @59 :EvacuationNews;
   }
 }
 
@@ -85,6 +86,9 @@
   routingVersion @6 :UInt64;
   followers @7 :UInt32;
   entries @8 :UInt32;
+  pace @9 :UInt16;
+  level @10 :UInt16;
+  freeMs @11 :UInt32;
 }
 struct Failure {
   code @0 :UInt16;
@@ -240,7 +244,13 @@
 }
 struct TimeoutNow { term @0 :UInt64; leader @1 :Text; }
 struct JoinRequest { term @0 :UInt64; nodeId @1 :Text; identity @2 :Text; }
-struct Load { running @0 :UInt32; waiting @1 :UInt32; }
+struct Load {
+  running @0 :UInt32;
+  waiting @1 :UInt32;
+  pace @2 :UInt16;
+  level @3 :UInt16;
+  freeMs @4 :UInt32;
+}
 struct Follow { routingVersion @0 :UInt64; }
 struct RoutingNews { version @0 :UInt64; fresh @1 :Bool; content @2 :Data; }
 struct VersionAge { version @0 :UInt64; ageMs @1 :UInt64; }
@@ -253,8 +263,11 @@
   stepMs @5 :Float64;
   stepMsPerRequest @6 :Float64;
   prefillTokensPerMs @7 :Float64;
+  coldStartS @8 :Float64;
+  coldPerS @9 :Float64;
 }
 struct ModelNews { models @0 :List(ModelState); }
+struct EvacuationNews { revision @0 :UInt64; failureDomains @1 :List(Text); }
 struct TargetState {
   targetId @0 :Text;
   service @1 :Text;
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -24,7 +24,10 @@
     """Periodic state of the sender: its revisions, and a target's load.
 
     A control instance reports in `followers` how many entries follow it, and in
-    `entries` how many there are.
+    `entries` how many there are. The sidecar of an engine reports in `pace` how long
+    work takes at the engine, in percent of its usual time (0 if unknown), in `level`
+    the least urgent priority that it admits, plus one (0 for all), and in `free_ms`
+    when a slot is expected to be free (0 for now).
     """
 
     revision: int = 0
@@ -36,6 +39,9 @@
     routing_version: int = 0
     followers: int = 0
     entries: int = 0
+    pace: int = 0
+    level: int = 0
+    free_ms: int = 0
 
 
 class Failure(NamedTuple):
@@ -360,6 +366,9 @@
 
     running: int = 0
     waiting: int = 0
+    pace: int = 0
+    level: int = 0
+    free_ms: int = 0
 
 
 class Follow(NamedTuple):
@@ -387,7 +396,8 @@
     """A model service, the latest desired versions of its weights and its engines.
 
     `named` holds the versions, newest last. The fields after it are the parameters of
-    the service's engines; see `routing.Engine`.
+    the service's engines, and what a cold one bears; see `routing.Engine` and
+    `routing.Service`.
     """
 
     service: str = ""
@@ -398,6 +408,8 @@
     step_ms: float = 0.0
     step_ms_per_request: float = 0.0
     prefill_tokens_per_ms: float = 0.0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class ModelNews(NamedTuple):
@@ -406,6 +418,17 @@
     models: tuple[ModelState, ...] = ()
 
 
+class EvacuationNews(NamedTuple):
+    """The evacuated failure domains.
+
+    `revision` counts the accepted evacuations and withdrawals; a receiver ignores a
+    message with a lower one than it knows.
+    """
+
+    revision: int = 0
+    failure_domains: tuple[str, ...] = ()
+
+
 class TargetState(NamedTuple):
     """The last announcement of a target.
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,6 +1,7 @@
 """Routing tables: lookup, validation, and decoding of the platform's documents."""
 
 import json
+import zlib
 
 import msgspec
 import pytest
@@ -180,6 +181,31 @@
         got = decode_configuration(text())
         assert unpack_table(pack_table(got)) == got
 
+    def test_homes_and_cold_targets(self):
+        route = {**DOCUMENT["routes"][0], "home-regions": ["north"]}
+        service = {**DOCUMENT["services"][2], "cold-start-s": 3.0, "cold-per-s": 26}
+        account = {**DOCUMENT["tenants"][0], "home-regions": ["north", "south"]}
+        services = [*DOCUMENT["services"][:2], service]
+        got = decode_configuration(
+            text(routes=[route], services=services, tenants=[account])
+        )
+        assert got.routes[0].homes == ("north",)
+        assert got.accounts[0].homes == ("north", "south")
+        assert got.services[2].cold_start_s == pytest.approx(3.0)
+        assert got.services[2].cold_per_s == pytest.approx(26.0)
+        assert unpack_table(pack_table(got)) == got
+
+    def test_earlier_release_reads_a_table_without_newer_fields(self):
+        """It rejects arrays that are longer than its own types."""
+        stored = msgspec.msgpack.decode(
+            zlib.decompress(pack_table(decode_configuration(text())))
+        )
+        _, routes, services, accounts = stored[:4]
+        assert len(routes[0]) <= Route._fields.index("homes")
+        assert len(accounts[0]) <= Account._fields.index("homes")
+        cold = Service._fields.index("cold_start_s")
+        assert all(len(service) <= cold for service in services)
+
     def test_cut_short_at_any_byte(self):
         whole = text()
         for end in range(len(whole)):
