Split engine slots into estimates, queue, late requests and admission

Change: slot_requests.py (types), slot_estimates.py (slots in use, batch steps, holding times), slot_queue.py (order), late_requests.py (what late requests get); EngineSlots keeps the admission, derives from SlotEstimates and exports the same names.

--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -11,126 +11,50 @@
 once and does not delay the rest.
 """
 
-import heapq
 from collections.abc import Iterator
-from enum import Enum
-from typing import NamedTuple
 
 from wisteriapulley.policy.advertised_rate import RateLimits
 from wisteriapulley.policy.batch_steps import BatchStepClock
 from wisteriapulley.policy.circuit_breaker import CircuitBreaker, SendOutcome
+from wisteriapulley.policy.late_requests import (
+    can_prefill_late,
+    has_spare_slots,
+    is_late_by_own_length,
+)
+from wisteriapulley.policy.slot_estimates import (
+    EXTRA_SLOTS,
+    MAX_HOLD_MS,
+    SlotEstimates,
+)
+from wisteriapulley.policy.slot_queue import SlotQueue
+from wisteriapulley.policy.slot_requests import (
+    AdmissionDecision,
+    AdmissionState,
+    QueuedRequest,
+    SlotRequest,
+)
 from wisteriapulley.routing import Engine
 
-# Slots granted beyond the engine's own: the end of a request is known here only after
-# its entry reported it, some milliseconds later, and the engine takes new requests at
-# the end of a batch step. One extra grant keeps that slot from being idle.
-EXTRA_SLOTS = 1
-# Initial estimate of how long a request holds its slot.
-INITIAL_HOLD_MS = 1500.0
-# Initial estimate of the time between two events of a request, with all slots in use
-# and prefill included.
-INITIAL_EVENT_INTERVAL_MS = 80.0
+__all__ = [
+    "MAX_HOLD_MS",
+    "AdmissionDecision",
+    "AdmissionState",
+    "EngineSlots",
+    "SlotRequest",
+]
+
 # A planned change of weights waits up to this long for running requests.
 MAX_OVERRUN_MS = 800.0
-# Late requests get a slot only while less than this fraction is in use: the rest is
-# for new requests that arrive meanwhile.
-LATE_SLOT_FRACTION = 0.7
-# Maximum prefill time of late requests in one batch step. The first event of a new
-# request waits for all prefill of its batch step: this takes a quarter of an objective
-# of 400 ms, and always fits one mean prompt of 50 ms.
-LATE_PREFILL_MS = 100.0
 # Superseded weights may start requests only until the end of their grace period. A
 # request is granted only if its first event is expected this long before that end. The
 # margin covers the network and the error of the estimate; a request that is late
 # nevertheless is dropped by its entry in time.
 BEGIN_MARGIN_MS = 250.0
-# Weight of a new sample in the moving averages of hold times and event intervals.
-SMOOTHING = 0.1
-# A slot whose entry neither uses nor releases it is revoked after this time, which is
-# longer than any route's timeout.
-MAX_HOLD_MS = 15_000.0
 # Callers are never told to retry sooner.
 MIN_RETRY_MS = 50.0
 
 
-class AdmissionState(Enum):
-    """Whether slots are granted now, soon, or not at all.
-
-    `LIMITED` is open, but subject to the rate that the engine advertises.
-    """
-
-    OPEN = "open"
-    LIMITED = "limited"
-    OPENING = "opening"
-    CLOSED = "closed"
-
-
-class SlotRequest(NamedTuple):
-    """Request of an entry for a slot.
-
-    Attributes
-    ----------
-    request_id : str
-        Id of the request.
-    owner : str
-        The entry that sends it.
-    prompt_tokens, answer_tokens : int
-        Tokens to prefill before the first event, and expected in the answer.
-    priority : int
-        Lower goes first.
-    wait_ms : float
-        Time until the first event must be there.
-    late : bool
-        Whether the request's objective has passed already.
-    target : str
-        Incarnation of the engine that the request is for.
-    is_last : bool
-        Whether it can't be sent again if the engine rejects it.
-    """
-
-    request_id: str
-    owner: str
-    prompt_tokens: int
-    answer_tokens: int
-    priority: int
-    wait_ms: float
-    late: bool = False
-    target: str = ""
-    is_last: bool = False
-
-
-class GrantedSlot(NamedTuple):
-    """A slot granted to a request, and the events expected in its answer."""
-
-    owner: str
-    granted_ms: float
-    events: float
-
-
-class QueuedRequest(NamedTuple):
-    """A queued request, ordered by priority, then by arrival."""
-
-    priority: int
-    sequence: int
-    request: SlotRequest
-    expires_ms: float
-
-
-class AdmissionDecision(NamedTuple):
-    """Decision on a request; neither granted nor denied means that it is queued.
-
-    `limited` tells that the engine itself is throttled: it advertises a rate, or
-    rejected some requests.
-    """
-
-    request_id: str
-    granted: bool = False
-    denied: bool = False
-    retry_ms: float = 0.0
-    limited: bool = False
-
-
-class EngineSlots:
+class EngineSlots(SlotEstimates):
     """Slots of one engine, and the queue for them.
 
     Parameters
@@ -149,16 +73,10 @@
         extra_slots: int = EXTRA_SLOTS,
         max_overrun_ms: float = MAX_OVERRUN_MS,
     ):
-        self.engine = engine
-        self.extra_slots = extra_slots
+        super().__init__(engine, extra_slots)
         self.max_overrun_ms = max_overrun_ms
-        self.grants: dict[str, GrantedSlot] = {}
-        self.queue: list[QueuedRequest] = []
-        self.last_sequence = 0
+        self.queue = SlotQueue()
         self.open = False
-        self.step_clock = BatchStepClock()
-        self.mean_hold_ms = INITIAL_HOLD_MS
-        self.mean_event_interval_ms = INITIAL_EVENT_INTERVAL_MS
         # Start of a planned change, from which on the engine takes no requests.
         self.closes_at_ms: float | None = None
         # When admission is expected to open: the engine is loading, and no running
@@ -181,32 +99,6 @@
         opening = self.opens_at_ms is not None
         return AdmissionState.OPENING if opening else AdmissionState.CLOSED
 
-    @property
-    def max_grants(self) -> int:
-        """Maximum number of slots granted at once."""
-        return self.engine.slots + self.extra_slots
-
-    def batch_step_ms(self) -> float:
-        """Return the current length of a batch step without prefill."""
-        engine = self.engine
-        step_ms = engine.step_ms + engine.step_ms_per_request * len(self.grants)
-        return step_ms * engine.stride
-
-    def first_event_ms(self, prompt_tokens: int, now_ms: float) -> float:
-        """Estimate the time to the first event of a request that is sent now."""
-        self.step_clock.advance(now_ms, self.batch_step_ms(), len(self.grants))
-        rate = self.engine.prefill_tokens_per_ms
-        return self.step_clock.first_event_ms(
-            prompt_tokens, rate, self.batch_step_ms(), now_ms
-        )
-
-    def slot_wait_ms(self, ahead: int) -> float:
-        """Estimate the wait for a slot with `ahead` requests before it."""
-        free = self.max_grants - len(self.grants)
-        if ahead < free:
-            return 0.0
-        return (ahead - free + 1) * self.mean_hold_ms / self.engine.slots
-
     # -- inputs ----------------------------------------------------------
 
     def request_slot(self, request: SlotRequest, now_ms: float) -> AdmissionDecision:
@@ -222,14 +114,14 @@
             )
         if request.late:
             return self.request_slot_late(request, now_ms)
-        ahead = sum(w.priority <= request.priority for w in self.queue)
+        ahead = self.queue.ahead_of(request.priority)
         slot_ms = self.slot_wait_ms(ahead)
         event_ms = self.first_event_ms(request.prompt_tokens, now_ms)
         if self.state is AdmissionState.OPENING:
             slot_ms = max(slot_ms, self.opens_at_ms - now_ms)
             event_ms += self.queued_prefill_ms()
         in_time = slot_ms + event_ms <= request.wait_ms
-        if not in_time and not (self.open and self.is_late_by_own_length()):
+        if not in_time and not (self.open and is_late_by_own_length(self, self.queue)):
             return AdmissionDecision(
                 request.request_id,
                 denied=True,
@@ -256,7 +148,7 @@
         """
         open_in_ms = 0.0 if self.open else max(0.0, self.opens_at_ms - now_ms)
         event_ms = open_in_ms + self.first_event_ms(request.prompt_tokens, now_ms)
-        if not self.has_spare_slots(len(self.queue)):
+        if not has_spare_slots(self, self.queue, len(self.queue)):
             return AdmissionDecision(
                 request.request_id, denied=True, retry_ms=self.mean_hold_ms
             )
@@ -267,7 +159,7 @@
             return AdmissionDecision(
                 request.request_id, denied=True, retry_ms=MIN_RETRY_MS
             )
-        if self.open and not self.queue and self.can_prefill_late(now_ms):
+        if self.open and not self.queue and can_prefill_late(self, self.queue, now_ms):
             return self.grant(request, now_ms)
         return self.enqueue(request, now_ms + request.wait_ms - event_ms)
 
@@ -288,24 +180,13 @@
         rate_s = self.rate_limits.wait_s(self.target, now_s)
         return max(rate_s, self.breaker.wait_s(now_s))
 
-    def can_prefill_late(self, now_ms: float) -> bool:
-        """Return whether the next batch step may prefill one more late prompt."""
-        self.step_clock.advance(now_ms, self.batch_step_ms(), len(self.grants))
-        return self.has_spare_slots() and self.step_clock.prefill_ms < LATE_PREFILL_MS
-
     def enqueue(self, request: SlotRequest, expires_ms: float) -> AdmissionDecision:
         """Queue a request until it can't begin in time any more."""
         if self.weights_end_ms is not None:
-            rate = self.engine.prefill_tokens_per_ms
-            min_ms = (
-                request.prompt_tokens / rate + self.batch_step_ms() + BEGIN_MARGIN_MS
-            )
+            prefill_ms = self.prefill_ms(request.prompt_tokens)
+            min_ms = prefill_ms + self.batch_step_ms() + BEGIN_MARGIN_MS
             expires_ms = min(expires_ms, self.weights_end_ms - min_ms)
-        self.last_sequence += 1
-        queued = QueuedRequest(
-            request.priority, self.last_sequence, request, expires_ms
-        )
-        heapq.heappush(self.queue, queued)
+        self.queue.push(request, expires_ms)
         return AdmissionDecision(request.request_id)
 
     def queued_prefill_ms(self) -> float:
@@ -316,32 +197,7 @@
         all queued prompts are prefilled at once when admission opens, so only as many
         are queued as can be in time.
         """
-        tokens = sum(queued.request.prompt_tokens for queued in self.queue)
-        return tokens / self.engine.prefill_tokens_per_ms
-
-    def has_spare_slots(self, ahead: int = 0) -> bool:
-        """Return whether enough slots are free for a late request.
-
-        Refused callers retry while there are more new requests than slots. A late
-        answer is worth a quarter of one in time and takes the same slot, so late
-        requests get only the slots that new ones leave.
-
-        Parameters
-        ----------
-        ahead : int
-            Late requests that wait for the same slots.
-        """
-        if self.queue and not self.queue[0].request.late:
-            return False
-        return len(self.grants) + ahead < self.max_grants * LATE_SLOT_FRACTION
-
-    def is_late_by_own_length(self) -> bool:
-        """Return whether only its own length makes a request late here.
-
-        The longest prompts take most of an objective to prefill. They are not refused
-        for that while slots are free and no other prompt waits for prefill.
-        """
-        return self.has_spare_slots() and not self.step_clock.prefill_ms
+        return self.prefill_ms(self.queue.prompt_tokens())
 
     def begins_too_late(
         self, request: SlotRequest, event_ms: float, now_ms: float
@@ -364,22 +220,14 @@
         """
         if self.closes_at_ms is None:
             return False
-        run_ms = self.expected_events(request) * self.mean_event_interval_ms
-        return now_ms + event_ms + run_ms > self.closes_at_ms + self.max_overrun_ms
-
-    def expected_events(self, request: SlotRequest) -> float:
-        """Return how many events are expected in a request's answer."""
-        return request.answer_tokens / max(1, self.engine.stride)
+        ends_ms = now_ms + event_ms + self.run_ms(request)
+        return ends_ms > self.closes_at_ms + self.max_overrun_ms
 
     def grant(self, request: SlotRequest, now_ms: float) -> AdmissionDecision:
         """Grant a slot."""
         self.rate_limits.take(request.target, now_ms / 1000)
         self.breaker.record_sent(now_ms / 1000)
-        self.step_clock.advance(now_ms, self.batch_step_ms(), len(self.grants))
-        self.step_clock.add(request.prompt_tokens / self.engine.prefill_tokens_per_ms)
-        self.grants[request.request_id] = GrantedSlot(
-            request.owner, now_ms, self.expected_events(request)
-        )
+        self.add_grant(request, now_ms)
         return AdmissionDecision(request.request_id, granted=True)
 
     def record_end(
@@ -406,24 +254,13 @@
 
     def release(self, request_id: str, now_ms: float) -> None:
         """Release a request's slot, or remove it from the queue."""
-        grant = self.grants.pop(request_id, None)
-        if grant is not None:
-            held_ms = now_ms - grant.granted_ms
-            self.mean_hold_ms += SMOOTHING * (held_ms - self.mean_hold_ms)
-            if grant.events >= 1:
-                interval_ms = held_ms / (grant.events + 1)
-                self.mean_event_interval_ms += SMOOTHING * (
-                    interval_ms - self.mean_event_interval_ms
-                )
-            return
-        self.queue = [w for w in self.queue if w.request.request_id != request_id]
-        heapq.heapify(self.queue)
+        if not self.release_grant(request_id, now_ms):
+            self.queue.remove(lambda queued: queued.request.request_id == request_id)
 
     def release_owner(self, owner: str) -> None:
         """Drop all slots and queued requests of an entry that is gone."""
         self.grants = {k: h for k, h in self.grants.items() if h.owner != owner}
-        self.queue = [w for w in self.queue if w.request.owner != owner]
-        heapq.heapify(self.queue)
+        self.queue.remove(lambda queued: queued.request.owner == owner)
 
     def revoke_all(self) -> None:
         """Revoke all slots at once: the engine does not run their requests any more."""
@@ -444,14 +281,14 @@
         """
         self.expire_grants(now_ms)
         while self.queue:
-            first = self.queue[0]
+            first = self.queue.first
             if self.state is AdmissionState.CLOSED or self.cannot_be_served(
                 first, now_ms
             ):
-                heapq.heappop(self.queue)
+                self.queue.pop()
                 yield self.deny_queued(first, now_ms)
             elif self.can_grant(first.request, now_ms):
-                heapq.heappop(self.queue)
+                self.queue.pop()
                 yield self.grant(first.request, now_ms)
             else:
                 break
@@ -467,23 +304,23 @@
             return True
         if self.throttle_wait_ms(queued.request, now_ms) > 0:
             return True
-        return queued.request.late and self.open and not self.has_spare_slots()
+        return (
+            queued.request.late and self.open and not has_spare_slots(self, self.queue)
+        )
 
     def can_grant(self, request: SlotRequest, now_ms: float) -> bool:
         """Return whether the first queued request may get a slot now."""
         if not self.open:
             return False
         if request.late:
-            return self.can_prefill_late(now_ms)
+            return can_prefill_late(self, self.queue, now_ms)
         return len(self.grants) < self.max_grants
 
     def deny_expired(self, now_ms: float) -> Iterator[AdmissionDecision]:
         """Deny requests further back in the queue that have no chance of a slot."""
-        expired = [w for w in self.queue if self.cannot_be_served(w, now_ms)]
-        if not expired:
-            return
-        self.queue = [w for w in self.queue if w not in expired]
-        heapq.heapify(self.queue)
+        expired = self.queue.remove(
+            lambda queued: self.cannot_be_served(queued, now_ms)
+        )
         for queued in expired:
             yield self.deny_queued(queued, now_ms)
 
@@ -497,11 +334,3 @@
             retry_ms=max(MIN_RETRY_MS, slot_ms, throttled_ms),
             limited=throttled_ms > 0,
         )
-
-    def expire_grants(self, now_ms: float) -> None:
-        """Revoke slots that were never released."""
-        limit_ms = now_ms - MAX_HOLD_MS
-        if any(h.granted_ms < limit_ms for h in self.grants.values()):
-            self.grants = {
-                k: h for k, h in self.grants.items() if h.granted_ms >= limit_ms
-            }
--- /dev/null
+++ b/src/wisteriapulley/policy/slot_estimates.py
@@ -0,0 +1,122 @@
+"""Granted slots of one engine, and estimates of the time its work takes. Pure."""
+
+from wisteriapulley.policy.batch_steps import BatchStepClock
+from wisteriapulley.policy.slot_requests import GrantedSlot, SlotRequest
+from wisteriapulley.routing import Engine
+
+# Slots granted beyond the engine's own: the end of a request is known here only after
+# its entry reported it, some milliseconds later, and the engine takes new requests at
+# the end of a batch step. One extra grant keeps that slot from being idle.
+EXTRA_SLOTS = 1
+# Initial estimate of how long a request holds its slot.
+INITIAL_HOLD_MS = 1500.0
+# Initial estimate of the time between two events of a request, with all slots in use
+# and prefill included.
+INITIAL_EVENT_INTERVAL_MS = 80.0
+# Weight of a new sample in the moving averages of hold times and event intervals.
+SMOOTHING = 0.1
+# A slot whose entry neither uses nor releases it is revoked after this time, which is
+# longer than any route's timeout.
+MAX_HOLD_MS = 15_000.0
+
+
+class SlotEstimates:
+    """Slots in use at one engine, and how long its work takes.
+
+    Parameters
+    ----------
+    engine : Engine
+        Parameters of the engine.
+    extra_slots : int
+        Slots granted beyond the engine's own.
+
+    Attributes
+    ----------
+    grants : dict of str to GrantedSlot
+        Granted slots by request id.
+    step_clock : BatchStepClock
+        The batch step in progress.
+    mean_hold_ms, mean_event_interval_ms : float
+        Moving averages of how long a request holds its slot, and of the time between
+        two of its events.
+    """
+
+    def __init__(self, engine: Engine, extra_slots: int = EXTRA_SLOTS):
+        self.engine = engine
+        self.extra_slots = extra_slots
+        self.grants: dict[str, GrantedSlot] = {}
+        self.step_clock = BatchStepClock()
+        self.mean_hold_ms = INITIAL_HOLD_MS
+        self.mean_event_interval_ms = INITIAL_EVENT_INTERVAL_MS
+
+    @property
+    def max_grants(self) -> int:
+        """Maximum number of slots granted at once."""
+        return self.engine.slots + self.extra_slots
+
+    def batch_step_ms(self) -> float:
+        """Return the current length of a batch step without prefill."""
+        engine = self.engine
+        step_ms = engine.step_ms + engine.step_ms_per_request * len(self.grants)
+        return step_ms * engine.stride
+
+    def prefill_ms(self, prompt_tokens: int) -> float:
+        """Return the time to prefill a prompt."""
+        return prompt_tokens / self.engine.prefill_tokens_per_ms
+
+    def advance_step_clock(self, now_ms: float) -> None:
+        """Advance the engine's batch steps to the current time."""
+        self.step_clock.advance(now_ms, self.batch_step_ms(), len(self.grants))
+
+    def first_event_ms(self, prompt_tokens: int, now_ms: float) -> float:
+        """Estimate the time to the first event of a request that is sent now."""
+        self.advance_step_clock(now_ms)
+        rate = self.engine.prefill_tokens_per_ms
+        return self.step_clock.first_event_ms(
+            prompt_tokens, rate, self.batch_step_ms(), now_ms
+        )
+
+    def slot_wait_ms(self, ahead: int) -> float:
+        """Estimate the wait for a slot with `ahead` requests before it."""
+        free = self.max_grants - len(self.grants)
+        if ahead < free:
+            return 0.0
+        return (ahead - free + 1) * self.mean_hold_ms / self.engine.slots
+
+    def expected_events(self, request: SlotRequest) -> float:
+        """Return how many events are expected in a request's answer."""
+        return request.answer_tokens / max(1, self.engine.stride)
+
+    def run_ms(self, request: SlotRequest) -> float:
+        """Estimate how long a request's events take."""
+        return self.expected_events(request) * self.mean_event_interval_ms
+
+    def add_grant(self, request: SlotRequest, now_ms: float) -> None:
+        """Record that a request has a slot and that its prompt is prefilled next."""
+        self.advance_step_clock(now_ms)
+        self.step_clock.add(self.prefill_ms(request.prompt_tokens))
+        self.grants[request.request_id] = GrantedSlot(
+            request.owner, now_ms, self.expected_events(request)
+        )
+
+    def release_grant(self, request_id: str, now_ms: float) -> bool:
+        """Release a slot and learn from its times; return whether there was one."""
+        grant = self.grants.pop(request_id, None)
+        if grant is None:
+            return False
+        held_ms = now_ms - grant.granted_ms
+        self.mean_hold_ms += SMOOTHING * (held_ms - self.mean_hold_ms)
+        if grant.events >= 1:
+            interval_ms = held_ms / (grant.events + 1)
+            self.mean_event_interval_ms += SMOOTHING * (
+                interval_ms - self.mean_event_interval_ms
+            )
+        return True
+
+    def expire_grants(self, now_ms: float) -> None:
+        """Revoke slots that were never released."""
+        limit_ms = now_ms - MAX_HOLD_MS
+        if any(h.granted_ms < limit_ms for h in self.grants.values()):
+            self.grants = {
+                k: h for k, h in self.grants.items() if h.granted_ms >= limit_ms
+            }
