Serve requests only in the home regions of their route and account

The routing table carries home regions, but nothing obeyed them: requests went to targets of any region. Now an entry takes the homes that route and account share when it admits a request, and each choice of a target asks only for targets there: splits, slots with and without a sidecar, plain targets, retries and resumed streams. Waits and retry times count the same targets. Without a target, or without a shared region, the request is refused as not run, and the reason names the regions.

An entry links to at least 12 sidecars in each region that some requests of a service are bound to; without homes the subset is the same as before. Control instances accept any homes, since such a table is valid, and warn once per version of regions without a failure domain and of routes and accounts that share none.

New: the counter refused_in_homes_total, and failure_domain in placed lines.

--- a/src/wisteriapulley/control/control_api.py
+++ b/src/wisteriapulley/control/control_api.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 import zlib
+from itertools import islice
 
 import msgspec
 
@@ -20,6 +21,7 @@
 from wisteriapulley.control.driver import no_quorum
 from wisteriapulley.logs import fields
 from wisteriapulley.routing import RoutingTable, check_table
+from wisteriapulley.routing.homes import home_warnings
 from wisteriapulley.wire.messages import TargetState
 
 log = logging.getLogger(__name__)
@@ -28,6 +30,8 @@
 # time the response is that the outcome is unknown.
 COMMIT_TIMEOUT_S = 2.5
 READ_TIMEOUT_S = 0.8
+# One routing table has at most this many warnings about its home regions.
+MAX_HOME_WARNINGS = 10
 TABLE_DECODER = msgspec.msgpack.Decoder(RoutingTable)
 
 
@@ -75,6 +79,7 @@
 
     def __init__(self, service):
         self.service = service
+        self.warned_version = 0
 
     async def replace_routing(self, table: RoutingTable, original: bytes) -> int:
         """Commit a routing table and put it in force.
@@ -103,8 +108,20 @@
         current = self.service.state.routing.version
         if table.version <= current:
             return current
+        self.warn_of_homes(table)
         return await self.commit(command)
 
+    def warn_of_homes(self, table: RoutingTable) -> None:
+        """Log, once per version, which homes leave requests without any target."""
+        if table.version <= self.warned_version:
+            return
+        self.warned_version = table.version
+        regions = self.service.settings.failure_domain_regions.values()
+        for warning in islice(home_warnings(table, regions), MAX_HOME_WARNINGS):
+            log.warning(
+                "routing table: %s", warning, extra=fields(revision=table.version)
+            )
+
     async def set_desired_version(self, model: str, version: int) -> int:
         """Commit the desired version of a model's weights; see `replace_routing`."""
         current = self.service.state.weights.get(model, 0)
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -26,7 +26,8 @@
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
 from wisteriapulley.policy.shared_budget import SharedRetryBudget
-from wisteriapulley.routing import Route, RouteIndex, RoutingTable
+from wisteriapulley.routing import Account, Route, RouteIndex, RoutingTable
+from wisteriapulley.routing.homes import describe_homes, shared_homes
 
 log = logging.getLogger(__name__)
 
@@ -51,6 +52,8 @@
 QUARANTINED_REFUSAL = Refusal(RefusalKind.QUARANTINED, reason="request crashes targets")
 # Refusals after which an immediate retry would be refused again.
 SPREAD_RETRY_KINDS = frozenset({RefusalKind.OVERLOADED, RefusalKind.NOT_READY})
+# Refusals for want of a target or of a slot.
+NO_ROOM_KINDS = SPREAD_RETRY_KINDS | {RefusalKind.UNAVAILABLE}
 
 
 class Dispatcher:
@@ -146,27 +149,49 @@
         account = self.index.find_account(request.key) if request.key else None
         if account is None and self.index.table.needs_keys and not route.public:
             return self.refuse_unlisted(RefusalKind.BAD_KEY, "unknown key")
+        account_homes = account.homes if account is not None else ()
+        homes = shared_homes(route.homes, account_homes)
+        if homes is None:
+            return self.refuse_homeless(route, account)
         # The route's limit applies to a caller without a deadline or with a longer one.
         limit_s = min(route.timeout_ms / 1000, request.max_wait_s)
         arrived_s = request.arrived_s
         is_retry = self.retry_detectors[route.name].is_retry(limit_s, arrived_s)
-        return Admitted(request, route, account, arrived_s + limit_s, is_retry)
+        return Admitted(request, route, account, arrived_s + limit_s, is_retry, homes)
+
+    def refuse_homeless(self, route: Route, account: Account) -> Refusal:
+        """Refuse a request whose route and account share no home region.
+
+        A retry does not help: only another routing table does.
+        """
+        self.metrics.record_refused_in_homes(account.name)
+        reason = (
+            f"route {route.name!r} with {describe_homes(route.homes)} and account"
+            f" {account.name!r} with {describe_homes(account.homes)} share none"
+        )
+        return self.refuse_unlisted(RefusalKind.UNAVAILABLE, reason)
 
     def refuse_unlisted(self, kind: RefusalKind, reason: str) -> Refusal:
-        """Refuse a request whose route or key is not in the routing table.
+        """Refuse a request whose route, key or home is not in the routing table.
 
         The refusal is final only if a quorum has confirmed the table. Until then it
-        may be stale, and the route or key may have been added since.
+        may be stale, and what is missing may have been added since.
         """
         if self.is_confirmed():
             return Refusal(kind, reason=reason)
         reason = f"{reason} in unconfirmed routing table"
         return Refusal(RefusalKind.NOT_READY, STARTING_RETRY_S, reason)
 
-    def choose_service(self, route: Route, now_s: float) -> str:
+    def choose_service(
+        self, route: Route, now_s: float, homes: tuple[str, ...] = ()
+    ) -> str:
         """Choose by weight among the services that have an available target."""
         splits = [split for split in route.splits if split.weight > 0]
-        available = [s for s in splits if self.registry.candidates(s.service, now_s)]
+        available = [
+            split
+            for split in splits
+            if self.registry.candidates(split.service, now_s, homes=homes)
+        ]
         pool = available or splits
         chosen = self.random.choices(pool, [split.weight for split in pool])
         return chosen[0].service
@@ -184,7 +209,7 @@
         admitted = self.admit(request)
         if isinstance(admitted, Refusal):
             return self.finish_refusal(request, admitted)
-        service = self.choose_service(admitted.route, self.now_s())
+        service = self.choose_service(admitted.route, self.now_s(), admitted.homes)
         self.retry_budget(service).record_request(self.now_s())
         try:
             async with asyncio.timeout_at(admitted.deadline_s):
@@ -228,6 +253,8 @@
         took_s = self.now_s() - admitted.request.arrived_s
         traffic_class = f"{service}/{admitted.route.kind.value}"
         self.metrics.record_response(admitted.account_name, traffic_class, code, took_s)
+        if admitted.homes and refusal is not None and refusal.kind in NO_ROOM_KINDS:
+            self.metrics.record_refused_in_homes(admitted.account_name)
 
     def finish_refusal(self, request: CallerRequest, refusal: Refusal) -> Refusal:
         """Log a refusal and fit its retry time to the time that the caller has left."""
@@ -303,6 +330,7 @@
                 account=admitted.account_name,
                 target=target.target_id,
                 address=target.address,
+                failure_domain=target.failure_domain,
                 send=progress.sends,
                 weights=slot.version,
                 prompt_tokens=admitted.request.prompt_tokens,
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -23,6 +23,8 @@
         When it times out, by the caller's or the route's limit, on the loop's clock.
     is_retry : bool
         Whether it is a retry after a refusal, which can't meet its objective any more.
+    homes : tuple of str
+        Regions that may serve it, by its route and its account; empty for all.
     """
 
     request: CallerRequest
@@ -30,6 +32,7 @@
     account: Account | None
     deadline_s: float
     is_retry: bool = False
+    homes: tuple[str, ...] = ()
 
     @property
     def priority(self) -> int:
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -1,12 +1,14 @@
 """Target state as seen by one process, from updates and its own requests. No I/O."""
 
 from collections.abc import Iterable, Iterator
+from math import inf
 from typing import NamedTuple
 
 from wisteriapulley.control.targets import includes, is_newer, merge
 from wisteriapulley.policy.advertised_rate import RateTracker
 from wisteriapulley.policy.circuit_breaker import CircuitBreaker, SendOutcome
 from wisteriapulley.policy.response_signals import CooldownTracker, ResponseSignals
+from wisteriapulley.regions import Regions
 from wisteriapulley.wire.messages import TargetBeat, TargetState
 
 # A target without a heartbeat for this long counts as gone, as long as updates about
@@ -31,6 +33,10 @@
 FAILURE_RATE_GAIN = 0.25
 
 
+# Regions that may serve a request; empty for all.
+Homes = tuple[str, ...]
+
+
 class SignalChanges(NamedTuple):
     """What the signals in one response changed.
 
@@ -223,6 +229,11 @@
 class TargetRegistry:
     """Targets known to one process.
 
+    Parameters
+    ----------
+    regions : Regions, optional
+        Region of each failure domain; needed only if requests have home regions.
+
     Attributes
     ----------
     targets : dict of str to Target
@@ -233,7 +244,8 @@
         When control instances last sent an update, on the loop's clock.
     """
 
-    def __init__(self):
+    def __init__(self, regions: Regions | None = None):
+        self.regions = regions or Regions({})
         self.targets: dict[str, Target] = {}
         self.by_address: dict[str, str] = {}
         self.last_update_s = 0.0
@@ -316,12 +328,19 @@
         """Record that another instance responded at a target's address."""
         target.record_unreachable(now_s)
 
-    def of_service(self, service: str) -> Iterator[Target]:
-        """Iterate over all targets of a service."""
-        return (t for t in self.targets.values() if t.state.service == service)
+    def of_service(self, service: str, homes: Homes = ()) -> Iterator[Target]:
+        """Iterate over all targets of a service, or those in the home regions."""
+        targets = (t for t in self.targets.values() if t.state.service == service)
+        if not homes:
+            return targets
+        return (t for t in targets if self.regions.of(t.failure_domain) in homes)
 
     def candidates(
-        self, service: str, now_s: float, is_last: bool = False
+        self,
+        service: str,
+        now_s: float,
+        is_last: bool = False,
+        homes: Homes = (),
     ) -> list[Target]:
         """Return the targets of a service that accept requests now.
 
@@ -333,11 +352,13 @@
             The loop's clock.
         is_last : bool
             Whether the request can't be sent again if it is rejected.
+        homes : tuple of str
+            Regions that may serve the request; empty for all.
         """
         cutoff_s = self.liveness_cutoff_s(now_s)
         return [
             target
-            for target in self.of_service(service)
+            for target in self.of_service(service, homes)
             if target.last_seen_s > cutoff_s and not target.wait_s(now_s, is_last)
         ]
 
@@ -349,19 +370,41 @@
             else float("-inf")
         )
 
-    def throttled_s(self, service: str, now_s: float, is_last: bool = False) -> float:
+    def alive(self, service: str, now_s: float, homes: Homes = ()) -> list[Target]:
+        """Return the targets of a service whose heartbeats arrive."""
+        cutoff_s = self.liveness_cutoff_s(now_s)
+        targets = self.of_service(service, homes)
+        return [target for target in targets if target.last_seen_s > cutoff_s]
+
+    def throttled_s(
+        self,
+        service: str,
+        now_s: float,
+        is_last: bool = False,
+        homes: Homes = (),
+    ) -> float:
         """Return how long until a service with throttled targets accepts a request.
 
         The result is 0 if a target accepts requests now, or if none is throttled:
-        unreachable targets may return at any time.
+        unreachable targets may return at any time. With `homes`, only the targets in
+        these regions count.
         """
-        cutoff_s = self.liveness_cutoff_s(now_s)
-        alive = [t for t in self.of_service(service) if t.last_seen_s > cutoff_s]
+        alive = self.alive(service, now_s, homes)
         if not any(target.throttled_s(now_s, is_last) for target in alive):
             return 0.0
         wait_s = min(target.wait_s(now_s, is_last) for target in alive)
         return wait_s if wait_s < float("inf") else 0.0
 
+    def return_s(
+        self, service: str, now_s: float, is_last: bool, homes: Homes
+    ) -> float | None:
+        """Return how long until a target in the homes may accept a request.
+
+        None if no target there is known to come back.
+        """
+        waits_s = (t.wait_s(now_s, is_last) for t in self.alive(service, now_s, homes))
+        return min((wait_s for wait_s in waits_s if 0 < wait_s < inf), default=None)
+
     def record_outcome(self, target: Target, failed: bool, now_s: float) -> None:
         """Record the result of a request; eject a target that is an outlier."""
         target.record_outcome(failed)
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -185,7 +185,9 @@
             return Refusal(RefusalKind.UNAVAILABLE, REJECTED_RETRY_S, reason)
         if response.not_run:
             self.log_rejected(admitted, target, response)
-            wait_s = self.registry.throttled_s(progress.service, self.now_s())
+            wait_s = self.registry.throttled_s(
+                progress.service, self.now_s(), homes=admitted.homes
+            )
             retry_s = max(REJECTED_RETRY_S, wait_s)
             return Refusal(
                 RefusalKind.OVERLOADED, retry_s, "target rejected the request"
@@ -214,12 +216,14 @@
             and progress.has_sends_left
             and not answer.started
             and left_s > MIN_SEND_S
-            and self.has_untried_target(progress)
+            and self.has_untried_target(admitted, progress)
         )
 
-    def has_untried_target(self, progress: Progress) -> bool:
+    def has_untried_target(self, admitted: Admitted, progress: Progress) -> bool:
         """Return whether an available target has not been tried yet."""
-        candidates = self.registry.candidates(progress.service, self.now_s())
+        candidates = self.registry.candidates(
+            progress.service, self.now_s(), homes=admitted.homes
+        )
         return any(target.target_id not in progress.tried for target in candidates)
 
     def record_first_event(self, admitted: Admitted, target: Target) -> None:
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -18,7 +18,9 @@
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.logs import fields, lines_lost
 from wisteriapulley.metrics import Metrics
+from wisteriapulley.regions import Regions
 from wisteriapulley.routing import EdgeLimits, RoutingTable
+from wisteriapulley.routing.homes import home_regions
 from wisteriapulley.wire import messages
 from wisteriapulley.wire.handshake import Identity
 
@@ -49,7 +51,7 @@
         super().__init__()
         self.settings = settings
         self.identity = Identity.from_settings(settings, "entry")
-        self.registry = TargetRegistry()
+        self.registry = TargetRegistry(Regions(settings.failure_domain_regions))
         self.follower = ControlFollower(
             self.identity, settings, settings.control, messages.Heartbeat
         )
@@ -119,6 +121,7 @@
         """Apply a newer routing table."""
         self.dispatcher.set_table(table)
         self.ingress.max_body_bytes = table.limits.body_bytes
+        self.allocator.sidecars.home_regions = home_regions(table)
         self.keep_links()
 
     def targets_changed(self, states: Iterable[messages.TargetState]) -> None:
--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -28,7 +28,8 @@
 # Sidecars that an entry links to per service. A request is offered to at most six, so
 # this leaves a choice among several times as many. Sidecars in the entry's own region
 # come first, since traffic between regions is expensive and its links are slow.
-LINK_LIMITS = SubsetLimits(total=28, same_region=22)
+# Requests that are bound to a region choose among twice as many there as they ask.
+LINK_LIMITS = SubsetLimits(total=28, same_region=22, home_region=12)
 # States in heartbeats of sidecars: no grants now, or no grants yet.
 CLOSED_STATE = "closed"
 OPENING_STATE = "opening"
@@ -62,6 +63,8 @@
         Links by host.
     selected_hosts : set of str
         Hosts of the sidecars to request slots from; see `policy.subset`.
+    home_regions : dict of str to tuple of str
+        By service, the regions that some requests are bound to; see `routing.homes`.
     pending : Counter of str
         Slot requests without a decision yet, by host.
     answer_times : AnswerTimes
@@ -80,6 +83,7 @@
         self.regions = Regions(settings.failure_domain_regions)
         self.connections: dict[str, ReconnectingLink] = {}
         self.selected_hosts: set[str] = set()
+        self.home_regions: dict[str, tuple[str, ...]] = {}
         self.pending: Counter[str] = Counter()
         self.answer_times = AnswerTimes()
         self.stalled_since_s: dict[str, float] = {}
@@ -123,7 +127,8 @@
             for target in self.registry.of_service(service)
             if not target.is_retired
         }
-        return choose_subset(members, self.member, self.regions, LINK_LIMITS)
+        homes = self.home_regions.get(service, ())
+        return choose_subset(members, self.member, self.regions, LINK_LIMITS, homes)
 
     def is_selected(self, target: Target) -> bool:
         """Return whether this entry requests slots from the sidecar of a target."""
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -18,6 +18,7 @@
 from wisteriapulley.policy.target_ranking import EntryLocation, Load, rank_targets
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine
+from wisteriapulley.routing.homes import describe_homes
 from wisteriapulley.wire import Link, messages
 from wisteriapulley.wire.handshake import Identity
 
@@ -208,26 +209,43 @@
         is_last : bool
             Whether the request can't be sent again if its target rejects it.
         """
+        homes = admitted.homes
         targets = [
             target
-            for target in self.registry.candidates(service, now_s, is_last)
+            for target in self.registry.candidates(service, now_s, is_last, homes)
             if target.target_id not in tried
         ]
         if not targets:
-            return self.refuse_without_target(service, tried, now_s, is_last)
-        if engine is None:
-            return await self.allocate_plain(targets, now_s, is_last)
-        return await self.allocate_engine(admitted, engine, targets, now_s, is_last)
+            result = self.refuse_without_target(service, tried, now_s, is_last, homes)
+        elif engine is None:
+            result = await self.allocate_plain(targets, now_s, is_last)
+        else:
+            result = await self.allocate_engine(
+                admitted, engine, targets, now_s, is_last
+            )
+        if homes and isinstance(result, Refusal):
+            reason = f"{result.reason} in {describe_homes(homes)}"
+            return result._replace(reason=reason)
+        return result
 
     def refuse_without_target(
-        self, service: str, tried: set[str], now_s: float, is_last: bool
+        self,
+        service: str,
+        tried: set[str],
+        now_s: float,
+        is_last: bool,
+        homes: tuple[str, ...] = (),
     ) -> Refusal:
         """Return the refusal for a service that has no available target."""
-        wait_s = self.registry.throttled_s(service, now_s, is_last)
+        wait_s = self.registry.throttled_s(service, now_s, is_last, homes)
         if wait_s:
             return Refusal(RefusalKind.OVERLOADED, wait_s, "targets throttled")
         kind = RefusalKind.UNAVAILABLE if tried else RefusalKind.NOT_READY
-        return Refusal(kind, DEFAULT_RETRY_S, "no target available")
+        retry_s = DEFAULT_RETRY_S
+        if homes:
+            return_s = self.registry.return_s(service, now_s, is_last, homes)
+            retry_s = return_s or DEFAULT_RETRY_S
+        return Refusal(kind, retry_s, "no target available")
 
     def now_s(self) -> float:
         """Return the time of the event loop's clock."""
--- a/src/wisteriapulley/entry/metrics.py
+++ b/src/wisteriapulley/entry/metrics.py
@@ -21,6 +21,10 @@
         self.latency = metrics.histogram(
             "request_seconds", "Time to the whole answer, by account and class."
         )
+        self.refused_in_homes = metrics.counter(
+            "refused_in_homes_total",
+            "Requests refused for lack of room in their home regions, by account.",
+        )
         self.first_part = metrics.histogram(
             "first_part_seconds", "Time to the answer's head, by account and class."
         )
@@ -43,6 +47,10 @@
         self.requests.inc({**labels, "code": str(code)})
         self.latency.add(labels, seconds)
 
+    def record_refused_in_homes(self, account: str) -> None:
+        """Record a request that no target in its home regions had room for."""
+        self.refused_in_homes.inc({"account": self.account_label(account, False)})
+
     def record_first_part(
         self, account: str, traffic_class: str, seconds: float
     ) -> None:
--- a/src/wisteriapulley/policy/subset.py
+++ b/src/wisteriapulley/policy/subset.py
@@ -30,10 +30,13 @@
     same_region : int
         Maximum number of members in the own region. The others are in other regions,
         for when the own region is full or unreachable.
+    home_region : int
+        Minimum number of members in each home region, in addition to `total`.
     """
 
     total: int
     same_region: int
+    home_region: int = 0
 
 
 def choose_subset(
@@ -41,6 +44,7 @@
     own: Member,
     regions: Regions,
     limits: SubsetLimits,
+    homes: tuple[str, ...] = (),
 ) -> list[str]:
     """Return the names of the members to keep links to.
 
@@ -54,12 +58,15 @@
         Region of each failure domain.
     limits : SubsetLimits
         Sizes of the subset.
+    homes : tuple of str
+        Regions that some requests are bound to.
 
     Returns
     -------
     list of str
         Members of the own failure domain first, then of the own region, then
-        others; within each in the order of their rendezvous weights.
+        others; within each in the order of their rendezvous weights. Further members
+        in the home regions come last.
     """
     ranked = sorted(
         members,
@@ -77,4 +84,7 @@
     same_region_count = max(limits.same_region, limits.total - len(other_regions))
     chosen = same_region[:same_region_count]
     chosen += other_regions[: limits.total - len(chosen)]
+    for home in homes:
+        at_home = [m for m in ranked if regions.of(m.failure_domain) == home]
+        chosen += [m for m in at_home[: limits.home_region] if m not in chosen]
     return [member.name for member in chosen]
