--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -316,6 +316,18 @@
         refused = entry.metrics.counter("refused_in_homes_total", "")
         assert refused.get({"account": "other"}) == 1
 
+    def test_unconfirmed_table_asks_for_a_retry(self):
+        """The account may have got another home since this entry stopped."""
+        config = table(route(("north",)), accounts=(account(("east",)),))
+
+        async def run():
+            entry = Entry(config, DomainClient(), state("n1"))
+            entry.dispatcher.is_confirmed = lambda: False
+            return await entry.send()
+
+        refusal = asyncio.run(run())
+        assert refusal.kind is RefusalKind.NOT_READY and refusal.retry_s
+
     def test_split_without_target_in_the_homes_gets_nothing(self):
         """Nine in ten requests belong to a service without a target in the north."""
         splits = (Split("s", 9), Split("t", 1))
