Commit and spread evacuations of failure domains

Cause: the operator's orders ended in a 404, and nothing kept which domains are evacuated. Change: an order is a field of PutRouting, so a replica of the earlier release reads it as a table that is never the newest; it applies only if the domain has not changed since the order was given. The set goes at once to followers and peers that decode the message (Hello.message_set), and to a new follower before the confirming reply.

--- a/src/wisteriapulley/control/commands.py
+++ b/src/wisteriapulley/control/commands.py
@@ -4,6 +4,7 @@
 
 from wisteriapulley.catalogue import Change, ChangeResult
 from wisteriapulley.claims import Claim, ClaimKey, ClaimResult
+from wisteriapulley.control.evacuations import EvacuationOrder
 
 
 class ChangeCatalogue(msgspec.Struct, frozen=True, tag="change"):
@@ -58,11 +59,14 @@
         Compressed table in this project's encoding.
     original : bytes
         Compressed text as the operator sent it, returned to operators on request.
+    evacuation : EvacuationOrder or None
+        Order to apply instead of a table; see `order_evacuation`.
     """
 
     version: int
     table: bytes
     original: bytes
+    evacuation: EvacuationOrder | None = None
 
 
 class PutWeights(msgspec.Struct, frozen=True, tag="weights"):
@@ -73,9 +77,14 @@
 
 
 class VersionResult(msgspec.Struct, frozen=True):
-    """Version in force after a command that sets one."""
+    """Version in force after a command that sets one.
+
+    `evacuated` is whether the domain of an evacuation order is evacuated now; None
+    for other commands, and if a leader of an earlier release dropped the order.
+    """
 
     version: int
+    evacuated: bool | None = None
 
 
 class PermitResult(msgspec.Struct, frozen=True):
@@ -114,6 +123,15 @@
 }
 
 
+def order_evacuation(order: EvacuationOrder) -> PutRouting:
+    """Return the command for an evacuation order.
+
+    A replica of an earlier release fails on an unknown command, and its instance with
+    it. It reads this one as a table with the lowest version, which is never in force.
+    """
+    return PutRouting(0, b"", b"", order)
+
+
 def encode(value: Command | Result) -> bytes:
     """Encode a command or result for the log and the wire."""
     return msgspec.msgpack.encode(value)
--- a/src/wisteriapulley/control/control_api.py
+++ b/src/wisteriapulley/control/control_api.py
@@ -17,8 +17,11 @@
     PutWeights,
     VersionResult,
     decode_result,
+    order_evacuation,
 )
 from wisteriapulley.control.driver import no_quorum
+from wisteriapulley.control.evacuations import EvacuationOrder
+from wisteriapulley.errors import CatalogueError, ResultCode
 from wisteriapulley.logs import fields
 from wisteriapulley.routing import RoutingTable, check_table
 from wisteriapulley.routing.homes import home_warnings
@@ -144,6 +147,80 @@
         )
         return result.version
 
+    async def evacuate(self, failure_domain: str) -> None:
+        """Commit that nothing more is sent to the targets of a failure domain.
+
+        Raises
+        ------
+        CatalogueError
+            FAILURE_DOMAIN_UNKNOWN: no such failure domain is known.
+        WisteriapulleyError
+            NO_QUORUM: the order may or may not be in force; send it again.
+        """
+        await self.set_evacuated(failure_domain, True)
+
+    async def end_evacuation(self, failure_domain: str) -> None:
+        """Commit the withdrawal of an evacuation; see `evacuate`."""
+        await self.set_evacuated(failure_domain, False)
+
+    async def set_evacuated(self, failure_domain: str, evacuated: bool) -> None:
+        """Commit whether a failure domain is evacuated, unless it is so already."""
+        self.check_failure_domain(failure_domain)
+        try:
+            async with asyncio.timeout(COMMIT_TIMEOUT_S):
+                await self.service.driver.read_barrier()
+                state = self.service.state.evacuations.state_of(failure_domain)
+                if state.evacuated != evacuated:
+                    await self.commit_order(
+                        EvacuationOrder(failure_domain, evacuated, state.revision)
+                    )
+        except TimeoutError as error:
+            raise no_quorum("no majority answered in time") from error
+        log.info(
+            "evacuation accepted" if evacuated else "end of evacuation accepted",
+            extra=fields(failure_domain=failure_domain),
+        )
+
+    async def commit_order(self, order: EvacuationOrder) -> None:
+        """Commit an evacuation order."""
+        command = order_evacuation(order)
+        data = await self.service.propose(command)
+        result: VersionResult = decode_result(command, data)
+        if result.evacuated is not order.evacuated:
+            raise no_quorum(
+                f"{order.failure_domain} was ordered otherwise meanwhile, or the"
+                " leader runs an earlier release"
+            )
+
+    def check_failure_domain(self, failure_domain: str) -> None:
+        """Raise if a failure domain is not known."""
+        service = self.service
+        known = service.publisher.known_failure_domains()
+        if failure_domain in known:
+            return
+        if not (service.settings.failure_domain_regions or service.members_complete):
+            raise no_quorum("this instance has just started and knows no targets yet")
+        raise CatalogueError(
+            ResultCode.FAILURE_DOMAIN_UNKNOWN,
+            f"expected one of the failure domains {', '.join(sorted(known))}, got"
+            f" {failure_domain!r}",
+        )
+
+    async def read_evacuated(self) -> tuple[str, ...]:
+        """Return the evacuated failure domains, confirmed by a quorum.
+
+        Raises
+        ------
+        WisteriapulleyError
+            NO_QUORUM: this instance can't confirm which domains are evacuated.
+        """
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                await self.service.driver.read_barrier()
+        except TimeoutError as error:
+            raise no_quorum("no majority answered in time") from error
+        return self.service.state.evacuations.evacuated
+
     async def read_routing(self) -> bytes:
         """Return the newest routing table as its operator sent it.
 
--- a/src/wisteriapulley/control/followers.py
+++ b/src/wisteriapulley/control/followers.py
@@ -14,6 +14,7 @@
 from wisteriapulley.control.targets import Change
 from wisteriapulley.regions import Regions
 from wisteriapulley.wire import Link, broadcast, messages
+from wisteriapulley.wire.handshake import EVACUATION_MESSAGE_SET
 
 log = logging.getLogger(__name__)
 
@@ -21,6 +22,15 @@
 SIDECAR = "sidecar"
 
 
+def knows_evacuations(link: Link) -> bool:
+    """Return whether the other end decodes `EvacuationNews`.
+
+    A process of an earlier release closes a link over which it receives an unknown
+    message, and would do so after each reconnect.
+    """
+    return link.peer.message_set >= EVACUATION_MESSAGE_SET
+
+
 class Followers:
     """Links of the followers of one control instance."""
 
@@ -68,6 +78,15 @@
         """Send the weights in force to all followers."""
         broadcast(self.open_links(), message)
 
+    def push_evacuations(self, message: messages.EvacuationNews) -> None:
+        """Send the evacuated failure domains to all followers.
+
+        A link without room gets them too: the message is small and rare, and a
+        follower that missed it would get no other until it reconnects.
+        """
+        links = (link for link in tuple(self.links) if not link.closed.is_set())
+        broadcast(filter(knows_evacuations, links), message)
+
     def push_targets(
         self,
         states: Iterable[messages.TargetState],
--- a/src/wisteriapulley/control/following.py
+++ b/src/wisteriapulley/control/following.py
@@ -96,6 +96,13 @@
         Returns the heartbeat to send.
     follow_routing : bool
         Whether to request routing tables.
+
+    Attributes
+    ----------
+    evacuated : frozenset of str
+        The evacuated failure domains.
+    evacuation_revision : int
+        Revision of that set.
     """
 
     def __init__(
@@ -115,6 +122,8 @@
         self.follow_routing = follow_routing
         self.table = RoutingTable(0)
         self.fresh = False
+        self.evacuated: frozenset[str] = frozenset()
+        self.evacuation_revision = 0
         self.versions = DesiredVersions()
         self.engines: dict[str, Engine] = {}
         # Failure domain of each known instance by host; empty if unknown.
@@ -125,6 +134,7 @@
         self.pull_task: asyncio.Task | None = None
         self.on_table: Callable[[RoutingTable], None] = ignore
         self.on_models: Callable[[], None] = ignore
+        self.on_evacuations: Callable[[], None] = ignore
         self.on_targets: Callable[[tuple[messages.TargetState, ...]], None] = ignore
         self.on_suspects: Callable[[messages.SuspectNews], None] = ignore
         # Returns the suspects to send to an instance when its link opens.
@@ -354,6 +364,21 @@
                 ),
             )
 
+    @receive.register
+    def receive_evacuations(self, message: messages.EvacuationNews) -> None:
+        """Handle the message `EvacuationNews`."""
+        if message.revision <= self.evacuation_revision:
+            return
+        self.evacuation_revision = message.revision
+        self.evacuated = frozenset(message.failure_domains)
+        log.info(
+            "evacuated failure domains",
+            extra=fields(
+                revision=message.revision, failure_domains=message.failure_domains
+            ),
+        )
+        self.on_evacuations()
+
     @receive.register
     def receive_targets(self, message: messages.TargetNews) -> None:
         """Handle the message `TargetNews`."""
--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -1,23 +1,27 @@
 """Publishes the state of one control instance to entries and sidecars."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from wisteriapulley.clocks import steady_ms
 from wisteriapulley.control.control_api import unpack_table
 from wisteriapulley.control.driver import Driver
-from wisteriapulley.control.followers import ENTRY, Followers
+from wisteriapulley.control.followers import ENTRY, Followers, knows_evacuations
 from wisteriapulley.control.state import ControlState
 from wisteriapulley.control.suspect_feed import SuspectFeed
 from wisteriapulley.control.target_feed import TargetFeed
 from wisteriapulley.control.targets import TargetTable
 from wisteriapulley.errors import WisteriapulleyError
+from wisteriapulley.logs import fields
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine, Origin, RoutingTable
 from wisteriapulley.settings import ControlSettings
 from wisteriapulley.weights.desired_versions import DesiredVersions
 from wisteriapulley.wire import Frame, Link, messages
 
+log = logging.getLogger(__name__)
+
 # How long the reply to a follower waits for a quorum to confirm the table.
 CONFIRM_TIMEOUT_S = 0.8
 # Age given to versions restored from disk: longer than a superseded version may serve.
@@ -25,7 +29,7 @@
 
 
 class Publisher:
-    """Publishes routing tables, weights, targets and instances to followers.
+    """Publishes tables, weights, evacuations, targets and instances to followers.
 
     Parameters
     ----------
@@ -44,6 +48,8 @@
         Driver of the replica, for quorum reads; set by the service at its start.
     table : RoutingTable
         The routing table in force here.
+    evacuations : EvacuationNews
+        The newest set of evacuated failure domains, from the log or a peer.
     """
 
     def __init__(
@@ -53,6 +59,7 @@
         on_new_weights: Callable[[str, int], object],
         send_to_peers: Callable[[tuple], None],
     ):
+        self.settings = settings
         self.state = state
         self.on_new_weights = on_new_weights
         self.driver: Driver | None = None
@@ -70,6 +77,7 @@
         # Failure domain of each control instance that was ever connected.
         self.failure_domains = {settings.node_id: settings.failure_domain}
         self.table = RoutingTable(0)
+        self.evacuations = messages.EvacuationNews()
 
     def publish_restored(self) -> None:
         """Publish the state restored from disk.
@@ -105,7 +113,9 @@
         self.failure_domains[peer.node_id] = peer.failure_domain
 
     def publish_changes(self) -> None:
-        """Publish a new routing table or new weights to followers and peers."""
+        """Publish new tables, weights and evacuations to followers and peers."""
+        if self.record_evacuations(self.own_evacuations()):
+            self.send_to_peers(self.evacuations)
         if self.state.routing.version > self.published_routing:
             self.published_routing = self.state.routing.version
             self.table = unpack_table(self.state.routing.table)
@@ -151,6 +161,46 @@
         if new:
             self.followers.push_models(self.models_message())
 
+    # -- evacuations -----------------------------------------------------
+
+    def known_failure_domains(self) -> set[str]:
+        """Return the failure domains of settings, instances, targets and orders."""
+        return {
+            *self.settings.failure_domain_regions,
+            *self.failure_domains.values(),
+            *(target.failure_domain for target in self.targets.states(steady_ms())),
+            *self.state.evacuations.domains,
+        }
+
+    def own_evacuations(self) -> messages.EvacuationNews:
+        """Return the evacuated failure domains by this instance's log."""
+        evacuations = self.state.evacuations
+        return messages.EvacuationNews(evacuations.revision, evacuations.evacuated)
+
+    def record_evacuations(self, message: messages.EvacuationNews) -> bool:
+        """Record and publish a set of evacuated domains; return whether it is newer.
+
+        Only committed orders are in force anywhere, so the first message about one is
+        enough, from the log or from a peer.
+        """
+        if message.revision <= self.evacuations.revision:
+            return False
+        self.evacuations = message
+        log.info(
+            "evacuated failure domains",
+            extra=fields(
+                revision=message.revision, failure_domains=message.failure_domains
+            ),
+        )
+        self.followers.push_evacuations(message)
+        return True
+
+    def send_evacuations(self, link: Link) -> None:
+        """Send a newly connected process the evacuated domains, if there were any."""
+        self.record_evacuations(self.own_evacuations())
+        if self.evacuations.revision and knows_evacuations(link):
+            link.post(self.evacuations)
+
     def routing_message(self, fresh: bool, known: int = 0) -> messages.RoutingNews:
         """Return the table in force; without content if `known` is current."""
         routing = self.state.routing
@@ -193,6 +243,8 @@
         self, message: messages.Follow, link: Link, frame: Frame
     ) -> None:
         """Add a follower, send it the current state, and reply with the table."""
+        # Before the targets, so that none of an evacuated domain is used meanwhile.
+        self.send_evacuations(link)
         self.followers.add(link)
         link.post(self.target_feed.full_update())
         link.post(self.known_hosts())
@@ -205,6 +257,9 @@
             link.post(self.routing_message(fresh=False, known=message.routing_version))
         known = max(message.routing_version, self.state.routing.version)
         reply = await self.confirmed_routing(known)
+        # The confirmed reply makes a follower ready: it must not know less than what
+        # was committed before.
+        self.record_evacuations(self.own_evacuations())
         link.post(reply, reply_to=frame.id)
 
     async def confirmed_routing(self, known: int) -> messages.RoutingNews:
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -22,6 +22,7 @@
 from wisteriapulley.control.control_api import ControlApi
 from wisteriapulley.control.driver import REPLICA_MESSAGES, Driver, no_quorum
 from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES, Fanout
+from wisteriapulley.control.followers import knows_evacuations
 from wisteriapulley.control.forward import forward
 from wisteriapulley.control.members import Changes, MemberTable
 from wisteriapulley.control.nearest import entries_in_fleet
@@ -81,6 +82,7 @@
         # adapter sets it before the start if the routing table names an origin.
         self.open_origin: Callable[[str], PieceSource] | None = None
         self.entry_count = 0
+        self.members_complete = False
         self.api = ControlApi(self)
         self.rates = RateOwner(settings.node_id, self.open_peer_links)
         self.publisher = Publisher(
@@ -106,7 +108,6 @@
             settings.owner_grace_ms,
         )
         self.members_complete_at_ms = steady_ms() + settings.member_lease_ms
-        self.members_complete = False
         self.fanout = Fanout(
             self.state.catalogue, self.members.view, lambda: self.members_complete
         )
@@ -403,6 +404,14 @@
         if link.peer.role == "control":
             self.publisher.observe_models(message)
 
+    @receive.register
+    async def receive_evacuations(
+        self, message: messages.EvacuationNews, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `EvacuationNews` of another instance."""
+        if link.peer.role == "control":
+            self.publisher.record_evacuations(message)
+
     @receive.register
     async def receive_target_beats(
         self, message: messages.TargetBeats, link: Link, frame: Frame
@@ -447,6 +456,7 @@
     async def send_state_to_peer(self, link: Link) -> None:
         """Send a newly connected peer this instance's members, targets and reports."""
         self.publisher.record_peer(link.peer)
+        self.publisher.send_evacuations(link)
         link.post(self.members.full_update())
         link.post(self.publisher.target_feed.full_update())
         self.publisher.suspect_feed.send_all(link)
@@ -461,11 +471,13 @@
         ones supersede them. Changes of members or targets are always sent.
         """
         can_skip = isinstance(message, messages.Report | messages.TargetBeats)
+        is_new = isinstance(message, messages.EvacuationNews)
         broadcast(
             (
                 link
                 for link in self.open_peer_links().values()
                 if not (can_skip and link.write_buffer_bytes() > MAX_BUFFERED_BYTES)
+                and (not is_new or knows_evacuations(link))
             ),
             message,
         )
--- a/src/wisteriapulley/control/state.py
+++ b/src/wisteriapulley/control/state.py
@@ -1,4 +1,4 @@
-"""State machine of the replicated log: catalogue, routing, claims and permits."""
+"""State machine of the log: catalogue, routing, claims, permits and evacuations."""
 
 from functools import singledispatchmethod
 
@@ -20,6 +20,7 @@
     Result,
     VersionResult,
 )
+from wisteriapulley.control.evacuations import DomainState, Evacuations
 from wisteriapulley.control.permits import Permit, PermitTable
 from wisteriapulley.errors import ResultCode
 
@@ -37,6 +38,7 @@
     permits: dict[str, Permit]
     routing: PutRouting = NO_ROUTING
     weights: dict[str, int] = {}
+    evacuations: dict[str, DomainState] = {}
 
 
 class ControlState:
@@ -48,6 +50,7 @@
         self.permits = PermitTable()
         self.routing = NO_ROUTING
         self.weights: dict[str, int] = {}
+        self.evacuations = Evacuations()
         self.index = 0
 
     def apply(self, index: int, data: bytes) -> Result:
@@ -66,6 +69,7 @@
             self.permits.permits,
             self.routing,
             self.weights,
+            self.evacuations.domains,
         )
         return msgspec.msgpack.encode(image)
 
@@ -80,6 +84,7 @@
         self.permits.permits = dict(image.permits)
         self.routing = image.routing
         self.weights = dict(image.weights)
+        self.evacuations.restore(image.evacuations)
 
     @singledispatchmethod
     def run(self, command: Command) -> Result:
@@ -118,6 +123,9 @@
     @run.register
     def run_routing(self, command: PutRouting) -> VersionResult:
         """Handle the command `PutRouting`: the highest version wins."""
+        if command.evacuation is not None:
+            evacuated = self.evacuations.apply(command.evacuation, self.index)
+            return VersionResult(self.routing.version, evacuated)
         if command.version > self.routing.version:
             self.routing = command
         return VersionResult(self.routing.version)
--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -28,6 +28,7 @@
     STILL_PROPAGATING = 207
     PERMIT_DENIED = 208
     HEARTBEAT_INVALID = 209
+    FAILURE_DOMAIN_UNKNOWN = 210
 
     FRAME_MALFORMED = 300
     FRAME_TOO_LARGE = 301
@@ -167,6 +168,11 @@
         "Correct the sender of the heartbeat; the message names the field.",
         400,
     ),
+    ResultCode.FAILURE_DOMAIN_UNKNOWN: CodeEntry(
+        "No settings, target or control instance has that failure domain.",
+        "Use one of the failure domains that the message lists.",
+        400,
+    ),
     ResultCode.FRAME_MALFORMED: CodeEntry(
         "Bytes received on a link are not a valid frame.",
         "Check which client connects to this port.",
--- a/src/wisteriapulley/platform/control_calls.py
+++ b/src/wisteriapulley/platform/control_calls.py
@@ -29,6 +29,7 @@
 PERMANENT_ERROR_CODES = (
     ResultCode.CATALOGUE_ENTRY_INVALID,
     ResultCode.HEARTBEAT_INVALID,
+    ResultCode.FAILURE_DOMAIN_UNKNOWN,
 )
 
 
@@ -45,6 +46,8 @@
                 web.post(names.WEIGHTS_CALL, self.set_desired_version),
                 web.post(names.HEARTBEAT_CALL, self.heartbeat),
                 web.post(names.LEAVE_CALL, self.leave),
+                web.post(names.EVACUATE_CALL, self.evacuate),
+                web.post(names.END_EVACUATION_CALL, self.end_evacuation),
             ]
         )
         self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
@@ -99,6 +102,16 @@
         self.api.remove_target(request.match_info["target_id"])
         return ack_response()
 
+    async def evacuate(self, request: web.Request) -> web.Response:
+        """Evacuate a failure domain."""
+        await self.api.evacuate(request.match_info["failure_domain"])
+        return ack_response()
+
+    async def end_evacuation(self, request: web.Request) -> web.Response:
+        """Withdraw the evacuation of a failure domain."""
+        await self.api.end_evacuation(request.match_info["failure_domain"])
+        return ack_response()
+
 
 def ack_response() -> web.Response:
     """Return the response to an accepted call."""
--- a/src/wisteriapulley/platform/names.py
+++ b/src/wisteriapulley/platform/names.py
@@ -65,6 +65,8 @@
 REPLACE_CALL = "/api/Configuration.Replace"
 READ_CALL = "/api/Configuration.Read"
 WEIGHTS_CALL = "/api/version-put"
+EVACUATE_CALL = "/api/Evacuation.Start/{failure_domain}"
+END_EVACUATION_CALL = "/api/Evacuation.End/{failure_domain}"
 READY_CALL = "/api/readiness"
 
 # Calls to engines and to the origin of weights.
--- a/src/wisteriapulley/wire/handshake.py
+++ b/src/wisteriapulley/wire/handshake.py
@@ -13,6 +13,11 @@
 from wisteriapulley.wire.messages import Hello, Proof
 
 PROTOCOL = 1
+# Version of the set of messages that this release decodes; it grows with each new
+# message that is sent without a request.
+MESSAGE_SET = 1
+# First version with `EvacuationNews`.
+EVACUATION_MESSAGE_SET = 1
 NONCE_BYTES = 32
 
 
@@ -64,6 +69,7 @@
             self.incarnation,
             self.failure_domain,
             secrets.token_bytes(NONCE_BYTES),
+            MESSAGE_SET,
         )
 
 
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -74,6 +74,7 @@
   incarnation @3 :UInt64;
   failureDomain @4 :Text;
   nonce @5 :Data;
+  messageSet @6 :UInt16;
 }
 struct Proof { digest @0 :Data; }
 struct Heartbeat {
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -4,7 +4,11 @@
 
 
 class Hello(NamedTuple):
-    """First frame of each side: its identity, and a nonce for the peer to sign."""
+    """First frame of each side: its identity, and a nonce for the peer to sign.
+
+    `message_set` is the version of the set of messages that it decodes; see
+    `handshake.MESSAGE_SET`.
+    """
 
     protocol: int = 0
     node_id: str = ""
@@ -12,6 +16,7 @@
     incarnation: int = 0
     failure_domain: str = ""
     nonce: bytes = b""
+    message_set: int = 0
 
 
 class Proof(NamedTuple):
