Send nothing to targets in evacuated failure domains

Cause: entries knew no evacuated domains. Change: the registry leaves their targets out of the candidates and of all that is derived from them, and is asked again after each wait for a slot or a rate permit. Links to their sidecars are kept, and the subset is filled up from the domains that are left.

--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -242,6 +242,8 @@
         Id of the target that has an address now.
     last_update_s : float
         When control instances last sent an update, on the loop's clock.
+    evacuated : frozenset of str
+        Failure domains whose targets get no requests.
     """
 
     def __init__(self, regions: Regions | None = None):
@@ -249,6 +251,7 @@
         self.targets: dict[str, Target] = {}
         self.by_address: dict[str, str] = {}
         self.last_update_s = 0.0
+        self.evacuated: frozenset[str] = frozenset()
 
     def update(self, states: Iterable[TargetState], now_s: float) -> None:
         """Apply target states received from control instances."""
@@ -335,6 +338,25 @@
             return targets
         return (t for t in targets if self.regions.of(t.failure_domain) in homes)
 
+    def is_evacuated(self, target: Target) -> bool:
+        """Return whether a target is in an evacuated failure domain."""
+        return target.failure_domain in self.evacuated
+
+    def usable_of(self, service: str, homes: Homes = ()) -> Iterator[Target]:
+        """Iterate over the targets of a service that are not evacuated."""
+        targets = self.of_service(service, homes)
+        return (target for target in targets if not self.is_evacuated(target))
+
+    def wait_s(self, target: Target, now_s: float, is_last: bool = False) -> float:
+        """Return how long until a request may be sent to a target; 0 for now.
+
+        It is asked again after each wait for a slot or a permit, since the target
+        may have been evacuated meanwhile; see `Target.wait_s`.
+        """
+        if self.is_evacuated(target):
+            return float("inf")
+        return target.wait_s(now_s, is_last)
+
     def candidates(
         self,
         service: str,
@@ -358,7 +380,7 @@
         cutoff_s = self.liveness_cutoff_s(now_s)
         return [
             target
-            for target in self.of_service(service, homes)
+            for target in self.usable_of(service, homes)
             if target.last_seen_s > cutoff_s and not target.wait_s(now_s, is_last)
         ]
 
@@ -373,7 +395,7 @@
     def alive(self, service: str, now_s: float, homes: Homes = ()) -> list[Target]:
         """Return the targets of a service whose heartbeats arrive."""
         cutoff_s = self.liveness_cutoff_s(now_s)
-        targets = self.of_service(service, homes)
+        targets = self.usable_of(service, homes)
         return [target for target in targets if target.last_seen_s > cutoff_s]
 
     def throttled_s(
@@ -410,7 +432,7 @@
         target.record_outcome(failed)
         if not failed or target.samples < MIN_EJECTION_SAMPLES:
             return
-        peers = [t for t in self.of_service(target.state.service) if t is not target]
+        peers = [t for t in self.usable_of(target.state.service) if t is not target]
         if not peers or target.failure_rate < EJECTION_FAILURE_RATE:
             return
         peer_failure_rate = sum(t.failure_rate for t in peers) / len(peers)
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import aiomisc
@@ -57,6 +58,7 @@
         )
         self.follower.on_table = self.table_changed
         self.follower.on_targets = self.targets_changed
+        self.follower.on_evacuations = self.evacuations_changed
         self.follower.on_heartbeats = self.record_heartbeats
         self.crashes = CrashTracker(
             self.identity.key, Liveness(), self.follower.publish
@@ -74,6 +76,9 @@
         self.quarantined = self.metrics.gauge(
             "requests_quarantined", "Requests that are sent to no target any more."
         )
+        self.targets_evacuated = self.metrics.gauge(
+            "targets_evacuated", "Targets in evacuated failure domains, by domain."
+        )
         self.dispatcher = Dispatcher(
             settings,
             self.registry,
@@ -84,6 +89,7 @@
             lambda: self.follower.fresh,
         )
         self.ingress = new_ingress(self.dispatcher.serve, EdgeLimits().body_bytes)
+        self.reported_domains: set[str] = set()
         self.leaving = False
         self.sweep_task: asyncio.Task | None = None
 
@@ -129,6 +135,11 @@
         self.registry.update(states, asyncio.get_running_loop().time())
         self.keep_links()
 
+    def evacuations_changed(self) -> None:
+        """Send no more requests to evacuated failure domains, and to others again."""
+        self.registry.evacuated = self.follower.evacuated
+        self.keep_links()
+
     def record_heartbeats(self, heartbeats: Iterable[messages.TargetBeat]) -> list[str]:
         """Record heartbeats of targets; return ids of targets with stale state here."""
         return self.registry.record_heartbeats(
@@ -139,6 +150,17 @@
         """Maintain links to the sidecars of all model services."""
         self.allocator.sidecars.keep_links(self.follower.table.engines())
 
+    def count_evacuated(self) -> None:
+        """Update the gauge of evacuated targets; a withdrawn domain counts 0."""
+        counts = Counter(
+            target.failure_domain
+            for target in self.registry.targets.values()
+            if self.registry.is_evacuated(target)
+        )
+        self.reported_domains |= self.follower.evacuated
+        for domain in self.reported_domains:
+            self.targets_evacuated.set({"failure_domain": domain}, counts[domain])
+
     async def sweep(self) -> None:
         """Update gauges and remove expired state, periodically."""
         loop = asyncio.get_running_loop()
@@ -149,6 +171,7 @@
             self.dispatcher.set_entry_count(self.follower.entries_reported())
             self.allocator.rate_permits.sweep(loop.time())
             self.quarantined.set({}, len(self.crashes.suspects.quarantined()))
+            self.count_evacuated()
             if self.registry.sweep(loop.time()):
                 self.keep_links()
             await self.allocator.sidecars.drop_links()
--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -121,13 +121,24 @@
                 link.post(rate_update(target, now_s))
 
     def hosts_of(self, service: str) -> list[str]:
-        """Return the hosts of the sidecars to link to for a service."""
-        members = {
-            Member(target.host, target.failure_domain)
-            for target in self.registry.of_service(service)
-            if not target.is_retired
-        }
+        """Return the hosts of the sidecars to link to for a service.
+
+        Those in evacuated failure domains do not count, but links to them are kept:
+        an engine that returns gets requests only by its sidecar's grants.
+        """
+        targets = [t for t in self.registry.of_service(service) if not t.is_retired]
         homes = self.home_regions.get(service, ())
+        hosts = self.choose_hosts(targets, homes)
+        usable = [t for t in targets if not self.registry.is_evacuated(t)]
+        if len(usable) < len(targets):
+            hosts += self.choose_hosts(usable, homes)
+        return hosts
+
+    def choose_hosts(
+        self, targets: list[Target], homes: tuple[str, ...] = ()
+    ) -> list[str]:
+        """Return the hosts of the sidecars to link to, among those of some targets."""
+        members = {Member(target.host, target.failure_domain) for target in targets}
         return choose_subset(members, self.member, self.regions, LINK_LIMITS, homes)
 
     def is_selected(self, target: Target) -> bool:
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -285,7 +285,7 @@
                 continue
             wait_s = await self.rate_permits.wait_s(target, now_s)
             # Signals in responses to other requests may have arrived meanwhile.
-            wait_s = max(wait_s, target.wait_s(self.now_s(), is_last))
+            wait_s = max(wait_s, self.registry.wait_s(target, self.now_s(), is_last))
             if not wait_s:
                 return self.occupy(target, 0)
             if wait_s < float("inf"):
@@ -313,7 +313,7 @@
         for target in self.eligible_engines(targets, now_s):
             wait_s = max(
                 self.rate_permits.at_limit_s(target, now_s),
-                target.wait_s(self.now_s(), is_last),
+                self.registry.wait_s(target, self.now_s(), is_last),
             )
             if wait_s:
                 denials.add_throttled(wait_s)
@@ -330,12 +330,13 @@
             reservation = self.make_reservation(admitted, engine, target, is_last)
             answer = await self.sidecars.reserve(link, target, reservation)
             if answer is not None and answer.granted:
-                wait_s = target.wait_s(self.now_s(), is_last)
+                wait_s = self.registry.wait_s(target, self.now_s(), is_last)
                 if not wait_s:
                     return self.use_grant(
                         link, admitted.request, target, engine, answer
                     )
-                # The engine throttled this entry after its sidecar granted the slot.
+                # The engine throttled this entry, or its failure domain was evacuated,
+                # before its sidecar granted the slot.
                 self.sidecars.release(link, admitted.request.request_id)
                 denials.add_throttled(wait_s)
                 continue
