Close the slots of engines in evacuated failure domains

Cause: a sidecar would go on granting slots, and its engine would wait for its turn to switch as if requests depended on it. Change: an evacuated engine denies as closed, also what is queued, and does not queue for the end of a load; it loads newer weights at once, and the others leave it out of the switch order.

--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -61,13 +61,17 @@
             self.slots.opens_at_ms = None
         log.info(
             "places open" if may_serve else "places closed",
-            extra=fields(version=self.state.held_version()),
+            extra=fields(
+                version=self.state.held_version(), evacuated=self.state.is_evacuated
+            ),
         )
         self.advance()
         self.schedule_load_report()
 
     def expect_opening(self, delay_ms: float) -> None:
-        """Queue requests for slots that open after `delay_ms`."""
+        """Queue requests for slots that open after `delay_ms`, unless evacuated."""
+        if self.state.is_evacuated:
+            return
         self.slots.opens_at_ms = self.now_ms() + delay_ms
         self.schedule_load_report()
 
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -57,6 +57,7 @@
         self.state = RolloutState(settings, self.follower)
         self.follower.on_models = self.models_changed
         self.follower.on_targets = self.state.update_targets
+        self.follower.on_evacuations = self.evacuations_changed
         self.admission = SlotAdmission(self.state)
         self.changed = asyncio.Event()
         self.updater = WeightsUpdater(
@@ -115,6 +116,11 @@
             self.admission.slots.engine = self.state.engine
         self.changed.set()
 
+    def evacuations_changed(self) -> None:
+        """Close the slots of an evacuated engine at once, or open them again."""
+        self.update_admission()
+        self.changed.set()
+
     async def watch_engine(self) -> None:
         """Poll the engine, and update its admission state and its weights."""
         while True:
@@ -141,6 +147,7 @@
         self.gauge.set({"state": "held"}, len(slots.grants))
         self.gauge.set({"state": "waiting"}, len(slots.queue))
         self.gauge.set({"state": "open"}, int(slots.open))
+        self.gauge.set({"state": "evacuated"}, int(self.state.is_evacuated))
         self.gauge.set({"state": "version"}, self.state.held_version())
         self.gauge.set({"state": "log_lines_lost"}, lines_lost())
 
@@ -177,13 +184,13 @@
         self.admission.set_admission_end(self.serving_left_ms())
         may_serve = self.may_serve()
         self.admission.set_open(may_serve)
-        if not may_serve and not self.updater.loading:
+        if self.state.is_evacuated or not (may_serve or self.updater.loading):
             self.admission.cancel_opening()
 
     def may_serve(self) -> bool:
         """Return whether requests may start on the version that the engine holds."""
         state = self.state
-        if not state.held_version() or state.engine is None:
+        if not state.held_version() or state.engine is None or state.is_evacuated:
             return False
         report = state.report
         if self.updater.loading or report.busy or report.leaving:
--- a/src/wisteriapulley/rollout/state.py
+++ b/src/wisteriapulley/rollout/state.py
@@ -43,6 +43,11 @@
         """Parameters of this sidecar's engine; None until they are received."""
         return self.follower.engines.get(self.settings.service)
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the failure domain of this sidecar is evacuated."""
+        return self.settings.failure_domain in self.follower.evacuated
+
     def desired_version(self) -> int:
         """Return the version that the engine should hold; 0 before the first."""
         engine = self.engine
@@ -67,11 +72,15 @@
         self.targets.update(states, asyncio.get_running_loop().time())
 
     def switch_rank(self) -> SwitchRank:
-        """Return this engine's position in the switch order."""
+        """Return this engine's position in the switch order.
+
+        Engines of evacuated failure domains serve nobody and take no position.
+        """
         engines = [
             (target.failure_domain, target.address)
             for target in self.targets.of_service(self.settings.service)
             if not (target.state.gone or target.replaced)
+            and target.failure_domain not in self.follower.evacuated
         ]
         return switch_rank(str(self.settings.target), engines)
 
--- a/src/wisteriapulley/rollout/updater.py
+++ b/src/wisteriapulley/rollout/updater.py
@@ -28,6 +28,8 @@
 # Estimate before the first load: an idle engine loads in 0.3 s and is polled every
 # 0.05 s.
 INITIAL_LOAD_MS = 350.0
+# The time of the switch is checked again after at most this long.
+MAX_SWITCH_SLEEP_S = 0.2
 # Weight of a new sample in the estimate of the load time.
 LOAD_TIME_GAIN = 0.5
 # No request waits longer than this for its first event: the longest objective.
@@ -200,6 +202,9 @@
         age_ms = self.state.superseded_for_ms()
         if age_ms is None or not self.state.held_version():
             return 0.0
+        if self.state.is_evacuated:
+            # Nobody waits for this engine, so it leaves the later times to others.
+            return 0.0
         download_ms = self.download_ms(total_bytes(manifest))
         due_ms = switch_due_ms(
             self.state.switch_rank(), download_ms, self.settings.old_version_ms
@@ -228,10 +233,12 @@
         self.admission.slots.closes_at_ms = self.admission.now_ms() + delay_ms
 
     async def wait_for_switch(self, manifest: PieceManifest) -> None:
-        """Wait until this engine may be taken out of service."""
-        delay_ms = self.switch_in_ms(manifest)
-        if delay_ms > 0:
-            await asyncio.sleep(delay_ms / 1000)
+        """Wait until this engine may be taken out of service.
+
+        Its failure domain may be evacuated meanwhile, and then it need not wait.
+        """
+        while (delay_ms := self.switch_in_ms(manifest)) > 0:
+            await asyncio.sleep(min(delay_ms / 1000, MAX_SWITCH_SLEEP_S))
 
     # -- load order ------------------------------------------------------
 
