--- a/src/wisteriapulley/catalogue_status.py
+++ b/src/wisteriapulley/catalogue_status.py
@@ -89,6 +89,8 @@
 def status_table(status: Status) -> Iterator[str]:
     """Yield the lines of the status table."""
     yield f"accepted revision {status.revision}, leader {status.leader or 'none'}"
+    if status.evacuated:
+        yield f"evacuated failure domains: {', '.join(status.evacuated)}"
     yield (
         f"{'failure domain':<16}{'in force':>9}{'nodes':>10}{'replicas':>10}"
         f"{'MiB copied':>18}  time left"
--- a/src/wisteriapulley/cli.py
+++ b/src/wisteriapulley/cli.py
@@ -11,6 +11,7 @@
 from wisteriapulley import __version__
 from wisteriapulley.catalogue_commands import CatalogueCommand, Control, TokenFile
 from wisteriapulley.errors import ResultCode, WisteriapulleyError
+from wisteriapulley.evacuate_command import EvacuateCommand
 
 EXIT_OK = 0
 EXIT_ERROR = 1
@@ -327,6 +328,7 @@
         | EntryCommand
         | SidecarCommand
         | CatalogueCommand
+        | EvacuateCommand
         | ManifestCommand
         | SettingsCommand
         | ExplainCommand
--- a/src/wisteriapulley/control/operators.py
+++ b/src/wisteriapulley/control/operators.py
@@ -9,13 +9,14 @@
 from wisteriapulley.catalogue.catalogue import history_rows
 from wisteriapulley.control.commands import ChangeCatalogue
 from wisteriapulley.control.driver import no_quorum
-from wisteriapulley.control.reports import Status
+from wisteriapulley.control.reports import EvacuationStatus, Status
 from wisteriapulley.errors import CODE_TABLE, CatalogueError, ResultCode
 
 BEARER = "Bearer "
 # Maximum size of a change: enough for one of every entry at about 300 bytes each.
 # Without a limit one body could fill the log and the memory of every follower.
 MAX_CHANGE_BYTES = 1 << 20
+EVACUATION_PATH = "/v1/evacuations/{failure_domain}"
 
 
 def operator_routes(service) -> list[web.RouteDef]:
@@ -26,6 +27,9 @@
         web.get("/v1/catalogue", operators.get),
         web.get("/v1/catalogue/history", operators.history),
         web.get("/v1/status", operators.status),
+        web.get("/v1/evacuations", operators.evacuations),
+        web.put(EVACUATION_PATH, operators.evacuate),
+        web.delete(EVACUATION_PATH, operators.end_evacuation),
     ]
 
 
@@ -108,10 +112,36 @@
         rows = tuple(service.reports.rows(service.members.view))
         return json_response(
             Status(
-                service.state.catalogue.revision, service.driver.replica.leader, rows
+                service.state.catalogue.revision,
+                service.driver.replica.leader,
+                rows,
+                service.publisher.evacuations.failure_domains,
             )
         )
 
+    async def evacuate(self, request: web.Request) -> web.Response:
+        """Evacuate a failure domain."""
+        return await self.set_evacuated(request, True)
+
+    async def end_evacuation(self, request: web.Request) -> web.Response:
+        """Withdraw the evacuation of a failure domain."""
+        return await self.set_evacuated(request, False)
+
+    async def set_evacuated(
+        self, request: web.Request, evacuated: bool
+    ) -> web.Response:
+        """Commit whether a failure domain is evacuated; return all that are."""
+        self.authenticate(request)
+        domain = request.match_info["failure_domain"]
+        await self.service.api.set_evacuated(domain, evacuated)
+        # The leader has applied the order, and this instance may lag behind it.
+        return json_response(EvacuationStatus(await self.service.api.read_evacuated()))
+
+    async def evacuations(self, request: web.Request) -> web.Response:
+        """Return the evacuated failure domains, confirmed by a quorum."""
+        self.authenticate(request)
+        return json_response(EvacuationStatus(await self.service.api.read_evacuated()))
+
 
 def json_response(value: object, status: int = 200) -> web.Response:
     """Return a response with `value` as JSON."""
--- a/src/wisteriapulley/control/reports.py
+++ b/src/wisteriapulley/control/reports.py
@@ -42,11 +42,21 @@
 
 
 class Status(msgspec.Struct, frozen=True):
-    """Response of ``/v1/status``: the accepted revision and every node's state."""
+    """Response of ``/v1/status``: the accepted revision and every node's state.
+
+    `evacuated` lists the evacuated failure domains.
+    """
 
     revision: int
     leader: str
     nodes: tuple[StatusRow, ...]
+    evacuated: tuple[str, ...] = ()
+
+
+class EvacuationStatus(msgspec.Struct, frozen=True):
+    """Response of ``/v1/evacuations``: the evacuated failure domains."""
+
+    evacuated: tuple[str, ...]
 
 
 class ReportedProgress:
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -70,6 +70,9 @@
         self.metrics = Metrics(settings.node_id, "control")
         self.state = ControlState()
         self.reports = ReportTable()
+        self.evacuated_gauge = self.metrics.gauge(
+            "failure_domains_evacuated", "Failure domains that are evacuated."
+        )
         self.member_links: dict[str, Link] = {}
         self.peer_links: dict[str, Link] = {}
         self.operators = load_operators(settings.operators_file)
@@ -537,6 +540,8 @@
         self.publisher.suspect_feed.sweep()
         self.rates.sweep()
         self.update_entry_count()
+        evacuated = self.publisher.evacuations.failure_domains
+        self.evacuated_gauge.set({}, len(evacuated))
         self.publish_hosts()
         if self.flush_timer is None:
             self.flush()
--- a/src/wisteriapulley/operator_client.py
+++ b/src/wisteriapulley/operator_client.py
@@ -6,13 +6,14 @@
 from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
+from urllib.parse import quote
 
 import msgspec
 
 from wisteriapulley.catalogue import Change, ChangeResult, diff, load_folder
 from wisteriapulley.catalogue.catalogue import CatalogueImage
 from wisteriapulley.catalogue.changes import format_changes
-from wisteriapulley.control.reports import Status
+from wisteriapulley.control.reports import EvacuationStatus, Status
 from wisteriapulley.errors import CatalogueError, ResultCode, SettingsError
 from wisteriapulley.settings import Address
 
@@ -119,6 +120,21 @@
         """Return the status of all nodes."""
         return decode(self.request("GET", "/v1/status"), Status)
 
+    def evacuated(self) -> tuple[str, ...]:
+        """Return the evacuated failure domains, confirmed by a quorum."""
+        return decode(
+            self.request("GET", "/v1/evacuations"), EvacuationStatus
+        ).evacuated
+
+    def set_evacuated(self, failure_domain: str, evacuated: bool) -> tuple[str, ...]:
+        """Evacuate a failure domain or withdraw that; return the evacuated ones.
+
+        A resend is safe: a domain that is as ordered already is acknowledged.
+        """
+        method = "PUT" if evacuated else "DELETE"
+        path = f"/v1/evacuations/{quote(failure_domain, safe='')}"
+        return decode(self.request(method, path), EvacuationStatus).evacuated
+
     def change(self, change: Change) -> ChangeResult:
         """Send a change and return its result."""
         body = msgspec.json.encode(change)
