Obey evacuations in entries that follow the catalogue

Cause: the command would be accepted in a deployment whose entries follow the catalogue, and change nothing there. Change: they get the set when they watch a control instance and before it confirms the catalogue, leave the domain's targets out, and link to others first. Both kinds of entry and the control instances keep the set in one class.

--- a/src/wisteriapulley/control/client.py
+++ b/src/wisteriapulley/control/client.py
@@ -11,6 +11,7 @@
 from wisteriapulley.catalogue.entry import Entry
 from wisteriapulley.control.commands import Command, Result, decode_result, encode
 from wisteriapulley.control.driver import no_quorum
+from wisteriapulley.control.evacuations import EvacuationView
 from wisteriapulley.errors import WireError, WisteriapulleyError
 from wisteriapulley.settings import NodeSettings
 from wisteriapulley.wire import Frame, Link, messages
@@ -105,6 +106,8 @@
         self.on_members = on_members
         self.catalogue = LocalCatalogue()
         self.members: dict[str, messages.Announce] = {}
+        self.evacuations = EvacuationView()
+        self.on_evacuations: Callable[[], None] = ignore
         self.announcement: messages.Announce | None = None
         self.report: messages.Report | None = None
         self.report_timer: asyncio.TimerHandle | None = None
@@ -255,6 +258,12 @@
                 self.members[member.node_id] = member
         self.on_members()
 
+    @receive.register
+    def receive_evacuations(self, message: messages.EvacuationNews) -> None:
+        """Handle the message `EvacuationNews`."""
+        if self.evacuations.update(message):
+            self.on_evacuations()
+
     async def pull(self, link: Link) -> None:
         """Pull the catalogue from a peer whose revision is ahead."""
         self.pulling = True
@@ -293,6 +302,10 @@
             await asyncio.sleep(0.02)
 
 
+def ignore() -> None:
+    """Ignore a change that has no handler."""
+
+
 def differs_only_in_progress(before: messages.Report, after: messages.Report) -> bool:
     """Return whether two reports differ at most in the bytes done."""
     return before._replace(bytes_done=after.bytes_done) == after
--- a/src/wisteriapulley/control/control_api.py
+++ b/src/wisteriapulley/control/control_api.py
@@ -195,7 +195,9 @@
     def check_failure_domain(self, failure_domain: str) -> None:
         """Raise if a failure domain is not known."""
         service = self.service
-        known = service.publisher.known_failure_domains()
+        members = service.members.view.values()
+        known = {member.failure_domain for member in members}
+        known |= service.publisher.known_failure_domains()
         if failure_domain in known:
             return
         if not (service.settings.failure_domain_regions or service.members_complete):
--- a/src/wisteriapulley/control/evacuations.py
+++ b/src/wisteriapulley/control/evacuations.py
@@ -1,9 +1,15 @@
-"""Replicated state of which failure domains are evacuated. Pure."""
+"""Which failure domains are evacuated: in the replicated state, and at a node."""
 
+import logging
 from collections.abc import Mapping
 
 import msgspec
 
+from wisteriapulley.logs import fields
+from wisteriapulley.wire.messages import EvacuationNews
+
+log = logging.getLogger(__name__)
+
 
 class EvacuationOrder(msgspec.Struct, frozen=True):
     """Order to evacuate a failure domain, or to withdraw its evacuation.
@@ -76,3 +82,31 @@
     def restore(self, domains: Mapping[str, DomainState]) -> None:
         """Replace the state with that of a snapshot."""
         self.domains = dict(domains)
+
+
+class EvacuationView:
+    """The newest set of evacuated failure domains that a process has received.
+
+    Attributes
+    ----------
+    news : EvacuationNews
+        The message with that set.
+    domains : frozenset of str
+        The evacuated failure domains.
+    """
+
+    def __init__(self):
+        self.news = EvacuationNews()
+        self.domains: frozenset[str] = frozenset()
+
+    def update(self, news: EvacuationNews) -> bool:
+        """Apply a set unless it is older; return whether it is newer."""
+        if news.revision <= self.news.revision:
+            return False
+        self.news = news
+        self.domains = frozenset(news.failure_domains)
+        log.info(
+            "evacuated failure domains",
+            extra=fields(revision=news.revision, failure_domains=news.failure_domains),
+        )
+        return True
--- a/src/wisteriapulley/control/followers.py
+++ b/src/wisteriapulley/control/followers.py
@@ -38,6 +38,8 @@
         self.failure_domain = failure_domain
         self.regions = regions
         self.links: set[Link] = set()
+        # Nodes that watch the catalogue instead; they get only evacuations from here.
+        self.watchers: set[Link] = set()
         self.entry_count = 0
 
     def add(self, link: Link) -> None:
@@ -48,6 +50,7 @@
     def remove(self, link: Link) -> None:
         """Remove a follower."""
         self.links.discard(link)
+        self.watchers.discard(link)
         self.update_entry_count()
 
     def update_entry_count(self) -> None:
@@ -79,12 +82,13 @@
         broadcast(self.open_links(), message)
 
     def push_evacuations(self, message: messages.EvacuationNews) -> None:
-        """Send the evacuated failure domains to all followers.
+        """Send the evacuated failure domains to all followers and watchers.
 
         A link without room gets them too: the message is small and rare, and a
         follower that missed it would get no other until it reconnects.
         """
-        links = (link for link in tuple(self.links) if not link.closed.is_set())
+        receivers = self.links | self.watchers
+        links = (link for link in receivers if not link.closed.is_set())
         broadcast(filter(knows_evacuations, links), message)
 
     def push_targets(
--- a/src/wisteriapulley/control/following.py
+++ b/src/wisteriapulley/control/following.py
@@ -16,6 +16,7 @@
 from wisteriapulley.clocks import steady_s
 from wisteriapulley.control.client import ISOLATED_STATE
 from wisteriapulley.control.control_api import unpack_table
+from wisteriapulley.control.evacuations import EvacuationView
 from wisteriapulley.control.nearest import by_nearness, instances_to_follow
 from wisteriapulley.errors import WisteriapulleyError
 from wisteriapulley.logs import fields
@@ -99,10 +100,8 @@
 
     Attributes
     ----------
-    evacuated : frozenset of str
+    evacuations : EvacuationView
         The evacuated failure domains.
-    evacuation_revision : int
-        Revision of that set.
     """
 
     def __init__(
@@ -122,8 +121,7 @@
         self.follow_routing = follow_routing
         self.table = RoutingTable(0)
         self.fresh = False
-        self.evacuated: frozenset[str] = frozenset()
-        self.evacuation_revision = 0
+        self.evacuations = EvacuationView()
         self.versions = DesiredVersions()
         self.engines: dict[str, Engine] = {}
         # Failure domain of each known instance by host; empty if unknown.
@@ -158,6 +156,11 @@
         for followed in closing.values():
             await followed.connection.stop()
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The evacuated failure domains."""
+        return self.evacuations.domains
+
     def open_links(self) -> list[Link]:
         """Return the links that are open now."""
         links = (followed.connection.open_link for followed in self.followed.values())
@@ -367,17 +370,8 @@
     @receive.register
     def receive_evacuations(self, message: messages.EvacuationNews) -> None:
         """Handle the message `EvacuationNews`."""
-        if message.revision <= self.evacuation_revision:
-            return
-        self.evacuation_revision = message.revision
-        self.evacuated = frozenset(message.failure_domains)
-        log.info(
-            "evacuated failure domains",
-            extra=fields(
-                revision=message.revision, failure_domains=message.failure_domains
-            ),
-        )
-        self.on_evacuations()
+        if self.evacuations.update(message):
+            self.on_evacuations()
 
     @receive.register
     def receive_targets(self, message: messages.TargetNews) -> None:
--- a/src/wisteriapulley/control/operators.py
+++ b/src/wisteriapulley/control/operators.py
@@ -115,7 +115,7 @@
                 service.state.catalogue.revision,
                 service.driver.replica.leader,
                 rows,
-                service.publisher.evacuations.failure_domains,
+                tuple(sorted(service.publisher.evacuations.domains)),
             )
         )
 
--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -1,27 +1,24 @@
 """Publishes the state of one control instance to entries and sidecars."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 
 from wisteriapulley.clocks import steady_ms
 from wisteriapulley.control.control_api import unpack_table
 from wisteriapulley.control.driver import Driver
+from wisteriapulley.control.evacuations import EvacuationView
 from wisteriapulley.control.followers import ENTRY, Followers, knows_evacuations
 from wisteriapulley.control.state import ControlState
 from wisteriapulley.control.suspect_feed import SuspectFeed
 from wisteriapulley.control.target_feed import TargetFeed
 from wisteriapulley.control.targets import TargetTable
 from wisteriapulley.errors import WisteriapulleyError
-from wisteriapulley.logs import fields
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine, Origin, RoutingTable
 from wisteriapulley.settings import ControlSettings
 from wisteriapulley.weights.desired_versions import DesiredVersions
 from wisteriapulley.wire import Frame, Link, messages
 
-log = logging.getLogger(__name__)
-
 # How long the reply to a follower waits for a quorum to confirm the table.
 CONFIRM_TIMEOUT_S = 0.8
 # Age given to versions restored from disk: longer than a superseded version may serve.
@@ -48,7 +45,7 @@
         Driver of the replica, for quorum reads; set by the service at its start.
     table : RoutingTable
         The routing table in force here.
-    evacuations : EvacuationNews
+    evacuations : EvacuationView
         The newest set of evacuated failure domains, from the log or a peer.
     """
 
@@ -77,7 +74,7 @@
         # Failure domain of each control instance that was ever connected.
         self.failure_domains = {settings.node_id: settings.failure_domain}
         self.table = RoutingTable(0)
-        self.evacuations = messages.EvacuationNews()
+        self.evacuations = EvacuationView()
 
     def publish_restored(self) -> None:
         """Publish the state restored from disk.
@@ -115,7 +112,7 @@
     def publish_changes(self) -> None:
         """Publish new tables, weights and evacuations to followers and peers."""
         if self.record_evacuations(self.own_evacuations()):
-            self.send_to_peers(self.evacuations)
+            self.send_to_peers(self.evacuations.news)
         if self.state.routing.version > self.published_routing:
             self.published_routing = self.state.routing.version
             self.table = unpack_table(self.state.routing.table)
@@ -183,23 +180,21 @@
         Only committed orders are in force anywhere, so the first message about one is
         enough, from the log or from a peer.
         """
-        if message.revision <= self.evacuations.revision:
+        if not self.evacuations.update(message):
             return False
-        self.evacuations = message
-        log.info(
-            "evacuated failure domains",
-            extra=fields(
-                revision=message.revision, failure_domains=message.failure_domains
-            ),
-        )
         self.followers.push_evacuations(message)
         return True
 
     def send_evacuations(self, link: Link) -> None:
         """Send a newly connected process the evacuated domains, if there were any."""
         self.record_evacuations(self.own_evacuations())
-        if self.evacuations.revision and knows_evacuations(link):
-            link.post(self.evacuations)
+        if self.evacuations.news.revision and knows_evacuations(link):
+            link.post(self.evacuations.news)
+
+    def add_watcher(self, link: Link) -> None:
+        """Send evacuations to a node that watches the catalogue, now and later."""
+        self.send_evacuations(link)
+        self.followers.watchers.add(link)
 
     def routing_message(self, fresh: bool, known: int = 0) -> messages.RoutingNews:
         """Return the table in force; without content if `known` is current."""
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -313,12 +313,16 @@
         self, message: messages.Watch, link: Link, frame: Frame
     ) -> None:
         """Handle the message `Watch`."""
+        self.publisher.add_watcher(link)
         self.fanout.add(link, message.services)
         try:
             await self.driver.read_barrier()
             fresh = True
         except (WisteriapulleyError, TimeoutError):
             fresh = False
+        # A confirmed catalogue makes a node ready: it must not know less than what was
+        # committed before.
+        self.publisher.record_evacuations(self.publisher.own_evacuations())
         update = self.fanout.catalogue_update(fresh, message.revision)
         link.post(update, reply_to=frame.id)
 
@@ -540,7 +544,7 @@
         self.publisher.suspect_feed.sweep()
         self.rates.sweep()
         self.update_entry_count()
-        evacuated = self.publisher.evacuations.failure_domains
+        evacuated = self.publisher.evacuations.domains
         self.evacuated_gauge.set({}, len(evacuated))
         self.publish_hosts()
         if self.flush_timer is None:
--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -89,6 +89,7 @@
         self.targets = Targets(
             settings, self.identity, self.control, self.handle, self.heartbeat
         )
+        self.control.on_evacuations = self.evacuations_changed
         rng = random.Random(f"{settings.node_id}{self.incarnation}")
         self.placer = Placer(self.targets, rng)
         self.dispatcher = Dispatcher(self.placer)
@@ -141,6 +142,10 @@
         """Update the links after the member list changed."""
         self.targets.members_changed()
 
+    def evacuations_changed(self) -> None:
+        """Send no new requests to the evacuated failure domains."""
+        self.targets.set_evacuated(self.control.evacuations.domains)
+
     def report(self) -> None:
         """Report the revision in force here."""
         self.control.send_report(
--- a/src/wisteriapulley/entry/targets.py
+++ b/src/wisteriapulley/entry/targets.py
@@ -136,6 +136,8 @@
         self.handler = handler
         self.heartbeat = heartbeat
         self.targets: dict[str, Target] = {}
+        # Failure domains whose targets get no new requests.
+        self.evacuated: frozenset[str] = frozenset()
         self.started_s = time.monotonic()
 
     def members_changed(self) -> None:
@@ -159,6 +161,11 @@
                 self.add(member)
         self.close_unused()
 
+    def set_evacuated(self, failure_domains: frozenset[str]) -> None:
+        """Send no new requests to these failure domains, and to others again."""
+        self.evacuated = failure_domains
+        self.members_changed()
+
     def close_unused(self) -> None:
         """Close the links that are no longer needed."""
         now_s = time.monotonic()
@@ -167,14 +174,22 @@
                 self.drop(name)
 
     def choose_subset(self) -> Iterator[tuple[str, messages.Announce]]:
-        """Yield the members in this entry's subset, by node id."""
+        """Yield the members in this entry's subset, by node id.
+
+        Those in evacuated failure domains are linked to only if there is room.
+        """
         services: dict[str, list[messages.Announce]] = {}
         for member in self.control.members.values():
             if member.role == "sidecar":
                 services.setdefault(member.service, []).append(member)
         own_id = self.settings.node_id
         for members in services.values():
-            members.sort(key=lambda m: rendezvous_weight(own_id, m.node_id))
+            members.sort(
+                key=lambda m: (
+                    m.failure_domain in self.evacuated,
+                    rendezvous_weight(own_id, m.node_id),
+                )
+            )
             for member in members[: self.settings.links_per_service]:
                 yield member.node_id, member
 
@@ -228,6 +243,7 @@
             if target.member.service == entry.service
             and name not in avoid
             and name not in entry.leaving
+            and target.member.failure_domain not in self.evacuated
             and target.accepts(entry, version)
         ]
         responsive = [
--- a/tests/test_entry_targets.py
+++ b/tests/test_entry_targets.py
@@ -76,3 +76,40 @@
     def test_target_leaving_by_catalogue_gets_no_requests(self):
         targets = make_targets(t1=heartbeat(PREVIOUS), t2=heartbeat(PREVIOUS))
         assert asyncio.run(target_names(targets, entry(leaving=("t1",)))) == {"t2"}
+
+
+class TestEvacuation:
+    def evacuate(self, targets, *domains):
+        targets.evacuated = frozenset(domains)
+        for number, target in enumerate(targets.targets.values()):
+            target.member = target.member._replace(failure_domain=f"d{number}")
+
+    def test_evacuated_target_gets_no_requests(self):
+        targets = make_targets(t1=heartbeat(), t2=heartbeat())
+        self.evacuate(targets, "d0")
+        assert asyncio.run(target_names(targets, entry())) == {"t2"}
+        self.evacuate(targets)
+        assert asyncio.run(target_names(targets, entry())) == {"t1", "t2"}
+
+    def test_unresponsive_targets_that_are_left_come_before_evacuated_ones(self):
+        targets = make_targets(t1=heartbeat(), t2=heartbeat())
+        self.evacuate(targets, "d0")
+
+        async def names():
+            now_s = asyncio.get_running_loop().time()
+            targets.targets["t1"].link.last_received = now_s
+            targets.targets["t2"].link.last_received = now_s - 100
+            return {view.node_id for view in targets.views(entry())}
+
+        assert asyncio.run(names()) == {"t2"}
+
+    def test_links_go_to_the_domains_that_are_left(self):
+        targets = make_targets()
+        targets.settings.links_per_service = 10
+        targets.control.members = {
+            f"t{n}": messages.Announce(f"t{n}", 1, "sidecar", "s", f"d{n % 2}")
+            for n in range(20)
+        }
+        targets.evacuated = frozenset({"d0"})
+        chosen = {name for name, _ in targets.choose_subset()}
+        assert chosen == {f"t{n}" for n in range(1, 20, 2)}
--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 import pytest
 
@@ -100,6 +101,7 @@
         self.api = ControlApi(self)
         self.publisher = self
         self.known_failure_domains = lambda: set(DOMAINS)
+        self.members = SimpleNamespace(view={})
 
 
 class TestOperators:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -266,6 +266,7 @@
         self.publisher = self.instance.publisher
         self.settings = self.publisher.settings
         self.members_complete = True
+        self.members = types.SimpleNamespace(view={})
         self.driver = self
         self.proposed = 0
         self.has_quorum = True
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -89,6 +89,32 @@
         status, _, text = asyncio.run(post(fleet, "/v1/completions", {"model": "x"}))
         assert (status, json.loads(text)["error"]["not_run"]) == (404, True)
 
+    def test_evacuated_target_gets_no_requests_until_the_withdrawal(self, fleet):
+        options = fleet.operator_options(OWNER)
+
+        def send_until(status):
+            """Resend under new keys until the response has a status."""
+            deadline_s = time.monotonic() + RESPONSE_START_TIMEOUT_S
+            while True:
+                assert time.monotonic() < deadline_s
+                expires = str(int(time.time() * 1000) + 60_000)
+                key = f"evacuated-{time.monotonic()}"
+                headers = {"Idempotency-Key": key, "Idempotency-Expires": expires}
+                path = "/services/letters/post"
+                sent = asyncio.run(post(fleet, path, {"prompt": "e"}, **headers))
+                if sent[0] == status:
+                    return json.loads(sent[2])
+
+        shown = fleet.run_cli("evacuate", "belfast", *options)
+        assert shown == "evacuated: belfast\n"
+        refusal = send_until(503)
+        assert refusal["error"]["not_run"] is True
+        ran = len(fleet.records("target-press"))
+        assert send_until(503)["error"]["code"] == 404
+        assert len(fleet.records("target-press")) == ran
+        assert fleet.run_cli("evacuate", "belfast", "--end", *options)
+        send_until(200)
+
     @pytest.mark.parametrize("name", ["entry-0", "model-0"])
     def test_sigterm_finishes_requests_in_progress(self, fleet, name):
         node = fleet.nodes[name]
