Check the end of an engine's wait for its switch against one due time

Cause: the time of a switch was computed anew in each step of the wait, so that engines which joined meanwhile moved it, also without any evacuation. Change: one due time; only an evacuation ends the wait early. Measured: the tests of evacuated engines and of the fleet pass.

--- a/src/wisteriapulley/evacuate_command.py
+++ b/src/wisteriapulley/evacuate_command.py
@@ -22,11 +22,12 @@
     failure_domain: Annotated[str, cappa.Arg(help="Failure domain to evacuate.")] = ""
     end: Annotated[bool, cappa.Arg(long=True, help="Withdraw the evacuation.")] = False
     status: Annotated[
-        bool, cappa.Arg(long=True, help="Print the evacuated failure domains.")
+        bool,
+        cappa.Arg(long=True, help="Only print the evacuated failure domains."),
     ] = False
 
     def __call__(self) -> int:
-        """Send the order, if a failure domain is given, and print what is in force.
+        """Send the order, unless only the status is asked for; print what is evacuated.
 
         Raises
         ------
@@ -35,16 +36,16 @@
         """
         from wisteriapulley.operator_client import OperatorClient
 
-        if not self.failure_domain and (self.end or not self.status):
+        if not (self.failure_domain or self.status):
             raise SettingsError(
                 ResultCode.SETTINGS_INVALID,
                 "expected a failure domain or --status, got neither; see"
                 " `wisteriapulley evacuate --help`",
             )
         client = OperatorClient.from_files(self.control, self.token_file, "")
-        if self.failure_domain:
-            evacuated = client.set_evacuated(self.failure_domain, not self.end)
-        else:
+        if self.status:
             evacuated = client.evacuated()
+        else:
+            evacuated = client.set_evacuated(self.failure_domain, not self.end)
         print(f"evacuated: {', '.join(evacuated) or 'none'}")
         return EXIT_OK
--- a/src/wisteriapulley/rollout/updater.py
+++ b/src/wisteriapulley/rollout/updater.py
@@ -28,7 +28,7 @@
 # Estimate before the first load: an idle engine loads in 0.3 s and is polled every
 # 0.05 s.
 INITIAL_LOAD_MS = 350.0
-# The time of the switch is checked again after at most this long.
+# An engine that waits for its switch notices an evacuation after at most this long.
 MAX_SWITCH_SLEEP_S = 0.2
 # Weight of a new sample in the estimate of the load time.
 LOAD_TIME_GAIN = 0.5
@@ -237,8 +237,10 @@
 
         Its failure domain may be evacuated meanwhile, and then it need not wait.
         """
-        while (delay_ms := self.switch_in_ms(manifest)) > 0:
-            await asyncio.sleep(min(delay_ms / 1000, MAX_SWITCH_SLEEP_S))
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + self.switch_in_ms(manifest) / 1000
+        while not self.state.is_evacuated and (left_s := due_s - loop.time()) > 0:
+            await asyncio.sleep(min(left_s, MAX_SWITCH_SLEEP_S))
 
     # -- load order ------------------------------------------------------
 
--- a/tests/test_evacuated_engine.py
+++ b/tests/test_evacuated_engine.py
@@ -174,7 +174,8 @@
                 waits.append(delay_s)
                 evacuate(service, 1, "z")
 
-            sleeping = SimpleNamespace(sleep=sleep)
+            loop = asyncio.get_running_loop()
+            sleeping = SimpleNamespace(sleep=sleep, get_running_loop=lambda: loop)
             monkeypatch.setattr(updater_module, "asyncio", sleeping)
             await service.updater.wait_for_switch(MANIFEST)
             assert len(waits) == 1 and waits[0] <= updater_module.MAX_SWITCH_SLEEP_S
--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -71,6 +71,7 @@
 
 class TestRestarts:
     def test_order_outlives_the_kill_and_the_restart_of_all(self, fleet):
+        assert evacuate(fleet, "swords", "--status") == "evacuated: none"
         assert evacuate(fleet, "swords") == "evacuated: swords"
         for node in fleet.nodes.values():
             node.process.kill()
