Reserve slots of an engine for more urgent classes

Cause: a free slot went to whoever asked while its first event could be in time, so the least urgent class, with the longest objective and the shortest prompts, held the slots and the most urgent one was served worst. Change: ClassReserve observes arrivals and holding times by priority and keeps slots free (trunk reservation); each class has a floor; no class is refused for others while under half of the slots are in use. The emulator plays a mix of three priorities, surges and outages.

--- a/src/wisteriapulley/emulator/__init__.py
+++ b/src/wisteriapulley/emulator/__init__.py
@@ -1,6 +1,15 @@
 """Emulated fleet of engines on a virtual clock, driven by the production policies."""
 
-from wisteriapulley.emulator.fleet import Fleet, Outcome, Scenario
+from wisteriapulley.emulator.fleet import Fleet, Outage, Outcome, Scenario, Surge
 from wisteriapulley.emulator.mixes import MIXES, RequestKind, RequestMix
 
-__all__ = ["MIXES", "Fleet", "RequestKind", "RequestMix", "Outcome", "Scenario"]
+__all__ = [
+    "MIXES",
+    "Fleet",
+    "RequestKind",
+    "RequestMix",
+    "Outage",
+    "Outcome",
+    "Scenario",
+    "Surge",
+]
--- a/src/wisteriapulley/emulator/engine.py
+++ b/src/wisteriapulley/emulator/engine.py
@@ -45,6 +45,11 @@
         self.load_ms = 0.0
         self.on_loaded: Callable[[], None] | None = None
         self.busy_slot_ms = 0.0
+        self.stopped = False
+
+    def stop(self) -> None:
+        """Lose all requests; this engine emits nothing any more."""
+        self.stopped = True
 
     def submit(self, job: Job) -> None:
         """Add a request."""
@@ -80,6 +85,8 @@
 
     def end_batch_step(self) -> None:
         """Emit an event of each request."""
+        if self.stopped:
+            return
         for request_id in tuple(self.running):
             if request_id in self.before_first_event:
                 self.before_first_event.discard(request_id)
--- a/src/wisteriapulley/emulator/fleet.py
+++ b/src/wisteriapulley/emulator/fleet.py
@@ -16,7 +16,7 @@
     MIN_LATE_WAIT_MS,
 )
 from wisteriapulley.emulator.engine import EmulatedEngine, Job
-from wisteriapulley.emulator.mixes import ENGINE, MIXES, RequestKind, draw_sizes
+from wisteriapulley.emulator.mixes import MIXES, RequestKind, draw_sizes
 from wisteriapulley.policy.engine_slots import (
     AdmissionDecision,
     EngineSlots,
@@ -40,6 +40,38 @@
 MAX_CALLER_WAIT_MS = 6000.0
 
 
+class Surge(NamedTuple):
+    """Change of the request rates for some time.
+
+    Attributes
+    ----------
+    start_s, end_s : float
+        When it begins and ends.
+    factors : dict of str to float
+        Factors of the rates, by kind of request.
+    """
+
+    start_s: float
+    end_s: float
+    factors: dict[str, float]
+
+
+class Outage(NamedTuple):
+    """Engines that are lost with their requests, and start again empty.
+
+    Attributes
+    ----------
+    start_s, end_s : float
+        When it begins and ends.
+    engines : int
+        Number of engines, the first ones.
+    """
+
+    start_s: float
+    end_s: float
+    engines: int
+
+
 class Scenario(NamedTuple):
     """Parameters of a run.
 
@@ -77,6 +109,12 @@
         That rate, in requests per second.
     seed : int
         Seed of the arrivals.
+    class_reserve : bool
+        Whether slots are reserved for more urgent classes.
+    surges : tuple of Surge
+        Changes of the request rates.
+    outages : tuple of Outage
+        Losses of engines.
     """
 
     mix: str = "trinacria"
@@ -96,6 +134,9 @@
     limited_engines: int = 0
     limit_per_s: float = 1.2
     seed: int = 1
+    class_reserve: bool = True
+    surges: tuple[Surge, ...] = ()
+    outages: tuple[Outage, ...] = ()
 
 
 class Outcome(NamedTuple):
@@ -152,6 +193,7 @@
 
     def __init__(self, scenario: Scenario):
         self.scenario = scenario
+        self.mix = MIXES[scenario.mix]
         self.rng = random.Random(scenario.seed)
         self.max_wait_rng = random.Random(scenario.seed)
         self.retry_detector = RetryDetector()
@@ -164,19 +206,24 @@
         self.engine_slots = [self.new_engine_slots() for _ in range(scenario.engines)]
         for slots in self.engine_slots[: scenario.limited_engines]:
             slots.rate_limits.update("", scenario.limit_per_s, 0.0)
-        self.engines = [
-            EmulatedEngine(
-                ENGINE, self.schedule, self.record_first_event, self.release_slot
-            )
-            for _ in range(scenario.engines)
-        ]
+        self.engines = [self.new_engine() for _ in range(scenario.engines)]
+
+    def new_engine(self) -> EmulatedEngine:
+        """Return an empty engine."""
+        return EmulatedEngine(
+            self.mix.engine, self.schedule, self.record_first_event, self.release_slot
+        )
 
     def new_engine_slots(self) -> EngineSlots:
         """Return the slots of one engine."""
         slots = EngineSlots(
-            ENGINE, self.scenario.extra_slots, self.scenario.max_overrun_ms
+            self.mix.engine, self.scenario.extra_slots, self.scenario.max_overrun_ms
         )
         slots.open = True
+        # Late requests that compete with new ones would be a class of their own.
+        slots.reserve.enabled = (
+            self.scenario.class_reserve and self.scenario.deprioritize_late
+        )
         return slots
 
     def schedule(self, delay_ms: float, call: Callable[[], None]) -> None:
@@ -190,6 +237,8 @@
         self.advance_all_queues()
         if self.scenario.change_s:
             self.schedule_changes()
+        for outage in self.scenario.outages:
+            self.schedule_outage(outage)
         end_ms = self.scenario.seconds * 1000 + MAX_CALLER_WAIT_MS
         while self.events and self.events[0][0] < end_ms:
             self.now_ms, _, call = heapq.heappop(self.events)
@@ -200,10 +249,10 @@
 
     def generate_arrival(self) -> None:
         """Generate a request, and schedule the next one."""
-        mix = MIXES[self.scenario.mix]
+        mix = self.mix
         if self.now_ms > self.scenario.seconds * 1000:
             return
-        weights = [kind.relative_rate for kind in mix.kinds]
+        weights = [kind.relative_rate * self.surge(kind) for kind in mix.kinds]
         kind = self.rng.choices(mix.kinds, weights)[0]
         prompt, events = draw_sizes(self.rng, kind)
         # Callers' estimates are correct only in the median.
@@ -216,8 +265,17 @@
         )
         self.requests[request.request_id] = request
         self.submit(request)
-        gap_ms = self.rng.expovariate(mix.per_s * self.scenario.load / 1000)
-        self.schedule(gap_ms, self.generate_arrival)
+        surge = sum(weights) / sum(kind.relative_rate for kind in mix.kinds)
+        per_s = mix.per_s * self.scenario.load * surge
+        self.schedule(self.rng.expovariate(per_s / 1000), self.generate_arrival)
+
+    def surge(self, kind: RequestKind) -> float:
+        """Return the factor of a kind's rate at this moment."""
+        factor = 1.0
+        for surge in self.scenario.surges:
+            if surge.start_s * 1000 <= self.now_ms < surge.end_s * 1000:
+                factor *= surge.factors.get(kind.name, 1.0)
+        return factor
 
     def submit(self, request: EmulatedRequest) -> None:
         """Choose the order in which to ask sidecars, and ask the first one."""
@@ -259,8 +317,8 @@
             request.request_id,
             "entry",
             request.prompt,
-            request.expected * ENGINE.stride,
-            LATE_PRIORITY_OFFSET if late else 1,
+            request.expected * self.mix.engine.stride,
+            request.kind.priority + (LATE_PRIORITY_OFFSET if late else 0),
             MIN_LATE_WAIT_MS if late else remaining_ms,
             late and self.scenario.deprioritize_late,
         )
@@ -300,9 +358,10 @@
     def release_slot(self, request_id: str) -> None:
         """Release the slot after the network delay."""
         engine_index = self.asked_engine[request_id]
+        slots = self.engine_slots[engine_index]
 
         def release() -> None:
-            self.engine_slots[engine_index].release(request_id, self.now_ms)
+            slots.release(request_id, self.now_ms)
             self.advance_queue(engine_index)
 
         self.schedule(2 * NETWORK_DELAY_MS, release)
@@ -364,6 +423,25 @@
 
         return change
 
+    # -- outages ---------------------------------------------------------
+
+    def schedule_outage(self, outage: Outage) -> None:
+        """Schedule the loss of engines, and their return."""
+
+        def begin() -> None:
+            for engine_index in range(outage.engines):
+                self.engine_slots[engine_index].close()
+                self.advance_queue(engine_index)
+                self.engines[engine_index].stop()
+
+        def end() -> None:
+            for engine_index in range(outage.engines):
+                self.engine_slots[engine_index] = self.new_engine_slots()
+                self.engines[engine_index] = self.new_engine()
+
+        self.schedule(outage.start_s * 1000, begin)
+        self.schedule(outage.end_s * 1000, end)
+
     # -- results ---------------------------------------------------------
 
     def summarize(self) -> Outcome:
@@ -385,6 +463,37 @@
             min(map(earned_fraction, full_windows)),
         )
 
+    def by_kind(self, start_s: float = 0.0) -> dict[str, "KindOutcome"]:
+        """Return the results by kind of request that arrived from `start_s` on."""
+        arrived = [r for r in self.requests.values() if r.at_ms >= start_s * 1000]
+        return {
+            kind.name: KindOutcome.of([r for r in arrived if r.kind is kind])
+            for kind in self.mix.kinds
+        }
+
+
+class KindOutcome(NamedTuple):
+    """Results of one kind of request, as fractions of its requests or their worth."""
+
+    requests: int
+    in_time: float
+    late: float
+    refused: float
+    worth: float
+
+    @classmethod
+    def of(cls, requests: list[EmulatedRequest]) -> "KindOutcome":
+        """Return the results of some requests."""
+        outcomes = [request.outcome for request in requests]
+        count = max(1, len(requests))
+        return cls(
+            len(requests),
+            outcomes.count("in_time") / count,
+            outcomes.count("late") / count,
+            outcomes.count("refused") / count,
+            earned_fraction(requests),
+        )
+
 
 def earned_fraction(requests: list[EmulatedRequest]) -> float:
     """Return the fraction of their worth that requests earned."""
--- a/src/wisteriapulley/emulator/mixes.py
+++ b/src/wisteriapulley/emulator/mixes.py
@@ -1,4 +1,4 @@
-"""Request mixes of the two deployments, from their specifications."""
+"""Request mixes of deployments, from their specifications."""
 
 import math
 import random
@@ -6,8 +6,9 @@
 
 from wisteriapulley.routing import Engine
 
-# Engine parameters of both deployments.
+# Engine parameters of the first two deployments, and of the one with three priorities.
 ENGINE = Engine("model", 16, 5, 9.27, 0.0232, 20.7, 16, 64, 32768)
+GEBEYA_ENGINE = Engine("model", 12, 7, 7.4, 0.0232, 31.9, 16, 96, 24576)
 
 
 class RequestKind(NamedTuple):
@@ -27,6 +28,8 @@
         Objective for the first event.
     worth, late_worth : float
         Worth of an answer in time, and of a late one.
+    priority : int
+        Lower is more urgent.
     """
 
     name: str
@@ -38,13 +41,25 @@
     objective_ms: float
     worth: float
     late_worth: float
+    priority: int = 1
 
 
 class RequestMix(NamedTuple):
-    """Request kinds of one deployment, and its requests per second at the peak."""
+    """Request kinds of one deployment.
+
+    Attributes
+    ----------
+    kinds : tuple of RequestKind
+        The kinds.
+    per_s : float
+        Requests per second at the peak.
+    engine : Engine
+        Parameters of its engines.
+    """
 
     kinds: tuple[RequestKind, ...]
     per_s: float
+    engine: Engine = ENGINE
 
 
 MIXES = {
@@ -64,6 +79,15 @@
         ),
         101.2,
     ),
+    "gebeya": RequestMix(
+        (
+            RequestKind("full-quote", 112, 1330, 18, 1.0, 0.8, 406, 3.6, 0.36, 0),
+            RequestKind("tariff-summary", 135, 827, 18, 1.0, 0.7, 406, 1.7, 0.42, 1),
+            RequestKind("overnight-status", 86.9, 647, 10, 1.0, 0.8, 805, 0.55, 0.2, 2),
+        ),
+        333.9,
+        GEBEYA_ENGINE,
+    ),
 }
 # Longest answer, in events, and longest prompt, as a multiple of the mean.
 MAX_EVENTS = 50
--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -16,6 +16,7 @@
 from wisteriapulley.policy.advertised_rate import RateLimits
 from wisteriapulley.policy.batch_steps import BatchStepClock
 from wisteriapulley.policy.circuit_breaker import CircuitBreaker, SendOutcome
+from wisteriapulley.policy.class_reserve import ClassReserve
 from wisteriapulley.policy.late_requests import (
     can_prefill_late,
     has_spare_slots,
@@ -90,6 +91,7 @@
         self.target = ""
         # Tracks what the engine did with granted requests.
         self.breaker = CircuitBreaker()
+        self.reserve = ClassReserve(self)
 
     @property
     def state(self) -> AdmissionState:
@@ -114,8 +116,16 @@
             )
         if request.late:
             return self.request_slot_late(request, now_ms)
-        ahead = self.queue.ahead_of(request.priority)
-        slot_ms = self.slot_wait_ms(ahead)
+        decision = self.request_slot_in_time(request, now_ms)
+        self.reserve.record_decision(request, decision, now_ms)
+        return decision
+
+    def request_slot_in_time(
+        self, request: SlotRequest, now_ms: float
+    ) -> AdmissionDecision:
+        """Decide on a request that can still meet its objective."""
+        rank = self.reserve.rank_of(request, self.queue, now_ms)
+        slot_ms = self.reserve.wait_ms(rank, self.queue.ahead_of(rank), now_ms)
         event_ms = self.first_event_ms(request.prompt_tokens, now_ms)
         if self.state is AdmissionState.OPENING:
             slot_ms = max(slot_ms, self.opens_at_ms - now_ms)
@@ -133,7 +143,7 @@
             )
         if slot_ms <= 0 and self.open:
             return self.grant(request, now_ms)
-        return self.enqueue(request, now_ms + request.wait_ms - event_ms)
+        return self.enqueue(request, rank, now_ms + request.wait_ms - event_ms)
 
     def request_slot_late(
         self, request: SlotRequest, now_ms: float
@@ -161,7 +171,8 @@
             )
         if self.open and not self.queue and can_prefill_late(self, self.queue, now_ms):
             return self.grant(request, now_ms)
-        return self.enqueue(request, now_ms + request.wait_ms - event_ms)
+        expires_ms = now_ms + request.wait_ms - event_ms
+        return self.enqueue(request, request.priority, expires_ms)
 
     def set_target(self, target: str) -> None:
         """Set the engine's incarnation; each one gets its own circuit breaker."""
@@ -180,13 +191,15 @@
         rate_s = self.rate_limits.wait_s(self.target, now_s)
         return max(rate_s, self.breaker.wait_s(now_s))
 
-    def enqueue(self, request: SlotRequest, expires_ms: float) -> AdmissionDecision:
+    def enqueue(
+        self, request: SlotRequest, rank: int, expires_ms: float
+    ) -> AdmissionDecision:
         """Queue a request until it can't begin in time any more."""
         if self.weights_end_ms is not None:
             prefill_ms = self.prefill_ms(request.prompt_tokens)
             min_ms = prefill_ms + self.batch_step_ms() + BEGIN_MARGIN_MS
             expires_ms = min(expires_ms, self.weights_end_ms - min_ms)
-        self.queue.push(request, expires_ms)
+        self.queue.push(request, rank, expires_ms)
         return AdmissionDecision(request.request_id)
 
     def queued_prefill_ms(self) -> float:
@@ -254,7 +267,10 @@
 
     def release(self, request_id: str, now_ms: float) -> None:
         """Release a request's slot, or remove it from the queue."""
-        if not self.release_grant(request_id, now_ms):
+        grant = self.release_grant(request_id, now_ms)
+        if grant is not None:
+            self.reserve.record_hold(grant.priority, now_ms - grant.granted_ms)
+        else:
             self.queue.remove(lambda queued: queued.request.request_id == request_id)
 
     def release_owner(self, owner: str) -> None:
@@ -287,8 +303,9 @@
             ):
                 self.queue.pop()
                 yield self.deny_queued(first, now_ms)
-            elif self.can_grant(first.request, now_ms):
+            elif self.can_grant(first, now_ms):
                 self.queue.pop()
+                self.reserve.record_grant(first.request.priority, now_ms)
                 yield self.grant(first.request, now_ms)
             else:
                 break
@@ -308,13 +325,14 @@
             queued.request.late and self.open and not has_spare_slots(self, self.queue)
         )
 
-    def can_grant(self, request: SlotRequest, now_ms: float) -> bool:
+    def can_grant(self, queued: QueuedRequest, now_ms: float) -> bool:
         """Return whether the first queued request may get a slot now."""
         if not self.open:
             return False
-        if request.late:
+        if queued.request.late:
             return can_prefill_late(self, self.queue, now_ms)
-        return len(self.grants) < self.max_grants
+        reserved = self.reserve.reserved_slots(queued.priority, now_ms)
+        return len(self.grants) + reserved < self.max_grants
 
     def deny_expired(self, now_ms: float) -> Iterator[AdmissionDecision]:
         """Deny requests further back in the queue that have no chance of a slot."""
--- a/src/wisteriapulley/policy/slot_estimates.py
+++ b/src/wisteriapulley/policy/slot_estimates.py
@@ -96,14 +96,14 @@
         self.advance_step_clock(now_ms)
         self.step_clock.add(self.prefill_ms(request.prompt_tokens))
         self.grants[request.request_id] = GrantedSlot(
-            request.owner, now_ms, self.expected_events(request)
+            request.owner, now_ms, self.expected_events(request), request.priority
         )
 
-    def release_grant(self, request_id: str, now_ms: float) -> bool:
-        """Release a slot and learn from its times; return whether there was one."""
+    def release_grant(self, request_id: str, now_ms: float) -> GrantedSlot | None:
+        """Release a slot, learn from its times and return it, if there was one."""
         grant = self.grants.pop(request_id, None)
         if grant is None:
-            return False
+            return None
         held_ms = now_ms - grant.granted_ms
         self.mean_hold_ms += SMOOTHING * (held_ms - self.mean_hold_ms)
         if grant.events >= 1:
@@ -111,7 +111,7 @@
             self.mean_event_interval_ms += SMOOTHING * (
                 interval_ms - self.mean_event_interval_ms
             )
-        return True
+        return grant
 
     def expire_grants(self, now_ms: float) -> None:
         """Revoke slots that were never released."""
--- a/src/wisteriapulley/policy/slot_queue.py
+++ b/src/wisteriapulley/policy/slot_queue.py
@@ -30,12 +30,13 @@
         """The request that is next."""
         return self.heap[0]
 
-    def push(self, request: SlotRequest, expires_ms: float) -> None:
-        """Queue a request until it can't begin in time any more."""
+    def push(self, request: SlotRequest, rank: int, expires_ms: float) -> None:
+        """Queue a request until it can't begin in time any more.
+
+        `rank` is its priority in the queue.
+        """
         self.last_sequence += 1
-        queued = QueuedRequest(
-            request.priority, self.last_sequence, request, expires_ms
-        )
+        queued = QueuedRequest(rank, self.last_sequence, request, expires_ms)
         heapq.heappush(self.heap, queued)
 
     def pop(self) -> QueuedRequest:
@@ -55,6 +56,13 @@
         """Return how many requests go before a new one of this priority."""
         return sum(queued.priority <= priority for queued in self.heap)
 
+    def has_raised(self, priority: int) -> bool:
+        """Return whether a request of this priority is queued before its class."""
+        return any(
+            queued.priority < queued.request.priority == priority
+            for queued in self.heap
+        )
+
     def prompt_tokens(self) -> int:
         """Return the tokens of all queued prompts."""
         return sum(queued.request.prompt_tokens for queued in self.heap)
--- a/src/wisteriapulley/policy/slot_requests.py
+++ b/src/wisteriapulley/policy/slot_requests.py
@@ -56,10 +56,11 @@
     owner: str
     granted_ms: float
     events: float
+    priority: int = 0
 
 
 class QueuedRequest(NamedTuple):
-    """A queued request, ordered by priority, then by arrival."""
+    """A queued request, ordered by its priority in the queue, then by arrival."""
 
     priority: int
     sequence: int
