Deny queued requests that a more urgent one makes hopeless

Cause: a queued request that more urgent arrivals overtook was denied at its limit, when no time was left to offer it to another engine; and nothing showed what each priority got. Change: EngineSlots.deny_overtaken, called for each request that is not denied; running requests stay. Decisions and reserved slots by priority in the sidecar's metrics; the setting class_reserve turns the reserve off.

--- a/src/wisteriapulley/direct/settings.py
+++ b/src/wisteriapulley/direct/settings.py
@@ -57,6 +57,8 @@
     old_version_ms : int
         How long a superseded version of weights may serve after the newer one was
         accepted, in milliseconds.
+    class_reserve : bool
+        Whether slots are kept free for requests of more urgent priorities.
     """
 
     wire_listen: Address
@@ -66,3 +68,4 @@
     link_mbps: float = 0.0
     failure_domain_regions: dict[str, str] = {}
     old_version_ms: int = 8000
+    class_reserve: bool = True
--- a/src/wisteriapulley/emulator/fleet.py
+++ b/src/wisteriapulley/emulator/fleet.py
@@ -295,9 +295,12 @@
         """Ask sidecars in turn until one grants a slot or queues the request."""
         while request.candidates and request.asks_left:
             engine_index = request.candidates.pop(0)
-            decision = self.engine_slots[engine_index].request_slot(
-                self.slot_request(request), self.now_ms
-            )
+            slots = self.engine_slots[engine_index]
+            slot_request = self.slot_request(request)
+            decision = slots.request_slot(slot_request, self.now_ms)
+            if not decision.denied:
+                for overtaken in tuple(slots.deny_overtaken(slot_request, self.now_ms)):
+                    self.apply_decision(overtaken, engine_index)
             self.asked_engine[request.request_id] = engine_index
             if decision.granted:
                 self.send_to_engine(request, engine_index)
--- a/src/wisteriapulley/policy/class_demand.py
+++ b/src/wisteriapulley/policy/class_demand.py
@@ -1,6 +1,9 @@
 """Observed demand of one class of requests at one engine. Pure."""
 
 import math
+from collections import Counter
+
+from wisteriapulley.policy.slot_requests import AdmissionDecision
 
 # Time constant of the averages of demand: the reserve follows a surge, and its end,
 # within a second.
@@ -55,6 +58,8 @@
     hold_ms, prefill_ms, wait_ms : float
         Mean time for which a request holds its slot, prefill of a prompt, and time
         that the first event may take.
+    decisions : Counter of str
+        Number of first decisions by outcome.
     """
 
     def __init__(self, hold_ms: float, prefill_ms: float, wait_ms: float):
@@ -64,16 +69,24 @@
         self.hold_ms = hold_ms
         self.prefill_ms = prefill_ms
         self.wait_ms = wait_ms
-
-    def record_request(
-        self, denied: bool, prefill_ms: float, wait_ms: float, now_ms: float
+        self.decisions: Counter[str] = Counter()
+
+    def record_decision(
+        self,
+        decision: AdmissionDecision,
+        prefill_ms: float,
+        wait_ms: float,
+        now_ms: float,
     ) -> None:
-        """Record a request and whether it was refused at once."""
+        """Record a request and the first decision on it."""
+        self.decisions[decision.outcome] += 1
         self.prefill_ms += SMOOTHING * (prefill_ms - self.prefill_ms)
         self.wait_ms += SMOOTHING * (wait_ms - self.wait_ms)
-        count = 1 / OFFERS_PER_REQUEST if denied else 1.0
+        count = 1 / OFFERS_PER_REQUEST if decision.denied else 1.0
         self.arrivals.add(count, now_ms)
         self.offered.add(count, now_ms)
+        if decision.granted:
+            self.granted.add(1.0, now_ms)
 
     def record_hold(self, held_ms: float) -> None:
         """Record how long a request held its slot."""
--- a/src/wisteriapulley/policy/class_reserve.py
+++ b/src/wisteriapulley/policy/class_reserve.py
@@ -71,9 +71,7 @@
             demand = self.classes[request.priority] = ClassDemand(
                 self.slots.mean_hold_ms, prefill_ms, request.wait_ms
             )
-        demand.record_request(decision.denied, prefill_ms, request.wait_ms, now_ms)
-        if decision.granted:
-            demand.granted.add(1.0, now_ms)
+        demand.record_decision(decision, prefill_ms, request.wait_ms, now_ms)
 
     def forget_unused(self, now_ms: float) -> None:
         """Forget the class with the least demand if there are many."""
--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -136,6 +136,7 @@
                 request.request_id,
                 denied=True,
                 retry_ms=max(MIN_RETRY_MS, slot_ms + event_ms - request.wait_ms),
+                reserved=self.slot_wait_ms(self.queue.ahead_of(rank)) < slot_ms,
             )
         if self.begins_too_late(request, slot_ms + event_ms, now_ms):
             return AdmissionDecision(
@@ -311,6 +312,25 @@
                 break
         yield from self.deny_expired(now_ms)
 
+    def deny_overtaken(
+        self, request: SlotRequest, now_ms: float
+    ) -> Iterator[AdmissionDecision]:
+        """Yield denials of queued requests that a more urgent one made hopeless.
+
+        At their limit it would be too late to offer them to another engine.
+        """
+        kept = 0
+        overtaken: list[QueuedRequest] = []
+        for queued in sorted(self.queue):
+            wait_ms = self.reserve.wait_ms(queued.priority, kept, now_ms)
+            less_urgent = queued.priority > request.priority and not queued.request.late
+            if less_urgent and now_ms + wait_ms > queued.expires_ms:
+                overtaken.append(queued)
+            else:
+                kept += 1
+        for queued in self.queue.remove(overtaken.__contains__):
+            yield self.deny_queued(queued, now_ms)
+
     def cannot_be_served(self, queued: QueuedRequest, now_ms: float) -> bool:
         """Return whether a queued request has no chance of a slot.
 
--- a/src/wisteriapulley/policy/slot_requests.py
+++ b/src/wisteriapulley/policy/slot_requests.py
@@ -72,7 +72,8 @@
     """Decision on a request; neither granted nor denied means that it is queued.
 
     `limited` tells that the engine itself is throttled: it advertises a rate, or
-    rejected some requests.
+    rejected some requests. `reserved` tells that the request was denied because slots
+    are kept for more urgent ones.
     """
 
     request_id: str
@@ -80,3 +81,13 @@
     denied: bool = False
     retry_ms: float = 0.0
     limited: bool = False
+    reserved: bool = False
+
+    @property
+    def outcome(self) -> str:
+        """Name of the decision in metrics."""
+        if self.granted:
+            return "granted"
+        if not self.denied:
+            return "queued"
+        return "reserved" if self.reserved else "denied"
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 from functools import singledispatchmethod
 
 from wisteriapulley.errors import ResultCode, WireError
@@ -167,7 +168,11 @@
 
     def advance(self) -> None:
         """Send the decisions on queued requests that are due."""
-        for decision in self.slots.advance(self.now_ms()):
+        self.send_decisions(self.slots.advance(self.now_ms()))
+
+    def send_decisions(self, decisions: Iterable[AdmissionDecision]) -> None:
+        """Send decisions on queued requests."""
+        for decision in decisions:
             future = self.pending_decisions.get(decision.request_id)
             if future is not None and not future.done():
                 future.set_result(decision)
@@ -205,7 +210,10 @@
         self, message: messages.Reserve, link: Link, frame: Frame
     ) -> None:
         """Handle the message `Reserve`."""
-        decision = self.slots.request_slot(slot_request(message, link), self.now_ms())
+        request = slot_request(message, link)
+        decision = self.slots.request_slot(request, self.now_ms())
+        if not decision.denied:
+            self.send_decisions(self.slots.deny_overtaken(request, self.now_ms()))
         if not decision.granted and not decision.denied:
             self.has_queued.set()
             # The entry treats a sidecar that does not respond as stalled.
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -59,6 +59,7 @@
         self.follower.on_targets = self.state.update_targets
         self.follower.on_evacuations = self.evacuations_changed
         self.admission = SlotAdmission(self.state)
+        self.admission.slots.reserve.enabled = settings.class_reserve
         self.changed = asyncio.Event()
         self.updater = WeightsUpdater(
             self.state,
@@ -73,6 +74,12 @@
         self.metrics = Metrics(settings.node_id, "sidecar")
         self.http = HttpServer(self.metrics, lambda: self.admission.slots.open)
         self.gauge = self.metrics.gauge("places", "Places by state; weights held.")
+        self.class_decisions = self.metrics.gauge(
+            "class_decisions", "First decisions on slot requests, by priority."
+        )
+        self.class_reserved = self.metrics.gauge(
+            "class_reserved", "Slots kept free when a priority asks."
+        )
 
     async def start(self) -> None:
         """Listen, follow control instances, watch the engine and grant slots."""
@@ -150,6 +157,18 @@
         self.gauge.set({"state": "evacuated"}, int(self.state.is_evacuated))
         self.gauge.set({"state": "version"}, self.state.held_version())
         self.gauge.set({"state": "log_lines_lost"}, lines_lost())
+        self.update_class_gauges()
+
+    def update_class_gauges(self) -> None:
+        """Set the gauges of each priority."""
+        reserve = self.admission.slots.reserve
+        now_ms = self.admission.now_ms()
+        for priority, demand in reserve.classes.items():
+            labels = {"priority": str(priority)}
+            reserved = reserve.reserved_slots(priority, now_ms)
+            self.class_reserved.set(labels, reserved)
+            for outcome, count in demand.decisions.items():
+                self.class_decisions.set({**labels, "decision": outcome}, count)
 
     async def poll_engine(self) -> None:
         """Request the engine's report; no response counts as holding nothing.
--- a/tests/test_class_reserve.py
+++ b/tests/test_class_reserve.py
@@ -175,6 +175,46 @@
         assert restarted.reserved(1, 3000.0) > 0
 
 
+class TestOvertaken:
+    """A queued request is denied when a more urgent one takes its last chance."""
+
+    def full_slots(self):
+        slots = open_slots()
+        slots.mean_hold_ms = 1200.0
+        for number in range(slots.max_grants):
+            slots.request_slot(slot_request(number, 0, 9000.0), 0.0)
+        slots.reserve.classes.clear()
+        return slots
+
+    def queue(self, slots, number, priority, wait_ms):
+        request = slot_request(number, priority, wait_ms)
+        decision = slots.request_slot(request, 0.0)
+        assert not decision.granted and not decision.denied
+        return [d.request_id for d in slots.deny_overtaken(request, 0.0)]
+
+    def test_denied_at_that_moment(self):
+        slots = self.full_slots()
+        assert self.queue(slots, 100, 1, 330.0) == []
+        assert self.queue(slots, 101, 0, 2000.0) == ["r100"]
+        assert [queued.request.request_id for queued in slots.queue] == ["r101"]
+
+    def test_kept_while_time_is_left(self):
+        slots = self.full_slots()
+        assert self.queue(slots, 100, 1, 3000.0) == []
+        assert self.queue(slots, 101, 0, 2000.0) == []
+
+    def test_not_by_its_own_class(self):
+        slots = self.full_slots()
+        for number in range(100, 103):
+            assert self.queue(slots, number, 1, 700.0) == []
+
+    def test_running_requests_stay(self):
+        slots = self.full_slots()
+        self.queue(slots, 100, 1, 330.0)
+        self.queue(slots, 101, 0, 2000.0)
+        assert len(slots.grants) == slots.max_grants
+
+
 class TestReplay:
     """Three classes share engines that bear two thirds of the peak.
 
--- a/tests/test_slot_admission.py
+++ b/tests/test_slot_admission.py
@@ -35,8 +35,8 @@
     return admission
 
 
-async def reserve(admission, link, number, wait_ms=5000):
-    message = messages.Reserve(f"r{number}", 1, 90, 1, wait_ms)
+async def reserve(admission, link, number, wait_ms=5000, priority=1):
+    message = messages.Reserve(f"r{number}", 1, 90, priority, wait_ms)
     await admission.receive(message, link, Frame(number, 0, message))
 
 
@@ -80,3 +80,24 @@
             advancing.cancel()
 
         asyncio.run(run())
+
+    def test_queued_request_is_denied_when_a_more_urgent_one_overtakes_it(self):
+        """Its entry can still offer it to another engine."""
+
+        async def run():
+            admission = make_admission(ENGINE)
+            slots, link = admission.slots, EntryLink()
+            for number in range(slots.max_grants):
+                await reserve(admission, link, number)
+            slots.reserve.classes.clear()
+            queued = asyncio.create_task(reserve(admission, link, 100, 300, 2))
+            while not slots.queue:
+                await asyncio.sleep(0)
+            urgent = asyncio.create_task(reserve(admission, link, 101, priority=0))
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                await queued
+            assert not link.written[-1].granted
+            assert [q.request.request_id for q in slots.queue] == ["r101"]
+            urgent.cancel()
+
+        asyncio.run(run())
