Bound the requests that the owner of a cold target lets through

Cause: nothing counted the requests to a target that has just started or turned cold. Change: policy/cold_start.py says until when a target is cold and which requests may pass; RateLimits asks it beside the advertised rate, where an owner sets it.

--- a/src/wisteriapulley/policy/advertised_rate.py
+++ b/src/wisteriapulley/policy/advertised_rate.py
@@ -1,7 +1,9 @@
 """Rate limits that targets advertise in their responses. Pure."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
+from wisteriapulley.policy.cold_start import ColdTarget
 from wisteriapulley.policy.token_bucket import TokenBucket
 
 # Requests per second to a target that advertises a rate of zero: only its responses
@@ -104,6 +106,11 @@
     bucket: TokenBucket
 
 
+def without_cold_limit(target: str) -> ColdTarget | None:
+    """Return no cold limit for any target."""
+    return None
+
+
 class RateLimits:
     """Enforces the advertised rates of targets, one limit for each target.
 
@@ -115,10 +122,17 @@
     ----------
     fraction : float
         Fraction of an advertised rate that passes here.
+
+    Attributes
+    ----------
+    cold_of : callable
+        Returns the cold limit of an incarnation, or None. A request passes only if
+        the advertised rate and the cold limit permit it.
     """
 
     def __init__(self, fraction: float = 1.0):
         self.fraction = fraction
+        self.cold_of: Callable[[str], ColdTarget | None] = without_cold_limit
         self.limits: dict[str, RateLimit] = {}
 
     def update(self, target: str, per_s: float | None, observed_s: float) -> None:
@@ -152,8 +166,12 @@
 
     def is_limited(self, target: str) -> bool:
         """Return whether a target is currently known to advertise a rate."""
+        return self.limit_of(target) is not None
+
+    def limit_of(self, target: str) -> RateLimit | None:
+        """Return the limit of a target that advertises a rate, or None."""
         limit = self.limits.get(target)
-        return limit is not None and limit.per_s is not None
+        return limit if limit is not None and limit.per_s is not None else None
 
     def wait_s(self, target: str, now_s: float, late: bool = False) -> float:
         """Return the seconds until a request may pass; 0 if it may pass now.
@@ -162,17 +180,22 @@
         requests. Without precedence for new requests, half of those that pass are
         late and worth little to their callers.
         """
-        limit = self.limits.get(target)
-        if limit is None or limit.per_s is None:
-            return 0.0
-        return limit.bucket.wait_s(now_s, MIN_BURST if late else 1.0)
+        limit, cold = self.limit_of(target), self.cold_of(target)
+        wait_s = cold.wait_s(now_s) if cold is not None else 0.0
+        if limit is None:
+            return wait_s
+        return max(wait_s, limit.bucket.wait_s(now_s, MIN_BURST if late else 1.0))
 
     def take(self, target: str, now_s: float) -> bool:
         """Take a token for a request; return whether it may pass."""
-        limit = self.limits.get(target)
-        if limit is None or limit.per_s is None:
-            return True
-        return limit.bucket.take(now_s)
+        limit, cold = self.limit_of(target), self.cold_of(target)
+        if cold is not None and cold.wait_s(now_s) > 0:
+            return False
+        if limit is not None and not limit.bucket.take(now_s):
+            return False
+        if cold is not None:
+            cold.record_sent(now_s)
+        return True
 
     def remove_expired(self, now_s: float) -> None:
         """Forget targets without an update for `RETENTION_S`."""
--- a/src/wisteriapulley/policy/token_bucket.py
+++ b/src/wisteriapulley/policy/token_bucket.py
@@ -51,3 +51,8 @@
             return False
         self.available -= 1.0
         return True
+
+    def spend(self, now_s: float, lowest: float) -> None:
+        """Take a token even if none is available, down to a debt of `lowest`."""
+        self.refill(now_s)
+        self.available = max(lowest, self.available - 1.0)
