Publish at once that a target turned cold, and read its statements

Cause: a change of the remaining cold time was no change of a target's state, so it reached entries only with the next change of its slots or version, and not from the first announcement. X-Cold-Ms was read by nobody. Change: Change.COLDNESS, sent to entries and sidecars; a state carries the time that was left when its target was last observed; the header is a response signal. An entry takes the time of the first announcement too, so a target that has just joined is ranked as cold (COLD_START_COST) from then on, not from its second announcement.

--- a/src/wisteriapulley/control/followers.py
+++ b/src/wisteriapulley/control/followers.py
@@ -96,7 +96,7 @@
         states: Iterable[messages.TargetState],
         changes: Mapping[str, Change],
     ) -> None:
-        """Send changed targets to entries, and changed membership to sidecars too.
+        """Send changed targets to entries; membership and coldness to sidecars too.
 
         Parameters
         ----------
@@ -108,11 +108,11 @@
         states = tuple(states)
         if states:
             broadcast(self.open_links(ENTRY), messages.TargetNews(states))
-        members = tuple(
-            state for state in states if changes[state.target_id] is Change.MEMBERSHIP
+        for_sidecars = tuple(
+            state for state in states if changes[state.target_id] >= Change.COLDNESS
         )
-        if members:
-            broadcast(self.open_links(SIDECAR), messages.TargetNews(members))
+        if for_sidecars:
+            broadcast(self.open_links(SIDECAR), messages.TargetNews(for_sidecars))
 
     def push_heartbeats(self, heartbeats: tuple[messages.TargetBeat, ...]) -> None:
         """Send target heartbeats to entries."""
--- a/src/wisteriapulley/control/targets.py
+++ b/src/wisteriapulley/control/targets.py
@@ -16,6 +16,9 @@
 GONE_RETENTION_MS = 60_000.0
 # For this long the end of a target is repeated, for those that missed the message.
 GONE_REPEAT_MS = 5000.0
+# A target states with each announcement how long it stays cold. Only an end that moves
+# by more than this is a change: announcements are delayed by different times.
+COLD_TOLERANCE_MS = 250.0
 
 
 class Change(IntEnum):
@@ -24,8 +27,10 @@
     NONE = 0
     # The version of its weights or its slots.
     STATE = 1
+    # It turned cold or warm, or stays cold for another time than it stated before.
+    COLDNESS = 2
     # It joined, is leaving, ended, or restarted.
-    MEMBERSHIP = 2
+    MEMBERSHIP = 3
 
 
 class TargetRecord(NamedTuple):
@@ -43,6 +48,8 @@
         Sequence of the last announcement that changed more than the time.
     direct : bool
         Whether the target announced itself here, not at another instance.
+    cold_until_ms : float
+        Until when it is cold, as last published.
     """
 
     state: TargetState
@@ -50,6 +57,7 @@
     updated_ms: float
     change_sequence: int
     direct: bool
+    cold_until_ms: float = 0.0
 
 
 class TargetTable:
@@ -79,18 +87,27 @@
         """
         record = self.records.get(state.target_id)
         observed_ms = now_ms - state.age_ms
+        cold_until_ms = observed_ms + state.cold_ms
         if record is None:
-            new = TargetRecord(state, observed_ms, now_ms, state.sequence, direct)
-            self.records[state.target_id] = new
+            self.records[state.target_id] = TargetRecord(
+                state, observed_ms, now_ms, state.sequence, direct, cold_until_ms
+            )
             return Change.MEMBERSHIP
         known = record.state
         if not is_newer(state, known):
             return Change.NONE
         state = merge(state, known)
         change = change_between(known, state)
+        if change is not Change.MEMBERSHIP and changes_coldness(
+            record.cold_until_ms, cold_until_ms, observed_ms
+        ):
+            change = Change.COLDNESS
         sequence = state.sequence if change else record.change_sequence
-        new = TargetRecord(state, observed_ms, now_ms, sequence, direct)
-        self.records[state.target_id] = new
+        if not change:
+            cold_until_ms = record.cold_until_ms
+        self.records[state.target_id] = TargetRecord(
+            state, observed_ms, now_ms, sequence, direct, cold_until_ms
+        )
         return change
 
     def record_heartbeat(self, heartbeat: TargetBeat, now_ms: float) -> bool:
@@ -155,7 +172,8 @@
             record = self.records.get(target_id)
             if record is not None:
                 age_ms = max(0, int(now_ms - record.observed_ms))
-                yield record.state._replace(age_ms=age_ms)
+                cold_ms = max(0, int(record.cold_until_ms - record.observed_ms))
+                yield record.state._replace(age_ms=age_ms, cold_ms=cold_ms)
 
 
 def heartbeat_of(record: TargetRecord, now_ms: float) -> TargetBeat:
@@ -218,6 +236,23 @@
     return Change.NONE
 
 
+def changes_coldness(
+    published_until_ms: float, until_ms: float, observed_ms: float
+) -> bool:
+    """Return whether a target is cold until another time than was published.
+
+    Parameters
+    ----------
+    published_until_ms, until_ms : float
+        Until when it is cold: as published, and as announced now.
+    observed_ms : float
+        When it announced that.
+    """
+    if max(published_until_ms, until_ms) <= observed_ms:
+        return False
+    return abs(until_ms - published_until_ms) > COLD_TOLERANCE_MS
+
+
 def membership(state: TargetState) -> tuple[object, ...]:
     """Return the fields that define a target's membership in its service."""
     return (
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -49,11 +49,14 @@
         Whether a cool-down started.
     leaving : bool
         Whether the target announced for the first time that it is leaving.
+    cold : bool
+        Whether the target stated that it is cold while it was taken for warm.
     """
 
     rate: bool
     cooldown: bool
     leaving: bool
+    cold: bool = False
 
 
 class Target:
@@ -67,6 +70,10 @@
         Its address without the port.
     last_seen_s, first_seen_s : float
         When its last and its first heartbeat was sent, on the loop's clock.
+    cold_until_s : float
+        Until when it is cold, by its latest statement.
+    cold_stated_s : float
+        When it stated that.
     outstanding : int
         In-flight requests of this entry at the target.
     slots : int
@@ -95,7 +102,8 @@
         self.host = host_of(state.address)
         self.last_seen_s = seen_s
         self.first_seen_s = seen_s
-        self.cold_until_s = 0.0
+        self.cold_until_s = seen_s + state.cold_ms / 1000
+        self.cold_stated_s = seen_s
         self.outstanding = 0
         self.slots = max(1, state.slots)
         self.unreachable_until_s = 0.0
@@ -135,7 +143,19 @@
         self.state = state
         self.host = host_of(state.address)
         self.slots = max(1, state.slots)
-        self.cold_until_s = seen_s + state.cold_ms / 1000
+        self.record_cold(state.cold_ms / 1000, seen_s)
+
+    def record_cold(self, remaining_s: float, stated_s: float) -> bool:
+        """Record how long it states to stay cold; return whether it turned cold."""
+        if stated_s < self.cold_stated_s:
+            return False
+        was_cold = stated_s < self.cold_until_s
+        self.cold_until_s, self.cold_stated_s = stated_s + remaining_s, stated_s
+        return remaining_s > 0 and not was_cold
+
+    def cold_left_s(self, now_s: float) -> float:
+        """Return how much longer it is cold, as far as is known; 0 if it is warm."""
+        return max(0.0, self.cold_until_s - now_s)
 
     def record_sent(self, now_s: float) -> None:
         """Record that a request is sent here."""
@@ -188,6 +208,7 @@
             self.rate.observe(signals.rate, sent_s, now_s),
             self.cooldown.observe(signals.cooldown, now_s),
             leaving,
+            signals.cold_s is not None and self.record_cold(signals.cold_s, now_s),
         )
 
     @property
--- a/src/wisteriapulley/direct/signal_recorder.py
+++ b/src/wisteriapulley/direct/signal_recorder.py
@@ -32,8 +32,13 @@
         now_s = asyncio.get_running_loop().time()
         previous_per_s = target.rate.per_s
         changes = target.record_signals(signals, sent_s, now_s)
-        if changes.rate:
+        if changes.rate or changes.cold:
             self.report_rate(target, now_s)
+        if changes.cold:
+            log.info(
+                "target states that it is cold",
+                extra=fields(target=target.target_id, cold_s=signals.cold_s),
+            )
         if target.rate.per_s != previous_per_s:
             log.info(
                 "target states a rate",
--- a/src/wisteriapulley/platform/names.py
+++ b/src/wisteriapulley/platform/names.py
@@ -20,6 +20,8 @@
 RATE_LIMIT = "Server-Limit"
 # Seconds for which an unavailable target asks the sender to send no requests.
 RETRY_AFTER = "Retry-After"
+# Milliseconds for which the target stays cold.
+COLD_MS = "X-Cold-Ms"
 # Whether the target is about to shut down.
 LEAVING = "Server-Leaving"
 LEAVING_VALUE = "1"
--- a/src/wisteriapulley/platform/signal_parsing.py
+++ b/src/wisteriapulley/platform/signal_parsing.py
@@ -21,6 +21,8 @@
 # Longer cool-downs are cut to this one: a longer one is more likely a mistake than
 # intended, and a target that intends it requests it again.
 MAX_COOLDOWN_S = 86_400.0
+# Longest time that a target may state to be cold, as in heartbeats.
+MAX_COLD_S = 3600.0
 
 
 def parse_signals(status: int, headers: HttpHeaders) -> ResponseSignals:
@@ -38,6 +40,7 @@
         parse_rate(headers.getall(names.RATE_LIMIT, [])),
         parse_cooldown(status, headers),
         names.LEAVING_VALUE in headers.getall(names.LEAVING, []),
+        cold_s=parse_cold(headers.getall(names.COLD_MS, [])),
     )
 
 
@@ -60,6 +63,14 @@
     return AdvertisedRate(min(rates, default=None), invalid_text)
 
 
+def parse_cold(texts: list[str]) -> float | None:
+    """Return how many seconds a target stays cold: the longest valid time, or None."""
+    times = [
+        min(MAX_COLD_S, float(text) / 1000) for text in texts if DECIMAL.fullmatch(text)
+    ]
+    return max(times, default=None)
+
+
 def parse_cooldown(status: int, headers: HttpHeaders) -> RequestedCooldown:
     """Return the cool-down that a target requests: the longest one of several.
 
--- a/src/wisteriapulley/policy/response_signals.py
+++ b/src/wisteriapulley/policy/response_signals.py
@@ -41,12 +41,15 @@
         Time for which it accepts no requests from this instance.
     leaving : bool
         Whether it is about to shut down.
+    cold_s : float or None
+        How much longer it is cold, 0 if it is warm; None if it states nothing.
     """
 
     load: TargetLoad | None = None
     rate: AdvertisedRate = AdvertisedRate()
     cooldown: RequestedCooldown = RequestedCooldown()
     leaving: bool = False
+    cold_s: float | None = None
 
 
 class CooldownTracker:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -6,14 +6,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wisteriapulley.control.targets import GONE_RETENTION_MS, TargetTable
+from wisteriapulley.control.targets import GONE_RETENTION_MS, Change, TargetTable
 from wisteriapulley.direct.registry import (
     EJECTION_S,
     HEARTBEAT_TIMEOUT_S,
     INITIAL_BACKOFF_S,
     TargetRegistry,
 )
-from wisteriapulley.wire.messages import TargetState
+from wisteriapulley.wire.messages import TargetBeat, TargetState
 
 
 def state(target_id="i-1", sequence=1, address="10.0.0.1:80", **more):
@@ -219,3 +219,59 @@
             for name in ("i-1", "i-2", "i-3"):
                 registry.record_outcome(registry.targets[name], True, 1.0)
         assert len(self.candidates(registry, 1.1)) >= 2
+
+
+class TestColdness:
+    """Targets state with each announcement how much longer they are cold."""
+
+    def cold(self, sequence, cold_ms, **more):
+        return state(sequence=sequence, cold_ms=cold_ms, **more)
+
+    def cold_ms_at(self, table, now_ms):
+        (known,) = table.states(now_ms)
+        return known.cold_ms - known.age_ms
+
+    def test_counting_down_is_no_change(self):
+        table = TargetTable(6000)
+        assert table.update(self.cold(1, 3000), 0.0)
+        for sequence, now_ms in ((2, 1000.0), (3, 2100.0), (4, 3200.0), (5, 4200.0)):
+            left_ms = max(0, 3000 - int(now_ms))
+            assert not table.update(self.cold(sequence, left_ms), now_ms)
+
+    def test_turning_cold_again_is_a_change(self):
+        table = TargetTable(6000)
+        table.update(self.cold(1, 0), 0.0)
+        assert table.update(self.cold(2, 2000), 1000.0) is Change.COLDNESS
+        assert table.update(self.cold(3, 5000), 1500.0) is Change.COLDNESS
+
+    def test_turning_warm_early_is_a_change(self):
+        table = TargetTable(6000)
+        table.update(self.cold(1, 3000), 0.0)
+        assert table.update(self.cold(2, 0), 1000.0) is Change.COLDNESS
+        assert self.cold_ms_at(table, 1000.0) == 0
+
+    def test_restart_and_end_stay_changes_of_membership(self):
+        table = TargetTable(6000)
+        table.update(self.cold(1, 0, started_ms=1), 0.0)
+        restarted = self.cold(1, 3000, started_ms=2)
+        assert table.update(restarted, 10.0) is Change.MEMBERSHIP
+
+    def test_heartbeats_do_not_prolong_it(self):
+        """Another instance repeats that the target is alive, without its time."""
+        table = TargetTable(6000)
+        table.update(self.cold(1, 3000), 0.0)
+        assert table.record_heartbeat(TargetBeat("i-1", 0, 1, False, 0), 2000.0)
+        assert self.cold_ms_at(table, 2500.0) == 500
+        table.record_heartbeat(TargetBeat("i-1", 0, 1, False, 0), 5000.0)
+        assert self.cold_ms_at(table, 5000.0) == 0
+
+    def test_instance_that_hears_of_it_later_knows_the_same_end(self):
+        first, second = TargetTable(6000), TargetTable(6000)
+        first.update(self.cold(1, 3000), 0.0)
+        second.update(next(first.states(1000.0)), 1000.0)
+        assert self.cold_ms_at(second, 2000.0) == 1000
+
+    def test_entry_knows_it_from_the_first_announcement(self):
+        registry = TargetRegistry()
+        registry.update([self.cold(1, 3000, age_ms=500)], 10.0)
+        assert registry.targets["i-1"].cold_left_s(11.0) == pytest.approx(1.5)
