Keep requests to a cold engine within the bound, at its sidecar

Cause: an engine that has just started, or turned cold again, got as many requests as it had free slots, from all entries at once. Change: the sidecar knows from the engine's report, from announcements, after a silence and from entries when its engine is cold, and grants slots at the rate of its service and the settings cold-overshoot and cold-slack. A denial for it counts as throttled and names the time until the next slot. Without cold-per-s nothing changes. Measured: in TestEngines an engine that turns cold under a flood of 600 requests a second grants none for a second and then at most 44 in any second; four of twelve engines that return cold stay within 44 while the others serve on.

--- a/src/wisteriapulley/control/following.py
+++ b/src/wisteriapulley/control/following.py
@@ -124,6 +124,8 @@
         self.evacuations = EvacuationView()
         self.versions = DesiredVersions()
         self.engines: dict[str, Engine] = {}
+        # By model service, `cold_start_s` and `cold_per_s`; see `routing.Service`.
+        self.cold_limits: dict[str, tuple[float, float]] = {}
         # Failure domain of each known instance by host; empty if unknown.
         self.instances: dict[str, str] = {}
         self.followed: dict[str, FollowedInstance] = {}
@@ -351,6 +353,7 @@
         now_s = steady_s()
         for state in message.models:
             self.engines[state.service] = engine_of(state)
+            self.cold_limits[state.service] = (state.cold_start_s, state.cold_per_s)
             for desired in state.named:
                 self.record_version(state.model, desired, now_s)
         self.on_models()
--- a/src/wisteriapulley/direct/settings.py
+++ b/src/wisteriapulley/direct/settings.py
@@ -59,6 +59,9 @@
         accepted, in milliseconds.
     class_reserve : bool
         Whether slots are kept free for requests of more urgent priorities.
+    cold_overshoot, cold_slack : float
+        Bound on requests to a cold target: in any one second, `cold_overshoot` times
+        the rate that its service states plus `cold_slack`.
     """
 
     wire_listen: Address
@@ -69,3 +72,5 @@
     failure_domain_regions: dict[str, str] = {}
     old_version_ms: int = 8000
     class_reserve: bool = True
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
--- a/src/wisteriapulley/platform/engine.py
+++ b/src/wisteriapulley/platform/engine.py
@@ -114,7 +114,9 @@
             wire = msgspec.json.decode(body, type=WireReport)
         except msgspec.DecodeError as error:
             raise engine_error(names.REPORT_CALL, str(error)) from error
-        return decode_report(wire)._replace(leaving=signals.leaving)
+        return decode_report(wire)._replace(
+            leaving=signals.leaving, cold_s=signals.cold_s
+        )
 
     async def staged(self, model: str) -> set[int]:
         """Return the positions of the staged pieces."""
--- a/src/wisteriapulley/platform/settings.py
+++ b/src/wisteriapulley/platform/settings.py
@@ -66,6 +66,10 @@
     budget_window_s: float = msgspec.field(name="budget-window-s", default=10.0)
     # Grace period in which a superseded version of weights may start requests.
     version_ms: int = 8000
+    # Most requests to a cold target in any second: this factor on the rate that its
+    # service states, and some more.
+    cold_overshoot: float = msgspec.field(name="cold-overshoot", default=1.0)
+    cold_slack: float = msgspec.field(name="cold-slack", default=0.0)
 
 
 class PlatformSettings(msgspec.Struct, rename="kebab"):
@@ -155,6 +159,8 @@
             found_with_seeds=self.bootstrap,
             voters=2 * self.fault_tolerance.machines + 1,
             target_lease_ms=TARGET_LEASE_HEARTBEATS * self.heartbeat_interval_ms,
+            cold_overshoot=self.bounds.cold_overshoot,
+            cold_slack=self.bounds.cold_slack,
             **self.common_settings(CONTROL_HTTP_PORT, key_file),
         )
 
@@ -184,5 +190,7 @@
             service=self.service,
             link_mbps=self.limits.link_mbps,
             old_version_ms=self.bounds.version_ms,
+            cold_overshoot=self.bounds.cold_overshoot,
+            cold_slack=self.bounds.cold_slack,
             **self.common_settings(SIDECAR_HTTP_PORT, key_file),
         )
--- a/src/wisteriapulley/policy/cold_start.py
+++ b/src/wisteriapulley/policy/cold_start.py
@@ -139,12 +139,13 @@
         Parameters
         ----------
         started_ms : int
-            Start of the incarnation that states it.
+            Start of the incarnation that states it; 0 if it is not known.
         remaining_s : float
             Time from the statement on; 0 if it is warm.
         stated_s : float
             When it was stated.
         """
+        started_ms = started_ms or self.started_ms
         if started_ms < self.started_ms:
             return
         if started_ms == self.started_ms and stated_s < self.stated_s:
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -14,6 +14,7 @@
     EngineSlots,
     SlotRequest,
 )
+from wisteriapulley.rollout.cold_engine import ColdEngine
 from wisteriapulley.rollout.state import RolloutState
 from wisteriapulley.routing import Engine
 from wisteriapulley.wire import Frame, Link, LinkServer, messages
@@ -46,6 +47,8 @@
         # Fires when an engine that limits its requests may accept one again.
         self.limit_timer: asyncio.TimerHandle | None = None
         self.server: LinkServer | None = None
+        # Set where the engine's service limits requests to cold engines.
+        self.cold: ColdEngine | None = None
         # Set while requests are queued, so that an empty queue is not polled.
         self.has_queued = asyncio.Event()
 
@@ -95,6 +98,16 @@
         self.advance()
         self.schedule_load_report()
 
+    def set_cold_engine(self, cold: ColdEngine) -> None:
+        """Keep to the limit of a cold engine, beside the rate that it advertises."""
+        self.cold = cold
+        self.slots.rate_limits.cold_of = cold.limit_of
+
+    def limit_changed(self) -> None:
+        """Decide queued requests by a changed limit, and update entries."""
+        self.advance()
+        self.report_limit()
+
     # -- load reports ----------------------------------------------------
 
     def heartbeat(self) -> messages.Heartbeat:
@@ -271,6 +284,8 @@
         observed_s = self.now_ms() / 1000 - message.age_ms / 1000
         self.slots.rate_limits.update(message.target, message.per_s or None, observed_s)
         self.slots.set_target(message.target)
+        if self.cold is not None:
+            self.cold.observe_entry(message)
         self.advance()
         self.report_limit()
 
--- a/src/wisteriapulley/rollout/engine.py
+++ b/src/wisteriapulley/rollout/engine.py
@@ -21,6 +21,8 @@
         Unix time at which it started; 0 if not reported.
     leaving : bool
         Whether it is about to stop.
+    cold_s : float or None
+        How much longer it is cold; None if it states nothing.
     """
 
     versions: dict[str, int]
@@ -29,6 +31,7 @@
     waiting: int = 0
     started_ms: int = 0
     leaving: bool = False
+    cold_s: float | None = None
 
     def merged_with(self, earlier: "EngineReport") -> "EngineReport":
         """Return this report, with `leaving` kept from an earlier one if it applies.
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -14,6 +14,7 @@
 from wisteriapulley.logs import fields, lines_lost
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.rollout.admission import SlotAdmission
+from wisteriapulley.rollout.cold_engine import ColdEngine
 from wisteriapulley.rollout.engine import EngineClient, EngineReport
 from wisteriapulley.rollout.state import RolloutState
 from wisteriapulley.rollout.updater import LOAD_POLL_INTERVAL_S, WeightsUpdater
@@ -56,10 +57,12 @@
         )
         self.state = RolloutState(settings, self.follower)
         self.follower.on_models = self.models_changed
-        self.follower.on_targets = self.state.update_targets
         self.follower.on_evacuations = self.evacuations_changed
+        self.follower.on_targets = self.targets_changed
         self.admission = SlotAdmission(self.state)
         self.admission.slots.reserve.enabled = settings.class_reserve
+        self.cold = ColdEngine(settings, self.admission.limit_changed)
+        self.admission.set_cold_engine(self.cold)
         self.changed = asyncio.Event()
         self.updater = WeightsUpdater(
             self.state,
@@ -121,6 +124,8 @@
         """Use the engine parameters and versions that a control instance sent."""
         if self.state.engine is not None:
             self.admission.slots.engine = self.state.engine
+            self.cold.set_limits(*self.follower.cold_limits[self.settings.service])
+            self.cold.observe_announcement(self.state.own_target())
         self.changed.set()
 
     def evacuations_changed(self) -> None:
@@ -128,6 +133,11 @@
         self.update_admission()
         self.changed.set()
 
+    def targets_changed(self, states: Iterable[messages.TargetState]) -> None:
+        """Record what the engines announced, this sidecar's own among them."""
+        self.state.update_targets(states)
+        self.cold.observe_announcement(self.state.own_target())
+
     async def watch_engine(self) -> None:
         """Poll the engine, and update its admission state and its weights."""
         while True:
@@ -136,6 +146,7 @@
             await self.updater.reconcile()
             self.updater.plan_switch()
             self.admission.sweep_rates()
+            self.cold.check()
             self.update_gauges()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self.poll_interval_s()):
@@ -155,6 +166,7 @@
         self.gauge.set({"state": "waiting"}, len(slots.queue))
         self.gauge.set({"state": "open"}, int(slots.open))
         self.gauge.set({"state": "evacuated"}, int(self.state.is_evacuated))
+        self.gauge.set({"state": "cold"}, int(self.cold.was_cold))
         self.gauge.set({"state": "version"}, self.state.held_version())
         self.gauge.set({"state": "log_lines_lost"}, lines_lost())
         self.update_class_gauges()
@@ -184,7 +196,10 @@
                 return
             if previous.versions or not self.polled:
                 log.warning("the engine does not answer: %s", error)
+            self.cold.observe_silence()
             report = EngineReport({})
+        else:
+            self.cold.observe_report(report)
         if report.versions != previous.versions:
             log.info("engine holds", extra=fields(versions=report.versions))
             if not report.versions:
--- a/src/wisteriapulley/rollout/state.py
+++ b/src/wisteriapulley/rollout/state.py
@@ -6,7 +6,7 @@
 from wisteriapulley.clocks import steady_s
 from wisteriapulley.control.following import ControlFollower
 from wisteriapulley.control.nearest import by_nearness
-from wisteriapulley.direct.registry import TargetRegistry
+from wisteriapulley.direct.registry import Target, TargetRegistry
 from wisteriapulley.direct.settings import RolloutSettings
 from wisteriapulley.regions import Regions
 from wisteriapulley.rollout.engine import EngineReport
@@ -71,6 +71,11 @@
         """Record the other engines, which the switch order depends on."""
         self.targets.update(states, asyncio.get_running_loop().time())
 
+    def own_target(self) -> Target | None:
+        """Return this sidecar's engine as announced; None if it is unknown."""
+        own = self.targets.by_address.get(str(self.settings.target), "")
+        return self.targets.targets.get(own)
+
     def switch_rank(self) -> SwitchRank:
         """Return this engine's position in the switch order.
 
--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -124,6 +124,9 @@
         region.
     target_lease_ms : int
         Milliseconds that a target is kept after its last announcement.
+    cold_overshoot, cold_slack : float
+        Bound on requests to a cold target: in any one second, `cold_overshoot` times
+        the rate that its service states plus `cold_slack`.
     """
 
     wire_listen: Address
@@ -142,6 +145,8 @@
     voters: int = 0
     failure_domain_regions: dict[str, str] = {}
     target_lease_ms: int = 6000
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
 
 
 class EntrySettings(
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -340,6 +340,6 @@
   ageS @3 :UInt32;
 }
 struct SuspectNews { suspects @0 :List(Suspect); }
-struct TargetRate { target @0 :Text; perS @1 :Float64; ageMs @2 :UInt64; }
-struct PassageQuery { target @0 :Text; perS @1 :Float64; ageMs @2 :UInt64; }
+struct TargetRate { target @0 :Text; perS @1 :Float64; ageMs @2 :UInt64; coldMs @3 :UInt32; }
+struct PassageQuery { target @0 :Text; perS @1 :Float64; ageMs @2 :UInt64; coldMs @3 :UInt32; }
 struct Passage { granted @0 :Bool; waitMs @1 :UInt32; limited @2 :Bool; }
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -630,32 +630,35 @@
 
 
 class TargetRate(NamedTuple):
-    """Rate that a target advertised `age_ms` ago.
+    """Rate that a target advertised `age_ms` ago, and how much longer it is cold.
 
     `target` is its incarnation; `per_s` is in requests per second, 0 if the target no
-    longer advertises a rate.
+    longer advertises a rate. `cold_ms` is 0 if the sender does not know it to be cold.
     """
 
     target: str = ""
     per_s: float = 0.0
     age_ms: int = 0
+    cold_ms: int = 0
 
 
 class PassageQuery(NamedTuple):
-    """Ask a control instance for a permit to send a request to a rate-limited target.
+    """Ask a control instance for a permit to send a request to a limited target.
 
-    The fields after `target` are the rate that the entry last saw; see `TargetRate`.
+    The fields after `target` are what the entry last saw; see `TargetRate`.
     """
 
     target: str = ""
     per_s: float = 0.0
     age_ms: int = 0
+    cold_ms: int = 0
 
 
 class Passage(NamedTuple):
     """Whether a rate permit was granted; if not, `wait_ms` is the time to the next one.
 
-    `limited` is whether the target still advertises a rate, as far as is known.
+    `limited` is whether the target still advertises a rate or is cold, as far as is
+    known.
     """
 
     granted: bool = False
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -1,13 +1,25 @@
 """The bound on requests to cold targets, over all entries."""
 
+import heapq
+import itertools
 import random
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.test_engine_slots import ENGINE
+from tests.test_rate_limits import run_with_clock
+from tests.test_slot_admission import EntryLink, make_admission
+from wisteriapulley.direct.registry import Target
 from wisteriapulley.policy.advertised_rate import RateLimits
 from wisteriapulley.policy.cold_start import SETTLE_S, ColdBound, ColdTarget
+from wisteriapulley.policy.engine_slots import SlotRequest
+from wisteriapulley.rollout.cold_engine import ColdEngine
+from wisteriapulley.rollout.engine import EngineReport
+from wisteriapulley.wire import Frame, messages
+from wisteriapulley.wire.messages import TargetState
 
 START_S = 3.0
 # What a service states, and the settings' overshoot and slack.
@@ -239,3 +251,211 @@
         target.observe(1, 3.0, 1.1)
         assert not limits.take("a", 1.1)
         assert limits.wait_s("a", 1.1) == pytest.approx(SETTLE_S + 1 / 26 - 0.1)
+
+
+class Sidecar:
+    """Admission of one engine, with the sidecar's knowledge of its coldness."""
+
+    def __init__(self, per_s=26.0):
+        self.admission = make_admission(ENGINE)
+        settings = SimpleNamespace(cold_overshoot=1.5, cold_slack=5.0)
+        self.cold = ColdEngine(settings, self.admission.limit_changed)
+        self.admission.set_cold_engine(self.cold)
+        self.per_s = per_s
+        self.granted = []
+        self.numbers = itertools.count()
+
+    def start(self):
+        self.cold.set_limits(START_S, self.per_s)
+
+    def report(self, started_ms=1, cold_s=None):
+        self.cold.observe_report(
+            EngineReport({"m": 1}, False, 0, 0, started_ms, False, cold_s)
+        )
+
+    def announce(self, cold_ms, started_ms=1, now_s=0.0):
+        state = TargetState("i-1", "s", "10.0.0.1:80", "z", started_ms=started_ms)
+        target = Target(state._replace(cold_ms=cold_ms), now_s)
+        self.cold.observe_announcement(target)
+
+    async def reserve(self, link, now_s, target="i-1/1"):
+        """Request a slot that is released at once; return the decision."""
+        number = next(self.numbers)
+        message = messages.Reserve(f"r{number}", 1, 90, 1, 400, target)
+        await self.admission.receive(message, link, Frame(number, 0, message))
+        decision = link.written[-1]
+        if decision.granted:
+            self.granted.append(now_s)
+            self.admission.slots.release(f"r{number}", now_s * 1000)
+        return decision
+
+    def stop(self):
+        for timer in (self.admission.limit_timer, self.admission.load_report_timer):
+            if timer is not None:
+                timer.cancel()
+
+
+def play_sidecar(scenario, **options):
+    async def run(now):
+        sidecar = Sidecar(**options)
+        sidecar.start()
+        try:
+            await scenario(sidecar, now)
+        finally:
+            sidecar.stop()
+
+    run_with_clock(run)
+
+
+class TestEngines:
+    async def flood(self, sidecar, now, seconds, entries=6, target="i-1/1"):
+        links = [EntryLink() for _ in range(entries)]
+        decisions = []
+        for _ in range(round(seconds / 0.01)):
+            now.s += 0.01
+            sidecar.cold.check()
+            for link in links:
+                decisions.append(await sidecar.reserve(link, now.s, target))
+        return decisions
+
+    def test_engine_that_turns_cold_under_load(self):
+        """Its slots are free at once and all entries ask: it is never full."""
+
+        async def scenario(sidecar, now):
+            sidecar.report()
+            sidecar.announce(0, now_s=now.s)
+            await self.flood(sidecar, now, 1.0)
+            warm = len(sidecar.granted)
+            assert warm == 600
+            sidecar.announce(3000, now_s=now.s)
+            turned_s = now.s
+            decisions = await self.flood(sidecar, now, 2.9)
+            cold = [at_s for at_s in sidecar.granted if at_s > turned_s]
+            # The second before it turned cold used up the bound.
+            assert not [at_s for at_s in cold if at_s < turned_s + 1.0]
+            assert most_in_a_second(cold) <= 44
+            assert len(cold) >= 26 * (2.9 - SETTLE_S) - 1
+            refused = [d for d in decisions if not d.granted]
+            assert all(d.limited and not d.queued and d.retry_ms > 0 for d in refused)
+            await self.flood(sidecar, now, 0.2)
+            assert sidecar.granted[-1] == pytest.approx(now.s)
+
+        play_sidecar(scenario)
+
+    def test_restart_counts_whatever_incarnation_entries_ask_for(self):
+        async def scenario(sidecar, now):
+            sidecar.report(started_ms=1)
+            sidecar.announce(0, now_s=now.s)
+            now.s += 10.0
+            sidecar.report(started_ms=2)
+            started_s = now.s
+            for target in ("i-1/1", "i-1/2", ""):
+                await self.flood(sidecar, now, 0.9, target=target)
+            assert most_in_a_second(sidecar.granted) <= 44
+            assert sidecar.granted[-1] - started_s < START_S
+
+        play_sidecar(scenario)
+
+    def test_fleet_that_states_to_be_warm_is_not_limited(self):
+        async def scenario(sidecar, now):
+            sidecar.announce(0, now_s=now.s)
+            sidecar.report()
+            await self.flood(sidecar, now, 1.0)
+            assert len(sidecar.granted) == 600
+
+        play_sidecar(scenario)
+
+    def test_engine_that_answers_again_after_a_silence(self):
+        async def scenario(sidecar, now):
+            sidecar.report()
+            sidecar.announce(0, now_s=now.s)
+            now.s += 1.0
+            sidecar.cold.observe_silence()
+            now.s += 4.0
+            sidecar.report()
+            await self.flood(sidecar, now, 2.9)
+            assert most_in_a_second(sidecar.granted) <= 44
+
+        play_sidecar(scenario)
+
+    def test_statements_of_the_engine_and_of_an_entry(self):
+        async def scenario(sidecar, now):
+            sidecar.report()
+            sidecar.announce(0, now_s=now.s)
+            now.s += 5.0
+            sidecar.report(cold_s=2.0)
+            assert sidecar.cold.was_cold
+            now.s += 1.0
+            sidecar.report(cold_s=0.0)
+            assert not sidecar.cold.was_cold
+            now.s += 1.0
+            update = messages.TargetRate("i-1/1", 0.0, 1 << 40, 1500)
+            link = EntryLink()
+            await sidecar.admission.receive(update, link, Frame(0, 0, update))
+            assert sidecar.cold.was_cold
+
+        play_sidecar(scenario)
+
+    def test_state_in_heartbeats_and_time_to_come_back(self):
+        async def scenario(sidecar, now):
+            sidecar.report()
+            decision = await sidecar.reserve(EntryLink(), now.s)
+            assert not decision.granted and decision.limited
+            assert decision.retry_ms >= SETTLE_S * 1000
+            assert sidecar.admission.heartbeat().state == "limited"
+
+        play_sidecar(scenario)
+
+    def test_service_without_a_limit(self):
+        async def scenario(sidecar, now):
+            sidecar.report()
+            sidecar.announce(3000, now_s=now.s)
+            await self.flood(sidecar, now, 1.0)
+            assert len(sidecar.granted) == 600
+            assert sidecar.admission.heartbeat().state == "open"
+
+        play_sidecar(scenario, per_s=0.0)
+
+    def test_failure_domain_returns_cold_under_full_load(self):
+        """A third of the engines is cold; each request tries warm ones first.
+
+        The cold ones stay within the bound, and the others serve as before.
+        """
+
+        async def run(now):
+            cold = [Sidecar() for _ in range(4)]
+            warm = [Sidecar() for _ in range(8)]
+            for sidecar in cold + warm:
+                sidecar.start()
+                sidecar.report()
+            for sidecar in warm:
+                sidecar.announce(0, now_s=now.s)
+            rng = random.Random(1)
+            running = []
+            asked = 0
+            for _ in range(290):
+                now.s += 0.01
+                while running and running[0][0] <= now.s:
+                    _, _, sidecar, name = heapq.heappop(running)
+                    sidecar.admission.slots.release(name, now.s * 1000)
+                for _ in range(10):
+                    asked += 1
+                    order = rng.sample(warm, 2) + rng.sample(cold, 4)
+                    for sidecar in order:
+                        name = f"q{asked}"
+                        request = SlotRequest(name, "e", 50, 90, 1, 100.0)
+                        slots = sidecar.admission.slots
+                        decision = slots.request_slot(request, now.s * 1000)
+                        if decision.granted:
+                            sidecar.granted.append(now.s)
+                            end_s = now.s + rng.uniform(0.05, 0.2)
+                            heapq.heappush(running, (end_s, asked, sidecar, name))
+                            break
+                        slots.release(name, now.s * 1000)
+            for sidecar in cold + warm:
+                sidecar.stop()
+            assert all(most_in_a_second(s.granted) <= 44 for s in cold)
+            assert sum(len(s.granted) for s in cold) >= 4 * 0.8 * 26 * (2.9 - SETTLE_S)
+            assert min(len(s.granted) for s in warm) > 100
+
+        run_with_clock(run)
