Ask the owner before a request goes to a cold plain target

Cause: each entry sent a cold plain target what its slots allowed, and engines whose sidecar it did not reach two requests at a time. Change: rate owners bound the requests to cold plain targets, each of at most two owners with half of the bound; entries ask for a permit while a target is cold, and send nothing where they reach no owner or may have missed that it turned cold. Engines without a link to their sidecar get nothing meanwhile. Measured: in TestPlainTargets nine entries that flood a target stay within 22 in any second with one owner, 44 with two during a partition and after the loss of an owner; 200 entries out of touch send nothing.

--- a/src/wisteriapulley/control/rate_owner.py
+++ b/src/wisteriapulley/control/rate_owner.py
@@ -1,15 +1,16 @@
-"""Enforces the advertised rates of plain targets across all entries.
+"""Enforces the advertised rates and cold limits of plain targets across all entries.
 
 An engine's sidecar sees all requests to the engine; a plain target has no sidecar. So
 one control instance owns the rate limit of each plain target, and an entry that knows
-of an advertised rate requests a permit for each request through the instance that it
-follows.
+of an advertised rate, or that the target is cold, requests a permit for each request
+through the instance that it follows.
 """
 
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
 
+from wisteriapulley.control.cold_owner import ColdOwner
 from wisteriapulley.errors import WisteriapulleyError
 from wisteriapulley.policy.advertised_rate import RateLimits
 from wisteriapulley.rendezvous import rendezvous_weight
@@ -37,12 +38,22 @@
         Node id of this instance.
     peers : callable
         Returns the open links to the other instances by node id.
+    cold : ColdOwner, optional
+        Limits of cold targets.
     """
 
-    def __init__(self, own: str, peers: Callable[[], Mapping[str, Link]]):
+    def __init__(
+        self,
+        own: str,
+        peers: Callable[[], Mapping[str, Link]],
+        cold: ColdOwner | None = None,
+    ):
         self.own = own
         self.peers = peers
+        self.cold = cold
         self.limits = RateLimits(GRANTED_FRACTION)
+        if cold is not None:
+            self.limits.cold_of = cold.limit_of
 
     def owner_link(self, target: str) -> Link | None:
         """Return the link to a target's rate owner; None if this instance owns it."""
@@ -76,6 +87,10 @@
         """Grant a rate permit, or return the delay until one is available."""
         now_s = asyncio.get_running_loop().time()
         self.record_rate(query, now_s)
+        if self.cold is not None and self.cold.is_undecidable(
+            query.target, query.cold_ms
+        ):
+            return Passage(False, OWNER_LOST_RETRY_MS, True)
         if self.limits.take(query.target, now_s):
             return Passage(True, 0, self.limits.is_limited(query.target))
         wait_s = self.limits.wait_s(query.target, now_s)
@@ -90,10 +105,15 @@
         self.record_rate(update, asyncio.get_running_loop().time())
 
     def record_rate(self, message: TargetRate | PassageQuery, now_s: float) -> None:
-        """Record the rate that an entry received from a target."""
+        """Record the rate that an entry received from a target, and its coldness."""
         observed_s = now_s - message.age_ms / 1000
         self.limits.update(message.target, message.per_s or None, observed_s)
+        if self.cold is not None:
+            self.cold.observe(message.target, message.cold_ms, now_s)
 
     def sweep(self) -> None:
         """Drop the limits of targets that are long gone."""
-        self.limits.remove_expired(asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self.limits.remove_expired(now_s)
+        if self.cold is not None:
+            self.cold.sweep(now_s)
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -12,6 +12,7 @@
 from wisteriapulley.catalogue import ChangeResult
 from wisteriapulley.clocks import steady_ms
 from wisteriapulley.control.client import ISOLATED_STATE
+from wisteriapulley.control.cold_owner import ColdOwner
 from wisteriapulley.control.commands import (
     COMMAND_DECODER,
     Command,
@@ -87,13 +88,14 @@
         self.entry_count = 0
         self.members_complete = False
         self.api = ControlApi(self)
-        self.rates = RateOwner(settings.node_id, self.open_peer_links)
         self.publisher = Publisher(
             settings,
             self.state,
             lambda *key: self.pieces.relay.prefetch(*key),
             self.send_to_peers,
         )
+        cold = ColdOwner(settings, self.publisher.targets, lambda: self.publisher.table)
+        self.rates = RateOwner(settings.node_id, self.open_peer_links, cold)
 
     @classmethod
     def from_settings(cls, settings: ControlSettings) -> "ControlService":
--- a/src/wisteriapulley/direct/rate_permits.py
+++ b/src/wisteriapulley/direct/rate_permits.py
@@ -1,4 +1,4 @@
-"""Requests rate permits for targets that advertise a rate."""
+"""Requests rate permits for targets that advertise a rate or are cold."""
 
 import logging
 from collections.abc import Callable
@@ -20,6 +20,10 @@
 # Fraction of an advertised rate that one entry uses on its own while no rate owner
 # responds. A fleet of up to 20 entries still keeps to the full rate.
 LOCAL_RATE_FRACTION = 1 / 20
+# Retry delay for a cold target while no rate owner responds.
+COLD_RETRY_S = 0.5
+# Age of the rate of a target that never advertised one.
+NEVER_OBSERVED_MS = 1 << 40
 
 
 class RatePermitClient:
@@ -43,22 +47,35 @@
         self.local_limits = RateLimits(LOCAL_RATE_FRACTION)
         self.at_limit_until_s: dict[str, float] = {}
 
-    async def wait_s(self, target: Target, now_s: float) -> float:
+    async def wait_s(
+        self, target: Target, now_s: float, may_be_cold: bool = False
+    ) -> float:
         """Return how long until a request may be sent to a plain target; 0 for now.
 
         While a target is known to be at its limit, no permit is requested, so that
         requests are refused at once.
+
+        Parameters
+        ----------
+        target : Target
+            The target.
+        now_s : float
+            The loop's clock.
+        may_be_cold : bool
+            Whether it must be taken for cold: without its owner's permit it gets
+            nothing then.
         """
-        if target.rate.per_s is None:
+        if target.rate.per_s is None and not may_be_cold:
             return 0.0
         at_limit_s = self.at_limit_s(target, now_s)
         if at_limit_s:
             return at_limit_s
         permit = await self.request_permit(target, now_s)
         if permit is None:
-            return self.local_wait_s(target, now_s)
-        if not permit.limited and target.rate.observed_s <= now_s:
-            target.rate.clear(now_s)
+            return COLD_RETRY_S if may_be_cold else self.local_wait_s(target, now_s)
+        if not permit.limited and target.rate.per_s is not None:
+            if target.rate.observed_s <= now_s:
+                target.rate.clear(now_s)
         if permit.granted:
             return 0.0
         wait_s = permit.wait_ms / 1000
@@ -75,8 +92,7 @@
 
     async def request_permit(self, target: Target, now_s: float) -> Passage | None:
         """Request a rate permit; None if no control instance responds."""
-        age_ms = max(0, int((now_s - target.rate.observed_s) * 1000))
-        query = PassageQuery(target.incarnation, target.rate.per_s, age_ms)
+        query = PassageQuery(*rate_update(target, now_s))
         for link in self.links():
             try:
                 return (await link.request(query, PERMIT_TIMEOUT_S)).message
@@ -94,7 +110,7 @@
         return self.local_limits.wait_s(target.incarnation, now_s)
 
     def report_rate(self, target: Target, link: Link | None, now_s: float) -> None:
-        """Report the advertised rate of a target to the owner of its limit.
+        """Report the rate and the coldness of a target to the owner of its limits.
 
         Parameters
         ----------
@@ -121,6 +137,11 @@
 
 
 def rate_update(target: Target, now_s: float) -> TargetRate:
-    """Return the message with a target's advertised rate and its age."""
-    age_ms = max(0, int((now_s - target.rate.observed_s) * 1000))
-    return TargetRate(target.incarnation, target.rate.per_s or 0.0, age_ms)
+    """Return the message with a target's advertised rate, its age and coldness."""
+    age_ms = min(NEVER_OBSERVED_MS, max(0.0, (now_s - target.rate.observed_s) * 1000))
+    return TargetRate(
+        target.incarnation,
+        target.rate.per_s or 0.0,
+        int(age_ms),
+        int(target.cold_left_s(now_s) * 1000),
+    )
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -79,6 +79,9 @@
         self.targets_evacuated = self.metrics.gauge(
             "targets_evacuated", "Targets in evacuated failure domains, by domain."
         )
+        self.cold = self.metrics.gauge(
+            "targets_cold", "Targets that are cold, of services that limit these."
+        )
         self.dispatcher = Dispatcher(
             settings,
             self.registry,
@@ -126,6 +129,7 @@
     def table_changed(self, table: RoutingTable) -> None:
         """Apply a newer routing table."""
         self.dispatcher.set_table(table)
+        self.allocator.cold_services.set_table(table)
         self.ingress.max_body_bytes = table.limits.body_bytes
         self.allocator.sidecars.home_regions = home_regions(table)
         self.keep_links()
@@ -170,6 +174,8 @@
             self.crashes.sweep()
             self.dispatcher.set_entry_count(self.follower.entries_reported())
             self.allocator.rate_permits.sweep(loop.time())
+            cold = self.allocator.cold_services
+            self.cold.set({}, cold.check(self.registry.targets.values(), loop.time()))
             self.quarantined.set({}, len(self.crashes.suspects.quarantined()))
             self.count_evacuated()
             if self.registry.sweep(loop.time()):
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -8,6 +8,7 @@
 
 from wisteriapulley.clocks import steady_s
 from wisteriapulley.control.following import ControlFollower
+from wisteriapulley.direct.cold_services import ColdServices
 from wisteriapulley.direct.progress import Admitted
 from wisteriapulley.direct.rate_permits import RatePermitClient
 from wisteriapulley.direct.registry import Target, TargetRegistry
@@ -174,6 +175,7 @@
         self.follower = follower
         self.sidecars = Sidecars(settings, identity, registry)
         self.rate_permits = RatePermitClient(follower.open_links)
+        self.cold_services = ColdServices()
         self.location = EntryLocation(
             settings.failure_domain, Regions(settings.failure_domain_regions)
         )
@@ -283,7 +285,9 @@
         for target in order:
             if target.outstanding >= target.slots:
                 continue
-            wait_s = await self.rate_permits.wait_s(target, now_s)
+            wait_s = await self.rate_permits.wait_s(
+                target, now_s, self.may_be_cold(target, now_s)
+            )
             # Signals in responses to other requests may have arrived meanwhile.
             wait_s = max(wait_s, self.registry.wait_s(target, self.now_s(), is_last))
             if not wait_s:
@@ -294,8 +298,13 @@
             return Refusal(RefusalKind.OVERLOADED, min(waits_s), "targets throttled")
         return Refusal(RefusalKind.OVERLOADED, DEFAULT_RETRY_S, "targets full")
 
+    def may_be_cold(self, target: Target, now_s: float) -> bool:
+        """Return whether a target must be taken for cold."""
+        in_touch = bool(self.follower.open_links())
+        return self.cold_services.may_be_cold(target, now_s, in_touch)
+
     def report_rate(self, target: Target, now_s: float) -> None:
-        """Report a target's advertised rate to the owner of its rate limit."""
+        """Report a target's rate and coldness to the owner of its limits."""
         self.rate_permits.report_rate(target, self.sidecars.link_to(target), now_s)
 
     # -- engines ---------------------------------------------------------
@@ -412,7 +421,12 @@
     def allocate_without_sidecar(
         self, target: Target, engine: Engine
     ) -> AllocatedSlot | None:
-        """Use an engine without asking its sidecar, for few requests at a time."""
+        """Use an engine without asking its sidecar, for few requests at a time.
+
+        A cold engine gets nothing: its sidecar counts what it bears.
+        """
+        if self.may_be_cold(target, self.now_s()):
+            return None
         version = target.state.version
         if target.outstanding >= MAX_WITHOUT_SIDECAR or not version:
             return None
--- a/tests/plain_fleet.py
+++ b/tests/plain_fleet.py
@@ -37,6 +37,8 @@
         self.base = free_port()
         self.targets = targets
         self.services = []
+        self.service = SERVICE
+        self.cold_ms = 0
         self.entries = {}
         self.sequence = 0
 
@@ -49,7 +51,7 @@
         for number in range(ENTRIES):
             await self.start_entry(number)
         self.heartbeat_task = asyncio.create_task(self.heartbeat_loop())
-        table = configuration(1, Origin(), routes=[ROUTE], services=[SERVICE])
+        table = configuration(1, Origin(), routes=[ROUTE], services=[self.service])
         await self.until(lambda: self.post(names.REPLACE_CALL, table))
         for number in range(ENTRIES):
             await self.until(lambda number=number: self.serves(number))
@@ -117,7 +119,7 @@
             "version": "v1",
             "slots": 8,
             "state": "ready",
-            "cold-remaining-ms": 0,
+            "cold-remaining-ms": self.cold_ms,
             "sequence": self.sequence,
         }
         path = names.HEARTBEAT_CALL.format(target_id=target.target_id)
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -1,25 +1,49 @@
 """The bound on requests to cold targets, over all entries."""
 
+import asyncio
 import heapq
 import itertools
 import random
+import sys
 from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from multidict import CIMultiDict
 
+from tests.test_direct_dispatch import SETTINGS
 from tests.test_engine_slots import ENGINE
-from tests.test_rate_limits import run_with_clock
+from tests.test_rate_limits import ControlLink, run_with_clock
 from tests.test_slot_admission import EntryLink, make_admission
-from wisteriapulley.direct.registry import Target
+from tests.test_slot_allocation import ROUTE, FakeSidecars
+from wisteriapulley.clocks import steady_ms
+from wisteriapulley.control import cold_owner
+from wisteriapulley.control.cold_owner import ColdOwner
+from wisteriapulley.control.rate_owner import OWNER_LOST_RETRY_MS, RateOwner
+from wisteriapulley.control.targets import TargetTable
+from wisteriapulley.direct.cold_services import ColdServices
+from wisteriapulley.direct.progress import Admitted
+from wisteriapulley.direct.rate_permits import (
+    COLD_RETRY_S,
+    NEVER_OBSERVED_MS,
+    rate_update,
+)
+from wisteriapulley.direct.registry import Target, TargetRegistry
+from wisteriapulley.direct.slot_allocation import AllocatedSlot, SlotAllocator
+from wisteriapulley.direct.types import CallerRequest, Refusal
+from wisteriapulley.platform.signal_parsing import parse_signals
 from wisteriapulley.policy.advertised_rate import RateLimits
 from wisteriapulley.policy.cold_start import SETTLE_S, ColdBound, ColdTarget
 from wisteriapulley.policy.engine_slots import SlotRequest
+from wisteriapulley.policy.response_signals import ResponseSignals
 from wisteriapulley.rollout.cold_engine import ColdEngine
 from wisteriapulley.rollout.engine import EngineReport
+from wisteriapulley.routing import RoutingTable, Service
+from wisteriapulley.weights.desired_versions import DesiredVersions
 from wisteriapulley.wire import Frame, messages
-from wisteriapulley.wire.messages import TargetState
+from wisteriapulley.wire.handshake import Identity
+from wisteriapulley.wire.messages import PassageQuery, TargetState
 
 START_S = 3.0
 # What a service states, and the settings' overshoot and slack.
@@ -459,3 +483,305 @@
             assert min(len(s.granted) for s in warm) > 100
 
         run_with_clock(run)
+
+
+LIMITED_TABLE = RoutingTable(
+    1, (), (Service("s", cold_start_s=START_S, cold_per_s=26.0),), ()
+)
+UNLIMITED_TABLE = RoutingTable(1, (), (Service("s"),), ())
+CONTROL_SETTINGS = SimpleNamespace(cold_overshoot=1.5, cold_slack=5.0)
+
+
+def announced(cold_ms, sequence=1):
+    return TargetState(
+        "i-1", "s", "10.0.0.1:80", "z", False, False, sequence, 12, cold_ms, version=1
+    )
+
+
+class Entry:
+    """Slot allocation of an entry that knows one target."""
+
+    def __init__(self, now_s, cold_ms, links=(), table=LIMITED_TABLE, name="e"):
+        self.registry = TargetRegistry()
+        self.registry.update([announced(cold_ms)], now_s)
+        self.links = links
+        follower = SimpleNamespace(
+            versions=DesiredVersions(), open_links=lambda: list(self.links)
+        )
+        identity = Identity(name, "entry", "z", 1, b"k" * 40)
+        self.allocator = SlotAllocator(SETTINGS, identity, self.registry, follower)
+        self.allocator.cold_services.set_table(table)
+
+    async def allocate(self, now_s, engine=None):
+        request = CallerRequest(
+            "q", "POST", "/", "h", "/", (), b"", "", now_s, 5.4, 900, 90
+        )
+        admitted = Admitted(request, ROUTE, None, now_s + 5.4, False)
+        return await self.allocator.allocate(admitted, "s", engine, set(), now_s)
+
+
+class WithoutLinks(FakeSidecars):
+    """Sidecars to which no link is open."""
+
+    def link_to(self, target):
+        return None
+
+
+class TestEnginesWithoutTheirSidecar:
+    def allocate(self, cold_ms, links, table=LIMITED_TABLE):
+        async def run():
+            now_s = asyncio.get_running_loop().time()
+            entry = Entry(now_s, cold_ms, links, table)
+            entry.allocator.sidecars = WithoutLinks()
+            return await entry.allocate(now_s, ENGINE)
+
+        return asyncio.run(run())
+
+    def test_cold_engine_gets_nothing(self):
+        result = self.allocate(2000, [ControlLink()])
+        assert isinstance(result, Refusal) and result.retry_s > 0
+
+    def test_warm_engine_gets_requests_from_an_entry_in_touch(self):
+        assert isinstance(self.allocate(0, [ControlLink()]), AllocatedSlot)
+
+    def test_entry_out_of_touch_takes_it_for_cold(self):
+        assert isinstance(self.allocate(0, []), Refusal)
+
+    def test_service_without_a_limit(self):
+        for links in ([], [ControlLink()]):
+            result = self.allocate(2000, links, UNLIMITED_TABLE)
+            assert isinstance(result, AllocatedSlot)
+
+
+class Owners:
+    """Control instances that own the limits of plain targets."""
+
+    def __init__(self, *names, table=LIMITED_TABLE):
+        self.tables = {name: TargetTable(60_000) for name in names}
+        self.links = {name: {} for name in names}
+        self.owners = {
+            name: RateOwner(
+                name,
+                lambda name=name: self.links[name],
+                ColdOwner(CONTROL_SETTINGS, self.tables[name], lambda: table),
+            )
+            for name in names
+        }
+        for name in names:
+            self.links[name].update(
+                {other: self.link_to(other) for other in names if other != name}
+            )
+
+    def link_to(self, name, from_entry=False):
+        async def decide(message):
+            return await self.owners[name].answer(message, from_entry)
+
+        return ControlLink(decide)
+
+    def announce(self, state):
+        for table in self.tables.values():
+            table.update(state, steady_ms())
+
+    def separate(self, name):
+        """Cut one instance off from the others, in both directions."""
+        self.links[name].clear()
+        for links in self.links.values():
+            links.pop(name, None)
+
+
+def play_plain(scenario):
+    """Run with a clock that the scenario sets, also for control instances."""
+    with pytest.MonkeyPatch.context() as patch:
+
+        async def run(now):
+            for module in (cold_owner, sys.modules[__name__]):
+                patch.setattr(module, "steady_ms", lambda: now.s * 1000)
+            await scenario(now)
+
+        run_with_clock(run)
+
+
+class TestPlainTargets:
+    async def flood(self, entries, now, seconds, sent):
+        """Let all entries send far too much; return the refusals."""
+        refusals = []
+        for _ in range(round(seconds / 0.02)):
+            now.s += 0.02
+            for entry in entries:
+                for _ in range(2):
+                    result = await entry.allocate(now.s)
+                    if isinstance(result, Refusal):
+                        refusals.append(result)
+                        continue
+                    sent.append(now.s)
+                    result.release()
+        return refusals
+
+    def test_target_that_turns_cold_under_load(self):
+        async def scenario(now):
+            owners = Owners("a", "b", "c")
+            owners.announce(announced(0))
+            links = [owners.link_to(name, from_entry=True) for name in "abc"]
+            entries = [Entry(now.s, 0, [links[n % 3]], name=f"e{n}") for n in range(9)]
+            warm = []
+            await self.flood(entries, now, 1.0, warm)
+            assert len(warm) == 900
+            turned_s = now.s
+            state = announced(4000, sequence=2)
+            owners.announce(state)
+            for entry in entries:
+                entry.registry.update([state], now.s)
+            sent = []
+            refusals = await self.flood(entries, now, 3.9, sent)
+            assert not [at_s for at_s in sent if at_s < turned_s + 1.0]
+            assert most_in_a_second(sent) <= 22
+            assert len(sent) >= 13 * (3.9 - SETTLE_S) - 5
+            assert all(refusal.retry_s > 0 for refusal in refusals)
+            await self.flood(entries, now, 0.5, warm)
+            assert warm[-1] == pytest.approx(now.s)
+
+        play_plain(scenario)
+
+    def test_owner_is_lost_and_another_one_takes_over(self):
+        async def scenario(now):
+            owners = Owners("a", "b", "c")
+            owners.announce(announced(9000))
+            sent, entries = [], []
+            for number in range(9):
+                link = owners.link_to("abc"[number % 3], from_entry=True)
+                entries.append(Entry(now.s, 9000, [link], name=f"e{number}"))
+            await self.flood(entries, now, 3.0, sent)
+            (owner,) = (n for n, o in owners.owners.items() if o.cold.targets)
+            owners.separate(owner)
+            reachable = [e for n, e in enumerate(entries) if "abc"[n % 3] != owner]
+            await self.flood(reachable, now, 3.0, sent)
+            assert most_in_a_second(sent) <= 44
+            assert max(sent) > now.s - 0.5
+
+        play_plain(scenario)
+
+    def test_two_owners_of_a_partition(self):
+        async def scenario(now):
+            owners = Owners("a", "b", "c")
+            owners.announce(announced(9000))
+            sent, entries = [], []
+            for number in range(9):
+                link = owners.link_to("abc"[number % 3], from_entry=True)
+                entries.append(Entry(now.s, 9000, [link], name=f"e{number}"))
+            await self.flood(entries, now, 2.0, sent)
+            (owner,) = (n for n, o in owners.owners.items() if o.cold.targets)
+            owners.separate(owner)
+            await self.flood(entries, now, 6.0, sent)
+            assert most_in_a_second(sent) <= 44
+            assert sum(bool(o.cold.targets) for o in owners.owners.values()) == 2
+
+        play_plain(scenario)
+
+    @pytest.mark.parametrize("count", [1, 20, 200])
+    def test_entries_out_of_touch_send_nothing(self, count):
+        """They may have missed that the target turned cold."""
+
+        async def scenario(now):
+            entries = [Entry(now.s, 0, [], name=f"e{n}") for n in range(count)]
+            sent = []
+            refusals = await self.flood(entries, now, 0.1, sent)
+            assert not sent and all(refusal.retry_s > 0 for refusal in refusals)
+
+        play_plain(scenario)
+
+    def test_entry_whose_owner_does_not_respond(self):
+        async def scenario(now):
+            entry = Entry(now.s, 3000, [ControlLink()])
+            result = await entry.allocate(now.s)
+            assert result.retry_s == COLD_RETRY_S
+
+        play_plain(scenario)
+
+    def test_owner_that_does_not_know_the_target_grants_nothing(self):
+        """It has just started, and the target has not announced itself there."""
+
+        async def scenario(now):
+            owners = Owners("a")
+            link = owners.link_to("a", from_entry=True)
+            sent = []
+            assert await self.flood([Entry(now.s, 3000, [link])], now, 0.1, sent)
+            assert not sent
+            answer = await link.request(PassageQuery("i-1/0", 2.0, 0), 1.0)
+            assert answer.message.wait_ms != OWNER_LOST_RETRY_MS
+
+        play_plain(scenario)
+
+    def test_owner_that_heard_nothing_yet_believes_the_entry(self):
+        async def scenario(now):
+            owners = Owners("a")
+            owners.announce(announced(0))
+            link = owners.link_to("a", from_entry=True)
+            sent = []
+            await self.flood([Entry(now.s, 3000, [link])], now, 2.9, sent)
+            assert most_in_a_second(sent) <= 22 and sent[0] >= now.s - 2.9 + 1.0
+
+        play_plain(scenario)
+
+    def test_service_without_a_limit_needs_no_permit(self):
+        async def scenario(now):
+            for links in ([], [ControlLink()]):
+                entry = Entry(now.s, 3000, links, UNLIMITED_TABLE)
+                assert isinstance(await entry.allocate(now.s), AllocatedSlot)
+                assert not any(link.queries for link in links)
+
+        play_plain(scenario)
+
+    def test_rest_of_the_fleet_carries_on(self):
+        """Another target is warm: it is preferred, and gets what the cold one can't."""
+
+        async def scenario(now):
+            owners = Owners("a")
+            owners.announce(announced(5000))
+            entry = Entry(now.s, 5000, [owners.link_to("a", from_entry=True)])
+            warm = TargetState("i-2", "s", "10.0.0.2:80", "z", sequence=1, slots=12)
+            entry.registry.update([warm], now.s)
+            slots = [await entry.allocate(now.s) for _ in range(12)]
+            assert {slot.target.target_id for slot in slots} == {"i-2"}
+            assert isinstance(await entry.allocate(now.s), Refusal)
+
+        play_plain(scenario)
+
+
+class TestColdServices:
+    def test_counts_and_logs_cold_targets(self, caplog):
+        caplog.set_level("INFO")
+        services = ColdServices()
+        target = Target(announced(2000), 10.0)
+        assert services.check([target], 10.0) == 0
+        services.set_table(LIMITED_TABLE)
+        counts = [services.check([target], now_s) for now_s in (10.0, 11.0, 12.0)]
+        assert counts == [1, 1, 0]
+        assert caplog.messages == ["target is cold", "target is warm"]
+
+
+class TestSignal:
+    def parse(self, *texts):
+        headers = CIMultiDict([("X-Cold-Ms", text) for text in texts])
+        return parse_signals(200, headers).cold_s
+
+    def test_longest_valid_time_counts(self):
+        assert self.parse() is None
+        assert self.parse("soon", "-1") is None
+        assert self.parse("0") == 0.0
+        assert self.parse("1500", "x", "250") == 1.5
+
+    def test_response_is_reported_to_the_owner(self):
+        target = Target(announced(0), 10.0)
+        changes = target.record_signals(ResponseSignals(cold_s=2.0), 19.0, 20.0)
+        assert changes.cold
+        assert rate_update(target, 20.5) == messages.TargetRate(
+            "i-1/0", 0.0, NEVER_OBSERVED_MS, 1500
+        )
+        again = target.record_signals(ResponseSignals(cold_s=1.0), 20.0, 21.0)
+        assert not again.cold
+
+    def test_earlier_announcement_does_not_end_it(self):
+        target = Target(announced(0), 10.0)
+        target.record_signals(ResponseSignals(cold_s=2.0), 19.0, 20.0)
+        target.update(announced(0, sequence=2), 19.9)
+        assert target.cold_left_s(20.0) == pytest.approx(2.0)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -61,6 +61,7 @@
         self.origin = Origin()
         self.engine = Engine(self.origin)
         self.sequence = 0
+        self.cold_ms = 0
         self.services = []
 
     async def start(self):
@@ -106,7 +107,7 @@
         body = (
             f'{{"service":"model-service","address":"{self.engine.address}",'
             f'"zone":"palermo","version":"v1","slots":8,"state":"{state}",'
-            f'"cold-remaining-ms":0,"sequence":{self.sequence},"models":'
+            f'"cold-remaining-ms":{self.cold_ms},"sequence":{self.sequence},"models":'
             f'[{{"name":"model","version":{self.engine.version},"adapters":[]}}]}}'
         )
         path = names.HEARTBEAT_CALL.format(target_id=self.engine.target_id)
