Keep a new engine cold when a statement names no incarnation

Cause: an announcement without a start time, made before the engine restarted, ended the assumption that the new incarnation is cold; a malformed incarnation in an entry's message ended its link. Change: such a statement counts only from the new incarnation's first sign of life on. Measured: test_statement_without_an_incarnation fails without the change.

--- a/src/wisteriapulley/direct/cold_services.py
+++ b/src/wisteriapulley/direct/cold_services.py
@@ -1,7 +1,7 @@
 """Which targets an entry must take for cold."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from wisteriapulley.direct.registry import Target
 from wisteriapulley.logs import fields
@@ -29,7 +29,9 @@
         """Apply a newer routing table."""
         self.limited = frozenset(s.name for s in table.services if s.cold_per_s > 0)
 
-    def may_be_cold(self, target: Target, now_s: float, in_touch: bool) -> bool:
+    def may_be_cold(
+        self, target: Target, now_s: float, in_touch: Callable[[], bool]
+    ) -> bool:
         """Return whether a request needs the consent of the target's owner.
 
         A target may turn cold at any moment, and control instances announce it. An
@@ -42,12 +44,12 @@
             The target.
         now_s : float
             The loop's clock.
-        in_touch : bool
-            Whether a link to a control instance is open.
+        in_touch : callable
+            Returns whether a link to a control instance is open.
         """
         if target.state.service not in self.limited:
             return False
-        return not in_touch or target.cold_left_s(now_s) > 0
+        return target.cold_left_s(now_s) > 0 or not in_touch()
 
     def check(self, targets: Iterable[Target], now_s: float) -> int:
         """Log which targets turned cold or warm; return how many are cold."""
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -300,8 +300,9 @@
 
     def may_be_cold(self, target: Target, now_s: float) -> bool:
         """Return whether a target must be taken for cold."""
-        in_touch = bool(self.follower.open_links())
-        return self.cold_services.may_be_cold(target, now_s, in_touch)
+        return self.cold_services.may_be_cold(
+            target, now_s, lambda: bool(self.follower.open_links())
+        )
 
     def report_rate(self, target: Target, now_s: float) -> None:
         """Report a target's rate and coldness to the owner of its limits."""
--- a/src/wisteriapulley/policy/cold_start.py
+++ b/src/wisteriapulley/policy/cold_start.py
@@ -99,6 +99,9 @@
     stated_s : float
         Time of the latest statement about it. An assumption that no statement has
         confirmed yet has the time after which a statement replaces it.
+    alive_s : float
+        First sign of life of an incarnation that replaced another one. Before that, a
+        statement that names no incarnation was about the earlier one.
     """
 
     def __init__(self, bound: ColdBound, now_s: float):
@@ -106,6 +109,7 @@
         self.started_ms = -1
         self.until_s = float("-inf")
         self.stated_s = float("-inf")
+        self.alive_s = float("-inf")
         self.bucket = TokenBucket(bound.rate, bound.burst, self.max_debt)
         self.bucket.refill(now_s)
 
@@ -123,6 +127,8 @@
     def record_alive(self, started_ms: int, now_s: float) -> None:
         """Record a sign of life without a statement; the first one counts as cold."""
         if started_ms > self.started_ms:
+            if self.started_ms >= 0:
+                self.alive_s = now_s
             self.started_ms = started_ms
             self.until_s = now_s + self.bound.start_s
             self.stated_s = float("-inf")
@@ -145,10 +151,12 @@
         stated_s : float
             When it was stated.
         """
-        started_ms = started_ms or self.started_ms
+        oldest_s = self.stated_s
+        if not started_ms:
+            started_ms, oldest_s = self.started_ms, max(oldest_s, self.alive_s)
         if started_ms < self.started_ms:
             return
-        if started_ms == self.started_ms and stated_s < self.stated_s:
+        if started_ms == self.started_ms and stated_s < oldest_s:
             return
         self.started_ms, self.stated_s = started_ms, stated_s
         self.until_s = stated_s + remaining_s
--- a/src/wisteriapulley/rollout/cold_engine.py
+++ b/src/wisteriapulley/rollout/cold_engine.py
@@ -97,7 +97,8 @@
         """Record what an entry read in a response of the engine."""
         if self.target is None or not message.cold_ms:
             return
-        started_ms = int(message.target.rpartition("/")[2] or 0)
+        started = message.target.rpartition("/")[2]
+        started_ms = int(started) if started.isdecimal() else 0
         self.target.observe(started_ms, message.cold_ms / 1000, self.now_s())
         self.check()
 
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -115,6 +115,18 @@
         target.observe(1000, 0.0, 6.0)
         assert target.is_cold(6.0)
 
+    def test_statement_without_an_incarnation(self):
+        """It is about the one that ran when it was stated."""
+        target = cold_target()
+        target.record_alive(1000, 4.5)
+        target.observe(0, 0.0, 4.0)
+        assert not target.is_cold(4.5)
+        target.record_alive(2000, 9.0)
+        target.observe(0, 0.0, 8.0)
+        assert target.is_cold(9.0)
+        target.observe(0, 0.0, 9.5)
+        assert not target.is_cold(9.5)
+
     def test_turns_cold_again_at_any_moment(self):
         target = cold_target()
         target.observe(1000, 0.0, 4.0)
