Give each entry its share of the connections to a plain target

Cause: an entry sends a plain target as many requests as it has slots, whatever the other entries do: 45 entries open up to 540 connections at a target that accepts 480, and a reset loses requests that may run only once. Change: at most max-connections / (2 x entries) requests in flight, at least one. It binds only where that is below the target's slots.

--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -129,7 +129,7 @@
     def table_changed(self, table: RoutingTable) -> None:
         """Apply a newer routing table."""
         self.dispatcher.set_table(table)
-        self.allocator.cold_services.set_table(table)
+        self.allocator.set_table(table)
         self.ingress.max_body_bytes = table.limits.body_bytes
         self.allocator.sidecars.home_regions = home_regions(table)
         self.keep_links()
@@ -172,7 +172,9 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.lines_lost.set({}, lines_lost())
             self.crashes.sweep()
-            self.dispatcher.set_entry_count(self.follower.entries_reported())
+            entry_count = self.follower.entries_reported()
+            self.dispatcher.set_entry_count(entry_count)
+            self.allocator.set_entry_count(entry_count)
             self.allocator.rate_permits.sweep(loop.time())
             cold = self.allocator.cold_services
             self.cold.set({}, cold.check(self.registry.targets.values(), loop.time()))
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -16,9 +16,10 @@
 from wisteriapulley.direct.sidecars import Sidecars
 from wisteriapulley.direct.types import CallerRequest, Refusal, RefusalKind
 from wisteriapulley.policy.circuit_breaker import SendOutcome
+from wisteriapulley.policy.connection_share import max_requests
 from wisteriapulley.policy.target_ranking import EntryLocation, Load, rank_targets
 from wisteriapulley.regions import Regions
-from wisteriapulley.routing import Engine
+from wisteriapulley.routing import Engine, RoutingTable
 from wisteriapulley.routing.homes import describe_homes
 from wisteriapulley.wire import Link, messages
 from wisteriapulley.wire.handshake import Identity
@@ -176,11 +177,24 @@
         self.sidecars = Sidecars(settings, identity, registry)
         self.rate_permits = RatePermitClient(follower.open_links)
         self.cold_services = ColdServices()
+        # Connections that a target of each service accepts, and the largest number of
+        # entries seen; see `policy.connection_share`.
+        self.max_connections: dict[str, int] = {}
+        self.entry_count = 0
         self.location = EntryLocation(
             settings.failure_domain, Regions(settings.failure_domain_regions)
         )
         self.random = random.Random(identity.node_id)
 
+    def set_table(self, table: RoutingTable) -> None:
+        """Apply the limits in a newer routing table."""
+        self.cold_services.set_table(table)
+        self.max_connections = {s.name: s.max_connections for s in table.services}
+
+    def set_entry_count(self, entry_count: int) -> None:
+        """Update the number of entries that share the connections to a target."""
+        self.entry_count = max(self.entry_count, entry_count)
+
     async def stop(self) -> None:
         """Close all links."""
         await self.sidecars.stop()
@@ -283,7 +297,7 @@
         )
         waits_s: list[float] = []
         for target in order:
-            if target.outstanding >= target.slots:
+            if target.outstanding >= self.max_requests(target):
                 continue
             wait_s = await self.rate_permits.wait_s(
                 target, now_s, self.may_be_cold(target, now_s)
@@ -298,6 +312,11 @@
             return Refusal(RefusalKind.OVERLOADED, min(waits_s), "targets throttled")
         return Refusal(RefusalKind.OVERLOADED, DEFAULT_RETRY_S, "targets full")
 
+    def max_requests(self, target: Target) -> int:
+        """Return how many requests may be in flight from here at a plain target."""
+        max_connections = self.max_connections.get(target.state.service, 0)
+        return max_requests(target.slots, max_connections, self.entry_count)
+
     def may_be_cold(self, target: Target, now_s: float) -> bool:
         """Return whether a target must be taken for cold."""
         return self.cold_services.may_be_cold(
