Grant slots of a cold engine at once after a start of engine and sidecar

Cause: a sidecar that has just started waits 1.25 s for requests that another one may have granted; after the loss of all instances there are none, and the wait would delay the return of the whole fleet. Change: an engine that reports no weights has had no requests, so its debt is dropped. Measured: test_engines_that_start_with_their_sidecars fails without the change.

--- a/src/wisteriapulley/policy/cold_start.py
+++ b/src/wisteriapulley/policy/cold_start.py
@@ -139,6 +139,16 @@
             self.until_s = max(self.until_s, now_s + self.bound.start_s)
             self.stated_s = silent_since_s
 
+    def record_idle(self, now_s: float) -> None:
+        """Record that nobody can have sent it a request lately.
+
+        After the loss of all instances, engines and owners start together. Nothing is
+        unknown then, and waiting for requests that nobody sent would delay the return
+        of the whole fleet.
+        """
+        self.bucket.refill(now_s)
+        self.bucket.available = self.bucket.burst
+
     def observe(self, started_ms: int, remaining_s: float, stated_s: float) -> None:
         """Record how long a target states to stay cold; the latest statement counts.
 
--- a/src/wisteriapulley/rollout/cold_engine.py
+++ b/src/wisteriapulley/rollout/cold_engine.py
@@ -32,6 +32,9 @@
         When the engine first did not answer; None while it answers.
     was_cold : bool
         Whether it was cold when last checked.
+    holds_weights : bool
+        Whether it held weights by its last report. Without weights it gets no
+        requests from anyone.
     """
 
     def __init__(self, settings: RolloutSettings, on_change: Callable[[], None]):
@@ -40,6 +43,7 @@
         self.target: ColdTarget | None = None
         self.silent_since_s: float | None = None
         self.was_cold = False
+        self.holds_weights = True
 
     def now_s(self) -> float:
         """Return the loop's clock."""
@@ -59,10 +63,19 @@
         bound = ColdBound.from_limits(
             start_s, per_s, settings.cold_overshoot, settings.cold_slack
         )
-        if bound is None or self.target is None:
-            self.target = bound and ColdTarget(bound, self.now_s())
+        now_s = self.now_s()
+        if bound is None:
+            self.target = None
+        elif self.target is None:
+            self.target = ColdTarget(bound, now_s)
+            self.count_requests(now_s)
         else:
-            self.target.set_bound(bound, self.now_s())
+            self.target.set_bound(bound, now_s)
+
+    def count_requests(self, now_s: float) -> None:
+        """Forget the requests of the last second if there can be none."""
+        if not self.holds_weights:
+            self.target.record_idle(now_s)
 
     # -- what is said about the engine -----------------------------------
 
@@ -70,8 +83,10 @@
         """Record an answer of the engine itself."""
         now_s = self.now_s()
         silent_since_s, self.silent_since_s = self.silent_since_s, None
+        self.holds_weights = bool(report.versions)
         if self.target is None:
             return
+        self.count_requests(now_s)
         self.target.record_alive(report.started_ms, now_s)
         if silent_since_s is not None:
             self.target.record_return(silent_since_s, now_s)
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -304,9 +304,10 @@
     def start(self):
         self.cold.set_limits(START_S, self.per_s)
 
-    def report(self, started_ms=1, cold_s=None):
+    def report(self, started_ms=1, cold_s=None, versions=None):
+        versions = {"m": 1} if versions is None else versions
         self.cold.observe_report(
-            EngineReport({"m": 1}, False, 0, 0, started_ms, False, cold_s)
+            EngineReport(versions, False, 0, 0, started_ms, False, cold_s)
         )
 
     def announce(self, cold_ms, started_ms=1, now_s=0.0):
@@ -331,10 +332,11 @@
                 timer.cancel()
 
 
-def play_sidecar(scenario, **options):
+def play_sidecar(scenario, starts=True, **options):
     async def run(now):
         sidecar = Sidecar(**options)
-        sidecar.start()
+        if starts:
+            sidecar.start()
         try:
             await scenario(sidecar, now)
         finally:
@@ -442,6 +444,26 @@
 
         play_sidecar(scenario)
 
+    @pytest.mark.parametrize("limits_first", [True, False])
+    def test_engines_that_start_with_their_sidecars(self, limits_first):
+        """After a loss of all, nobody can have sent a request to an empty engine."""
+
+        async def scenario(sidecar, now):
+            sidecar.cold.observe_silence()
+            if limits_first:
+                sidecar.start()
+            sidecar.report(versions={})
+            now.s += 0.5
+            sidecar.start()
+            sidecar.report(versions={})
+            sidecar.report()
+            opened_s = now.s
+            await self.flood(sidecar, now, 2.4)
+            assert sidecar.granted[0] == pytest.approx(opened_s + 0.01)
+            assert most_in_a_second(sidecar.granted) <= 44
+
+        play_sidecar(scenario, starts=False)
+
     def test_service_without_a_limit(self):
         async def scenario(sidecar, now):
             sidecar.report()
