Read the load that targets state, with four figures as with three

A load of four figures was thrown away without a log line, slots too, and nobody read the running and waiting requests. Three counts are read, then the pace if there is one; what follows is ignored, and what can't be read is logged once for each target. Plain targets are ranked by the requests of others that they state, fading with age, beside this entry's own.

--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -8,6 +8,7 @@
 from wisteriapulley.policy.advertised_rate import RateTracker
 from wisteriapulley.policy.circuit_breaker import CircuitBreaker, SendOutcome
 from wisteriapulley.policy.response_signals import CooldownTracker, ResponseSignals
+from wisteriapulley.policy.stated_load import LoadTracker
 from wisteriapulley.regions import Regions
 from wisteriapulley.wire.messages import TargetBeat, TargetState
 
@@ -95,6 +96,8 @@
         holds for the rest of the incarnation.
     breaker : CircuitBreaker
         Circuit breaker for rejected requests.
+    load : LoadTracker
+        Load that its responses state.
     """
 
     def __init__(self, state: TargetState, seen_s: float):
@@ -116,6 +119,7 @@
         self.cooldown = CooldownTracker()
         self.announced_leaving = False
         self.breaker = CircuitBreaker()
+        self.load = LoadTracker()
 
     @property
     def target_id(self) -> str:
@@ -202,6 +206,7 @@
         """
         if signals.load is not None and signals.load.slots:
             self.slots = signals.load.slots
+        self.load.observe(signals, self.outstanding, now_s)
         leaving = signals.leaving and not self.announced_leaving
         self.announced_leaving |= signals.leaving
         return SignalChanges(
--- a/src/wisteriapulley/direct/signal_recorder.py
+++ b/src/wisteriapulley/direct/signal_recorder.py
@@ -55,6 +55,16 @@
 
     def log_invalid(self, target: Target, signals: ResponseSignals) -> None:
         """Log signals that can't be parsed, once per target."""
+        if target.load.is_first_invalid(signals):
+            log.warning(
+                "cannot parse load",
+                extra=fields(
+                    target=target.target_id,
+                    expected="running, waiting and slots, and the pace in percent",
+                    got=signals.invalid_load[:MAX_LOGGED_CHARS],
+                    taken=signals.load,
+                ),
+            )
         if target.rate.is_first_invalid(signals.rate):
             log.warning(
                 "cannot parse advertised rate",
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -293,7 +293,11 @@
     ) -> AllocatedSlot | Refusal:
         """Use the least loaded plain target whose advertised rate permits a request."""
         order = rank_targets(
-            targets, plain_load, self.location, self.random.random, now_s
+            targets,
+            lambda target: plain_load(target, now_s),
+            self.location,
+            self.random.random,
+            now_s,
         )
         waits_s: list[float] = []
         for target in order:
@@ -468,9 +472,9 @@
         return self.settings.old_version_ms - (steady_s() - superseded_s) * 1000
 
 
-def plain_load(target: Target) -> Load:
-    """Return a plain target's load: the in-flight requests of this entry there."""
-    return Load(target.outstanding, target.slots)
+def plain_load(target: Target, now_s: float) -> Load:
+    """Return a plain target's load: this entry's requests, and others as stated."""
+    return Load(target.load.outstanding(target.outstanding, now_s), target.slots)
 
 
 def urgency_of(admitted: Admitted, engine: Engine, now_s: float) -> Urgency:
--- a/src/wisteriapulley/platform/names.py
+++ b/src/wisteriapulley/platform/names.py
@@ -14,7 +14,8 @@
 LENGTH_HINT = "X-Length-Hint"
 LAST_EVENT = "Last-Event-Id"
 NOT_RUN = "X-Not-Executed"
-# Running requests, waiting requests and slots, separated by commas.
+# Running requests, waiting requests, slots and, from some targets, the time that work
+# takes now in percent of the usual time, separated by commas.
 LOAD = "X-Server-Load"
 # Requests per second that the target accepts from all senders together.
 RATE_LIMIT = "Server-Limit"
--- a/src/wisteriapulley/platform/signal_parsing.py
+++ b/src/wisteriapulley/platform/signal_parsing.py
@@ -1,6 +1,5 @@
 """Parses the signals that targets report in their response headers."""
 
-import contextlib
 import math
 import re
 from email.utils import parsedate_to_datetime
@@ -17,6 +16,7 @@
 
 HttpHeaders = CIMultiDict[str] | CIMultiDictProxy[str]
 
+COUNT = re.compile(r"[0-9]{1,9}")
 DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 # Longer cool-downs are cut to this one: a longer one is more likely a mistake than
 # intended, and a target that intends it requests it again.
@@ -35,21 +35,36 @@
     headers : multidict
         Headers of the response.
     """
+    load, invalid_load = parse_load(headers.get(names.LOAD, ""))
     return ResponseSignals(
-        parse_load(headers.get(names.LOAD, "")),
+        load,
         parse_rate(headers.getall(names.RATE_LIMIT, [])),
         parse_cooldown(status, headers),
         names.LEAVING_VALUE in headers.getall(names.LEAVING, []),
         cold_s=parse_cold(headers.getall(names.COLD_MS, [])),
+        invalid_load=invalid_load,
     )
 
 
-def parse_load(text: str) -> TargetLoad | None:
-    """Return a target's load; None if the text is empty or invalid."""
-    with contextlib.suppress(ValueError):
-        running, waiting, slots = map(int, text.split(","))
-        return TargetLoad(running, waiting, slots)
-    return None
+def parse_load(text: str) -> tuple[TargetLoad | None, str]:
+    """Return a target's load, and the text if some of it is invalid.
+
+    A target reports three counts and, where it shares its machine, its pace; figures
+    after these are ignored. Without three valid counts there is no load; without a
+    valid pace there is no pace.
+    """
+    if not text:
+        return None, ""
+    figures = [figure.strip() for figure in text.split(",")]
+    counts = [int(figure) for figure in figures[:3] if COUNT.fullmatch(figure)]
+    if len(counts) < 3:
+        return None, text
+    if len(figures) == 3:
+        return TargetLoad(*counts), ""
+    pace_text = figures[3]
+    if not DECIMAL.fullmatch(pace_text) or not math.isfinite(float(pace_text)):
+        return TargetLoad(*counts), text
+    return TargetLoad(*counts, float(pace_text)), ""
 
 
 def parse_rate(texts: list[str]) -> AdvertisedRate:
--- a/src/wisteriapulley/policy/response_signals.py
+++ b/src/wisteriapulley/policy/response_signals.py
@@ -6,11 +6,20 @@
 
 
 class TargetLoad(NamedTuple):
-    """Load that a target reports in a response."""
+    """Load that a target reports in a response.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Number of requests that it runs, that wait, and that it runs at most.
+    pace : float
+        Time that work takes there now, in percent of the usual time; 0 if unknown.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float = 0.0
 
 
 class RequestedCooldown(NamedTuple):
@@ -43,6 +52,8 @@
         Whether it is about to shut down.
     cold_s : float or None
         How much longer it is cold, 0 if it is warm; None if it states nothing.
+    invalid_load : str
+        Load header that can't be read, in whole or in part.
     """
 
     load: TargetLoad | None = None
@@ -50,6 +61,7 @@
     cooldown: RequestedCooldown = RequestedCooldown()
     leaving: bool = False
     cold_s: float | None = None
+    invalid_load: str = ""
 
 
 class CooldownTracker:
