Let the stated requests of others fade sooner

With a half-life of 0.5 s, full targets that reject requests and state nothing looked empty beside those that stated a full load a moment ago.

--- a/src/wisteriapulley/policy/stated_load.py
+++ b/src/wisteriapulley/policy/stated_load.py
@@ -7,9 +7,10 @@
 
 from wisteriapulley.policy.response_signals import ResponseSignals
 
-# Half-life of the requests of others in a statement. They end and others begin within
-# their time of some tens of milliseconds, but a full target stays full for longer.
-HALF_LIFE_S = 0.5
+# Half-life of the requests of others in a statement: several times as long as one
+# request takes. With a longer one, full targets that reject requests and state nothing
+# look empty beside those that stated a full load a moment ago.
+HALF_LIFE_S = 0.15
 
 
 class LoadTracker:
--- a/tests/test_stated_load.py
+++ b/tests/test_stated_load.py
@@ -56,8 +56,8 @@
 
     def test_requests_of_others_fade(self):
         tracker = LoadTracker()
-        tracker.observe(stating(6, 2), 0, 1.0)
-        assert tracker.outstanding(0, 1.0 + HALF_LIFE_S) == 4.0
+        tracker.observe(stating(6, 2), 0, 0.0)
+        assert tracker.outstanding(0, HALF_LIFE_S) == 4.0
 
     def test_response_without_load_changes_nothing(self):
         tracker = LoadTracker()
