Rank engines by the load in replies until the next report

Cause: an entry ranked engines by the last report only, which comes several times a second from its own region and once a second from others. Meanwhile it didn't see the requests that it had placed itself, though each reply to a slot request tells the load. Change: the load in a reply counts until the next report, for half a second at most. Measured: 24 requests of one entry to four engines without a report between: 6 at each.

--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -5,6 +5,7 @@
 import logging
 from collections import Counter
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from wisteriapulley.direct.rate_permits import rate_update
 from wisteriapulley.direct.registry import Target, TargetRegistry
@@ -45,6 +46,27 @@
 # time. A tenth of a second is a quarter of a latency objective, and counts as much as
 # an engine without a free slot.
 DELAY_LOAD_PER_S = 10.0
+# A reply of a sidecar tells its load later than its last report does. For longer than
+# this, no report means that nothing has changed since the last one.
+REPLIED_LOAD_S = 0.5
+
+
+class RepliedLoad(NamedTuple):
+    """Load of an engine in a reply of its sidecar.
+
+    Attributes
+    ----------
+    outstanding : int
+        Requests that run or wait, an asked-for one included if it was granted.
+    replied_s : float
+        When the reply arrived.
+    reported : Heartbeat
+        The last report before it; a later report replaces the reply.
+    """
+
+    outstanding: int
+    replied_s: float
+    reported: messages.Heartbeat
 
 
 class Sidecars:
@@ -73,6 +95,8 @@
         Response times of sidecars.
     stalled_since_s : dict of str to float
         By host, when a slot request was sent after which nothing was received.
+    replied_loads : dict of str to RepliedLoad
+        By host, the load in the last reply.
     """
 
     def __init__(
@@ -89,6 +113,7 @@
         self.pending: Counter[str] = Counter()
         self.answer_times = AnswerTimes()
         self.stalled_since_s: dict[str, float] = {}
+        self.replied_loads: dict[str, RepliedLoad] = {}
 
     # -- links -----------------------------------------------------------
 
@@ -155,6 +180,7 @@
         busy = {t.host for t in self.registry.targets.values() if t.outstanding}
         for host in set(self.connections) - self.selected_hosts - busy:
             self.stalled_since_s.pop(host, None)
+            self.replied_loads.pop(host, None)
             self.answer_times.forget(host)
             await self.connections.pop(host).stop()
 
@@ -201,18 +227,47 @@
         return link.last_received <= self.stalled_since_s.get(host, float("-inf"))
 
     def load_of(self, target: Target, now_s: float) -> Load:
-        """Return an engine's load, by the last heartbeat of its sidecar."""
+        """Return an engine's load, by the last heartbeat or reply of its sidecar.
+
+        Reports to all entries are rare, above all to those of other regions. Without
+        the replies, an entry doesn't see its own requests there, and sends a whole
+        burst to the engine that looked best before it.
+        """
         link = self.link_to(target)
         if link is None:
             return Load(target.slots, target.slots)
         heartbeat = link.peer_heartbeat
-        used = heartbeat.running + heartbeat.waiting + self.pending[target.host]
+        used = self.outstanding_at(target.host, heartbeat, now_s)
+        used += self.pending[target.host]
         if heartbeat.state in (OPENING_STATE, LIMITED_STATE):
             used += LIMITED_LOAD * target.slots
         delay_s = self.answer_times.expected_s(target.host, now_s)
         used += DELAY_LOAD_PER_S * delay_s * target.slots
         return Load(used, target.slots, factor_of(heartbeat.pace))
 
+    def outstanding_at(
+        self, host: str, heartbeat: messages.Heartbeat, now_s: float
+    ) -> int:
+        """Return the requests at an engine, by what its sidecar told last."""
+        replied = self.replied_loads.get(host)
+        if (
+            replied is not None
+            and replied.reported is heartbeat
+            and now_s - replied.replied_s < REPLIED_LOAD_S
+        ):
+            return replied.outstanding
+        return heartbeat.running + heartbeat.waiting
+
+    def record_reply(self, link: Link, host: str, frame: Frame) -> None:
+        """Record the load in a sidecar's reply to a slot request."""
+        reply = frame.message
+        if isinstance(reply, messages.Reserved):
+            now_s = asyncio.get_running_loop().time()
+            outstanding = reply.running + reply.waiting
+            self.replied_loads[host] = RepliedLoad(
+                outstanding, now_s, link.peer_heartbeat
+            )
+
     # -- slot requests ---------------------------------------------------
 
     async def reserve(
@@ -250,6 +305,7 @@
         call = link.call(reservation)
         try:
             frame = await self.first_reply(call, host)
+            self.record_reply(link, host, frame)
             raise_failure(frame)
             if frame.message.queued:
                 frame = await call.reply(reservation.wait_ms / 1000 + DECISION_MARGIN_S)
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -4,7 +4,11 @@
 
 from tests.test_direct_dispatch import SETTINGS
 from wisteriapulley.direct.registry import TargetRegistry
-from wisteriapulley.direct.sidecars import OPENING_STATE, Sidecars
+from wisteriapulley.direct.sidecars import (
+    OPENING_STATE,
+    REPLIED_LOAD_S,
+    Sidecars,
+)
 from wisteriapulley.errors import ResultCode, WireError
 from wisteriapulley.policy.answer_times import MAX_WAIT_S
 from wisteriapulley.wire import Frame, messages
@@ -179,3 +183,63 @@
             assert connection.stopped and not sidecars.connections
 
         play(scenario)
+
+
+class TestRepliedLoad:
+    """Reports are rare; the replies to slot requests tell the load meanwhile."""
+
+    BUSY = messages.Reserved(True, 1, running=7, waiting=1)
+
+    def play(self, check):
+        async def scenario(sidecars, link, registry):
+            link.answer = lambda call, message: (
+                link.receive(),
+                call.replies.put_nowait(Frame(1, 1, self.BUSY, b"")),
+            )
+            target = registry.targets["i-1"]
+            await sidecars.reserve(link, target, RESERVATION)
+            check(sidecars, link, target)
+
+        play(scenario, answer_s=0.001)
+
+    def test_counts_until_the_next_report(self):
+        def check(sidecars, link, target):
+            assert sidecars.load_of(target, now_s()).outstanding >= 8
+            link.peer_heartbeat = messages.Heartbeat(state="open", running=2)
+            assert sidecars.load_of(target, now_s()).outstanding < 3
+
+        self.play(check)
+
+    def test_fades_if_nothing_is_reported(self):
+        """A sidecar whose load is again as reported sends no report."""
+
+        def check(sidecars, link, target):
+            later_s = now_s() + REPLIED_LOAD_S
+            assert sidecars.load_of(target, later_s).outstanding < 1
+
+        self.play(check)
+
+    def test_burst_of_one_entry_is_spread_without_reports(self):
+        """Four engines of another region; each report is older than the burst."""
+
+        async def run():
+            registry = TargetRegistry()
+            hosts = [f"10.0.0.{n}" for n in range(4)]
+            states = [state(f"i-{n}", host) for n, host in enumerate(hosts)]
+            registry.update(states, now_s())
+            sidecars = Sidecars(SETTINGS, IDENTITY, registry)
+            sent = dict.fromkeys(hosts, 0)
+            for host in hosts:
+                sidecars.connections[host] = FakeConnection(FakeLink())
+            for _ in range(24):
+                target = min(
+                    registry.targets.values(),
+                    key=lambda target: sidecars.load_of(target, now_s()).cost,
+                )
+                sent[target.host] += 1
+                reply = messages.Reserved(True, 1, running=sent[target.host])
+                link = sidecars.link_to(target)
+                sidecars.record_reply(link, target.host, Frame(1, 1, reply))
+            return sent
+
+        assert set(asyncio.run(run()).values()) == {6}
