--- a/src/wisteriapulley/policy/slot_estimates.py
+++ b/src/wisteriapulley/policy/slot_estimates.py
@@ -124,9 +124,9 @@
             now_ms,
             self.expected_events(request),
             request.priority,
-            self.speed.mark(now_ms / 1000),
-            self.prefilled_ms,
-            len(self.grants) + 1,
+            begun=self.speed.mark(now_ms / 1000),
+            prefilled_ms=self.prefilled_ms,
+            running=len(self.grants) + 1,
         )
         rate = self.engine.prefill_tokens_per_ms
         self.prefilled_ms += request.prompt_tokens / rate
