Let the permit client ask whether a target may be cold

Cause: the allocator passed it with each call, so that a stand-in for the client in the test of evacuated plain targets got an argument too many. Change: the client gets the question when it is made; its call is as before. Measured: test_plain_target_evacuated_while_a_permit_was_requested fails before and passes now, with the tests of cold targets and rates.

--- a/src/wisteriapulley/direct/rate_permits.py
+++ b/src/wisteriapulley/direct/rate_permits.py
@@ -26,6 +26,11 @@
 NEVER_OBSERVED_MS = 1 << 40
 
 
+def never_cold(target: Target, now_s: float) -> bool:
+    """Return that a target is warm."""
+    return False
+
+
 class RatePermitClient:
     """Requests rate permits from control instances.
 
@@ -33,6 +38,8 @@
     ----------
     links : callable
         Returns the open links to control instances, nearest first.
+    may_be_cold : callable, optional
+        Returns whether a target must be taken for cold at a time; by default, none is.
 
     Attributes
     ----------
@@ -42,29 +49,24 @@
         By incarnation of a target, when a permit may be requested again.
     """
 
-    def __init__(self, links: Callable[[], list[Link]]):
+    def __init__(
+        self,
+        links: Callable[[], list[Link]],
+        may_be_cold: Callable[[Target, float], bool] = never_cold,
+    ):
         self.links = links
+        self.may_be_cold = may_be_cold
         self.local_limits = RateLimits(LOCAL_RATE_FRACTION)
         self.at_limit_until_s: dict[str, float] = {}
 
-    async def wait_s(
-        self, target: Target, now_s: float, may_be_cold: bool = False
-    ) -> float:
+    async def wait_s(self, target: Target, now_s: float) -> float:
         """Return how long until a request may be sent to a plain target; 0 for now.
 
         While a target is known to be at its limit, no permit is requested, so that
-        requests are refused at once.
-
-        Parameters
-        ----------
-        target : Target
-            The target.
-        now_s : float
-            The loop's clock.
-        may_be_cold : bool
-            Whether it must be taken for cold: without its owner's permit it gets
-            nothing then.
+        requests are refused at once. One that may be cold gets nothing without its
+        owner's permit.
         """
+        may_be_cold = self.may_be_cold(target, now_s)
         if target.rate.per_s is None and not may_be_cold:
             return 0.0
         at_limit_s = self.at_limit_s(target, now_s)
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -176,7 +176,7 @@
         self.registry = registry
         self.follower = follower
         self.sidecars = Sidecars(settings, identity, registry)
-        self.rate_permits = RatePermitClient(follower.open_links)
+        self.rate_permits = RatePermitClient(follower.open_links, self.may_be_cold)
         self.cold_services = ColdServices()
         # Connections that a target of each service accepts, and the largest number of
         # entries seen; see `policy.connection_share`.
@@ -307,9 +307,7 @@
         for target in order:
             if target.outstanding >= self.max_requests(target):
                 continue
-            wait_s = await self.rate_permits.wait_s(
-                target, now_s, self.may_be_cold(target, now_s)
-            )
+            wait_s = await self.rate_permits.wait_s(target, now_s)
             # Signals in responses to other requests may have arrived meanwhile.
             wait_s = max(wait_s, self.registry.wait_s(target, self.now_s(), is_last))
             if not wait_s:
