--- a/src/wisteriapulley/policy/target_speed.py
+++ b/src/wisteriapulley/policy/target_speed.py
@@ -161,10 +161,17 @@
 
     def factor(self, now_s: float) -> float:
         """Return the expected time of work now, as a multiple of its usual time."""
-        unexplained = unexplained_ratio(math.exp(self.observed.value(now_s)))
-        ratio = unexplained * math.exp(self.stated.value(now_s))
+        ratio = self.observed_ratio(now_s) * math.exp(self.stated.value(now_s))
         return min(MAX_RATIO, max(MIN_RATIO, ratio))
 
+    def observed_ratio(self, now_s: float) -> float:
+        """Return how much longer work takes than the stated pace explains."""
+        return unexplained_ratio(math.exp(self.observed.value(now_s)))
+
+    def lasting_factor(self, now_s: float) -> float:
+        """Return the factor without what changes from one statement to the next."""
+        return self.observed_ratio(now_s) * math.exp(self.stated.mean)
+
     def pace(self, now_s: float) -> int:
         """Return the factor in percent, in steps; 0 if it is the usual one."""
         pace = PACE_STEP * round(self.factor(now_s) * USUAL_PACE / PACE_STEP)
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -176,9 +176,9 @@
         self.gauge.set({"state": "evacuated"}, int(self.state.is_evacuated))
         self.gauge.set({"state": "cold"}, int(self.cold.was_cold))
         self.gauge.set({"state": "version"}, self.state.held_version())
-        pace = slots.speed.pace(asyncio.get_running_loop().time()) or USUAL_PACE
-        self.gauge.set({"state": "pace"}, pace)
-        self.log_pace(pace)
+        now_s = asyncio.get_running_loop().time()
+        self.gauge.set({"state": "pace"}, slots.speed.pace(now_s) or USUAL_PACE)
+        self.log_pace(int(slots.speed.lasting_factor(now_s) * USUAL_PACE))
         self.gauge.set({"state": "log_lines_lost"}, lines_lost())
         self.update_class_gauges()
 
@@ -194,7 +194,7 @@
                 self.class_decisions.set({**labels, "decision": outcome}, count)
 
     def log_pace(self, pace: int) -> None:
-        """Log that the engine has become slow, or that it is no longer."""
+        """Log that the engine is slow for longer than a moment, or no longer."""
         limit = USUAL_LOG_PACE if self.is_slow else SLOW_LOG_PACE
         if (pace >= limit) is self.is_slow:
             return
--- a/tests/test_target_speed.py
+++ b/tests/test_target_speed.py
@@ -207,6 +207,14 @@
         assert 100 < speed.pace(4.5) < 250
         assert speed.factor(7.0) < 1.35
 
+    def test_lasting_factor_leaves_out_a_moment(self):
+        speed = TargetSpeed()
+        for step in range(20):
+            speed.observe_stated(100, step * 0.4)
+        speed.observe_stated(500, 8.0)
+        assert speed.factor(8.0) > 4
+        assert speed.lasting_factor(8.0) < 1.5
+
     def test_silent_target_is_taken_to_be_usual(self):
         speed = TargetSpeed()
         for step in range(20):
