Let callers that come back wait for a slot at an engine

Refused callers have one retry. It was refused for good if six engines had no slot for late work at that moment, although slots fall free all the time and the caller still waited for seconds. Now a late request that may wait queues at a sidecar for the slots that late requests get: at most 0.7 of the time that its answer leaves, as many as the engine has slots, returns first, new requests before all of them. Other late requests are refused at once as before, and told when the next such slot is expected rather than the mean time of a request; callers told the same time are spread from then on rather than all at it.

Engines that are about to open let late requests claim their part of the slots beside the new ones that wait, up to 1.5 s ahead; one that is not open half a second after the announced time counts as closed, so that no one waits there until its limit.

--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -26,6 +26,8 @@
         Whether it is a retry after a refusal, which can't meet its objective any more.
     homes : tuple of str
         Regions that may serve it, by its route and its account; empty for all.
+    was_held : bool
+        Whether it was held because of an outage.
     """
 
     request: CallerRequest
@@ -34,6 +36,7 @@
     deadline_s: float
     is_retry: bool = False
     homes: tuple[str, ...] = ()
+    was_held: bool = False
 
     @property
     def priority(self) -> int:
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -17,6 +17,7 @@
 from wisteriapulley.direct.types import CallerRequest, Refusal, RefusalKind
 from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.policy.connection_share import max_requests
+from wisteriapulley.policy.return_queue import late_wait_ms
 from wisteriapulley.policy.slot_requests import NOTHING_OBSERVED, ObservedWork
 from wisteriapulley.policy.target_ranking import EntryLocation, Load, rank_targets
 from wisteriapulley.regions import Regions
@@ -41,6 +42,8 @@
 # Added to the priority value of late requests, so that requests that can still meet
 # their objective go first.
 LATE_PRIORITY_OFFSET = 100
+# The same for returns, which go before other late requests.
+RETURN_PRIORITY_OFFSET = 50
 # Part of the latency objective reserved for the network round trip and for the error
 # of the first-event estimate. Requests admitted up to the last millisecond miss the
 # objective: with six emulated engines at 1.2 times the peak load, a fraction of 0.64
@@ -73,11 +76,14 @@
         Rank in the queue of a sidecar; lower goes first.
     late : bool
         Whether it can no longer meet its latency objective.
+    may_wait : bool
+        Whether it may wait for a slot although it is late.
     """
 
     wait_ms: float
     priority: int
     late: bool
+    may_wait: bool = False
 
 
 class AllocatedSlot(NamedTuple):
@@ -416,6 +422,7 @@
             target.incarnation,
             late=urgency.late,
             is_last=is_last,
+            may_wait=urgency.may_wait,
         )
 
     def use_grant(
@@ -496,7 +503,10 @@
     if left_ms > 0 and not admitted.is_retry:
         return Urgency(left_ms, priority, False)
     run_ms = DECODE_TIME_FACTOR * request.answer_tokens * engine.step_ms
-    slack_ms = request.max_wait_s * 1000 - waited_ms - LATENCY_MARGIN_MS - run_ms
-    return Urgency(
-        max(MIN_LATE_WAIT_MS, slack_ms), priority + LATE_PRIORITY_OFFSET, True
-    )
+    slack_ms = request.max_wait_s * 1000 - LATENCY_MARGIN_MS - run_ms
+    if not (admitted.is_retry or admitted.was_held):
+        wait_ms = max(MIN_LATE_WAIT_MS, slack_ms - waited_ms)
+        return Urgency(wait_ms, priority + LATE_PRIORITY_OFFSET, True)
+    wait_ms = late_wait_ms(slack_ms, MIN_LATE_WAIT_MS, waited_ms)
+    offset = RETURN_PRIORITY_OFFSET if admitted.is_retry else LATE_PRIORITY_OFFSET
+    return Urgency(wait_ms, priority + offset, True, True)
--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -19,9 +19,12 @@
 from wisteriapulley.policy.class_reserve import ClassReserve
 from wisteriapulley.policy.late_requests import (
     can_prefill_late,
+    has_late_slots,
     has_spare_slots,
     is_late_by_own_length,
+    late_slot_limit,
 )
+from wisteriapulley.policy.return_queue import has_waiting_place
 from wisteriapulley.policy.slot_estimates import (
     EXTRA_SLOTS,
     MAX_HOLD_MS,
@@ -55,6 +58,9 @@
 # margin covers the network and the error of the estimate; a request that is late
 # nevertheless is dropped by its entry in time.
 BEGIN_MARGIN_MS = 250.0
+# An engine that is not open this long after its announced time counts as closed. Those
+# who wait for it are denied, while they can still be offered elsewhere.
+OVERDUE_OPENING_MS = 500.0
 # Callers are never told to retry sooner.
 MIN_RETRY_MS = 50.0
 
@@ -109,6 +115,7 @@
 
     def request_slot(self, request: SlotRequest, now_ms: float) -> AdmissionDecision:
         """Grant a slot, queue the request, or deny it at once."""
+        self.expire_opening(now_ms)
         if self.state is AdmissionState.CLOSED:
             return AdmissionDecision(request.request_id, denied=True)
         self.set_target(request.target)
@@ -167,9 +174,9 @@
         """
         open_in_ms = 0.0 if self.open else max(0.0, self.opens_at_ms - now_ms)
         event_ms = open_in_ms + self.first_event_ms(request.prompt_tokens, now_ms)
-        if not has_spare_slots(self, self.queue, len(self.queue)):
+        if not self.has_late_place(request):
             return AdmissionDecision(
-                request.request_id, denied=True, retry_ms=self.hold_ms()
+                request.request_id, denied=True, retry_ms=self.late_slot_wait_ms()
             )
         prefill_ms = event_ms + self.queued_prefill_ms()
         if prefill_ms > request.wait_ms or self.begins_too_late(
@@ -183,6 +190,24 @@
         expires_ms = now_ms + request.wait_ms - event_ms
         return self.enqueue(request, request.priority, expires_ms)
 
+    def has_late_place(self, request: SlotRequest) -> bool:
+        """Return whether a late request gets a slot, or a place in the queue.
+
+        All slots of an engine that is about to open are free, so late requests may
+        claim their part of them beside the new ones that already wait.
+        """
+        waiting = len(self.queue)
+        if not self.open:
+            return has_late_slots(self, waiting)
+        if request.may_wait and has_waiting_place(self.queue, self.engine.slots):
+            return True
+        return has_spare_slots(self, self.queue, waiting)
+
+    def late_slot_wait_ms(self) -> float:
+        """Estimate the wait for the next slot that late requests may have."""
+        taken = len(self.grants) + len(self.queue)
+        return max(MIN_RETRY_MS, self.slots_freed_ms(taken - late_slot_limit(self) + 1))
+
     def set_target(self, target: str) -> None:
         """Set the engine's incarnation; each one gets its own circuit breaker."""
         if target != self.target:
@@ -312,6 +337,13 @@
         self.open = False
         self.opens_at_ms = None
 
+    def expire_opening(self, now_ms: float) -> None:
+        """Count the engine as closed if it did not open when it was expected to."""
+        if self.opens_at_ms is None or self.open:
+            return
+        if now_ms > self.opens_at_ms + OVERDUE_OPENING_MS:
+            self.opens_at_ms = None
+
     def advance(self, now_ms: float) -> Iterator[AdmissionDecision]:
         """Yield decisions on queued requests.
 
@@ -319,6 +351,7 @@
         when their time has passed.
         """
         self.expire_grants(now_ms)
+        self.expire_opening(now_ms)
         while self.queue:
             first = self.queue.first
             if self.state is AdmissionState.CLOSED or self.cannot_be_served(
@@ -357,15 +390,16 @@
         """Return whether a queued request has no chance of a slot.
 
         Its time has passed, or it is late and new requests take all free slots. A
-        request for a throttled engine may get a slot elsewhere at once.
+        request for a throttled engine may get a slot elsewhere at once. One that
+        may wait does so until a slot falls free.
         """
         if now_ms > queued.expires_ms:
             return True
         if self.throttle_wait_ms(queued.request, now_ms) > 0:
             return True
-        return (
-            queued.request.late and self.open and not has_spare_slots(self, self.queue)
-        )
+        if not queued.request.late or queued.request.may_wait:
+            return False
+        return self.open and not has_spare_slots(self, self.queue)
 
     def can_grant(self, queued: QueuedRequest, now_ms: float) -> bool:
         """Return whether the first queued request may get a slot now."""
--- a/src/wisteriapulley/policy/late_requests.py
+++ b/src/wisteriapulley/policy/late_requests.py
@@ -31,7 +31,25 @@
     """
     if queue and not queue.first.request.late:
         return False
-    return len(slots.grants) + ahead < slots.max_grants * LATE_SLOT_FRACTION
+    return has_late_slots(slots, ahead)
+
+
+def has_late_slots(slots: SlotEstimates, ahead: int) -> bool:
+    """Return whether fewer slots are in use or claimed than leave room for new ones.
+
+    Parameters
+    ----------
+    slots : SlotEstimates
+        Slots of the engine.
+    ahead : int
+        Requests that wait for the same slots.
+    """
+    return len(slots.grants) + ahead < late_slot_limit(slots)
+
+
+def late_slot_limit(slots: SlotEstimates) -> float:
+    """Return how many slots may be in use when a late request gets one more."""
+    return slots.max_grants * LATE_SLOT_FRACTION
 
 
 def can_prefill_late(slots: SlotEstimates, queue: SlotQueue, now_ms: float) -> bool:
--- a/src/wisteriapulley/policy/retry_after.py
+++ b/src/wisteriapulley/policy/retry_after.py
@@ -5,7 +5,7 @@
 whenever it retries; while the overload lasts, its retry only takes the slot of a
 request that can. Without a spread, all refused callers retry within a quarter of a
 second, find the same overload, and are refused for good. So retries are spread over
-the later part of the time that callers can wait.
+the later part of the time that callers can wait, from when a slot may be free.
 """
 
 from collections.abc import Callable
@@ -40,5 +40,5 @@
     max_s = max(0.0, remaining_s) * MAX_WAIT_FRACTION
     if not spread:
         return min(hint_s, max_s)
-    spread_s = max_s * (EARLIEST_FRACTION + (1 - EARLIEST_FRACTION) * random())
-    return min(max_s, max(hint_s, spread_s))
+    earliest_s = min(max_s, max(hint_s, EARLIEST_FRACTION * max_s))
+    return earliest_s + (max_s - earliest_s) * random()
--- a/src/wisteriapulley/policy/slot_estimates.py
+++ b/src/wisteriapulley/policy/slot_estimates.py
@@ -100,7 +100,11 @@
         free = self.max_grants - len(self.grants)
         if ahead < free:
             return 0.0
-        return (ahead - free + 1) * self.hold_ms() / self.engine.slots
+        return self.slots_freed_ms(ahead - free + 1)
+
+    def slots_freed_ms(self, count: float) -> float:
+        """Estimate the time until `count` of the slots in use are released."""
+        return count * self.hold_ms() / self.engine.slots
 
     def hold_ms(self) -> float:
         """Return how long a request holds its slot at the current speed."""
--- a/src/wisteriapulley/policy/slot_requests.py
+++ b/src/wisteriapulley/policy/slot_requests.py
@@ -39,6 +39,8 @@
         Incarnation of the engine that the request is for.
     is_last : bool
         Whether it can't be sent again if the engine rejects it.
+    may_wait : bool
+        Whether it may wait for a slot although it is late; see `policy.return_queue`.
     """
 
     request_id: str
@@ -50,6 +52,7 @@
     late: bool = False
     target: str = ""
     is_last: bool = False
+    may_wait: bool = False
 
 
 class GrantedSlot(NamedTuple):
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -329,4 +329,5 @@
         message.late,
         message.target,
         message.is_last,
+        message.may_wait,
     )
--- a/src/wisteriapulley/rollout/updater.py
+++ b/src/wisteriapulley/rollout/updater.py
@@ -32,8 +32,10 @@
 MAX_SWITCH_SLEEP_S = 0.2
 # Weight of a new sample in the estimate of the load time.
 LOAD_TIME_GAIN = 0.5
-# No request waits longer than this for its first event: the longest objective.
-MAX_OPENING_WAIT_MS = 500.0
+# Requests queue for an engine that opens within this time. New ones do so only as long
+# as they can be in time; late ones and returns, whose callers wait for some seconds,
+# may wait longer.
+MAX_OPENING_WAIT_MS = 1500.0
 
 
 class Goal(NamedTuple):
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -319,6 +319,7 @@
   target @5 :Text;
   late @6 :Bool;
   isLast @7 :Bool;
+  mayWait @8 :Bool;
 }
 struct Reserved {
   granted @0 :Bool;
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -538,7 +538,7 @@
 
     `target` is the incarnation of the target. `late` is whether the request's
     objective has already passed, `is_last` whether it can't be retried if the target
-    rejects it.
+    rejects it, `may_wait` whether it may wait for a slot although it is late.
     """
 
     request_id: str = ""
@@ -549,6 +549,7 @@
     target: str = ""
     late: bool = False
     is_last: bool = False
+    may_wait: bool = False
 
 
 class Reserved(NamedTuple):
