Hold requests through the start of an outage

After an outage of all instances entries answer half a second before the first engine opens, and the first engines before the others. Whoever came meanwhile was refused at once, or after 0.3 s without a routing table, and came back in one wave.

Full targets, throttled ones and those in a longer backoff refuse at once as before, and so does a service of which only some targets are lost. New: requests_held_total, and log lines when an outage begins and ends.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -1,6 +1,7 @@
 """Dispatches requests of callers to targets, with retries, until a final result."""
 
 import asyncio
+import contextlib
 import logging
 import random
 from collections import defaultdict
@@ -23,6 +24,7 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.errors import ResultCode
 from wisteriapulley.logs import fields
+from wisteriapulley.policy.outage_hold import CLOSED_POLL_S, FULL_POLL_S, OutageHold
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
 from wisteriapulley.policy.shared_budget import SharedRetryBudget
@@ -32,7 +34,8 @@
 log = logging.getLogger(__name__)
 
 # How long a request waits for the first routing table. A single starting entry
-# receives it sooner, and the wait stays below the latency objectives.
+# receives it sooner, and the wait stays below the latency objectives. During an outage
+# it waits longer; see `policy.outage_hold`.
 FIRST_TABLE_WAIT_S = 0.3
 # Retry time while this entry has no routing table or target yet. The retries of callers
 # are spread over a longer time; see `policy.retry_after`.
@@ -85,6 +88,10 @@
         Largest number of entries in the fleet seen so far.
     retry_detectors : dict of str to RetryDetector
         Detects retries of refused callers, by route.
+    starting : OutageHold
+        Holds requests until the first routing table is there.
+    outages : dict of tuple to OutageHold
+        Hold requests during outages, by service and home regions.
     """
 
     def __init__(
@@ -112,6 +119,10 @@
         self.retry_detectors: defaultdict[str, RetryDetector] = defaultdict(
             RetryDetector
         )
+        self.starting = OutageHold()
+        self.outages: defaultdict[tuple[str, tuple[str, ...]], OutageHold] = (
+            defaultdict(OutageHold)
+        )
         self.random = random.Random(settings.node_id)
 
     def set_table(self, table: RoutingTable) -> None:
@@ -237,13 +248,14 @@
         """Wait a short time for the first routing table."""
         if self.index is not None:
             return
-        wait_s = min(FIRST_TABLE_WAIT_S, request.max_wait_s)
-        try:
+        now_s = self.now_s()
+        self.starting.record_open(0.0, now_s)
+        hold_s = self.starting.left_s(request.arrived_s, request.max_wait_s, now_s)
+        wait_s = max(hold_s, min(FIRST_TABLE_WAIT_S, request.max_wait_s))
+        # Without a table, `admit` refuses the request, and the refusal is logged.
+        with contextlib.suppress(TimeoutError), self.starting.holding():
             async with asyncio.timeout(wait_s):
                 await self.has_table.wait()
-        except TimeoutError:
-            # `admit` refuses the request, and the refusal is logged.
-            return
 
     def count_result(
         self, admitted: Admitted, service: str, refusal: Refusal | None
@@ -347,7 +359,68 @@
     async def allocate_slot(
         self, admitted: Admitted, progress: Progress
     ) -> AllocatedSlot | Refusal:
-        """Allocate a slot for the next send."""
+        """Allocate a slot for the next send, and hold the request during an outage."""
+        outage = self.outages[progress.service, admitted.homes]
+        while True:
+            slot = await self.allocate_slot_now(admitted, progress)
+            hold_s = self.hold_s(admitted, progress, slot, outage)
+            if not hold_s:
+                break
+            admitted = admitted._replace(was_held=True)
+            with outage.holding():
+                await asyncio.sleep(hold_s)
+        if admitted.was_held:
+            self.metrics.record_held(progress.service, isinstance(slot, AllocatedSlot))
+        return slot
+
+    def hold_s(
+        self,
+        admitted: Admitted,
+        progress: Progress,
+        slot: AllocatedSlot | Refusal,
+        outage: OutageHold,
+    ) -> float:
+        """Return how long to hold a request before it looks for a slot again.
+
+        The result is 0 if it has a slot, or is to be refused now.
+        """
+        refused = isinstance(slot, Refusal) and slot.kind in SPREAD_RETRY_KINDS
+        if not refused and outage.since_s is None:
+            return 0.0
+        now_s = self.now_s()
+        open_fraction = self.update_outage(progress.service, admitted.homes, outage)
+        if not refused or progress.sends:
+            return 0.0
+        request = admitted.request
+        left_s = outage.left_s(
+            request.arrived_s, request.max_wait_s, now_s, admitted.is_retry
+        )
+        if not open_fraction:
+            return_s = self.registry.return_s(
+                progress.service, now_s, False, admitted.homes
+            )
+            if return_s is not None and return_s > left_s:
+                # Its targets could not be reached, and are not tried again before.
+                return 0.0
+        return min(left_s, FULL_POLL_S if open_fraction else CLOSED_POLL_S)
+
+    def update_outage(
+        self, service: str, homes: tuple[str, ...], outage: OutageHold
+    ) -> float:
+        """Update the outage of a service; return which fraction of it is open."""
+        engine, now_s = self.index.services[service].engine, self.now_s()
+        open_fraction = self.allocator.open_fraction(service, engine, now_s, homes)
+        was_out = outage.since_s is not None
+        outage.record_open(open_fraction, now_s)
+        if was_out != (outage.since_s is not None):
+            event = "outage ends" if was_out else "outage begins"
+            log.warning(event, extra=fields(service=service, open=open_fraction))
+        return open_fraction
+
+    async def allocate_slot_now(
+        self, admitted: Admitted, progress: Progress
+    ) -> AllocatedSlot | Refusal:
+        """Allocate a slot if there is one now."""
         service, now_s = progress.service, self.now_s()
         engine = self.index.services[service].engine
         is_last = progress.is_last_send or not self.retry_budget(service).has_budget(
--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -39,6 +39,7 @@
 # The sidecar grants slots, but its engine is throttled: it advertises a rate or has
 # rejected requests.
 LIMITED_STATE = "limited"
+OPEN_STATES = frozenset({"open", LIMITED_STATE})
 # Load penalty, as a fraction of an engine's slots, of an engine that still loads its
 # weights or is throttled. It is asked after engines with free slots.
 LIMITED_LOAD = 1.0
@@ -217,6 +218,11 @@
             target.host, link
         )
 
+    def is_open(self, target: Target) -> bool:
+        """Return whether a sidecar grants slots now, by its last heartbeat."""
+        link = self.link_to(target)
+        return link is not None and link.peer_heartbeat.state in OPEN_STATES
+
     def is_stalled(self, host: str, link: Link) -> bool:
         """Return whether nothing was received since an unanswered slot request.
 
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -270,6 +270,23 @@
             retry_s = return_s or DEFAULT_RETRY_S
         return Refusal(kind, retry_s, "no target available")
 
+    def open_fraction(
+        self, service: str, engine: Engine | None, now_s: float, homes: tuple[str, ...]
+    ) -> float:
+        """Return which fraction of a service's known targets is open.
+
+        Plain targets always are, and throttled ones count as open: it is known when
+        they accept a request again.
+        """
+        targets = self.registry.candidates(service, now_s, homes=homes)
+        if engine is not None:
+            targets = [t for t in targets if self.sidecars.is_selected(t)]
+        if not targets:
+            return float(self.registry.throttled_s(service, now_s, homes=homes) > 0)
+        if engine is None:
+            return 1.0
+        return sum(map(self.sidecars.is_open, targets)) / len(targets)
+
     def now_s(self) -> float:
         """Return the time of the event loop's clock."""
         return asyncio.get_running_loop().time()
--- a/src/wisteriapulley/entry/metrics.py
+++ b/src/wisteriapulley/entry/metrics.py
@@ -25,6 +25,10 @@
             "refused_in_homes_total",
             "Requests refused for lack of room in their home regions, by account.",
         )
+        self.held = metrics.counter(
+            "requests_held_total",
+            "Requests held through an outage, by service and by how they ended.",
+        )
         self.first_part = metrics.histogram(
             "first_part_seconds", "Time to the answer's head, by account and class."
         )
@@ -51,6 +55,11 @@
         """Record a request that no target in its home regions had room for."""
         self.refused_in_homes.inc({"account": self.account_label(account, False)})
 
+    def record_held(self, service: str, placed: bool) -> None:
+        """Record the end of the hold of a request."""
+        end = "placed" if placed else "refused"
+        self.held.inc({"service": service, "end": end})
+
     def record_first_part(
         self, account: str, traffic_class: str, seconds: float
     ) -> None:
--- a/tests/test_slot_allocation.py
+++ b/tests/test_slot_allocation.py
@@ -36,6 +36,9 @@
     def is_available(self, target):
         return True
 
+    def is_open(self, target):
+        return True
+
     def load_of(self, target, now_s):
         return Load(0, target.slots)
 
