State an opening until the update ends

A sidecar whose engine starts without weights announced its opening once the manifest was known, and the next poll of the engine, 0.2 s later, withdrew it: those who waited there were denied. It is stated now until the update in progress ends or fails, and an overdue opening counts as closed as before.

--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -242,7 +242,8 @@
         self.admission.set_admission_end(self.serving_left_ms())
         may_serve = self.may_serve()
         self.admission.set_open(may_serve)
-        if self.state.is_evacuated or not (may_serve or self.updater.loading):
+        opens = may_serve or self.updater.loading or self.updater.opens_soon
+        if self.state.is_evacuated or not opens:
             self.admission.cancel_opening()
 
     def may_serve(self) -> bool:
--- a/src/wisteriapulley/rollout/updater.py
+++ b/src/wisteriapulley/rollout/updater.py
@@ -67,6 +67,8 @@
     ----------
     loading : bool
         Whether an order to load is in progress.
+    opens_soon : bool
+        Whether the slots are announced to open once the update in progress is done.
     manifest : PieceManifest or None
         What is being downloaded or loaded.
     load_ms : float
@@ -93,6 +95,7 @@
             engine, state.upstream, state.is_near, self.download_rate
         )
         self.loading = False
+        self.opens_soon = False
         self.manifest: PieceManifest | None = None
         self.goal: Goal | None = None
         self.update_task: asyncio.Task | None = None
@@ -164,7 +167,7 @@
                 # A failed download must not delay a newer version.
                 self.staging.done_fraction = 0.0
             finally:
-                self.loading = False
+                self.loading = self.opens_soon = False
                 self.admission.slots.closes_at_ms = None
                 self.manifest = None
                 self.update_admission()
@@ -195,6 +198,7 @@
         missing = len(self.staging.missing(manifest)) * manifest.chunk_bytes
         delay_ms = self.download_ms(missing) + self.load_ms
         if delay_ms < MAX_OPENING_WAIT_MS:
+            self.opens_soon = True
             self.admission.expect_opening(delay_ms)
 
     # -- switch time -----------------------------------------------------
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -17,6 +17,7 @@
     FakeClient,
     crash_tracker,
 )
+from tests.test_evacuated_engine import MANIFEST, new_service
 from tests.test_slot_allocation import IDENTITY
 from wisteriapulley.direct.dispatch import Dispatcher
 from wisteriapulley.direct.progress import Admitted
@@ -40,6 +41,7 @@
 )
 from wisteriapulley.policy.retry_after import MAX_WAIT_FRACTION, retry_after_s
 from wisteriapulley.policy.return_queue import WAIT_FRACTION
+from wisteriapulley.rollout.engine import EngineReport
 from wisteriapulley.routing import (
     Engine,
     Route,
@@ -233,6 +235,41 @@
         assert slots.request_slot(late_request(2), overdue_ms).denied
 
 
+class TestAnnouncedOpening:
+    """An engine that starts with most of its pieces staged."""
+
+    def announce(self, service, missing):
+        service.state.report = EngineReport({})
+        service.updater.staging.missing = lambda manifest: range(missing)
+        service.updater.download_ms = lambda size: 100.0 * size / MANIFEST.chunk_bytes
+        service.updater.expect_opening(MANIFEST)
+        service.update_admission()
+        return service.admission.heartbeat().state
+
+    def test_is_stated_until_the_update_ends(self, tmp_path):
+        """Each poll of the engine withdrew it, and those who waited were denied."""
+
+        async def run():
+            service = new_service(tmp_path)
+            assert self.announce(service, missing=8) == "opening"
+            service.updater.update_once = self.fail
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.0):
+                    await service.updater.run_update(None)
+            return service.admission.heartbeat().state
+
+        assert asyncio.run(run()) == "closed"
+
+    async def fail(self, goal):
+        await asyncio.Event().wait()
+
+    def test_is_not_stated_long_ahead(self, tmp_path):
+        async def run():
+            return self.announce(new_service(tmp_path), missing=20)
+
+        assert asyncio.run(run()) == "closed"
+
+
 class TestRetryTimes:
     def test_are_not_before_a_slot_may_be_free(self):
         rng = random.Random(1)
