Take callers that an outage cut off for returns

They come back with less time and no retry, as refused callers do, but no entry that just started has refused any. From the beginning of an outage an entry takes callers that state less time than others for returns, so that they wait longer, and first.

--- a/bench/returns.py
+++ b/bench/returns.py
@@ -382,6 +382,8 @@
     def hold_or_refuse(self, attempt: Attempt) -> None:
         """Hold a request that found no room, or refuse it."""
         hold = attempt.entry.hold
+        if self.wave.holds and hold.since_s is not None:
+            attempt.entry.detector.record_refusal(self.now_ms / 1000)
         left_s = hold.left_s(
             attempt.request.arrived_s,
             attempt.request.max_wait_s,
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -391,6 +391,9 @@
         open_fraction = self.update_outage(progress.service, admitted.homes, outage)
         if not refused or progress.sends:
             return 0.0
+        if outage.since_s is not None:
+            # Callers whom the outage cut off or kept out come back like refused ones.
+            self.retry_detectors[admitted.route.name].record_refusal(now_s)
         request = admitted.request
         left_s = outage.left_s(
             request.arrived_s, request.max_wait_s, now_s, admitted.is_retry
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -412,6 +412,15 @@
         assert allocator.open_fraction("s", None, 0.0, ()) == 1.0
         assert allocator.open_fraction("unknown", None, 0.0, ()) == 0.0
 
+    def test_caller_cut_off_by_the_outage_is_taken_for_a_return(self):
+        """It states less time than new callers, though no entry has refused it."""
+        _, _, dispatcher = serve(opens_s=0.5)
+        detector = dispatcher.retry_detectors[ROUTE.name]
+        assert detector.is_retry(LIMIT_S / 2, 0.6)
+        _, _, dispatcher = serve(opens_s=0.0)
+        detector = dispatcher.retry_detectors[ROUTE.name]
+        assert not detector.is_retry(LIMIT_S / 2, 0.6)
+
     def test_held_requests_are_counted(self):
         _, _, dispatcher = serve(opens_s=0.3)
         held = dispatcher.metrics.held
