Refuse a priority at once that no engine admits

Cause: each request of a class that all engines refuse asked six sidecars in turn. Change: a sidecar states the least urgent priority that it admits and when a slot is expected, in the loads that it sends anyhow; it follows the usual request of a class over some tenths of a second. An entry refuses at once, with that time, when all engines leave the priority out, and probes twice a second. Late requests keep their own rule. The floor counts on the demand that entries no longer show, and is aimed at 0.45. Level changes are logged; refused_below_level counts at entries.

--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -82,6 +82,10 @@
         self.cold = self.metrics.gauge(
             "targets_cold", "Targets that are cold, of services that limit these."
         )
+        self.refused_below_level = self.metrics.gauge(
+            "refused_below_level",
+            "Requests refused at once because no engine admits their priority.",
+        )
         self.dispatcher = Dispatcher(
             settings,
             self.registry,
@@ -180,6 +184,8 @@
             self.cold.set({}, cold.check(self.registry.targets.values(), loop.time()))
             self.quarantined.set({}, len(self.crashes.suspects.quarantined()))
             self.count_evacuated()
+            for priority, count in self.allocator.levels.refused.items():
+                self.refused_below_level.set({"priority": str(priority)}, count)
             if self.registry.sweep(loop.time()):
                 self.keep_links()
             await self.allocator.sidecars.drop_links()
--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -274,6 +274,11 @@
                 outstanding, now_s, link.peer_heartbeat
             )
 
+    def heartbeat_of(self, target: Target) -> messages.Heartbeat:
+        """Return the last heartbeat of a target's sidecar; an empty one without."""
+        link = self.link_to(target)
+        return messages.Heartbeat() if link is None else link.peer_heartbeat
+
     # -- slot requests ---------------------------------------------------
 
     async def reserve(
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -8,6 +8,7 @@
 
 from wisteriapulley.clocks import steady_s
 from wisteriapulley.control.following import ControlFollower
+from wisteriapulley.direct.admission_levels import AdmissionLevels
 from wisteriapulley.direct.cold_services import ColdServices
 from wisteriapulley.direct.progress import Admitted
 from wisteriapulley.direct.rate_permits import RatePermitClient
@@ -188,6 +189,7 @@
         # entries seen; see `policy.connection_share`.
         self.max_connections: dict[str, int] = {}
         self.entry_count = 0
+        self.levels = AdmissionLevels(self.sidecars)
         self.location = EntryLocation(
             settings.failure_domain, Regions(settings.failure_domain_regions)
         )
@@ -368,7 +370,11 @@
     ) -> AllocatedSlot | Refusal:
         """Ask the sidecars of engines for a slot, one after the other."""
         denials = Denials()
-        for target in self.eligible_engines(targets, now_s):
+        eligible = self.eligible_engines(targets, now_s)
+        refusal = self.refuse_below_level(admitted, engine, eligible, now_s)
+        if refusal is not None:
+            return refusal
+        for target in eligible:
             wait_s = max(
                 self.rate_permits.at_limit_s(target, now_s),
                 self.registry.wait_s(target, self.now_s(), is_last),
@@ -403,6 +409,21 @@
                 self.rate_permits.record_at_limit(target, answer.retry_ms / 1000, now_s)
         return Refusal(RefusalKind.OVERLOADED, denials.retry_s, "no slot in time")
 
+    def refuse_below_level(
+        self, admitted: Admitted, engine: Engine, targets: list[Target], now_s: float
+    ) -> Refusal | None:
+        """Return the refusal of a request that no sidecar admits by its priority.
+
+        Late requests get what the others leave, by a rule of their own.
+        """
+        urgency = urgency_of(admitted, engine, now_s)
+        if urgency.late or not self.levels.refuses(
+            engine.model, targets, urgency.priority, now_s
+        ):
+            return None
+        retry_s = self.levels.retry_s(targets)
+        return Refusal(RefusalKind.OVERLOADED, retry_s, "priority not admitted")
+
     def eligible_engines(self, targets: list[Target], now_s: float) -> list[Target]:
         """Return the engines whose sidecars may grant a slot, best first."""
         eligible = (
--- a/src/wisteriapulley/emulator/fleet.py
+++ b/src/wisteriapulley/emulator/fleet.py
@@ -19,6 +19,7 @@
 )
 from wisteriapulley.emulator.engine import EmulatedEngine, Job
 from wisteriapulley.emulator.mixes import MIXES, RequestKind, draw_sizes
+from wisteriapulley.policy.admission_level import LevelProbes, is_admitted
 from wisteriapulley.policy.engine_slots import (
     AdmissionDecision,
     EngineSlots,
@@ -38,6 +39,8 @@
 ADVANCE_INTERVAL_MS = 20.0
 # How often sidecars read the reports of their engines.
 POLL_INTERVAL_MS = 400.0
+# Sidecars report their admission levels this often.
+REPORT_INTERVAL_MS = 30.0
 # A refused caller retries once.
 MAX_RETRIES = 1
 # Spread of the callers' estimates of their answers, as the standard deviation of the
@@ -132,6 +135,8 @@
         Seed of the arrivals.
     class_reserve : bool
         Whether slots are reserved for more urgent classes.
+    report_levels : bool
+        Whether engines report the classes that they admit.
     surges : tuple of Surge
         Changes of the request rates.
     outages : tuple of Outage
@@ -164,6 +169,7 @@
     learns_speed: bool = True
     seed: int = 1
     class_reserve: bool = True
+    report_levels: bool = True
     surges: tuple[Surge, ...] = ()
     outages: tuple[Outage, ...] = ()
 
@@ -274,6 +280,10 @@
         ]
         self.engines = [self.new_engine(speed) for speed in self.speeds]
         self.sent_to = Counter()
+        self.levels = [0] * scenario.engines
+        self.probes = LevelProbes()
+        self.asked = 0
+        self.refused_below_level = 0
 
     def new_engine(self, speed: EngineSpeed) -> EmulatedEngine:
         """Return an empty engine."""
@@ -313,6 +323,7 @@
         """Run the scenario."""
         self.generate_arrival()
         self.advance_all_queues()
+        self.report_levels()
         if self.scenario.change_s:
             self.schedule_changes()
         for outage in self.scenario.outages:
@@ -363,9 +374,28 @@
         request.is_retry = self.retry_detector.is_retry(remaining_s, self.now_ms / 1000)
         open_engines = [n for n, slots in enumerate(self.engine_slots) if slots.open]
         open_engines.sort(key=lambda n: (self.reported_load(n), self.rng.random()))
+        if not self.slot_request(request).late:
+            open_engines = self.admitting(request.kind.priority, open_engines)
         request.candidates, request.asks_left = open_engines, self.scenario.max_asked
         self.ask_next_engine(request)
 
+    def admitting(self, priority: int, engines: list[int]) -> list[int]:
+        """Return the engines to ask, by the levels that they last reported."""
+        if any(is_admitted(self.levels[n], priority) for n in engines):
+            return engines
+        if self.probes.take("", priority, self.now_ms / 1000):
+            return engines
+        self.refused_below_level += 1
+        return []
+
+    def report_levels(self) -> None:
+        """Report the admission levels of all engines periodically."""
+        if self.scenario.report_levels:
+            self.levels = [
+                slots.admission_level.update(self.now_ms) for slots in self.engine_slots
+            ]
+            self.schedule(REPORT_INTERVAL_MS, self.report_levels)
+
     def reported_load(self, engine_index: int) -> float:
         """Return the cost of an engine by the load that its sidecar reports."""
         slots = self.engine_slots[engine_index]
@@ -377,6 +407,7 @@
         """Ask sidecars in turn until one grants a slot or queues the request."""
         while request.candidates and request.asks_left:
             engine_index = request.candidates.pop(0)
+            self.asked += 1
             slots = self.engine_slots[engine_index]
             slot_request = self.slot_request(request)
             decision = slots.request_slot(slot_request, self.now_ms)
--- a/src/wisteriapulley/policy/class_demand.py
+++ b/src/wisteriapulley/policy/class_demand.py
@@ -12,6 +12,9 @@
 FLOOR_MS = 4000.0
 # Weight of a new sample in the averages of holding times, prefill and waits.
 SMOOTHING = 0.1
+# Entries have stopped to ask for a class that is left out if its rate falls below this
+# fraction of the rate before.
+HIDDEN_FRACTION = 0.5
 # Engines that a refused request is offered to, one after the other.
 OFFERS_PER_REQUEST = 6
 
@@ -55,6 +58,8 @@
         Requests. A refused one counts as a fraction, as it is offered to other engines.
     offered, granted : DecayingSum
         The same over a longer time, and the requests that got a slot.
+    denials : DecayingSum
+        Requests that were denied at once.
     hold_ms, prefill_ms, wait_ms : float
         Mean time for which a request holds its slot, prefill of a prompt, and time
         that the first event may take.
@@ -66,6 +71,7 @@
         self.arrivals = DecayingSum(DEMAND_MS)
         self.offered = DecayingSum(FLOOR_MS)
         self.granted = DecayingSum(FLOOR_MS)
+        self.denials = DecayingSum(DEMAND_MS)
         self.hold_ms = hold_ms
         self.prefill_ms = prefill_ms
         self.wait_ms = wait_ms
@@ -87,6 +93,17 @@
         self.offered.add(count, now_ms)
         if decision.granted:
             self.granted.add(1.0, now_ms)
+        if decision.denied:
+            self.denials.add(1.0, now_ms)
+
+    def keep_hidden(self, now_ms: float) -> None:
+        """Keep the long-term demand of a class that entries do not ask for any more.
+
+        Entries refuse a class that all engines leave out. Its offers then fade as its
+        grants do, and it would never seem to be below its floor.
+        """
+        if self.per_ms(now_ms) < HIDDEN_FRACTION * self.offered.at(now_ms) / FLOOR_MS:
+            self.offered.updated_ms = now_ms
 
     def record_hold(self, held_ms: float) -> None:
         """Record how long a request held its slot."""
--- a/src/wisteriapulley/policy/class_reserve.py
+++ b/src/wisteriapulley/policy/class_reserve.py
@@ -32,7 +32,7 @@
 # Each class is to be served in time at least a quarter as often as more urgent ones.
 # More is aimed at, because offers only give an estimate of how often that is, and some
 # requests that get a slot are late.
-FLOOR_FRACTION = 0.4
+FLOOR_FRACTION = 0.45
 # Classes whose demand is remembered. Accounts may state any priority.
 MAX_CLASSES = 16
 
--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Iterator
 
+from wisteriapulley.policy.admission_level import AdmissionLevel
 from wisteriapulley.policy.advertised_rate import RateLimits
 from wisteriapulley.policy.batch_steps import BatchStepClock
 from wisteriapulley.policy.circuit_breaker import CircuitBreaker, SendOutcome
@@ -102,6 +103,7 @@
         # Tracks what the engine did with granted requests.
         self.breaker = CircuitBreaker()
         self.reserve = ClassReserve(self)
+        self.admission_level = AdmissionLevel(self.reserve, self.queue)
 
     @property
     def state(self) -> AdmissionState:
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -115,13 +115,34 @@
         """Return a heartbeat with the load and the admission state."""
         limited = self.slots.open and self.limited_for_s() > 0
         state = AdmissionState.LIMITED if limited else self.slots.state
+        level = self.update_level()
         return messages.Heartbeat(
             state=state.value,
             running=len(self.slots.grants),
             waiting=len(self.slots.queue),
             pace=self.slots.speed.pace(self.now_ms() / 1000),
+            level=level,
+            free_ms=self.slots.admission_level.free_ms() if level else 0,
         )
 
+    def update_level(self) -> int:
+        """Return the admission level; log it when it changed."""
+        if not self.slots.open:
+            return 0
+        admission_level = self.slots.admission_level
+        previous, level = admission_level.level, admission_level.update(self.now_ms())
+        if level != previous:
+            log.info(
+                "admission level changed",
+                extra=fields(
+                    level=level,
+                    previous=previous,
+                    held=len(self.slots.grants),
+                    waiting=len(self.slots.queue),
+                ),
+            )
+        return level
+
     def schedule_load_report(self) -> None:
         """Send a load report soon; changes until then share it."""
         if self.load_report_timer is None:
