Let the platform's settings file turn the class reserve off

Cause: the setting was reachable only in code. Change: class-reserve in the settings file of a sidecar's process. Measured: tests of settings and of the platform's path pass.

--- a/src/wisteriapulley/platform/settings.py
+++ b/src/wisteriapulley/platform/settings.py
@@ -96,6 +96,8 @@
     # Address of the engine on this host.
     app: str = ""
     service: str = ""
+    # Whether the engine's sidecar keeps slots free for more urgent priorities.
+    class_reserve: bool = True
 
     @classmethod
     def from_file(cls, path: str) -> "PlatformSettings":
@@ -192,5 +194,6 @@
             old_version_ms=self.bounds.version_ms,
             cold_overshoot=self.bounds.cold_overshoot,
             cold_slack=self.bounds.cold_slack,
+            class_reserve=self.class_reserve,
             **self.common_settings(SIDECAR_HTTP_PORT, key_file),
         )
--- a/tests/test_class_reserve.py
+++ b/tests/test_class_reserve.py
@@ -6,6 +6,7 @@
 import pytest
 
 from wisteriapulley.emulator import Fleet, Outage, Scenario, Surge
+from wisteriapulley.platform.settings import PlatformSettings
 from wisteriapulley.policy.class_reserve import MAX_CLASSES
 from wisteriapulley.policy.engine_slots import EngineSlots, SlotRequest
 from wisteriapulley.routing import Engine
@@ -246,3 +247,23 @@
         _, kinds = replay(load=0.85 * CAPACITY, outages=(Outage(4.0, 7.0, 15),))
         assert in_order(kinds)
         assert kinds["full-quote"].in_time > 0.9
+
+
+class TestSetting:
+    def test_platform_settings_file_turns_the_reserve_off(self, tmp_path):
+        text = """
+node-name = "n"
+ip-address = "127.0.0.1"
+zone = "z"
+internal-port-range = [1000, 1010]
+seed-nodes = []
+app = "127.0.0.1:80"
+class-reserve = false
+"""
+        path = tmp_path / "settings.toml"
+        path.write_text(text)
+        settings = PlatformSettings.from_file(str(path)).sidecar_settings("key")
+        assert not settings.class_reserve
+        path.write_text(text.replace("class-reserve = false", ""))
+        settings = PlatformSettings.from_file(str(path)).sidecar_settings("key")
+        assert settings.class_reserve
