Evacuate failure domains in the soak

The soak gave no evacuation orders, so nothing held the promise against kills, cuts and restarts. A seed now draws evacuations of the domains in turn, from a generator of its own. Each is resent to any control instance until acknowledged, and withdrawn. A timed run checks that no request reaches an evacuated domain past the bound.

All other faults of seeds 1, 2 and 42 are drawn as before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,16 +16,14 @@
 
 from soak.invariants import STOP_GRACE_S, InvariantChecker
 from soak.network import Network
-from soak.plan import FleetShape
+from soak.plan import FAILURE_DOMAINS, FleetShape
 from soak.targets import HeartbeatSender, SoakEngine, SoakPlainTarget
 from wisteriapulley.consensus import frames
 
 log = logging.getLogger(__name__)
 
 FAILURE_DOMAIN_REGIONS = {
-    "domain-a": "region-a",
-    "domain-b": "region-b",
-    "domain-c": "region-c",
+    domain: domain.replace("domain", "region") for domain in FAILURE_DOMAINS
 }
 # Number of ports in the range that the platform gives to a process. The offsets of
 # its listeners from the first port follow.
@@ -249,7 +247,8 @@
         for name, node in self.nodes.items():
             node.write_settings(self.seed_nodes, self.apps.get(name, ""))
             node.start()
-        for announcer in self.heartbeat_senders.values():
+        for name, announcer in self.heartbeat_senders.items():
+            self.checker.failure_domains[name] = announcer.failure_domain
             announcer.start()
 
     async def start_targets(self) -> None:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -24,6 +24,11 @@
 # not counting those already in transit when the target requested it.
 MAX_COOLDOWN_REQUESTS = 2
 IN_TRANSIT_S = 0.5
+# Time after the acknowledgement of an evacuation from which on the targets of the
+# failure domain get no requests, and how much longer it may take while control
+# instances are disturbed.
+EVACUATION_BOUND_S = 5.0
+EVACUATION_STRETCH_S = 6.0
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -76,6 +81,14 @@
     until_s: float
 
 
+class Evacuation(NamedTuple):
+    """An evacuation, from its acknowledgement until its withdrawal is sent."""
+
+    failure_domain: str
+    acknowledged_s: float
+    end_s: float = float("inf")
+
+
 class Finding(NamedTuple):
     """A violated invariant."""
 
@@ -106,6 +119,8 @@
         self.signals: dict[tuple[str, str], list[ReportedSignal]] = defaultdict(list)
         self.cooldown_requests: Counter[ReportedSignal] = Counter()
         self.desired_since_s: dict[int, float] = {}
+        self.failure_domains: dict[str, str] = {}
+        self.evacuations: list[Evacuation] = []
         self.findings: list[Finding] = []
         self.check_counts: Counter[str] = Counter()
 
@@ -174,6 +189,7 @@
         sent = self.sent.get(request_id)
         if sent is None or not self.timed:
             return
+        self.check_evacuation(sent, target_id, at_s)
         for signal in self.signals[sent.entry, target_id]:
             if self.is_entry_disturbed(signal, at_s):
                 continue
@@ -203,6 +219,42 @@
             if fault.name == signal.entry or (fault.kind, fault.name) in excused_faults
         )
 
+    def check_evacuation(self, sent: SentRequest, target_id: str, at_s: float) -> None:
+        """Check that no request arrives in an evacuated failure domain.
+
+        Only a disturbance of the entry in the recovery time before the arrival is
+        an excuse: an entry that was restarted or cut off earlier knows the order.
+        """
+        domain = self.failure_domains.get(target_id.rpartition("-")[0])
+        recent = ReportedSignal(sent.entry, target_id, at_s - RECOVERY_S, at_s)
+        for evacuation in self.evacuations:
+            _, since_s, end_s = evacuation
+            if domain != evacuation.failure_domain or not since_s <= at_s < end_s:
+                continue
+            if not self.is_entry_disturbed(recent, at_s):
+                late = at_s - since_s > self.evacuation_bound_s(at_s)
+                self.check(
+                    "evacuated", not late, f"{sent} at {at_s:.2f} s, {evacuation}"
+                )
+
+    def evacuation_bound_s(self, at_s: float) -> float:
+        """Return how long an evacuation may take, by the state of control instances.
+
+        It is infinite if two of the three were disturbed: there may be no quorum.
+        """
+        disturbed = {
+            fault.name
+            for fault, began_s, ended_s in self.faults
+            if began_s <= at_s <= ended_s + RECOVERY_S and "control" in fault.name
+        }
+        if len(disturbed) > 1 or any(
+            began_s <= at_s <= ended_s + 2 * RECOVERY_S
+            for fault, began_s, ended_s in self.faults
+            if fault.kind in (FaultKind.KILL_CONTROLS, FaultKind.KILL_ALL)
+        ):
+            return float("inf")
+        return EVACUATION_BOUND_S + (EVACUATION_STRETCH_S if disturbed else 0.0)
+
     def is_disturbed(
         self, from_s: float, to_s: float, excluded: frozenset = PLANNED_KINDS
     ) -> bool:
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -11,7 +11,12 @@
 from tests.fakes.platform import Origin, configuration
 
 from soak.callers import HOST, KEY, REQUEST_TIMEOUT_S
-from soak.invariants import ConfigurationHistory, InvariantChecker, VersionProgress
+from soak.invariants import (
+    ConfigurationHistory,
+    Evacuation,
+    InvariantChecker,
+    VersionProgress,
+)
 from soak.targets import PLAIN_SLOTS
 from wisteriapulley.platform import names
 
@@ -21,6 +26,9 @@
 CALL_TIMEOUT_S = 2.5
 RETRY_INTERVAL_S = 0.2
 READ_INTERVAL_S = 0.5
+# An order without an acknowledgement for this long is a finding. All faults that stop a
+# quorum are much shorter.
+ORDER_TIMEOUT_S = 60.0
 # A configuration has probe routes of this many latest versions. Which of these routes
 # an entry knows shows which configuration is in force there.
 PROBE_ROUTE_COUNT = 3
@@ -80,6 +88,7 @@
         self.rng = random.Random(seed)
         self.history = ConfigurationHistory(checker)
         self.version = 0
+        self.evacuating = asyncio.Lock()
         self.session: aiohttp.ClientSession | None = None
         self.tasks: list[asyncio.Task] = []
 
@@ -157,6 +166,35 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
         self.checker.desired_since_s[version] = time.monotonic()
 
+    async def evacuate(self, failure_domain: str, duration_s: float) -> None:
+        """Evacuate a failure domain for a time; earlier evacuations end first.
+
+        The order is withdrawn even without an acknowledgement: a copy of it may be
+        in force.
+        """
+        async with self.evacuating:
+            evacuations = self.checker.evacuations
+            if await self.send_order(names.EVACUATE_CALL, failure_domain):
+                evacuations.append(Evacuation(failure_domain, time.monotonic()))
+                await asyncio.sleep(duration_s)
+                evacuations[-1] = evacuations[-1]._replace(end_s=time.monotonic())
+            await self.send_order(names.END_EVACUATION_CALL, failure_domain)
+
+    async def send_order(self, path: str, failure_domain: str) -> bool:
+        """Send an evacuation order until it is acknowledged; return whether it was.
+
+        The order is valid, so it must not be refused.
+        """
+        path = path.format(failure_domain=failure_domain)
+        give_up_s = time.monotonic() + ORDER_TIMEOUT_S
+        while (status := await self.call(path, b"")) != 200:
+            is_refused = 400 <= status < 500 and status not in (408, 429)
+            if is_refused or time.monotonic() > give_up_s:
+                break
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        self.checker.check("order", status == 200, f"{path} ended with {status}")
+        return status == 200
+
     async def call(self, path: str, body: bytes) -> int:
         """Send to any control instance; return the status, 0 without a response."""
         address = self.rng.choice(self.controls())
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterator
 from enum import Enum
+from itertools import cycle
 from typing import NamedTuple
 
 # Fault-free time before the first fault and after the last one. The fleet serves
@@ -41,6 +42,7 @@
     CONFIG_RACE = "config_race"
     CONFIG_INVALID = "config_bad"
     WEIGHTS = "weights"
+    EVACUATE = "evacuate"
 
 
 # Planned operations, which must not make requests fail. All other kinds are failures.
@@ -54,6 +56,7 @@
         FaultKind.CONFIG_RACE,
         FaultKind.CONFIG_INVALID,
         FaultKind.WEIGHTS,
+        FaultKind.EVACUATE,
     }
 )
 NODE_KINDS = (FaultKind.KILL, FaultKind.TERM, FaultKind.FREEZE, FaultKind.HUP)
@@ -103,6 +106,11 @@
 # Mean time between two cool-downs that targets request. These are drawn with a
 # separate generator, so that the other faults of a seed do not change.
 COOLDOWN_INTERVAL_S = 4.0
+FAILURE_DOMAINS = ("domain-a", "domain-b", "domain-c")
+# Evacuations, too, have a generator of their own. One lasts longer than the time in
+# which it must take effect. They follow one another with a mean pause of this length.
+EVACUATION_S = (8.0, 14.0)
+EVACUATION_PAUSE_S = 3.0
 
 
 class Fault(NamedTuple):
@@ -168,6 +176,7 @@
     faults = [
         *draw_series(random.Random(seed), seconds, shape, mean_interval_s),
         *draw_cooldowns(random.Random(f"rests/{seed}"), seconds, shape),
+        *draw_evacuations(random.Random(f"evacuations/{seed}"), seconds),
     ]
     return list(drop_early_wipes(sorted(faults, key=lambda fault: fault.at_s)))
 
@@ -183,6 +192,20 @@
         at_s += rng.expovariate(1 / COOLDOWN_INTERVAL_S)
 
 
+def draw_evacuations(rng: random.Random, seconds: float) -> Iterator[Fault]:
+    """Yield evacuations of the failure domains in turn, one at a time.
+
+    A domain comes again only after all others. By then no copy of the order that
+    withdrew its last evacuation is still under way.
+    """
+    domains = cycle(rng.sample(FAILURE_DOMAINS, len(FAILURE_DOMAINS)))
+    at_s = SETTLE_S + rng.expovariate(1 / EVACUATION_PAUSE_S)
+    while at_s < SETTLE_S + seconds:
+        duration_s = rng.uniform(*EVACUATION_S)
+        yield Fault(at_s, FaultKind.EVACUATE, next(domains), duration_s)
+        at_s += duration_s + rng.expovariate(1 / EVACUATION_PAUSE_S)
+
+
 def draw_series(
     rng: random.Random, seconds: float, shape: FleetShape, mean_interval_s: float
 ) -> Iterator[Fault]:
@@ -209,6 +232,8 @@
         return shape.nodes
     if kind is FaultKind.TARGET_COOLDOWN:
         return shape.plain_targets + shape.sidecars
+    if kind is FaultKind.EVACUATE:
+        return FAILURE_DOMAINS
     return shape.plain_targets if kind is FaultKind.TARGET_GREY else ("",)
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -310,6 +310,10 @@
 
     # -- operators -------------------------------------------------------
 
+    async def evacuate(self, fault: Fault) -> None:
+        """Evacuate a failure domain and withdraw the order."""
+        await self.operator.evacuate(fault.name, fault.duration_s)
+
     async def operate(self, fault: Fault, action) -> None:
         """Run an action of the operator."""
         action(self.operator)
@@ -366,4 +370,5 @@
     FaultKind.CONFIG_RACE: partial(SoakRun.operate, action=Operator.send_conflicting),
     FaultKind.CONFIG_INVALID: partial(SoakRun.operate, action=Operator.send_invalid),
     FaultKind.WEIGHTS: partial(SoakRun.operate, action=Operator.set_desired_version),
+    FaultKind.EVACUATE: SoakRun.evacuate,
 }
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 from types import SimpleNamespace
 
 import pytest
@@ -9,15 +10,19 @@
 from soak.invariants import (
     SUPERSEDED_BOUND_S,
     ConfigurationHistory,
+    Evacuation,
     Execution,
     InvariantChecker,
     RequestResult,
     SentRequest,
     VersionProgress,
 )
+from soak.operators import Operator
 from soak.plan import (
     DISK_REPAIR_S,
     DRAW_WEIGHTS,
+    EVACUATION_S,
+    FAILURE_DOMAINS,
     Fault,
     FaultKind,
     FleetShape,
@@ -76,19 +81,95 @@
         assert self.violations([13.0]) == ["leaving"]
 
 
+class TestEvacuations:
+    """Nothing reaches an evacuated failure domain once the order is in force."""
+
+    def violations(self, arrival_s, fault=None, timed=True, target_id="plain-1-i1"):
+        checker = new_checker(timed)
+        checker.failure_domains = {"plain-1": "domain-a", "plain-2": "domain-b"}
+        checker.evacuations.append(Evacuation("domain-a", 10.0, 24.0))
+        if fault:
+            kind, name, began_s, ended_s = fault
+            checker.faults.append((Fault(0.0, kind, name, 1.0), began_s, ended_s))
+        checker.record_arrival("id", target_id, arrival_s)
+        return violations(checker)
+
+    def test_arrival_before_bound_and_after_withdrawal(self):
+        assert self.violations(14.9) == self.violations(24.1) == []
+
+    def test_arrival_after_bound(self):
+        assert self.violations(15.1) == ["evacuated"]
+        assert self.violations(15.1, target_id="plain-1-i7") == ["evacuated"]
+        assert self.violations(15.1, target_id="plain-2-i1") == []
+        assert self.violations(15.1, timed=False) == []
+
+    def test_entry_is_excused_until_it_has_recovered(self):
+        restart = (FaultKind.KILL, "entry-1", 12.0, 13.0)
+        assert self.violations(15.1, restart) == []
+        assert self.violations(18.0, restart) == ["evacuated"]
+        other = (FaultKind.KILL, "entry-2", 12.0, 13.0)
+        assert self.violations(15.1, other) == ["evacuated"]
+
+    def test_disturbed_control_instance_extends_bound(self):
+        cut = (FaultKind.CUT, "control-2", 12.0, 20.0)
+        assert self.violations(20.9, cut) == []
+        assert self.violations(21.1, cut) == ["evacuated"]
+        assert self.violations(15.1, (FaultKind.CUT, "control-2", 8.0, 11.0)) == [
+            "evacuated"
+        ]
+
+    @pytest.mark.parametrize("kind", [FaultKind.KILL_CONTROLS, FaultKind.KILL_ALL])
+    def test_no_bound_without_quorum(self, kind):
+        assert self.violations(22.0, (kind, "", 12.0, 14.5)) == []
+        assert self.violations(23.0, (kind, "", 12.0, 14.5)) == ["evacuated"]
+
+
+class TestEvacuationOrders:
+    """Orders are resent until acknowledged, and always withdrawn."""
+
+    def play(self, *statuses):
+        checker = InvariantChecker("account")
+        operator = Operator(checker, None, None, 1)
+        calls, left = [], list(statuses)
+
+        async def call(path, body):
+            calls.append(path.removeprefix("/api/Evacuation."))
+            return left.pop(0) if left else 200
+
+        operator.call = call
+
+        async def both():
+            orders = (operator.evacuate(name, 0.0) for name in ("a", "b"))
+            await asyncio.gather(*orders)
+
+        asyncio.run(both())
+        return checker, calls
+
+    def test_order_is_resent_and_domains_follow_each_other(self):
+        checker, calls = self.play(0, 503, 429, 200, 503)
+        assert calls == ["Start/a"] * 4 + ["End/a"] * 2 + ["Start/b", "End/b"]
+        assert violations(checker) == []
+        first, second = checker.evacuations
+        assert first.acknowledged_s <= first.end_s <= second.acknowledged_s
+
+    @pytest.mark.parametrize("status", [400, 404, 422])
+    def test_refused_order_is_finding(self, status):
+        checker, calls = self.play(status)
+        assert violations(checker) == ["order"]
+        assert calls == ["Start/a", "End/a", "Start/b", "End/b"]
+        assert [e.failure_domain for e in checker.evacuations] == ["b"]
+
+
 class TestPlan:
     def test_seed_determines_all_faults(self):
         assert draw_faults(7, 30, SHAPE) == draw_faults(7, 30, SHAPE)
         assert draw_faults(7, 30, SHAPE) != draw_faults(8, 30, SHAPE)
 
     def test_every_kind_can_be_drawn_and_injected(self):
-        # Cool-downs are drawn with a separate generator.
-        assert FaultKind.TARGET_COOLDOWN not in DRAW_WEIGHTS
-        assert (
-            {*DRAW_WEIGHTS, FaultKind.TARGET_COOLDOWN}
-            == set(FaultKind)
-            == set(FAULT_ACTIONS)
-        )
+        # Cool-downs and evacuations are each drawn with a separate generator.
+        separate = {FaultKind.TARGET_COOLDOWN, FaultKind.EVACUATE}
+        assert separate.isdisjoint(DRAW_WEIGHTS)
+        assert {*DRAW_WEIGHTS, *separate} == set(FaultKind) == set(FAULT_ACTIONS)
         cooldowns = [
             f
             for f in draw_faults(1, 60.0, SHAPE)
@@ -97,6 +178,24 @@
         assert {fault.name for fault in cooldowns} > set(SHAPE.plain_targets)
         assert all(candidates(kind, SHAPE) for kind in FaultKind)
 
+    @pytest.mark.parametrize(
+        "seed,checksum", [(1, 3428049425), (2, 3420045908), (42, 371179868)]
+    )
+    def test_evacuations_do_not_change_other_faults_of_a_seed(self, seed, checksum):
+        faults = draw_faults(seed, 60, SHAPE)
+        others = [str(f) for f in faults if f.kind is not FaultKind.EVACUATE]
+        assert len(others) < len(faults)
+        assert zlib.crc32("\n".join(others).encode()) == checksum
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_one_evacuation_at_a_time(self, seed):
+        faults = draw_faults(seed, 120, SHAPE)
+        evacuations = [f for f in faults if f.kind is FaultKind.EVACUATE]
+        for first, second in zip(evacuations, evacuations[1:], strict=False):
+            assert second.at_s >= first.at_s + first.duration_s
+        assert {f.name for f in evacuations[:3]} == set(FAILURE_DOMAINS)
+        assert all(f.duration_s >= EVACUATION_S[0] for f in evacuations)
+
     @pytest.mark.parametrize("seed", range(20))
     def test_no_second_wipe_before_first_disk_is_repaired(self, seed):
         wipes = [f for f in draw_faults(seed, 300, SHAPE) if f.kind is FaultKind.WIPE]
