Hold requests through an outage until their objective only

Cause: held for 0.15 of their time, first attempts came through late and took the first slots of engines from callers who arrived once these were open; refused after 0.9 s they had been held for nothing. Change: a first attempt is held until its objective has passed, and does not wait at an engine once it is late.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -34,8 +34,7 @@
 log = logging.getLogger(__name__)
 
 # How long a request waits for the first routing table. A single starting entry
-# receives it sooner, and the wait stays below the latency objectives. During an outage
-# it waits longer; see `policy.outage_hold`.
+# receives it sooner, and the wait stays below the latency objectives.
 FIRST_TABLE_WAIT_S = 0.3
 # Retry time while this entry has no routing table or target yet. The retries of callers
 # are spread over a longer time; see `policy.retry_after`.
@@ -88,8 +87,6 @@
         Largest number of entries in the fleet seen so far.
     retry_detectors : dict of str to RetryDetector
         Detects retries of refused callers, by route.
-    starting : OutageHold
-        Holds requests until the first routing table is there.
     outages : dict of tuple to OutageHold
         Hold requests during outages, by service and home regions.
     """
@@ -119,7 +116,6 @@
         self.retry_detectors: defaultdict[str, RetryDetector] = defaultdict(
             RetryDetector
         )
-        self.starting = OutageHold()
         self.outages: defaultdict[tuple[str, tuple[str, ...]], OutageHold] = (
             defaultdict(OutageHold)
         )
@@ -248,12 +244,9 @@
         """Wait a short time for the first routing table."""
         if self.index is not None:
             return
-        now_s = self.now_s()
-        self.starting.record_open(0.0, now_s)
-        hold_s = self.starting.left_s(request.arrived_s, request.max_wait_s, now_s)
-        wait_s = max(hold_s, min(FIRST_TABLE_WAIT_S, request.max_wait_s))
+        wait_s = min(FIRST_TABLE_WAIT_S, request.max_wait_s)
         # Without a table, `admit` refuses the request, and the refusal is logged.
-        with contextlib.suppress(TimeoutError), self.starting.holding():
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
                 await self.has_table.wait()
 
@@ -361,15 +354,16 @@
     ) -> AllocatedSlot | Refusal:
         """Allocate a slot for the next send, and hold the request during an outage."""
         outage = self.outages[progress.service, admitted.homes]
+        was_held = False
         while True:
             slot = await self.allocate_slot_now(admitted, progress)
             hold_s = self.hold_s(admitted, progress, slot, outage)
             if not hold_s:
                 break
-            admitted = admitted._replace(was_held=True)
+            was_held = True
             with outage.holding():
                 await asyncio.sleep(hold_s)
-        if admitted.was_held:
+        if was_held:
             self.metrics.record_held(progress.service, isinstance(slot, AllocatedSlot))
         return slot
 
@@ -396,7 +390,11 @@
             self.retry_detectors[admitted.route.name].record_refusal(now_s)
         request = admitted.request
         left_s = outage.left_s(
-            request.arrived_s, request.max_wait_s, now_s, admitted.is_retry
+            request.arrived_s,
+            request.max_wait_s,
+            now_s,
+            admitted.route.latency_ms / 1000,
+            admitted.is_retry,
         )
         if not open_fraction:
             return_s = self.registry.return_s(
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -26,8 +26,6 @@
         Whether it is a retry after a refusal, which can't meet its objective any more.
     homes : tuple of str
         Regions that may serve it, by its route and its account; empty for all.
-    was_held : bool
-        Whether it was held because of an outage.
     """
 
     request: CallerRequest
@@ -36,7 +34,6 @@
     deadline_s: float
     is_retry: bool = False
     homes: tuple[str, ...] = ()
-    was_held: bool = False
 
     @property
     def priority(self) -> int:
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -542,9 +542,8 @@
         return Urgency(left_ms, priority, False)
     run_ms = DECODE_TIME_FACTOR * request.answer_tokens * engine.step_ms
     slack_ms = request.max_wait_s * 1000 - LATENCY_MARGIN_MS - run_ms
-    if not (admitted.is_retry or admitted.was_held):
+    if not admitted.is_retry:
         wait_ms = max(MIN_LATE_WAIT_MS, slack_ms - waited_ms)
         return Urgency(wait_ms, priority + LATE_PRIORITY_OFFSET, True)
     wait_ms = late_wait_ms(slack_ms, MIN_LATE_WAIT_MS, waited_ms)
-    offset = RETURN_PRIORITY_OFFSET if admitted.is_retry else LATE_PRIORITY_OFFSET
-    return Urgency(wait_ms, priority + offset, True, True)
+    return Urgency(wait_ms, priority + RETURN_PRIORITY_OFFSET, True, True)
--- a/src/wisteriapulley/policy/outage_hold.py
+++ b/src/wisteriapulley/policy/outage_hold.py
@@ -13,8 +13,10 @@
 import contextlib
 from collections.abc import Iterator
 
-# Part of a caller's time for which its first attempt is held. After a refusal it may
-# wait for a third of the rest before its retry, which then has over half of the time.
+# Part of a caller's time for which its first attempt is held at most. After a refusal
+# it may wait for a third of the rest before its retry, which then has over half of the
+# time. It is not held beyond its objective: callers who are late anyway would take the
+# first slots from those who arrive once engines are open.
 HOLD_FRACTION = 0.15
 # The same for a retry, which is final if it is refused.
 RETURN_HOLD_FRACTION = 0.3
@@ -80,6 +82,7 @@
         arrived_s: float,
         max_wait_s: float,
         now_s: float,
+        objective_s: float,
         is_return: bool = False,
     ) -> float:
         """Return how much longer a request may be held; 0 to refuse it now.
@@ -92,11 +95,15 @@
             How long its caller waits from then on.
         now_s : float
             Current time of the loop.
+        objective_s : float
+            Time from its arrival within which its answer should begin; 0 for none.
         is_return : bool
             Whether the caller was refused before.
         """
         if self.since_s is None or self.held >= MAX_HELD:
             return 0.0
-        fraction = RETURN_HOLD_FRACTION if is_return else HOLD_FRACTION
-        until_s = min(arrived_s + fraction * max_wait_s, self.since_s + MAX_OUTAGE_S)
+        hold_s = (RETURN_HOLD_FRACTION if is_return else HOLD_FRACTION) * max_wait_s
+        if objective_s and not is_return:
+            hold_s = min(hold_s, objective_s)
+        until_s = min(arrived_s + hold_s, self.since_s + MAX_OUTAGE_S)
         return max(0.0, until_s - now_s)
--- a/src/wisteriapulley/policy/return_queue.py
+++ b/src/wisteriapulley/policy/return_queue.py
@@ -3,9 +3,7 @@
 Refused callers come back within a second or two while new requests take most of the
 slots. A return that finds no free slot at that moment would be refused for good, though
 slots fall free all the time and its caller still waits for seconds. So returns wait for
-the slots that late requests may have, in the order in which they come back. So do
-requests that were held through an outage (`policy.outage_hold`) until their objective
-had passed: they arrive all at once, and each refusal of them is one more return. Other
+the slots that late requests may have, in the order in which they come back. Other
 late requests have a retry left, and are refused at once.
 
 A caller that repeats at once states as much time as a new one. It is not taken for a
