--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -477,16 +477,17 @@
         """Send a message to every peer that has an open link.
 
         Reports and heartbeats skip a peer whose link is stalled, since the next
-        ones supersede them. Changes of members or targets are always sent.
+        ones supersede them. Changes of members or targets are always sent, and
+        evacuations to all peers that decode them.
         """
         can_skip = isinstance(message, messages.Report | messages.TargetBeats)
-        is_new = isinstance(message, messages.EvacuationNews)
+        is_evacuation = isinstance(message, messages.EvacuationNews)
         broadcast(
             (
                 link
                 for link in self.open_peer_links().values()
                 if not (can_skip and link.write_buffer_bytes() > MAX_BUFFERED_BYTES)
-                and (not is_new or knows_evacuations(link))
+                and (not is_evacuation or knows_evacuations(link))
             ),
             message,
         )
