Bound the wait of a return by what callers bear without a first event

Cause: a return waited for up to 0.7 of the time that its answer leaves, 3 s for short answers, while callers leave a stream that shows nothing for two seconds. Change: it waits for 1.8 s at most.

--- a/src/wisteriapulley/policy/return_queue.py
+++ b/src/wisteriapulley/policy/return_queue.py
@@ -20,6 +20,9 @@
 # Part of the time that its answer leaves for which a request waits. A refusal near the
 # end of a caller's time is worth less than one at once.
 WAIT_FRACTION = 0.7
+# Longest wait. Callers leave a stream that shows nothing for two seconds, and the first
+# event takes some of these.
+MAX_WAIT_MS = 1800.0
 
 
 def has_waiting_place(queue: Iterable[QueuedRequest], slots: int) -> bool:
@@ -50,4 +53,5 @@
     waited_ms : float
         How long it has waited since.
     """
-    return max(0.0, max(min_ms, WAIT_FRACTION * slack_ms) - waited_ms)
+    wait_ms = min(MAX_WAIT_MS, max(min_ms, WAIT_FRACTION * slack_ms))
+    return max(0.0, wait_ms - waited_ms)
