Let callers that come back wait for a slot only where an entry's settings ask for it

Change: the setting returns_wait, off by default; without it returns go last and are refused at once, as before.

--- a/src/wisteriapulley/direct/settings.py
+++ b/src/wisteriapulley/direct/settings.py
@@ -24,6 +24,9 @@
     retry_ratio, retry_slack, retry_window_s : float
         Retry budget that all entries share for a service: in any window of
         `retry_window_s` seconds, `retry_ratio` of its requests plus `retry_slack`.
+    returns_wait : bool
+        Whether callers that come back after a refusal may wait at an engine for a slot.
+        Fewer are refused for good, and more of these are refused late.
     """
 
     listen: Address
@@ -35,6 +38,7 @@
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
     retry_window_s: float = 10.0
+    returns_wait: bool = False
 
 
 class RolloutSettings(NodeSettings, frozen=True, kw_only=True):
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -449,7 +449,7 @@
         objective, and occupy a slot in which another request would have met its own.
         """
         now_s = self.now_s()
-        urgency = urgency_of(admitted, engine, now_s)
+        urgency = urgency_of(admitted, engine, now_s, self.settings.returns_wait)
         request = admitted.request
         return messages.Reserve(
             request.request_id,
@@ -528,9 +528,14 @@
     return Load(outstanding, target.slots, target.speed.factor(now_s))
 
 
-def urgency_of(admitted: Admitted, engine: Engine, now_s: float) -> Urgency:
+def urgency_of(
+    admitted: Admitted, engine: Engine, now_s: float, returns_wait: bool = True
+) -> Urgency:
     """Return how long the first event may take, and the priority of a request.
 
+    With `returns_wait`, a caller that comes back after a refusal may wait for a slot;
+    see `policy.return_queue`.
+
     Under overload, refused callers retry while new requests arrive. A request whose
     objective has passed gains little from going first, while each new request that it
     delays may miss its objective. So it queues behind those that can still meet it.
@@ -542,7 +547,7 @@
         return Urgency(left_ms, priority, False)
     run_ms = DECODE_TIME_FACTOR * request.answer_tokens * engine.step_ms
     slack_ms = request.max_wait_s * 1000 - LATENCY_MARGIN_MS - run_ms
-    if not admitted.is_retry:
+    if not (admitted.is_retry and returns_wait):
         wait_ms = max(MIN_LATE_WAIT_MS, slack_ms - waited_ms)
         return Urgency(wait_ms, priority + LATE_PRIORITY_OFFSET, True)
     wait_ms = late_wait_ms(slack_ms, MIN_LATE_WAIT_MS, waited_ms)
--- a/src/wisteriapulley/platform/settings.py
+++ b/src/wisteriapulley/platform/settings.py
@@ -98,6 +98,8 @@
     service: str = ""
     # Whether the engine's sidecar keeps slots free for more urgent priorities.
     class_reserve: bool = True
+    # Whether callers that come back after a refusal may wait for a slot.
+    returns_wait: bool = False
 
     @classmethod
     def from_file(cls, path: str) -> "PlatformSettings":
@@ -179,6 +181,7 @@
             retry_ratio=bounds.retry_budget_ratio,
             retry_slack=bounds.retry_budget_slack,
             retry_window_s=bounds.budget_window_s,
+            returns_wait=self.returns_wait,
             **self.common_settings(ENTRY_HTTP_PORT, key_file),
         )
 
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -196,18 +196,23 @@
 
 
 class TestUrgency:
-    def urgency(self, waited_s, **kinds):
+    def urgency(self, waited_s, returns_wait=True, **kinds):
         request = CallerRequest(
             "q", "POST", "/", "h", "/", (), b"", "", 0.0, 4.5, 900, 140
         )
         admitted = Admitted(request, ROUTE, None, 4.5, **kinds)
-        return urgency_of(admitted, ENGINE, waited_s)
+        return urgency_of(admitted, ENGINE, waited_s, returns_wait)
 
     def test_return_waits_for_a_part_of_its_slack(self):
         urgency = self.urgency(0.0, is_retry=True)
         assert urgency.may_wait and urgency.late
         assert urgency.wait_ms <= WAIT_FRACTION * 4500
 
+    def test_return_is_as_urgent_as_any_late_request_without_the_setting(self):
+        urgency = self.urgency(0.0, returns_wait=False, is_retry=True)
+        assert urgency.late and not urgency.may_wait
+        assert urgency.priority == self.urgency(0.5).priority
+
     def test_wait_counts_over_all_sidecars(self):
         first = self.urgency(0.0, is_retry=True).wait_ms
         assert self.urgency(0.3, is_retry=True).wait_ms == pytest.approx(first - 300)
