Decide in one place when a held request looks for room again

Cause: the entry and its replay each decided it, the entry amid its input and output, and a method that answers a question also recorded a refusal. Change: OutageHold.next_look_s decides for both; the record stands where the request is held, which is the same moment. The behaviour is unchanged.

--- a/bench/returns.py
+++ b/bench/returns.py
@@ -23,7 +23,7 @@
     EngineSlots,
     SlotRequest,
 )
-from wisteriapulley.policy.outage_hold import CLOSED_POLL_S, FULL_POLL_S, OutageHold
+from wisteriapulley.policy.outage_hold import OutageHold
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
 from wisteriapulley.routing import Engine, Route, RouteKind
@@ -395,14 +395,13 @@
             self.refuse(attempt)
             return
         any_open = any(slots.open for slots in self.slots)
-        poll_s = FULL_POLL_S if any_open else CLOSED_POLL_S
 
         def place_again() -> None:
             hold.held -= 1
             self.place(attempt)
 
         hold.held += 1
-        self.schedule(1000 * min(poll_s, left_s), place_again)
+        self.schedule(1000 * hold.next_look_s(left_s, any_open), place_again)
 
     def refuse(self, attempt: Attempt) -> None:
         """Refuse an attempt; its caller comes back as it is told, or at once."""
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -24,7 +24,7 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.errors import ResultCode
 from wisteriapulley.logs import fields
-from wisteriapulley.policy.outage_hold import CLOSED_POLL_S, FULL_POLL_S, OutageHold
+from wisteriapulley.policy.outage_hold import OutageHold
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
 from wisteriapulley.policy.shared_budget import SharedRetryBudget
@@ -361,6 +361,9 @@
             if not hold_s:
                 break
             was_held = True
+            # Callers whom the outage cut off or kept out come back like refused ones.
+            detector = self.retry_detectors[admitted.route.name]
+            detector.record_refusal(self.now_s())
             with outage.holding():
                 await asyncio.sleep(hold_s)
         if was_held:
@@ -385,9 +388,6 @@
         open_fraction = self.update_outage(progress.service, admitted.homes, outage)
         if not refused or progress.sends:
             return 0.0
-        if outage.since_s is not None:
-            # Callers whom the outage cut off or kept out come back like refused ones.
-            self.retry_detectors[admitted.route.name].record_refusal(now_s)
         request = admitted.request
         left_s = outage.left_s(
             request.arrived_s,
@@ -396,14 +396,10 @@
             admitted.route.latency_ms / 1000,
             admitted.is_retry,
         )
-        if not open_fraction:
-            return_s = self.registry.return_s(
-                progress.service, now_s, False, admitted.homes
-            )
-            if return_s is not None and return_s > left_s:
-                # Its targets could not be reached, and are not tried again before.
-                return 0.0
-        return min(left_s, FULL_POLL_S if open_fraction else CLOSED_POLL_S)
+        return_s = self.registry.return_s(
+            progress.service, now_s, False, admitted.homes
+        )
+        return outage.next_look_s(left_s, open_fraction > 0, return_s)
 
     def update_outage(
         self, service: str, homes: tuple[str, ...], outage: OutageHold
--- a/src/wisteriapulley/policy/outage_hold.py
+++ b/src/wisteriapulley/policy/outage_hold.py
@@ -107,3 +107,22 @@
             hold_s = min(hold_s, objective_s)
         until_s = min(arrived_s + hold_s, self.since_s + MAX_OUTAGE_S)
         return max(0.0, until_s - now_s)
+
+    def next_look_s(
+        self, left_s: float, any_open: bool, return_s: float | None = None
+    ) -> float:
+        """Return when a held request looks for room again; 0 to refuse it now.
+
+        Parameters
+        ----------
+        left_s : float
+            How much longer it may be held.
+        any_open : bool
+            Whether a target of the service is open.
+        return_s : float or None
+            When the first target that could not be reached is tried again; None if
+            that is not known.
+        """
+        if not any_open and return_s is not None and return_s > left_s:
+            return 0.0
+        return min(left_s, FULL_POLL_S if any_open else CLOSED_POLL_S)
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -33,6 +33,8 @@
 )
 from wisteriapulley.policy.late_requests import LATE_SLOT_FRACTION
 from wisteriapulley.policy.outage_hold import (
+    CLOSED_POLL_S,
+    FULL_POLL_S,
     HOLD_FRACTION,
     MAX_HELD,
     MAX_OUTAGE_S,
@@ -111,6 +113,15 @@
         outage.record_open(0.0, 90.0)
         assert outage.left_s(90.0, LIMIT_S, 90.0, OBJECTIVE_S)
 
+    def test_looks_for_room_less_often_once_targets_are_open(self, outage):
+        assert outage.next_look_s(0.4, any_open=False) == CLOSED_POLL_S
+        assert outage.next_look_s(0.4, any_open=True) == FULL_POLL_S
+        assert outage.next_look_s(0.01, any_open=False) == 0.01
+
+    def test_target_that_is_tried_again_too_late_is_not_waited_for(self, outage):
+        assert outage.next_look_s(0.4, any_open=False, return_s=0.5) == 0.0
+        assert outage.next_look_s(0.4, any_open=False, return_s=0.3) == CLOSED_POLL_S
+
     def test_number_of_held_requests_is_bounded(self, outage):
         outage.held = MAX_HELD
         assert outage.left_s(10.0, LIMIT_S, 10.0, OBJECTIVE_S) == 0.0
