--- a/tests/fakes/plain.py
+++ b/tests/fakes/plain.py
@@ -61,6 +61,7 @@
             await self.crash()
             raise asyncio.CancelledError
         await asyncio.sleep(self.service_time_s)
+        await self.awake.wait()
         headers = {
             "X-Request-Attempt-Id": request.headers["X-Request-Attempt-Id"],
             "X-Server-Stamp": f"stamp.{self.target_id}",
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -27,7 +27,38 @@
         await self.runner.cleanup()
 
 
-class SignallingTarget(Listener):
+class PausingTarget(Listener):
+    """Target whose process may stand still and go on.
+
+    It has read the requests that arrive meanwhile, and handles them when it goes on,
+    whether or not their connections are still open.
+
+    Attributes
+    ----------
+    awake : asyncio.Event
+        Cleared while the target stands still.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.app.middlewares.append(self.handle_when_awake)
+
+    @web.middleware
+    async def handle_when_awake(self, request, handler):
+        await request.read()
+        await self.awake.wait()
+        return await handler(request)
+
+    async def fall_silent(self, silent_s):
+        """Stand still for some seconds."""
+        self.awake.clear()
+        await asyncio.sleep(silent_s)
+        self.awake.set()
+
+
+class SignallingTarget(PausingTarget):
     """Target whose responses carry signals: advertised rate, cool-down, leaving.
 
     Attributes
@@ -123,7 +154,8 @@
 class Engine(SignallingTarget):
     """Model engine: staging area, orders and event streams.
 
-    Each of `corrupt_positions` is corrupted once when it is staged.
+    Each of `corrupt_positions` is corrupted once when it is staged. `begun` has the
+    time on the loop's clock and the version of the weights of each run.
     """
 
     def __init__(self, origin, target_id="i-1", version=1, event_s=0.005):
@@ -137,6 +169,7 @@
         self.busy = False
         self.sequence = 0
         self.runs = []
+        self.begun = []
         self.corrupted_loads = 0
         self.break_stream_after = 0
         # Start of the process in Unix milliseconds.
@@ -226,6 +259,7 @@
         if cooldown_rejection is not None:
             return cooldown_rejection
         self.runs.append((request.method, request.raw_path, body, request.headers))
+        self.begun.append((asyncio.get_running_loop().time(), self.version))
         headers = {
             "X-Request-Attempt-Id": request.headers["X-Request-Attempt-Id"],
             "X-Server-Stamp": f"stamp.{self.target_id}",
@@ -249,6 +283,7 @@
                 return response
             await response.write(b"id: %d\ndata: %d\n\n" % (number, number * 7))
             await asyncio.sleep(self.event_s)
+            await self.awake.wait()
         await response.write_eof()
         return response
 
