Serve a request to its end by the table that admitted it

Callers got 500, or an answer that ended in the middle, when the configuration changed while their request waited for a slot or was about to be sent again.

Cause: the service of a request is chosen from the table of its admission, and its engine was looked up in the table of that moment. A change that took the service away lay between the two steps: KeyError.

Evidence: one engine that stands still for 2.0 s beside such a change, 500 and a KeyError in the log.

The admission now carries the index that it was made from, and nothing after it reads the current one.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -147,14 +147,15 @@
 
     def admit(self, request: CallerRequest) -> Admitted | Refusal:
         """Find the route and the client account of a request."""
-        if self.index is None:
+        index = self.index
+        if index is None:
             reason = "no routing table yet"
             return Refusal(RefusalKind.NOT_READY, STARTING_RETRY_S, reason)
-        route = self.index.find_route(request.host, request.path)
+        route = index.find_route(request.host, request.path)
         if route is None:
             return self.refuse_unlisted(RefusalKind.NO_ROUTE, "no route")
-        account = self.index.find_account(request.key) if request.key else None
-        if account is None and self.index.table.needs_keys and not route.public:
+        account = index.find_account(request.key) if request.key else None
+        if account is None and index.table.needs_keys and not route.public:
             return self.refuse_unlisted(RefusalKind.BAD_KEY, "unknown key")
         account_homes = account.homes if account is not None else ()
         homes = shared_homes(route.homes, account_homes)
@@ -164,7 +165,8 @@
         limit_s = min(route.timeout_ms / 1000, request.max_wait_s)
         arrived_s = request.arrived_s
         is_retry = self.retry_detectors[route.name].is_retry(limit_s, arrived_s)
-        return Admitted(request, route, account, arrived_s + limit_s, is_retry, homes)
+        deadline_s = arrived_s + limit_s
+        return Admitted(request, route, account, deadline_s, is_retry, homes, index)
 
     def refuse_homeless(self, route: Route, account: Account) -> Refusal:
         """Refuse a request whose route and account share no home region.
@@ -330,7 +332,7 @@
             "placed",
             extra=fields(
                 admitted.request.request_id,
-                self.index.table.version,
+                admitted.revision,
                 route=admitted.route.name,
                 account=admitted.account_name,
                 target=target.target_id,
@@ -385,7 +387,7 @@
         if not refused and outage.since_s is None:
             return 0.0
         now_s = self.now_s()
-        open_fraction = self.update_outage(progress.service, admitted.homes, outage)
+        open_fraction = self.update_outage(admitted, progress.service, outage)
         if not refused or progress.sends:
             return 0.0
         request = admitted.request
@@ -402,11 +404,13 @@
         return outage.next_look_s(left_s, open_fraction > 0, return_s)
 
     def update_outage(
-        self, service: str, homes: tuple[str, ...], outage: OutageHold
+        self, admitted: Admitted, service: str, outage: OutageHold
     ) -> float:
         """Update the outage of a service; return which fraction of it is open."""
-        engine, now_s = self.index.services[service].engine, self.now_s()
-        open_fraction = self.allocator.open_fraction(service, engine, now_s, homes)
+        now_s = self.now_s()
+        open_fraction = self.allocator.open_fraction(
+            service, admitted.engine_of(service), now_s, admitted.homes
+        )
         was_out = outage.since_s is not None
         outage.record_open(open_fraction, now_s)
         if was_out != (outage.since_s is not None):
@@ -419,7 +423,7 @@
     ) -> AllocatedSlot | Refusal:
         """Allocate a slot if there is one now."""
         service, now_s = progress.service, self.now_s()
-        engine = self.index.services[service].engine
+        engine = admitted.engine_of(service)
         is_last = progress.is_last_send or not self.retry_budget(service).has_budget(
             now_s
         )
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -6,7 +6,9 @@
 from wisteriapulley.direct.types import CallerRequest
 from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.policy.slot_requests import ObservedWork
-from wisteriapulley.routing import Account, Route
+from wisteriapulley.routing import Account, Engine, Route, RouteIndex, RoutingTable
+
+EMPTY_INDEX = RouteIndex(RoutingTable(0))
 
 
 class Admitted(NamedTuple):
@@ -26,6 +28,9 @@
         Whether it is a retry after a refusal, which can't meet its objective any more.
     homes : tuple of str
         Regions that may serve it, by its route and its account; empty for all.
+    index : RouteIndex
+        Index of the routing table that admitted it. It applies until the request ends,
+        since a newer table may lack the services of its route.
     """
 
     request: CallerRequest
@@ -34,6 +39,16 @@
     deadline_s: float
     is_retry: bool = False
     homes: tuple[str, ...] = ()
+    index: RouteIndex = EMPTY_INDEX
+
+    def engine_of(self, service: str) -> Engine | None:
+        """Return the engine parameters of a service; None for plain targets."""
+        return self.index.services[service].engine
+
+    @property
+    def revision(self) -> int:
+        """Version of the routing table that admitted the request."""
+        return self.index.table.version
 
     @property
     def priority(self) -> int:
--- /dev/null
+++ b/tests/test_configuration_change.py
@@ -0,0 +1,194 @@
+"""Routing tables that change while a request is in progress at an entry."""
+
+import asyncio
+
+import pytest
+from bench.turned_away import VirtualLoop
+
+from tests.test_direct_dispatch import (
+    SETTINGS,
+    FakeAllocator,
+    FakeAnswer,
+    FakeCaller,
+    FakeClient,
+    crash_tracker,
+    events,
+)
+from wisteriapulley.direct.dispatch import Dispatcher
+from wisteriapulley.direct.registry import TargetRegistry
+from wisteriapulley.direct.types import (
+    BrokenAnswerError,
+    CallerRequest,
+    Refusal,
+    RefusalKind,
+)
+from wisteriapulley.entry.metrics import EntryMetrics
+from wisteriapulley.metrics import Metrics
+from wisteriapulley.routing import (
+    Account,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    Split,
+)
+from wisteriapulley.wire.messages import TargetState
+
+ROUTE = Route(
+    "r", "h", "/", RouteKind.STREAM, (Split("s", 1),), 6000, 400, 400, 1, 2
+)._replace(resumable=True)
+SERVICES = (Service("s"), Service("other"))
+ACCOUNTS = (Account("a", ("k",)),)
+TABLE = RoutingTable(1, (ROUTE,), SERVICES, ACCOUNTS)
+MOVED = ROUTE._replace(splits=(Split("other", 1),))
+CHANGES = {
+    "route moved": TABLE._replace(version=2, routes=(MOVED,)),
+    "service gone": RoutingTable(2, (MOVED,), SERVICES[1:], ACCOUNTS),
+    "time limit shortened": TABLE._replace(
+        version=2, routes=(ROUTE._replace(timeout_ms=1),)
+    ),
+    "account gone": TABLE._replace(version=2, accounts=(Account("b", ("other",)),)),
+    "homes changed": TABLE._replace(
+        version=2, routes=(ROUTE._replace(homes=("elsewhere",)),)
+    ),
+}
+# Longer than the shortened time limit.
+PAUSE_S = 0.1
+
+
+class ChangingEntry:
+    """An entry whose routing table changes while a request waits for something."""
+
+    def __init__(self, table, waits_for):
+        self.table, self.waits_for = table, waits_for
+        self.registry = TargetRegistry()
+        self.registry.update(
+            [
+                TargetState(f"i-{n}", "s", f"10.0.0.{n}:80", "z", sequence=1, slots=4)
+                for n in range(2)
+            ],
+            0.0,
+        )
+        self.metrics = EntryMetrics(Metrics("e", "entry"))
+        self.client, self.caller = ChangingClient(self), FakeCaller()
+        self.allocator = ChangingAllocator(self)
+        self.dispatcher = Dispatcher(
+            SETTINGS,
+            self.registry,
+            self.allocator,
+            self.client,
+            self.metrics,
+            crash_tracker(),
+        )
+
+    async def reach(self, step):
+        """Change the table if the request waits for this step."""
+        if step == self.waits_for:
+            await asyncio.sleep(PAUSE_S)
+            self.dispatcher.set_table(self.table)
+            await asyncio.sleep(PAUSE_S)
+
+    def serve(self):
+        async def run():
+            request = CallerRequest(
+                "id", "POST", "/x", "h", "/x", (), b"", "k", 0.0, 5.0, 100, 50
+            )
+            if self.waits_for != "table":
+                self.dispatcher.set_table(TABLE)
+            serving = asyncio.create_task(self.dispatcher.serve(request, self.caller))
+            await self.reach("table")
+            return await serving
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            return runner.run(run())
+
+
+class ChangingAllocator(FakeAllocator):
+    """Has no slot at the first attempt if the request waits for one."""
+
+    def __init__(self, entry):
+        super().__init__(entry.registry)
+        self.entry = entry
+        self.asked = 0
+
+    async def allocate(self, admitted, service, engine, tried, now_s, is_last=False):
+        self.asked += 1
+        if self.asked == 1:
+            await self.entry.reach("slot")
+            if self.entry.waits_for == "slot":
+                return Refusal(RefusalKind.NOT_READY, 0.25, "none")
+        return await super().allocate(admitted, service, engine, tried, now_s)
+
+    def open_fraction(self, service, engine, now_s, homes):
+        return 0.0
+
+
+class ChangingClient(FakeClient):
+    """Sends to a target whose stream breaks off if a second send is to follow."""
+
+    def __init__(self, entry):
+        super().__init__()
+        self.entry = entry
+
+    async def send(self, request, plan):
+        self.plans.append(plan)
+        await self.entry.reach("head")
+        if self.entry.waits_for == "second send" and len(self.plans) == 1:
+            return BreakingAnswer(self.entry)
+        return ChangingAnswer(self.entry, int(plan.resume_after or 0))
+
+
+class BreakingAnswer(FakeAnswer):
+    """Two events, and the change before the stream breaks off."""
+
+    def __init__(self, entry):
+        super().__init__()
+        self.entry = entry
+
+    async def parts(self):
+        yield events(1, 2)
+        await self.entry.reach("second send")
+        raise BrokenAnswerError("broke off")
+
+
+class ChangingAnswer(FakeAnswer):
+    """Four events, with a pause after the first."""
+
+    def __init__(self, entry, last_event):
+        super().__init__()
+        self.entry, self.last_event = entry, last_event
+
+    async def parts(self):
+        yield events(self.last_event + 1, self.last_event + 1)
+        await self.entry.reach("event")
+        yield events(self.last_event + 2, 4)
+
+
+class TestAdmittedRequest:
+    """It ends by the table that admitted it, whatever a newer one says."""
+
+    @pytest.mark.parametrize("waits_for", ["slot", "head", "event", "second send"])
+    @pytest.mark.parametrize("change", CHANGES)
+    def test_is_answered_after_a_change(self, change, waits_for):
+        entry = ChangingEntry(CHANGES[change], waits_for)
+        assert entry.serve() is None
+        assert entry.caller.body == events(1, 4)
+        assert entry.caller.ended and not entry.caller.was_cut
+        assert entry.allocator.allocated == 0
+
+    @pytest.mark.parametrize("change", CHANGES)
+    def test_is_admitted_by_the_first_table(self, change):
+        """It arrived before the entry had a table, and gets a result of that one."""
+        entry = ChangingEntry(CHANGES[change], "table")
+        refusal = entry.serve()
+        expected = {
+            # No target of the service that the route leads to now.
+            "route moved": RefusalKind.UNAVAILABLE,
+            "service gone": RefusalKind.UNAVAILABLE,
+            "time limit shortened": RefusalKind.TIMED_OUT,
+            "account gone": RefusalKind.BAD_KEY,
+        }
+        if change in expected:
+            assert refusal.kind is expected[change]
+        else:
+            assert refusal is None and entry.caller.ended
