Keep the link to a sidecar that has queued a request

Callers whose request was queued at an engine were offered elsewhere or refused when a change of the configuration took the engine out of the entry's choice.

Cause: links that are no longer needed are closed unless a request is in flight there, and a queued one is not in flight yet. The sidecar drops what was queued over a link that closes.

The test failed before; a link now also counts as busy while a slot request waits there.

--- a/src/wisteriapulley/direct/sidecars.py
+++ b/src/wisteriapulley/direct/sidecars.py
@@ -174,11 +174,13 @@
         return target.host in self.selected_hosts
 
     async def drop_links(self) -> None:
-        """Close links that are not needed and have no requests in flight.
+        """Close links that are not needed and have no requests in flight or queued.
 
-        When a link closes, the sidecar releases all slots granted over it.
+        When a link closes, the sidecar releases all slots granted over it and drops
+        the slot requests that it has queued.
         """
         busy = {t.host for t in self.registry.targets.values() if t.outstanding}
+        busy |= set(+self.pending)
         for host in set(self.connections) - self.selected_hosts - busy:
             self.stalled_since_s.pop(host, None)
             self.replied_loads.pop(host, None)
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -184,6 +184,24 @@
 
         play(scenario)
 
+    def test_link_with_a_queued_request_is_kept(self):
+        """A change of the configuration ended the wait of requests in progress."""
+
+        async def scenario(sidecars, link, registry):
+            target = registry.targets["i-1"]
+            connection = sidecars.connections["10.0.0.1"]
+            request = asyncio.create_task(sidecars.reserve(link, target, RESERVATION))
+            await asyncio.sleep(0)
+            sidecars.keep_links([])
+            await sidecars.drop_links()
+            assert not connection.stopped
+            request.cancel()
+            await asyncio.gather(request, return_exceptions=True)
+            await sidecars.drop_links()
+            assert connection.stopped
+
+        play(scenario)
+
 
 class TestRepliedLoad:
     """Reports are rare; the replies to slot requests tell the load meanwhile."""
