Answer, log and count internal errors of an entry

A caller whose request ran into an error of the entry got the 500 page of the HTTP library, or an answer that ended without a word if it had begun. The log had a traceback without the request's id, and no metric counted it, so a lost answer could not be told from one that was cut for its target.

The dispatcher now ends such a request itself: 502 before an answer has begun, a cut after it, one log line with the id and the error, and a counter. Errors of the caller's connection stay what they were.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -212,8 +212,29 @@
     ) -> Refusal | None:
         """Serve a request, or return why no target responded to it.
 
-        Once `answer` has started, the result is None: it was finished or cut.
+        Once `answer` has started, the result is None: it was finished or cut. That
+        also holds for an internal error, of which nothing else would tell the caller.
         """
+        try:
+            return await self.serve_by_table(request, answer)
+        except ConnectionError:
+            # The caller has left.
+            raise
+        except Exception:
+            log.exception(
+                "request ended by an internal error",
+                extra=fields(request.request_id, answer_started=answer.started),
+            )
+            self.metrics.internal_errors.inc({})
+            if answer.started:
+                answer.cut()
+                return None
+            return Refusal(RefusalKind.FAILED, reason="internal error")
+
+    async def serve_by_table(
+        self, request: CallerRequest, answer: CallerAnswer
+    ) -> Refusal | None:
+        """Serve a request by the routing table of its admission; see `serve`."""
         await self.wait_for_table(request)
         admitted = self.admit(request)
         if isinstance(admitted, Refusal):
--- a/src/wisteriapulley/entry/metrics.py
+++ b/src/wisteriapulley/entry/metrics.py
@@ -29,6 +29,9 @@
             "requests_held_total",
             "Requests held through an outage, by service and by how they ended.",
         )
+        self.internal_errors = metrics.counter(
+            "internal_errors_total", "Requests that an error of this process ended."
+        )
         self.first_part = metrics.histogram(
             "first_part_seconds", "Time to the answer's head, by account and class."
         )
