Log how long a target was silent, and how long a request could still start

The log could not tell whether an answer was cut because its target fell silent, because its connection ended, or because the routing table had changed, nor how much time a version of the weights had left when a request was sent on it.

New: the line 'no response from target'; silent_ms in it and in 'stream broke off'; start_left_ms in 'placed'; the revision that admitted the request in 'answer cut'.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -257,7 +257,9 @@
         if answer.started:
             log.warning(
                 "answer cut",
-                extra=fields(request.request_id, reason=refusal.reason),
+                extra=fields(
+                    request.request_id, admitted.revision, reason=refusal.reason
+                ),
             )
             answer.cut()
             return None
@@ -361,6 +363,7 @@
                 failure_domain=target.failure_domain,
                 send=progress.sends,
                 weights=slot.version,
+                start_left_ms=slot.start_left_ms(now_s),
                 prompt_tokens=admitted.request.prompt_tokens,
                 answer_tokens=admitted.request.answer_tokens,
                 granted=slot.granted,
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -87,6 +87,8 @@
         Outcome of the last send.
     waited_s : float
         How long the entry waited for its response and events; 0 if these broke off.
+    last_part_s : float
+        When the last part of a response arrived, on the loop's clock.
     events : EventSplitter
         Events that were relayed to the caller.
     fingerprint : bytes
@@ -101,6 +103,7 @@
         self.tried: set[str] = set()
         self.outcome = SendOutcome.UNKNOWN
         self.waited_s = 0.0
+        self.last_part_s = 0.0
         self.events = EventSplitter(request.resume_after)
         self.events_before = 0
         self.fingerprint = b""
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -119,6 +119,7 @@
             return Refusal(RefusalKind.UNAVAILABLE, UNREACHABLE_RETRY_S, reason)
         except (BrokenAnswerError, TimeoutError) as error:
             progress.may_have_run = True
+            self.log_no_response(admitted, slot, sent_s, error)
             self.record_no_response(slot)
             await self.crashes.check_for_crash(admitted, target, progress)
             return Refusal(
@@ -127,7 +128,8 @@
         if not response.other_instance:
             progress.outcome = outcome_of(response)
             self.recorder.record(target, response.signals, sent_s)
-        progress.waited_s = self.now_s() - sent_s
+        progress.last_part_s = self.now_s()
+        progress.waited_s = progress.last_part_s - sent_s
         try:
             return await self.relay(admitted, slot, response, progress, answer)
         finally:
@@ -279,7 +281,7 @@
             progress.waited_s = 0.0
             events.discard_partial()
             self.record_no_response(slot)
-            self.log_broken_stream(admitted, target, events.last_id, error)
+            self.log_broken_stream(admitted, target, progress, error)
             await self.crashes.check_for_crash(admitted, target, progress)
             return Refusal(RefusalKind.FAILED, reason="stream broke off")
         if events.partial:
@@ -318,7 +320,8 @@
                     part = await anext(parts)
             except StopAsyncIteration:
                 return
-            progress.waited_s += self.now_s() - begin_s
+            progress.last_part_s = self.now_s()
+            progress.waited_s += progress.last_part_s - begin_s
             idle_timeout_s = STREAM_IDLE_TIMEOUT_S
             events = progress.events.feed(part)
             if not events:
@@ -363,20 +366,42 @@
             ),
         )
 
+    def log_no_response(
+        self, admitted: Admitted, slot: AllocatedSlot, sent_s: float, error: Exception
+    ) -> None:
+        """Log that a target sent no head, and how long it had been silent."""
+        log.info(
+            "no response from target",
+            extra=fields(
+                admitted.request.request_id,
+                admitted.revision,
+                target=slot.target.target_id,
+                silent_ms=self.since_ms(sent_s),
+                start_left_ms=slot.start_left_ms(self.now_s()),
+                reason=repr(error),
+            ),
+        )
+
     def log_broken_stream(
-        self, admitted: Admitted, target: Target, last_event: str, error: Exception
+        self, admitted: Admitted, target: Target, progress: Progress, error: Exception
     ) -> None:
-        """Log that the stream of a target ended early."""
+        """Log that a stream ended early, and how long its target had been silent."""
         log.info(
             "stream broke off",
             extra=fields(
                 admitted.request.request_id,
+                admitted.revision,
                 target=target.target_id,
-                last_event=last_event,
+                last_event=progress.events.last_id,
+                silent_ms=self.since_ms(progress.last_part_s),
                 reason=repr(error),
             ),
         )
 
+    def since_ms(self, then_s: float) -> int:
+        """Return the time since a moment, in milliseconds."""
+        return int((self.now_s() - then_s) * 1000)
+
 
 def is_server_error(response: TargetAnswer) -> bool:
     """Return whether a target reported a server error."""
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -111,6 +111,12 @@
     start_deadline_s: float | None = None
     granted: bool = False
 
+    def start_left_ms(self, now_s: float) -> int | None:
+        """Return how long the request may still start; None without a limit."""
+        if self.start_deadline_s is None:
+            return None
+        return int((self.start_deadline_s - now_s) * 1000)
+
 
 class Denials:
     """Negative responses of the sidecars that were asked for one request.
