Keep a silent target until another one goes on

Callers lost answers that were on their way: a stream was cut, or a request got 502, although its target was sound and only stood still for a moment. Users saw one beside a change of the configuration, where a cut counts as a lost answer.

Cause: silence was taken for death. After 1.6 s without a head or an event the entry closed the connection to the target, and only then looked for another one. Where there was none (no slot, one target, no send or retry budget left) nothing was left of the answer. Streams that may run only once were cut the same way.

The connection to the silent target stays open while the request is also sent to another one, if a send, the retry budget and a slot permit it, and whichever sends an event first goes on alone. Without another, the silent one is waited for until the request's time ends. Each exchange has its own splitter of events, so none comes twice or is mixed; a slot is released once, when its exchange closes. Work that may run once is never sent again. A silence that ends is neither a failure of the target nor slow work.

--- a/src/wisteriapulley/direct/crashes.py
+++ b/src/wisteriapulley/direct/crashes.py
@@ -80,16 +80,27 @@
     ) -> None:
         """Check whether a target crashed while it ran a request.
 
-        A target that announced that it is leaving exits as planned. A check that takes
-        longer than `CRASH_CHECK_WAIT_S` continues, and its result is still recorded.
+        A check that takes longer than `CRASH_CHECK_WAIT_S` continues, and its result
+        is still recorded.
+        """
+        task = self.start_check(admitted, target, progress)
+        if task is not None:
+            await asyncio.wait({task}, timeout=CRASH_CHECK_WAIT_S)
+
+    def start_check(
+        self, admitted: Admitted, target: Target, progress: Progress
+    ) -> asyncio.Task | None:
+        """Begin to check whether a target crashed while it ran a request.
+
+        A target that announced that it is leaving exits as planned.
         """
         if target.is_leaving:
-            return
+            return None
         loop = asyncio.get_running_loop()
         task = loop.create_task(self.record_if_crashed(admitted, target, progress))
         self.checks.add(task)
         task.add_done_callback(self.checks.discard)
-        await asyncio.wait({task}, timeout=CRASH_CHECK_WAIT_S)
+        return task
 
     async def record_if_crashed(
         self, admitted: Admitted, target: Target, progress: Progress
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import random
 from collections import defaultdict
 from collections.abc import Callable
 
 from wisteriapulley.direct.crashes import CrashTracker
+from wisteriapulley.direct.exchange import Exchange
+from wisteriapulley.direct.hedging import HedgedRelay
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.sending import Sender
@@ -52,6 +55,7 @@
     RefusalKind.TIMED_OUT: ResultCode.DEADLINE_EXCEEDED,
 }
 QUARANTINED_REFUSAL = Refusal(RefusalKind.QUARANTINED, reason="request crashes targets")
+NO_SEND_LEFT = Refusal(RefusalKind.FAILED, reason="no attempt left")
 # Refusals after which an immediate retry would be refused again.
 SPREAD_RETRY_KINDS = frozenset({RefusalKind.OVERLOADED, RefusalKind.NOT_READY})
 # Refusals for want of a target or of a slot.
@@ -318,34 +322,59 @@
     ) -> Refusal | None:
         """Send to one target after the other, as often as the route permits."""
         progress = Progress(admitted.request, service, admitted.route.attempts)
+        open_another = functools.partial(self.open_exchange, admitted, progress, answer)
         refusal: Refusal | None = None
         while progress.has_sends_left:
-            if self.crashes.is_quarantined(admitted, progress):
-                return self.final_refusal(admitted, progress, QUARANTINED_REFUSAL)
-            slot = await self.allocate_slot(admitted, progress)
-            if isinstance(slot, Refusal):
-                return self.final_refusal(
-                    admitted, progress, merge_refusals(refusal, slot)
-                )
-            if self.crashes.is_quarantined(admitted, progress):
-                # Updates of other entries may have arrived during the slot allocation.
-                slot.release()
-                return self.final_refusal(admitted, progress, QUARANTINED_REFUSAL)
-            if progress.sends and not self.retry_budget(service).spend(self.now_s()):
-                slot.release()
-                return self.final_refusal(admitted, progress, refusal)
-            progress.sends += 1
-            self.log_placed(admitted, slot, progress)
-            try:
-                refusal = await self.sender.send(admitted, slot, progress, answer)
-            finally:
-                slot.release(progress.outcome, progress.work)
+            exchange = await self.open_exchange(admitted, progress, answer, refusal)
+            if isinstance(exchange, Refusal):
+                return self.final_refusal(admitted, progress, exchange)
+            relay = HedgedRelay(self.sender, admitted, progress, answer, open_another)
+            refusal = await relay.run(exchange)
             if refusal is None:
                 return None
             if progress.may_have_run and not admitted.route.repeatable:
                 break
         return self.final_refusal(admitted, progress, refusal)
 
+    async def open_exchange(
+        self,
+        admitted: Admitted,
+        progress: Progress,
+        answer: CallerAnswer,
+        refusal: Refusal | None = None,
+    ) -> Exchange | Refusal:
+        """Send a request to one more target, or return why it is not sent.
+
+        Parameters
+        ----------
+        admitted : Admitted
+            The request.
+        progress : Progress
+            Its progress.
+        answer : CallerAnswer
+            Its response.
+        refusal : Refusal, optional
+            Why the target before did not serve it.
+        """
+        if not progress.has_sends_left:
+            return refusal or NO_SEND_LEFT
+        if self.crashes.is_quarantined(admitted, progress):
+            return QUARANTINED_REFUSAL
+        slot = await self.allocate_slot(admitted, progress)
+        if isinstance(slot, Refusal):
+            return merge_refusals(refusal, slot)
+        if self.crashes.is_quarantined(admitted, progress):
+            # Updates of other entries may have arrived during the slot allocation.
+            slot.release()
+            return QUARANTINED_REFUSAL
+        budget = self.retry_budget(progress.service)
+        if progress.sends and not budget.spend(self.now_s()):
+            slot.release()
+            return refusal or NO_SEND_LEFT
+        progress.sends += 1
+        self.log_placed(admitted, slot, progress)
+        return self.sender.open(admitted, slot, progress, answer)
+
     def log_placed(
         self, admitted: Admitted, slot: AllocatedSlot, progress: Progress
     ) -> None:
@@ -462,7 +491,7 @@
 
         It guarantees that the request did not run only if that is certain.
         """
-        refusal = refusal or Refusal(RefusalKind.FAILED, reason="no attempt left")
+        refusal = refusal or NO_SEND_LEFT
         if progress.may_have_run:
             return Refusal(RefusalKind.FAILED, reason=refusal.reason)
         if refusal.kind is RefusalKind.FAILED:
--- /dev/null
+++ b/src/wisteriapulley/direct/exchange.py
@@ -0,0 +1,139 @@
+"""One send of a request to a target, and its response so far."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+from wisteriapulley.direct.events import EventSplitter
+from wisteriapulley.direct.progress import Progress
+from wisteriapulley.direct.registry import Target
+from wisteriapulley.direct.slot_allocation import AllocatedSlot
+from wisteriapulley.direct.types import Refusal, TargetAnswer
+from wisteriapulley.policy.circuit_breaker import SendOutcome
+from wisteriapulley.policy.slot_requests import NOTHING_OBSERVED, ObservedWork
+
+
+class Arrival(NamedTuple):
+    """What arrived next from a target.
+
+    Attributes
+    ----------
+    data : bytes
+        Complete events of a stream, or the complete body of another response.
+    ended : bool
+        Whether the response is complete with it.
+    refusal : Refusal or None
+        Why the target does not serve the request, or no longer.
+    """
+
+    data: bytes = b""
+    ended: bool = False
+    refusal: Refusal | None = None
+
+
+class Exchange:
+    """A request that is sent to one target.
+
+    Parameters
+    ----------
+    slot : AllocatedSlot
+        Slot at the target; released when the exchange is closed.
+    progress : Progress
+        Progress of the request. Events that are relayed of another exchange from now
+        on make this one useless.
+    now_s : float
+        The loop's clock.
+
+    Attributes
+    ----------
+    events : EventSplitter
+        Events that the caller has when this target is the one that goes on.
+    response : TargetAnswer or None
+        The response, once its head has arrived.
+    parts : async iterator of bytes
+        Parts of its body.
+    outcome : SendOutcome
+        What the target did with the request.
+    waited_s : float
+        How long the entry waited for the response and its events.
+    heard_s : float
+        When the target sent something last, or the request was sent to it.
+    silent_since_s : float or None
+        Since when the target is silent, once it was for so long that another one was
+        looked for; None while it goes on.
+    begun : bool
+        Whether a part of the body has arrived, so that the request has started.
+    was_silent : bool
+        Whether it was silent for so long at any time. Its waits then do not tell how
+        fast it works.
+    broke_off : bool
+        Whether the response broke off, or the target was left for another one.
+    closed : bool
+        Whether the slot was released.
+    arrival : asyncio.Task
+        Waits for the next arrival.
+    """
+
+    def __init__(self, slot: AllocatedSlot, progress: Progress, now_s: float):
+        self.slot = slot
+        self.progress = progress
+        progress.open_exchanges += 1
+        self.events = EventSplitter(progress.events.last_id)
+        self.events.event_count = progress.events.event_count
+        self.events_before = self.events.event_count
+        self.response: TargetAnswer | None = None
+        self.parts: AsyncIterator[bytes] | None = None
+        self.outcome = SendOutcome.UNKNOWN
+        self.waited_s = 0.0
+        self.sent_s = self.heard_s = now_s
+        self.begun = False
+        self.silent_since_s: float | None = None
+        self.was_silent = False
+        self.broke_off = False
+        self.closed = False
+        self.arrival: asyncio.Task[Arrival] | None = None
+
+    @property
+    def target(self) -> Target:
+        """The target."""
+        return self.slot.target
+
+    @property
+    def work(self) -> ObservedWork:
+        """What was observed of the target's work."""
+        events = self.events.event_count - self.events_before
+        if self.broke_off or self.was_silent:
+            return NOTHING_OBSERVED._replace(events=events)
+        return ObservedWork(events, self.waited_s * 1000)
+
+    def record_part(self, begin_s: float, now_s: float) -> None:
+        """Record that the target sent something after a wait since `begin_s`."""
+        self.waited_s += now_s - begin_s
+        self.heard_s = now_s
+
+    def fall_silent(self) -> bool:
+        """Record that the target is silent; return whether that was not known."""
+        if self.silent_since_s is not None:
+            return False
+        self.silent_since_s = self.heard_s
+        self.was_silent = True
+        return True
+
+    def silent_ms(self, now_s: float) -> int:
+        """Return how long the target has sent nothing, in milliseconds."""
+        since_s = self.heard_s if self.silent_since_s is None else self.silent_since_s
+        return int((now_s - since_s) * 1000)
+
+    def close(self) -> None:
+        """Stop waiting, close the connection unless it is idle, release the slot."""
+        if self.closed:
+            return
+        self.closed = True
+        self.progress.open_exchanges -= 1
+        if self.arrival is not None and not self.arrival.cancel():
+            if not self.arrival.cancelled():
+                # Marks an exception as seen.
+                self.arrival.exception()
+        if self.response is not None:
+            self.response.close()
+        self.slot.release(self.outcome, self.work)
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -4,8 +4,6 @@
 
 from wisteriapulley.direct.events import EventSplitter
 from wisteriapulley.direct.types import CallerRequest
-from wisteriapulley.policy.circuit_breaker import SendOutcome
-from wisteriapulley.policy.slot_requests import ObservedWork
 from wisteriapulley.routing import Account, Engine, Route, RouteIndex, RoutingTable
 
 EMPTY_INDEX = RouteIndex(RoutingTable(0))
@@ -83,12 +81,8 @@
         Whether one of them may have started to run it.
     tried : set of str
         Ids of targets that are not tried again.
-    outcome : SendOutcome
-        Outcome of the last send.
-    waited_s : float
-        How long the entry waited for its response and events; 0 if these broke off.
-    last_part_s : float
-        When the last part of a response arrived, on the loop's clock.
+    open_exchanges : int
+        Targets that the request is at now.
     events : EventSplitter
         Events that were relayed to the caller.
     fingerprint : bytes
@@ -101,25 +95,10 @@
         self.sends = 0
         self.may_have_run = False
         self.tried: set[str] = set()
-        self.outcome = SendOutcome.UNKNOWN
-        self.waited_s = 0.0
-        self.last_part_s = 0.0
+        self.open_exchanges = 0
         self.events = EventSplitter(request.resume_after)
-        self.events_before = 0
         self.fingerprint = b""
 
-    def begin_send(self) -> None:
-        """Forget what was observed of an earlier send."""
-        self.outcome = SendOutcome.UNKNOWN
-        self.waited_s = 0.0
-        self.events_before = self.events.event_count
-
-    @property
-    def work(self) -> ObservedWork:
-        """What was observed of the last send."""
-        events = self.events.event_count - self.events_before
-        return ObservedWork(events, self.waited_s * 1000)
-
     @property
     def has_sends_left(self) -> bool:
         """Whether the route permits one more send."""
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -1,9 +1,10 @@
-"""Sends a request to one target and relays the response to the caller."""
+"""Sends a request to one target, reads its response and relays it to the caller."""
 
 import asyncio
 import logging
 
 from wisteriapulley.direct.crashes import CrashTracker
+from wisteriapulley.direct.exchange import Arrival, Exchange
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.registry import Target, TargetRegistry
 from wisteriapulley.direct.signal_recorder import SignalRecorder
@@ -21,19 +22,10 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.logs import fields
 from wisteriapulley.policy.circuit_breaker import SendOutcome
-from wisteriapulley.routing import Route, RouteKind
+from wisteriapulley.routing import RouteKind
 
 log = logging.getLogger(__name__)
 
-# A target that sends no first or next event for this long is considered dead, and the
-# stream resumes at another one. An engine pauses for some hundred milliseconds during
-# the prefill of long prompts.
-STREAM_IDLE_TIMEOUT_S = 1.6
-# Fraction of a plain request's time after which an unresponsive target is abandoned
-# for another one. It is above the slowest normal processing time.
-HEAD_TIMEOUT_FRACTION = 0.5
-# Normal processing takes up to this long, however short the caller's deadline is.
-MIN_HEAD_TIMEOUT_S = 0.45
 # A request with less time left than this is not sent: no target could serve it.
 MIN_SEND_S = 0.05
 HTTP_OK = 200
@@ -81,23 +73,54 @@
         """Return the time of the event loop's clock."""
         return asyncio.get_running_loop().time()
 
-    async def send(
+    def open(
         self,
         admitted: Admitted,
         slot: AllocatedSlot,
         progress: Progress,
         answer: CallerAnswer,
-    ) -> Refusal | None:
-        """Send a request to one target and relay its response.
+    ) -> Exchange:
+        """Begin to send a request to one target."""
+        progress.tried.add(slot.target.target_id)
+        exchange = Exchange(slot, progress, self.now_s())
+        self.expect_next(exchange, admitted, progress, answer)
+        return exchange
+
+    def expect_next(
+        self,
+        exchange: Exchange,
+        admitted: Admitted,
+        progress: Progress,
+        answer: CallerAnswer,
+    ) -> None:
+        """Wait for the next arrival in the background."""
+        exchange.arrival = asyncio.get_running_loop().create_task(
+            self.next_arrival(exchange, admitted, progress, answer)
+        )
 
-        Returns
-        -------
-        Refusal or None
-            None if the caller has its final response.
-        """
-        target = slot.target
-        progress.tried.add(target.target_id)
-        progress.begin_send()
+    async def next_arrival(
+        self,
+        exchange: Exchange,
+        admitted: Admitted,
+        progress: Progress,
+        answer: CallerAnswer,
+    ) -> Arrival:
+        """Return what arrives next, however long the target is silent before it."""
+        if exchange.response is None:
+            refusal = await self.receive_head(exchange, admitted, progress)
+            if refusal is None:
+                refusal = self.check_head(exchange, admitted, progress, answer)
+            if refusal is not None:
+                return Arrival(refusal=refusal)
+        if is_event_stream(admitted, exchange.response):
+            return await self.receive_events(exchange, admitted, progress)
+        return await self.receive_body(exchange, admitted, progress)
+
+    async def receive_head(
+        self, exchange: Exchange, admitted: Admitted, progress: Progress
+    ) -> Refusal | None:
+        """Send a request and wait for status and headers."""
+        target, slot, sent_s = exchange.target, exchange.slot, exchange.sent_s
         remaining_s = admitted.deadline_s - self.now_s()
         if remaining_s < MIN_SEND_S:
             return Refusal(RefusalKind.TIMED_OUT, reason="no time left")
@@ -107,33 +130,30 @@
             admitted.account_name,
             remaining_s,
             slot.version,
-            progress.events.last_id,
+            exchange.events.last_id,
             not admitted.route.repeatable,
         )
-        sent_s = self.now_s()
         try:
-            response = await self.wait_for_head(admitted, slot, plan, progress)
+            async with asyncio.timeout_at(slot.start_deadline_s):
+                response = await self.client.send(admitted.request, plan)
         except NotSentError as error:
             target.record_unreachable(self.now_s())
             reason = f"target unreachable: {error}"
             return Refusal(RefusalKind.UNAVAILABLE, UNREACHABLE_RETRY_S, reason)
         except (BrokenAnswerError, TimeoutError) as error:
             progress.may_have_run = True
-            self.log_no_response(admitted, slot, sent_s, error)
+            self.log_no_response(admitted, exchange, error)
             self.record_no_response(slot)
             await self.crashes.check_for_crash(admitted, target, progress)
             return Refusal(
                 RefusalKind.FAILED, reason=f"no response from target: {error!r}"
             )
+        exchange.response, exchange.parts = response, response.parts()
         if not response.other_instance:
-            progress.outcome = outcome_of(response)
+            exchange.outcome = outcome_of(response)
             self.recorder.record(target, response.signals, sent_s)
-        progress.last_part_s = self.now_s()
-        progress.waited_s = progress.last_part_s - sent_s
-        try:
-            return await self.relay(admitted, slot, response, progress, answer)
-        finally:
-            response.close()
+        exchange.record_part(sent_s, self.now_s())
+        return None
 
     def record_no_response(self, slot: AllocatedSlot) -> None:
         """Record a failure of a target that broke off or did not respond.
@@ -144,44 +164,15 @@
         if slot.start_deadline_s is None or self.now_s() < slot.start_deadline_s:
             self.registry.record_outcome(slot.target, True, self.now_s())
 
-    def start_timeout_s(
-        self, slot: AllocatedSlot, max_wait_s: float | None
-    ) -> float | None:
-        """Return how long to wait for the first sign that a request has started.
-
-        Engines serve a superseded version of the weights until the end of its grace
-        period, and an engine may be slower than its sidecar estimates. A request that
-        has not started by then is dropped, so that none starts on expired weights.
-        """
-        if slot.start_deadline_s is None:
-            return max_wait_s
-        left_s = max(0.0, slot.start_deadline_s - self.now_s())
-        return left_s if max_wait_s is None else min(max_wait_s, left_s)
-
-    async def wait_for_head(
+    def check_head(
         self,
+        exchange: Exchange,
         admitted: Admitted,
-        slot: AllocatedSlot,
-        plan: SendPlan,
-        progress: Progress,
-    ) -> TargetAnswer:
-        """Send a request and wait for status and headers until a timeout."""
-        max_wait_s = head_timeout_s(
-            admitted.route, plan.remaining_s, progress.has_sends_left
-        )
-        async with asyncio.timeout(self.start_timeout_s(slot, max_wait_s)):
-            return await self.client.send(admitted.request, plan)
-
-    async def relay(
-        self,
-        admitted: Admitted,
-        slot: AllocatedSlot,
-        response: TargetAnswer,
         progress: Progress,
         answer: CallerAnswer,
     ) -> Refusal | None:
-        """Relay a response, unless another target may serve the request."""
-        target = slot.target
+        """Return why a response is not relayed; None if it is."""
+        target, response = exchange.target, exchange.response
         if response.other_instance:
             self.registry.record_other_instance(target, self.now_s())
             reason = "another instance at the address"
@@ -196,30 +187,24 @@
                 RefusalKind.OVERLOADED, retry_s, "target rejected the request"
             )
         progress.may_have_run = True
-        self.registry.record_outcome(target, is_server_error(response), self.now_s())
-        if is_server_error(response) and self.may_retry(admitted, progress, answer):
-            return Refusal(
-                RefusalKind.FAILED, reason=f"target returned status {response.status}"
-            )
-        if answer.started and response.status != HTTP_OK:
+        failed = is_server_error(response)
+        self.registry.record_outcome(target, failed, self.now_s())
+        is_useless = answer.started and response.status != HTTP_OK
+        if is_useless or (failed and self.may_retry(admitted, progress, answer)):
             return Refusal(
                 RefusalKind.FAILED, reason=f"target returned status {response.status}"
             )
-        if admitted.route.kind is RouteKind.STREAM and response.status == HTTP_OK:
-            return await self.relay_stream(admitted, slot, response, progress, answer)
-        return await self.relay_buffered(admitted, target, response, progress, answer)
+        return None
 
     def may_retry(
         self, admitted: Admitted, progress: Progress, answer: CallerAnswer
     ) -> bool:
-        """Return whether a failed request may be sent to another target."""
+        """Return whether another target may still serve a failed request."""
         left_s = admitted.deadline_s - self.now_s()
-        return (
-            admitted.route.repeatable
-            and progress.has_sends_left
-            and not answer.started
-            and left_s > MIN_SEND_S
-            and self.has_untried_target(admitted, progress)
+        if not admitted.route.repeatable or answer.started or left_s <= MIN_SEND_S:
+            return False
+        return progress.open_exchanges > 1 or (
+            progress.has_sends_left and self.has_untried_target(admitted, progress)
         )
 
     def has_untried_target(self, admitted: Admitted, progress: Progress) -> bool:
@@ -229,107 +214,143 @@
         )
         return any(target.target_id not in progress.tried for target in candidates)
 
-    def record_first_event(self, admitted: Admitted, target: Target) -> None:
-        """Record the time to the first event of a stream."""
-        took_s = self.now_s() - admitted.request.arrived_s
-        traffic_class = f"{target.state.service}/{admitted.route.kind.value}"
-        self.metrics.record_first_part(admitted.account_name, traffic_class, took_s)
+    async def receive_body(
+        self, exchange: Exchange, admitted: Admitted, progress: Progress
+    ) -> Arrival:
+        """Read a response completely.
 
-    async def relay_buffered(
-        self,
-        admitted: Admitted,
-        target: Target,
-        response: TargetAnswer,
-        progress: Progress,
-        answer: CallerAnswer,
-    ) -> Refusal | None:
-        """Read a response completely, then relay it.
-
-        If the response breaks off, the request can still be sent to another target.
+        If it breaks off, the request can still be sent to another target.
         """
         try:
-            body = b"".join([part async for part in response.parts()])
+            body = b"".join([part async for part in exchange.parts])
         except BrokenAnswerError as error:
+            target = exchange.target
             self.registry.record_outcome(target, True, self.now_s())
             await self.crashes.check_for_crash(admitted, target, progress)
-            return Refusal(RefusalKind.FAILED, reason=f"response broke off: {error}")
-        await answer.start(response.status, response.headers, len(body))
-        await answer.write(body)
-        await answer.finish()
-        if not is_server_error(response):
-            self.crashes.record_answered(admitted, progress)
-        self.log_answered(admitted, target, response.status)
-        return None
+            reason = f"response broke off: {error}"
+            return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
+        exchange.heard_s = self.now_s()
+        return Arrival(body, ended=True)
 
-    async def relay_stream(
-        self,
-        admitted: Admitted,
-        slot: AllocatedSlot,
-        response: TargetAnswer,
-        progress: Progress,
-        answer: CallerAnswer,
-    ) -> Refusal | None:
-        """Relay complete events as they arrive.
+    async def receive_events(
+        self, exchange: Exchange, admitted: Admitted, progress: Progress
+    ) -> Arrival:
+        """Read a stream until an event is complete, or to its end.
 
-        If the stream breaks off, another target can resume it after the last complete
-        event.
+        If it breaks off, another target can resume it after the last complete event.
         """
-        target, events = slot.target, progress.events
+        events = exchange.events
         try:
-            await self.relay_events(admitted, slot, response, progress, answer)
+            data = await self.read_events(exchange)
         except (BrokenAnswerError, TimeoutError) as error:
-            progress.waited_s = 0.0
-            events.discard_partial()
-            self.record_no_response(slot)
-            self.log_broken_stream(admitted, target, progress, error)
-            await self.crashes.check_for_crash(admitted, target, progress)
-            return Refusal(RefusalKind.FAILED, reason="stream broke off")
+            exchange.broke_off = True
+            self.record_no_response(exchange.slot)
+            self.log_broken_stream(admitted, exchange, error)
+            await self.crashes.check_for_crash(admitted, exchange.target, progress)
+            reason = "stream broke off"
+            return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
+        if data:
+            return Arrival(data)
         if events.partial:
-            events.discard_partial()
-            return Refusal(RefusalKind.FAILED, reason="stream ended within an event")
-        if not answer.started:
-            await answer.start(response.status, response.headers, None)
-        await answer.finish()
-        self.crashes.record_answered(admitted, progress)
-        self.log_answered(admitted, target, response.status, events.event_count)
-        return None
+            reason = "stream ended within an event"
+            return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
+        return Arrival(ended=True)
 
-    async def relay_events(
-        self,
-        admitted: Admitted,
-        slot: AllocatedSlot,
-        response: TargetAnswer,
-        progress: Progress,
-        answer: CallerAnswer,
-    ) -> None:
-        """Relay events until the stream ends.
+    async def read_events(self, exchange: Exchange) -> bytes:
+        """Return the next complete events; empty at the end of the stream.
+
+        Engines serve a superseded version of the weights until the end of its grace
+        period, and an engine may be slower than its sidecar estimates. A request that
+        has not started by then is dropped, so that none starts on expired weights.
 
         Raises
         ------
         BrokenAnswerError
             The stream ended early.
         TimeoutError
-            No event arrived in time.
+            The request did not start in time.
         """
-        parts = response.parts()
-        idle_timeout_s = self.start_timeout_s(slot, STREAM_IDLE_TIMEOUT_S)
         while True:
             begin_s = self.now_s()
+            start_deadline_s = (
+                None if exchange.begun else exchange.slot.start_deadline_s
+            )
             try:
-                async with asyncio.timeout(idle_timeout_s):
-                    part = await anext(parts)
+                async with asyncio.timeout_at(start_deadline_s):
+                    part = await anext(exchange.parts)
             except StopAsyncIteration:
-                return
-            progress.last_part_s = self.now_s()
-            progress.waited_s += progress.last_part_s - begin_s
-            idle_timeout_s = STREAM_IDLE_TIMEOUT_S
-            events = progress.events.feed(part)
-            if not events:
-                continue
-            if not answer.started:
-                self.record_first_event(admitted, slot.target)
-                await answer.start(response.status, response.headers, None)
-            await answer.write(events)
+                return b""
+            exchange.begun = True
+            exchange.record_part(begin_s, self.now_s())
+            data = exchange.events.feed(part)
+            if data:
+                return data
+
+    # -- relaying --------------------------------------------------------
+
+    async def relay(
+        self,
+        exchange: Exchange,
+        arrival: Arrival,
+        admitted: Admitted,
+        progress: Progress,
+        answer: CallerAnswer,
+    ) -> None:
+        """Relay what arrived to the caller."""
+        response, target = exchange.response, exchange.target
+        progress.events = exchange.events
+        is_stream = is_event_stream(admitted, response)
+        if not answer.started:
+            if is_stream and arrival.data:
+                self.record_first_event(admitted, target)
+            length = None if is_stream else len(arrival.data)
+            await answer.start(response.status, response.headers, length)
+        await answer.write(arrival.data)
+        if not arrival.ended:
+            return
+        await answer.finish()
+        if not is_server_error(response):
+            self.crashes.record_answered(admitted, progress)
+        self.log_answered(
+            admitted, target, response.status, exchange.events.event_count
+        )
+
+    # -- silent targets --------------------------------------------------
+
+    def record_resumed(self, exchange: Exchange, admitted: Admitted) -> None:
+        """Record that a silent target went on, so that it is sound."""
+        self.log_silence("silent target went on", exchange, admitted)
+        exchange.silent_since_s = None
+        self.metrics.record_silence("went_on")
+
+    def record_abandoned(
+        self, exchange: Exchange, admitted: Admitted, progress: Progress
+    ) -> None:
+        """Record that another target went on while this one was still silent."""
+        exchange.broke_off = True
+        self.log_silence("silent target left", exchange, admitted)
+        self.metrics.record_silence("left")
+        self.record_no_response(exchange.slot)
+        self.crashes.start_check(admitted, exchange.target, progress)
+
+    def log_silence(self, message: str, exchange: Exchange, admitted: Admitted) -> None:
+        """Log a silence of a target, with its length so far."""
+        log.info(
+            message,
+            extra=fields(
+                admitted.request.request_id,
+                admitted.revision,
+                target=exchange.target.target_id,
+                last_event=exchange.events.last_id,
+                silent_ms=exchange.silent_ms(self.now_s()),
+            ),
+        )
+
+    def record_first_event(self, admitted: Admitted, target: Target) -> None:
+        """Record the time to the first event of a stream."""
+        took_s = self.now_s() - admitted.request.arrived_s
+        traffic_class = f"{target.state.service}/{admitted.route.kind.value}"
+        self.metrics.record_first_part(admitted.account_name, traffic_class, took_s)
 
     # -- logs ------------------------------------------------------------
 
@@ -367,7 +388,7 @@
         )
 
     def log_no_response(
-        self, admitted: Admitted, slot: AllocatedSlot, sent_s: float, error: Exception
+        self, admitted: Admitted, exchange: Exchange, error: Exception
     ) -> None:
         """Log that a target sent no head, and how long it had been silent."""
         log.info(
@@ -375,15 +396,15 @@
             extra=fields(
                 admitted.request.request_id,
                 admitted.revision,
-                target=slot.target.target_id,
-                silent_ms=self.since_ms(sent_s),
-                start_left_ms=slot.start_left_ms(self.now_s()),
+                target=exchange.target.target_id,
+                silent_ms=exchange.silent_ms(self.now_s()),
+                start_left_ms=exchange.slot.start_left_ms(self.now_s()),
                 reason=repr(error),
             ),
         )
 
     def log_broken_stream(
-        self, admitted: Admitted, target: Target, progress: Progress, error: Exception
+        self, admitted: Admitted, exchange: Exchange, error: Exception
     ) -> None:
         """Log that a stream ended early, and how long its target had been silent."""
         log.info(
@@ -391,23 +412,24 @@
             extra=fields(
                 admitted.request.request_id,
                 admitted.revision,
-                target=target.target_id,
-                last_event=progress.events.last_id,
-                silent_ms=self.since_ms(progress.last_part_s),
+                target=exchange.target.target_id,
+                last_event=exchange.events.last_id,
+                silent_ms=exchange.silent_ms(self.now_s()),
                 reason=repr(error),
             ),
         )
 
-    def since_ms(self, then_s: float) -> int:
-        """Return the time since a moment, in milliseconds."""
-        return int((self.now_s() - then_s) * 1000)
-
 
 def is_server_error(response: TargetAnswer) -> bool:
     """Return whether a target reported a server error."""
     return response.status >= SERVER_ERROR
 
 
+def is_event_stream(admitted: Admitted, response: TargetAnswer) -> bool:
+    """Return whether a response is relayed event by event."""
+    return admitted.route.kind is RouteKind.STREAM and response.status == HTTP_OK
+
+
 def outcome_of(response: TargetAnswer) -> SendOutcome:
     """Return what a target did with a request.
 
@@ -421,21 +443,3 @@
     if busy or response.signals.cooldown.seconds:
         return SendOutcome.REJECTED
     return SendOutcome.UNKNOWN if response.not_run else SendOutcome.ACCEPTED
-
-
-def head_timeout_s(
-    route: Route, remaining_s: float, has_sends_left: bool
-) -> float | None:
-    """Return how long to wait for status and headers; None until the deadline.
-
-    An unresponsive target is abandoned early only if another send is left; otherwise
-    waiting is the only chance of a response. Streams are abandoned in any case, since
-    their callers disconnect after the same idle time.
-    """
-    if not route.repeatable:
-        return None
-    if route.kind is RouteKind.STREAM:
-        return STREAM_IDLE_TIMEOUT_S
-    if not has_sends_left:
-        return None
-    return max(MIN_HEAD_TIMEOUT_S, remaining_s * HEAD_TIMEOUT_FRACTION)
--- a/src/wisteriapulley/entry/metrics.py
+++ b/src/wisteriapulley/entry/metrics.py
@@ -29,6 +29,11 @@
             "requests_held_total",
             "Requests held through an outage, by service and by how they ended.",
         )
+        self.silences = metrics.counter(
+            "silent_targets_total",
+            "Targets that were silent for so long that another one was looked for, by"
+            " how the silence ended.",
+        )
         self.internal_errors = metrics.counter(
             "internal_errors_total", "Requests that an error of this process ended."
         )
@@ -63,6 +68,10 @@
         end = "placed" if placed else "refused"
         self.held.inc({"service": service, "end": end})
 
+    def record_silence(self, end: str) -> None:
+        """Record the end of a target's silence: it went on, or was left."""
+        self.silences.inc({"end": end})
+
     def record_first_part(
         self, account: str, traffic_class: str, seconds: float
     ) -> None:
--- a/src/wisteriapulley/explain.py
+++ b/src/wisteriapulley/explain.py
@@ -11,7 +11,16 @@
 # Changes of a target or of control instances within this time before the end of a
 # request may have caused its outcome.
 CONTEXT_BEFORE_END_S = 3.0
-FINAL_MESSAGES = ("answered", "refused", "answer cut", "caller left")
+INTERNAL_ERROR = "request ended by an internal error"
+FINAL_MESSAGES = (
+    "answered",
+    "refused",
+    "answer cut",
+    "caller left",
+    INTERNAL_ERROR,
+)
+# Messages about a target that fell silent: at the start and at the end of the silence.
+SILENCE_MESSAGES = ("target silent", "silent target went on", "silent target left")
 # Prefixes of messages about targets, engines and processes that can explain the
 # outcome of a request.
 CONTEXT_MESSAGES = (
@@ -159,22 +168,15 @@
             f"no final message: the entry {request_lines[0].node} ended while it"
             " served the request"
         )
+    details = describe_rejections(request_lines) + describe_silences(request_lines)
     if final.message == "answered":
-        return describe_answered(
-            final, sends, broken_streams, context
-        ) + describe_rejections(request_lines)
+        return describe_answered(final, sends, broken_streams, context) + details
     if final.message == "refused":
-        return describe_refused(final, sends, context) + describe_rejections(
-            request_lines
-        )
+        return describe_refused(final, sends, context) + details
     if final.message == "answer cut":
-        where = (
-            broken_streams[-1].fields.get("target") if broken_streams else "its target"
-        )
-        return (
-            f"response truncated: the stream of {where} broke off"
-            f" ({final.fields.get('reason')}) and no other target could resume it"
-        )
+        return describe_cut(final, broken_streams) + details
+    if final.message == INTERNAL_ERROR:
+        return f"an error of the entry {final.node} itself ended the request"
     return "the caller disconnected before the response was complete"
 
 
@@ -188,6 +190,28 @@
     return f"; rejected by {', '.join(names)}" if names else ""
 
 
+def describe_silences(request_lines: tuple[LogLine, ...]) -> str:
+    """Return a clause that names the targets that fell silent, or ''."""
+    silent_ms = {
+        line.fields.get("target"): line.fields.get("silent_ms")
+        for line in request_lines
+        if line.message in SILENCE_MESSAGES
+    }
+    names = [f"{target} ({ms} ms)" for target, ms in silent_ms.items()]
+    return f"; silent: {', '.join(names)}" if names else ""
+
+
+def describe_cut(final: LogLine, broken_streams: list[LogLine]) -> str:
+    """Return why a response was truncated."""
+    reason = final.fields.get("reason")
+    if not broken_streams:
+        return f"response truncated: {reason}"
+    return (
+        f"response truncated: the stream of {broken_streams[-1].fields.get('target')}"
+        f" broke off ({reason}) and no other target could resume it"
+    )
+
+
 def describe_answered(
     final: LogLine,
     sends: list[LogLine],
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -8,7 +8,6 @@
 from wisteriapulley.direct.dispatch import Dispatcher
 from wisteriapulley.direct.liveness import Liveness
 from wisteriapulley.direct.registry import TargetRegistry
-from wisteriapulley.direct.sending import head_timeout_s
 from wisteriapulley.direct.settings import DirectSettings
 from wisteriapulley.direct.slot_allocation import AllocatedSlot
 from wisteriapulley.direct.types import (
@@ -21,6 +20,7 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy.response_signals import ResponseSignals
+from wisteriapulley.policy.silence import silence_limit_s
 from wisteriapulley.routing import (
     Account,
     Route,
@@ -429,16 +429,16 @@
         assert max(pauses) < 6.0 / 3
 
 
-class TestHeadTimeout:
-    def head_timeout_s(self, has_sends_left, kind=RouteKind.IDEMPOTENT):
+class TestSilenceLimit:
+    def silence_limit_s(self, has_sends_left, kind=RouteKind.IDEMPOTENT):
         route = Route("r", "h", "/", kind, (Split("s", 1),), 6000, 400, 400, 1)
-        return head_timeout_s(route, 1.0, has_sends_left)
+        return silence_limit_s(route, 1.0, has_sends_left)
 
     def test_last_send_has_all_the_time_left(self):
-        assert self.head_timeout_s(has_sends_left=False) is None
+        assert self.silence_limit_s(has_sends_left=False) is None
 
     def test_earlier_send_leaves_time_for_another(self):
-        assert self.head_timeout_s(has_sends_left=True) == 0.5
+        assert self.silence_limit_s(has_sends_left=True) == 0.5
 
     def test_non_idempotent_request_is_never_abandoned_early(self):
-        assert self.head_timeout_s(True, RouteKind.NON_IDEMPOTENT) is None
+        assert self.silence_limit_s(True, RouteKind.NON_IDEMPOTENT) is None
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -81,7 +81,25 @@
     )
 
 
+def target_fell_silent(name):
+    yield placed(name, 1.0)
+    yield log_line(2.6, "target silent", request_id=name, target="i-1", silent_ms=1600)
+    yield log_line(
+        3.0, "silent target went on", request_id=name, target="i-1", silent_ms=2000
+    )
+    yield log_line(
+        3.1, "answered", request_id=name, target="i-1", status=200, took_ms=2100
+    )
+
+
+def entry_failed(name):
+    yield placed(name, 1.0)
+    yield log_line(1.1, "request ended by an internal error", request_id=name)
+
+
 CAUSES = {
+    target_fell_silent: "silent: i-1 (2000 ms)",
+    entry_failed: "an error of the entry entry-1 itself",
     rejected_by_one_target: "rejected by i-1",
     overloaded: "refused (overloaded): no slot in time",
     target_died_mid_stream: "response truncated: the stream of i-1 broke off",
--- /dev/null
+++ b/tests/test_silent_targets.py
@@ -0,0 +1,351 @@
+"""Targets that fall silent while a request is there, and go on or not."""
+
+import asyncio
+
+import pytest
+from bench.turned_away import VirtualLoop
+
+from tests.test_direct_dispatch import (
+    SETTINGS,
+    FakeAllocator,
+    FakeAnswer,
+    FakeCaller,
+    crash_tracker,
+    events,
+)
+from wisteriapulley.direct.dispatch import Dispatcher
+from wisteriapulley.direct.registry import TargetRegistry
+from wisteriapulley.direct.types import (
+    BrokenAnswerError,
+    CallerRequest,
+    Refusal,
+    RefusalKind,
+)
+from wisteriapulley.entry.metrics import EntryMetrics
+from wisteriapulley.metrics import Metrics
+from wisteriapulley.policy.silence import STREAM_SILENCE_S
+from wisteriapulley.routing import Route, RouteKind, RoutingTable, Service, Split
+from wisteriapulley.wire.messages import TargetState
+
+LIMIT_S = 6.0
+NEVER_S = 60.0
+# Longer than the limit after which another target is tried.
+SILENT_S = 2.0
+
+
+class PacedAnswer(FakeAnswer):
+    """A response whose head and parts arrive after pauses.
+
+    `steps` are pairs of a pause in seconds and a part; None breaks the response off.
+    """
+
+    def __init__(self, *steps, head_s=0.0, **options):
+        super().__init__(**options)
+        self.steps, self.head_s = steps, head_s
+
+    async def parts(self):
+        for pause_s, part in self.steps:
+            await asyncio.sleep(pause_s)
+            if part is None:
+                raise BrokenAnswerError("broke off")
+            yield part
+
+
+class PacedClient:
+    """Sends each request to the next of its responses."""
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.plans, self.sent_s, self.cancelled = [], [], 0
+
+    async def send(self, request, plan):
+        self.plans.append(plan)
+        self.sent_s.append(asyncio.get_running_loop().time())
+        answer = self.answers[len(self.plans) - 1]
+        try:
+            await asyncio.sleep(answer.head_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return answer
+
+
+class SlowAllocator(FakeAllocator):
+    """Makes a second send wait for its slot, and counts releases."""
+
+    def __init__(self, registry, wait_s=0.0, slots=2):
+        super().__init__(registry)
+        self.wait_s, self.slots = wait_s, slots
+        self.granted = self.released = 0
+
+    async def allocate(self, admitted, service, engine, tried, now_s, is_last=False):
+        if tried:
+            await asyncio.sleep(self.wait_s)
+        if len(tried) >= self.slots:
+            return Refusal(RefusalKind.OVERLOADED, 0.25, "full")
+        slot = await super().allocate(admitted, service, engine, tried, now_s)
+        self.granted += hasattr(slot, "target")
+        return slot
+
+    def open_fraction(self, service, engine, now_s, homes):
+        return 1.0
+
+    def release(self, outcome=None, work=None):
+        self.released += 1
+        super().release(outcome, work)
+
+
+class Entry:
+    """An entry on a virtual clock with some targets."""
+
+    def __init__(self, *answers, targets=2, kind=RouteKind.STREAM, **options):
+        self.route = Route(
+            "r", "h", "/", kind, (Split("s", 1),), int(LIMIT_S * 1000), 400, 400, 1, 2
+        )._replace(resumable=options.pop("resumable", True))
+        self.registry = TargetRegistry()
+        self.registry.update(
+            [
+                TargetState(f"i-{n}", "s", f"10.0.0.{n}:80", "z", sequence=1, slots=4)
+                for n in range(targets)
+            ],
+            0.0,
+        )
+        self.client, self.caller = PacedClient(answers), FakeCaller()
+        self.allocator = SlowAllocator(self.registry, **options)
+        self.dispatcher = Dispatcher(
+            SETTINGS,
+            self.registry,
+            self.allocator,
+            self.client,
+            EntryMetrics(Metrics("e", "entry")),
+            crash_tracker(),
+        )
+        self.dispatcher.set_table(RoutingTable(1, (self.route,), (Service("s"),)))
+
+    async def ask(self):
+        request = CallerRequest(
+            "id", "POST", "/x", "h", "/x", (), b"", "", 0.0, LIMIT_S, 100, 50
+        )
+        return await self.dispatcher.serve(request, self.caller)
+
+    def serve(self, leaves_s=None):
+        """Serve one request; return its refusal and when it ended."""
+
+        async def run():
+            serving = asyncio.create_task(self.ask())
+            if leaves_s is not None:
+                await asyncio.sleep(leaves_s)
+                serving.cancel()
+            (refusal,) = await asyncio.gather(serving, return_exceptions=True)
+            ended_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(0)
+            return refusal, ended_s
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            refusal, ended_s = runner.run(run())
+        assert self.allocator.allocated == 0
+        assert self.allocator.released == self.allocator.granted
+        return refusal, ended_s
+
+    def silences(self, end):
+        return self.dispatcher.metrics.silences.get({"end": end})
+
+
+def assert_whole(entry, last=4):
+    assert entry.caller.body == events(1, last)
+    assert entry.caller.ended and not entry.caller.was_cut
+
+
+class TestOnlyTarget:
+    """There is no other target: the silent one is waited for."""
+
+    def test_stream_goes_on_after_a_silence(self):
+        answer = PacedAnswer((0.0, events(1, 2)), (SILENT_S, events(3, 4)))
+        entry = Entry(answer, targets=1)
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+        assert entry.silences("went_on") == 1
+
+    @pytest.mark.parametrize("head_s", [SILENT_S, 0.0])
+    def test_first_event_comes_after_a_silence(self, head_s):
+        answer = PacedAnswer((SILENT_S - head_s, events(1, 4)), head_s=head_s)
+        entry = Entry(answer, targets=1)
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+
+    @pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT])
+    def test_plain_response_comes_after_a_silence(self, kind):
+        entry = Entry(PacedAnswer((0.0, b"whole"), head_s=4.0), targets=1, kind=kind)
+        assert entry.serve()[0] is None
+        assert entry.caller.body == b"whole"
+
+    def test_silence_until_the_time_limit_is_a_timeout(self):
+        entry = Entry(PacedAnswer(head_s=NEVER_S), targets=1)
+        refusal, ended_s = entry.serve()
+        assert refusal.kind is RefusalKind.TIMED_OUT
+        assert ended_s == pytest.approx(LIMIT_S)
+        assert entry.client.cancelled == 1
+
+    def test_stream_is_cut_at_the_time_limit(self):
+        entry = Entry(
+            PacedAnswer((0.0, events(1, 2)), (NEVER_S, events(3, 4))), targets=1
+        )
+        _, ended_s = entry.serve()
+        assert entry.caller.was_cut and ended_s == pytest.approx(LIMIT_S)
+
+    def test_caller_that_leaves_ends_the_wait(self):
+        entry = Entry(PacedAnswer(head_s=NEVER_S), targets=1)
+        _, ended_s = entry.serve(leaves_s=2.5)
+        assert ended_s == pytest.approx(2.5)
+        assert entry.client.cancelled == 1
+
+
+class TestAnotherTarget:
+    """Another target has room: whichever goes on first serves the caller."""
+
+    def test_dead_target_is_left_for_another(self):
+        dead = PacedAnswer((0.0, events(1, 2)), (NEVER_S, events(3, 4)))
+        entry = Entry(dead, PacedAnswer((0.1, events(3, 4))))
+        refusal, ended_s = entry.serve()
+        assert refusal is None
+        assert_whole(entry)
+        assert ended_s == pytest.approx(STREAM_SILENCE_S + 0.1)
+        assert entry.client.plans[1].resume_after == "2"
+        assert dead.closed
+        assert entry.silences("left") == 1
+
+    def test_silent_target_that_goes_on_first_is_kept(self):
+        spare = PacedAnswer((1.0, events(3, 4)))
+        entry = Entry(PacedAnswer((0.0, events(1, 2)), (SILENT_S, events(3, 4))), spare)
+        _, ended_s = entry.serve()
+        assert_whole(entry)
+        assert ended_s == pytest.approx(SILENT_S)
+        assert len(entry.client.plans) == 2 and spare.closed
+
+    def test_no_event_comes_twice_if_both_go_on_at_once(self):
+        after_s = SILENT_S - STREAM_SILENCE_S
+        first = PacedAnswer(
+            (0.0, events(1, 2)), (SILENT_S, events(3, 3)), (0.1, events(4, 6))
+        )
+        spare = PacedAnswer((after_s, events(3, 4)), (0.1, events(5, 6)))
+        entry = Entry(first, spare)
+        assert entry.serve()[0] is None
+        assert_whole(entry, last=6)
+
+    @pytest.mark.parametrize("partial", [b"id: 3\nda", b""])
+    def test_incomplete_event_of_the_silent_target_is_continued(self, partial):
+        rest = events(3, 3)[len(partial) :]
+        first = PacedAnswer(
+            (0.0, events(1, 2) + partial), (SILENT_S, rest + events(4, 4))
+        )
+        entry = Entry(first, PacedAnswer((NEVER_S, b"")))
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+
+    def test_incomplete_event_is_not_mixed_with_another_target(self):
+        first = PacedAnswer((0.0, events(1, 2) + b"id: 3\nda"), (NEVER_S, b""))
+        entry = Entry(first, PacedAnswer((0.1, events(3, 4))))
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+
+    def test_goes_on_while_the_other_waits_for_its_slot(self):
+        first = PacedAnswer((0.0, events(1, 2)), (SILENT_S, events(3, 4)))
+        entry = Entry(first, wait_s=1.0)
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+        assert len(entry.client.plans) == 1
+
+    def test_is_kept_if_the_other_turns_the_request_away(self):
+        first = PacedAnswer((0.0, events(1, 2)), (SILENT_S, events(3, 4)))
+        entry = Entry(first, PacedAnswer(status=503, not_run=True))
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+
+    def test_is_kept_if_the_other_fails(self):
+        first = PacedAnswer((SILENT_S, events(1, 4)))
+        entry = Entry(first, PacedAnswer(status=500))
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+
+    def test_other_goes_on_if_the_silent_target_breaks_off(self):
+        first = PacedAnswer((0.0, events(1, 2)), (1.8, None))
+        entry = Entry(first, PacedAnswer((1.0, events(3, 4))))
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+
+    def test_room_that_falls_free_later_is_used(self):
+        entry = Entry(
+            PacedAnswer((0.0, events(1, 2)), (NEVER_S, b"")),
+            PacedAnswer((0.1, events(3, 4))),
+            slots=1,
+        )
+
+        async def free_a_slot():
+            await asyncio.sleep(3.0)
+            entry.allocator.slots = 2
+
+        ask = entry.ask
+
+        async def ask_while_a_slot_falls_free():
+            freeing = asyncio.create_task(free_a_slot())
+            result = await ask()
+            await freeing
+            return result
+
+        entry.ask = ask_while_a_slot_falls_free
+        refusal, ended_s = entry.serve()
+        assert refusal is None
+        assert_whole(entry)
+        assert 3.0 < ended_s < 4.0
+
+    def test_second_send_costs_the_retry_budget(self):
+        first = PacedAnswer((0.0, events(1, 2)), (SILENT_S, events(3, 4)))
+        entry = Entry(first, PacedAnswer((NEVER_S, b"")))
+        entry.dispatcher.retry_budget("s").spend = lambda now_s: False
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+        assert len(entry.client.plans) == 1
+
+    def test_idempotent_request_is_answered_by_the_other(self):
+        first = PacedAnswer((0.0, b"late"), head_s=NEVER_S)
+        entry = Entry(first, PacedAnswer((0.0, b"whole")), kind=RouteKind.IDEMPOTENT)
+        refusal, ended_s = entry.serve()
+        assert refusal is None and entry.caller.body == b"whole"
+        assert ended_s == pytest.approx(LIMIT_S / 2)
+
+
+class TestWorkThatRunsOnce:
+    @pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
+    def test_is_never_sent_twice(self, kind):
+        part = events(1, 4) if kind is RouteKind.STREAM else b"whole"
+        answer = PacedAnswer((0.0, part), head_s=5.0)
+        entry = Entry(answer, PacedAnswer(), kind=kind, resumable=False)
+        assert entry.serve()[0] is None
+        assert entry.caller.body == part
+        assert len(entry.client.plans) == 1
+
+
+class TestSoundTarget:
+    """A pause is no failure."""
+
+    def test_is_not_put_aside_after_it_went_on(self):
+        answer = PacedAnswer((0.0, events(1, 2)), (SILENT_S, events(3, 4)))
+        entry = Entry(answer, targets=1)
+        entry.serve()
+        target = entry.registry.targets["i-0"]
+        assert target.failure_rate == 0.0
+        assert not target.wait_s(SILENT_S)
+
+    def test_pause_is_not_taken_for_slow_work(self):
+        observed = []
+        answer = PacedAnswer((0.0, events(1, 2)), (SILENT_S, events(3, 4)))
+        entry = Entry(answer, targets=1)
+        release = entry.allocator.release
+
+        def observe(outcome=None, work=None):
+            observed.append(work)
+            release(outcome, work)
+
+        entry.allocator.release = observe
+        entry.serve()
+        assert [work.took_ms for work in observed] == [0.0]
--- a/tests/test_uneven_engines.py
+++ b/tests/test_uneven_engines.py
@@ -14,7 +14,10 @@
 from tests.test_engine_slots import ENGINE, open_slots, slot_request
 from tests.test_sidecars import play
 from tests.test_slot_admission import EntryLink, make_admission
+from wisteriapulley.direct.exchange import Exchange
 from wisteriapulley.direct.progress import Progress
+from wisteriapulley.direct.registry import Target
+from wisteriapulley.direct.slot_allocation import AllocatedSlot
 from wisteriapulley.direct.types import CallerRequest
 from wisteriapulley.emulator import Fleet, Scenario
 from wisteriapulley.platform.engine import WireReport, decode_report
@@ -143,10 +146,11 @@
         request = CallerRequest("q", "POST", "/", "h", "/", (), b"", "", 0.0, 5.0)
         progress = Progress(request)
         progress.events.feed(events(1, 5))
-        progress.begin_send()
-        progress.events.feed(events(6, 8))
-        progress.waited_s = 0.25
-        assert progress.work == ObservedWork(3, 250.0)
+        target = Target(messages.TargetState("i", "s", "10.0.0.1:80", "z"), 0.0)
+        exchange = Exchange(AllocatedSlot(target, 1, None), progress, 0.0)
+        exchange.events.feed(events(6, 8))
+        exchange.record_part(0.0, 0.25)
+        assert exchange.work == ObservedWork(3, 250.0)
 
     def test_stream_that_broke_off_says_nothing(self, monkeypatch):
         """The next target sends the rest; only that counts."""
