Wait for a silent target without a task for each event

The relay now waits for its target directly. One timer for the whole response looks whether the target is silent. Three sends that are all silent, two that both fail, and an error while a spare is looked for have a test each.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -322,10 +322,10 @@
     ) -> Refusal | None:
         """Send to one target after the other, as often as the route permits."""
         progress = Progress(admitted.request, service, admitted.route.attempts)
-        open_another = functools.partial(self.open_exchange, admitted, progress, answer)
+        open_another = functools.partial(self.open_exchange, admitted, progress)
         refusal: Refusal | None = None
         while progress.has_sends_left:
-            exchange = await self.open_exchange(admitted, progress, answer, refusal)
+            exchange = await self.open_exchange(admitted, progress, refusal)
             if isinstance(exchange, Refusal):
                 return self.final_refusal(admitted, progress, exchange)
             relay = HedgedRelay(self.sender, admitted, progress, answer, open_another)
@@ -340,10 +340,9 @@
         self,
         admitted: Admitted,
         progress: Progress,
-        answer: CallerAnswer,
         refusal: Refusal | None = None,
     ) -> Exchange | Refusal:
-        """Send a request to one more target, or return why it is not sent.
+        """Return an exchange with one more target, or why there is none.
 
         Parameters
         ----------
@@ -351,8 +350,6 @@
             The request.
         progress : Progress
             Its progress.
-        answer : CallerAnswer
-            Its response.
         refusal : Refusal, optional
             Why the target before did not serve it.
         """
@@ -373,7 +370,7 @@
             return refusal or NO_SEND_LEFT
         progress.sends += 1
         self.log_placed(admitted, slot, progress)
-        return self.sender.open(admitted, slot, progress, answer)
+        return self.sender.open(slot, progress)
 
     def log_placed(
         self, admitted: Admitted, slot: AllocatedSlot, progress: Progress
--- a/src/wisteriapulley/direct/exchange.py
+++ b/src/wisteriapulley/direct/exchange.py
@@ -1,6 +1,5 @@
 """One send of a request to a target, and its response so far."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
@@ -70,8 +69,6 @@
         Whether the response broke off, or the target was left for another one.
     closed : bool
         Whether the slot was released.
-    arrival : asyncio.Task
-        Waits for the next arrival.
     """
 
     def __init__(self, slot: AllocatedSlot, progress: Progress, now_s: float):
@@ -91,7 +88,6 @@
         self.was_silent = False
         self.broke_off = False
         self.closed = False
-        self.arrival: asyncio.Task[Arrival] | None = None
 
     @property
     def target(self) -> Target:
@@ -127,15 +123,11 @@
         return int((now_s - since_s) * 1000)
 
     def close(self) -> None:
-        """Stop waiting, close the connection unless it is idle, release the slot."""
+        """Close the connection unless it is idle, and release the slot."""
         if self.closed:
             return
         self.closed = True
         self.progress.open_exchanges -= 1
-        if self.arrival is not None and not self.arrival.cancel():
-            if not self.arrival.cancelled():
-                # Marks an exception as seen.
-                self.arrival.exception()
         if self.response is not None:
             self.response.close()
         self.slot.release(self.outcome, self.work)
--- a/src/wisteriapulley/direct/hedging.py
+++ b/src/wisteriapulley/direct/hedging.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from wisteriapulley.direct.exchange import Exchange
+from wisteriapulley.direct.exchange import Arrival, Exchange
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.sending import Sender
 from wisteriapulley.direct.types import CallerAnswer, Refusal
@@ -16,15 +16,17 @@
 
 # Sends a request to one more target, or returns why there is none.
 OpenExchange = Callable[[], Awaitable[Exchange | Refusal]]
+# An arrival, and the exchange that it comes from.
+Arrived = tuple[Exchange, Arrival]
 
 
 class HedgedRelay:
     """Relays one response to a caller, from the first target that goes on.
 
     The request is at one target as long as that target sends something. When it falls
-    silent, the request is also sent to another one if a send, the retry budget and a
-    slot permit it. The first of them that sends an event or the rest of a body goes on
-    alone, and the others are cancelled.
+    silent, the request is also sent to another one, a spare, if a send, the retry
+    budget and a slot permit it. The first of them that sends an event or the rest of a
+    body goes on alone, and the other is cancelled.
 
     Parameters
     ----------
@@ -41,12 +43,18 @@
 
     Attributes
     ----------
-    exchanges : list of Exchange
-        Exchanges in progress.
-    opening : asyncio.Task or None
-        Looks for one more target.
-    look_at_s : float or None
-        When to look for one, on the loop's clock; None while there is no reason to.
+    exchange : Exchange or None
+        The exchange whose next arrival is waited for.
+    waiting : asyncio.Timeout or None
+        Interrupts the wait for that arrival; None while the entry does not wait.
+    look_timer : asyncio.TimerHandle or None
+        Looks whether the target is silent.
+    look_at_s : float
+        When it is due, on the loop's clock.
+    spare_task : asyncio.Task or None
+        Looks for a spare, and waits until it sends something.
+    spare : HedgedRelay or None
+        Waits for the spare, which may fall silent like any other target.
     """
 
     def __init__(
@@ -62,9 +70,12 @@
         self.progress = progress
         self.answer = answer
         self.open_another = open_another
-        self.exchanges: list[Exchange] = []
-        self.opening: asyncio.Task[Exchange | Refusal] | None = None
-        self.look_at_s: float | None = None
+        self.exchange: Exchange | None = None
+        self.waiting: asyncio.Timeout | None = None
+        self.look_timer: asyncio.TimerHandle | None = None
+        self.look_at_s = 0.0
+        self.spare_task: asyncio.Task[Arrived] | None = None
+        self.spare: HedgedRelay | None = None
 
     def now_s(self) -> float:
         """Return the time of the event loop's clock."""
@@ -79,133 +90,150 @@
             None if the caller has the complete response, else why the last target
             that was left does not serve the request.
         """
-        self.add(exchange)
-        refusal: Refusal | None = None
         try:
             while True:
-                exchange = await self.next_arrived()
-                if exchange is None:
-                    return refusal
-                arrival = exchange.arrival.result()
+                exchange, arrival = await self.next_arrival(exchange)
                 if arrival.refusal is not None:
-                    refusal = arrival.refusal
-                    self.remove(exchange)
-                    continue
-                self.keep_only(exchange)
+                    return arrival.refusal
                 await self.sender.relay(
                     exchange, arrival, self.admitted, self.progress, self.answer
                 )
                 if arrival.ended:
                     return None
-                self.expect_next(exchange)
+                # The time that the caller took to read is not the target's.
+                exchange.waiting_since_s = self.now_s()
         finally:
             self.close()
 
-    # -- waiting ---------------------------------------------------------
+    async def next_arrival(self, exchange: Exchange) -> Arrived:
+        """Return what arrives next, from this target or from a spare.
 
-    async def next_arrived(self) -> Exchange | None:
-        """Return an exchange with an arrival; None if no exchange is left."""
-        while True:
-            for exchange in self.exchanges:
-                if exchange.arrival.done():
-                    return exchange
-            if self.opening is not None and self.opening.done():
-                self.finish_opening()
-                continue
-            waiting = [exchange.arrival for exchange in self.exchanges]
-            if self.opening is not None:
-                waiting.append(self.opening)
-            if not waiting:
-                return None
-            await asyncio.wait(
-                waiting,
-                timeout=self.left_until_look_s(),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            self.look_if_due()
+        Unless it is the final refusal, the exchange that it comes from is the only one
+        that is left.
+        """
+        self.exchange = exchange
+        self.plan_look()
+        arrival: Arrival | None = None
+        try:
+            async with asyncio.timeout(None) as self.waiting:
+                arrival = await self.sender.next_arrival(
+                    exchange, self.admitted, self.progress, self.answer
+                )
+        except TimeoutError:
+            if not self.waiting.expired():
+                raise
+        finally:
+            self.waiting = None
+        if arrival is None:
+            self.sender.record_abandoned(exchange, self.admitted, self.progress)
+            return await self.use_spare()
+        if arrival.refusal is not None:
+            if self.spare is None:
+                return exchange, arrival
+            return await self.use_spare()
+        if exchange.silent_since_s is not None:
+            self.sender.record_resumed(exchange, self.admitted)
+            self.drop_spare()
+        return exchange, arrival
 
-    def expect_next(self, exchange: Exchange) -> None:
-        """Wait for what the target sends next.
+    # -- silence ---------------------------------------------------------
 
-        The time that the caller took to read what came before is not the target's.
-        """
-        exchange.waiting_since_s = self.now_s()
-        self.sender.expect_next(exchange, self.admitted, self.progress, self.answer)
-        self.plan_look(exchange)
-
-    def plan_look(self, exchange: Exchange) -> None:
-        """Set when to look for another target if this one stays silent."""
-        remaining_s = self.admitted.deadline_s - exchange.sent_s
-        limit_s = silence_limit_s(
-            self.admitted.route, remaining_s, self.progress.has_sends_left
+    def silence_limit_s(self) -> float | None:
+        """Return how long the target may be silent; None without a limit."""
+        return silence_limit_s(
+            self.admitted.route,
+            self.admitted.deadline_s - self.exchange.sent_s,
+            self.progress.has_sends_left,
         )
-        self.look_at_s = None if limit_s is None else exchange.waiting_since_s + limit_s
 
-    def left_until_look_s(self) -> float | None:
-        """Return the time until another target is to be looked for."""
-        if self.look_at_s is None or self.opening is not None:
-            return None
-        return max(0.0, self.look_at_s - self.now_s())
+    def plan_look(self) -> None:
+        """Look later whether the target is silent, unless that is planned already."""
+        if self.look_timer is not None or self.spare_task is not None:
+            return
+        limit_s = self.silence_limit_s()
+        if limit_s is not None:
+            self.look_at(self.exchange.waiting_since_s + limit_s)
+
+    def look_at(self, at_s: float) -> None:
+        """Set the timer."""
+        self.look_at_s = at_s
+        self.look_timer = asyncio.get_running_loop().call_at(at_s, self.look)
 
-    def look_if_due(self) -> None:
-        """Look for another target if all are silent for too long.
+    def look(self) -> None:
+        """Look for a spare if the target has been silent for too long.
 
         A process that stood still itself has not read yet what arrived meanwhile.
         """
-        now_s = self.now_s()
-        due = self.look_at_s is not None and now_s >= self.look_at_s
-        if not due or self.opening is not None or not self.exchanges:
-            return
-        if any(exchange.arrival.done() for exchange in self.exchanges):
-            return
-        if now_s > self.look_at_s + MAX_TIMER_DELAY_S:
-            self.look_at_s = now_s + MIN_LOOK_INTERVAL_S
-            return
-        for exchange in self.exchanges:
-            if exchange.fall_silent():
-                self.sender.log_silence("target silent", exchange, self.admitted)
-        self.opening = asyncio.get_running_loop().create_task(self.open_another())
-
-    def finish_opening(self) -> None:
-        """Add the exchange that was opened, or plan the next look."""
-        opened, self.opening = self.opening.result(), None
-        if isinstance(opened, Exchange):
-            self.add(opened)
-        elif self.exchanges:
-            self.look_at_s = self.now_s() + next_look_s(opened.retry_s)
-
-    # -- exchanges -------------------------------------------------------
-
-    def add(self, exchange: Exchange) -> None:
-        """Add an exchange that was opened."""
-        self.exchanges.append(exchange)
-        self.plan_look(exchange)
-
-    def remove(self, exchange: Exchange) -> None:
-        """Close an exchange."""
-        self.exchanges.remove(exchange)
-        exchange.close()
-
-    def keep_only(self, exchange: Exchange) -> None:
-        """Cancel all but the exchange that goes on."""
-        if exchange.silent_since_s is not None:
-            self.sender.record_resumed(exchange, self.admitted)
-        self.cancel_opening()
-        for other in [each for each in self.exchanges if each is not exchange]:
-            if other.silent_since_s is not None:
-                self.sender.record_abandoned(other, self.admitted, self.progress)
-            self.remove(other)
-
-    def cancel_opening(self) -> None:
-        """Stop looking for another target."""
-        opening, self.opening = self.opening, None
-        if opening is None or opening.cancel() or opening.cancelled():
+        self.look_timer = None
+        now_s, limit_s = self.now_s(), self.silence_limit_s()
+        if limit_s is None or self.waiting is None:
+            # The next wait plans the next look.
             return
-        if opening.exception() is None and isinstance(opening.result(), Exchange):
-            opening.result().close()
+        silent_at_s = self.exchange.waiting_since_s + limit_s
+        if now_s < silent_at_s:
+            self.look_at(silent_at_s)
+        elif now_s > self.look_at_s + MAX_TIMER_DELAY_S:
+            self.look_at(now_s + MIN_LOOK_INTERVAL_S)
+        else:
+            self.exchange.fall_silent()
+            self.sender.log_silence("target silent", self.exchange, self.admitted)
+            loop = asyncio.get_running_loop()
+            self.spare_task = loop.create_task(self.run_spare())
+
+    # -- spare -----------------------------------------------------------
+
+    async def run_spare(self) -> Arrived:
+        """Send the request to a spare, and return what arrives from it first.
+
+        Without room for it, this looks again until the silent target goes on.
+        """
+        while True:
+            opened = await self.open_another()
+            if isinstance(opened, Refusal):
+                await asyncio.sleep(next_look_s(opened.retry_s))
+                continue
+            self.spare = HedgedRelay(
+                self.sender,
+                self.admitted,
+                self.progress,
+                self.answer,
+                self.open_another,
+            )
+            exchange, arrival = await self.spare.next_arrival(opened)
+            if arrival.refusal is None:
+                if self.waiting is not None:
+                    self.waiting.reschedule(self.now_s())
+                return exchange, arrival
+            self.spare.close()
+            if self.exchange.closed or not self.progress.has_sends_left:
+                return exchange, arrival
+            self.spare = None
+
+    async def use_spare(self) -> Arrived:
+        """Close the exchange, and go on with the spare."""
+        self.exchange.close()
+        exchange, arrival = await self.spare_task
+        self.exchange = exchange
+        self.spare_task = self.spare = None
+        return exchange, arrival
+
+    def drop_spare(self) -> None:
+        """Stop looking for a spare, or cancel the request there.
+
+        An error in doing so must not end the response of a target that goes on.
+        """
+        task = self.spare_task
+        if task is not None and not task.cancel() and not task.cancelled():
+            self.sender.record_spare_error(task.exception(), self.admitted)
+        if self.spare is not None:
+            self.spare.close()
+        self.spare_task = self.spare = None
 
     def close(self) -> None:
         """Close all exchanges."""
-        self.cancel_opening()
-        for exchange in tuple(self.exchanges):
-            self.remove(exchange)
+        if self.look_timer is not None:
+            self.look_timer.cancel()
+            self.look_timer = None
+        self.drop_spare()
+        if self.exchange is not None:
+            self.exchange.close()
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -73,30 +73,10 @@
         """Return the time of the event loop's clock."""
         return asyncio.get_running_loop().time()
 
-    def open(
-        self,
-        admitted: Admitted,
-        slot: AllocatedSlot,
-        progress: Progress,
-        answer: CallerAnswer,
-    ) -> Exchange:
-        """Begin to send a request to one target."""
+    def open(self, slot: AllocatedSlot, progress: Progress) -> Exchange:
+        """Return the exchange with one target, which has received nothing yet."""
         progress.tried.add(slot.target.target_id)
-        exchange = Exchange(slot, progress, self.now_s())
-        self.expect_next(exchange, admitted, progress, answer)
-        return exchange
-
-    def expect_next(
-        self,
-        exchange: Exchange,
-        admitted: Admitted,
-        progress: Progress,
-        answer: CallerAnswer,
-    ) -> None:
-        """Wait for the next arrival in the background."""
-        exchange.arrival = asyncio.get_running_loop().create_task(
-            self.next_arrival(exchange, admitted, progress, answer)
-        )
+        return Exchange(slot, progress, self.now_s())
 
     async def next_arrival(
         self,
@@ -258,10 +238,6 @@
     async def read_events(self, exchange: Exchange) -> bytes:
         """Return the next complete events; empty at the end of the stream.
 
-        Engines serve a superseded version of the weights until the end of its grace
-        period, and an engine may be slower than its sidecar estimates. A request that
-        has not started by then is dropped, so that none starts on expired weights.
-
         Raises
         ------
         BrokenAnswerError
@@ -271,20 +247,34 @@
         """
         while True:
             begin_s = self.now_s()
-            start_deadline_s = (
-                None if exchange.begun else exchange.slot.start_deadline_s
-            )
             try:
-                async with asyncio.timeout_at(start_deadline_s):
-                    part = await anext(exchange.parts)
+                part = await self.read_part(exchange)
             except StopAsyncIteration:
                 return b""
-            exchange.begun = True
             exchange.record_part(begin_s, self.now_s())
             data = exchange.events.feed(part)
             if data:
                 return data
 
+    async def read_part(self, exchange: Exchange) -> bytes:
+        """Return the next part of a stream.
+
+        Engines serve a superseded version of the weights until the end of its grace
+        period, and an engine may be slower than its sidecar estimates. A request that
+        has not started by then is dropped, so that none starts on expired weights.
+
+        Raises
+        ------
+        StopAsyncIteration
+            The stream has ended.
+        """
+        if exchange.begun:
+            return await anext(exchange.parts)
+        async with asyncio.timeout_at(exchange.slot.start_deadline_s):
+            part = await anext(exchange.parts)
+        exchange.begun = True
+        return part
+
     # -- relaying --------------------------------------------------------
 
     async def relay(
@@ -333,6 +323,19 @@
         self.record_no_response(exchange.slot)
         self.crashes.start_check(admitted, exchange.target, progress)
 
+    def record_spare_error(
+        self, error: BaseException | None, admitted: Admitted
+    ) -> None:
+        """Record an internal error while another target was looked for, if any."""
+        if error is None:
+            return
+        log.error(
+            "no other target because of an internal error",
+            exc_info=error,
+            extra=fields(admitted.request.request_id, admitted.revision),
+        )
+        self.metrics.internal_errors.inc({})
+
     def log_silence(self, message: str, exchange: Exchange, admitted: Admitted) -> None:
         """Log a silence of a target, with its length so far."""
         log.info(
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -103,8 +103,11 @@
 
     def __init__(self, *answers, targets=2, kind=RouteKind.STREAM, **options):
         self.route = Route(
-            "r", "h", "/", kind, (Split("s", 1),), int(LIMIT_S * 1000), 400, 400, 1, 2
-        )._replace(resumable=options.pop("resumable", True))
+            "r", "h", "/", kind, (Split("s", 1),), int(LIMIT_S * 1000), 400, 400, 1
+        )._replace(
+            resumable=options.pop("resumable", True),
+            attempts=options.pop("attempts", 2),
+        )
         self.registry = TargetRegistry()
         self.registry.update(
             [
@@ -316,6 +319,57 @@
         assert refusal is None and entry.caller.body == b"whole"
         assert ended_s == pytest.approx(LIMIT_S / 2)
 
+    def test_third_target_is_tried_if_two_are_silent(self):
+        dead = [PacedAnswer((0.0, events(1, 2)), (NEVER_S, b"")) for _ in range(2)]
+        dead[1].steps = dead[1].steps[1:]
+        entry = Entry(
+            *dead,
+            PacedAnswer((0.1, events(3, 4))),
+            targets=3,
+            slots=3,
+            attempts=3,
+        )
+        entry.dispatcher.retry_budget("s").slack = 100.0
+        refusal, ended_s = entry.serve()
+        assert refusal is None
+        assert_whole(entry)
+        assert ended_s == pytest.approx(2 * STREAM_SILENCE_S + 0.1)
+        assert dead[0].closed and dead[1].closed
+
+    def test_first_of_three_goes_on(self):
+        first = PacedAnswer((0.0, events(1, 2)), (4.0, events(3, 4)))
+        dead = [PacedAnswer((NEVER_S, b"")) for _ in range(2)]
+        entry = Entry(first, *dead, targets=3, slots=3, attempts=3)
+        entry.dispatcher.retry_budget("s").slack = 100.0
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+        assert len(entry.client.plans) == 3
+        assert all(answer.closed for answer in dead)
+
+    def test_request_is_refused_if_both_fail(self):
+        first = PacedAnswer((1.8, None))
+        entry = Entry(first, PacedAnswer((1.0, None)))
+        refusal, ended_s = entry.serve()
+        assert refusal.kind is RefusalKind.FAILED
+        assert ended_s == pytest.approx(STREAM_SILENCE_S + 1.0)
+
+    def test_internal_error_of_the_search_ends_no_answer(self, caplog):
+        first = PacedAnswer((0.0, events(1, 2)), (SILENT_S, events(3, 4)))
+        entry = Entry(first)
+        allocate = entry.allocator.allocate
+
+        async def fail_at_the_second(admitted, service, engine, tried, *options):
+            if tried:
+                raise KeyError("unexpected")
+            return await allocate(admitted, service, engine, tried, *options)
+
+        entry.allocator.allocate = fail_at_the_second
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+        (record,) = [each for each in caplog.records if each.levelname == "ERROR"]
+        assert record.request_id == "id"
+        assert entry.dispatcher.metrics.internal_errors.get({}) == 1
+
 
 class TestWorkThatRunsOnce:
     @pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
