Log a target that was not reached, and a spent retry budget

A request that crashes targets crashed two with three sends instead of three, and the logs of the entry could not tell why. `placed` names the target of each send, but a send that reached no target left a line only in the final `refused`, without the target's name, and a refusal never said that there was no second send because the retry budget was spent.

`target unreachable` now names the target and how long this entry sends it nothing; `retry budget spent` names the requests and retries in the budget's window.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -367,6 +367,7 @@
         budget = self.retry_budget(progress.service)
         if progress.sends and not budget.spend(self.now_s()):
             slot.release()
+            self.log_no_budget(admitted, progress, budget)
             return refusal or NO_SEND_LEFT
         progress.sends += 1
         self.log_placed(admitted, slot, progress)
@@ -401,6 +402,22 @@
             ),
         )
 
+    def log_no_budget(
+        self, admitted: Admitted, progress: Progress, budget: SharedRetryBudget
+    ) -> None:
+        """Log that the retry budget permits no further send of a request."""
+        log.info(
+            "retry budget spent",
+            extra=fields(
+                admitted.request.request_id,
+                admitted.revision,
+                service=progress.service,
+                sends=progress.sends,
+                requests=len(budget.requests),
+                retries=len(budget.retries),
+            ),
+        )
+
     async def allocate_slot(
         self, admitted: Admitted, progress: Progress
     ) -> AllocatedSlot | Refusal:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -118,6 +118,7 @@
                 response = await self.client.send(admitted.request, plan)
         except NotSentError as error:
             target.record_unreachable(self.now_s())
+            self.log_unreachable(admitted, target, error)
             reason = f"target unreachable: {error}"
             return Refusal(RefusalKind.UNAVAILABLE, UNREACHABLE_RETRY_S, reason)
         except (BrokenAnswerError, TimeoutError) as error:
@@ -390,6 +391,22 @@
             ),
         )
 
+    def log_unreachable(
+        self, admitted: Admitted, target: Target, error: Exception
+    ) -> None:
+        """Log that a request could not be sent, and when the target is next asked."""
+        left_s = target.unreachable_until_s - self.now_s()
+        log.info(
+            "target unreachable",
+            extra=fields(
+                admitted.request.request_id,
+                target=target.target_id,
+                address=target.address,
+                backoff_ms=int(left_s * 1000),
+                reason=str(error),
+            ),
+        )
+
     def log_no_response(
         self, admitted: Admitted, exchange: Exchange, error: Exception
     ) -> None:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -10,7 +10,7 @@
 from wisteriapulley.direct.liveness import Liveness
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.registry import Target
-from wisteriapulley.direct.types import CallerRequest, RefusalKind
+from wisteriapulley.direct.types import CallerRequest, NotSentError, RefusalKind
 from wisteriapulley.policy import shared_budget
 from wisteriapulley.routing import Account, Route, RouteKind, Split
 from wisteriapulley.wire.messages import TargetState
@@ -35,8 +35,8 @@
     return Target(state, 0.0)
 
 
-def lines(caplog):
-    return [r for r in caplog.records if r.message == "target ended under request"]
+def lines(caplog, message="target ended under request"):
+    return [r for r in caplog.records if r.message == message]
 
 
 class TestCrashTracker:
@@ -155,3 +155,23 @@
         refusal, caller, client = serve(*broken, complete, attempts=5, targets=5)
         assert refusal is None and caller.ended
         assert len(client.plans) == 5
+
+
+class TestLogsOfSends:
+    """They tell where a request was sent, and why it was not sent again."""
+
+    @pytest.fixture(autouse=True)
+    def info(self, caplog):
+        caplog.set_level(logging.INFO)
+
+    def test_name_the_target_that_was_not_reached(self, caplog):
+        serve(NotSentError("refused"), FakeAnswer([b""]))
+        (line,) = lines(caplog, "target unreachable")
+        assert (line.request_id, line.target, line.reason) == ("id", "i-0", "refused")
+        assert line.backoff_ms > 0
+
+    def test_name_the_spent_retry_budget(self, caplog):
+        serve(*(NotSentError("refused") for _ in range(3)), attempts=3)
+        (line,) = lines(caplog, "retry budget spent")
+        assert (line.request_id, line.sends) == ("id", 2)
+        assert (line.requests, line.retries) == (1, 1)
