Send nothing more to a target that was found to have exited

Callers met a target that their entry had just found to have exited: their send reached nothing, and where the retry budget was spent they got 503 `target unreachable` although ten other targets were sound. In the test that sends a crashing request three times while the control instance is away, two such sends left two crashed targets instead of three.

Timeline of such a play: the first request crashes i-9, is sent again and crashes i-10; a crash check finds within 1 ms that each refuses connections; the retry budget of the window is spent. 3 ms later the second request is sent to i-9, the third to i-10: both `target unreachable`, and neither may be sent again.

Cause: the result of the crash check counted against the request only. The target itself stayed a candidate until a connection of another request failed, or until its heartbeats ran out, which without a control instance they never do.

A target whose crash check is positive now starts the same backoff as one that could not be connected to, once for all requests that were in flight there.

--- a/src/wisteriapulley/direct/crashes.py
+++ b/src/wisteriapulley/direct/crashes.py
@@ -105,9 +105,10 @@
     async def record_if_crashed(
         self, admitted: Admitted, target: Target, progress: Progress
     ) -> None:
-        """Record a request if its target has crashed."""
+        """Record a request if its target has crashed, and put the target aside."""
         if not await self.liveness.has_ended(target):
             return
+        self.put_aside(target)
         digest = self.fingerprint(admitted, progress)
         record = self.suspects.record_crash(digest, target.incarnation, steady_s())
         self.schedule_update(digest)
@@ -125,6 +126,15 @@
             ),
         )
 
+    def put_aside(self, target: Target) -> None:
+        """Start the backoff of a target that refuses connections.
+
+        All requests that were in flight there find it out at the same time.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= target.unreachable_until_s:
+            target.record_unreachable(now_s)
+
     def record_answered(self, admitted: Admitted, progress: Progress) -> None:
         """Clear a request that a target completed."""
         if not self.suspects.records:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -4,15 +4,39 @@
 import logging
 
 import pytest
-
-from tests.test_direct_dispatch import FakeAnswer, crash_tracker, events, serve
+from bench.turned_away import VirtualLoop
+
+from tests.test_direct_dispatch import (
+    SETTINGS,
+    FakeAllocator,
+    FakeAnswer,
+    FakeCaller,
+    crash_tracker,
+    events,
+    serve,
+)
 from wisteriapulley.direct.crashes import UPDATE_BATCH_S, CrashTracker
+from wisteriapulley.direct.dispatch import Dispatcher
 from wisteriapulley.direct.liveness import Liveness
 from wisteriapulley.direct.progress import Admitted, Progress
-from wisteriapulley.direct.registry import Target
-from wisteriapulley.direct.types import CallerRequest, NotSentError, RefusalKind
+from wisteriapulley.direct.registry import INITIAL_BACKOFF_S, Target, TargetRegistry
+from wisteriapulley.direct.types import (
+    BrokenAnswerError,
+    CallerRequest,
+    NotSentError,
+    RefusalKind,
+)
+from wisteriapulley.entry.metrics import EntryMetrics
+from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy import shared_budget
-from wisteriapulley.routing import Account, Route, RouteKind, Split
+from wisteriapulley.routing import (
+    Account,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    Split,
+)
 from wisteriapulley.wire.messages import TargetState
 
 ROUTE = Route("r", "h", "/", RouteKind.STREAM, (Split("s", 1),), 6000, 400, 400, 1, 2)
@@ -135,6 +159,76 @@
         asyncio.run(run())
 
 
+class CrashingClient:
+    """Targets that the request crashes; a crashed target refuses connections.
+
+    Attributes
+    ----------
+    crashed : list of str
+        Ids of the crashed targets, in order.
+    """
+
+    def __init__(self):
+        self.crashed = []
+
+    async def send(self, request, plan):
+        if plan.target_id in self.crashed:
+            raise NotSentError("refused")
+        self.crashed.append(plan.target_id)
+        raise BrokenAnswerError("disconnected")
+
+
+class TestCrashedTarget:
+    """A target that a crash check found to have exited."""
+
+    @pytest.mark.parametrize("crashed", [True, False])
+    def test_is_put_aside(self, crashed):
+        async def run():
+            at = target()
+            await broke_off(crash_tracker(crashed), admitted(), at)
+            now_s = asyncio.get_running_loop().time()
+            assert bool(at.wait_s(now_s)) == crashed
+
+        asyncio.run(run())
+
+    def test_starts_one_backoff_for_all_its_requests(self):
+        async def run():
+            crashes, at = crash_tracker(crashed=True), target()
+            requests = (admitted(b"%d" % number) for number in range(16))
+            await asyncio.gather(*(broke_off(crashes, each, at) for each in requests))
+            assert at.backoff_s == 2 * INITIAL_BACKOFF_S
+
+        asyncio.run(run())
+
+    def test_is_not_sent_the_next_requests(self):
+        """Three sends crash three targets, although only one may be sent again."""
+        registry, client = TargetRegistry(), CrashingClient()
+        states = (
+            TargetState(f"i-{n}", "s", f"10.0.0.{n}:80", "z", sequence=1)
+            for n in range(4)
+        )
+        registry.update(states, 0.0)
+        dispatcher = Dispatcher(
+            SETTINGS,
+            registry,
+            FakeAllocator(registry),
+            client,
+            EntryMetrics(Metrics("e", "entry")),
+            crash_tracker(crashed=True),
+        )
+        route = ROUTE._replace(kind=RouteKind.IDEMPOTENT)
+        account = Account("a", ("key-1",))
+        dispatcher.set_table(RoutingTable(1, (route,), (Service("s"),), (account,)))
+
+        async def run():
+            for _ in range(3):
+                await dispatcher.serve(admitted().request, FakeCaller())
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            runner.run(run())
+        assert client.crashed == ["i-0", "i-1", "i-2"]
+
+
 class TestQuarantined:
     """A stream that breaks off at one target after another."""
 
