Suspect no request of crashing a target that the entry itself left

It takes a silent target that is left for another one, or one where the request could no longer start on its version of the weights, and that exits as planned within 0.4 s: each is counted as crashed by the request.

Cause: closing a connection from here started a crash check, which takes a refused connection as the end of the process that the request was at. But such a target has not broken off anything. A process that ends closes its connections, so a crash shows on a connection that is still open, and is checked for there.

Evidence: a hundred targets that stand still at once, each with the same request, answered by another target each, and then refuse connections. All callers had their whole answers, and the request was quarantined with the most targets that a record holds. The start deadline made a record of its own. Both tests failed before; a hundred that go on made no suspects before either.

Only a response that the target broke off starts a crash check now. A request whose start deadline passed also goes to the next target without waiting for the check.

--- a/src/wisteriapulley/direct/crashes.py
+++ b/src/wisteriapulley/direct/crashes.py
@@ -80,27 +80,16 @@
     ) -> None:
         """Check whether a target crashed while it ran a request.
 
-        A check that takes longer than `CRASH_CHECK_WAIT_S` continues, and its result
-        is still recorded.
-        """
-        task = self.start_check(admitted, target, progress)
-        if task is not None:
-            await asyncio.wait({task}, timeout=CRASH_CHECK_WAIT_S)
-
-    def start_check(
-        self, admitted: Admitted, target: Target, progress: Progress
-    ) -> asyncio.Task | None:
-        """Begin to check whether a target crashed while it ran a request.
-
-        A target that announced that it is leaving exits as planned.
+        A target that announced that it is leaving exits as planned. A check that takes
+        longer than `CRASH_CHECK_WAIT_S` continues, and its result is still recorded.
         """
         if target.is_leaving:
-            return None
+            return
         loop = asyncio.get_running_loop()
         task = loop.create_task(self.record_if_crashed(admitted, target, progress))
         self.checks.add(task)
         task.add_done_callback(self.checks.discard)
-        return task
+        await asyncio.wait({task}, timeout=CRASH_CHECK_WAIT_S)
 
     async def record_if_crashed(
         self, admitted: Admitted, target: Target, progress: Progress
--- a/src/wisteriapulley/direct/hedging.py
+++ b/src/wisteriapulley/direct/hedging.py
@@ -125,7 +125,7 @@
         finally:
             self.waiting = None
         if arrival is None:
-            self.sender.record_abandoned(exchange, self.admitted, self.progress)
+            self.sender.record_abandoned(exchange, self.admitted)
             return await self.use_spare()
         if arrival.refusal is not None:
             if self.spare is None:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -125,7 +125,7 @@
             progress.may_have_run = True
             self.log_no_response(admitted, exchange, error)
             self.record_no_response(slot)
-            await self.crashes.check_for_crash(admitted, target, progress)
+            await self.check_for_crash(admitted, target, progress, error)
             return Refusal(
                 RefusalKind.FAILED, reason=f"no response from target: {error!r}"
             )
@@ -145,6 +145,17 @@
         if slot.start_deadline_s is None or self.now_s() < slot.start_deadline_s:
             self.registry.record_outcome(slot.target, True, self.now_s())
 
+    async def check_for_crash(
+        self, admitted: Admitted, target: Target, progress: Progress, error: Exception
+    ) -> None:
+        """Check whether a target that broke off a response has crashed.
+
+        After a timeout the entry itself closes the connection. That tells nothing of
+        the target, which may be exiting as planned.
+        """
+        if isinstance(error, BrokenAnswerError):
+            await self.crashes.check_for_crash(admitted, target, progress)
+
     def check_head(
         self,
         exchange: Exchange,
@@ -226,7 +237,7 @@
             exchange.broke_off = True
             self.record_no_response(exchange.slot)
             self.log_broken_stream(admitted, exchange, error)
-            await self.crashes.check_for_crash(admitted, exchange.target, progress)
+            await self.check_for_crash(admitted, exchange.target, progress, error)
             reason = "stream broke off"
             return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
         if data:
@@ -314,15 +325,12 @@
         exchange.silent_since_s = None
         self.metrics.record_silence("went_on")
 
-    def record_abandoned(
-        self, exchange: Exchange, admitted: Admitted, progress: Progress
-    ) -> None:
+    def record_abandoned(self, exchange: Exchange, admitted: Admitted) -> None:
         """Record that another target went on while this one was still silent."""
         exchange.broke_off = True
         self.log_silence("silent target left", exchange, admitted)
         self.metrics.record_silence("left")
         self.record_no_response(exchange.slot)
-        self.crashes.start_check(admitted, exchange.target, progress)
 
     def record_spare_error(
         self, error: BaseException | None, admitted: Admitted
