Test that a process that stands still does not count as exited

The crash check probes a listener with a connection. For a process that stands still the kernel accepts it, and with a full accept queue it drops it, so that connecting takes too long; neither is a refusal.

--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -1,6 +1,8 @@
 """Distinction of an exited target from a lost connection."""
 
 import asyncio
+import contextlib
+import socket
 
 from tests.fleet import free_port
 from wisteriapulley.direct.liveness import Liveness, refuses_connections
@@ -13,6 +15,20 @@
     return Target(TargetState(f"i-{number}", "s", address, "z", **more), 0.0)
 
 
+# More connections than the accept queue of `standing_listener` has room for.
+QUEUED = 8
+
+
+def standing_listener():
+    """Return a listener that accepts nothing, with a short accept queue."""
+    return socket.create_server(("127.0.0.1", 0), backlog=1)
+
+
+def address_of(listener):
+    host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
 class TestRefusesConnections:
     def test_port_without_listener(self):
         address = f"127.0.0.1:{free_port()}"
@@ -27,6 +43,20 @@
 
         assert not asyncio.run(run())
 
+    def test_process_that_stands_still(self):
+        """The kernel accepts connections for it."""
+        with standing_listener() as listener:
+            assert not asyncio.run(refuses_connections(address_of(listener)))
+
+    def test_process_that_stands_still_with_a_full_accept_queue(self):
+        """The kernel drops what it can't queue, so connecting takes too long."""
+        with standing_listener() as listener, contextlib.ExitStack() as stack:
+            for _ in range(QUEUED):
+                queued = stack.enter_context(socket.socket())
+                queued.setblocking(False)
+                queued.connect_ex(listener.getsockname())
+            assert not asyncio.run(refuses_connections(address_of(listener)))
+
     def test_invalid_address(self):
         assert not asyncio.run(refuses_connections("nowhere"))
 
