Leave room for a pause of the engine before a version's end

Callers saw requests begin on a superseded version of the weights some time after its end. A request begins with its first event. It was granted until the event was expected 250 ms before the end, and dropped by its entry 100 ms before it. A sound engine that stands still for a second in between reads neither the closed connection nor anything else, and begins what it had read when it goes on.

Requests now start on a superseded version only until 1.2 s before its end, at sidecars and entries alike (PAUSE_ALLOWANCE_MS in policy/version_end.py). The last engine switches 1.45 s before the end, when it would grant no more slots.

--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -21,6 +21,7 @@
 from wisteriapulley.policy.return_queue import late_wait_ms
 from wisteriapulley.policy.slot_requests import NOTHING_OBSERVED, ObservedWork
 from wisteriapulley.policy.target_ranking import EntryLocation, Load, rank_targets
+from wisteriapulley.policy.version_end import start_left_ms
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine, RoutingTable
 from wisteriapulley.routing.homes import describe_homes
@@ -53,12 +54,12 @@
 # Retry time of a refused caller when no target tells when it accepts a request again.
 DEFAULT_RETRY_S = 0.25
 # Without a sidecar's estimate, no request is sent to a superseded version this long
-# before the end of its grace period. A request starts with its first token, not when
-# it is sent, and a busy engine takes most of an objective to produce that token.
+# before requests may no longer start on it. A request starts with its first token, not
+# when it is sent, and a busy engine takes most of an objective to produce that token.
 WITHOUT_SIDECAR_MARGIN_MS = 900.0
-# A request that has not started is dropped this long before the end of the grace
-# period. The connection close takes some milliseconds to reach the target, more over
-# a slow link, and the update about the newer version took as long to arrive here.
+# A request that has not started is dropped this long before it may no longer start.
+# The connection close takes some milliseconds to reach the target, more over a slow
+# link, and the update about the newer version took as long to arrive here.
 VERSION_END_MARGIN_MS = 100.0
 
 
@@ -525,7 +526,8 @@
         superseded_s = self.follower.versions.superseded_at(model, version)
         if superseded_s is None:
             return None
-        return self.settings.old_version_ms - (steady_s() - superseded_s) * 1000
+        superseded_for_ms = (steady_s() - superseded_s) * 1000
+        return start_left_ms(superseded_for_ms, self.settings.old_version_ms)
 
 
 def plain_load(target: Target, now_s: float) -> Load:
--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -41,6 +41,7 @@
     SlotRequest,
 )
 from wisteriapulley.policy.target_speed import TargetSpeed
+from wisteriapulley.policy.version_end import BEGIN_MARGIN_MS
 from wisteriapulley.routing import Engine
 
 __all__ = [
@@ -54,11 +55,6 @@
 
 # A planned change of weights waits up to this long for running requests.
 MAX_OVERRUN_MS = 800.0
-# Superseded weights may start requests only until the end of their grace period. A
-# request is granted only if its first event is expected this long before that end. The
-# margin covers the network and the error of the estimate; a request that is late
-# nevertheless is dropped by its entry in time.
-BEGIN_MARGIN_MS = 250.0
 # An engine that is not open this long after its announced time counts as closed. Those
 # who wait for it are denied, while they can still be offered elsewhere.
 OVERDUE_OPENING_MS = 500.0
@@ -94,8 +90,8 @@
         # When admission is expected to open: the engine is loading, and no running
         # request delays the load.
         self.opens_at_ms: float | None = None
-        # End of the grace period of the engine's current weights, if superseded: no
-        # request may begin on them after that.
+        # Until when requests may start on the engine's current weights, if these are
+        # superseded; see `policy.version_end`.
         self.weights_end_ms: float | None = None
         # Advertised rates, and the incarnation that the last slot request was for.
         self.rate_limits = RateLimits()
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -14,6 +14,7 @@
 from wisteriapulley.logs import fields, lines_lost
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy.target_speed import USUAL_PACE
+from wisteriapulley.policy.version_end import start_left_ms
 from wisteriapulley.rollout.admission import SlotAdmission
 from wisteriapulley.rollout.cold_engine import ColdEngine
 from wisteriapulley.rollout.engine import EngineClient, EngineReport
@@ -260,4 +261,6 @@
     def serving_left_ms(self) -> float | None:
         """Return how long requests may start on the held version; None if unlimited."""
         age_ms = self.state.superseded_for_ms()
-        return None if age_ms is None else self.settings.old_version_ms - age_ms
+        if age_ms is None:
+            return None
+        return start_left_ms(age_ms, self.settings.old_version_ms)
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -106,13 +106,17 @@
 
 
 class Origin(Listener):
-    """Serves weights; each of `corrupt_positions` is sent corrupted once."""
+    """Serves weights; each of `corrupt_positions` is sent corrupted once.
+
+    Pieces of `withheld_version` never arrive.
+    """
 
     def __init__(self, chunks=8, chunk_bytes=20000):
         super().__init__()
         self.chunks, self.chunk_bytes = chunks, chunk_bytes
         self.newest_version = 1
         self.corrupt_positions = set()
+        self.withheld_version = 0
         self.pieces_sent = 0
         self.app.add_routes(
             [
@@ -142,6 +146,8 @@
         )
 
     async def piece(self, request):
+        if int(request.query["version"]) == self.withheld_version:
+            await asyncio.Event().wait()
         self.pieces_sent += 1
         position = int(request.query["quantity"])
         data = self.piece_bytes(int(request.query["version"]), position)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -44,7 +44,7 @@
 machines = 0
 [bounds]
 grace-period-s = 3
-version_ms = 8000
+version_ms = {more.get("version_ms", 8000)}
 """
     path = Path(folder) / f"settings-{host}.toml"
     path.write_text(text)
@@ -54,8 +54,9 @@
 class PlatformFleet:
     """One control instance, one entry, one sidecar, an engine and an origin."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, version_ms=8000):
         self.folder = folder
+        self.version_ms = version_ms
         (self.host,) = free_hosts(1)
         self.base = free_port()
         self.origin = Origin()
@@ -70,7 +71,11 @@
         await self.origin.start()
         await self.engine.start(self.host)
         own = settings_file(
-            str(self.folder), self.host, self.base, app=self.engine.address
+            str(self.folder),
+            self.host,
+            self.base,
+            app=self.engine.address,
+            version_ms=self.version_ms,
         )
         self.control = new_control(own, str(key))
         self.sidecar = new_sidecar(own, str(key))
@@ -162,9 +167,9 @@
         await self.until(check)
 
 
-def run_scenario(tmp_path, scenario):
+def run_scenario(tmp_path, scenario, **options):
     async def run():
-        path = PlatformFleet(tmp_path)
+        path = PlatformFleet(tmp_path, **options)
         try:
             await path.start()
             await path.post_until_accepted(
@@ -296,3 +301,59 @@
             await path.wait_served()
 
         run_scenario(tmp_path, scenario)
+
+
+class StallClock:
+    """Measures the longest stall of the loop, which all parts of a test share."""
+
+    INTERVAL_S = 0.01
+
+    def __init__(self):
+        self.longest_s = 0.0
+
+    async def run(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + self.INTERVAL_S
+            await asyncio.sleep(self.INTERVAL_S)
+            self.longest_s = max(self.longest_s, loop.time() - due_s)
+
+
+class TestVersionEnd:
+    """The newer version never arrives, and the engine stands still across the end."""
+
+    VERSION_S = 3.0
+    PAUSE_AFTER_S = 0.6
+
+    @pytest.mark.parametrize("before_s", [0.5, 1.0])
+    def test_no_request_begins_after_the_end(self, tmp_path, before_s):
+        async def scenario(path):
+            loop = asyncio.get_running_loop()
+            stalls = StallClock()
+            path.origin.withheld_version = 2
+            order = b'{"model":"model","version":2}'
+            await path.post_until_accepted(names.WEIGHTS_CALL, order)
+            end_s = loop.time() + self.VERSION_S
+            path.engine.begun.clear()
+            tasks = [
+                asyncio.create_task(stalls.run()),
+                asyncio.create_task(self.pause(path.engine, end_s, before_s)),
+            ]
+            asked = []
+            while loop.time() < end_s + 1:
+                asked.append(asyncio.create_task(path.ask(id=f"q{len(asked)}")))
+                await asyncio.sleep(0.05)
+            await asyncio.gather(*asked, return_exceptions=True)
+            for task in tasks:
+                task.cancel()
+            assert path.engine.begun
+            assert {version for _, version in path.engine.begun} == {1}
+            late_s = max(at_s for at_s, _ in path.engine.begun) - end_s
+            assert late_s <= stalls.longest_s
+
+        run_scenario(tmp_path, scenario, version_ms=int(self.VERSION_S * 1000))
+
+    async def pause(self, engine, end_s, before_s):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(end_s - before_s - loop.time())
+        await engine.fall_silent(before_s + self.PAUSE_AFTER_S)
--- /dev/null
+++ b/tests/test_version_end.py
@@ -0,0 +1,223 @@
+"""The end of a superseded version, at engines that stand still and go on."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from bench.turned_away import VirtualLoop, VirtualSidecars
+
+from tests.test_direct_dispatch import SETTINGS, FakeCaller, crash_tracker, events
+from tests.test_evacuated_engine import ENGINE, name_version, new_service
+from tests.test_silent_targets import PacedAnswer
+from wisteriapulley.direct.dispatch import Dispatcher
+from wisteriapulley.direct.registry import TargetRegistry
+from wisteriapulley.direct.slot_allocation import SlotAllocator
+from wisteriapulley.direct.types import CallerRequest
+from wisteriapulley.entry.metrics import EntryMetrics
+from wisteriapulley.metrics import Metrics
+from wisteriapulley.policy.engine_slots import EngineSlots, SlotRequest
+from wisteriapulley.policy.target_ranking import Load
+from wisteriapulley.policy.version_end import PAUSE_ALLOWANCE_MS, start_left_ms
+from wisteriapulley.rollout.switch_order import SwitchRank, switch_due_ms
+from wisteriapulley.routing import Route, RouteKind, RoutingTable, Service, Split
+from wisteriapulley.weights.desired_versions import DesiredVersions
+from wisteriapulley.wire.handshake import Identity
+from wisteriapulley.wire.messages import TargetState
+
+END_S = SETTINGS.old_version_ms / 1000
+# A sound engine stands still for a second or so.
+PAUSE_S = 1.0
+REQUEST_INTERVAL_S = 0.05
+POLL_INTERVAL_S = 0.4
+ROUTE = Route(
+    "r", "h", "/", RouteKind.STREAM, (Split("s", 1),), 6000, 400, 400, 1, 2
+)._replace(resumable=True)
+
+
+class OneSidecar(VirtualSidecars):
+    """Sidecar of the only engine; there may be no link to it."""
+
+    def __init__(self, admission, linked):
+        super().__init__("e", {"i-1": admission} if linked else {})
+        self.admission = admission
+
+    def is_available(self, target):
+        return self.admission.slots.open
+
+    def is_open(self, target):
+        return self.is_available(target)
+
+    def load_of(self, target, now_s):
+        return Load(target.outstanding, target.slots)
+
+
+class PausingEngine:
+    """An engine that stands still once, in `pause`: from, until.
+
+    While it stands still it does not see that a connection is closed. A request that
+    it has read begins when it goes on; one that arrives meanwhile is read then.
+    """
+
+    def __init__(self, pause, first_event_s):
+        self.pause, self.first_event_s = pause, first_event_s
+        self.begun_s, self.sent = [], 0
+
+    def is_silent(self, at_s):
+        return self.pause[0] <= at_s < self.pause[1]
+
+    async def send(self, request, plan):
+        """Serve a request of an entry."""
+        loop = asyncio.get_running_loop()
+        self.sent += 1
+        begins_s = loop.time() + self.first_event_s
+        if self.is_silent(loop.time()) or self.is_silent(begins_s):
+            begins_s = self.pause[1]
+        try:
+            await asyncio.sleep(begins_s - loop.time())
+        except asyncio.CancelledError:
+            if self.is_silent(loop.time()):
+                self.begun_s.append(begins_s)
+            raise
+        self.begun_s.append(begins_s)
+        return PacedAnswer((0.0, events(1, 2)), (0.05, events(3, 4)))
+
+
+class VersionEnd:
+    """An entry, a sidecar and an engine whose version is superseded at 0 s.
+
+    The newer version never arrives.
+
+    Parameters
+    ----------
+    folder : Path
+        For the settings of the sidecar.
+    engine : PausingEngine
+        The engine.
+    entry_knows : bool
+        Whether the entry has heard of the newer version.
+    linked : bool
+        Whether the entry has a link to the sidecar.
+    """
+
+    def __init__(self, folder, engine, entry_knows=True, linked=True):
+        self.engine = engine
+        self.sidecar = new_service(folder)
+        name_version(self.sidecar, 2)
+        self.sidecar.admission.slots.engine = ENGINE
+        registry = TargetRegistry()
+        state = TargetState("i-1", "s", "10.0.0.1:80", "z", sequence=1, slots=16)
+        registry.update([state._replace(version=1)], 0.0)
+        versions = DesiredVersions()
+        versions.record("m", 1, -60.0)
+        if entry_knows:
+            versions.record("m", 2, 0.0)
+        follower = SimpleNamespace(versions=versions, open_links=list)
+        identity = Identity("e", "entry", "z", 1, b"k" * 40)
+        allocator = SlotAllocator(SETTINGS, identity, registry, follower)
+        allocator.sidecars = OneSidecar(self.sidecar.admission, linked)
+        self.entry = Dispatcher(
+            SETTINGS,
+            registry,
+            allocator,
+            engine,
+            EntryMetrics(Metrics("e", "entry")),
+            crash_tracker(),
+        )
+        service = Service("s", engine=ENGINE)
+        self.entry.set_table(RoutingTable(1, (ROUTE,), (service,)))
+
+    async def poll(self):
+        while True:
+            self.sidecar.update_admission()
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def ask(self, number):
+        now_s = asyncio.get_running_loop().time()
+        request = CallerRequest(
+            f"q{number}", "POST", "/x", "h", "/x", (), b"", "", now_s, 6.0, 100, 10
+        )
+        await self.entry.serve(request, FakeCaller())
+
+    async def play(self):
+        """Send requests until after the end; return when they began after it."""
+        loop = asyncio.get_running_loop()
+        tasks = [
+            loop.create_task(self.poll()),
+            loop.create_task(self.sidecar.admission.advance_loop()),
+        ]
+        asked = []
+        while loop.time() < END_S + 1:
+            asked.append(loop.create_task(self.ask(len(asked))))
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+        await asyncio.gather(*asked)
+        for task in tasks:
+            task.cancel()
+        return [round(at_s - END_S, 3) for at_s in self.engine.begun_s if at_s > END_S]
+
+
+@pytest.fixture
+def play(tmp_path, monkeypatch):
+    """Play the end of a version on a virtual clock."""
+
+    def loop_time_s():
+        return asyncio.get_running_loop().time()
+
+    for module in ("direct.slot_allocation", "rollout.state", "control.following"):
+        monkeypatch.setattr(f"wisteriapulley.{module}.steady_s", loop_time_s)
+
+    def run(before_s, pause_s=PAUSE_S, first_event_s=0.03, **options):
+        starts_s = END_S - before_s
+
+        async def scenario():
+            engine = PausingEngine((starts_s, starts_s + pause_s), first_event_s)
+            return await VersionEnd(tmp_path, engine, **options).play(), engine
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            late, engine = runner.run(scenario())
+        # The version serves until shortly before its end.
+        assert max(at_s for at_s in engine.begun_s if at_s <= END_S) > END_S / 2
+        return late
+
+    return run
+
+
+# From how long before the end on the engine stands still.
+BEFORE_S = [0.05, 0.15, 0.3, 0.5, 0.7, 0.9, 0.99]
+
+
+class TestPauseAcrossTheEnd:
+    """No request begins after the end at an engine that stood still across it."""
+
+    @pytest.mark.parametrize("before_s", BEFORE_S)
+    def test_granted_request_does_not_begin_late(self, play, before_s):
+        assert play(before_s) == []
+
+    @pytest.mark.parametrize("before_s", BEFORE_S)
+    def test_entry_that_has_not_heard_of_the_newer_version(self, play, before_s):
+        assert play(before_s, entry_knows=False) == []
+
+    @pytest.mark.parametrize("before_s", BEFORE_S)
+    def test_without_a_link_to_the_sidecar(self, play, before_s):
+        assert play(before_s, linked=False) == []
+
+    @pytest.mark.parametrize("before_s", BEFORE_S)
+    def test_slower_than_estimated(self, play, before_s):
+        """Without a pause too, the engine is slower than its sidecar estimates."""
+        assert play(before_s, first_event_s=0.4) == []
+
+
+class TestLastSwitch:
+    def test_engine_is_not_idle_before_the_last_switch(self):
+        """It grants slots until its switch, but for the time to a first event."""
+        switch_ms = switch_due_ms(SwitchRank(4, 5), 4000.0, 8000.0)
+        slots = EngineSlots(ENGINE)
+        slots.open = True
+        slots.weights_end_ms = start_left_ms(0.0, 8000.0)
+        request = SlotRequest("q", "e", 100, 10, 1, 400.0)
+        before_ms = switch_ms - ENGINE.step_ms * ENGINE.stride * 2
+        assert slots.request_slot(request, before_ms).granted
+        assert slots.request_slot(request._replace(request_id="r"), switch_ms).denied
+
+    def test_version_serves_shorter_by_the_allowance(self):
+        assert start_left_ms(0.0, 8000.0) == 8000.0 - PAUSE_ALLOWANCE_MS
+        assert start_left_ms(8000.0, 8000.0) < 0
