Say in a grant until when its request may start

An entry that had not heard of a newer version of the weights set no start deadline: a request that its sidecar had granted in time was kept open however late the engine came to it, and began after the version's end when the engine was slower than estimated and then stood still.

`Reserved` now says how long the request may still start, by what the sidecar knows when it grants. The entry takes the earlier one of that and its own knowledge. Zero is no limit; an older build sends zero and skips the field, which two tests check with a schema that lacks it.

--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -478,7 +478,7 @@
         engine: Engine,
         answer: messages.Reserved,
     ) -> AllocatedSlot | Refusal:
-        """Use a granted slot, unless the grace period of its version is over."""
+        """Use a granted slot, unless requests may no longer start on its version."""
 
         def release(
             outcome: SendOutcome = SendOutcome.UNKNOWN,
@@ -487,7 +487,7 @@
             cooling_down = target.cooldown.wait_s(self.now_s()) > 0
             self.sidecars.release(link, request.request_id, outcome, cooling_down, work)
 
-        left_ms = self.version_left_ms(engine.model, answer.version)
+        left_ms = self.grant_left_ms(engine.model, answer)
         if left_ms is None:
             return self.occupy(target, answer.version, release)
         if left_ms <= VERSION_END_MARGIN_MS:
@@ -521,6 +521,16 @@
             return None
         return self.occupy(target, version)
 
+    def grant_left_ms(self, model: str, grant: messages.Reserved) -> float | None:
+        """Return how long a granted request may still start; None for no limit.
+
+        Whichever of this entry and the sidecar heard of the newer version knows it.
+        """
+        own_ms = self.version_left_ms(model, grant.version)
+        if not grant.start_left_ms:
+            return own_ms
+        return min(grant.start_left_ms, float("inf") if own_ms is None else own_ms)
+
     def version_left_ms(self, model: str, version: int) -> float | None:
         """Return how long requests may still start on a version; None for no limit."""
         superseded_s = self.follower.versions.superseded_at(model, version)
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -272,8 +272,17 @@
             len(self.slots.queue),
             not self.slots.open,
             limited=decision.limited,
+            start_left_ms=self.start_left_ms() if decision.granted else 0,
         )
 
+    def start_left_ms(self) -> int:
+        """Return how long a granted request may start; 0 without a limit.
+
+        An entry may hear of the newer version later than this sidecar.
+        """
+        ends_ms = self.slots.weights_end_ms
+        return 0 if ends_ms is None else max(1, int(ends_ms - self.now_ms()))
+
     @receive.register
     async def receive_release(
         self, message: messages.Release, link: Link, frame: Frame
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -330,6 +330,7 @@
   closed @5 :Bool;
   queued @6 :Bool;
   limited @7 :Bool;
+  startLeftMs @8 :UInt32;
 }
 struct Release {
   requestId @0 :Text;
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -558,7 +558,8 @@
     If not, `retry_ms` is the time until one is likely. `closed` is whether the target
     accepts no requests now, regardless of its load; `queued` whether the request
     waits and another reply follows; `limited` whether the target itself is
-    throttled, because it advertises a rate or rejected requests.
+    throttled, because it advertises a rate or rejected requests. `start_left_ms` is
+    how long a granted request may still start; 0 without a limit.
     """
 
     granted: bool = False
@@ -569,6 +570,7 @@
     closed: bool = False
     queued: bool = False
     limited: bool = False
+    start_left_ms: int = 0
 
 
 class Release(NamedTuple):
--- a/tests/test_slot_admission.py
+++ b/tests/test_slot_admission.py
@@ -40,6 +40,30 @@
     await admission.receive(message, link, Frame(number, 0, message))
 
 
+class TestGrantedSlot:
+    def grant(self, left_ms):
+        async def run():
+            admission, link = make_admission(ENGINE), EntryLink()
+            admission.set_admission_end(left_ms)
+            await reserve(admission, link, 1)
+            return link.written[-1]
+
+        return asyncio.run(run())
+
+    def test_says_how_long_the_request_may_still_start(self):
+        """Its entry may not have heard of the newer version."""
+        granted = self.grant(60_000.0)
+        assert granted.granted and 0 < granted.start_left_ms <= 60_000
+
+    def test_current_version_has_no_limit(self):
+        granted = self.grant(None)
+        assert granted.granted and not granted.start_left_ms
+
+    def test_denial_has_no_limit(self):
+        denied = self.grant(1.0)
+        assert not denied.granted and not denied.start_left_ms
+
+
 class TestQueue:
     def test_queued_request_is_denied_at_its_deadline_without_any_other_event(self):
         """A full engine with long requests frees no slot, and nothing else arrives."""
--- a/tests/test_slot_allocation.py
+++ b/tests/test_slot_allocation.py
@@ -3,12 +3,16 @@
 import asyncio
 from types import SimpleNamespace
 
+from msgspec import structs
+
 from tests.test_direct_dispatch import SETTINGS
+from wisteriapulley.clocks import steady_s
 from wisteriapulley.direct.progress import Admitted
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.slot_allocation import SlotAllocator
 from wisteriapulley.direct.types import CallerRequest, Refusal
 from wisteriapulley.policy.target_ranking import Load
+from wisteriapulley.policy.version_end import start_left_ms
 from wisteriapulley.routing import Engine, Route, RouteKind, Split
 from wisteriapulley.weights.desired_versions import DesiredVersions
 from wisteriapulley.wire import messages
@@ -20,6 +24,8 @@
 SPLITS = (Split("s", 1),)
 ROUTE = Route("r", "h", "/", RouteKind.STREAM, SPLITS, 6000, 400, resumable=True)
 DENIED = messages.Reserved(retry_ms=100)
+# For a busy machine.
+SLACK_S = 5.0
 
 
 class FakeSidecars:
@@ -99,6 +105,48 @@
         assert all(reservation.late for reservation in sidecars.reservations)
 
 
+class TestStartDeadline:
+    """The entry and the sidecar may hear of a newer version at different times."""
+
+    OLD_VERSION_MS = 60_000
+
+    def deadline_s(self, grant_ms, superseded_for_ms=None):
+        """Return how long after the grant a request must have started."""
+        settings = structs.replace(SETTINGS, old_version_ms=self.OLD_VERSION_MS)
+        versions = DesiredVersions()
+        if superseded_for_ms is not None:
+            versions.record("m", 2, steady_s() - superseded_for_ms / 1000)
+        follower = SimpleNamespace(versions=versions, open_links=list)
+        grant = messages.Reserved(True, 1, start_left_ms=grant_ms)
+
+        async def run():
+            registry = TargetRegistry()
+            registry.update([TargetState("i", "s", "10.0.0.1:80", "z", sequence=1)], 0)
+            allocator = SlotAllocator(settings, IDENTITY, registry, follower)
+            request = SimpleNamespace(request_id="q")
+            target = registry.targets["i"]
+            now_s = asyncio.get_running_loop().time()
+            slot = allocator.use_grant(None, request, target, ENGINE, grant)
+            if slot.start_deadline_s is None:
+                return None
+            return slot.start_deadline_s - now_s
+
+        return asyncio.run(run())
+
+    def test_entry_obeys_a_grant_of_a_version_that_it_takes_for_the_newest(self):
+        assert 9.0 < self.deadline_s(10_000) < 10.0 + SLACK_S
+
+    def test_earlier_one_of_both_holds(self):
+        left_ms = start_left_ms(0.0, self.OLD_VERSION_MS)
+        superseded_for_ms = left_ms - 20_000
+        assert 9.0 < self.deadline_s(10_000, superseded_for_ms) < 10.0 + SLACK_S
+        assert self.deadline_s(30_000, superseded_for_ms) < 20.0
+        assert self.deadline_s(0, superseded_for_ms) < 20.0
+
+    def test_current_version_has_no_deadline(self):
+        assert self.deadline_s(0) is None
+
+
 class TestEnginesAtTheirRateLimit:
     """Engines that advertise a rate look empty, and deny at once."""
 
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -200,10 +200,18 @@
     def test_without_a_link_to_the_sidecar(self, play, before_s):
         assert play(before_s, linked=False) == []
 
-    @pytest.mark.parametrize("before_s", BEFORE_S)
-    def test_slower_than_estimated(self, play, before_s):
+    @pytest.mark.parametrize("entry_knows", [True, False])
+    @pytest.mark.parametrize("first_event_s", [0.4, 0.8, 1.5])
+    @pytest.mark.parametrize("before_s", [*BEFORE_S, 1.1, 1.2])
+    def test_slower_than_estimated(self, play, before_s, first_event_s, entry_knows):
         """Without a pause too, the engine is slower than its sidecar estimates."""
-        assert play(before_s, first_event_s=0.4) == []
+        late = play(
+            before_s,
+            pause_s=PAUSE_ALLOWANCE_MS / 1000,
+            first_event_s=first_event_s,
+            entry_knows=entry_knows,
+        )
+        assert late == []
 
 
 class TestLastSwitch:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,6 +1,8 @@
 import asyncio
 import typing
+from importlib.resources import files
 
+import capnp
 import pytest
 
 from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
@@ -71,6 +73,42 @@
         assert caught.value.code == ResultCode.FRAME_TOO_LARGE
 
 
+class TestOlderBuilds:
+    """A build whose `Reserved` has no `startLeftMs` yet, on either end of a link."""
+
+    @pytest.fixture
+    def older(self, tmp_path):
+        text = files("wisteriapulley.wire").joinpath("messages.capnp").read_text()
+        line = "  startLeftMs @8 :UInt32;\n"
+        assert text.count(line) == 1
+        path = tmp_path / "messages.capnp"
+        path.write_text(text.replace(line, ""))
+        return capnp.SchemaParser().load(str(path))
+
+    def test_its_grant_has_no_limit(self, older):
+        frame = older.Frame.new_message(id=3, replyTo=4)
+        reserved = frame.init("reserved")
+        reserved.granted, reserved.version = True, 2
+        decoded = codec.decode(frame.to_bytes())
+        assert decoded.message == messages.Reserved(True, 2, start_left_ms=0)
+
+    def test_it_reads_a_grant_with_a_limit(self, older):
+        grant = messages.Reserved(True, 2, limited=True, start_left_ms=900)
+        data = codec.encode(Frame(3, 4, grant))[codec.HEADER.size :]
+        with older.Frame.from_bytes(data) as frame:
+            assert frame.which() == "reserved"
+            assert frame.reserved.to_dict() == {
+                "granted": True,
+                "version": 2,
+                "retryMs": 0,
+                "running": 0,
+                "waiting": 0,
+                "closed": False,
+                "queued": False,
+                "limited": True,
+            }
+
+
 class TestLink:
     async def pair(self, handler, client_key=KEY):
         server = LinkServer(
