Keep the last report of an engine that stands still

Callers were refused at an engine that had paused, a second time after it went on, and a leaving engine that paused was given requests again.

Cause: a report that did not come within 2.0 s counted as a report of an engine that holds nothing. So its sidecar began an update to the version that the engine held all the while: it read all staged pieces back twice, closed the slots again and sent an order to load. With the report went the statement that it leaves.

The slots of a leaving engine were open after the pause.

The client now tells a call that timed out from an engine whose process is away. After a timeout the slots still close, since a dead engine must be left, but the report is kept. An engine that restarted meanwhile says so by its next report.

--- a/src/wisteriapulley/platform/engine.py
+++ b/src/wisteriapulley/platform/engine.py
@@ -10,7 +10,11 @@
 from wisteriapulley.platform.http import HttpClient
 from wisteriapulley.platform.signal_parsing import parse_signals
 from wisteriapulley.policy.response_signals import CooldownTracker, ResponseSignals
-from wisteriapulley.rollout.engine import EngineReport, OrderOutcome
+from wisteriapulley.rollout.engine import (
+    EngineReport,
+    EngineSilentError,
+    OrderOutcome,
+)
 from wisteriapulley.settings import Address
 
 # Time limit of a call: the engine runs on the same instance, so a longer call has hung.
@@ -95,6 +99,8 @@
         WeightsError
             SOURCE_UNAVAILABLE: the engine does not respond, or is in the cool-down
             that it requested.
+        EngineSilentError
+            SOURCE_UNAVAILABLE: it did not respond in time.
         """
         loop = asyncio.get_running_loop()
         if self.cooldown.wait_s(loop.time()):
@@ -107,7 +113,12 @@
                 signals = parse_signals(response.status, response.headers)
                 self.cooldown.observe(signals.cooldown, loop.time())
                 return response.status, await response.read(), signals
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        except TimeoutError as error:
+            raise EngineSilentError(
+                ResultCode.SOURCE_UNAVAILABLE,
+                f"engine {path}: no response within {CALL_TIMEOUT_S} s",
+            ) from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             raise engine_error(path, repr(error)) from error
 
     async def report(self) -> EngineReport:
--- a/src/wisteriapulley/rollout/engine.py
+++ b/src/wisteriapulley/rollout/engine.py
@@ -3,9 +3,17 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
+from wisteriapulley.errors import WeightsError
 from wisteriapulley.policy.response_signals import CooldownTracker
 
 
+class EngineSilentError(WeightsError):
+    """The engine did not answer in time: it may stand still for a moment.
+
+    It may also have received the call, and handle it when it goes on.
+    """
+
+
 class EngineReport(NamedTuple):
     """State of an engine.
 
@@ -58,6 +66,8 @@
 class EngineClient(Protocol):
     """Client of the engine; calls raise WeightsError when it does not respond.
 
+    The error is an EngineSilentError if the engine's process is there, but silent.
+
     Attributes
     ----------
     cooldown : CooldownTracker
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -17,7 +17,11 @@
 from wisteriapulley.policy.version_end import start_left_ms
 from wisteriapulley.rollout.admission import SlotAdmission
 from wisteriapulley.rollout.cold_engine import ColdEngine
-from wisteriapulley.rollout.engine import EngineClient, EngineReport
+from wisteriapulley.rollout.engine import (
+    EngineClient,
+    EngineReport,
+    EngineSilentError,
+)
 from wisteriapulley.rollout.state import RolloutState
 from wisteriapulley.rollout.updater import LOAD_POLL_INTERVAL_S, WeightsUpdater
 from wisteriapulley.wire import LinkServer, messages
@@ -206,14 +210,18 @@
         )
 
     async def poll_engine(self) -> None:
-        """Request the engine's report; no response counts as holding nothing.
+        """Request the engine's report; an engine that is away holds nothing.
 
         An engine in a cool-down that it requested is not polled and keeps its last
-        report.
+        report. A silent one keeps it too: one that stood still goes on with its
+        weights, and one that was restarted says so in its next report.
         """
         previous = self.state.report
         try:
             report = (await self.engine.report()).merged_with(previous)
+        except EngineSilentError as error:
+            self.record_silence(error)
+            return
         except WisteriapulleyError as error:
             if self.engine.cooldown.wait_s(asyncio.get_running_loop().time()):
                 return
@@ -223,6 +231,10 @@
             report = EngineReport({})
         else:
             self.cold.observe_report(report)
+        self.record_report(report, previous)
+
+    def record_report(self, report: EngineReport, previous: EngineReport) -> None:
+        """Record what the engine reports, or that it is away."""
         if report.versions != previous.versions:
             log.info("engine holds", extra=fields(versions=report.versions))
             if not report.versions:
@@ -234,10 +246,18 @@
         if report.leaving and not previous.leaving:
             log.info("engine says it leaves", extra=fields())
         self.polled = True
+        self.state.engine_is_silent = False
         self.state.report = report
         now_s = asyncio.get_running_loop().time()
         self.admission.slots.speed.observe_stated(report.pace * USUAL_PACE, now_s)
 
+    def record_silence(self, error: EngineSilentError) -> None:
+        """Record that the engine did not answer in time."""
+        if not self.state.engine_is_silent:
+            log.warning("the engine does not answer: %s", error)
+        self.state.engine_is_silent = True
+        self.cold.observe_silence()
+
     def update_admission(self) -> None:
         """Open or close the slots according to the current state."""
         self.admission.set_admission_end(self.serving_left_ms())
@@ -252,6 +272,8 @@
         state = self.state
         if not state.held_version() or state.engine is None or state.is_evacuated:
             return False
+        if state.engine_is_silent:
+            return False
         report = state.report
         if self.updater.loading or report.busy or report.leaving:
             return False
--- a/src/wisteriapulley/rollout/state.py
+++ b/src/wisteriapulley/rollout/state.py
@@ -29,6 +29,8 @@
     ----------
     report : EngineReport
         Last report of the engine.
+    engine_is_silent : bool
+        Whether the engine did not answer since then, although its process is there.
     """
 
     def __init__(self, settings: RolloutSettings, follower: ControlFollower):
@@ -37,6 +39,7 @@
         self.targets = TargetRegistry()
         self.regions = Regions(settings.failure_domain_regions)
         self.report = EngineReport({})
+        self.engine_is_silent = False
 
     @property
     def engine(self) -> Engine | None:
--- /dev/null
+++ b/tests/test_silent_engines.py
@@ -0,0 +1,231 @@
+"""Engines that stand still for a moment, as their sidecars see them."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from bench.turned_away import VirtualLoop
+
+from tests.fakes.platform import Engine, Origin
+from tests.test_evacuated_engine import MANIFEST, new_service
+from wisteriapulley.errors import ResultCode, WeightsError
+from wisteriapulley.platform import engine as engine_module
+from wisteriapulley.platform.engine import CALL_TIMEOUT_S, HttpEngine
+from wisteriapulley.platform.http import HttpClient
+from wisteriapulley.rollout.engine import (
+    EngineReport,
+    EngineSilentError,
+    OrderOutcome,
+)
+from wisteriapulley.settings import Address
+
+# Longer than a sidecar waits for a report.
+SILENT_S = 2.5
+LOAD_S = 0.5
+
+
+class PausingEngine:
+    """An engine on a virtual clock that may stand still.
+
+    It has received the calls of that time, and handles them in their order when it
+    goes on, whether or not anybody waits for a response.
+
+    Attributes
+    ----------
+    reads : int
+        Pieces and lists of pieces that were read back.
+    ordered, begun : list of int
+        Version of each order to load, and of each load that was begun.
+    """
+
+    def __init__(self, version=1, started_ms=1):
+        self.cooldown = SimpleNamespace(wait_s=lambda now_s: 0.0)
+        self.version, self.started_ms = version, started_ms
+        self.busy = self.leaving = False
+        self.reads = 0
+        self.ordered, self.begun = [], []
+        self.silent_until_s = 0.0
+
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
+    def stand_still(self, silent_s):
+        self.silent_until_s = self.now_s() + silent_s
+
+    async def call(self, handle, *args):
+        loop = asyncio.get_running_loop()
+        response = loop.create_future()
+
+        def respond():
+            result = handle(*args)
+            if not response.done():
+                response.set_result(result)
+
+        loop.call_at(max(loop.time(), self.silent_until_s), respond)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return await response
+        except TimeoutError as error:
+            raise EngineSilentError(ResultCode.SOURCE_UNAVAILABLE, "silent") from error
+
+    async def report(self):
+        return await self.call(self.current_report)
+
+    def current_report(self):
+        versions = {"m": self.version} if self.version else {}
+        return EngineReport(
+            versions, self.busy, started_ms=self.started_ms, leaving=self.leaving
+        )
+
+    async def staged(self, model):
+        return await self.call(self.read, set(range(len(MANIFEST.digests))))
+
+    async def staged_piece(self, model, position):
+        return await self.call(self.read, b"")
+
+    def read(self, result):
+        self.reads += 1
+        return result
+
+    async def load(self, model, version):
+        return await self.call(self.begin_load, version)
+
+    def begin_load(self, version):
+        self.ordered.append(version)
+        if version == self.version:
+            return OrderOutcome.DONE
+        self.begun.append(version)
+        self.busy = True
+        asyncio.get_running_loop().call_later(LOAD_S, self.finish_load, version)
+        return OrderOutcome.STARTED
+
+    def finish_load(self, version):
+        self.version, self.busy = version, False
+
+
+class Sidecar:
+    """The sidecar of a pausing engine; all pieces are staged."""
+
+    def __init__(self, tmp_path, **options):
+        self.engine = PausingEngine(**options)
+        self.service = new_service(tmp_path)
+        self.service.engine = self.engine
+        self.service.updater.engine = self.engine
+        staging = self.service.updater.staging
+        staging.engine = self.engine
+        staging.fetch_manifest = self.fetch_manifest
+        staging.verify_piece = self.verify_piece
+
+    async def fetch_manifest(self, model, version):
+        return MANIFEST._replace(version=version)
+
+    async def verify_piece(self, manifest, position):
+        await self.engine.staged_piece(manifest.model, position)
+        self.service.updater.staging.digests[position] = manifest.digests[position]
+        return True
+
+    @property
+    def slots(self):
+        return self.service.admission.slots
+
+
+def play(tmp_path, scenario, **options):
+    """Let a sidecar watch its engine on a virtual clock while a scenario runs."""
+
+    async def run():
+        sidecar = Sidecar(tmp_path, **options)
+        watching = asyncio.create_task(sidecar.service.watch_engine())
+        try:
+            await asyncio.sleep(1.0)
+            await scenario(sidecar)
+        finally:
+            watching.cancel()
+            sidecar.service.updater.stop()
+            results = await asyncio.gather(watching, return_exceptions=True)
+            assert isinstance(results[0], asyncio.CancelledError)
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(run())
+
+
+class TestReport:
+    """An engine that does not answer in time stands still, or does not."""
+
+    @pytest.mark.parametrize("silent_s", [1.0, SILENT_S, 4.5])
+    def test_weights_are_not_loaded_again_after_a_pause(self, tmp_path, silent_s):
+        async def scenario(sidecar):
+            sidecar.engine.reads = 0
+            sidecar.engine.stand_still(silent_s)
+            await asyncio.sleep(silent_s + 2.0)
+            assert sidecar.slots.open
+            assert (sidecar.engine.reads, sidecar.engine.ordered) == (0, [])
+            assert sidecar.service.updater.update_task is None
+
+        play(tmp_path, scenario)
+
+    def test_slots_open_as_soon_as_the_engine_goes_on(self, tmp_path):
+        async def scenario(sidecar):
+            sidecar.engine.stand_still(SILENT_S)
+            await asyncio.sleep(SILENT_S - 0.01)
+            assert not sidecar.slots.open
+            await asyncio.sleep(0.25)
+            assert sidecar.slots.open
+            await asyncio.sleep(2.0)
+            assert sidecar.slots.open
+
+        play(tmp_path, scenario)
+
+    def test_dead_engine_gets_no_requests(self, tmp_path):
+        async def scenario(sidecar):
+            sidecar.engine.stand_still(60.0)
+            await asyncio.sleep(5.0)
+            assert not sidecar.slots.open
+
+        play(tmp_path, scenario)
+
+    def test_engine_that_leaves_is_still_leaving_after_a_pause(self, tmp_path):
+        async def scenario(sidecar):
+            sidecar.engine.leaving = True
+            await asyncio.sleep(1.0)
+            sidecar.engine.leaving = False
+            sidecar.engine.stand_still(SILENT_S)
+            await asyncio.sleep(SILENT_S + 2.0)
+            assert not sidecar.slots.open
+
+        play(tmp_path, scenario)
+
+    @pytest.mark.parametrize("restarted_ms", [0, 2])
+    def test_engine_that_restarted_in_the_silence_loads_again(
+        self, tmp_path, restarted_ms
+    ):
+        async def scenario(sidecar):
+            sidecar.engine.stand_still(SILENT_S)
+            sidecar.engine.version = 0
+            sidecar.engine.started_ms = restarted_ms
+            await asyncio.sleep(SILENT_S + 3.0)
+            assert sidecar.engine.begun == [1]
+            assert sidecar.slots.open
+
+        play(tmp_path, scenario)
+
+
+class TestClient:
+    def test_tells_an_engine_that_stands_still_from_one_that_is_away(self, monkeypatch):
+        monkeypatch.setattr(engine_module, "CALL_TIMEOUT_S", 0.1)
+
+        async def run():
+            engine = Engine(Origin())
+            await engine.start()
+            http = HttpClient()
+            client = HttpEngine(http, Address.from_text(engine.address))
+            engine.awake.clear()
+            with pytest.raises(EngineSilentError):
+                await client.report()
+            engine.awake.set()
+            await engine.stop()
+            with pytest.raises(WeightsError) as away:
+                await client.report()
+            await http.close()
+            assert not isinstance(away.value, EngineSilentError)
+
+        asyncio.run(run())
