Order a load once where the engine stands still meanwhile

An engine that stood still as it was ordered to load was ordered twice, and its update began anew.

Cause: no response to the order within 2.0 s counted as a failed update, although the engine had received the order and began it when it went on. While an empty engine loaded, no report counted as a crash that had lost the order.

Evidence, on a virtual clock with a pause of 2.5 s: two orders each at the order and within the first load, now one; and an order that the engine handled 0.3 s after its successor began as well, now it is refused. Three of the seven new tests on orders failed before, the one on the client needs the new outcome.

An order without a response is now an outcome of its own: it is sent again only once a report says that the engine neither holds the version nor is busy. Orders name the sequence of the last report, which the engine checks, so the first and the second order can't both begin. The fake engine checks it too, and refuses an order while another one is in progress, as the platform documents.

--- a/src/wisteriapulley/platform/engine.py
+++ b/src/wisteriapulley/platform/engine.py
@@ -48,6 +48,8 @@
     models: list[WireModel] = []
     layers: WireLayers | None = None
     busy: bool = False
+    # Number of orders that it accepted since its start.
+    sequence: int | None = None
     waiting: int = 0
     running: int = 0
     # Unix time of its start in milliseconds.
@@ -66,6 +68,8 @@
     version: int
     # "wait" lets running requests finish first.
     mode: str
+    # The engine refuses the order if its sequence is another one.
+    expected: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class WireHeld(msgspec.Struct):
@@ -158,15 +162,22 @@
         if status >= 300:
             raise engine_error(path, f"status {status}")
 
-    async def load(self, model: str, version: int) -> OrderOutcome:
-        """Order the engine to load the staged pieces."""
-        order = msgspec.json.encode(WireOrder("start", model, version, "wait"))
-        status, _ = await self.call(
-            "POST",
-            names.ORDER_CALL,
-            data=order,
-            headers={"Content-Type": "application/json"},
-        )
+    async def load(
+        self, model: str, version: int, expected: int | None
+    ) -> OrderOutcome:
+        """Order the engine to load the staged pieces; see `EngineClient`."""
+        order = WireOrder("start", model, version, "wait")
+        if expected is not None:
+            order.expected = expected
+        try:
+            status, _ = await self.call(
+                "POST",
+                names.ORDER_CALL,
+                data=msgspec.json.encode(order),
+                headers={"Content-Type": "application/json"},
+            )
+        except EngineSilentError:
+            return OrderOutcome.UNANSWERED
         if status == HTTP_ACCEPTED:
             return OrderOutcome.STARTED
         return OrderOutcome.DONE if status == HTTP_OK else OrderOutcome.REFUSED
@@ -184,6 +195,7 @@
         wire.waiting,
         wire.born,
         pace=decode_pace(wire.pace),
+        sequence=wire.sequence,
     )
 
 
--- a/src/wisteriapulley/rollout/engine.py
+++ b/src/wisteriapulley/rollout/engine.py
@@ -33,6 +33,8 @@
         How much longer it is cold; None if it states nothing.
     pace : float
         Time that work takes now, as a multiple of the usual time; 0 if not reported.
+    sequence : int or None
+        Number of orders that it accepted; None if not reported.
     """
 
     versions: dict[str, int]
@@ -43,6 +45,7 @@
     leaving: bool = False
     cold_s: float | None = None
     pace: float = 0.0
+    sequence: int | None = None
 
     def merged_with(self, earlier: "EngineReport") -> "EngineReport":
         """Return this report, with `leaving` kept from an earlier one if it applies.
@@ -56,11 +59,12 @@
 
 
 class OrderOutcome(Enum):
-    """Response to an order to load."""
+    """Response to an order to load; an order without one may have begun."""
 
     STARTED = "begun"
     DONE = "done"
     REFUSED = "refused"
+    UNANSWERED = "unanswered"
 
 
 class EngineClient(Protocol):
@@ -88,5 +92,11 @@
     async def stage(self, model: str, position: int, data: bytes) -> None:
         """Stage a piece; replace any other at its position."""
 
-    async def load(self, model: str, version: int) -> OrderOutcome:
-        """Order the engine to load the staged pieces after its running requests."""
+    async def load(
+        self, model: str, version: int, expected: int | None
+    ) -> OrderOutcome:
+        """Order the engine to load the staged pieces after its running requests.
+
+        It refuses the order if it has accepted another number of orders than
+        `expected`, so that an earlier order that arrives late does not begin as well.
+        """
--- a/src/wisteriapulley/rollout/updater.py
+++ b/src/wisteriapulley/rollout/updater.py
@@ -8,7 +8,7 @@
 from wisteriapulley.errors import ResultCode, WisteriapulleyError
 from wisteriapulley.logs import fields
 from wisteriapulley.rollout.admission import SlotAdmission
-from wisteriapulley.rollout.engine import EngineClient, OrderOutcome
+from wisteriapulley.rollout.engine import EngineClient, EngineReport, OrderOutcome
 from wisteriapulley.rollout.staging import DownloadRate, StagingArea
 from wisteriapulley.rollout.state import RolloutState
 from wisteriapulley.rollout.switch_order import finishes_superseded, switch_due_ms
@@ -257,34 +257,35 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         idle = not self.admission.slots.grants
-        ordered = False
+        outcome = OrderOutcome.REFUSED
         while loop.time() < started_s + LOAD_TIMEOUT_S:
-            if not ordered:
-                ordered = await self.order_load(model, version, idle)
+            if outcome is OrderOutcome.REFUSED:
+                outcome = await self.order_load(model, version, idle)
             await asyncio.sleep(LOAD_POLL_INTERVAL_S)
             await self.poll_engine()
+            if self.state.engine_is_silent:
+                continue
             report = self.state.report
             if report.versions.get(model) == version and not report.busy:
                 self.record_load_time(idle, (loop.time() - started_s) * 1000)
                 return
-            if ordered and not report.busy and not report.versions:
-                # The engine crashed and lost the order.
-                ordered = False
+            if is_order_lost(outcome, report):
+                outcome = OrderOutcome.REFUSED
         raise WisteriapulleyError(
             ResultCode.ENGINE_LOAD_FAILED,
             f"expected version {version} of {model} within {LOAD_TIMEOUT_S} s, got"
             f" {self.state.report.versions}",
         )
 
-    async def order_load(self, model: str, version: int, idle: bool) -> bool:
-        """Order the load; return whether the engine accepted the order."""
-        outcome = await self.engine.load(model, version)
+    async def order_load(self, model: str, version: int, idle: bool) -> OrderOutcome:
+        """Order the load; return what became of the order."""
+        expected = self.state.report.sequence
+        outcome = await self.engine.load(model, version, expected)
         log.info("load ordered", extra=fields(version=version, outcome=outcome.value))
-        accepted = outcome is not OrderOutcome.REFUSED
-        if accepted and idle:
+        if outcome in (OrderOutcome.STARTED, OrderOutcome.DONE) and idle:
             # No running request delays the load.
             self.admission.expect_opening(self.load_ms)
-        return accepted
+        return outcome
 
     def record_load_time(self, idle: bool, took_ms: float) -> None:
         """Update the estimated load time of an idle engine."""
@@ -292,6 +293,16 @@
             self.load_ms += LOAD_TIME_GAIN * (took_ms - self.load_ms)
 
 
+def is_order_lost(outcome: OrderOutcome, report: EngineReport) -> bool:
+    """Return whether an engine without the ordered version does not load it either.
+
+    It crashed since, or an order without a response did not reach it.
+    """
+    if report.busy:
+        return False
+    return outcome is OrderOutcome.UNANSWERED or not report.versions
+
+
 def total_bytes(manifest: PieceManifest) -> int:
     """Return the total size of all pieces."""
     return manifest.chunk_bytes * len(manifest.digests)
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -233,6 +233,8 @@
         version = order["version"]
         if version == self.version:
             return web.Response(status=200)
+        if self.busy or order.get("expected", self.sequence) != self.sequence:
+            return web.Response(status=409)
         self.sequence += 1
         self.busy = True
         expected = {
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -1,13 +1,14 @@
 """Engines that stand still for a moment, as their sidecars see them."""
 
 import asyncio
+import itertools
 from types import SimpleNamespace
 
 import pytest
 from bench.turned_away import VirtualLoop
 
 from tests.fakes.platform import Engine, Origin
-from tests.test_evacuated_engine import MANIFEST, new_service
+from tests.test_evacuated_engine import MANIFEST, name_version, new_service
 from wisteriapulley.errors import ResultCode, WeightsError
 from wisteriapulley.platform import engine as engine_module
 from wisteriapulley.platform.engine import CALL_TIMEOUT_S, HttpEngine
@@ -38,13 +39,19 @@
         Version of each order to load, and of each load that was begun.
     """
 
-    def __init__(self, version=1, started_ms=1):
+    def __init__(self, version=1, started_ms=1, pause_in_load_s=0.0):
         self.cooldown = SimpleNamespace(wait_s=lambda now_s: 0.0)
         self.version, self.started_ms = version, started_ms
         self.busy = self.leaving = False
         self.reads = 0
         self.ordered, self.begun = [], []
         self.silent_until_s = 0.0
+        self.sequence = 0
+        # How long it stands still as the next order arrives, and after it accepted it.
+        self.pause_at_order_s, self.pause_in_load_s = 0.0, pause_in_load_s
+        # How long an order that arrives in a pause is handled after other calls.
+        self.order_late_s = 0.0
+        self.arrivals = itertools.count()
 
     def now_s(self):
         return asyncio.get_running_loop().time()
@@ -52,7 +59,7 @@
     def stand_still(self, silent_s):
         self.silent_until_s = self.now_s() + silent_s
 
-    async def call(self, handle, *args):
+    async def call(self, handle, *args, late_s=0.0):
         loop = asyncio.get_running_loop()
         response = loop.create_future()
 
@@ -61,7 +68,8 @@
             if not response.done():
                 response.set_result(result)
 
-        loop.call_at(max(loop.time(), self.silent_until_s), respond)
+        arrival_s = next(self.arrivals) * 1e-6 + late_s
+        loop.call_at(max(loop.time(), self.silent_until_s) + arrival_s, respond)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 return await response
@@ -74,7 +82,11 @@
     def current_report(self):
         versions = {"m": self.version} if self.version else {}
         return EngineReport(
-            versions, self.busy, started_ms=self.started_ms, leaving=self.leaving
+            versions,
+            self.busy,
+            started_ms=self.started_ms,
+            leaving=self.leaving,
+            sequence=self.sequence,
         )
 
     async def staged(self, model):
@@ -87,16 +99,29 @@
         self.reads += 1
         return result
 
-    async def load(self, model, version):
-        return await self.call(self.begin_load, version)
+    async def load(self, model, version, expected):
+        late_s = 0.0
+        if self.pause_at_order_s:
+            self.stand_still(self.pause_at_order_s)
+            self.pause_at_order_s, late_s = 0.0, self.order_late_s
+        try:
+            return await self.call(self.begin_load, version, expected, late_s=late_s)
+        except EngineSilentError:
+            return OrderOutcome.UNANSWERED
 
-    def begin_load(self, version):
+    def begin_load(self, version, expected):
         self.ordered.append(version)
         if version == self.version:
             return OrderOutcome.DONE
+        if expected != self.sequence:
+            return OrderOutcome.REFUSED
+        self.sequence += 1
         self.begun.append(version)
         self.busy = True
-        asyncio.get_running_loop().call_later(LOAD_S, self.finish_load, version)
+        self.stand_still(self.pause_in_load_s)
+        asyncio.get_running_loop().call_later(
+            self.pause_in_load_s + LOAD_S, self.finish_load, version
+        )
         return OrderOutcome.STARTED
 
     def finish_load(self, version):
@@ -209,6 +234,69 @@
         play(tmp_path, scenario)
 
 
+class TestOrder:
+    """An engine stands still while it is ordered to load, or loads."""
+
+    async def update(self, sidecar):
+        """Name version 2; return how long it was not in place and the slots open.
+
+        The slots must not open while the engine loads.
+        """
+        name_version(sidecar.service, 2)
+        started_s = sidecar.engine.now_s()
+        while sidecar.engine.version < 2 or not sidecar.slots.open:
+            assert not (sidecar.slots.open and sidecar.engine.busy)
+            assert sidecar.engine.now_s() < started_s + 10.0
+            await asyncio.sleep(0.01)
+        return sidecar.engine.now_s() - started_s
+
+    @pytest.mark.parametrize("pause_s", [1.0, SILENT_S])
+    def test_order_whose_response_is_lost_is_not_sent_again(self, tmp_path, pause_s):
+        async def scenario(sidecar):
+            sidecar.engine.pause_at_order_s = pause_s
+            took_s = await self.update(sidecar)
+            assert sidecar.engine.ordered == [2]
+            assert took_s < pause_s + LOAD_S + 0.2
+
+        play(tmp_path, scenario)
+
+    @pytest.mark.parametrize("pause_s", [1.0, SILENT_S])
+    def test_pause_within_the_load(self, tmp_path, pause_s):
+        async def scenario(sidecar):
+            sidecar.engine.pause_in_load_s = pause_s
+            took_s = await self.update(sidecar)
+            assert sidecar.engine.ordered == [2]
+            assert took_s < pause_s + LOAD_S + 0.2
+
+        play(tmp_path, scenario)
+
+    def test_pause_within_the_load_of_an_empty_engine(self, tmp_path):
+        async def scenario(sidecar):
+            await asyncio.sleep(SILENT_S + 2.0)
+            assert sidecar.engine.ordered == [1]
+            assert sidecar.slots.open
+
+        play(tmp_path, scenario, version=0, pause_in_load_s=SILENT_S)
+
+    def test_order_that_never_arrived_is_sent_again(self, tmp_path):
+        async def scenario(sidecar):
+            sidecar.engine.pause_at_order_s = SILENT_S
+            sidecar.engine.order_late_s = 60.0
+            await self.update(sidecar)
+            assert sidecar.engine.begun == [2]
+
+        play(tmp_path, scenario)
+
+    def test_order_that_arrives_after_its_successor_does_not_begin(self, tmp_path):
+        async def scenario(sidecar):
+            sidecar.engine.pause_at_order_s = SILENT_S
+            sidecar.engine.order_late_s = 0.3
+            await self.update(sidecar)
+            assert sidecar.engine.begun == [2]
+
+        play(tmp_path, scenario)
+
+
 class TestClient:
     def test_tells_an_engine_that_stands_still_from_one_that_is_away(self, monkeypatch):
         monkeypatch.setattr(engine_module, "CALL_TIMEOUT_S", 0.1)
@@ -229,3 +317,25 @@
             assert not isinstance(away.value, EngineSilentError)
 
         asyncio.run(run())
+
+    def test_order_is_fenced_by_the_sequence(self, monkeypatch):
+        monkeypatch.setattr(engine_module, "CALL_TIMEOUT_S", 0.1)
+
+        async def run():
+            engine = Engine(Origin())
+            await engine.start()
+            http = HttpClient()
+            client = HttpEngine(http, Address.from_text(engine.address))
+            sequence = (await client.report()).sequence
+            engine.awake.clear()
+            first = await client.load("model", 2, sequence)
+            engine.awake.set()
+            while engine.version != 2:
+                await asyncio.sleep(0.01)
+            second = await client.load("model", 3, sequence)
+            await http.close()
+            await engine.stop()
+            assert first is OrderOutcome.UNANSWERED
+            assert second is OrderOutcome.REFUSED
+
+        asyncio.run(run())
