Drain an engine that was silent before it loads another version

Callers would see a stream that mixes two versions of the weights and ends as complete, or no answer from a sound target while its weights are loaded again.

Cause: an engine that does not answer its state within 2 s is taken for one without weights. When it goes on it is loaded anew, and since its gate is closed already, nobody waits for the requests that it still runs.

Evidence: an engine that stands still within a stream while a newer version is named: the load is ordered as it wakes, the stream began on one version, ended on the other and had its end mark. Where the newer version is not there yet, the same weights are loaded twice. Both new tests failed before.

The gate now opens again with the version that it served last if the engine still holds it, and the switch from there drains it like any other. The fake engine of this path can stand still and go on.

--- a/src/wisteriapulley/sidecar/switch.py
+++ b/src/wisteriapulley/sidecar/switch.py
@@ -166,8 +166,8 @@
         if self.chart.state == "open" and self.gate.version == entry.version:
             self.detail = ""
             return
-        if self.chart.state == "empty" and state.version == entry.version:
-            self.open_gate(entry.version, "adopt")
+        if self.chart.state == "empty" and self.may_adopt(entry, state):
+            self.open_gate(state.version, "adopt")
             if self.has_permit:
                 await self.release_permit()
             return
@@ -177,6 +177,17 @@
         else:
             self.detail = self.waiting_reason(entry)
 
+    def may_adopt(self, entry: Entry, state: EngineState) -> bool:
+        """Return whether the gate may open with the version that the engine holds.
+
+        That is the catalogue's version, or the one served last: an engine that was
+        silent for a while still holds it, and may still run requests on it. A switch
+        from there drains the gate first.
+        """
+        held = state.version
+        served_last = bool(held) and held == self.last_served_version
+        return held == entry.version or served_last
+
     def next_version(self, entry: Entry, state: EngineState) -> str:
         """Return the version to load now, or an empty string to wait.
 
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -22,7 +22,10 @@
 
 
 class FakeEngine:
-    """Fake model engine.
+    """Fake model engine, whose process may stand still and go on.
+
+    While it stands still, it reads the requests that arrive. It handles them when it
+    goes on, whether or not their connections are still open.
 
     Parameters
     ----------
@@ -44,6 +47,13 @@
         Fault of each load: ``refuse`` rejects it and keeps serving the present
         version, ``crash`` loses that version, ``damage`` reads one wrong byte per
         chunk, ``silent`` loads but never responds.
+
+    Attributes
+    ----------
+    awake : asyncio.Event
+        Cleared while the engine stands still.
+    read_while_silent : list of str
+        Paths of the requests that it has read while it stood still.
     """
 
     def __init__(
@@ -72,7 +82,12 @@
         self.waiting = 0
         self.reported_load = (0.0, 0, 0)
         self.tasks: dict[str, asyncio.Task] = {}
-        self.app = web.Application(client_max_size=64 << 20)
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.read_while_silent: list[str] = []
+        self.app = web.Application(
+            client_max_size=64 << 20, middlewares=[self.handle_when_awake]
+        )
         self.app.add_routes(
             [
                 web.get("/control/state", self.show_state),
@@ -83,6 +98,20 @@
             ]
         )
 
+    @web.middleware
+    async def handle_when_awake(self, request: web.Request, handler):
+        """Handle a request, but not before the engine goes on."""
+        await request.read()
+        if not self.awake.is_set():
+            self.read_while_silent.append(request.path)
+            await self.awake.wait()
+        return await handler(request)
+
+    async def work(self, seconds: float) -> None:
+        """Work for some seconds, and not while the engine stands still."""
+        await asyncio.sleep(seconds)
+        await self.awake.wait()
+
     async def show_state(self, request: web.Request) -> web.Response:
         """Return the state; running and waiting requests lag behind."""
         now = asyncio.get_running_loop().time()
@@ -120,7 +149,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self.state = "empty"
             return web.Response(status=500, text=repr(error))
-        await asyncio.sleep(self.load_s)
+        await self.work(self.load_s)
         self.version, self.state = digest, "open"
         self.records.add(
             "loaded", engine=self.name, version=digest, ordered=order["version"]
@@ -210,7 +239,7 @@
         tokens = [f"{body['prompt']}:{i} " for i in range(body.get("max_tokens", 4))]
         headers = {"X-Model-Version": version}
         if not body.get("stream"):
-            await asyncio.sleep(self.token_s * len(tokens))
+            await self.work(self.token_s * len(tokens))
             choice = {"index": 0, "text": "".join(tokens), "finish_reason": "stop"}
             answer = {"object": "text_completion", "choices": [choice]}
             return web.json_response(answer, headers=headers)
@@ -218,7 +247,7 @@
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         for token in tokens:
-            await asyncio.sleep(self.token_s)
+            await self.work(self.token_s)
             event = {"choices": [{"index": 0, "text": token}]}
             await response.write(f"data: {json.dumps(event)}\n\n".encode())
         await response.write(b"data: [DONE]\n\n")
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -159,9 +159,22 @@
         async with self.session.post(url, data=json.dumps(order)) as answer:
             return answer.status
 
+    def start_request(self, **options):
+        """Dispatch a request over a fake link; return its task and the link."""
+        link = FakeLink()
+        body = json.dumps({"prompt": "p", "max_tokens": 20, "stream": True})
+        dispatch = messages.Dispatch(
+            request_id="r", method="POST", path="/v1/completions", incarnation=1
+        )._replace(**{"remaining_ms": 5000, **options})
+        frame = Frame(1, 0, dispatch, body.encode())
+        task = asyncio.create_task(self.gate.receive_dispatch(link, dispatch, frame))
+        return task, link
+
+    def events(self, name):
+        return [r for r in read_records(str(self.records)) if r["event"] == name]
+
     def loaded_versions(self):
-        events = read_records(str(self.records))
-        return [r["version"] for r in events if r["event"] == "loaded"]
+        return [r["version"] for r in self.events("loaded")]
 
     async def stop(self):
         self.task.cancel()
@@ -409,3 +422,48 @@
             assert len(ended) == (not changed)
 
         run_target(scenario)
+
+
+class TestSilentEngine:
+    """An engine whose process stands still for a while, and goes on."""
+
+    @pytest.fixture(autouse=True)
+    def detect_silence_early(self, monkeypatch):
+        monkeypatch.setattr(engine_module, "STATE_TIMEOUT_S", 0.05)
+
+    def test_answer_of_one_version_although_a_newer_one_is_named(self, run_target):
+        async def scenario(target):
+            target.fake.token_s = 0.02
+            target.control.name_version(run_target.first)
+            await target.wait_serving(run_target.first)
+            request, link = target.start_request()
+            await target.wait_until(lambda: link.posted)
+            target.fake.awake.clear()
+            target.control.name_version(run_target.second)
+            await target.wait_until(lambda: target.gate.chart.state == "empty")
+            await target.wait_until(
+                lambda: target.switcher.complete_version == run_target.second
+            )
+            target.fake.awake.set()
+            await request
+            await target.wait_serving(run_target.second)
+            assert isinstance(link.posted[-1], messages.AnswerEnd)
+            assert not target.events("load_while_running")
+            (ran,) = target.events("ran")
+            assert ran["version"] == ran["version_at_end"] == run_target.first
+
+        run_target(scenario)
+
+    def test_sound_weights_are_not_loaded_again(self, run_target):
+        async def scenario(target):
+            target.control.name_version(run_target.first)
+            await target.wait_serving(run_target.first)
+            target.switcher.start_download = lambda entry: None
+            target.control.name_version(run_target.second)
+            target.fake.awake.clear()
+            await target.wait_until(lambda: target.gate.chart.state == "empty")
+            target.fake.awake.set()
+            await target.wait_serving(run_target.first)
+            assert target.loaded_versions() == [run_target.first]
+
+        run_target(scenario)
