Order a load only after given-up requests are cancelled at the engine

A request that a sidecar had given up could run across a switch of versions, or a load could begin while it ran.

Cause: a closed connection is taken for a request that does not run. A request whose time ends, or whose caller leaves, no longer counts, so a drain ends at once. Its cancellation was sent once and its result ignored; a request with an idempotency key got none at all. An engine that stands still has read the request and starts it when it goes on.

Evidence: an engine that stands still with such a request while its gate drains has read the load order before it wakes; then it records a load beside a running request, and the keyed request began on one version and ended on the other.

The sidecar repeats the cancellation until the engine responds or refuses the connection, and the drain waits for it within drain_ms.

--- a/src/wisteriapulley/sidecar/engine.py
+++ b/src/wisteriapulley/sidecar/engine.py
@@ -156,15 +156,21 @@
         if response.status >= 300:
             raise WeightsError(ResultCode.ENGINE_LOAD_FAILED, text)
 
-    async def cancel(self, request_id: str) -> None:
-        """Cancel a request at the engine; ignore errors and unknown requests."""
+    async def cancel(self, request_id: str) -> bool:
+        """Cancel a request at the engine; return whether it will not run any more.
+
+        An engine that does not respond may still start or continue the request. One
+        that refuses connections has ended, and its requests with it.
+        """
         url = f"{self.base_url}/control/cancel"
         try:
             async with asyncio.timeout(STATE_TIMEOUT_S):
                 async with self.session.post(url, json={"request_id": request_id}):
-                    pass
+                    return True
+        except aiohttp.ClientConnectorError as error:
+            return isinstance(error.os_error, ConnectionRefusedError)
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return
+            return False
 
 
 class PlainService:
@@ -197,5 +203,6 @@
             raise WeightsError(ResultCode.TARGET_FAILED, f"{url}: {error!r}") from error
         return EngineState(state="open")
 
-    async def cancel(self, request_id: str) -> None:
-        """Do nothing: a plain service is cancelled by closing its connection."""
+    async def cancel(self, request_id: str) -> bool:
+        """Return True: a plain service is cancelled by closing its connection."""
+        return True
--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -43,6 +43,8 @@
 log = logging.getLogger(__name__)
 
 RETRY_AFTER_MS = 500
+# Interval at which a cancellation is repeated that the engine has not confirmed.
+CANCEL_RETRY_INTERVAL_S = 0.25
 # Maximum size of one kept answer; a longer one can't be kept for resends.
 MAX_KEPT_ANSWER_BYTES = 8 << 20
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -84,6 +86,7 @@
         self.idle.set()
         self.tasks: dict[str, asyncio.Task] = {}
         self.background_tasks: set[asyncio.Task] = set()
+        self.cancel_tasks: dict[str, asyncio.Task] = {}
         self.finished_events: dict[AttemptKey, asyncio.Event] = {}
 
     # -- frames ----------------------------------------------------------
@@ -95,9 +98,10 @@
         if message.idempotency_key:
             await self.run_keyed(link, message, frame)
             return
-        self.check_open(message)
         self.tasks[message.request_id] = asyncio.current_task()
         try:
+            await self.wait_cancelled(message.request_id)
+            self.check_open(message)
             await self.run_streaming(link, message, frame)
         finally:
             self.tasks.pop(message.request_id, None)
@@ -196,6 +200,7 @@
                 attempt.fire("not_begun")
             except TARGET_ERRORS as error:
                 log.warning("keyed request %s failed: %r", message.request_id, error)
+                self.cancel_at_engine(message.request_id)
             finally:
                 if attempt.state == RUNNING:
                     attempt.fire("lose")
@@ -260,11 +265,7 @@
         finally:
             if not completed:
                 # Cancelled, cut off or timed out: it must not keep using the engine.
-                task = asyncio.get_running_loop().create_task(
-                    self.engine.cancel(message.request_id)
-                )
-                self.background_tasks.add(task)
-                task.add_done_callback(self.background_tasks.discard)
+                self.cancel_at_engine(message.request_id)
 
     async def stream(
         self, link: Link, message: messages.Dispatch, frame: Frame
@@ -336,6 +337,39 @@
 
     # -- draining --------------------------------------------------------
 
+    def cancel_at_engine(self, request_id: str) -> None:
+        """Cancel a request that was given up, until the engine confirms it.
+
+        An engine that stands still has read the request, and starts it when it goes
+        on, although its connection is closed.
+        """
+        if request_id not in self.cancel_tasks:
+            self.cancel_tasks[request_id] = asyncio.get_running_loop().create_task(
+                self.cancel_until_confirmed(request_id)
+            )
+
+    async def cancel_until_confirmed(self, request_id: str) -> None:
+        """Repeat the cancellation of a request until the engine confirms it."""
+        try:
+            while not await self.engine.cancel(request_id):
+                await asyncio.sleep(CANCEL_RETRY_INTERVAL_S)
+        finally:
+            del self.cancel_tasks[request_id]
+
+    async def wait_cancelled(self, request_id: str) -> None:
+        """Wait until an earlier attempt of a request does not run any more.
+
+        Both have the same id, and its cancellation would end them both.
+        """
+        task = self.cancel_tasks.get(request_id)
+        if task is not None:
+            await asyncio.wait([task])
+
+    def stop(self) -> None:
+        """Stop repeating cancellations."""
+        for task in self.cancel_tasks.values():
+            task.cancel()
+
     @contextmanager
     def count_running(self):
         """Count a request as running at the target inside the block."""
@@ -367,6 +401,12 @@
         """Wait until no request runs and no answer is being sent."""
         await self.idle.wait()
 
+    async def drained_at_engine(self) -> None:
+        """Wait until drained, and until no request that was given up may still run."""
+        await self.drained()
+        while self.cancel_tasks:
+            await asyncio.wait(self.cancel_tasks.values())
+
 
 def monotonic_expiry_s(expires_in_ms: int, expires_at_ms: int, now_s: float) -> float:
     """Return the monotonic time of an expiry.
--- a/src/wisteriapulley/sidecar/service.py
+++ b/src/wisteriapulley/sidecar/service.py
@@ -156,6 +156,7 @@
         await self.neighbours.stop()
         await self.server.stop()
         await self.http.stop()
+        self.gate.stop()
         await self.session.close()
 
     # -- published state -------------------------------------------------
--- a/src/wisteriapulley/sidecar/switch.py
+++ b/src/wisteriapulley/sidecar/switch.py
@@ -328,7 +328,7 @@
         return False
 
     async def drain(self, version: str) -> bool:
-        """Close the gate and wait until no request runs.
+        """Close the gate and wait until no request runs at the engine.
 
         Returns
         -------
@@ -340,7 +340,7 @@
         self.on_change()
         try:
             async with asyncio.timeout(self.settings.drain_ms / 1000):
-                await self.gate.drained()
+                await self.gate.drained_at_engine()
             entry = self.desired_entry()
             if entry is not None and entry.version == version:
                 return True
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -85,6 +85,7 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.read_while_silent: list[str] = []
+        self.late_tasks: set[asyncio.Task] = set()
         self.app = web.Application(
             client_max_size=64 << 20, middlewares=[self.handle_when_awake]
         )
@@ -102,9 +103,18 @@
     async def handle_when_awake(self, request: web.Request, handler):
         """Handle a request, but not before the engine goes on."""
         await request.read()
-        if not self.awake.is_set():
-            self.read_while_silent.append(request.path)
-            await self.awake.wait()
+        if self.awake.is_set():
+            return await handler(request)
+        self.read_while_silent.append(request.path)
+        handling = asyncio.create_task(self.handle_later(request, handler))
+        # The server cancels only the task that waits here.
+        self.late_tasks.add(handling)
+        handling.add_done_callback(self.late_tasks.discard)
+        return await asyncio.shield(handling)
+
+    async def handle_later(self, request: web.Request, handler):
+        """Handle a request when the engine goes on."""
+        await self.awake.wait()
         return await handler(request)
 
     async def work(self, seconds: float) -> None:
--- a/tests/test_entry_at_most_once.py
+++ b/tests/test_entry_at_most_once.py
@@ -133,6 +133,7 @@
 
     async def cancel(self, request_id):
         self.cancelled.append(request_id)
+        return True
 
     async def stop(self):
         await self.server.stop()
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -12,7 +12,7 @@
 from tests.weights_kit import publish
 from wisteriapulley.control.commands import AcquirePermit, PermitResult
 from wisteriapulley.control.driver import no_quorum
-from wisteriapulley.errors import ResultCode, WeightsError
+from wisteriapulley.errors import ResultCode, WeightsError, WisteriapulleyError
 from wisteriapulley.settings import Address, SidecarSettings
 from wisteriapulley.sidecar import engine as engine_module
 from wisteriapulley.sidecar import switch as switch_module
@@ -37,6 +37,8 @@
         self.lease_ms = 500
         self.lease_delay_s = 0.0
         self.deny_permits = False
+        self.may_grant = asyncio.Event()
+        self.may_grant.set()
         self.index = 10
         self.permit_held = False
         self.commands = []
@@ -55,6 +57,7 @@
             raise no_quorum("control is unreachable")
         is_acquire = isinstance(command, AcquirePermit)
         self.commands.append(command)
+        await self.may_grant.wait()
         if is_acquire and self.deny_permits:
             return PermitResult(ResultCode.PERMIT_DENIED)
         self.permit_held = is_acquire
@@ -159,10 +162,10 @@
         async with self.session.post(url, data=json.dumps(order)) as answer:
             return answer.status
 
-    def start_request(self, **options):
+    def start_request(self, stream=True, **options):
         """Dispatch a request over a fake link; return its task and the link."""
         link = FakeLink()
-        body = json.dumps({"prompt": "p", "max_tokens": 20, "stream": True})
+        body = json.dumps({"prompt": "p", "max_tokens": 20, "stream": stream})
         dispatch = messages.Dispatch(
             request_id="r", method="POST", path="/v1/completions", incarnation=1
         )._replace(**{"remaining_ms": 5000, **options})
@@ -467,3 +470,68 @@
             assert target.loaded_versions() == [run_target.first]
 
         run_target(scenario)
+
+    @pytest.mark.parametrize("key", ["", "k"])
+    def test_no_load_is_ordered_before_a_given_up_request_is_cancelled(
+        self, run_target, key
+    ):
+        """The engine has read the request, and starts it when it goes on."""
+
+        async def scenario(target):
+            target.fake.token_s = 0.05
+            target.control.name_version(run_target.first)
+            await target.wait_serving(run_target.first)
+            target.control.may_grant.clear()
+            target.control.name_version(run_target.second)
+            await target.wait_until(lambda: len(target.control.commands) == 3)
+            target.fake.awake.clear()
+            request, _ = target.start_request(
+                stream=False,
+                remaining_ms=100,
+                idempotency_key=key,
+                attempt=1,
+                expires_in_ms=100,
+            )
+            await target.wait_until(lambda: target.fake.read_while_silent)
+            target.control.may_grant.set()
+            with pytest.raises(WisteriapulleyError):
+                await request
+            await target.wait_until(
+                lambda: (
+                    "/control/load" in target.fake.read_while_silent
+                    or "drain_ms" in target.switcher.detail
+                )
+            )
+            assert "/control/load" not in target.fake.read_while_silent
+            target.fake.awake.set()
+            await target.wait_serving(run_target.second)
+            assert not target.events("load_while_running")
+
+        run_target(scenario)
+
+    def test_late_cancellation_does_not_end_the_next_attempt(self, run_target):
+        """Attempts of a request at its only target have the same id."""
+
+        async def scenario(target):
+            target.fake.token_s = 0.02
+            target.control.name_version(run_target.first)
+            await target.wait_serving(run_target.first)
+            may_cancel = asyncio.Event()
+            cancel = target.engine.cancel
+
+            async def cancel_late(request_id):
+                await may_cancel.wait()
+                return await cancel(request_id)
+
+            target.engine.cancel = cancel_late
+            first, link = target.start_request()
+            await target.wait_until(lambda: link.posted)
+            first.cancel()
+            await asyncio.wait([first])
+            second, link = target.start_request()
+            await asyncio.sleep(0.1)
+            may_cancel.set()
+            await second
+            assert isinstance(link.posted[-1], messages.AnswerEnd)
+
+        run_target(scenario)
