Answer, log and count errors while a request is read

A caller whose request ran into an error before or after the dispatcher would get the 500 page of the HTTP library, or an answer that ended without a word. The log had a traceback without the request's id, no metric counted it, and a body over the limit left no line at all.

Cause: the dispatcher answers its own errors, but what is read and translated around it had no such frame.

Evidence: a decoder that raises, and a handler that raises after the head: 500 or a cut by the library, nothing counted. No input was found that makes the present decoder raise, so this guards rather than explains a lost answer. The four new tests failed before.

The listener now ends such a request itself, with 502 or a cut, one line with the id, and the counter that the dispatcher has. Errors of the caller's connection and the refusal of long bodies stay what they were.

--- a/src/wisteriapulley/platform/daemons.py
+++ b/src/wisteriapulley/platform/daemons.py
@@ -1,5 +1,6 @@
 """Builds and runs the daemons with the platform's settings and HTTP formats."""
 
+import functools
 import logging
 import os
 from typing import TYPE_CHECKING
@@ -64,6 +65,8 @@
 
         async def start(self) -> None:
             """Listen for readiness checks, then start the entry."""
+            errors = self.dispatcher.metrics.internal_errors
+            self.ingress.count_internal_error = functools.partial(errors.inc, {})
             self.readiness = ReadinessServer(names.READY_CALL, self.is_ready)
             await self.readiness.start(self.settings.ready_listen)
             await super().start()
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -15,6 +15,7 @@
 )
 from wisteriapulley.errors import ResultCode, SettingsError
 from wisteriapulley.idle_connections import close_idle
+from wisteriapulley.logs import fields
 from wisteriapulley.platform import names
 from wisteriapulley.settings import Address
 
@@ -40,6 +41,7 @@
     RefusalKind.FAILED: 502,
     RefusalKind.TIMED_OUT: 504,
 }
+INTERNAL_ERROR = Refusal(RefusalKind.FAILED, reason="internal error")
 
 RequestHandler = Callable[
     [CallerRequest, "HttpCallerAnswer"], Awaitable[Refusal | None]
@@ -105,12 +107,22 @@
         Responds to a request, or returns the refusal to send instead.
     max_body_bytes : int
         Maximum length of a request body.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether a drain has begun.
+    count_internal_error : callable
+        Called for each request that an error of this process ended here.
+    active : set of object
+        Connections with a request in progress.
     """
 
     def __init__(self, serve: RequestHandler, max_body_bytes: int):
         self.serve = serve
         self.max_body_bytes = max_body_bytes
         self.closing = False
+        self.count_internal_error: Callable[[], None] = lambda: None
         self.active: set[object] = set()
         self.runner: web.ServerRunner | None = None
         self.site: web.TCPSite | None = None
@@ -173,12 +185,31 @@
             if refusal is not None:
                 await answer.refuse(refusal)
         except (ConnectionError, web.RequestPayloadError) as error:
-            log.info("caller left: %r", error)
+            log.info("caller left: %r", error, extra=request_fields(request))
             answer.cut()
+        except web.HTTPRequestEntityTooLarge as error:
+            log.info("refused: %s", error.text, extra=request_fields(request))
+            raise
+        except Exception:
+            await self.end_by_internal_error(request, answer)
         finally:
             self.active.discard(request.protocol)
         return answer.response or web.StreamResponse(status=500)
 
+    async def end_by_internal_error(
+        self, request: web.BaseRequest, answer: HttpCallerAnswer
+    ) -> None:
+        """Answer a request that an error of this process ended, or cut its answer."""
+        log.exception(
+            "request ended by an internal error",
+            extra=request_fields(request, answer_started=answer.started),
+        )
+        self.count_internal_error()
+        if answer.started:
+            answer.cut()
+        else:
+            await answer.refuse(INTERNAL_ERROR)
+
     async def drain(self, accept_s: float, max_s: float) -> None:
         """Finish requests in progress, then close idle connections.
 
@@ -205,6 +236,11 @@
             await self.runner.cleanup()
 
 
+def request_fields(request: web.BaseRequest, **more: object) -> dict[str, object]:
+    """Return the fields of a log line about a request."""
+    return fields(request.headers.get(names.REQUEST_ID, ""), **more)
+
+
 def decode_request(request: web.BaseRequest, body: bytes) -> CallerRequest:
     """Return the product's form of a request."""
     headers = request.headers
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -1,8 +1,10 @@
-"""Callers' connections while an entry drains."""
+"""Callers' connections: drain, and errors while a request is handled."""
 
 import asyncio
+import logging
 
 from wisteriapulley.idle_connections import close_idle
+from wisteriapulley.platform import ingress as ingress_module
 from wisteriapulley.platform.ingress import Ingress
 from wisteriapulley.settings import Address
 
@@ -81,3 +83,62 @@
             assert served.count == 0
 
         run_scenario(scenario)
+
+
+class TestInternalError:
+    """Errors outside the dispatcher, which answers and logs its own."""
+
+    def run_failing(self, scenario):
+        async def count_errors(ingress, served, reader, writer):
+            counted = []
+            ingress.count_internal_error = lambda: counted.append(1)
+            await scenario(ingress, reader, writer)
+            assert len(counted) == 1
+
+        run_scenario(count_errors)
+
+    def test_request_that_is_not_understood_gets_a_failure(self, monkeypatch, caplog):
+        def fail(request, body):
+            raise KeyError("unexpected")
+
+        monkeypatch.setattr(ingress_module, "decode_request", fail)
+
+        async def scenario(ingress, reader, writer):
+            writer.write(REQUEST)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 502")
+            assert not ingress.active
+
+        self.run_failing(scenario)
+        (record,) = [r for r in caplog.records if r.levelno >= logging.ERROR]
+        assert record.request_id == "1" and not record.answer_started
+
+    def test_answer_that_has_begun_is_cut(self, caplog):
+        async def begin_and_fail(request, answer):
+            await answer.start(200, (), None)
+            await answer.write(b"part")
+            raise KeyError("unexpected")
+
+        async def scenario(ingress, reader, writer):
+            ingress.serve = begin_and_fail
+            writer.write(REQUEST)
+            assert not (await reader.read()).endswith(b"0\r\n\r\n")
+
+        self.run_failing(scenario)
+        (record,) = [r for r in caplog.records if r.levelno >= logging.ERROR]
+        assert record.request_id == "1" and record.answer_started
+
+
+class TestLongBody:
+    def test_is_refused_and_logged_with_its_id(self, caplog):
+        async def scenario(ingress, served, reader, writer):
+            body = b"x" * 1001
+            request = REQUEST.replace(b"GET", b"POST").removesuffix(b"\r\n")
+            writer.write(request + b"Content-Length: 1001\r\n\r\n" + body)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 413")
+            assert served.count == 0 and not ingress.active
+
+        with caplog.at_level(logging.INFO):
+            run_scenario(scenario)
+        assert [r.request_id for r in caplog.records if "refused" in r.msg] == ["1"]
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,7 +8,7 @@
 
 from tests.fakes.platform import EVENT_STREAM, Engine, Origin, configuration
 from tests.fleet import free_hosts, free_port
-from wisteriapulley.platform import names
+from wisteriapulley.platform import ingress, names
 from wisteriapulley.platform.daemons import new_control, new_entry, new_sidecar
 from wisteriapulley.platform.settings import PlatformSettings
 
@@ -214,6 +214,18 @@
 
         run_scenario(tmp_path, scenario)
 
+    def test_request_that_is_not_understood_is_counted(self, tmp_path, monkeypatch):
+        def fail(request, body):
+            raise KeyError("unexpected")
+
+        async def scenario(path):
+            monkeypatch.setattr(ingress, "decode_request", fail)
+            status, _, _ = await path.ask()
+            assert status == 502
+            assert path.entry.dispatcher.metrics.internal_errors.get({}) == 1
+
+        run_scenario(tmp_path, scenario)
+
     def test_broken_stream_of_the_only_target_is_cut(self, tmp_path):
         async def scenario(path):
             path.engine.break_stream_after = 4
