Answer requests that are in progress at the end of a drain

Cause: at its time limit the drain left the requests in progress to the HTTP library, which cancels them and closes their connections. Since a silent target is waited for until the request's time ends, more requests can be in progress then.

Evidence: a SIGTERM while an engine stands still before its first event and does not go on within the drain: the caller's connection ended without a response.

The drain ends such requests itself: 502 where no answer has begun, a cut otherwise, and one log line with the id.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -1,6 +1,7 @@
 """HTTP server for callers."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Awaitable, Callable
 
@@ -41,6 +42,7 @@
     RefusalKind.FAILED: 502,
     RefusalKind.TIMED_OUT: 504,
 }
+STOPPED = Refusal(RefusalKind.FAILED, reason="entry stopped before the response")
 INTERNAL_ERROR = Refusal(RefusalKind.FAILED, reason="internal error")
 
 RequestHandler = Callable[
@@ -97,6 +99,14 @@
         await self.write(body)
         await self.finish()
 
+    async def end(self, refusal: Refusal) -> None:
+        """Send a refusal, or cut a response that has begun."""
+        if self.started:
+            self.cut()
+            return
+        with contextlib.suppress(ConnectionError):
+            await self.refuse(refusal)
+
 
 class Ingress:
     """HTTP server for callers.
@@ -114,8 +124,10 @@
         Whether a drain has begun.
     count_internal_error : callable
         Called for each request that an error of this process ended here.
-    active : set of object
-        Connections with a request in progress.
+    active : dict of object to asyncio.Task
+        Connections with a request in progress, and its task.
+    overdue : bool
+        Whether the time limit of the drain has passed.
     """
 
     def __init__(self, serve: RequestHandler, max_body_bytes: int):
@@ -123,7 +135,8 @@
         self.max_body_bytes = max_body_bytes
         self.closing = False
         self.count_internal_error: Callable[[], None] = lambda: None
-        self.active: set[object] = set()
+        self.active: dict[object, asyncio.Task] = {}
+        self.overdue = False
         self.runner: web.ServerRunner | None = None
         self.site: web.TCPSite | None = None
 
@@ -176,7 +189,7 @@
         """Serve one request, unless its connection is already closed."""
         if request.transport is None or request.transport.is_closing():
             return web.StreamResponse(status=503)
-        self.active.add(request.protocol)
+        self.active[request.protocol] = asyncio.current_task()
         answer = HttpCallerAnswer(request, lambda: self.closing)
         try:
             body = await request.read()
@@ -190,10 +203,14 @@
         except web.HTTPRequestEntityTooLarge as error:
             log.info("refused: %s", error.text, extra=request_fields(request))
             raise
+        except asyncio.CancelledError:
+            if not self.overdue:
+                raise
+            await self.end_overdue(request, answer)
         except Exception:
             await self.end_by_internal_error(request, answer)
         finally:
-            self.active.discard(request.protocol)
+            del self.active[request.protocol]
         return answer.response or web.StreamResponse(status=500)
 
     async def end_by_internal_error(
@@ -205,10 +222,20 @@
             extra=request_fields(request, answer_started=answer.started),
         )
         self.count_internal_error()
-        if answer.started:
-            answer.cut()
-        else:
-            await answer.refuse(INTERNAL_ERROR)
+        await answer.end(INTERNAL_ERROR)
+
+    async def end_overdue(
+        self, request: web.BaseRequest, answer: HttpCallerAnswer
+    ) -> None:
+        """Answer a request that is in progress at the end of the drain, or cut it.
+
+        A closed connection would leave its caller without any result.
+        """
+        log.warning(
+            "request in progress at the end of the drain",
+            extra=request_fields(request, answer_started=answer.started),
+        )
+        await answer.end(STOPPED)
 
     async def drain(self, accept_s: float, max_s: float) -> None:
         """Finish requests in progress, then close idle connections.
@@ -229,6 +256,15 @@
         close_idle(self.server, self.active)
         while self.active and loop.time() < deadline_s:
             await asyncio.sleep(0.05)
+        await self.cancel_overdue()
+
+    async def cancel_overdue(self) -> None:
+        """End the requests that are in progress at the end of the drain."""
+        self.overdue = True
+        for task in self.active.values():
+            task.cancel()
+        if self.active:
+            await asyncio.wait(self.active.values(), timeout=CLOSE_TIMEOUT_S)
 
     async def stop(self) -> None:
         """Close all connections."""
