Stop a test fleet whose control instance is stopped already

A test that fails while its control instance is away showed only the ValueError of the second stop in the teardown, with the failed assertion as its context.

--- a/tests/plain_fleet.py
+++ b/tests/plain_fleet.py
@@ -81,7 +81,9 @@
         """Stop all entries at once, since each drains, then the control instance."""
         entries = [service for service in self.services if service != self.control]
         await asyncio.gather(*(self.stop_service(entry) for entry in entries))
-        await self.stop_service(self.control)
+        # A test may have stopped the control instance already.
+        for service in tuple(self.services):
+            await self.stop_service(service)
 
     async def stop(self):
         self.heartbeat_task.cancel()
