Do not send a request whose start deadline has passed

Between a grant and the send, an entry that is held up for a moment let the start deadline pass and sent the request all the same: the timeout around the send cancels it only at its first wait, and on a kept connection there is none before the whole request is written.

The sender now looks first, and the request is offered elsewhere or refused with the promise that it has not run.

--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -104,6 +104,10 @@
         remaining_s = admitted.deadline_s - self.now_s()
         if remaining_s < MIN_SEND_S:
             return Refusal(RefusalKind.TIMED_OUT, reason="no time left")
+        if not slot.may_start(self.now_s()):
+            # A kept connection would take the request before a timeout cancels it.
+            reason = "weights superseded"
+            return Refusal(RefusalKind.UNAVAILABLE, REJECTED_RETRY_S, reason)
         plan = SendPlan(
             target.address,
             target.target_id,
@@ -142,7 +146,7 @@
         It is not a failure if the entry dropped the request, because the grace period
         of its version of the weights ended.
         """
-        if slot.start_deadline_s is None or self.now_s() < slot.start_deadline_s:
+        if slot.may_start(self.now_s()):
             self.registry.record_outcome(slot.target, True, self.now_s())
 
     async def check_for_crash(
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -112,6 +112,10 @@
     start_deadline_s: float | None = None
     granted: bool = False
 
+    def may_start(self, now_s: float) -> bool:
+        """Return whether the request may still start."""
+        return self.start_deadline_s is None or now_s < self.start_deadline_s
+
     def start_left_ms(self, now_s: float) -> int | None:
         """Return how long the request may still start; None without a limit."""
         if self.start_deadline_s is None:
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -209,6 +209,14 @@
         assert first.closed and not caller.body
         assert len(client.plans) == 2
 
+    @pytest.mark.parametrize("kind", [RouteKind.STREAM, RouteKind.NON_IDEMPOTENT])
+    def test_request_whose_time_has_passed_since_its_grant_is_not_sent(self, kind):
+        """A kept connection would take all of it before a timeout cancels it."""
+        refusal, _, client = serve(FakeAnswer(), kind=kind, starts_in_s=-0.05)
+        assert client.plans == []
+        # It has not run, and the caller may be told so.
+        assert refusal.kind is RefusalKind.UNAVAILABLE and refusal.retry_s > 0
+
     def test_started_request_continues(self):
         class Slow(FakeAnswer):
             async def parts(self):
