End an ejection for silence when the target goes on

Callers were kept away from a sound target for seconds after it had stood still once with some requests in flight.

Cause: two of its requests that another target answered first were enough to eject it for 3 s, whatever the others there showed; and each later failure of a request that had been sent before the ejection could begin another one.

What was sent before an ejection tells nothing new, so its failures don't count while the target is ejected. An ejection that began with a silence ends when a silent request there goes on; one that began with failures does not.

--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -86,6 +86,8 @@
         Moving average of failed requests, from 0 to 1.
     ejected_until_s : float
         When its outlier ejection ends.
+    ejected_as_silent : bool
+        Whether a silence led to that ejection, rather than a failure.
     replaced : bool
         Whether another target has its address now.
     rate : RateTracker
@@ -117,6 +119,7 @@
         self.failure_rate = 0.0
         self.samples = 0
         self.ejected_until_s = 0.0
+        self.ejected_as_silent = False
         self.replaced = False
         self.rate = RateTracker()
         self.cooldown = CooldownTracker()
@@ -459,7 +462,13 @@
         return min((wait_s for wait_s in waits_s if 0 < wait_s < inf), default=None)
 
     def record_outcome(self, target: Target, failed: bool, now_s: float) -> None:
-        """Record the result of a request; eject a target that is an outlier."""
+        """Record the result of a request; eject a target that is an outlier.
+
+        An ejected target gets no requests. Those that fail there meanwhile were sent
+        before, and tell nothing new.
+        """
+        if failed and now_s < target.ejected_until_s:
+            return
         target.record_outcome(failed)
         if not failed or target.samples < MIN_EJECTION_SAMPLES:
             return
@@ -473,9 +482,22 @@
         ):
             return
         target.ejected_until_s = now_s + EJECTION_S
+        target.ejected_as_silent = False
         target.samples = 0
         target.failure_rate = 0.0
 
+    def record_silence(self, target: Target, now_s: float) -> None:
+        """Record a failure of a target that was left because it was silent."""
+        if now_s < target.ejected_until_s:
+            return
+        self.record_outcome(target, True, now_s)
+        target.ejected_as_silent = now_s < target.ejected_until_s
+
+    def record_resumed(self, target: Target, now_s: float) -> None:
+        """Record that a silent target went on; end an ejection for its silence."""
+        if target.ejected_as_silent:
+            target.ejected_until_s = min(target.ejected_until_s, now_s)
+
     def retention_s(self, target: Target) -> float:
         """Return how long a target without heartbeats is kept."""
         return (
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -327,6 +327,7 @@
         """Record that a silent target went on, so that it is sound."""
         self.log_silence("silent target went on", exchange, admitted)
         exchange.silent_since_s = None
+        self.registry.record_resumed(exchange.target, self.now_s())
         self.metrics.record_silence("went_on")
 
     def record_abandoned(self, exchange: Exchange, admitted: Admitted) -> None:
@@ -334,7 +335,8 @@
         exchange.broke_off = True
         self.log_silence("silent target left", exchange, admitted)
         self.metrics.record_silence("left")
-        self.record_no_response(exchange.slot)
+        if exchange.slot.may_start(self.now_s()):
+            self.registry.record_silence(exchange.target, self.now_s())
 
     def record_spare_error(
         self, error: BaseException | None, admitted: Admitted
