Take a warm engine for warm after it stood still

Callers were refused at an engine that had paused for over two seconds, for as long as a cold start lasts, where its service limits requests to cold targets.

Cause: an engine that answered again after a silence was taken for cold until its next statement. A warm engine goes on announcing that it is warm, which changes nothing and so is not published to its sidecar: no statement came.

Evidence, on a virtual clock: paused for 2.5 s amid a cold start of 10 s and a warm announcement, it counted as cold when its slots opened; that test failed before. The three on restarts did not, and guard what remains.

An engine counts as cold if its process was away, or if it restarted or does not say when it started. If its process was there all the while and the same incarnation goes on, what it announced before still holds; should it turn cold without a restart, that is a change, and changes are published at once.

--- a/src/wisteriapulley/rollout/cold_engine.py
+++ b/src/wisteriapulley/rollout/cold_engine.py
@@ -30,6 +30,8 @@
         The engine; None while its service states no rate of a cold target.
     silent_since_s : float or None
         When the engine first did not answer; None while it answers.
+    was_away : bool
+        Whether its process was not there at some time since then.
     was_cold : bool
         Whether it was cold when last checked.
     holds_weights : bool
@@ -42,6 +44,7 @@
         self.on_change = on_change
         self.target: ColdTarget | None = None
         self.silent_since_s: float | None = None
+        self.was_away = False
         self.was_cold = False
         self.holds_weights = True
 
@@ -83,21 +86,30 @@
         """Record an answer of the engine itself."""
         now_s = self.now_s()
         silent_since_s, self.silent_since_s = self.silent_since_s, None
+        was_away, self.was_away = self.was_away, False
         self.holds_weights = bool(report.versions)
         if self.target is None:
             return
         self.count_requests(now_s)
         self.target.record_alive(report.started_ms, now_s)
-        if silent_since_s is not None:
+        if silent_since_s is not None and (was_away or not report.started_ms):
             self.target.record_return(silent_since_s, now_s)
         if report.cold_s is not None:
             self.target.observe(report.started_ms, report.cold_s, now_s)
         self.check()
 
-    def observe_silence(self) -> None:
-        """Record that the engine did not answer."""
+    def observe_silence(self, was_away: bool = True) -> None:
+        """Record that the engine did not answer.
+
+        Parameters
+        ----------
+        was_away : bool
+            Whether its process was not there. One that is only silent may stand still,
+            and is as warm as before if the same incarnation goes on.
+        """
         if self.silent_since_s is None:
             self.silent_since_s = self.now_s()
+        self.was_away |= was_away
 
     def observe_announcement(self, announced: Target | None) -> None:
         """Record what the engine announced to control instances, if it did."""
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -256,7 +256,7 @@
         if not self.state.engine_is_silent:
             log.warning("the engine does not answer: %s", error)
         self.state.engine_is_silent = True
-        self.cold.observe_silence()
+        self.cold.observe_silence(was_away=False)
 
     def update_admission(self) -> None:
         """Open or close the slots according to the current state."""
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -19,6 +19,7 @@
     OrderOutcome,
 )
 from wisteriapulley.settings import Address
+from wisteriapulley.wire.messages import TargetState
 
 # Longer than a sidecar waits for a report.
 SILENT_S = 2.5
@@ -234,6 +235,55 @@
         play(tmp_path, scenario)
 
 
+class TestColdness:
+    """Nothing that is published says again that a warm engine is still warm."""
+
+    COLD_START_S = 10.0
+
+    def start_warm(self, sidecar):
+        """Let the engine announce that it is warm, as it did before its pause."""
+        sidecar.service.cold.set_limits(self.COLD_START_S, 5.0)
+        state = TargetState("i-1", "s", "10.0.0.0:80", "z", started_ms=1)
+        sidecar.service.targets_changed([state])
+        assert not sidecar.service.cold.was_cold
+
+    async def pause(self, sidecar):
+        """Stand still; return whether the engine then counts as cold."""
+        sidecar.engine.stand_still(SILENT_S)
+        await asyncio.sleep(SILENT_S + 0.5)
+        assert sidecar.slots.open
+        return sidecar.service.cold.was_cold
+
+    def test_warm_engine_is_warm_after_a_pause(self, tmp_path):
+        async def scenario(sidecar):
+            self.start_warm(sidecar)
+            assert not await self.pause(sidecar)
+
+        play(tmp_path, scenario)
+
+    @pytest.mark.parametrize("restarted_ms", [0, 2])
+    def test_restart_in_the_silence_counts_as_cold(self, tmp_path, restarted_ms):
+        async def scenario(sidecar):
+            self.start_warm(sidecar)
+            sidecar.engine.started_ms = restarted_ms
+            assert await self.pause(sidecar)
+
+        play(tmp_path, scenario)
+
+    def test_engine_that_was_away_counts_as_cold(self, tmp_path):
+        async def scenario(sidecar):
+            self.start_warm(sidecar)
+            report, sidecar.engine.report = sidecar.engine.report, self.refuse
+            await asyncio.sleep(0.5)
+            sidecar.engine.report = report
+            assert await self.pause(sidecar)
+
+        play(tmp_path, scenario)
+
+    async def refuse(self):
+        raise WeightsError(ResultCode.SOURCE_UNAVAILABLE, "refused")
+
+
 class TestOrder:
     """An engine stands still while it is ordered to load, or loads."""
 
