Learn no speed from work during which the engine stood still

Callers were refused at an engine that had paused for a second, since its sidecar then reckoned with work that takes up to three times as long.

Cause: a request that ran through a pause took longer by all of it, and each of those in flight was one more observation of slow work.

The sidecar polls the engine beside it all the while, and a report that takes over 0.5 s shows the pause. Work that began before its end is left out of the speed, and of the mean times that a slot is held and that an event takes. Slow work without a pause still counts.

--- a/src/wisteriapulley/policy/slot_estimates.py
+++ b/src/wisteriapulley/policy/slot_estimates.py
@@ -155,6 +155,8 @@
         grant = self.grants.pop(request_id, None)
         if grant is None:
             return None
+        if self.speed.stood_still_since(grant.begun):
+            return grant
         held_ms = (now_ms - grant.granted_ms) / self.factor
         self.mean_hold_ms += SMOOTHING * (held_ms - self.mean_hold_ms)
         if grant.events >= 1:
--- a/src/wisteriapulley/policy/target_speed.py
+++ b/src/wisteriapulley/policy/target_speed.py
@@ -116,12 +116,18 @@
     The estimate is the product of what the target states and of how much longer its
     work takes than that explains. The first one is quick and the second one stays, so
     a target that is always slow is known as such, whether or not it says so.
+
+    Attributes
+    ----------
+    stood_still_until_s : float
+        End of its last standstill, as far as is known.
     """
 
     def __init__(self):
         self.stated = StatedPace()
         self.observed = FadingMean(OBSERVED_HALF_LIFE_S)
         self.marked = WorkMark(0.0, 0.0)
+        self.stood_still_until_s = -math.inf
 
     def observe_stated(self, pace: float, now_s: float) -> None:
         """Record a statement, in percent of the usual time; 0 states nothing."""
@@ -137,6 +143,17 @@
         self.marked = WorkMark(at_s + elapsed_s, done_s)
         return self.marked
 
+    def record_standstill(self, now_s: float) -> None:
+        """Record that it has just stood still.
+
+        One pause lengthens all that runs meanwhile, and tells nothing about the speed.
+        """
+        self.stood_still_until_s = now_s
+
+    def stood_still_since(self, begun: WorkMark) -> bool:
+        """Return whether it stood still after the begin of some work."""
+        return begun.at_s < self.stood_still_until_s
+
     def observe_work(
         self, begun: WorkMark, usual_ms: float, took_ms: float, now_s: float
     ) -> None:
@@ -151,7 +168,7 @@
         now_s : float
             When it ended.
         """
-        if usual_ms <= 0 or took_ms <= 0:
+        if usual_ms <= 0 or took_ms <= 0 or self.stood_still_since(begun):
             return
         ended = self.mark(now_s)
         stated_ratio = 1.0
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -36,6 +36,10 @@
 # 197 s within 24 s.
 POLL_INTERVAL_S = 0.2
 STEADY_POLL_INTERVAL_S = 0.4
+# The engine is on the same instance and reports within milliseconds, also amid work.
+# One that takes longer than this stood still. It is polled often enough for a pause of
+# a second to be noticed.
+STANDSTILL_S = 0.5
 # Paces in percent from which on an engine is logged as slow, and below which as usual.
 # They are far apart, since the speed of a shared machine changes many times a second.
 SLOW_LOG_PACE = 180
@@ -218,7 +222,7 @@
         """
         previous = self.state.report
         try:
-            report = (await self.engine.report()).merged_with(previous)
+            report = (await self.request_report()).merged_with(previous)
         except EngineSilentError as error:
             self.record_silence(error)
             return
@@ -233,6 +237,16 @@
             self.cold.observe_report(report)
         self.record_report(report, previous)
 
+    async def request_report(self) -> EngineReport:
+        """Request the engine's report; a long wait shows that it stood still."""
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        try:
+            return await self.engine.report()
+        finally:
+            if loop.time() - sent_s > STANDSTILL_S:
+                self.admission.slots.speed.record_standstill(loop.time())
+
     def record_report(self, report: EngineReport, previous: EngineReport) -> None:
         """Record what the engine reports, or that it is away."""
         if report.versions != previous.versions:
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -13,6 +13,12 @@
 from wisteriapulley.platform import engine as engine_module
 from wisteriapulley.platform.engine import CALL_TIMEOUT_S, HttpEngine
 from wisteriapulley.platform.http import HttpClient
+from wisteriapulley.policy.circuit_breaker import SendOutcome
+from wisteriapulley.policy.engine_slots import ObservedWork, SlotRequest
+from wisteriapulley.policy.slot_estimates import (
+    INITIAL_EVENT_INTERVAL_MS,
+    INITIAL_HOLD_MS,
+)
 from wisteriapulley.rollout.engine import (
     EngineReport,
     EngineSilentError,
@@ -235,6 +241,62 @@
         play(tmp_path, scenario)
 
 
+class TestSpeed:
+    """A pause lengthens everything that runs at the time."""
+
+    RUNNING = 12
+    EVENTS = 20
+
+    async def run_requests(self, sidecar, pause_s):
+        """Run some requests at once, with a pause in the middle."""
+        slots, loop = sidecar.slots, asyncio.get_running_loop()
+        names = [f"r{number}" for number in range(self.RUNNING)]
+        for name in names:
+            request = SlotRequest(name, "entry-x", 1, 100, 1, 400)
+            slots.add_grant(request, loop.time() * 1000)
+        usual_s = (self.EVENTS + 0.5) * slots.usual_step_ms(self.RUNNING) / 1000
+        await asyncio.sleep(usual_s / 2)
+        sidecar.engine.stand_still(pause_s)
+        await asyncio.sleep(usual_s / 2 + pause_s)
+        work = ObservedWork(self.EVENTS, (usual_s + pause_s) * 1000)
+        for name in names:
+            now_ms = loop.time() * 1000
+            slots.record_end(name, SendOutcome.ACCEPTED, now_ms, work=work)
+
+    def play_pause(self, tmp_path, pause_s):
+        """Return speed factor, hold time and time between events after a pause."""
+        results = []
+
+        async def scenario(sidecar):
+            await self.run_requests(sidecar, pause_s)
+            slots, now_s = sidecar.slots, sidecar.engine.now_s()
+            results.extend([slots.speed.factor(now_s), slots.mean_hold_ms])
+            results.append(slots.mean_event_interval_ms)
+
+        play(tmp_path, scenario)
+        return results
+
+    @pytest.mark.parametrize("pause_s", [1.0, 1.4, SILENT_S])
+    def test_pause_is_not_taken_for_slow_work(self, tmp_path, pause_s):
+        factor, hold_ms, interval_ms = self.play_pause(tmp_path, pause_s)
+        assert factor == 1.0
+        assert hold_ms <= INITIAL_HOLD_MS
+        assert interval_ms <= INITIAL_EVENT_INTERVAL_MS
+
+    def test_slow_work_without_a_pause_is_noticed(self, tmp_path):
+        async def scenario(sidecar):
+            slots = sidecar.slots
+            await self.run_requests(sidecar, 0.0)
+            assert slots.mean_hold_ms < INITIAL_HOLD_MS
+            mark = slots.speed.mark(sidecar.engine.now_s())
+            await asyncio.sleep(1.0)
+            for _ in range(self.RUNNING):
+                slots.speed.observe_work(mark, 300, 1000, sidecar.engine.now_s())
+            assert slots.speed.factor(sidecar.engine.now_s()) > 1.5
+
+        play(tmp_path, scenario)
+
+
 class TestColdness:
     """Nothing that is published says again that a warm engine is still warm."""
 
