Do not count a request as answered when its caller leaves

An operator saw a request whose caller gave up, during a silence for instance, counted and logged with result code 0, which means a complete response.

Cause: the result code starts as 0 and is set only by errors of our own; a caller that leaves ends the handler by a cancellation or a reset connection.

Evidence: a caller that leaves after the first part of an answer is counted with code 0.

The code is 0 only once the whole response was written; until then it is that of a cut answer.

--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -176,14 +176,17 @@
         self.request_started()
         started_s = time.monotonic()
         caller = None
-        code = ResultCode.OK
+        # The code of a request whose caller leaves.
+        code = ResultCode.ANSWER_CUT
         body_buffer = BufferedBody(self.bodies, self.settings.max_body_bytes)
         try:
             self.check_ready()
             body = await body_buffer.read(request)
             entries = self.control.catalogue.image.entries
             caller = parse_request(request, body, entries)
-            return await self.answer(request, caller, started_s)
+            response = await self.answer(request, caller, started_s)
+            code = ResultCode.OK
+            return response
         except WisteriapulleyError as error:
             code = error.code
             return error_response(with_retry_after(error))
