Answer, log and count internal errors of the own interface

A caller of the product's own interface whose request ran into an error of the entry would get the 500 page of the HTTP library, without a result code that says whether the request may have run, or an event stream that ends without its error event.

Cause: the handler answers errors with a result code only; any other exception left it. The log had no request id, no metric counted it, and the request was logged with code 0.

Evidence: a run that raises before an answer, and parts that raise within one. Both new tests failed before.

--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -43,6 +43,7 @@
 RETRY_AFTER_MS = 1000
 HTTP_UNAVAILABLE = 503
 EVENT_STREAM = "text/event-stream"
+INTERNAL_ERROR = "internal error of the entry"
 # How long a caller that does not read may delay the end of a cut response.
 ERROR_EVENT_TIMEOUT_S = 1.0
 
@@ -190,6 +191,13 @@
         except WisteriapulleyError as error:
             code = error.code
             return error_response(with_retry_after(error))
+        except (ConnectionError, web.HTTPException):
+            # The caller has left, or the HTTP library answers.
+            raise
+        except Exception:
+            code = ResultCode.MAY_HAVE_RUN
+            self.record_internal_error(caller)
+            return error_response(RequestError(code, INTERNAL_ERROR))
         finally:
             body_buffer.release()
             self.request_ended()
@@ -252,6 +260,13 @@
         except WisteriapulleyError as error:
             await self.abort_response(request, caller, response, error)
             raise
+        except ConnectionError:
+            raise
+        except Exception as error:
+            self.record_internal_error(caller)
+            cut_error = RequestError(ResultCode.ANSWER_CUT, INTERNAL_ERROR)
+            await self.abort_response(request, caller, response, cut_error)
+            raise cut_error from error
         return response
 
     def make_response(
@@ -305,6 +320,14 @@
         if self.running == 0:
             self.idle.set()
 
+    def record_internal_error(self, caller: CallerRequest | None) -> None:
+        """Log and count an error of this entry that ends a request."""
+        log.exception(
+            "request ended by an internal error",
+            extra=fields(caller.request_id if caller is not None else ""),
+        )
+        self.request_metrics.internal_errors.inc({})
+
     def record_request(
         self, caller: CallerRequest | None, code: ResultCode, started_s: float
     ) -> None:
--- a/tests/test_entry_service.py
+++ b/tests/test_entry_service.py
@@ -1,9 +1,11 @@
 """What callers see of an entry, and what it counts, when a request ends early."""
 
 import asyncio
+import logging
 from types import SimpleNamespace
 
 import aiohttp
+import pytest
 
 from wisteriapulley.catalogue import Entry
 from wisteriapulley.entry.answer import Answer
@@ -100,3 +102,45 @@
             assert fake.abandoned == 1
 
         run_scenario(fake.run, scenario)
+
+
+class TestInternalError:
+    async def fail(self, *args):
+        raise KeyError("unexpected")
+
+    def ended_by(self, caplog):
+        """Return the one logged error of an entry, and not of the HTTP library."""
+        (record,) = [r for r in caplog.records if r.levelno >= logging.ERROR]
+        assert isinstance(record.exc_info[1], KeyError)
+        return record
+
+    def test_request_without_an_answer_may_have_run(self, caplog):
+        async def scenario(harness):
+            async with harness.ask() as answer:
+                assert answer.status == 502
+                code = (await answer.json())["error"]["code"]
+            assert code == ResultCode.MAY_HAVE_RUN
+            assert harness.codes() == [ResultCode.MAY_HAVE_RUN]
+            assert harness.service.request_metrics.internal_errors.get({}) == 1
+
+        run_scenario(self.fail, scenario)
+        assert len(self.ended_by(caplog).request_id) == 32
+
+    def test_answer_that_has_begun_is_cut(self, caplog):
+        fake = FakeRun(self.fail)
+
+        async def scenario(harness):
+            async with harness.ask() as answer:
+                assert answer.status == 200
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await answer.read()
+            await harness.service.idle.wait()
+            assert harness.codes() == [ResultCode.ANSWER_CUT]
+            assert harness.service.request_metrics.internal_errors.get({}) == 1
+            assert fake.abandoned == 1
+
+        with caplog.at_level(logging.WARNING):
+            run_scenario(fake.run, scenario)
+        record = self.ended_by(caplog)
+        (cut,) = [r for r in caplog.records if "answer cut" in r.message]
+        assert cut.request_id == record.request_id
