Send no request again to a target that leaves since its admission

An operator who drains a target by a change of the catalogue could see it get further requests, and a caller's request could be lost with it.

Cause: a request keeps the catalogue entry that admitted it, and the choice of a target for its second send used that entry's list of leaving targets. It also became the entry by which queued requests are started, until the next request came.

A request carries the revision that admitted it, and targets are chosen by the entry of the newest revision that came. Its service, time limit, class and limit of requests at a target stay those of its admission.

--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -48,22 +48,36 @@
 
 
 class ServicePool:
-    """Queued and running requests of one service."""
+    """Queued and running requests of one service.
+
+    Attributes
+    ----------
+    entry : Entry or None
+        Catalogue entry of the newest revision that a request came with. It decides
+        which targets may get requests, those that an older revision admitted too.
+    """
 
     def __init__(self, targets: Targets, rng: random.Random):
         self.targets = targets
         self.scheduler = Scheduler(LeastOutstanding(rng))
         self.queued_futures: dict[int, asyncio.Future] = {}
         self.entry: Entry | None = None
+        self.revision = 0
 
     def views(self, avoid: Sequence[str] = (), version: str = "") -> list[TargetView]:
         """Return the targets that may take a request now."""
         return self.targets.views(self.entry, avoid, version)
 
+    def observe_entry(self, entry: Entry, revision: int) -> None:
+        """Use the catalogue entry of a request unless a newer one is known."""
+        if revision >= self.revision:
+            self.entry = entry
+            self.revision = revision
+
     async def acquire(
-        self, work: Work, entry: Entry, avoid: set[str], version: str = ""
+        self, work: Work, limit: int, avoid: set[str], version: str = ""
     ) -> Slot:
-        """Wait for a slot.
+        """Wait for a slot at a target with fewer than `limit` requests.
 
         Raises
         ------
@@ -71,10 +85,8 @@
             The request was refused, at once or as soon as it can no longer meet
             its deadline.
         """
-        self.entry = entry
         views = self.views(avoid, version)
         now_s = time.monotonic()
-        limit = entry.limits.in_flight
         if avoid:
             return self.take_slot(work, self.place_retry(work, views, limit, now_s))
         node_id = self.scheduler.submit(work, views, limit, now_s)
@@ -197,6 +209,7 @@
         pool = self.pools.get(entry.service)
         if pool is None:
             pool = self.pools[entry.service] = ServicePool(self.targets, self.rng)
+        pool.observe_entry(entry, request.revision)
         work = Work(
             next(self.work_ids),
             request.account,
@@ -205,7 +218,7 @@
             request.units,
             request.deadline_s,
         )
-        return await pool.acquire(work, entry, avoid, version)
+        return await pool.acquire(work, entry.limits.in_flight, avoid, version)
 
     async def sweep_forever(self) -> None:
         """Sweep every pool at a fixed interval until cancelled."""
--- a/src/wisteriapulley/entry/request.py
+++ b/src/wisteriapulley/entry/request.py
@@ -62,6 +62,8 @@
         Whether the caller declares that it sent this key before.
     units : float
         Size of the request: tokens of a model, bytes of a plain service.
+    revision : int
+        Revision of the catalogue that admitted it.
     """
 
     request_id: str
@@ -76,6 +78,7 @@
     deadline_s: float
     resend: bool = False
     units: float = 1.0
+    revision: int = 0
 
     @property
     def remaining_s(self) -> float:
--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -183,8 +183,9 @@
         try:
             self.check_ready()
             body = await body_buffer.read(request)
-            entries = self.control.catalogue.image.entries
-            caller = parse_request(request, body, entries)
+            image = self.control.catalogue.image
+            caller = parse_request(request, body, image.entries)
+            caller = caller._replace(revision=image.revision)
             response = await self.answer(request, caller, started_s)
             code = ResultCode.OK
             return response
--- a/tests/test_entry_at_most_once.py
+++ b/tests/test_entry_at_most_once.py
@@ -1,6 +1,7 @@
 """Requests with idempotency keys over real links; entries and gates share a loop."""
 
 import asyncio
+import functools
 import time
 from types import SimpleNamespace
 
@@ -193,29 +194,30 @@
         self.targets.targets[sidecar.name].link.close()
 
 
+async def run_with_fleet(test, sidecars=2, entries=1):
+    """Run the test with this number of sidecars and entries."""
+    control = FakeControl()
+    targets = [await FakeSidecar(f"t{i}", control).start() for i in range(sidecars)]
+    clients = [FakeEntry(f"e{i}", control) for i in range(entries)]
+    try:
+        for client in clients:
+            await client.ready(sidecars)
+        async with asyncio.timeout(30):
+            await test(control, targets, *clients)
+    finally:
+        for client in clients:
+            await client.targets.stop()
+        for target in targets:
+            await target.stop()
+
+
 def with_fleet(sidecars=2, entries=1):
     """Run the test with this number of sidecars and entries."""
 
     def wrap(test):
         def run(self):
-            asyncio.run(start(test, self))
-
-        async def start(test, self):
-            control = FakeControl()
-            targets = [
-                await FakeSidecar(f"t{i}", control).start() for i in range(sidecars)
-            ]
-            clients = [FakeEntry(f"e{i}", control) for i in range(entries)]
-            try:
-                for client in clients:
-                    await client.ready(sidecars)
-                async with asyncio.timeout(30):
-                    await test(self, control, targets, *clients)
-            finally:
-                for client in clients:
-                    await client.targets.stop()
-                for target in targets:
-                    await target.stop()
+            scenario = functools.partial(test, self)
+            asyncio.run(run_with_fleet(scenario, sidecars, entries))
 
         return run
 
--- a/tests/test_entry_service.py
+++ b/tests/test_entry_service.py
@@ -50,10 +50,9 @@
         )
         self.service = EntryService(settings)
         entries = {"letters": SimpleNamespace(entry=ENTRY)}
+        image = SimpleNamespace(revision=1, entries=entries)
         self.service.control = SimpleNamespace(
-            catalogue=SimpleNamespace(
-                confirmed=True, revision=1, image=SimpleNamespace(entries=entries)
-            )
+            catalogue=SimpleNamespace(confirmed=True, revision=1, image=image)
         )
         self.service.run = run
         route = aiohttp.web.route("*", "/services/{rest:.*}", self.service.serve)
