Take numbers that no message can hold for numbers not stated

A caller that states 2^32 prompt tokens got 502 from an entry's own error instead of an answer; one that states an infinite deadline could get it once its request was late.

Cause: the listener accepts any number, and the slot request to a sidecar holds 32 bits and no infinity.

Evidence: a request with such a token count on the whole path: 502 and an encoding error in the log. The test of it failed before.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -32,6 +33,9 @@
 CLOSE_TIMEOUT_S = 0.2
 # How long a caller waits that does not state it.
 DEFAULT_MAX_WAIT_MS = 30_000
+# Larger numbers would not fit into a slot request to a sidecar.
+MAX_WAIT_MS = 86_400_000.0
+MAX_TOKENS = 2**32 - 1
 STATUS_BY_REFUSAL = {
     RefusalKind.NO_ROUTE: 404,
     RefusalKind.BAD_KEY: 401,
@@ -336,15 +340,18 @@
 def parse_max_wait_ms(text: str) -> float:
     """Return how long the caller waits, or a default if the header has no number."""
     try:
-        return max(0.0, float(text))
+        wait_ms = float(text)
     except ValueError:
         return DEFAULT_MAX_WAIT_MS
+    if not math.isfinite(wait_ms):
+        return DEFAULT_MAX_WAIT_MS
+    return min(MAX_WAIT_MS, max(0.0, wait_ms))
 
 
 def parse_count(text: str) -> int:
     """Return a number of tokens; 0 if the text is invalid."""
     try:
-        return max(0, int(float(text)))
+        return checked_count(int(float(text)))
     except (ValueError, OverflowError):
         return 0
 
@@ -355,4 +362,9 @@
         prompt, answer = map(int, text.split(","))
     except ValueError:
         return 0, 0
-    return max(0, prompt), max(0, answer)
+    return checked_count(prompt), checked_count(answer)
+
+
+def checked_count(count: int) -> int:
+    """Return a number of tokens, or 0 if it is out of range."""
+    return count if 0 < count <= MAX_TOKENS else 0
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -3,10 +3,21 @@
 import asyncio
 import logging
 
+import pytest
+
 from wisteriapulley.idle_connections import close_idle
 from wisteriapulley.platform import ingress as ingress_module
-from wisteriapulley.platform.ingress import Ingress
+from wisteriapulley.platform.ingress import (
+    DEFAULT_MAX_WAIT_MS,
+    MAX_TOKENS,
+    MAX_WAIT_MS,
+    Ingress,
+    parse_count,
+    parse_max_wait_ms,
+    parse_token_counts,
+)
 from wisteriapulley.settings import Address
+from wisteriapulley.wire import Frame, codec, messages
 
 REQUEST = (
     b"GET /a HTTP/1.1\r\nHost: h.example\r\nX-Request-Attempt-Id: 1\r\n"
@@ -142,3 +153,29 @@
         with caplog.at_level(logging.INFO):
             run_scenario(scenario)
         assert [r.request_id for r in caplog.records if "refused" in r.msg] == ["1"]
+
+
+class TestStatedNumbers:
+    """A number that no message to a sidecar can hold counts as not stated."""
+
+    @pytest.mark.parametrize("text", ["inf", "-inf", "nan", "1e400"])
+    def test_wait_that_is_not_finite_is_the_default(self, text):
+        assert parse_max_wait_ms(text) == DEFAULT_MAX_WAIT_MS
+
+    def test_long_wait_is_bounded(self):
+        assert parse_max_wait_ms("1e12") == MAX_WAIT_MS
+
+    @pytest.mark.parametrize("count", ["4294967296", "1e300", "inf", "nan"])
+    def test_count_out_of_range_is_none(self, count):
+        assert parse_count(count) == 0
+
+    def test_token_counts_out_of_range_are_none(self):
+        assert parse_token_counts("4294967296,50") == (0, 50)
+
+    def test_largest_numbers_fit_into_a_slot_request(self):
+        reservation = messages.Reserve(
+            prompt_tokens=parse_count(str(MAX_TOKENS)),
+            answer_tokens=parse_count(str(MAX_TOKENS)),
+            wait_ms=int(MAX_WAIT_MS),
+        )
+        codec.encode(Frame(1, 0, reservation))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -214,6 +214,13 @@
 
         run_scenario(tmp_path, scenario)
 
+    def test_token_count_out_of_range_ends_no_request(self, tmp_path):
+        async def scenario(path):
+            status, body, _ = await path.ask(**{"X-Token-Counts": "4294967296,50"})
+            assert (status, body) == (200, EVENT_STREAM)
+
+        run_scenario(tmp_path, scenario)
+
     def test_request_that_is_not_understood_is_counted(self, tmp_path, monkeypatch):
         def fail(request, body):
             raise KeyError("unexpected")
