Ask the next engine when a granted slot can't be used any more

Where a grant arrived with too little time left on its version, the caller was refused at once, although other engines may hold the newer version already.

The slot is released as before, counts as one sidecar asked, and the next engine is asked. The branch of denials moved into a method of its own.

--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -404,22 +404,35 @@
                 continue
             reservation = self.make_reservation(admitted, engine, target, is_last)
             answer = await self.sidecars.reserve(link, target, reservation)
-            if answer is not None and answer.granted:
-                wait_s = self.registry.wait_s(target, self.now_s(), is_last)
-                if not wait_s:
-                    return self.use_grant(
-                        link, admitted.request, target, engine, answer
-                    )
+            if answer is None or not answer.granted:
+                self.record_denial(denials, target, answer, now_s)
+                continue
+            wait_s = self.registry.wait_s(target, self.now_s(), is_last)
+            if wait_s:
                 # The engine throttled this entry, or its failure domain was evacuated,
                 # before its sidecar granted the slot.
                 self.sidecars.release(link, admitted.request.request_id)
                 denials.add_throttled(wait_s)
                 continue
-            denials.add(answer)
-            if answer is not None and answer.limited:
-                self.rate_permits.record_at_limit(target, answer.retry_ms / 1000, now_s)
+            slot = self.use_grant(link, admitted.request, target, engine, answer)
+            if slot is not None:
+                return slot
+            # Another engine may hold the newer version.
+            denials.counted += 1
         return Refusal(RefusalKind.OVERLOADED, denials.retry_s, "no slot in time")
 
+    def record_denial(
+        self,
+        denials: Denials,
+        target: Target,
+        answer: messages.Reserved | None,
+        now_s: float,
+    ) -> None:
+        """Record that a sidecar denied a slot or did not respond."""
+        denials.add(answer)
+        if answer is not None and answer.limited:
+            self.rate_permits.record_at_limit(target, answer.retry_ms / 1000, now_s)
+
     def refuse_below_level(
         self, admitted: Admitted, engine: Engine, targets: list[Target], now_s: float
     ) -> Refusal | None:
@@ -481,8 +494,8 @@
         target: Target,
         engine: Engine,
         answer: messages.Reserved,
-    ) -> AllocatedSlot | Refusal:
-        """Use a granted slot, unless requests may no longer start on its version."""
+    ) -> AllocatedSlot | None:
+        """Use a granted slot; None if requests may no longer start on its version."""
 
         def release(
             outcome: SendOutcome = SendOutcome.UNKNOWN,
@@ -494,9 +507,7 @@
         left_ms = self.grant_left_ms(engine.model, answer)
         if left_ms is not None and left_ms <= VERSION_END_MARGIN_MS:
             release()
-            return Refusal(
-                RefusalKind.UNAVAILABLE, DEFAULT_RETRY_S, "weights superseded"
-            )
+            return None
         start_deadline_s = self.start_deadline_s(left_ms)
         return self.occupy(target, answer.version, release, start_deadline_s)
 
--- a/tests/test_slot_allocation.py
+++ b/tests/test_slot_allocation.py
@@ -10,7 +10,7 @@
 from wisteriapulley.direct.progress import Admitted
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.slot_allocation import SlotAllocator
-from wisteriapulley.direct.types import CallerRequest, Refusal
+from wisteriapulley.direct.types import CallerRequest, Refusal, RefusalKind
 from wisteriapulley.policy.target_ranking import Load
 from wisteriapulley.policy.version_end import start_left_ms
 from wisteriapulley.routing import Engine, Route, RouteKind, Split
@@ -35,6 +35,7 @@
         self.decisions = list(decisions)
         self.decision_s = decision_s
         self.reservations = []
+        self.released = 0
 
     def is_selected(self, target):
         return True
@@ -57,7 +58,7 @@
         return self.decisions.pop(0)
 
     def release(self, link, request_id, *outcome):
-        pass
+        self.released += 1
 
 
 def allocate(sidecars, is_retry=False, count=3):
@@ -105,6 +106,25 @@
         assert all(reservation.late for reservation in sidecars.reservations)
 
 
+class TestGrantThatHasEnded:
+    """A sidecar granted a slot, and too little time is left to use it."""
+
+    ENDED = messages.Reserved(True, 1, start_left_ms=1)
+
+    def test_next_engine_is_asked(self):
+        """It may hold the newer version."""
+        sidecars = FakeSidecars(self.ENDED, messages.Reserved(True, 2))
+        slot = allocate(sidecars)
+        assert not isinstance(slot, Refusal) and slot.version == 2
+        assert sidecars.released == 1
+
+    def test_request_is_refused_if_there_is_no_other(self):
+        sidecars = FakeSidecars(self.ENDED, DENIED, self.ENDED)
+        refusal = allocate(sidecars)
+        assert refusal.kind is RefusalKind.OVERLOADED and refusal.retry_s == 0.1
+        assert sidecars.released == 2
+
+
 class TestStartDeadline:
     """The entry and the sidecar may hear of a newer version at different times."""
 
