Let requests wait for the weights that an engine is loading

Requests may queue at an engine that is about to open, but the sidecar judged them by the end of the weights that the engine held before. Past that end, and at each engine that had started without weights, they were all denied: for the version 0 the end is that of the first version ever accepted. With the allowance for pauses this would have met the last engines of each switch, too.

While slots are about to open, the end is that of the version that is being loaded, which may be superseded itself. Two of the three new tests failed before (denied instead of queued); the third keeps the bound for such a version.

The queue itself is as it was; see policy/engine_slots.

--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -295,8 +295,14 @@
         return serving_left_ms is None or serving_left_ms > 0
 
     def serving_left_ms(self) -> float | None:
-        """Return how long requests may start on the held version; None if unlimited."""
-        age_ms = self.state.superseded_for_ms()
+        """Return how long requests may start on the weights; None if unlimited.
+
+        While slots are to open on other weights, requests queue for those.
+        """
+        updater = self.updater
+        opens = updater.manifest is not None and (updater.loading or updater.opens_soon)
+        version = updater.manifest.version if opens else None
+        age_ms = self.state.superseded_for_ms(version)
         if age_ms is None:
             return None
         return start_left_ms(age_ms, self.settings.old_version_ms)
--- a/src/wisteriapulley/rollout/state.py
+++ b/src/wisteriapulley/rollout/state.py
@@ -61,13 +61,19 @@
         engine = self.engine
         return self.report.versions.get(engine.model, 0) if engine else 0
 
-    def superseded_for_ms(self) -> float | None:
-        """Return the time since the first version newer than the held was accepted."""
+    def superseded_for_ms(self, version: int | None = None) -> float | None:
+        """Return the time since the first newer version was accepted.
+
+        Parameters
+        ----------
+        version : int, optional
+            The superseded version; by default the held one.
+        """
         engine = self.engine
         if engine is None:
             return None
-        versions = self.follower.versions
-        since_s = versions.superseded_at(engine.model, self.held_version())
+        held = self.held_version() if version is None else version
+        since_s = self.follower.versions.superseded_at(engine.model, held)
         return None if since_s is None else (steady_s() - since_s) * 1000
 
     def update_targets(self, states: Iterable[messages.TargetState]) -> None:
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -7,7 +7,7 @@
 from bench.turned_away import VirtualLoop, VirtualSidecars
 
 from tests.test_direct_dispatch import SETTINGS, FakeCaller, crash_tracker, events
-from tests.test_evacuated_engine import ENGINE, name_version, new_service
+from tests.test_evacuated_engine import ENGINE, MANIFEST, name_version, new_service
 from tests.test_silent_targets import PacedAnswer
 from wisteriapulley.direct.dispatch import Dispatcher
 from wisteriapulley.direct.registry import TargetRegistry
@@ -18,9 +18,11 @@
 from wisteriapulley.policy.engine_slots import EngineSlots, SlotRequest
 from wisteriapulley.policy.target_ranking import Load
 from wisteriapulley.policy.version_end import PAUSE_ALLOWANCE_MS, start_left_ms
+from wisteriapulley.rollout.engine import EngineReport
 from wisteriapulley.rollout.switch_order import SwitchRank, switch_due_ms
 from wisteriapulley.routing import Route, RouteKind, RoutingTable, Service, Split
 from wisteriapulley.weights.desired_versions import DesiredVersions
+from wisteriapulley.wire import messages
 from wisteriapulley.wire.handshake import Identity
 from wisteriapulley.wire.messages import TargetState
 
@@ -231,3 +233,45 @@
     def test_version_serves_shorter_by_the_allowance(self):
         assert start_left_ms(0.0, 8000.0) == 8000.0 - PAUSE_ALLOWANCE_MS
         assert start_left_ms(8000.0, 8000.0) < 0
+
+
+def name_aged_version(service, version, age_ms):
+    """Tell a sidecar of a version that was accepted some time ago."""
+    aged = messages.VersionAge(version, int(age_ms))
+    state = messages.ModelState("s", "m", (aged,), ENGINE.slots)
+    service.follower.receive(messages.ModelNews((state,)))
+    service.admission.slots.engine = ENGINE
+
+
+class TestOpening:
+    """Requests wait for an engine that is about to hold the newer version."""
+
+    PASSED_MS = 2 * SETTINGS.old_version_ms
+
+    def is_queued(self, folder, held=1, newest=2, **update):
+        """Return whether a request waits at an engine that loads version 2."""
+
+        async def run():
+            service = new_service(folder)
+            for version in range(2, newest + 1):
+                name_aged_version(service, version, self.PASSED_MS)
+            service.state.report = EngineReport({"m": held} if held else {})
+            service.updater.manifest = MANIFEST
+            for name, value in update.items():
+                setattr(service.updater, name, value)
+            service.update_admission()
+            service.admission.expect_opening(100.0)
+            request = SlotRequest("q", "e", 100, 10, 1, 400.0)
+            now_ms = service.admission.now_ms()
+            return not service.admission.slots.request_slot(request, now_ms).denied
+
+        return asyncio.run(run())
+
+    def test_engine_that_loads_it_after_the_end_of_the_older_one(self, tmp_path):
+        assert self.is_queued(tmp_path, loading=True)
+
+    def test_engine_that_started_without_weights(self, tmp_path):
+        assert self.is_queued(tmp_path, held=0, opens_soon=True)
+
+    def test_version_in_load_has_an_end_of_its_own(self, tmp_path):
+        assert not self.is_queued(tmp_path, newest=3, loading=True)
