Probe an ejected target as soon as it goes on

Callers were kept away for seconds from a target that had stood still for one, since an entry of its own interface took the pause for slowness.

Cause: every request that is overdue there is an observation of slow work, so a dozen of them in one pause eject the target, and nothing that ends there counts before the first probe, 5 s later.

Evidence: one of four targets stands still for 1.0 or 2.5 s with 12 requests of 0.1 s in flight. It was ejected 0.7 s after the pause began and its first probe was due 4.6 or 3.1 s after the end; now a request is sent there at once.

The first request that ends at an ejected target shows that it goes on, and the next one is sent there as a probe. A good one ends the ejection as before. After a slow one the next probe is due after the usual 5 s, so that a target that is slow gets one probe more. One that stays silent is probed when it was before.

--- a/src/wisteriapulley/policy/outliers.py
+++ b/src/wisteriapulley/policy/outliers.py
@@ -24,10 +24,21 @@
 
 
 class Ejection(NamedTuple):
-    """Time of an ejected target's next probe, and its backoff."""
+    """Time of an ejected target's next probe, and its backoff.
+
+    Attributes
+    ----------
+    probe_s : float
+        When the next probe is due.
+    backoff_s : float
+        Time between two probes.
+    goes_on : bool
+        Whether a request has ended there since.
+    """
 
     probe_s: float
     backoff_s: float
+    goes_on: bool = False
 
 
 class OutlierDetector:
@@ -43,7 +54,12 @@
         self.ejected: dict[str, Ejection] = {}
 
     def record(
-        self, node_id: str, ratio: float, now_s: float, probe: bool = False
+        self,
+        node_id: str,
+        ratio: float,
+        now_s: float,
+        probe: bool = False,
+        ended: bool = False,
     ) -> None:
         """Record a request's time relative to the expected time.
 
@@ -56,12 +72,16 @@
         now_s : float
             Time of the sample.
         probe : bool
-            Whether the request was a probe of an ejected target; other requests that
-            the target held when it was ejected carry no new information.
+            Whether the request was a probe of an ejected target; the times of other
+            requests that it held when it was ejected carry no new information.
+        ended : bool
+            Whether the request ended, rather than being overdue.
         """
         if node_id in self.ejected:
             if probe:
                 self.evaluate_probe(node_id, ratio, now_s)
+            elif ended:
+                self.probe_at_once(node_id, now_s)
             return
         current = self.ratios.get(node_id, ratio)
         self.ratios[node_id] = current + SMOOTHING * (ratio - current)
@@ -90,6 +110,15 @@
         peers = self.median_peer_ratio(node_id)
         return peers > 0 and self.ratios[node_id] > SLOW_FACTOR * peers
 
+    def probe_at_once(self, node_id: str, now_s: float) -> None:
+        """Let an ejected target be probed now, the first time that it goes on.
+
+        Its requests may have been overdue because it stood still for a moment, and
+        then it is healthy again. If it is slow, the next probe is as late as usual.
+        """
+        if not self.ejected[node_id].goes_on:
+            self.ejected[node_id] = Ejection(now_s, MIN_PROBE_BACKOFF_S / 2, True)
+
     def evaluate_probe(self, node_id: str, ratio: float, now_s: float) -> None:
         """Restore a target after a good probe, or double its backoff."""
         if ratio <= RECOVERED_FACTOR * max(1.0, self.median_peer_ratio(node_id)):
@@ -97,7 +126,7 @@
             self.ratios[node_id] = ratio
             return
         backoff_s = min(MAX_PROBE_BACKOFF_S, self.ejected[node_id].backoff_s * 2)
-        self.ejected[node_id] = Ejection(now_s + backoff_s, backoff_s)
+        self.ejected[node_id] = Ejection(now_s + backoff_s, backoff_s, True)
 
     def next_probe(self, now_s: float) -> str | None:
         """Return a target that is due for a probe, and schedule its next one."""
--- a/src/wisteriapulley/policy/scheduler.py
+++ b/src/wisteriapulley/policy/scheduler.py
@@ -186,7 +186,7 @@
         seconds = now_s - run.started_s
         if run.expected_s > 0:
             ratio = seconds / run.expected_s
-            self.outliers.record(run.node_id, ratio, now_s, run.probe)
+            self.outliers.record(run.node_id, ratio, now_s, run.probe, ended=True)
         if run.node_id not in self.outliers.ejected:
             self.times.record(run.work, seconds)
 
