Take a body that flows for no silence

A plain request whose response took longer than half of its time to arrive was also sent to a second target, although the first one sent it steadily: a second run, and a share of the retry budget, for a target that was not silent.

Cause: the silence of a target is counted from the last part that it sent, and while the body of a plain response is read no part was recorded. Before silent targets were kept, only the wait for the head had a limit.

Evidence: ten parts of a body, 0.5 s apart, within a limit of 6 s: sent to two targets. The new test failed before.

Each part of the body now ends the wait, as each part of a stream does.

--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -218,14 +218,17 @@
         If it breaks off, the request can still be sent to another target.
         """
         try:
-            body = b"".join([part async for part in exchange.parts])
+            parts: list[bytes] = []
+            async for part in exchange.parts:
+                exchange.waiting_since_s = self.now_s()
+                parts.append(part)
         except BrokenAnswerError as error:
             target = exchange.target
             self.registry.record_outcome(target, True, self.now_s())
             await self.crashes.check_for_crash(admitted, target, progress)
             reason = f"response broke off: {error}"
             return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
-        return Arrival(body, ended=True)
+        return Arrival(b"".join(parts), ended=True)
 
     async def receive_events(
         self, exchange: Exchange, admitted: Admitted, progress: Progress
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -399,6 +399,14 @@
         assert_whole(entry)
         assert len(entry.client.plans) == 1
 
+    def test_body_that_flows_is_not_a_silence(self):
+        """A whole response may take longer than a target may be silent."""
+        answer = PacedAnswer(*[(0.5, b"part")] * 10)
+        entry = Entry(answer, PacedAnswer(), kind=RouteKind.IDEMPOTENT)
+        assert entry.serve()[0] is None
+        assert entry.caller.body == b"part" * 10
+        assert len(entry.client.plans) == 1
+
     def test_entry_that_stood_still_takes_no_target_for_silent(self):
         answer = PacedAnswer((0.0, events(1, 2)), (1.0, events(3, 4)))
         entry = Entry(answer, PacedAnswer())
