Take no slot for a silent target's request without a retry budget

Callers at engines that were not silent at all could be refused while another engine of their service stood still and the retry budget was spent: each waiting request took and released a slot at them up to ten times a second.

Cause: the search for another target takes its slot before it looks at the retry budget, and it repeats. Each grant takes a request of the rate that the target advertises, and a sidecar learns from it that slots fall free at once.

Evidence: a silence of 4 s without a budget: 26 grants for one request, now one. The new test failed before.

While a request is still at a target, the budget is looked at first. A request that was turned away is handled as it was, since its refusal tells when a slot is free.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -357,6 +357,11 @@
             return refusal or NO_SEND_LEFT
         if self.crashes.is_quarantined(admitted, progress):
             return QUARANTINED_REFUSAL
+        budget = self.retry_budget(progress.service)
+        if progress.open_exchanges and not budget.has_budget(self.now_s()):
+            # Each look would take a slot, and a request of the target's rate, in vain.
+            self.log_no_budget(admitted, progress, budget)
+            return NO_SEND_LEFT
         slot = await self.allocate_slot(admitted, progress)
         if isinstance(slot, Refusal):
             return merge_refusals(refusal, slot)
@@ -364,7 +369,6 @@
             # Updates of other entries may have arrived during the slot allocation.
             slot.release()
             return QUARANTINED_REFUSAL
-        budget = self.retry_budget(progress.service)
         if progress.sends and not budget.spend(self.now_s()):
             slot.release()
             self.log_no_budget(admitted, progress, budget)
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -312,6 +312,15 @@
         assert_whole(entry)
         assert len(entry.client.plans) == 1
 
+    def test_no_slot_is_taken_while_the_retry_budget_is_spent(self):
+        first = PacedAnswer((0.0, events(1, 2)), (4.0, events(3, 4)))
+        entry = Entry(first, PacedAnswer((NEVER_S, b"")))
+        budget = entry.dispatcher.retry_budget("s")
+        budget.slack = budget.ratio = 0.0
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+        assert entry.allocator.granted == 1
+
     def test_idempotent_request_is_answered_by_the_other(self):
         first = PacedAnswer((0.0, b"late"), head_s=NEVER_S)
         entry = Entry(first, PacedAnswer((0.0, b"whole")), kind=RouteKind.IDEMPOTENT)
