Pause targets in the soak

A sound target may stand still for a second and go on. The soak had no such fault, and judged a failed answer only where it was cut off, so it showed nothing of it. A seed now draws pauses of 0.3 to 2.5 s, from a generator of its own: of one target, of a failure domain, of all. Some meet a change of the configuration, others the end of a version's grace period while the origin is away. A target handles what it has read when it wakes, also for callers that left.

A pause excuses no other check. A new one, "paused", wants no request to fail that a pause met, unless a failure affected its entry, its service's targets or all processes, or the grace period ended before it started.

All other faults of seeds 1, 2 and 42 are drawn as before; their test names the pauses beside evacuations now. The test of the kinds lists them too.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -32,6 +32,9 @@
     parser.add_argument(
         "--keep", action="store_true", help="keep logs of passing seeds"
     )
+    parser.add_argument(
+        "--calm", action="store_true", help="only planned operations and pauses"
+    )
     return parser.parse_args()
 
 
@@ -50,6 +53,7 @@
         arguments.engines,
         not arguments.untimed,
         arguments.keep,
+        arguments.calm,
     )
     if arguments.regressions:
         arguments.seed = [regression.seed for regression in REGRESSIONS]
@@ -58,7 +62,10 @@
     ]
     if arguments.timeline:
         for seed in seeds:
-            print(*draw_faults(seed, options.seconds, options.shape), sep="\n")
+            faults = draw_faults(
+                seed, options.seconds, options.shape, calm=options.calm
+            )
+            print(*faults, sep="\n")
         return 0
     found = 0
     context = multiprocessing.get_context("spawn")
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,10 +11,10 @@
 import time
 from pathlib import Path
 
-from tests.fakes.platform import Listener, Origin
+from tests.fakes.platform import Listener, Origin, PausingTarget
 from tests.fleet import ROOT, Process
 
-from soak.invariants import STOP_GRACE_S, InvariantChecker
+from soak.invariants import STOP_GRACE_S, VERSION_GRACE_S, InvariantChecker
 from soak.network import Network
 from soak.plan import FAILURE_DOMAINS, FleetShape
 from soak.targets import HeartbeatSender, SoakEngine, SoakPlainTarget
@@ -122,7 +122,7 @@
 machines = 1
 [bounds]
 grace-period-s = {STOP_GRACE_S:.0f}
-version_ms = 8000
+version_ms = {VERSION_GRACE_S * 1000:.0f}
 """
         part = self.settings_file.with_suffix(".part")
         part.write_text(text)
@@ -372,6 +372,17 @@
         with open(path, "ab") as file:
             file.write(torn)
 
+    async def pause_targets(self, name: str, pause_s: float) -> None:
+        """Pause a target, the targets of a failure domain, or all of them."""
+        targets: list[PausingTarget] = [
+            sender.target
+            for target_name, sender in self.heartbeat_senders.items()
+            if name in ("", target_name, sender.failure_domain)
+        ]
+        began_s = time.monotonic()
+        await asyncio.gather(*(target.fall_silent(pause_s) for target in targets))
+        self.checker.pauses.append((began_s, time.monotonic()))
+
     async def supervise(self) -> None:
         """Record and restart processes that end by themselves, as the platform does."""
         while True:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -16,8 +16,13 @@
 # Time after the acknowledgement that a target is leaving (or after the response that
 # said so) from which on it gets no requests.
 DRAIN_BOUND_S = 2.5
-# Time after which no request starts on a superseded version of the weights.
-SUPERSEDED_BOUND_S = 8.5
+# Time in which a superseded version of the weights may still serve, and the time after
+# which no request starts on it.
+VERSION_GRACE_S = 8.0
+SUPERSEDED_BOUND_S = VERSION_GRACE_S + 0.5
+# A request that has not started by then is dropped this long before the grace period
+# ends at the latest, so that it does not start after it.
+VERSION_END_MARGIN_S = 0.5
 # Time after its acknowledgement from which on reads return a configuration.
 APPLY_BOUND_S = 2.0
 # Maximum number of requests of one entry that may reach a target during a cool-down,
@@ -29,6 +34,8 @@
 # instances are disturbed.
 EVACUATION_BOUND_S = 5.0
 EVACUATION_STRETCH_S = 6.0
+# Targets that stood still for no longer than this during a request can still answer it.
+MAX_PAUSE_S = 2.6
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -121,6 +128,8 @@
         self.desired_since_s: dict[int, float] = {}
         self.failure_domains: dict[str, str] = {}
         self.evacuations: list[Evacuation] = []
+        # When targets stood still: start and end.
+        self.pauses: list[tuple[float, float]] = []
         self.findings: list[Finding] = []
         self.check_counts: Counter[str] = Counter()
 
@@ -311,6 +320,7 @@
                 executions = self.executions.get(result.request_id, [])
                 self.check("not run", not executions, f"{result} ran: {executions}")
             self.check_truncated(result)
+            self.check_paused(result)
 
     def check_truncated(self, result: RequestResult) -> None:
         """Check that planned operations alone truncate no response."""
@@ -326,6 +336,62 @@
             self.add_finding("cut", f"{result} of {sent}")
         self.check_counts["cut"] += 1
 
+    def check_paused(self, result: RequestResult) -> None:
+        """Check that a request does not fail because targets stood still and went on.
+
+        A request whose connection was closed before it was sent on has not failed.
+        One that had not started when the grace period of its version ended must not
+        start, so it fails.
+        """
+        sent = self.sent[result.request_id]
+        pause_s = sum(
+            max(0.0, min(ended_s, result.at_s) - max(began_s, sent.at_s))
+            for began_s, ended_s in self.pauses
+        )
+        if not self.timed or not 0.0 < pause_s <= MAX_PAUSE_S:
+            return
+        if self.is_affected_by_failure(sent, result.at_s):
+            return
+        if self.is_version_ended(sent, result.at_s):
+            return
+        was_sent_on = bool(result.status or self.executions.get(result.request_id))
+        is_refused = result.status in NOT_EXECUTED_STATUSES
+        failed = not result.complete or (result.status >= 500 and not is_refused)
+        self.check("paused", not (failed and was_sent_on), f"{result} of {sent}")
+
+    def is_version_ended(self, sent: SentRequest, to_s: float) -> bool:
+        """Return whether a grace period ended before a request of an engine started."""
+        if not is_streaming(sent) or any(
+            execution.at_s < to_s for execution in self.executions[sent.request_id]
+        ):
+            return False
+        ends_s = (at_s + VERSION_GRACE_S for at_s in self.desired_since_s.values())
+        return any(
+            sent.at_s <= end_s <= to_s + VERSION_END_MARGIN_S for end_s in ends_s
+        )
+
+    def is_affected_by_failure(self, sent: SentRequest, to_s: float) -> bool:
+        """Return whether a failure may have affected a request.
+
+        It affects its entry, all processes, or a target of the request's service.
+        """
+        service = "sidecar-" if is_streaming(sent) else "plain-"
+        return any(
+            began_s <= to_s and ended_s + RECOVERY_S >= sent.at_s
+            for fault, began_s, ended_s in self.faults
+            if fault.kind not in PLANNED_KINDS
+            and (
+                fault.kind is FaultKind.KILL_ALL
+                or fault.name == sent.entry
+                or fault.name.startswith(service)
+            )
+        )
+
+
+def is_streaming(sent: SentRequest) -> bool:
+    """Return whether a request is served by engines, not by plain targets."""
+    return sent.path.startswith("/stream/")
+
 
 class ConfigurationHistory:
     """Records configurations sent, acknowledged and rejected; checks reads of them."""
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -98,9 +98,10 @@
         self.session = aiohttp.ClientSession(timeout=timeout)
         self.spawn(self.read_loop())
 
-    def spawn(self, coroutine) -> None:
+    def spawn(self, coroutine) -> asyncio.Task:
         """Run a coroutine in the background."""
         self.tasks.append(asyncio.get_running_loop().create_task(coroutine))
+        return self.tasks[-1]
 
     async def stop(self) -> None:
         """Cancel all background tasks."""
@@ -137,10 +138,13 @@
             )
         )
 
-    def set_desired_version(self) -> None:
-        """Make the next version of the weights the desired one."""
+    def set_desired_version(self) -> asyncio.Task:
+        """Make the next version of the weights the desired one.
+
+        The task ends when that is acknowledged.
+        """
         self.origin.newest_version += 1
-        self.spawn(self.put_desired_version(self.origin.newest_version))
+        return self.spawn(self.put_desired_version(self.origin.newest_version))
 
     async def put_configuration(
         self, version: int, text: bytes, valid: bool = True
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -43,11 +43,23 @@
     CONFIG_INVALID = "config_bad"
     WEIGHTS = "weights"
     EVACUATE = "evacuate"
+    PAUSE = "pause"
+    PAUSE_WITH_CONFIG = "pause_config"
+    PAUSE_WITH_WEIGHTS = "pause_weights"
 
 
-# Planned operations, which must not make requests fail. All other kinds are failures.
+# Targets stand still and go on: alone, while the configuration changes, or while the
+# grace period of a superseded version of the weights ends.
+PAUSE_KINDS = (
+    FaultKind.PAUSE,
+    FaultKind.PAUSE_WITH_CONFIG,
+    FaultKind.PAUSE_WITH_WEIGHTS,
+)
+# Planned operations and pauses, which must not make requests fail. All other kinds are
+# failures.
 PLANNED_KINDS = frozenset(
     {
+        *PAUSE_KINDS,
         FaultKind.TERM,
         FaultKind.HUP,
         FaultKind.ENGINE_RELEASE,
@@ -111,6 +123,22 @@
 # which it must take effect. They follow one another with a mean pause of this length.
 EVACUATION_S = (8.0, 14.0)
 EVACUATION_PAUSE_S = 3.0
+# Pauses of targets have a generator of their own. Most are about as long as an ordinary
+# pause of a process; some are longer than entries wait before they try another target,
+# but end well within the time limits of the routes.
+PAUSE_S = ((0.3, 1.5), (0.3, 1.5), (0.3, 1.5), (1.5, 2.5))
+PAUSE_DRAW_WEIGHTS = {
+    FaultKind.PAUSE: 4,
+    FaultKind.PAUSE_WITH_CONFIG: 3,
+    FaultKind.PAUSE_WITH_WEIGHTS: 1,
+}
+# Requests run for at least this long between two pauses, so that none meets several
+# long ones. The mean is longer by `PAUSE_INTERVAL_S`.
+MIN_PAUSE_INTERVAL_S = 0.8
+PAUSE_INTERVAL_S = 1.2
+# A pause that the end of a grace period falls into. It begins early enough that
+# requests were sent before, and ends later than any of them may start.
+PAUSE_AT_VERSION_END_S = (1.4, 2.5)
 
 
 class Fault(NamedTuple):
@@ -141,6 +169,11 @@
         """Names of all processes of the system."""
         return self.controls + self.entries + self.sidecars
 
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """Names of all targets; an engine has the name of its sidecar."""
+        return self.plain_targets + self.sidecars
+
     @classmethod
     def of_size(cls, entries: int, engines: int) -> "FleetShape":
         """Return names of three control instances and the given entries and engines."""
@@ -158,7 +191,11 @@
 
 
 def draw_faults(
-    seed: int, seconds: float, shape: FleetShape, mean_interval_s: float = 1.2
+    seed: int,
+    seconds: float,
+    shape: FleetShape,
+    mean_interval_s: float = 1.2,
+    calm: bool = False,
 ) -> list[Fault]:
     """Return the faults of a run: single faults, series and overlapping faults.
 
@@ -172,12 +209,18 @@
         Processes and targets that faults can affect.
     mean_interval_s : float
         Mean time between two faults or series.
+    calm : bool
+        Whether only planned operations and pauses are kept, so that no failure
+        excuses a request that fails.
     """
     faults = [
         *draw_series(random.Random(seed), seconds, shape, mean_interval_s),
         *draw_cooldowns(random.Random(f"rests/{seed}"), seconds, shape),
         *draw_evacuations(random.Random(f"evacuations/{seed}"), seconds),
+        *draw_pauses(random.Random(f"pauses/{seed}"), seconds, shape),
     ]
+    if calm:
+        faults = [fault for fault in faults if fault.kind in PLANNED_KINDS]
     return list(drop_early_wipes(sorted(faults, key=lambda fault: fault.at_s)))
 
 
@@ -206,6 +249,24 @@
         at_s += duration_s + rng.expovariate(1 / EVACUATION_PAUSE_S)
 
 
+def draw_pauses(
+    rng: random.Random, seconds: float, shape: FleetShape
+) -> Iterator[Fault]:
+    """Yield pauses of one target, of a failure domain, or of all targets at once."""
+    at_s = SETTLE_S + rng.expovariate(1 / PAUSE_INTERVAL_S)
+    kinds, weights = tuple(PAUSE_DRAW_WEIGHTS), tuple(PAUSE_DRAW_WEIGHTS.values())
+    while at_s < SETTLE_S + seconds:
+        kind = rng.choices(kinds, weights)[0]
+        name = rng.choice((rng.choice(shape.targets), rng.choice(FAILURE_DOMAINS), ""))
+        duration_s = rng.uniform(*rng.choice(PAUSE_S))
+        if kind is FaultKind.PAUSE_WITH_WEIGHTS:
+            yield Fault(at_s, kind, name, rng.uniform(*PAUSE_AT_VERSION_END_S))
+        else:
+            yield Fault(at_s, kind, name, duration_s)
+        at_s += duration_s + MIN_PAUSE_INTERVAL_S
+        at_s += rng.expovariate(1 / PAUSE_INTERVAL_S)
+
+
 def draw_series(
     rng: random.Random, seconds: float, shape: FleetShape, mean_interval_s: float
 ) -> Iterator[Fault]:
@@ -231,9 +292,11 @@
     if kind in NODE_KINDS or kind in LINK_KINDS:
         return shape.nodes
     if kind is FaultKind.TARGET_COOLDOWN:
-        return shape.plain_targets + shape.sidecars
+        return shape.targets
     if kind is FaultKind.EVACUATE:
         return FAILURE_DOMAINS
+    if kind in PAUSE_KINDS:
+        return (*shape.targets, *FAILURE_DOMAINS, "")
     return shape.plain_targets if kind is FaultKind.TARGET_GREY else ("",)
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,12 @@
 
 from soak.callers import Caller
 from soak.fleet import START_TIMEOUT_S, SoakFleet
-from soak.invariants import Finding, InvariantChecker, VersionProgress
+from soak.invariants import (
+    VERSION_GRACE_S,
+    Finding,
+    InvariantChecker,
+    VersionProgress,
+)
 from soak.operators import ACCOUNT, Operator, VersionProber
 from soak.plan import SETTLE_S, Fault, FaultKind, FleetShape, draw_faults
 
@@ -24,6 +29,10 @@
 RECOVERY_REQUESTS = 20
 THROTTLED_BYTES_PER_S = 40_000.0
 MIN_UNRESPONSIVE_S = 0.5
+# A change of the configuration is sent when a pause has lasted for this fraction.
+PAUSE_BEFORE_CHANGE = 0.2
+# Fraction of a pause that lies before the end of a version's grace period.
+PAUSE_BEFORE_VERSION_END = 0.4
 
 
 class Outcome(NamedTuple):
@@ -54,6 +63,8 @@
         Names of the processes and targets.
     timed : bool
         Whether time bounds are checked.
+    calm : bool
+        Whether only planned operations and pauses are drawn.
     """
 
     def __init__(
@@ -63,6 +74,7 @@
         seconds: float,
         shape: FleetShape,
         timed: bool = True,
+        calm: bool = False,
     ):
         self.seed = seed
         self.shape = shape
@@ -72,7 +84,7 @@
             self.checker, self.fleet.origin, self.fleet.shuffled_controls, seed
         )
         self.progression = VersionProgress(self.checker)
-        self.plan = draw_faults(seed, seconds, shape)
+        self.plan = draw_faults(seed, seconds, shape, calm=calm)
         self.callers: list[Caller] = []
         self.background_tasks: list[asyncio.Task] = []
         self.fault_tasks: set[asyncio.Task] = set()
@@ -287,6 +299,32 @@
         await asyncio.sleep(fault.duration_s)
         target.cooldown_s = 0.0
 
+    async def pause(self, fault: Fault) -> None:
+        """Let targets stand still and go on."""
+        await self.fleet.pause_targets(fault.name, fault.duration_s)
+
+    async def pause_with_config(self, fault: Fault) -> None:
+        """Change the configuration while targets stand still."""
+        pausing = asyncio.create_task(self.pause(fault))
+        await asyncio.sleep(fault.duration_s * PAUSE_BEFORE_CHANGE)
+        self.operator.send_next()
+        await pausing
+
+    async def pause_with_weights(self, fault: Fault) -> None:
+        """Let targets stand still when the grace period of their weights ends.
+
+        The origin is unreachable meanwhile, so that no engine has newer ones.
+        """
+        (path,) = self.fleet.network.paths_touching("origin")
+        path.cut()
+        try:
+            await self.operator.set_desired_version()
+            lead_s = fault.duration_s * PAUSE_BEFORE_VERSION_END
+            await asyncio.sleep(VERSION_GRACE_S - lead_s)
+            await self.pause(fault)
+        finally:
+            path.heal()
+
     async def origin_unreachable(self, fault: Fault) -> None:
         """Make the origin unreachable."""
         (path,) = self.fleet.network.paths_touching("origin")
@@ -371,4 +409,7 @@
     FaultKind.CONFIG_INVALID: partial(SoakRun.operate, action=Operator.send_invalid),
     FaultKind.WEIGHTS: partial(SoakRun.operate, action=Operator.set_desired_version),
     FaultKind.EVACUATE: SoakRun.evacuate,
+    FaultKind.PAUSE: SoakRun.pause,
+    FaultKind.PAUSE_WITH_CONFIG: SoakRun.pause_with_config,
+    FaultKind.PAUSE_WITH_WEIGHTS: SoakRun.pause_with_weights,
 }
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -13,13 +13,14 @@
 
 
 class SeedOptions(NamedTuple):
-    """Options of a run: seconds of faults, fleet size, whether its folder is kept."""
+    """Options of a run: seconds of faults, fleet size, and what is drawn and kept."""
 
     seconds: float = 30.0
     entries: int = 2
     engines: int = 3
     timed: bool = True
     keep_folder: bool = False
+    calm: bool = False
 
     @property
     def shape(self) -> FleetShape:
@@ -39,7 +40,9 @@
         force=True,
     )
     logging.getLogger("asyncio").setLevel(logging.WARNING)
-    run = SoakRun(folder, seed, options.seconds, options.shape, options.timed)
+    run = SoakRun(
+        folder, seed, options.seconds, options.shape, options.timed, options.calm
+    )
     outcome = asyncio.run(run.run())
     if not outcome.findings and not options.keep_folder:
         shutil.rmtree(folder)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 from aiohttp import web
-from tests.fakes.platform import Engine, Listener, Origin
+from tests.fakes.platform import Engine, Origin, PausingTarget
 
 from soak.invariants import Execution, InvariantChecker
 from wisteriapulley.platform import names
@@ -21,6 +21,8 @@
 EVENTS_PER_STREAM = 12
 EVENT_INTERVAL_S = 0.03
 SERVICE_TIME_S = 0.03
+# When a target has read the head of a request.
+ARRIVED_S = web.RequestKey("arrived_s", float)
 PLAIN_SLOTS = 6
 ENGINE_SLOTS = 8
 
@@ -70,7 +72,7 @@
     """
     now_s = time.monotonic()
     request_id = request.headers.get(names.REQUEST_ID, "")
-    target.checker.record_arrival(request_id, target.target_id, now_s)
+    target.checker.record_arrival(request_id, target.target_id, request[ARRIVED_S])
     if target.leaving:
         target.checker.record_signal(request_id, target.target_id, now_s)
     if not target.cooldown_s:
@@ -84,6 +86,13 @@
     return web.Response(status=names.UNAVAILABLE_STATUS, headers=headers)
 
 
+@web.middleware
+async def record_arrival_time(request: web.Request, handler) -> web.StreamResponse:
+    """Record when a target has a request, which may be long before it handles it."""
+    request[ARRIVED_S] = time.monotonic()
+    return await handler(request)
+
+
 def signal_headers(target) -> dict[str, str]:
     """Return the headers with which every response reports a target's state."""
     return {names.LEAVING: names.LEAVING_VALUE} if target.leaving else {}
@@ -101,6 +110,7 @@
         self.incarnation = 1
         self.running: dict[int, web.Request] = {}
         self.cooldown_s = 0.0
+        self.app.middlewares.insert(0, record_arrival_time)
         for position in range(origin.chunks):
             self.staged[position] = origin.piece_bytes(1, position)
 
@@ -129,8 +139,10 @@
         return observe_arrival(self, request)
 
     def finish_load(self, version: int) -> None:
-        """Switch to a version unless a crash dropped the order."""
-        if self.busy:
+        """Switch to a version when awake, unless a crash dropped the order."""
+        if not self.awake.is_set():
+            asyncio.get_running_loop().call_later(0.05, self.finish_load, version)
+        elif self.busy:
             super().finish_load(version)
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
@@ -163,12 +175,13 @@
         first = int(request.headers.get(names.LAST_EVENT, 0)) + 1
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(self.event_s)
+            await self.awake.wait()
             await response.write(make_event(request_id, number))
         await response.write_eof()
         return response
 
 
-class SoakPlainTarget(Listener):
+class SoakPlainTarget(PausingTarget):
     """Plain target; fails half of its requests while `grey` is set."""
 
     service = "plain-service"
@@ -183,6 +196,7 @@
         self.cooldown_s = 0.0
         self.served = 0
         self.running = 0
+        self.app.middlewares.insert(0, record_arrival_time)
         self.app.add_routes([web.route("*", "/{tail:.*}", self.serve)])
 
     async def serve(self, request: web.Request) -> web.Response:
@@ -206,6 +220,7 @@
         """Respond after the service time."""
         request_id = request.headers[names.REQUEST_ID]
         await asyncio.sleep(SERVICE_TIME_S)
+        await self.awake.wait()
         self.served += 1
         headers = {names.REQUEST_ID: request_id, "X-Server-Stamp": self.target_id}
         if self.grey and self.served % 2:
@@ -255,8 +270,9 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def announce(self) -> bool:
-        """Send one heartbeat; return whether it was acknowledged."""
+        """Send one heartbeat when awake; return whether it was acknowledged."""
         target = self.target
+        await target.awake.wait()
         self.sequence += 1
         models = [{"name": "model", "version": target.version, "adapters": []}]
         body = {
@@ -284,11 +300,16 @@
         return False
 
     async def leave_and_restart(self, checker: InvariantChecker) -> None:
-        """Announce that the target leaves, then restart it as a new incarnation."""
+        """Announce that an engine leaves, then restart it as a new incarnation.
+
+        It ends its requests first, also after a pause.
+        """
         target, target_id = self.target, self.target.target_id
         target.leaving = True
         if await self.announce():
             checker.leaving_since_s[target_id] = time.monotonic()
         await asyncio.sleep(LEAVE_DELAY_S)
+        while target.running or not target.awake.is_set():
+            await asyncio.sleep(EVENT_INTERVAL_S)
         if target.target_id == target_id:
             target.crash()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,18 @@
 
 import asyncio
 import random
+import time
 import zlib
 from types import SimpleNamespace
 
+import aiohttp
 import pytest
 from soak.fleet import SoakFleet, reserve_network
 from soak.invariants import (
+    EVACUATION_BOUND_S,
+    MAX_PAUSE_S,
     SUPERSEDED_BOUND_S,
+    VERSION_GRACE_S,
     ConfigurationHistory,
     Evacuation,
     Execution,
@@ -23,6 +28,9 @@
     DRAW_WEIGHTS,
     EVACUATION_S,
     FAILURE_DOMAINS,
+    MIN_PAUSE_INTERVAL_S,
+    PAUSE_KINDS,
+    PLANNED_KINDS,
     Fault,
     FaultKind,
     FleetShape,
@@ -31,7 +39,14 @@
     drop_early_wipes,
 )
 from soak.run import FAULT_ACTIONS, SoakRun
+from soak.targets import (
+    HeartbeatSender,
+    SoakEngine,
+    SoakPlainTarget,
+    expected_stream,
+)
 
+from tests.fakes.platform import Origin
 from wisteriapulley.consensus.frames import pack_committed_index
 
 SHAPE = FleetShape.of_size(2, 3)
@@ -124,6 +139,211 @@
         assert self.violations(23.0, (kind, "", 12.0, 14.5)) == ["evacuated"]
 
 
+class TestPauses:
+    """Targets stand still and go on: that alone makes no request fail."""
+
+    STREAM = SENT._replace(path="/stream/")
+    FAILED = RequestResult("id", 12.0, 502, True, False)
+
+    def violations(
+        self,
+        *faults,
+        sent=SENT,
+        result=FAILED,
+        pause=(10.5, 11.5),
+        started_s=None,
+        desired_s=None,
+        timed=True,
+    ):
+        checker = InvariantChecker("account", timed)
+        checker.record_sent(sent)
+        checker.pauses.append(pause)
+        if desired_s is not None:
+            checker.desired_since_s[2] = desired_s
+        for kind, name in faults:
+            checker.faults.append((Fault(0.0, kind, name, 1.0), 8.0, 9.0))
+        if started_s is not None:
+            execution = EXECUTION._replace(path=sent.path, at_s=started_s)
+            checker.record_execution(execution)
+        checker.record_result(result)
+        checker.check_final()
+        return violations(checker)
+
+    @pytest.mark.parametrize("status", [500, 502, 504])
+    def test_failed_request(self, status):
+        assert self.violations(result=self.FAILED._replace(status=status)) == ["paused"]
+
+    def test_closed_connection(self):
+        closed = self.FAILED._replace(status=0, complete=False)
+        assert self.violations(result=closed, started_s=11.5) == ["paused"]
+        assert self.violations(result=closed) == []
+
+    def test_truncated_response(self):
+        truncated = self.FAILED._replace(status=200, complete=False)
+        assert self.violations(result=truncated, started_s=10.1) == ["paused"]
+
+    def test_answered_or_refused_request(self):
+        whole = self.FAILED._replace(status=200, correct=True)
+        assert self.violations(result=whole) == []
+        assert self.violations(result=self.FAILED._replace(status=503)) == []
+
+    def test_request_that_no_pause_meets(self):
+        assert self.violations(pause=(12.1, 13.0)) == []
+        assert self.violations(pause=(8.0, 9.9)) == []
+
+    def test_pauses_that_leave_too_little_time(self):
+        late = self.FAILED._replace(at_s=20.0)
+        assert self.violations(result=late, pause=(10.5, 13.0)) == ["paused"]
+        assert self.violations(result=late, pause=(10.5, 13.2)) == []
+
+    def test_other_pauses_and_planned_operations_are_no_excuse(self):
+        planned = [(kind, "entry-1") for kind in PLANNED_KINDS]
+        assert self.violations(*planned) == ["paused"]
+
+    def test_failure_of_entry_target_or_fleet_is_an_excuse(self):
+        assert self.violations((FaultKind.KILL, "entry-1")) == []
+        assert self.violations((FaultKind.KILL, "entry-2")) == ["paused"]
+        assert self.violations((FaultKind.KILL, "control-1")) == ["paused"]
+        assert self.violations((FaultKind.KILL_ALL, "")) == []
+        assert self.violations((FaultKind.TARGET_GREY, "plain-1")) == []
+        crash = (FaultKind.ENGINE_CRASH, "sidecar-1")
+        assert self.violations(crash) == ["paused"]
+        assert self.violations(crash, sent=self.STREAM) == []
+
+    def test_grace_period_that_ends_before_the_start(self):
+        ended = {"sent": self.STREAM, "desired_s": 12.2 - VERSION_GRACE_S}
+        assert self.violations(**ended) == []
+        assert self.violations(**ended, started_s=12.1) == []
+        assert self.violations(**ended, started_s=10.4) == ["paused"]
+        assert self.violations(desired_s=12.2 - VERSION_GRACE_S) == ["paused"]
+        assert self.violations(sent=self.STREAM, desired_s=12.6 - VERSION_GRACE_S) == [
+            "paused"
+        ]
+
+    def test_busy_machine(self):
+        assert self.violations(timed=False) == []
+
+
+class TestPausingTargets:
+    """A target that stands still has read requests, and starts them when it wakes."""
+
+    STREAM = SENT._replace(path="/stream/")
+    HEADERS = {
+        "X-Request-Attempt-Id": "id",
+        "X-Expect-Instance": "sidecar-1-i1",
+        "X-Tenant": "account",
+    }
+
+    def play(self, scenario):
+        async def run():
+            checker = InvariantChecker("account")
+            checker.record_sent(self.STREAM)
+            engine = SoakEngine(Origin(), checker, "sidecar-1")
+            await engine.start()
+            async with aiohttp.ClientSession() as session:
+                await scenario(engine, session, f"http://{engine.address}/stream/")
+            await engine.stop()
+            return checker
+
+        return asyncio.run(run())
+
+    def test_request_of_caller_that_left_is_started(self):
+        async def scenario(engine, session, url):
+            pause = asyncio.create_task(engine.fall_silent(0.3))
+            with pytest.raises(asyncio.TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await session.post(url, data=b"body", headers=self.HEADERS)
+            assert not engine.checker.executions
+            await pause
+            await asyncio.sleep(0.1)
+
+        checker = self.play(scenario)
+        assert len(checker.executions["id"]) == 1
+        assert not checker.findings
+
+    def test_response_goes_on_where_it_stood_still(self):
+        async def scenario(engine, session, url):
+            async with session.post(url, data=b"body", headers=self.HEADERS) as answer:
+                await answer.content.readline()
+                await engine.fall_silent(0.3)
+                await answer.content.readline()
+                rest = await answer.read()
+                assert expected_stream("id").endswith(rest)
+                assert len(engine.running) == 0
+
+        assert not self.play(scenario).findings
+
+    def test_request_arrives_before_the_pause_ends(self):
+        async def scenario(engine, session, url):
+            engine.checker.failure_domains = {"sidecar-1": "domain-a"}
+            engine.checker.evacuations.append(
+                Evacuation("domain-a", time.monotonic() - EVACUATION_BOUND_S + 0.2)
+            )
+            pause = asyncio.create_task(engine.fall_silent(0.4))
+            await asyncio.sleep(0)
+            async with session.post(url, data=b"body", headers=self.HEADERS) as answer:
+                assert await answer.read() == expected_stream("id")
+            await pause
+
+        checker = self.play(scenario)
+        assert checker.check_counts["evacuated"] == 1
+        assert not checker.findings
+
+    def test_switch_of_weights_waits(self):
+        async def scenario(engine, session, url):
+            engine.busy = True
+            pause = asyncio.create_task(engine.fall_silent(0.2))
+            await asyncio.sleep(0)
+            engine.finish_load(2)
+            assert engine.version == 1
+            await pause
+            await asyncio.sleep(0.1)
+            assert engine.version == 2
+
+        self.play(scenario)
+
+    def test_heartbeats_wait(self):
+        async def run():
+            checker = InvariantChecker("account")
+            plain = SoakPlainTarget(checker, "plain-1")
+            sender = HeartbeatSender(plain, "127.0.0.1:1", "domain-a", list)
+            pause = asyncio.create_task(plain.fall_silent(0.1))
+            await asyncio.sleep(0)
+            announcing = asyncio.create_task(sender.announce())
+            await asyncio.sleep(0.05)
+            assert not announcing.done()
+            await pause
+            await announcing
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(
+        "name,expected",
+        [("plain-2", {"b"}), ("domain-a", {"a", "c"}), ("", {"a", "b", "c"})],
+    )
+    def test_one_target_a_failure_domain_or_all_are_paused(self, name, expected):
+        paused = set()
+
+        def sender(key, domain):
+            async def fall_silent(pause_s):
+                paused.add(key)
+
+            target = SimpleNamespace(fall_silent=fall_silent)
+            return SimpleNamespace(target=target, failure_domain=domain)
+
+        checker = InvariantChecker("account")
+        fleet = SimpleNamespace(
+            checker=checker,
+            heartbeat_senders={
+                "plain-1": sender("a", "domain-a"),
+                "plain-2": sender("b", "domain-b"),
+                "sidecar-1": sender("c", "domain-a"),
+            },
+        )
+        asyncio.run(SoakFleet.pause_targets(fleet, name, 0.1))
+        assert paused == expected and len(checker.pauses) == 1
+
+
 class TestEvacuationOrders:
     """Orders are resent until acknowledged, and always withdrawn."""
 
@@ -166,8 +386,8 @@
         assert draw_faults(7, 30, SHAPE) != draw_faults(8, 30, SHAPE)
 
     def test_every_kind_can_be_drawn_and_injected(self):
-        # Cool-downs and evacuations are each drawn with a separate generator.
-        separate = {FaultKind.TARGET_COOLDOWN, FaultKind.EVACUATE}
+        # Cool-downs, evacuations and pauses are each drawn with a separate generator.
+        separate = {FaultKind.TARGET_COOLDOWN, FaultKind.EVACUATE, *PAUSE_KINDS}
         assert separate.isdisjoint(DRAW_WEIGHTS)
         assert {*DRAW_WEIGHTS, *separate} == set(FaultKind) == set(FAULT_ACTIONS)
         cooldowns = [
@@ -181,10 +401,11 @@
     @pytest.mark.parametrize(
         "seed,checksum", [(1, 3428049425), (2, 3420045908), (42, 371179868)]
     )
-    def test_evacuations_do_not_change_other_faults_of_a_seed(self, seed, checksum):
+    def test_later_kinds_do_not_change_other_faults_of_a_seed(self, seed, checksum):
         faults = draw_faults(seed, 60, SHAPE)
-        others = [str(f) for f in faults if f.kind is not FaultKind.EVACUATE]
-        assert len(others) < len(faults)
+        later = {FaultKind.EVACUATE, *PAUSE_KINDS}
+        others = [str(f) for f in faults if f.kind not in later]
+        assert later <= {f.kind for f in faults}
         assert zlib.crc32("\n".join(others).encode()) == checksum
 
     @pytest.mark.parametrize("seed", range(20))
@@ -196,6 +417,29 @@
         assert {f.name for f in evacuations[:3]} == set(FAILURE_DOMAINS)
         assert all(f.duration_s >= EVACUATION_S[0] for f in evacuations)
 
+    @pytest.mark.parametrize("seed", range(20))
+    def test_pauses_follow_each_other(self, seed):
+        faults = draw_faults(seed, 300, SHAPE)
+        pauses = [
+            f
+            for f in faults
+            if f.kind in (FaultKind.PAUSE, FaultKind.PAUSE_WITH_CONFIG)
+        ]
+        for first, second in zip(pauses, pauses[1:], strict=False):
+            assert second.at_s >= first.at_s + first.duration_s + MIN_PAUSE_INTERVAL_S
+        assert {"", *FAILURE_DOMAINS} <= {f.name for f in pauses}
+        assert {f.name for f in pauses} & set(SHAPE.targets)
+        durations_s = [f.duration_s for f in pauses]
+        assert 0.3 <= min(durations_s) < 1.5 < max(durations_s) <= MAX_PAUSE_S
+
+    def test_calm_run_has_the_planned_operations_and_pauses_of_its_seed(self):
+        calm = draw_faults(7, 60, SHAPE, calm=True)
+        planned = [f for f in draw_faults(7, 60, SHAPE) if f.kind in PLANNED_KINDS]
+        assert calm == planned
+        assert {FaultKind.TERM, FaultKind.CONFIG, *PAUSE_KINDS} <= {
+            f.kind for f in calm
+        }
+
     @pytest.mark.parametrize("seed", range(20))
     def test_no_second_wipe_before_first_disk_is_repaired(self, seed):
         wipes = [f for f in draw_faults(seed, 300, SHAPE) if f.kind is FaultKind.WIPE]
