Play regressions of the soak as they failed

--regressions played each seed for the seconds of the command line, with all kinds of fault, so a seed that failed in a calm run would never meet its fault again. Each is played for its own time now, and calm if it was.

Calm seeds 101 to 104 of 15 s are added.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -44,6 +44,21 @@
     print(json.dumps(line), flush=True)
 
 
+def runs_of(
+    arguments: argparse.Namespace, options: SeedOptions
+) -> list[tuple[int, SeedOptions]]:
+    """Return the seeds to run, each with its options; regressions have their own."""
+    if arguments.regressions:
+        return [
+            (each.seed, options._replace(seconds=each.seconds, calm=each.calm))
+            for each in REGRESSIONS
+        ]
+    seeds = arguments.seed or [
+        secrets.randbelow(1 << 31) for _ in range(arguments.seeds)
+    ]
+    return [(seed, options) for seed in seeds]
+
+
 def main() -> int:
     """Run the seeds; return 1 if any of them has findings."""
     arguments = parse_arguments()
@@ -55,25 +70,19 @@
         arguments.keep,
         arguments.calm,
     )
-    if arguments.regressions:
-        arguments.seed = [regression.seed for regression in REGRESSIONS]
-    seeds = arguments.seed or [
-        secrets.randbelow(1 << 31) for _ in range(arguments.seeds)
-    ]
+    runs = runs_of(arguments, options)
     if arguments.timeline:
-        for seed in seeds:
-            faults = draw_faults(
-                seed, options.seconds, options.shape, calm=options.calm
-            )
+        for seed, each in runs:
+            faults = draw_faults(seed, each.seconds, each.shape, calm=each.calm)
             print(*faults, sep="\n")
         return 0
     found = 0
     context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(arguments.jobs, context, max_tasks_per_child=1) as pool:
-        for outcome in pool.map(run_seed, seeds, [options] * len(seeds)):
+        for outcome in pool.map(run_seed, *zip(*runs, strict=True)):
             print_outcome(outcome)
             found += bool(outcome.findings)
-    print(json.dumps({"seeds": len(seeds), "with findings": found}))
+    print(json.dumps({"seeds": len(runs), "with findings": found}))
     return int(found > 0)
 
 
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -4,11 +4,15 @@
 
 
 class Regression(NamedTuple):
-    """A seed, the fault time it was run with in seconds, and why it failed."""
+    """A seed, the fault time it was run with in seconds, and why it failed.
+
+    `calm` tells whether only planned operations and pauses were drawn.
+    """
 
     seed: int
     seconds: float
     cause: str
+    calm: bool = False
 
 
 REGRESSIONS = (
@@ -41,4 +45,22 @@
     ),
     Regression(1184179776, 15.0, "a restarted engine was treated as leaving, as above"),
     Regression(2, 8.0, "the fake engine failed after it had recorded an execution"),
+    Regression(
+        101,
+        15.0,
+        "a stream was cut after its engine had stood still for 1.6 s, since no other"
+        " one was free",
+        calm=True,
+    ),
+    Regression(
+        102, 15.0, "a request whose target stood still for 2 s got 502", calm=True
+    ),
+    Regression(
+        103,
+        15.0,
+        "an engine that stood still when the grace period of its version of the weights"
+        " ended started a request on it afterwards",
+        calm=True,
+    ),
+    Regression(104, 15.0, "502 after an engine had stood still for 1.6 s", calm=True),
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import pytest
+from soak.__main__ import runs_of
 from soak.fleet import SoakFleet, reserve_network
 from soak.invariants import (
     EVACUATION_BOUND_S,
@@ -38,7 +39,9 @@
     draw_faults,
     drop_early_wipes,
 )
+from soak.regressions import REGRESSIONS
 from soak.run import FAULT_ACTIONS, SoakRun
+from soak.seeds import SeedOptions
 from soak.targets import (
     HeartbeatSender,
     SoakEngine,
@@ -605,6 +608,23 @@
             reservation.close()
 
 
+class TestRunsOf:
+    def test_regressions_are_run_as_they_failed(self):
+        arguments = SimpleNamespace(regressions=True, seed=[], seeds=1)
+        runs = runs_of(arguments, SeedOptions(30.0, timed=False))
+        assert [(s, o.seconds, o.calm) for s, o in runs] == [
+            (each.seed, each.seconds, each.calm) for each in REGRESSIONS
+        ]
+        assert not any(options.timed for _, options in runs)
+
+    def test_given_or_fresh_seeds(self):
+        options = SeedOptions(12.0)
+        given = SimpleNamespace(regressions=False, seed=[7, 8], seeds=1)
+        assert runs_of(given, options) == [(7, options), (8, options)]
+        fresh = SimpleNamespace(regressions=False, seed=[], seeds=3)
+        assert len({seed for seed, _ in runs_of(fresh, options)}) == 3
+
+
 class TestShortRun:
     def test_real_programs_hold_all_invariants(self, tmp_path):
         run = SoakRun(tmp_path, 20, 5.0, FleetShape.of_size(1, 2), timed=False)
