Let engines of the emulator stand still and go on

The emulator knew engines that are slow or lost, none that pause. A scenario now holds pauses of one engine, of a failure domain, or of all; an engine goes on with the requests that it has and those that arrived meanwhile, and the pause counts between the events of an answer.

--- a/src/wisteriapulley/emulator/__init__.py
+++ b/src/wisteriapulley/emulator/__init__.py
@@ -1,6 +1,13 @@
 """Emulated fleet of engines on a virtual clock, driven by the production policies."""
 
-from wisteriapulley.emulator.fleet import Fleet, Outage, Outcome, Scenario, Surge
+from wisteriapulley.emulator.fleet import (
+    Fleet,
+    Outage,
+    Outcome,
+    Pause,
+    Scenario,
+    Surge,
+)
 from wisteriapulley.emulator.mixes import MIXES, RequestKind, RequestMix
 
 __all__ = [
@@ -10,6 +17,7 @@
     "RequestMix",
     "Outage",
     "Outcome",
+    "Pause",
     "Scenario",
     "Surge",
 ]
--- a/src/wisteriapulley/emulator/engine.py
+++ b/src/wisteriapulley/emulator/engine.py
@@ -50,6 +50,9 @@
         self.on_loaded: Callable[[], None] | None = None
         self.busy_slot_ms = 0.0
         self.stopped = False
+        # What the engine does next when it goes on, and how long it stands still.
+        self.paused_call: Callable[[], None] | None = None
+        self.pause_ms = 0.0
         # Longest pause between two events of each request.
         self.longest_pauses: dict[str, float] = {}
 
@@ -57,6 +60,22 @@
         """Lose all requests; this engine emits nothing any more."""
         self.stopped = True
 
+    def pause(self, pause_ms: float) -> None:
+        """Stand still for some time, and go on with all requests."""
+        if not self.pause_ms:
+            self.pause_ms = pause_ms
+            self.schedule(pause_ms, self.resume)
+
+    def resume(self) -> None:
+        """Go on."""
+        for request_id in self.running.keys() - self.before_first_event:
+            pause_ms = max(self.pause_ms, self.longest_pauses.get(request_id, 0.0))
+            self.longest_pauses[request_id] = pause_ms
+        self.pause_ms = 0.0
+        call, self.paused_call = self.paused_call, None
+        if call is not None:
+            call()
+
     def submit(self, job: Job) -> None:
         """Add a request."""
         self.waiting.append(job)
@@ -71,6 +90,9 @@
 
     def begin_batch_step(self) -> None:
         """Prefill new prompts, and run the decode steps of a batch step."""
+        if self.pause_ms:
+            self.paused_call = self.begin_batch_step
+            return
         prefill_ms = 0.0
         while self.waiting and len(self.running) < self.parameters.slots:
             job = self.waiting.pop(0)
@@ -97,6 +119,9 @@
         """Emit an event of each request."""
         if self.stopped:
             return
+        if self.pause_ms:
+            self.paused_call = self.end_batch_step
+            return
         for request_id in tuple(self.running):
             if request_id in self.before_first_event:
                 self.before_first_event.discard(request_id)
--- a/src/wisteriapulley/emulator/fleet.py
+++ b/src/wisteriapulley/emulator/fleet.py
@@ -9,6 +9,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from wisteriapulley.direct.slot_allocation import (
@@ -82,6 +83,24 @@
     engines: int
 
 
+class Pause(NamedTuple):
+    """Engines that stand still and go on with their requests.
+
+    Attributes
+    ----------
+    start_s : float
+        When it begins.
+    duration_s : float
+        How long it lasts.
+    engines : range
+        One engine, those of a failure domain (every third, say), or all.
+    """
+
+    start_s: float
+    duration_s: float
+    engines: range
+
+
 class Scenario(NamedTuple):
     """Parameters of a run.
 
@@ -141,6 +160,8 @@
         Changes of the request rates.
     outages : tuple of Outage
         Losses of engines.
+    pauses : tuple of Pause
+        Pauses of engines.
     """
 
     mix: str = "trinacria"
@@ -172,6 +193,7 @@
     report_levels: bool = True
     surges: tuple[Surge, ...] = ()
     outages: tuple[Outage, ...] = ()
+    pauses: tuple[Pause, ...] = ()
 
 
 class Outcome(NamedTuple):
@@ -328,6 +350,8 @@
             self.schedule_changes()
         for outage in self.scenario.outages:
             self.schedule_outage(outage)
+        for pause in self.scenario.pauses:
+            self.schedule(pause.start_s * 1000, partial(self.pause_engines, pause))
         if self.scenario.states_pace and self.scenario.learns_speed:
             self.poll_engines()
         end_ms = self.scenario.seconds * 1000 + MAX_CALLER_WAIT_MS
@@ -574,6 +598,11 @@
         self.schedule(outage.start_s * 1000, begin)
         self.schedule(outage.end_s * 1000, end)
 
+    def pause_engines(self, pause: Pause) -> None:
+        """Let engines stand still for some time."""
+        for engine_index in pause.engines:
+            self.engines[engine_index].pause(pause.duration_s * 1000)
+
     # -- results ---------------------------------------------------------
 
     def summarize(self) -> Outcome:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,6 +1,10 @@
 """Overload scenarios, emulated with the production policies."""
 
-from wisteriapulley.emulator import Fleet, Scenario
+import pytest
+
+from wisteriapulley.emulator import Fleet, Pause, Scenario
+from wisteriapulley.emulator.engine import EmulatedEngine, Job
+from wisteriapulley.emulator.mixes import ENGINE
 
 
 def run_scenario(**more):
@@ -84,3 +88,68 @@
         ]
         different_waits = [run_scenario(seed=s, **overload) for s in range(1, 4)]
         assert in_time(different_waits) > 0.97 * in_time(same_wait)
+
+
+class TestPausedEngine:
+    """An engine that stands still goes on with all requests."""
+
+    def play(self, *pauses, job_at_ms=0.0):
+        """Return the times of a request's first and last event, and the engine."""
+        calls, times, now_ms = [], [], 0.0
+
+        def schedule(delay_ms, call):
+            calls.append((now_ms + delay_ms, call))
+
+        def record(name):
+            times.append(now_ms)
+
+        engine = EmulatedEngine(ENGINE, schedule, record, record)
+        schedule(job_at_ms, lambda: engine.submit(Job("r", 200, 10)))
+        for start_ms, pause_ms in pauses:
+            schedule(start_ms, lambda pause_ms=pause_ms: engine.pause(pause_ms))
+        while calls:
+            due = min(calls, key=lambda call: call[0])
+            calls.remove(due)
+            now_ms = due[0]
+            due[1]()
+        return *times, engine
+
+    def test_request_that_arrives_in_a_pause_starts_after_it(self):
+        first_ms, last_ms, _ = self.play()
+        paused = self.play((100.0, 1000.0), job_at_ms=200.0)
+        assert paused[:2] == pytest.approx((first_ms + 1100.0, last_ms + 1100.0))
+
+    def test_running_request_goes_on(self):
+        first_ms, last_ms, _ = self.play()
+        middle_ms = (first_ms + last_ms) / 2
+        paused_first_ms, paused_last_ms, engine = self.play((middle_ms, 1000.0))
+        assert paused_first_ms == first_ms
+        # A batch step that the pause falls into ends with the pause.
+        assert last_ms + 900.0 < paused_last_ms <= last_ms + 1000.0
+        assert engine.longest_pauses["r"] == 1000.0
+
+    def test_second_pause_does_not_extend_the_first(self):
+        assert (
+            self.play((10.0, 1000.0), (500.0, 1000.0))[:2]
+            == (self.play((10.0, 1000.0))[:2])
+        )
+
+
+class TestPauses:
+    """One engine, those of a failure domain, or all stand still and go on."""
+
+    def run(self, engines, pause_s=1.0):
+        pauses = tuple(Pause(at_s, pause_s, engines) for at_s in (5.0, 10.0, 15.0))
+        return run_scenario(change_s=0.0, load=0.7, pauses=pauses)
+
+    def test_more_paused_engines_make_more_requests_late(self):
+        none, one, domain, every = map(
+            self.run, (range(0), range(1), range(0, 10, 3), range(10))
+        )
+        assert none.in_time == none.requests
+        assert none.in_time > one.in_time > domain.in_time > every.in_time
+
+    def test_no_request_is_lost(self):
+        assert self.run(range(10)).refused == 0
+        paused = self.run(range(10), pause_s=2.0)
+        assert paused.in_time + paused.late + paused.refused == paused.requests
