Keep watching the settings file when it is not valid UTF-8

An operator's later changes of the settings file, and SIGHUPs, had no effect any more after one reload had read a file that ends within a character.

Cause: bytes that are no UTF-8 raise another exception than a file that is no TOML; it ended the task that watches the file, without a line in the log.

Evidence: a file cut within a character, a SIGHUP, then a valid file and another SIGHUP. The test failed before. No request ends by it.

The reader reports such a file as unreadable, like any other: the settings stay, and the next change is read.

--- a/src/wisteriapulley/platform/settings.py
+++ b/src/wisteriapulley/platform/settings.py
@@ -108,13 +108,13 @@
         Raises
         ------
         SettingsError
-            SETTINGS_UNREADABLE: the file can't be read or is not TOML.
+            SETTINGS_UNREADABLE: the file can't be read, or is not TOML in UTF-8.
             SETTINGS_INVALID: a key is missing or has an invalid value.
         """
         try:
             text = Path(path).read_text()
             return msgspec.convert(tomllib.loads(text), cls, strict=False)
-        except (OSError, tomllib.TOMLDecodeError) as error:
+        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
             raise SettingsError(
                 ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}"
             ) from error
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -5,6 +5,7 @@
 
 from wisteriapulley import settings_watch
 from wisteriapulley.errors import ResultCode, SettingsError
+from wisteriapulley.platform.settings import PlatformSettings
 from wisteriapulley.settings_watch import SettingsWatch
 
 
@@ -59,3 +60,25 @@
             assert seen.empty()
 
         run_scenario(tmp_path, scenario)
+
+    def test_file_that_is_no_text_does_not_end_the_watch(self, tmp_path):
+        """A file may be read while it is written, and end within a character."""
+
+        async def scenario(path, watch, seen):
+            was_read = asyncio.Event()
+
+            def read_platform_settings(path):
+                was_read.set()
+                return PlatformSettings.from_file(path)
+
+            watch.read = read_platform_settings
+            path.write_bytes("node-name = 'Favigna\u00e8".encode()[:-1])
+            signal.raise_signal(signal.SIGHUP)
+            await was_read.wait()
+            watch.read = read
+            path.write_text("two")
+            signal.raise_signal(signal.SIGHUP)
+            async with asyncio.timeout(10):
+                assert await seen.get() == "two"
+
+        run_scenario(tmp_path, scenario)
