Test that nothing stays of a request whose caller leaves at the listener

A caller may leave within its body, or while its target is silent: its connection must not count as active afterwards, or a drain would wait for it to the end. Both cases held already.

--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -155,6 +155,41 @@
         assert [r.request_id for r in caplog.records if "refused" in r.msg] == ["1"]
 
 
+class TestCallerThatLeaves:
+    """Nothing of its request stays, and it is no error of the entry."""
+
+    def run_leaving(self, caplog, request, serve=None):
+        async def scenario(ingress, served, reader, writer):
+            ingress.serve = serve or served.serve
+            writer.write(request)
+            while not ingress.active:
+                await asyncio.sleep(0.001)
+            writer.close()
+            while ingress.active or ingress.server.connections:
+                await asyncio.sleep(0.001)
+            assert served.count == 0
+
+        with caplog.at_level(logging.INFO):
+            run_scenario(scenario)
+        assert not [r for r in caplog.records if r.levelno >= logging.WARNING]
+
+    def test_within_its_body(self, caplog):
+        headers = REQUEST.replace(b"GET", b"POST").removesuffix(b"\r\n")
+        self.run_leaving(caplog, headers + b"Content-Length: 9\r\n\r\nbody")
+
+    def test_during_a_silence_of_its_target(self, caplog):
+        cancelled = []
+
+        async def wait_for_target(request, answer):
+            try:
+                await asyncio.Event().wait()
+            finally:
+                cancelled.append(request.request_id)
+
+        self.run_leaving(caplog, REQUEST, wait_for_target)
+        assert cancelled == ["1"]
+
+
 class TestStatedNumbers:
     """A number that no message to a sidecar can hold counts as not stated."""
 
