Ignore SIGHUP in the daemons that read their settings at the start only

A SIGHUP, which reloads the settings of the platform's processes, ended an own entry or sidecar at once, and with it every request in progress.

Cause: these daemons have no handler for it, and the default action ends a process.

Evidence: an entry that gets SIGHUP and then SIGTERM ended with -1, not 0. The test failed before. The start of the daemon in the test beside it is now a fixture of both; what that one checks is unchanged.

--- a/src/wisteriapulley/daemon.py
+++ b/src/wisteriapulley/daemon.py
@@ -54,6 +54,8 @@
     logs.configure(settings.node_id, settings.log_level)
     module, name = SERVICES[role]
     service = getattr(import_module(module), name).from_settings(settings)
+    # The settings are not read again, and the default would end all requests.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(serve(service))
     return 0
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -65,9 +65,9 @@
         assert result.returncode == 1
         assert "WP102" in result.stderr
 
-    def test_signals_during_shutdown_have_no_effect(self, tmp_path):
-        # Python removes its signal handlers before the process ends. A signal in
-        # between must not change the exit status.
+    @pytest.fixture
+    def daemon(self, tmp_path):
+        """Start an entry and wait until it handles signals."""
         key = tmp_path / "fleet.key"
         key.write_text("k" * 64)
         settings = {
@@ -86,10 +86,23 @@
             stderr=subprocess.PIPE,
         )
         wait_for_handler(daemon.pid)
+        yield daemon
+        daemon.kill()
+        daemon.wait()
+        daemon.stderr.close()
+
+    def test_signals_during_shutdown_have_no_effect(self, daemon):
+        # Python removes its signal handlers before the process ends. A signal in
+        # between must not change the exit status.
         while daemon.poll() is None:
             daemon.send_signal(signal.SIGTERM)
         assert daemon.returncode == 0
-        daemon.stderr.close()
+
+    def test_hangup_does_not_end_requests(self, daemon):
+        """Its settings are read at the start only, so it has nothing to reload."""
+        daemon.send_signal(signal.SIGHUP)
+        daemon.send_signal(signal.SIGTERM)
+        assert daemon.wait() == 0
 
     def test_settings_check(self, tmp_path):
         result = run("settings", "check", "entry", str(tmp_path / "none.json"))
