Log a spent retry budget once for each request

A request at a silent target looks for another one every 0.1 s while the retry budget is spent, and wrote a line each time. The first one says it all; the test of the spent budget counts the lines now.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -409,7 +409,10 @@
     def log_no_budget(
         self, admitted: Admitted, progress: Progress, budget: SharedRetryBudget
     ) -> None:
-        """Log that the retry budget permits no further send of a request."""
+        """Log that the retry budget permits no further send of a request, once."""
+        if progress.budget_spent:
+            return
+        progress.budget_spent = True
         log.info(
             "retry budget spent",
             extra=fields(
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -83,6 +83,8 @@
         Ids of targets that are not tried again.
     open_exchanges : int
         Targets that the request is at now.
+    budget_spent : bool
+        Whether the retry budget once did not permit another send.
     events : EventSplitter
         Events that were relayed to the caller.
     fingerprint : bytes
@@ -96,6 +98,7 @@
         self.may_have_run = False
         self.tried: set[str] = set()
         self.open_exchanges = 0
+        self.budget_spent = False
         self.events = EventSplitter(request.resume_after)
         self.fingerprint = b""
 
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -1,6 +1,7 @@
 """Targets that fall silent while a request is there, and go on or not."""
 
 import asyncio
+import logging
 
 import pytest
 from bench.turned_away import VirtualLoop
@@ -312,7 +313,8 @@
         assert_whole(entry)
         assert len(entry.client.plans) == 1
 
-    def test_no_slot_is_taken_while_the_retry_budget_is_spent(self):
+    def test_no_slot_is_taken_while_the_retry_budget_is_spent(self, caplog):
+        caplog.set_level(logging.INFO)
         first = PacedAnswer((0.0, events(1, 2)), (4.0, events(3, 4)))
         entry = Entry(first, PacedAnswer((NEVER_S, b"")))
         budget = entry.dispatcher.retry_budget("s")
@@ -320,6 +322,8 @@
         assert entry.serve()[0] is None
         assert_whole(entry)
         assert entry.allocator.granted == 1
+        lines = [r for r in caplog.records if r.message == "retry budget spent"]
+        assert len(lines) == 1
 
     def test_idempotent_request_is_answered_by_the_other(self):
         first = PacedAnswer((0.0, b"late"), head_s=NEVER_S)
