End admission on news of a version, not on the next report

A sidecar that heard of a newer version applied the end of the older one only after the engine's next report, since one loop polls the engine first and then updates the admission. An engine that stands still answers no poll for up to 2 s, and until then the sidecar granted slots without a limit, also where the news was already older than the version may serve.

News now set the end at once, and close the slots if it has passed. They never open slots: that still takes a report. Both tests failed before: slots were open after the end, and grants had no limit.

--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -138,11 +138,18 @@
         self.follower.add_instances(hosts)
 
     def models_changed(self) -> None:
-        """Use the engine parameters and versions that a control instance sent."""
+        """Use the engine parameters and versions that a control instance sent.
+
+        The end of a superseded version does not wait for the engine's next report,
+        which an engine that stands still delays. Slots open only after a report.
+        """
         if self.state.engine is not None:
             self.admission.slots.engine = self.state.engine
             self.cold.set_limits(*self.follower.cold_limits[self.settings.service])
             self.cold.observe_announcement(self.state.own_target())
+        self.admission.set_admission_end(self.serving_left_ms())
+        if not self.may_serve():
+            self.update_admission()
         self.changed.set()
 
     def evacuations_changed(self) -> None:
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -275,3 +275,29 @@
 
     def test_version_in_load_has_an_end_of_its_own(self, tmp_path):
         assert not self.is_queued(tmp_path, newest=3, loading=True)
+
+
+class TestSidecarHearsOfNewerVersion:
+    """The engine stands still, so its report does not come."""
+
+    def test_admission_ends_without_waiting_for_the_report(self, tmp_path):
+        async def run():
+            service = new_service(tmp_path)
+            service.update_admission()
+            assert service.admission.slots.open
+            name_aged_version(service, 2, SETTINGS.old_version_ms)
+            assert not service.admission.slots.open
+
+        asyncio.run(run())
+
+    def test_grants_have_a_limit_at_once(self, tmp_path):
+        async def run():
+            service = new_service(tmp_path)
+            service.update_admission()
+            assert service.admission.slots.weights_end_ms is None
+            name_aged_version(service, 2, 0.0)
+            left_ms = service.admission.slots.weights_end_ms
+            left_ms -= service.admission.now_ms()
+            assert left_ms <= start_left_ms(0.0, SETTINGS.old_version_ms)
+
+        asyncio.run(run())
