Check the end of a version again when a queued request gets its slot

A queued request kept the expiry that it got on its arrival. If a newer version was named while it waited, a slot that fell free was granted to it after the last moment for a start; and where several slots fell free at once, the prompts granted before its own were not counted, so that the last of them began later than estimated.

The queue now looks at the end that holds at the moment, with the estimate of the first event by the engine's batch steps. Three of the four new tests failed before (still queued, granted 250 ms before the end, 261 ms of prompts granted where 250 were left); the fourth keeps the grant in time.

--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -226,11 +226,7 @@
     def enqueue(
         self, request: SlotRequest, rank: int, expires_ms: float
     ) -> AdmissionDecision:
-        """Queue a request until it can't begin in time any more."""
-        if self.weights_end_ms is not None:
-            prefill_ms = self.prefill_ms(request.prompt_tokens)
-            min_ms = prefill_ms + self.batch_step_ms() + BEGIN_MARGIN_MS
-            expires_ms = min(expires_ms, self.weights_end_ms - min_ms)
+        """Queue a request until it can't be in time any more."""
         self.queue.push(request, rank, expires_ms)
         return AdmissionDecision(request.request_id)
 
@@ -248,10 +244,14 @@
         self, request: SlotRequest, event_ms: float, now_ms: float
     ) -> bool:
         """Return whether the grace period ends, or weights change, too early for it."""
-        if self.weights_end_ms is not None:
-            if now_ms + event_ms + BEGIN_MARGIN_MS > self.weights_end_ms:
-                return True
-        return self.overruns_change(request, event_ms, now_ms)
+        return self.starts_too_late(event_ms, now_ms) or self.overruns_change(
+            request, event_ms, now_ms
+        )
+
+    def starts_too_late(self, event_ms: float, now_ms: float) -> bool:
+        """Return whether a first event would come too late for superseded weights."""
+        ends_ms = self.weights_end_ms
+        return ends_ms is not None and now_ms + event_ms + BEGIN_MARGIN_MS > ends_ms
 
     def overruns_change(
         self, request: SlotRequest, event_ms: float, now_ms: float
@@ -389,10 +389,15 @@
 
         Its time has passed, or it is late and new requests take all free slots. A
         request for a throttled engine may get a slot elsewhere at once. One that
-        may wait does so until a slot falls free.
+        may wait does so until a slot falls free. The weights may have been superseded
+        since it was queued, and other prompts go before its own.
         """
         if now_ms > queued.expires_ms:
             return True
+        if self.weights_end_ms is not None:
+            event_ms = self.first_event_ms(queued.request.prompt_tokens, now_ms)
+            if self.starts_too_late(event_ms, now_ms):
+                return True
         if self.throttle_wait_ms(queued.request, now_ms) > 0:
             return True
         if not queued.request.late or queued.request.may_wait:
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -17,7 +17,11 @@
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy.engine_slots import EngineSlots, SlotRequest
 from wisteriapulley.policy.target_ranking import Load
-from wisteriapulley.policy.version_end import PAUSE_ALLOWANCE_MS, start_left_ms
+from wisteriapulley.policy.version_end import (
+    BEGIN_MARGIN_MS,
+    PAUSE_ALLOWANCE_MS,
+    start_left_ms,
+)
 from wisteriapulley.rollout.engine import EngineReport
 from wisteriapulley.rollout.switch_order import SwitchRank, switch_due_ms
 from wisteriapulley.routing import Route, RouteKind, RoutingTable, Service, Split
@@ -301,3 +305,54 @@
             assert left_ms <= start_left_ms(0.0, SETTINGS.old_version_ms)
 
         asyncio.run(run())
+
+
+class TestQueuedRequest:
+    """A newer version is named while requests wait for a slot."""
+
+    ENDS_MS = 1000.0
+
+    def full_slots(self):
+        """Return the slots of a full engine, at which one more request waits."""
+        slots = EngineSlots(ENGINE)
+        slots.open = True
+        for number in range(slots.max_grants + 1):
+            request = SlotRequest(f"q{number}", "e", 1, 10, 1, 5000.0)
+            decision = slots.request_slot(request, 0.0)
+        assert not decision.granted and not decision.denied
+        slots.weights_end_ms = self.ENDS_MS
+        return slots
+
+    def test_is_denied_once_it_would_start_too_late(self):
+        slots = self.full_slots()
+        assert not list(slots.advance(self.ENDS_MS / 2))
+        (decision,) = slots.advance(self.ENDS_MS - BEGIN_MARGIN_MS)
+        assert decision.denied
+
+    def test_is_not_granted_a_slot_that_falls_free_too_late(self):
+        slots = self.full_slots()
+        late_ms = self.ENDS_MS - BEGIN_MARGIN_MS
+        slots.release("q0", late_ms)
+        (decision,) = slots.advance(late_ms)
+        assert decision.denied
+
+    def test_gets_a_slot_that_falls_free_in_time(self):
+        slots = self.full_slots()
+        slots.release("q0", self.ENDS_MS / 2)
+        (decision,) = slots.advance(self.ENDS_MS / 2)
+        assert decision.granted
+
+    def test_prompts_before_it_count(self):
+        """Several slots fall free at once, and all prompts are prefilled in turn."""
+        slots = EngineSlots(ENGINE)
+        slots.open, slots.weights_end_ms = True, self.ENDS_MS
+        for number in range(slots.max_grants):
+            slots.request_slot(SlotRequest(f"q{number}", "e", 1, 10, 1, 5000.0), 0.0)
+        for number in range(slots.max_grants):
+            slots.request_slot(SlotRequest(f"w{number}", "e", 900, 10, 1, 5000.0), 0.0)
+        at_ms = self.ENDS_MS / 2
+        for number in range(slots.max_grants):
+            slots.release(f"q{number}", at_ms)
+        granted = sum(decision.granted for decision in slots.advance(at_ms))
+        prefill_ms = granted * slots.prefill_ms(900)
+        assert 0 < prefill_ms < self.ENDS_MS - BEGIN_MARGIN_MS - at_ms
