Set the start deadline of requests that wait as a version is superseded

A request could begin on a superseded version after its end: one that was sent shortly before the newer version was named, to an engine that was slower than estimated.

Cause: the start deadline is computed once, when the slot is allocated. Where neither the entry nor the sidecar has heard of a newer version by then it has none, and since silent targets are kept, nothing else bounds the wait for the first event.

Evidence, on a virtual clock, version_ms 4000, with and without a link to the sidecar: a request sent 0.1 s before the newer version, first event after 4.5 s, begins 0.4 s after the end; now the entry drops it in time. Both cases failed before.

A request that has not started looks every 0.25 s until when it may start by the versions that its entry knows by now. The deadline of a grant still holds as well.

--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -1,7 +1,9 @@
 """Sends a request to one target, reads its response and relays it to the caller."""
 
 import asyncio
+import contextlib
 import logging
+from collections.abc import AsyncIterator
 
 from wisteriapulley.direct.crashes import CrashTracker
 from wisteriapulley.direct.exchange import Arrival, Exchange
@@ -36,6 +38,9 @@
 # since another target or another entry can serve it at once.
 UNREACHABLE_RETRY_S = 0.3
 REJECTED_RETRY_S = 0.2
+# How often a request that has not started looks whether a newer version of the weights
+# was named. Short against the time that a superseded version may serve.
+DEADLINE_LOOK_INTERVAL_S = 0.25
 
 
 class Sender:
@@ -118,7 +123,7 @@
             not admitted.route.repeatable,
         )
         try:
-            async with asyncio.timeout_at(slot.start_deadline_s):
+            async with start_limit(slot):
                 response = await self.client.send(admitted.request, plan)
         except NotSentError as error:
             target.record_unreachable(self.now_s())
@@ -289,7 +294,7 @@
         """
         if exchange.begun:
             return await anext(exchange.parts)
-        async with asyncio.timeout_at(exchange.slot.start_deadline_s):
+        async with start_limit(exchange.slot):
             part = await anext(exchange.parts)
         exchange.begun = True
         return part
@@ -457,6 +462,31 @@
         )
 
 
+@contextlib.asynccontextmanager
+async def start_limit(slot: AllocatedSlot) -> AsyncIterator[None]:
+    """Raise TimeoutError once a request may no longer start.
+
+    A newer version may be named meanwhile, so the deadline is looked at again.
+    """
+    loop = asyncio.get_running_loop()
+    timer: asyncio.TimerHandle | None = None
+
+    def look() -> None:
+        nonlocal timer
+        if not limit.expired():
+            limit.reschedule(slot.deadline_s())
+            timer = loop.call_later(DEADLINE_LOOK_INTERVAL_S, look)
+
+    async with asyncio.timeout_at(slot.deadline_s()) as limit:
+        if slot.version_deadline_s is not None:
+            timer = loop.call_later(DEADLINE_LOOK_INTERVAL_S, look)
+        try:
+            yield
+        finally:
+            if timer is not None:
+                timer.cancel()
+
+
 def is_server_error(response: TargetAnswer) -> bool:
     """Return whether a target reported a server error."""
     return response.status >= SERVER_ERROR
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -1,6 +1,7 @@
 """Allocates a slot for a request at a plain target or at an engine with a sidecar."""
 
 import asyncio
+import functools
 import logging
 import random
 from collections.abc import Callable
@@ -65,6 +66,8 @@
 
 # Releases a slot; called with what the target did with the request.
 ReleaseSlot = Callable[[SendOutcome, ObservedWork], None]
+# Returns when a request must have started, by what this entry knows now.
+StartDeadline = Callable[[], float | None]
 
 
 class Urgency(NamedTuple):
@@ -104,6 +107,9 @@
         version may not start requests after that; None without such a limit.
     granted : bool
         Whether the target's sidecar granted the slot.
+    version_deadline_s : callable or None
+        Returns that deadline by the versions that are known now: a newer one may be
+        named while the request waits. None for plain targets.
     """
 
     target: Target
@@ -111,16 +117,23 @@
     release: ReleaseSlot
     start_deadline_s: float | None = None
     granted: bool = False
+    version_deadline_s: StartDeadline | None = None
+
+    def deadline_s(self) -> float | None:
+        """Return when the request must have started; None without a limit."""
+        version_s = self.version_deadline_s() if self.version_deadline_s else None
+        deadlines_s = (self.start_deadline_s, version_s)
+        return min((at_s for at_s in deadlines_s if at_s is not None), default=None)
 
     def may_start(self, now_s: float) -> bool:
         """Return whether the request may still start."""
-        return self.start_deadline_s is None or now_s < self.start_deadline_s
+        deadline_s = self.deadline_s()
+        return deadline_s is None or now_s < deadline_s
 
     def start_left_ms(self, now_s: float) -> int | None:
         """Return how long the request may still start; None without a limit."""
-        if self.start_deadline_s is None:
-            return None
-        return int((self.start_deadline_s - now_s) * 1000)
+        deadline_s = self.deadline_s()
+        return None if deadline_s is None else int((deadline_s - now_s) * 1000)
 
 
 class Denials:
@@ -310,6 +323,7 @@
         version: int,
         release: ReleaseSlot | None = None,
         start_deadline_s: float | None = None,
+        version_deadline_s: StartDeadline | None = None,
     ) -> AllocatedSlot:
         """Count a request as in flight at a target until its slot is released."""
         sent_s = self.now_s()
@@ -324,7 +338,9 @@
                 release(outcome, work)
 
         granted = release is not None
-        return AllocatedSlot(target, version, end_request, start_deadline_s, granted)
+        return AllocatedSlot(
+            target, version, end_request, start_deadline_s, granted, version_deadline_s
+        )
 
     # -- plain targets ---------------------------------------------------
 
@@ -509,7 +525,12 @@
             release()
             return None
         start_deadline_s = self.start_deadline_s(left_ms)
-        return self.occupy(target, answer.version, release, start_deadline_s)
+        by_version = functools.partial(
+            self.version_deadline_s, engine.model, answer.version
+        )
+        return self.occupy(
+            target, answer.version, release, start_deadline_s, by_version
+        )
 
     def allocate_without_sidecar(
         self, target: Target, engine: Engine
@@ -532,7 +553,8 @@
         ):
             return None
         start_deadline_s = self.start_deadline_s(left_ms)
-        return self.occupy(target, version, start_deadline_s=start_deadline_s)
+        by_version = functools.partial(self.version_deadline_s, engine.model, version)
+        return self.occupy(target, version, None, start_deadline_s, by_version)
 
     def start_deadline_s(self, left_ms: float | None) -> float | None:
         """Return when a request must have started, on the loop's clock."""
@@ -540,6 +562,10 @@
             return None
         return self.now_s() + (left_ms - VERSION_END_MARGIN_MS) / 1000
 
+    def version_deadline_s(self, model: str, version: int) -> float | None:
+        """Return when a request must have started by the versions known now."""
+        return self.start_deadline_s(self.version_left_ms(model, version))
+
     def grant_left_ms(self, model: str, grant: messages.Reserved) -> float | None:
         """Return how long a granted request may still start; None for no limit.
 
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -5,6 +5,7 @@
 
 import pytest
 from bench.turned_away import VirtualLoop, VirtualSidecars
+from msgspec import structs
 
 from tests.test_direct_dispatch import SETTINGS, FakeCaller, crash_tracker, events
 from tests.test_evacuated_engine import ENGINE, MANIFEST, name_version, new_service
@@ -222,6 +223,38 @@
         assert play(before_s, pause_s, first_event_s, **options) == []
 
 
+class TestNamedWhileTheRequestWaits:
+    """A request is sent without a limit, and a newer version is named after it."""
+
+    @pytest.mark.parametrize("linked", [True, False])
+    def test_slow_engine_does_not_begin_it_late(self, tmp_path, monkeypatch, linked):
+        settings = structs.replace(SETTINGS, old_version_ms=4000)
+        monkeypatch.setattr(f"{__name__}.SETTINGS", settings)
+
+        def loop_time_s():
+            return asyncio.get_running_loop().time()
+
+        for module in ("direct.slot_allocation", "rollout.state", "control.following"):
+            monkeypatch.setattr(f"wisteriapulley.{module}.steady_s", loop_time_s)
+
+        async def scenario():
+            engine = PausingEngine((60.0, 60.0), 4.5)
+            end = VersionEnd(tmp_path, engine, entry_knows=False, linked=linked)
+            # The sidecar has not heard of the newer version either.
+            end.sidecar.follower.versions = end.entry.allocator.follower.versions
+            end.sidecar.update_admission()
+            asked = asyncio.create_task(end.ask(0))
+            await asyncio.sleep(0.1)
+            end.entry.allocator.follower.versions.record("m", 2, 0.1)
+            await asked
+            return engine
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            engine = runner.run(scenario())
+        assert engine.sent == 1
+        assert engine.begun_s == []
+
+
 class TestLastSwitch:
     def test_engine_is_not_idle_before_the_last_switch(self):
         """It grants slots until its switch, but for the time to a first event."""
