Count the wait for a cancellation as the request's own time

A second attempt of a request, at an engine that stood still with the first one, could run after its deadline, with the whole time that it had had before the wait.

Cause: the attempt waits until the engine confirms the cancellation of the first one; this wait had no limit, and the time that is left was not reduced by it.

Evidence: an attempt with 100 ms left waited on while no cancellation was confirmed; one with 5 s left got 5 s after the wait. The new test failed before.

The wait ends with the request's time, and the attempt gets what is left after it.

--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -100,7 +100,7 @@
             return
         self.tasks[message.request_id] = asyncio.current_task()
         try:
-            await self.wait_cancelled(message.request_id)
+            message = await self.wait_cancelled(message)
             self.check_open(message)
             await self.run_streaming(link, message, frame)
         finally:
@@ -356,14 +356,34 @@
         finally:
             del self.cancel_tasks[request_id]
 
-    async def wait_cancelled(self, request_id: str) -> None:
+    async def wait_cancelled(self, message: messages.Dispatch) -> messages.Dispatch:
         """Wait until an earlier attempt of a request does not run any more.
 
         Both have the same id, and its cancellation would end them both.
+
+        Returns
+        -------
+        Dispatch
+            The request, with the time that it has left after the wait.
+
+        Raises
+        ------
+        RequestError
+            DEADLINE_EXCEEDED: the request's time ended, and this attempt did not run.
         """
-        task = self.cancel_tasks.get(request_id)
-        if task is not None:
-            await asyncio.wait([task])
+        task = self.cancel_tasks.get(message.request_id)
+        if task is None:
+            return message
+        loop = asyncio.get_running_loop()
+        begin_s = loop.time()
+        await asyncio.wait([task], timeout=message.remaining_ms / 1000)
+        left_ms = message.remaining_ms - int((loop.time() - begin_s) * 1000)
+        if left_ms <= 0:
+            raise RequestError(
+                ResultCode.DEADLINE_EXCEEDED,
+                "the deadline passed while an earlier attempt was cancelled",
+            )
+        return message._replace(remaining_ms=left_ms)
 
     def stop(self) -> None:
         """Stop repeating cancellations."""
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -535,3 +535,37 @@
             assert isinstance(link.posted[-1], messages.AnswerEnd)
 
         run_target(scenario)
+
+    def test_wait_for_a_cancellation_ends_with_the_requests_time(self, run_target):
+        """The time that is left is counted from before the wait."""
+
+        async def scenario(target):
+            target.fake.token_s = 0.02
+            target.control.name_version(run_target.first)
+            await target.wait_serving(run_target.first)
+            may_cancel = asyncio.Event()
+
+            async def cancel(request_id):
+                await may_cancel.wait()
+                return True
+
+            target.engine.cancel = cancel
+            started = []
+
+            async def stream(link, message, frame):
+                started.append(message)
+
+            target.gate.stream = stream
+
+            target.gate.cancel_at_engine("r")
+            late, _ = target.start_request(remaining_ms=100)
+            in_time, _ = target.start_request(remaining_ms=5000)
+            with pytest.raises(WisteriapulleyError) as caught:
+                await late
+            assert caught.value.code == ResultCode.DEADLINE_EXCEEDED
+            may_cancel.set()
+            await in_time
+            (message,) = started
+            assert 0 < message.remaining_ms <= 4900
+
+        run_target(scenario)
