Keep the second attempt of a request cancellable

A caller's request could go on at an engine after the caller had left: a second attempt that reached its sidecar before the first one had ended there.

Cause: both attempts have the same id, and the end of the first one removed the task of the second, so that a cancellation found nothing to cancel.

Evidence: two attempts, the first ends, a cancellation follows: the second went on. The new test failed before.

An attempt removes only its own task.

--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -98,13 +98,15 @@
         if message.idempotency_key:
             await self.run_keyed(link, message, frame)
             return
-        self.tasks[message.request_id] = asyncio.current_task()
+        task = self.tasks[message.request_id] = asyncio.current_task()
         try:
             message = await self.wait_cancelled(message)
             self.check_open(message)
             await self.run_streaming(link, message, frame)
         finally:
-            self.tasks.pop(message.request_id, None)
+            # A second attempt may have begun before this one ended.
+            if self.tasks.get(message.request_id) is task:
+                del self.tasks[message.request_id]
 
     def check_open(self, message: messages.Dispatch) -> None:
         """Raise an error unless the target may run this request.
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -569,3 +569,25 @@
             assert 0 < message.remaining_ms <= 4900
 
         run_target(scenario)
+
+    def test_second_attempt_can_be_cancelled_after_the_first_one_ended(
+        self, run_target
+    ):
+        """The sidecar sees later than the entry that the first one's link is lost."""
+
+        async def scenario(target):
+            target.fake.token_s = 0.05
+            target.control.name_version(run_target.first)
+            await target.wait_serving(run_target.first)
+            first, link = target.start_request()
+            await target.wait_until(lambda: link.posted)
+            second, link = target.start_request()
+            await target.wait_until(lambda: link.posted)
+            first.cancel()
+            await asyncio.wait([first])
+            message = messages.Cancel("r")
+            await target.gate.receive_cancel(link, message, Frame(2, 0, message, b""))
+            await asyncio.wait([second], timeout=0.1)
+            assert second.cancelled()
+
+        run_target(scenario)
