Do not repeat a load order because of an earlier report

An engine that stood still as it was ordered to load, or that had no weights, got the same order ten times and more. Each is refused, but orders are priced.

Cause: a report shows the engine's state of some hundred milliseconds earlier. The first one after an order denies it, counts as proof that the order was lost, and the order is sent again at every poll until the engine has loaded.

The test's engine now refuses an order while another one is in progress, as the platform documents.

What reports say of an order counts only 0.5 s after it, and after a silence. An order that a crash has lost is repeated 0.5 s later than before.

--- a/src/wisteriapulley/rollout/updater.py
+++ b/src/wisteriapulley/rollout/updater.py
@@ -18,6 +18,9 @@
 
 # Poll often while an order is in progress, to open the slots as soon as it is done.
 LOAD_POLL_INTERVAL_S = 0.05
+# A report shows the engine's state of some hundred milliseconds earlier. What it says
+# of an order counts only this long after the order, and after a silence.
+REPORT_LAG_S = 0.5
 # Delay before a failed update is retried.
 RETRY_DELAY_S = 0.3
 # A load that has not completed by then is ordered again.
@@ -258,18 +261,24 @@
         started_s = loop.time()
         idle = not self.admission.slots.grants
         outcome = OrderOutcome.REFUSED
+        settled_s = started_s
         while loop.time() < started_s + LOAD_TIMEOUT_S:
-            if outcome is OrderOutcome.REFUSED:
+            if outcome is OrderOutcome.REFUSED and loop.time() >= settled_s:
                 outcome = await self.order_load(model, version, idle)
+                settled_s = loop.time() + REPORT_LAG_S
             await asyncio.sleep(LOAD_POLL_INTERVAL_S)
+            asked_s = loop.time()
             await self.poll_engine()
+            if loop.time() > asked_s + LOAD_POLL_INTERVAL_S:
+                # It stood still, and may just have handled the order.
+                settled_s = loop.time() + REPORT_LAG_S
             if self.state.engine_is_silent:
                 continue
             report = self.state.report
             if report.versions.get(model) == version and not report.busy:
                 self.record_load_time(idle, (loop.time() - started_s) * 1000)
                 return
-            if is_order_lost(outcome, report):
+            if loop.time() >= settled_s and is_order_lost(outcome, report):
                 outcome = OrderOutcome.REFUSED
         raise WisteriapulleyError(
             ResultCode.ENGINE_LOAD_FAILED,
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -46,7 +46,7 @@
         Version of each order to load, and of each load that was begun.
     """
 
-    def __init__(self, version=1, started_ms=1, pause_in_load_s=0.0):
+    def __init__(self, version=1, started_ms=1, pause_in_load_s=0.0, report_lag_s=0.0):
         self.cooldown = SimpleNamespace(wait_s=lambda now_s: 0.0)
         self.version, self.started_ms = version, started_ms
         self.busy = self.leaving = False
@@ -59,6 +59,9 @@
         # How long an order that arrives in a pause is handled after other calls.
         self.order_late_s = 0.0
         self.arrivals = itertools.count()
+        # How much earlier the state is that a report shows, and all states so far.
+        self.report_lag_s = report_lag_s
+        self.states = [(float("-inf"), self.current_report())]
 
     def now_s(self):
         return asyncio.get_running_loop().time()
@@ -84,7 +87,16 @@
             raise EngineSilentError(ResultCode.SOURCE_UNAVAILABLE, "silent") from error
 
     async def report(self):
-        return await self.call(self.current_report)
+        return await self.call(self.lagging_report)
+
+    def record_state(self):
+        self.states.append((self.now_s(), self.current_report()))
+
+    def lagging_report(self):
+        if not self.report_lag_s:
+            return self.current_report()
+        shown_s = self.now_s() - self.report_lag_s
+        return [report for at_s, report in self.states if at_s <= shown_s][-1]
 
     def current_report(self):
         versions = {"m": self.version} if self.version else {}
@@ -120,11 +132,12 @@
         self.ordered.append(version)
         if version == self.version:
             return OrderOutcome.DONE
-        if expected != self.sequence:
+        if self.busy or expected != self.sequence:
             return OrderOutcome.REFUSED
         self.sequence += 1
         self.begun.append(version)
         self.busy = True
+        self.record_state()
         self.stand_still(self.pause_in_load_s)
         asyncio.get_running_loop().call_later(
             self.pause_in_load_s + LOAD_S, self.finish_load, version
@@ -133,6 +146,7 @@
 
     def finish_load(self, version):
         self.version, self.busy = version, False
+        self.record_state()
 
 
 class Sidecar:
@@ -390,6 +404,25 @@
 
         play(tmp_path, scenario, version=0, pause_in_load_s=SILENT_S)
 
+    @pytest.mark.parametrize("pause_s", [0.0, SILENT_S])
+    def test_report_of_earlier_repeats_no_order(self, tmp_path, pause_s):
+        """Reports show the state of some hundred milliseconds earlier."""
+
+        async def scenario(sidecar):
+            sidecar.engine.pause_at_order_s = pause_s
+            await self.update(sidecar)
+            assert sidecar.engine.ordered == [2]
+
+        play(tmp_path, scenario, report_lag_s=0.2)
+
+    def test_report_of_earlier_repeats_no_order_to_an_empty_engine(self, tmp_path):
+        async def scenario(sidecar):
+            await asyncio.sleep(2.0)
+            assert sidecar.engine.ordered == [1]
+            assert sidecar.slots.open
+
+        play(tmp_path, scenario, version=0, report_lag_s=0.2)
+
     def test_order_that_never_arrived_is_sent_again(self, tmp_path):
         async def scenario(sidecar):
             sidecar.engine.pause_at_order_s = SILENT_S
