Count a failure after the start deadline of a request that has started

A target that breaks off streams, or stands still within them, was not put aside while its version of the weights was superseded, so callers were sent there again.

Cause: a failure after the start deadline is taken for the entry's own doing. That holds only until the request has started; after that the entry drops none.

Evidence: a stream that breaks off, and one that is left silent, after the start deadline: no failure was counted. Both cases failed before.

Whether the request had started decides, before the deadline is looked at.

--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -133,7 +133,7 @@
         except (BrokenAnswerError, TimeoutError) as error:
             progress.may_have_run = True
             self.log_no_response(admitted, exchange, error)
-            self.record_no_response(slot)
+            self.record_no_response(exchange)
             await self.check_for_crash(admitted, target, progress, error)
             return Refusal(
                 RefusalKind.FAILED, reason=f"no response from target: {error!r}"
@@ -145,14 +145,14 @@
         exchange.record_part(sent_s, self.now_s())
         return None
 
-    def record_no_response(self, slot: AllocatedSlot) -> None:
+    def record_no_response(self, exchange: Exchange) -> None:
         """Record a failure of a target that broke off or did not respond.
 
         It is not a failure if the entry dropped the request, because the grace period
-        of its version of the weights ended.
+        of its version of the weights ended before the request had started.
         """
-        if slot.may_start(self.now_s()):
-            self.registry.record_outcome(slot.target, True, self.now_s())
+        if exchange.begun or exchange.slot.may_start(self.now_s()):
+            self.registry.record_outcome(exchange.target, True, self.now_s())
 
     async def check_for_crash(
         self, admitted: Admitted, target: Target, progress: Progress, error: Exception
@@ -247,7 +247,7 @@
             data = await self.read_events(exchange)
         except (BrokenAnswerError, TimeoutError) as error:
             exchange.broke_off = True
-            self.record_no_response(exchange.slot)
+            self.record_no_response(exchange)
             self.log_broken_stream(admitted, exchange, error)
             await self.check_for_crash(admitted, exchange.target, progress, error)
             reason = "stream broke off"
@@ -343,7 +343,7 @@
         exchange.broke_off = True
         self.log_silence("silent target left", exchange, admitted)
         self.metrics.record_silence("left")
-        if exchange.slot.may_start(self.now_s()):
+        if exchange.begun or exchange.slot.may_start(self.now_s()):
             self.registry.record_silence(exchange.target, self.now_s())
 
     def record_spare_error(
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -446,6 +446,24 @@
         assert target.failure_rate == 0.0
         assert not target.wait_s(SILENT_S)
 
+    @pytest.mark.parametrize("pause_s", [2.0, NEVER_S])
+    def test_failure_after_the_start_deadline_counts(self, pause_s):
+        """The deadline is for the start: a request that has started is not dropped."""
+        first = PacedAnswer((0.0, events(1, 2)), (pause_s, None))
+        entry = Entry(first, PacedAnswer((0.5, events(3, 4))))
+        allocate = entry.allocator.allocate
+
+        async def allocate_until_1_s(*args, **options):
+            slot = await allocate(*args, **options)
+            if slot.target.target_id == "i-0":
+                slot = slot._replace(start_deadline_s=1.0)
+            return slot
+
+        entry.allocator.allocate = allocate_until_1_s
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+        assert entry.registry.targets["i-0"].failure_rate > 0
+
     def test_pause_is_not_taken_for_slow_work(self):
         observed = []
         answer = PacedAnswer((0.0, events(1, 2)), (SILENT_S, events(3, 4)))
