Take a lost connection to an engine for no end of its process

Callers queued at a sound engine were refused, and the engine could count as cold, after it had reset one call of its sidecar or closed the connection on which it came.

Cause: every error but a timeout counted as an engine that is away and holds nothing. Engines reset connections beyond their limit and close idle ones, and the client repeats no call by itself. A load order that was lost this way failed the update, although the engine may have accepted it.

Evidence: a listener that resets or closes each connection; both calls raised the error of an engine that is away. Both cases failed before.

Only a refused connection shows that the process is not there. Any other lost call counts as a silence: the last report stays, the next one tells, and a load order has no known outcome. A process that ended refuses the next call.

--- a/src/wisteriapulley/platform/engine.py
+++ b/src/wisteriapulley/platform/engine.py
@@ -104,7 +104,7 @@
             SOURCE_UNAVAILABLE: the engine does not respond, or is in the cool-down
             that it requested.
         EngineSilentError
-            SOURCE_UNAVAILABLE: it did not respond in time.
+            SOURCE_UNAVAILABLE: it did not respond in time, or closed the connection.
         """
         loop = asyncio.get_running_loop()
         if self.cooldown.wait_s(loop.time()):
@@ -123,7 +123,12 @@
                 f"engine {path}: no response within {CALL_TIMEOUT_S} s",
             ) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise engine_error(path, repr(error)) from error
+            if refuses_connections(error):
+                raise engine_error(path, repr(error)) from error
+            # Engines reset connections beyond their limit, and close idle ones.
+            raise EngineSilentError(
+                ResultCode.SOURCE_UNAVAILABLE, f"engine {path}: {error!r}"
+            ) from error
 
     async def report(self) -> EngineReport:
         """Return the engine's state."""
@@ -183,6 +188,12 @@
         return OrderOutcome.DONE if status == HTTP_OK else OrderOutcome.REFUSED
 
 
+def refuses_connections(error: Exception) -> bool:
+    """Return whether an error shows that the engine's process is not there."""
+    os_error = getattr(error, "os_error", error)
+    return isinstance(os_error, ConnectionRefusedError)
+
+
 def decode_report(wire: WireReport) -> EngineReport:
     """Decode a report; an empty range of layers means that no model is held."""
     versions = {model.name: model.version for model in wire.models}
--- a/src/wisteriapulley/rollout/engine.py
+++ b/src/wisteriapulley/rollout/engine.py
@@ -8,7 +8,7 @@
 
 
 class EngineSilentError(WeightsError):
-    """The engine did not answer in time: it may stand still for a moment.
+    """The engine did not answer: it may stand still, or lack a free connection.
 
     It may also have received the call, and handle it when it goes on.
     """
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -484,3 +484,30 @@
             assert second is OrderOutcome.REFUSED
 
         asyncio.run(run())
+
+    @pytest.mark.parametrize("reset", [True, False])
+    def test_lost_connection_is_no_end_of_the_process(self, reset):
+        """Engines reset connections beyond their limit, and close idle ones."""
+
+        async def close(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            if reset:
+                writer.transport.abort()
+            writer.close()
+
+        async def run():
+            server = await asyncio.start_server(close, "127.0.0.1", 0)
+            address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+            http = HttpClient()
+            client = HttpEngine(http, address)
+            with pytest.raises(EngineSilentError):
+                await client.report()
+            assert await client.load("model", 2, 0) is OrderOutcome.UNANSWERED
+            server.close()
+            await server.wait_closed()
+            with pytest.raises(WeightsError) as caught:
+                await client.report()
+            assert not isinstance(caught.value, EngineSilentError)
+            await http.close()
+
+        asyncio.run(run())
