Give the error of a lost slot to the request that was to get it

Cause: the end of a request starts queued ones. A target that was ejected as slow, as one is that fell silent, is probed even when it has just been dropped; the error that it is gone was raised to the request that ended.

Evidence: an answer whose end starts such a probe: NO_TARGET instead of the answer. The test failed before.

The error now goes to the queued request, which has not run.

--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -152,7 +152,17 @@
             elif start.node_id is None:
                 future.set_exception(queue_deadline_error())
             else:
-                future.set_result(self.take_slot(start.work, start.node_id))
+                self.grant_slot(future, start.work, start.node_id)
+
+    def grant_slot(self, future: asyncio.Future, work: Work, node_id: str) -> None:
+        """Give a queued request its slot, or the error that there is none any more.
+
+        The error belongs to that request, not to the one whose end started it.
+        """
+        try:
+            future.set_result(self.take_slot(work, node_id))
+        except RequestError as error:
+            future.set_exception(error)
 
     def sweep(self) -> None:
         """Detect slow targets and use slots that other entries have freed."""
--- a/tests/test_entry_dispatch.py
+++ b/tests/test_entry_dispatch.py
@@ -6,7 +6,9 @@
 from aiohttp import web
 
 from tests.test_entry_at_most_once import ENTRY, with_fleet
+from wisteriapulley.catalogue import Limits
 from wisteriapulley.errors import CODE_TABLE, ResultCode
+from wisteriapulley.policy.outliers import Ejection
 
 
 async def send_half(sidecar, request):
@@ -128,3 +130,23 @@
         code = await entry.send_refused(key="", entry=model)
         assert code == ResultCode.ENGINE_WRONG_DIGEST
         assert sidecars[0].gate.chart.state != "open"
+
+    @with_fleet()
+    async def test_probe_of_a_dropped_target_ends_no_other_request(
+        self, control, sidecars, entry
+    ):
+        # A target that was silent is ejected as slow, and probed later. When it was
+        # dropped meanwhile, the answer must not be cut whose end starts the probe.
+        limited = msgspec.structs.replace(ENTRY, limits=Limits(in_flight=1))
+        sidecars[0].may_answer.clear()
+        first = asyncio.create_task(entry.send(key="", entry=limited))
+        await sidecars[0].started.wait()
+        pool = entry.runner.dispatcher.placer.pools["s"]
+        pool.scheduler.outliers.ejected["t1"] = Ejection(0.0, 5.0)
+        entry.targets.drop("t1")
+        queued = asyncio.create_task(entry.send_refused(key="", entry=limited))
+        while not pool.queued_futures:
+            await asyncio.sleep(0.01)
+        sidecars[0].may_answer.set()
+        assert await first == b"letter"
+        assert await queued == ResultCode.NO_TARGET
