Close idle connections of the fake target too when it crashes

A crashed plain target of the tests went on answering over idle connections: its crash aborted only the connections with a request in progress, though its description says all, as the exit of a process does. An entry that kept such a connection could be served by a target that counted as crashed, which no real one does.

It now aborts every connection of its server. The new test sends over an idle connection after the crash and failed before: the crashed target answered it.

--- a/tests/fakes/plain.py
+++ b/tests/fakes/plain.py
@@ -32,7 +32,6 @@
         self.incarnation_number = 0
         self.runs = []
         self.service_time_s = 0.0
-        self.open_transports = set()
         self.app.add_routes([web.route("*", "/{tail:.*}", self.serve)])
 
     @property
@@ -44,14 +43,6 @@
         return bool(self.runner.sites)
 
     async def serve(self, request):
-        transport = request.transport
-        self.open_transports.add(transport)
-        try:
-            return await self.answer(request)
-        finally:
-            self.open_transports.discard(transport)
-
-    async def answer(self, request):
         body = await request.read()
         rejection = self.record_arrival(request)
         if rejection is not None:
@@ -74,8 +65,9 @@
         for site in tuple(self.runner.sites):
             site._server.close()
             self.runner._unreg_site(site)
-        for transport in tuple(self.open_transports):
-            transport.abort()
+        for connection in self.runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
 
     async def restart(self):
         """Listen at the same address as a new incarnation."""
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import aiohttp
+import pytest
+
 from tests import plain_fleet
 from tests.fakes.plain import PlainTarget
 from tests.plain_fleet import ENTRIES, Fleet
@@ -61,6 +64,31 @@
     plain_fleet.play(CrashingFleet(tmp_path), scenario)
 
 
+class TestCrash:
+    def test_closes_idle_connections(self):
+        """A crashed target runs no request that its caller sends over an old one."""
+
+        async def run():
+            target = PlainTarget(0, {CRASHING})
+            await target.start()
+            headers = {"X-Request-Attempt-Id": "id"}
+            async with aiohttp.ClientSession(f"http://{target.address}") as session:
+
+                async def send(body):
+                    async with session.post("/", data=body, headers=headers) as answer:
+                        return await answer.read()
+
+                await asyncio.gather(send(b"one"), send(b"other"))
+                with pytest.raises(aiohttp.ServerDisconnectedError):
+                    await send(CRASHING)
+                with pytest.raises(aiohttp.ClientConnectorError):
+                    await send(b"one")
+            await target.stop()
+            assert sorted(target.runs) == [CRASHING, b"one", b"other"]
+
+        asyncio.run(run())
+
+
 class TestCrashingRequest:
     def test_crashed_targets_are_limited_over_all_entries(self, tmp_path):
         async def scenario(fleet):
