Compare three ways to treat a silent target

A target that is silent for 1.6 s may have died or may go on. A script plays the entries' dispatch and the sidecars' queues on a virtual clock against engines that pause or die dark, once for each way: the request also begins at another engine and whichever goes on first wins (as built); the silent one is closed once another has room; it is closed first. The last two subclass HedgedRelay in the script, so the product needs no setting.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,6 +1,7 @@
 """Overload scenarios, emulated with the production policies."""
 
 import pytest
+from bench import silent_targets
 
 from wisteriapulley.emulator import Fleet, Pause, Scenario
 from wisteriapulley.emulator.engine import EmulatedEngine, Job
@@ -153,3 +154,20 @@
         assert self.run(range(10)).refused == 0
         paused = self.run(range(10), pause_s=2.0)
         assert paused.in_time + paused.late + paused.refused == paused.requests
+
+
+class TestWaysForSilentTargets:
+    def test_only_closing_first_loses_answers(self, monkeypatch):
+        # All engines stand still once, and each answer has the time for that.
+        monkeypatch.setattr(silent_targets, "SILENCES_S", (2.0,))
+        scenario = silent_targets.Scenario(False, 1, 1.0, "2.0", 0.1)
+        beside, room_first, close_first = (
+            silent_targets.play(scenario, way) for way in silent_targets.WAYS
+        )
+        assert beside.lost == room_first.lost == 0.0 < close_first.lost
+
+    def test_request_at_a_dead_engine_is_sent_again(self):
+        scenario = silent_targets.Scenario(False, 1, 1 / 9, silent_targets.DARK, 0.1)
+        for way in silent_targets.WAYS:
+            row = silent_targets.play(scenario, way)
+            assert row.lost == 0.0 < row.second_sends
