Test what a deadline does at an engine that stands still

The end of a version could be left to the engine: a request sent with an X-Deadline-Ms that ends there. The protocol says that a server stops work at the value that it receives, and that it rejects what is overdue in its queue. The fake engine now does both, and may count from when it goes on, since a process that stands still may not have read the request. The two tests show both cases.

Such a deadline alone is not enough.

--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -37,18 +37,28 @@
     ----------
     awake : asyncio.Event
         Cleared while the target stands still.
+    counts_silence : bool
+        Whether the time of a request runs while the target stands still. It does not
+        if the target reads the request only when it goes on.
     """
 
     def __init__(self):
         super().__init__()
         self.awake = asyncio.Event()
         self.awake.set()
+        self.counts_silence = True
         self.app.middlewares.append(self.handle_when_awake)
 
     @web.middleware
     async def handle_when_awake(self, request, handler):
         await request.read()
+        loop = asyncio.get_running_loop()
+        read_s = loop.time()
         await self.awake.wait()
+        if not self.counts_silence:
+            read_s = loop.time()
+        left_ms = float(request.headers.get("X-Deadline-Ms", "inf"))
+        request["stops_at_s"] = read_s + left_ms / 1000
         return await handler(request)
 
     async def fall_silent(self, silent_s):
@@ -254,7 +264,8 @@
             return web.Response(status=421, headers={"X-Instance-Id": self.target_id})
         if version and int(version) != self.version:
             return web.Response(status=421)
-        if self.busy:
+        overdue = asyncio.get_running_loop().time() >= request["stops_at_s"]
+        if self.busy or overdue:
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         return None
 
@@ -289,6 +300,9 @@
                 self.break_stream_after = 0
                 request.transport.abort()
                 return response
+            if asyncio.get_running_loop().time() >= request["stops_at_s"]:
+                request.transport.abort()
+                return response
             await response.write(b"id: %d\ndata: %d\n\n" % (number, number * 7))
             await asyncio.sleep(self.event_s)
             await self.awake.wait()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -376,3 +376,38 @@
         loop = asyncio.get_running_loop()
         await asyncio.sleep(end_s - before_s - loop.time())
         await engine.fall_silent(before_s + self.PAUSE_AFTER_S)
+
+
+class TestDeadlineOfTheEngine:
+    """An engine stands still until after the time that a request gives it."""
+
+    def ask(self, counts_silence):
+        """Return the status of a request that an engine has read, and its runs."""
+
+        async def run():
+            engine = Engine(Origin())
+            engine.counts_silence = counts_silence
+            await engine.start()
+            silence = asyncio.create_task(engine.fall_silent(0.3))
+            await asyncio.sleep(0)
+            headers = {"X-Request-Attempt-Id": "q", "X-Deadline-Ms": "100"}
+            try:
+                async with aiohttp.ClientSession() as session:
+                    async with session.get(
+                        f"http://{engine.address}/m/a", headers=headers
+                    ) as answer:
+                        return answer.status, answer.headers, len(engine.begun)
+            finally:
+                await silence
+                await engine.stop()
+
+        return asyncio.run(run())
+
+    def test_request_that_it_had_read_does_not_begin(self):
+        status, headers, begun = self.ask(counts_silence=True)
+        assert (status, begun) == (503, 0) and headers["X-Not-Executed"]
+
+    def test_request_that_it_reads_when_it_goes_on_begins(self):
+        """So a deadline alone does not keep requests from beginning too late."""
+        status, _, begun = self.ask(counts_silence=False)
+        assert (status, begun) == (200, 1)
