End the search for another target before the next one begins

A caller whose silent target broke off could be refused, or lose the slot that it had just got elsewhere, so that the engine got more requests than it has slots.

Cause: the search that was given up ended only after the next one had asked. Both ask for the same request, and a slot request is withdrawn by the id of the request: the withdrawal of the first one reached the sidecar after the second one, and ended that.

The relay waits until the search has ended, before its target's refusal counts and before a target that went on is relayed.

--- a/src/wisteriapulley/direct/hedging.py
+++ b/src/wisteriapulley/direct/hedging.py
@@ -129,10 +129,12 @@
             return await self.use_spare()
         if arrival.refusal is not None:
             if self.spare is None:
+                await self.end_search()
                 return exchange, arrival
             return await self.use_spare()
         if exchange.silent_since_s is not None:
             self.sender.record_resumed(exchange, self.admitted)
+            await self.end_search()
             self.drop_spare()
         return exchange, arrival
 
@@ -217,6 +219,16 @@
         self.spare_task = self.spare = None
         return exchange, arrival
 
+    async def end_search(self) -> None:
+        """Stop looking for a spare, and wait until the search has ended.
+
+        A slot request that it cancels is withdrawn by the id of the request. The next
+        one for the same request must not be sent before that.
+        """
+        task = self.spare_task
+        if task is not None and task.cancel():
+            await asyncio.wait([task])
+
     def drop_spare(self) -> None:
         """Stop looking for a spare, or cancel the request there.
 
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -280,6 +280,27 @@
         assert entry.serve()[0] is None
         assert_whole(entry)
 
+    def test_search_ends_before_the_next_one_begins(self):
+        """Slot requests are withdrawn by the id of the request.
+
+        A target breaks off while its request is queued at another one.
+        """
+        first = PacedAnswer((0.0, events(1, 2)), (SILENT_S, None))
+        entry = Entry(first, PacedAnswer((0.0, events(3, 4))), wait_s=1.0)
+        allocate, steps = entry.allocator.allocate, []
+
+        async def record(*args, **options):
+            steps.append("asked")
+            try:
+                return await allocate(*args, **options)
+            finally:
+                steps.append("ended")
+
+        entry.allocator.allocate = record
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+        assert steps == ["asked", "ended"] * 3
+
     def test_room_that_falls_free_later_is_used(self):
         entry = Entry(
             PacedAnswer((0.0, events(1, 2)), (NEVER_S, b"")),
