Ask a silent engine for its version again after an answer

A whole answer was cut, and a request that may run once lost its answer for good, when the engine stood still for a moment right after it and fences no load orders.

Evidence: an engine that does not tell its version for 0.3 s after an answer; the stream ended with an error, and a request with a key got MAY_HAVE_RUN although its answer had been read.

The sidecar asks again until the request's time ends. An engine that refuses connections has ended, and another version still cuts the answer.

--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -45,6 +45,8 @@
 RETRY_AFTER_MS = 500
 # Interval at which a cancellation is repeated that the engine has not confirmed.
 CANCEL_RETRY_INTERVAL_S = 0.25
+# Interval at which a silent engine is asked for its version after an answer.
+VERIFY_RETRY_INTERVAL_S = 0.1
 # Maximum size of one kept answer; a longer one can't be kept for resends.
 MAX_KEPT_ANSWER_BYTES = 8 << 20
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -54,10 +56,15 @@
 
 
 class EngineSnapshot(NamedTuple):
-    """Version and number of load orders of the engine when a request started."""
+    """Version and number of load orders of the engine when a request started.
+
+    They are checked at its end; a silent engine is asked until `until_s`, on the
+    loop's clock.
+    """
 
     version: str
     order_count: int
+    until_s: float
 
 
 class Gate:
@@ -211,7 +218,7 @@
     async def run_buffered(self, message: messages.Dispatch, body: bytes) -> KeptAnswer:
         """Run a request at the target and read its complete answer."""
         timeout_ms = max(message.remaining_ms, message.expires_in_ms)
-        snapshot = EngineSnapshot(self.version, self.engine.order_count)
+        snapshot = self.snapshot(timeout_ms)
         async with self.open_request(message, body, timeout_ms) as response:
             data = await read_bounded(
                 response, MAX_KEPT_ANSWER_BYTES, answer_too_long_error
@@ -273,7 +280,7 @@
         self, link: Link, message: messages.Dispatch, frame: Frame
     ) -> None:
         """Send head, parts and end mark of the target's answer."""
-        snapshot = EngineSnapshot(self.version, self.engine.order_count)
+        snapshot = self.snapshot(message.remaining_ms)
         async with self.open_request(
             message, frame.body, message.remaining_ms
         ) as response:
@@ -297,24 +304,34 @@
             yield data
         await self.check_version(snapshot)
 
+    def snapshot(self, timeout_ms: int) -> EngineSnapshot:
+        """Return the engine's state at the start of a request with this time left."""
+        until_s = asyncio.get_running_loop().time() + timeout_ms / 1000
+        return EngineSnapshot(self.version, self.engine.order_count, until_s)
+
     async def check_version(self, snapshot: EngineSnapshot) -> None:
         """Check that the engine still serves the version a request started with.
 
         An engine that ignores fencing may have executed an old order while the
-        request ran. The answer is then a mix of two versions.
+        request ran. The answer is then a mix of two versions. One that stands still
+        tells it when it goes on.
 
         Raises
         ------
         WeightsError
             ENGINE_WRONG_DIGEST: the answer must not count as complete.
         """
-        try:
-            await self.engine.verify(snapshot.version, snapshot.order_count)
-        except WeightsError:
-            if self.chart.can("lose"):
-                self.chart.fire("lose")
-                self.version = ""
-            raise
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                return await self.engine.verify(snapshot.version, snapshot.order_count)
+            except WeightsError as error:
+                if loop.time() >= snapshot.until_s or not is_silence(error):
+                    if self.chart.can("lose"):
+                        self.chart.fire("lose")
+                        self.version = ""
+                    raise
+            await asyncio.sleep(VERIFY_RETRY_INTERVAL_S)
 
     def open_request(self, message: messages.Dispatch, body: bytes, timeout_ms: int):
         """Return the HTTP request to the target, as a context manager."""
@@ -430,6 +447,13 @@
             await asyncio.wait(self.cancel_tasks.values())
 
 
+def is_silence(error: WeightsError) -> bool:
+    """Return whether the engine did not tell its state, though its process is there."""
+    os_error = getattr(error.__cause__, "os_error", None)
+    refused = isinstance(os_error, ConnectionRefusedError)
+    return error.code == ResultCode.TARGET_FAILED and not refused
+
+
 def monotonic_expiry_s(expires_in_ms: int, expires_at_ms: int, now_s: float) -> float:
     """Return the monotonic time of an expiry.
 
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -591,3 +591,29 @@
             assert second.cancelled()
 
         run_target(scenario)
+
+    @pytest.mark.parametrize("key", ["", "k"])
+    def test_silence_at_the_end_of_an_answer_does_not_cut_it(self, run_target, key):
+        """An engine that fences no orders is asked for its version after an answer."""
+
+        async def scenario(target):
+            target.fake.checks_fencing = target.engine.fences = False
+            target.fake.token_s = 0.02
+            target.control.name_version(run_target.first)
+            await target.wait_serving(run_target.first)
+            verify, asked_s = target.engine.verify, []
+
+            async def verify_after_a_silence(version, order_count):
+                asked_s.append(asyncio.get_running_loop().time())
+                if asked_s[-1] < asked_s[0] + 0.3:
+                    raise WeightsError(ResultCode.TARGET_FAILED, "TimeoutError()")
+                await verify(version, order_count)
+
+            target.engine.verify = verify_after_a_silence
+            request, link = target.start_request(
+                idempotency_key=key, attempt=1, expires_in_ms=5000
+            )
+            await request
+            assert isinstance(link.posted[-1], messages.AnswerEnd)
+
+        run_target(scenario)
