--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -6,6 +6,9 @@
 
 from aiohttp import web
 
+# Key under which a request holds when its target stops work on it.
+STOPS_AT_S = web.RequestKey("stops_at_s", float)
+
 
 class Listener:
     """An HTTP server on loopback."""
@@ -58,7 +61,7 @@
         if not self.counts_silence:
             read_s = loop.time()
         left_ms = float(request.headers.get("X-Deadline-Ms", "inf"))
-        request["stops_at_s"] = read_s + left_ms / 1000
+        request[STOPS_AT_S] = read_s + left_ms / 1000
         return await handler(request)
 
     async def fall_silent(self, silent_s):
@@ -264,7 +267,7 @@
             return web.Response(status=421, headers={"X-Instance-Id": self.target_id})
         if version and int(version) != self.version:
             return web.Response(status=421)
-        overdue = asyncio.get_running_loop().time() >= request["stops_at_s"]
+        overdue = asyncio.get_running_loop().time() >= request[STOPS_AT_S]
         if self.busy or overdue:
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         return None
@@ -300,7 +303,7 @@
                 self.break_stream_after = 0
                 request.transport.abort()
                 return response
-            if asyncio.get_running_loop().time() >= request["stops_at_s"]:
+            if asyncio.get_running_loop().time() >= request[STOPS_AT_S]:
                 request.transport.abort()
                 return response
             await response.write(b"id: %d\ndata: %d\n\n" % (number, number * 7))
