Keep the limits of a service that a newer table lacks

A request that an earlier table admitted could be sent to a cold target without its permit, or open more connections to a target than its entry's part, once a change of the configuration had taken the service away.

Cause: both limits were read from the newest table, in which such a service has none. Read while the same state was looked for in two steps; no caller is known to have seen it.

A service that a newer table lacks keeps its limits; one that states others, or none, in a newer table gets those.

--- a/src/wisteriapulley/direct/cold_services.py
+++ b/src/wisteriapulley/direct/cold_services.py
@@ -26,8 +26,14 @@
         self.cold: frozenset[str] = frozenset()
 
     def set_table(self, table: RoutingTable) -> None:
-        """Apply a newer routing table."""
-        self.limited = frozenset(s.name for s in table.services if s.cold_per_s > 0)
+        """Apply a newer routing table.
+
+        A service that it lacks keeps its limit, for the requests that an earlier table
+        admitted.
+        """
+        listed = {service.name for service in table.services}
+        limited = {s.name for s in table.services if s.cold_per_s > 0}
+        self.limited = frozenset(limited | (self.limited - listed))
 
     def may_be_cold(
         self, target: Target, now_s: float, in_touch: Callable[[], bool]
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -220,9 +220,14 @@
         self.random = random.Random(identity.node_id)
 
     def set_table(self, table: RoutingTable) -> None:
-        """Apply the limits in a newer routing table."""
+        """Apply the limits in a newer routing table.
+
+        Those of a service that it lacks hold for requests that are in progress.
+        """
         self.cold_services.set_table(table)
-        self.max_connections = {s.name: s.max_connections for s in table.services}
+        self.max_connections.update(
+            (service.name, service.max_connections) for service in table.services
+        )
 
     def set_entry_count(self, entry_count: int) -> None:
         """Update the number of entries that share the connections to a target."""
--- a/tests/test_configuration_change.py
+++ b/tests/test_configuration_change.py
@@ -1,6 +1,7 @@
 """Routing tables that change while a request is in progress at an entry."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from bench.turned_away import VirtualLoop
@@ -14,8 +15,11 @@
     crash_tracker,
     events,
 )
+from tests.test_slot_allocation import IDENTITY
+from wisteriapulley.direct.cold_services import ColdServices
 from wisteriapulley.direct.dispatch import Dispatcher
-from wisteriapulley.direct.registry import TargetRegistry
+from wisteriapulley.direct.registry import Target, TargetRegistry
+from wisteriapulley.direct.slot_allocation import SlotAllocator
 from wisteriapulley.direct.types import (
     BrokenAnswerError,
     CallerRequest,
@@ -192,3 +196,36 @@
             assert refusal.kind is expected[change]
         else:
             assert refusal is None and entry.caller.ended
+
+
+class TestLimitsOfServiceThatWent:
+    """They hold for requests that an earlier table admitted."""
+
+    def test_cold_target_still_needs_a_permit(self):
+        cold = ColdServices()
+        cold.set_table(RoutingTable(1, (), (Service("s", cold_per_s=1.0),)))
+        state = TargetState("i", "s", "10.0.0.1:80", "z", cold_ms=5000)
+        target = Target(state, 0.0)
+        assert cold.may_be_cold(target, 0.0, lambda: True)
+        cold.set_table(RoutingTable(2))
+        assert cold.may_be_cold(target, 0.0, lambda: True)
+
+    def test_warm_service_ends_its_limit(self):
+        cold = ColdServices()
+        cold.set_table(RoutingTable(1, (), (Service("s", cold_per_s=1.0),)))
+        cold.set_table(RoutingTable(2, (), (Service("s"),)))
+        assert not cold.limited
+
+    def test_connections_to_a_target_are_still_shared(self):
+        state = TargetState("i", "s", "10.0.0.1:80", "z", sequence=1, slots=8)
+        registry = TargetRegistry()
+        registry.update([state], 0.0)
+        follower = SimpleNamespace(open_links=list)
+        allocator = SlotAllocator(SETTINGS, IDENTITY, registry, follower)
+        allocator.set_entry_count(4)
+        target = registry.targets["i"]
+        allocator.set_table(RoutingTable(1, (), (Service("s", max_connections=16),)))
+        shared = allocator.max_requests(target)
+        assert shared < target.slots
+        allocator.set_table(RoutingTable(2))
+        assert allocator.max_requests(target) == shared
