Write down what the soak found with pauses of targets

Engine 2 stands still from 2.4 s to 0.9 s before its version's time ends. The entry closes connections whose request has not started 1.3 s before the end, finds no other engine free (one is evacuated, one cools down), and fails the requests, which had over four seconds left.

--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -43,6 +43,11 @@
         "an engine that restarted within one report interval was treated as leaving"
         " forever and never loaded weights",
     ),
+    Regression(
+        1399332020,
+        12.0,
+        "exit status -15 for a stop signal soon after the start of a process",
+    ),
     Regression(1184179776, 15.0, "a restarted engine was treated as leaving, as above"),
     Regression(2, 8.0, "the fake engine failed after it had recorded an execution"),
     Regression(
@@ -62,5 +67,11 @@
         " ended started a request on it afterwards",
         calm=True,
     ),
-    Regression(104, 15.0, "502 after an engine had stood still for 1.6 s", calm=True),
+    Regression(
+        104,
+        15.0,
+        "502 after an engine had stood still for 1.6 s, and after one stood still when"
+        " requests could no longer start on its version of the weights",
+        calm=True,
+    ),
 )
