Look for another engine until the end of the version after a drop

Callers got 502 with 4.6 s of their time left: their engine stood still near the end of its version, their entry dropped the request when it could no longer start there, and no other engine had room at that moment. One opened 0.4 s later with the newer version.

Cause: a dropped request asks for another slot once. Engines switch up to the end of the version, 1.2 s after the last start on it, and so did this one.

Of the four new tests two failed before: served at the engine that opens, and refused only at the end of the version.

A request that may run twice looks again every 0.1 to 0.4 s until then, while the retry budget permits another send. Work that runs once is refused at once.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -31,6 +31,7 @@
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
 from wisteriapulley.policy.shared_budget import SharedRetryBudget
+from wisteriapulley.policy.silence import next_look_s
 from wisteriapulley.routing import Account, Route, RouteIndex, RoutingTable
 from wisteriapulley.routing.homes import describe_homes, shared_homes
 
@@ -327,7 +328,10 @@
         while progress.has_sends_left:
             exchange = await self.open_exchange(admitted, progress, refusal)
             if isinstance(exchange, Refusal):
-                return self.final_refusal(admitted, progress, exchange)
+                if not self.may_look_again(admitted, progress):
+                    return self.final_refusal(admitted, progress, exchange)
+                await asyncio.sleep(next_look_s(exchange.retry_s))
+                continue
             relay = HedgedRelay(self.sender, admitted, progress, answer, open_another)
             refusal = await relay.run(exchange)
             if refusal is None:
@@ -336,6 +340,21 @@
                 break
         return self.final_refusal(admitted, progress, refusal)
 
+    def may_look_again(self, admitted: Admitted, progress: Progress) -> bool:
+        """Return whether a request without another target looks for one again.
+
+        One that this entry dropped, since its version of the weights ended, goes on
+        where an engine switches to the newer version until then.
+        """
+        now_s = self.now_s()
+        budget = self.retry_budget(progress.service)
+        return (
+            now_s < progress.look_until_s
+            and admitted.route.repeatable
+            and budget.has_budget(now_s)
+            and not self.crashes.is_quarantined(admitted, progress)
+        )
+
     async def open_exchange(
         self,
         admitted: Admitted,
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -83,6 +83,9 @@
         Ids of targets that are not tried again.
     open_exchanges : int
         Targets that the request is at now.
+    look_until_s : float
+        Until when the request looks for another target after it was dropped, on the
+        loop's clock; 0 if it was not.
     budget_spent : bool
         Whether the retry budget once did not permit another send.
     events : EventSplitter
@@ -98,6 +101,7 @@
         self.may_have_run = False
         self.tried: set[str] = set()
         self.open_exchanges = 0
+        self.look_until_s = 0.0
         self.budget_spent = False
         self.events = EventSplitter(request.resume_after)
         self.fingerprint = b""
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -24,6 +24,7 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.logs import fields
 from wisteriapulley.policy.circuit_breaker import SendOutcome
+from wisteriapulley.policy.version_end import PAUSE_ALLOWANCE_MS
 from wisteriapulley.routing import RouteKind
 
 log = logging.getLogger(__name__)
@@ -134,6 +135,7 @@
             progress.may_have_run = True
             self.log_no_response(admitted, exchange, error)
             self.record_no_response(exchange)
+            self.record_dropped(exchange, progress)
             await self.check_for_crash(admitted, target, progress, error)
             return Refusal(
                 RefusalKind.FAILED, reason=f"no response from target: {error!r}"
@@ -154,6 +156,15 @@
         if exchange.begun or exchange.slot.may_start(self.now_s()):
             self.registry.record_outcome(exchange.target, True, self.now_s())
 
+    def record_dropped(self, exchange: Exchange, progress: Progress) -> None:
+        """Record that this entry dropped a request that had not started in time.
+
+        Engines that have not switched yet do so by the end of the version, which is
+        this long after the last start on it.
+        """
+        if not exchange.begun and not exchange.slot.may_start(self.now_s()):
+            progress.look_until_s = self.now_s() + PAUSE_ALLOWANCE_MS / 1000
+
     async def check_for_crash(
         self, admitted: Admitted, target: Target, progress: Progress, error: Exception
     ) -> None:
@@ -248,6 +259,7 @@
         except (BrokenAnswerError, TimeoutError) as error:
             exchange.broke_off = True
             self.record_no_response(exchange)
+            self.record_dropped(exchange, progress)
             self.log_broken_stream(admitted, exchange, error)
             await self.check_for_crash(admitted, exchange.target, progress, error)
             reason = "stream broke off"
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -25,6 +25,7 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy.silence import STREAM_SILENCE_S
+from wisteriapulley.policy.version_end import PAUSE_ALLOWANCE_MS
 from wisteriapulley.routing import Route, RouteKind, RoutingTable, Service, Split
 from wisteriapulley.wire.messages import TargetState
 
@@ -405,6 +406,64 @@
         assert entry.dispatcher.metrics.internal_errors.get({}) == 1
 
 
+class TestVersionEnd:
+    """The entry drops a request that has not started in time."""
+
+    def serve(self, opens_s, **options):
+        """Serve a request whose engine is silent; another one opens at `opens_s`."""
+        first = PacedAnswer((0.0, events(1, 4)), head_s=4.0)
+        entry = Entry(first, PacedAnswer((0.1, events(1, 4))), slots=1, **options)
+        allocate = entry.allocator.allocate
+
+        async def allocate_with_deadline(*args, **more):
+            now_s = asyncio.get_running_loop().time()
+            if now_s >= opens_s:
+                entry.allocator.slots = 2
+            slot = await allocate(*args, **more)
+            if isinstance(slot, Refusal) or now_s >= opens_s:
+                return slot
+            return slot._replace(start_deadline_s=0.5)
+
+        entry.allocator.allocate = allocate_with_deadline
+        return entry, *entry.serve()
+
+    def test_dropped_request_goes_on_where_an_engine_has_switched(self):
+        entry, refusal, ended_s = self.serve(opens_s=1.0)
+        assert refusal is None
+        assert_whole(entry)
+        assert 1.0 <= ended_s < 1.6
+
+    def test_dropped_request_is_refused_after_the_end_of_the_version(self):
+        _, refusal, ended_s = self.serve(opens_s=NEVER_S)
+        assert refusal.kind is RefusalKind.FAILED
+        assert 0.5 + PAUSE_ALLOWANCE_MS / 1000 <= ended_s < 2.2
+
+    def test_work_that_runs_once_is_refused_at_once(self):
+        entry, refusal, ended_s = self.serve(
+            1.0, kind=RouteKind.NON_IDEMPOTENT, resumable=False
+        )
+        assert refusal.kind is RefusalKind.FAILED
+        assert ended_s == pytest.approx(0.5)
+        assert len(entry.client.plans) == 1
+
+    def test_without_a_retry_budget_it_is_refused_at_once(self):
+        entry = Entry(PacedAnswer(head_s=4.0), slots=1)
+        budget = entry.dispatcher.retry_budget("s")
+        budget.slack = budget.ratio = 0.0
+        allocate = entry.allocator.allocate
+
+        async def allocate_with_deadline(*args, **more):
+            slot = await allocate(*args, **more)
+            if isinstance(slot, Refusal):
+                return slot
+            return slot._replace(start_deadline_s=0.5)
+
+        entry.allocator.allocate = allocate_with_deadline
+        refusal, ended_s = entry.serve()
+        assert refusal.kind is RefusalKind.FAILED
+        assert ended_s == pytest.approx(0.5)
+
+
 class TestWorkThatRunsOnce:
     @pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
     def test_is_never_sent_twice(self, kind):
