Tell a drop by the entry from a failure by its timeout

A request that its entry dropped at the end of its version could get 502 at once, and count as a failure of its target: the timer fires up to a millisecond early, and by the clock of that moment the request could still start.

Cause: whether the entry had dropped the request was asked of the clock again, after the timeout had said so.

The timeout itself decides now; any other error is the target's failure.

--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -134,8 +134,7 @@
         except (BrokenAnswerError, TimeoutError) as error:
             progress.may_have_run = True
             self.log_no_response(admitted, exchange, error)
-            self.record_no_response(exchange)
-            self.record_dropped(exchange, progress)
+            self.record_no_response(exchange, progress, error)
             await self.check_for_crash(admitted, target, progress, error)
             return Refusal(
                 RefusalKind.FAILED, reason=f"no response from target: {error!r}"
@@ -147,23 +146,20 @@
         exchange.record_part(sent_s, self.now_s())
         return None
 
-    def record_no_response(self, exchange: Exchange) -> None:
-        """Record a failure of a target that broke off or did not respond.
-
-        It is not a failure if the entry dropped the request, because the grace period
-        of its version of the weights ended before the request had started.
-        """
-        if exchange.begun or exchange.slot.may_start(self.now_s()):
-            self.registry.record_outcome(exchange.target, True, self.now_s())
-
-    def record_dropped(self, exchange: Exchange, progress: Progress) -> None:
-        """Record that this entry dropped a request that had not started in time.
+    def record_no_response(
+        self, exchange: Exchange, progress: Progress, error: Exception
+    ) -> None:
+        """Record that a target broke off, or that this entry dropped the request.
 
-        Engines that have not switched yet do so by the end of the version, which is
-        this long after the last start on it.
+        After a timeout the request had not started when the grace period of its version
+        ended. That is no failure of the target. Engines that have not switched yet do
+        so by the end of the version, which is this long after the last start on it.
         """
-        if not exchange.begun and not exchange.slot.may_start(self.now_s()):
-            progress.look_until_s = self.now_s() + PAUSE_ALLOWANCE_MS / 1000
+        now_s = self.now_s()
+        if isinstance(error, TimeoutError):
+            progress.look_until_s = now_s + PAUSE_ALLOWANCE_MS / 1000
+        else:
+            self.registry.record_outcome(exchange.target, True, now_s)
 
     async def check_for_crash(
         self, admitted: Admitted, target: Target, progress: Progress, error: Exception
@@ -258,8 +254,7 @@
             data = await self.read_events(exchange)
         except (BrokenAnswerError, TimeoutError) as error:
             exchange.broke_off = True
-            self.record_no_response(exchange)
-            self.record_dropped(exchange, progress)
+            self.record_no_response(exchange, progress, error)
             self.log_broken_stream(admitted, exchange, error)
             await self.check_for_crash(admitted, exchange.target, progress, error)
             reason = "stream broke off"
