Tell in the replays which virtual sidecars grant slots

The replay of targets that turn requests away ended refused requests of engines with an AttributeError, since its sidecars could not tell whether they are open; entries ask that since they hold requests through an outage. Found by a reader of the replay of silent targets, which had its own subclass for it.

The method moved to the shared class, and the subclass is gone.

--- a/bench/silent_targets.py
+++ b/bench/silent_targets.py
@@ -30,8 +30,6 @@
 from wisteriapulley.direct.dispatch import Dispatcher
 from wisteriapulley.direct.exchange import Arrival
 from wisteriapulley.direct.hedging import Arrived, HedgedRelay
-from wisteriapulley.direct.registry import Target
-from wisteriapulley.direct.sidecars import OPEN_STATES
 from wisteriapulley.direct.types import (
     CallerRequest,
     Headers,
@@ -149,14 +147,6 @@
                 pass
 
 
-class SilentSidecars(VirtualSidecars):
-    """Sidecars that tell whether they grant slots; see `direct.sidecars.Sidecars`."""
-
-    def is_open(self, target: Target) -> bool:
-        """Return whether a sidecar grants slots now."""
-        return self.heartbeat_of(target).state in OPEN_STATES
-
-
 class SilentClient:
     """Sends to virtual targets; see `direct.types.TargetClient`."""
 
@@ -232,7 +222,7 @@
     def new_entry(self, number: int) -> Dispatcher:
         """Return one entry; streams may be resumed."""
         entry = super().new_entry(number)
-        entry.allocator.sidecars = SilentSidecars(str(number), self.admissions)
+        entry.allocator.sidecars = VirtualSidecars(str(number), self.admissions)
         entry.sender.client = SilentClient(self.targets)
         splits = (Split("s", 1),)
         route = Route("r", "h", "/", RouteKind.STREAM, splits, 6000, 450, 1, 1, 2)
--- a/bench/turned_away.py
+++ b/bench/turned_away.py
@@ -24,6 +24,7 @@
     CLOSED_STATE,
     LIMITED_LOAD,
     LIMITED_STATE,
+    OPEN_STATES,
     release_message,
 )
 from wisteriapulley.direct.slot_allocation import SlotAllocator
@@ -274,6 +275,10 @@
         """Return whether a sidecar grants slots."""
         return self.heartbeat_of(target).state != CLOSED_STATE
 
+    def is_open(self, target: Target) -> bool:
+        """Return whether a sidecar grants slots now."""
+        return self.heartbeat_of(target).state in OPEN_STATES
+
     def heartbeat_of(self, target: Target) -> messages.Heartbeat:
         """Return the current heartbeat of a target's sidecar."""
         return self.links[target.target_id].admission.heartbeat()
