Say what the allowance for pauses costs callers

The comment said that nobody notices the shorter service of a superseded version where engines hold the newer one. No code changes; the tests of the version's end pass.

--- a/src/wisteriapulley/policy/version_end.py
+++ b/src/wisteriapulley/policy/version_end.py
@@ -9,8 +9,8 @@
 """
 
 # Longest pause of a sound engine after which no request starts too late. A superseded
-# version serves shorter by this time, which nobody notices where the engines hold the
-# newer version by then.
+# version serves shorter by this time: engines that do not hold the newer one by then
+# refuse requests until they do.
 PAUSE_ALLOWANCE_MS = 1200.0
 # A slot is granted only if the first event is expected this long before requests may
 # no longer start. The margin covers the network and the error of the estimate; a
