Take an own pause for no silence of a link's peer

Cause: after a pause the heartbeat timer runs before the frames are read that lie in the sockets. The age of the last frame then holds the process's own pause.

Evidence: with both entries paused the log of each has "answer cut" with LINK_SILENT for engine-1, engine-2 and engine-3 at the same moment; with the sidecar of engine-1 paused it has engine-1 alone. The new test fails without the change with "LINK_SILENT: server was silent for 1.0 s".

A timer that runs late shows the pause, so its lateness is left out of the silence until the next frame arrives. Peers that see the pause still close their ends; that is another fault.

--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -70,6 +70,7 @@
         self.closed = asyncio.Event()
         self.reason: WireError | None = None
         self.last_received = 0.0
+        self.own_pause_s = 0.0
         self.skips_redundant_heartbeats = False
         self.last_sent = 0.0
         self.bytes_sent = 0
@@ -108,6 +109,7 @@
         self.bytes_received += len(data)
         if self.started:
             self.last_received = asyncio.get_running_loop().time()
+            self.own_pause_s = 0.0
             self.receive_all()
         else:
             # Before the peer is authenticated, no more than one read is buffered.
@@ -309,15 +311,26 @@
                 reply_to=frame.id,
             )
 
-    def run_heartbeat_timer(self, heartbeat_s: float, silence_s: float) -> None:
+    def run_heartbeat_timer(
+        self, heartbeat_s: float, silence_s: float, due_s: float | None = None
+    ) -> None:
         """Send a heartbeat if one is due, and set the timer again.
 
         Closes the link if the peer was silent for more than `silence_s`. This is a
         timer instead of a task because a process has dozens of links, and heartbeats
         are most of their work.
+
+        Parameters
+        ----------
+        heartbeat_s, silence_s : float
+            Seconds between heartbeats, and of silence before the link is closed.
+        due_s : float, optional
+            When the timer was due, on the loop's clock.
         """
         loop = asyncio.get_running_loop()
-        silent_s = loop.time() - self.last_received
+        if due_s is not None:
+            self.own_pause_s += max(0.0, loop.time() - due_s)
+        silent_s = self.peer_silence_s()
         if silent_s > silence_s:
             self.close(
                 WireError(
@@ -330,10 +343,20 @@
         if delay_s <= 0:
             self.send_heartbeat()
             delay_s = heartbeat_s
-        self.heartbeat_timer = loop.call_later(
-            delay_s, self.run_heartbeat_timer, heartbeat_s, silence_s
+        due_s = loop.time() + delay_s
+        self.heartbeat_timer = loop.call_at(
+            due_s, self.run_heartbeat_timer, heartbeat_s, silence_s, due_s
         )
 
+    def peer_silence_s(self) -> float:
+        """Return for how long nothing arrived while this process ran, in seconds.
+
+        After a pause of this process the timer runs before the frames are read that
+        arrived meanwhile. A pause shows as a timer that runs late.
+        """
+        since_s = self.last_received + self.own_pause_s
+        return asyncio.get_running_loop().time() - since_s
+
     def heartbeat_delay_s(self, heartbeat_s: float) -> float:
         """Return how long the next heartbeat can be postponed, in seconds.
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 import typing
 from importlib.resources import files
 
@@ -257,6 +258,29 @@
 
         assert asyncio.run(run()) == ResultCode.LINK_SILENT
 
+    def test_pause_of_this_process_closes_no_link(self):
+        """Guards against taking an own pause for the silence of all peers."""
+
+        async def answer_late(link, frame):
+            await asyncio.sleep(0.2)
+            link.post(frame.message, reply_to=frame.id)
+
+        async def run():
+            server = LinkServer(
+                identity("server"), answer_late, messages.Heartbeat, 50, 500
+            )
+            address = await server.start(Address("127.0.0.1", 0))
+            link = await connect(
+                address, identity("client"), None, messages.Heartbeat, 50, 500
+            )
+            asking = asyncio.create_task(link.request(messages.HaveQuery("v"), 30))
+            await asyncio.sleep(0.1)
+            time.sleep(1.0)
+            assert (await asking).message == messages.HaveQuery("v")
+            await server.stop()
+
+        asyncio.run(run())
+
 
 class TestHandshake:
     async def exchange(self, data):
