Let a silent link between entry and sidecar end no answer

Callers got 0/0 or a cut answer for requests in progress while an entry, a sidecar or the network between them stood still for about a second, at a stop of the sidecar and without one.

Cause: after `silence_ms` either end closed the link, and with it every answer on it. Both processes were sound, and the bytes lay in the sockets. A timeout was taken for proof of death.

With the sidecar paused the entries log "answer cut" with LINK_SILENT; with the entries paused and their own pause left out of the silence they log LINK_CLOSED, since the sidecars had closed their ends.

The link is held for as long as the callers of its answers wait, at both ends. New requests use another link at once. A request leaves a silent target only for one that has room, or when the target goes on over its new link but not over the old one, which is then dead. Waits at the sidecar end with the caller's time, as nothing else ends them on a held link. A cancellation may now overtake its attempt on another link, so it names the attempt.

The tests of a link that goes on failed before: LINK_SILENT for the answer in progress, and a second run of the request that the target had read.

--- a/src/wisteriapulley/entry/answer.py
+++ b/src/wisteriapulley/entry/answer.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import NamedTuple
 
-from wisteriapulley.errors import RequestError, ResultCode
+from wisteriapulley.errors import RequestError, ResultCode, WisteriapulleyError
 from wisteriapulley.wire import Call, Frame, messages
 from wisteriapulley.wire.call import raise_failure
 from wisteriapulley.wire.flow import CREDIT_BYTES
@@ -50,40 +50,86 @@
         call.link.crossed_replies += 1
 
 
-async def read_parts(call: Call, request_id: str) -> AsyncIterator[bytes]:
-    """Yield the parts of an answer; return only at an end mark that matches them.
+class PartReader:
+    """Reads the parts of an answer up to an end mark that matches them.
 
-    There is no timeout here, because a timer for each part would cost more than the
-    part; the consumer has one for the whole answer. Consumed bytes are returned as
-    credit, so a slow caller holds at most one window of its answer here.
+    Consumed bytes are returned as credit, so a slow caller holds at most one window of
+    its answer here.
 
-    Raises
-    ------
-    RequestError
-        ANSWER_CUT: a part is missing, or the length or checksum differs.
+    Parameters
+    ----------
+    call : Call
+        Call that receives the answer.
+    request_id : str
+        Id of the request; replies to others are dropped.
+
+    Attributes
+    ----------
+    offset : int
+        Bytes that were read.
     """
-    offset = crc = consumed = 0
-    while True:
-        frame = await next_reply(call, request_id)
+
+    def __init__(self, call: Call, request_id: str):
+        self.call = call
+        self.request_id = request_id
+        self.offset = 0
+        self.crc = 0
+        self.consumed = 0
+
+    async def next_part(self) -> bytes | None:
+        """Return the next part; None after the end mark.
+
+        There is no timeout here, because a timer for each part would cost more than the
+        part; the consumer has one for the whole answer.
+
+        Raises
+        ------
+        RequestError
+            ANSWER_CUT: a part is missing, or the length or checksum differs.
+        WireError
+            LINK_SILENT: the peer is silent. If the link is still open, the answer may
+            go on later.
+        """
+        self.return_credit()
+        frame = await next_reply(self.call, self.request_id)
         message = frame.message
         if isinstance(message, messages.AnswerEnd):
-            if (message.length, message.crc) != (offset, crc):
-                raise RequestError(
-                    ResultCode.ANSWER_CUT,
-                    "response truncated or corrupted:"
-                    f" expected {message.length} bytes, got {offset}",
-                )
-            return
-        if message.offset != offset:
+            self.check_end(message)
+            return None
+        if message.offset != self.offset:
             raise RequestError(
                 ResultCode.ANSWER_CUT,
                 "part of the response missing:"
-                f" expected offset {offset}, got {message.offset}",
+                f" expected offset {self.offset}, got {message.offset}",
+            )
+        self.offset += len(frame.body)
+        self.consumed += len(frame.body)
+        self.crc = zlib.crc32(frame.body, self.crc)
+        return frame.body
+
+    def check_end(self, end: messages.AnswerEnd) -> None:
+        """Check the parts against the end mark."""
+        if (end.length, end.crc) != (self.offset, self.crc):
+            raise RequestError(
+                ResultCode.ANSWER_CUT,
+                "response truncated or corrupted:"
+                f" expected {end.length} bytes, got {self.offset}",
             )
-        offset += len(frame.body)
-        crc = zlib.crc32(frame.body, crc)
-        yield frame.body
-        consumed += len(frame.body)
-        if consumed >= CREDIT_BYTES and not call.link.closed.is_set():
-            call.link.post(messages.Credit(request_id, consumed))
-            consumed = 0
+
+    def return_credit(self) -> None:
+        """Return the bytes of the parts that the consumer has finished with."""
+        if self.consumed >= CREDIT_BYTES and not self.call.link.closed.is_set():
+            self.call.link.post(messages.Credit(self.request_id, self.consumed))
+            self.consumed = 0
+
+
+async def read_parts(call: Call, request_id: str) -> AsyncIterator[bytes]:
+    """Yield the parts of an answer; see `PartReader.next_part`."""
+    reader = PartReader(call, request_id)
+    while (part := await reader.next_part()) is not None:
+        yield part
+
+
+def is_open_silence(error: WisteriapulleyError, call: Call) -> bool:
+    """Return whether the peer is silent only, and may go on with the answer."""
+    return error.code == ResultCode.LINK_SILENT and not call.link.closed.is_set()
--- a/src/wisteriapulley/entry/at_most_once.py
+++ b/src/wisteriapulley/entry/at_most_once.py
@@ -279,7 +279,10 @@
     ) -> Answer | Claim:
         """Send a claimed attempt; follow the claim if the response is lost."""
         try:
-            answer = await self.dispatcher.send(request, slot, claim.attempt)
+            # The sidecar keeps the answer, and sends it over its next link too.
+            answer = await self.dispatcher.send(
+                request, slot, claim.attempt, lambda link: slot.link is not None
+            )
             return self.refetching_answer(request, claim, answer)
         except NotSentError as error:
             # Only the entry that won the claim may send it, and it did not.
@@ -341,6 +344,7 @@
     ) -> Answer | Claim:
         """Ask a target for the outcome of an attempt and its response."""
         call = link.call(resolve_message(request, claim))
+        link.hold(request.remaining_s)
         head = None
         try:
             head = await self.read_resolution(request, call)
@@ -353,7 +357,9 @@
                 call.close()
         if head is None:
             return claim
-        parts = self.dispatcher.read_call_parts(request, OpenAnswer(head, call))
+        parts = self.dispatcher.read_call_parts(
+            request, OpenAnswer(head, call, claim.attempt)
+        )
         return self.refetching_answer(request, claim, Answer(head, parts, call.close))
 
     async def read_resolution(
--- a/src/wisteriapulley/entry/claims.py
+++ b/src/wisteriapulley/entry/claims.py
@@ -45,6 +45,7 @@
         request.request_id,
         max(0, expires_ms - time.time_ns() // 1_000_000),
         expires_ms,
+        max(1, int(request.remaining_s * 1000)),
     )
 
 
--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -1,16 +1,22 @@
 """Send requests to targets and receive their responses."""
 
 import asyncio
+import functools
 import itertools
 import logging
 import time
-from collections.abc import AsyncIterator
-from contextlib import aclosing
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
-from wisteriapulley.entry.answer import Answer, next_reply, read_parts
+from wisteriapulley.entry.answer import (
+    Answer,
+    is_open_silence,
+    next_reply,
+    read_parts,
+)
 from wisteriapulley.entry.placing import Placer, Slot
 from wisteriapulley.entry.request import CallerRequest
+from wisteriapulley.entry.resuming import SILENCE_POLL_INTERVAL_S, ResumableAnswer
 from wisteriapulley.errors import (
     CODE_TABLE,
     RequestError,
@@ -20,7 +26,7 @@
 )
 from wisteriapulley.logs import fields
 from wisteriapulley.policy import RetryBudget
-from wisteriapulley.wire import Call, messages
+from wisteriapulley.wire import Call, Link, messages
 
 log = logging.getLogger(__name__)
 
@@ -57,10 +63,21 @@
 
 
 class OpenAnswer(NamedTuple):
-    """Received head of an answer, and the call that delivers its parts."""
+    """Received head of an answer, the call that delivers its parts, and the attempt."""
 
     head: messages.AnswerHead
     call: Call
+    attempt: int
+
+
+# Returns whether a request that waits for an answer over a silent link can be served
+# otherwise.
+CanLeave = Callable[[Link], bool]
+
+
+def always(link: Link) -> bool:
+    """Leave every silent target, since the answer can be had otherwise."""
+    return True
 
 
 class Dispatcher:
@@ -93,8 +110,11 @@
                 slot = await self.acquire_slot(request, avoid, uncertain_error)
             except RequestError as error:
                 raise uncertain_error or error from error
+            can_leave = functools.partial(
+                self.can_leave, request, slot, {*avoid, slot.node_id}, attempt
+            )
             try:
-                return await self.send(request, slot, attempt)
+                return await self.send(request, slot, attempt, can_leave)
             except WisteriapulleyError as error:
                 avoid.add(slot.node_id)
                 uncertain_error = error if may_have_run(error) else uncertain_error
@@ -145,39 +165,49 @@
             return False
         return request.remaining_s > 0 and self.retry_budget.spend()
 
-    async def send(self, request: CallerRequest, slot: Slot, attempt: int) -> Answer:
+    def can_leave(
+        self,
+        request: CallerRequest,
+        slot: Slot,
+        avoid: set[str],
+        attempt: int,
+        link: Link,
+    ) -> bool:
+        """Return whether a request that waits at a silent target may go elsewhere now.
+
+        A silent target goes on later, so it is left only for one that has room.
+        """
+        if attempt == MAX_ATTEMPTS or not self.retry_budget.has_retry():
+            return False
+        return slot.is_superseded(link) or self.placer.has_room(request, avoid)
+
+    async def send(
+        self, request: CallerRequest, slot: Slot, attempt: int, can_leave: CanLeave
+    ) -> Answer:
         """Dispatch to one target and return when the answer's head arrives."""
         try:
-            opened = await self.open_call(request, slot, attempt, slot.incarnation)
+            opened = await self.open_call(request, slot, attempt, can_leave)
             if opened.head.status == HTTP_UNAVAILABLE and not request.key:
-                self.cancel(opened.call, request)
+                self.cancel(opened, request)
                 raise RequestError(ResultCode.TARGET_FAILED, "the target returned 503")
         except BaseException as error:
             slot.release(ok=False, cancelled=isinstance(error, asyncio.CancelledError))
             raise
-        return self.make_answer(request, opened, slot, attempt)
+        return self.make_answer(request, opened, slot)
 
     def make_answer(
-        self, request: CallerRequest, opened: OpenAnswer, slot: Slot, attempt: int
+        self, request: CallerRequest, opened: OpenAnswer, slot: Slot
     ) -> Answer:
         """Return the answer of an opened call."""
-
-        def abandon() -> None:
-            slot.release(ok=False, cancelled=True)
-            self.cancel(opened.call, request)
-
-        return Answer(
-            opened.head,
-            self.read_resumable_parts(request, opened, slot, attempt),
-            abandon,
-        )
+        answer = ResumableAnswer(self, request, opened, slot)
+        return Answer(opened.head, answer.parts(), answer.abandon)
 
     async def open_call(
         self,
         request: CallerRequest,
         slot: Slot,
         attempt: int,
-        incarnation: int,
+        can_leave: CanLeave,
         answer_range: AnswerRange = FULL_ANSWER,
     ) -> OpenAnswer:
         """Dispatch and wait for the answer's head.
@@ -189,7 +219,7 @@
             incarnation.
         """
         link = slot.link
-        if link is None or link.peer.incarnation != incarnation:
+        if link is None or link.peer.incarnation != slot.incarnation:
             raise NotSentError(
                 ResultCode.NO_TARGET,
                 "the link to the target closed before the request was sent",
@@ -201,29 +231,61 @@
                 ResultCode.DEADLINE_EXCEEDED, "the deadline passed before dispatch"
             )
         message = dispatch_message(
-            request, attempt, incarnation, remaining_s, answer_range
+            request, attempt, slot.incarnation, remaining_s, answer_range
         )
         try:
             call = link.call(message, request.body)
+            link.hold(remaining_s)
         except WireError as error:
             raise NotSentError(
                 ResultCode.NO_TARGET, error.message, RETRY_AFTER_MS
             ) from error
         try:
-            head = await self.read_head(request, call)
+            head = await self.read_head(request, call, can_leave)
         except BaseException:
-            self.cancel(call, request)
+            self.cancel(OpenAnswer(messages.AnswerHead(), call, attempt), request)
             raise
-        return OpenAnswer(head, call)
+        return OpenAnswer(head, call, attempt)
+
+    async def read_head(
+        self, request: CallerRequest, call: Call, can_leave: CanLeave = always
+    ) -> messages.AnswerHead:
+        """Wait for the answer's head, at most until the deadline.
 
-    async def read_head(self, request: CallerRequest, call: Call):
-        """Wait for the answer's head, at most until the deadline."""
+        Raises
+        ------
+        WisteriapulleyError
+            The target failed; or it is silent, and `can_leave` returned true.
+        """
         try:
             frame = await next_reply(call, request.request_id, request.remaining_s)
         except WireError as error:
-            raise self.as_deadline_error(request, error) from error
+            if not is_open_silence(error, call):
+                raise self.as_deadline_error(request, error) from error
+            return await self.read_silent_head(request, call, can_leave, error)
         return frame.message
 
+    async def read_silent_head(
+        self,
+        request: CallerRequest,
+        call: Call,
+        can_leave: CanLeave,
+        silence: WireError,
+    ) -> messages.AnswerHead:
+        """Wait until a silent target goes on, or the request can go elsewhere."""
+        while not can_leave(call.link):
+            wait_s = min(SILENCE_POLL_INTERVAL_S, max(0.0, request.remaining_s))
+            try:
+                frame = await next_reply(call, request.request_id, wait_s)
+            except WireError as error:
+                if error.code == ResultCode.LINK_TIMEOUT and request.remaining_s > 0:
+                    continue
+                if not is_open_silence(error, call):
+                    raise self.as_deadline_error(request, error) from error
+            else:
+                return frame.message
+        raise silence
+
     def as_deadline_error(
         self, request: CallerRequest, error: WisteriapulleyError
     ) -> WisteriapulleyError:
@@ -241,37 +303,6 @@
             ResultCode.DEADLINE_EXCEEDED, "the deadline passed while the request ran"
         )
 
-    async def read_resumable_parts(
-        self, request: CallerRequest, opened: OpenAnswer, slot: Slot, attempt: int
-    ) -> AsyncIterator[bytes]:
-        """Yield the answer's parts; cancel the request if the caller gives up.
-
-        If the answer breaks off and its engine supports resumption, ask another
-        target once for the bytes after the last one received.
-        """
-        sent = 0
-        try:
-            async with aclosing(self.read_call_parts(request, opened)) as parts:
-                async for part in parts:
-                    sent += len(part)
-                    yield part
-            slot.release(ok=True)
-        except WisteriapulleyError as error:
-            slot.release(ok=False)
-            resumed = await self.resume(
-                request, opened.head, slot, attempt, sent, error
-            )
-            if resumed is None:
-                raise self.as_deadline_error(request, error) from error
-            try:
-                async with aclosing(resumed.parts) as parts:
-                    async for part in parts:
-                        yield part
-            finally:
-                resumed.abandon()
-        finally:
-            slot.release(ok=False, cancelled=True)
-
     async def read_call_parts(
         self, request: CallerRequest, opened: OpenAnswer
     ) -> AsyncIterator[bytes]:
@@ -282,14 +313,13 @@
                 yield part
             call.close()
         finally:
-            self.cancel(call, request)
+            self.cancel(opened, request)
 
     async def resume(
         self,
         request: CallerRequest,
-        head: messages.AnswerHead,
+        opened: OpenAnswer,
         slot: Slot,
-        attempt: int,
         sent: int,
         error: WisteriapulleyError,
     ) -> Answer | None:
@@ -303,6 +333,7 @@
         Answer or None
             None if the answer can't be resumed.
         """
+        head = opened.head
         can_resume = find_header(head, "x-resumable") and not request.key
         if error.code == ResultCode.ENGINE_WRONG_DIGEST:
             return None
@@ -315,30 +346,40 @@
         except RequestError:
             return None
         try:
-            opened = await self.open_call(
+            rest = await self.open_call(
                 request,
                 other_slot,
-                attempt + 1,
-                other_slot.incarnation,
+                opened.attempt + 1,
+                always,
                 AnswerRange(sent, head.version),
             )
         except WisteriapulleyError:
             other_slot.release(ok=False)
             return None
-        resumed_from = find_header(opened.head, RESUMED_HEADER) or "0"
-        if resumed_from != str(sent) or opened.head.version != head.version:
+        except BaseException:
             other_slot.release(ok=False, cancelled=True)
-            self.cancel(opened.call, request)
+            raise
+        resumed_from = find_header(rest.head, RESUMED_HEADER) or "0"
+        if resumed_from != str(sent) or rest.head.version != head.version:
+            other_slot.release(ok=False, cancelled=True)
+            self.cancel(rest, request)
             return None
-        return self.make_answer(request, opened, other_slot, MAX_ATTEMPTS)
+        return self.make_answer(request, rest, other_slot)
+
+    def cancel(self, opened: OpenAnswer, request: CallerRequest) -> None:
+        """Close a call that is incomplete and cancel its request at the target.
 
-    def cancel(self, call: Call, request: CallerRequest) -> None:
-        """Close a call that is incomplete and cancel its request at the target."""
+        A silent link may be dead, so its replacement carries the cancellation too.
+        """
+        call = opened.call
         if call.id not in call.link.calls:
             return
         call.close()
-        if not call.link.closed.is_set():
-            call.link.post(messages.Cancel(request.request_id))
+        cancellation = messages.Cancel(request.request_id, opened.attempt)
+        replacement = self.placer.targets.link_to(call.link.peer_id)
+        for link in {call.link, replacement or call.link}:
+            if not link.closed.is_set():
+                link.post(cancellation)
 
 
 def find_header(head: messages.AnswerHead, name: str) -> str:
--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -38,6 +38,18 @@
         """The open link to the target, if there is one."""
         return self.target.link
 
+    def is_superseded(self, link: Link) -> bool:
+        """Return whether the target goes on over its next link, but not over `link`.
+
+        A target that stood still sends heartbeats over both when it goes on.
+        """
+        replacement = self.link
+        if replacement is None or replacement is link:
+            return False
+        heartbeat_s = self.target.connection.settings.heartbeat_ms / 1000
+        open_s = asyncio.get_running_loop().time() - replacement.opened_s
+        return open_s > heartbeat_s and link.last_received < replacement.opened_s
+
     def release(self, ok: bool, cancelled: bool = False) -> None:
         """Release the slot; every call after the first does nothing."""
         if not self.held:
@@ -230,6 +242,12 @@
         )
         return await pool.acquire(work, entry.limits.in_flight, avoid, version)
 
+    def has_room(self, request: CallerRequest, avoid: set[str]) -> bool:
+        """Return whether a target other than those in `avoid` has a free slot."""
+        pool = self.pools[request.entry.service]
+        limit = request.entry.limits.in_flight
+        return bool(pool.scheduler.available_targets(pool.views(avoid), limit))
+
     async def sweep_forever(self) -> None:
         """Sweep every pool at a fixed interval until cancelled."""
         while True:
--- a/src/wisteriapulley/entry/targets.py
+++ b/src/wisteriapulley/entry/targets.py
@@ -253,6 +253,11 @@
         ]
         return [target.view() for target in responsive or open_targets]
 
+    def link_to(self, name: str) -> Link | None:
+        """Return the open link to a target, or None."""
+        target = self.targets.get(name)
+        return target.link if target is not None else None
+
     def claim_link(self, name: str, incarnation: int) -> Link | None:
         """Return the link to the target of a claim, or None while it opens.
 
--- a/src/wisteriapulley/policy/retry.py
+++ b/src/wisteriapulley/policy/retry.py
@@ -18,9 +18,13 @@
         """Count an admitted request."""
         self.balance = min(MAX_RETRIES, self.balance + RETRY_RATIO)
 
+    def has_retry(self) -> bool:
+        """Return whether the budget has a retry."""
+        return self.balance >= 1.0
+
     def spend(self) -> bool:
         """Take one retry if the budget has one."""
-        if self.balance < 1.0:
+        if not self.has_retry():
             return False
         self.balance -= 1.0
         return True
--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -67,6 +67,13 @@
     until_s: float
 
 
+class RunningAttempt(NamedTuple):
+    """Attempt of a request that runs at the target, and the task that runs it."""
+
+    attempt: int
+    task: asyncio.Task
+
+
 class Gate:
     """Runs requests at one target.
 
@@ -91,7 +98,7 @@
         self.sending = 0
         self.idle = asyncio.Event()
         self.idle.set()
-        self.tasks: dict[str, asyncio.Task] = {}
+        self.tasks: dict[str, RunningAttempt] = {}
         self.background_tasks: set[asyncio.Task] = set()
         self.cancel_tasks: dict[str, asyncio.Task] = {}
         self.finished_events: dict[AttemptKey, asyncio.Event] = {}
@@ -105,14 +112,16 @@
         if message.idempotency_key:
             await self.run_keyed(link, message, frame)
             return
-        task = self.tasks[message.request_id] = asyncio.current_task()
+        running = RunningAttempt(message.attempt, asyncio.current_task())
+        self.tasks[message.request_id] = running
+        link.hold(message.remaining_ms / 1000)
         try:
             message = await self.wait_cancelled(message)
             self.check_open(message)
             await self.run_streaming(link, message, frame)
         finally:
             # A second attempt may have begun before this one ended.
-            if self.tasks.get(message.request_id) is task:
+            if self.tasks.get(message.request_id) is running:
                 del self.tasks[message.request_id]
 
     def check_open(self, message: messages.Dispatch) -> None:
@@ -138,10 +147,14 @@
     async def receive_cancel(
         self, link: Link, message: messages.Cancel, frame: Frame
     ) -> None:
-        """Cancel a request at the target; a keyed request continues."""
-        task = self.tasks.get(message.request_id)
-        if task is not None:
-            task.cancel()
+        """Cancel a request at the target; a keyed request continues.
+
+        The cancellation of an earlier attempt may arrive after a later one began, if
+        the two were sent over different links.
+        """
+        running = self.tasks.get(message.request_id)
+        if running is not None and message.attempt in (0, running.attempt):
+            running.task.cancel()
 
     def receive_credit(self, link: Link, message: messages.Credit) -> None:
         """Add a reader's credit to the window of its answer."""
@@ -163,7 +176,11 @@
         attempt = self.attempts.resolve(key, message.attempt, expires_s)
         link.post(messages.Resolution(attempt.state), reply_to=frame.id)
         if attempt.state != TOMBSTONE:
-            await self.send_attempt(link, message.request_id, frame, key, attempt)
+            # An older entry does not tell how long it waits.
+            remaining_ms = message.remaining_ms or message.expires_in_ms
+            await self.send_attempt(
+                link, message.request_id, frame, key, attempt, remaining_ms
+            )
 
     # -- keyed requests --------------------------------------------------
 
@@ -188,7 +205,9 @@
         )
         self.background_tasks.add(task)
         task.add_done_callback(self.background_tasks.discard)
-        await self.send_attempt(link, message.request_id, frame, key, attempt)
+        await self.send_attempt(
+            link, message.request_id, frame, key, attempt, message.remaining_ms
+        )
 
     async def run_and_keep(
         self, message: messages.Dispatch, body: bytes, key: AttemptKey, attempt: Attempt
@@ -235,24 +254,43 @@
         frame: Frame,
         key: AttemptKey,
         attempt: Attempt,
+        remaining_ms: int,
     ) -> None:
         """Wait for the end of an attempt and send its kept answer."""
+        link.hold(remaining_ms / 1000)
+        try:
+            with self.count_sending():
+                async with asyncio.timeout(remaining_ms / 1000):
+                    await self.send_when_finished(link, request_id, frame, key, attempt)
+        except TimeoutError as error:
+            raise RequestError(
+                ResultCode.DEADLINE_EXCEEDED, "the deadline passed at the target"
+            ) from error
+
+    async def send_when_finished(
+        self,
+        link: Link,
+        request_id: str,
+        frame: Frame,
+        key: AttemptKey,
+        attempt: Attempt,
+    ) -> None:
+        """Send the kept answer of an attempt once it has ended."""
         finished = self.finished_events.get(key)
-        with self.count_sending():
-            if finished is not None:
-                await finished.wait()
-            if attempt.state == TOMBSTONE:
-                raise RequestError(
-                    ResultCode.GATE_CLOSED,
-                    "the request was not started at the target",
-                    RETRY_AFTER_MS,
-                )
-            if attempt.state != DONE:
-                raise RequestError(
-                    ResultCode.MAY_HAVE_RUN,
-                    "the request was started, but no complete response is kept",
-                )
-            await self.sender.send_kept(link, request_id, frame, attempt.answer)
+        if finished is not None:
+            await finished.wait()
+        if attempt.state == TOMBSTONE:
+            raise RequestError(
+                ResultCode.GATE_CLOSED,
+                "the request was not started at the target",
+                RETRY_AFTER_MS,
+            )
+        if attempt.state != DONE:
+            raise RequestError(
+                ResultCode.MAY_HAVE_RUN,
+                "the request was started, but no complete response is kept",
+            )
+        await self.sender.send_kept(link, request_id, frame, attempt.answer)
 
     # -- streams ---------------------------------------------------------
 
@@ -263,7 +301,9 @@
         completed = False
         try:
             with self.count_running():
-                await self.stream(link, message, frame)
+                # The reader of a silent link returns no credit.
+                async with asyncio.timeout(message.remaining_ms / 1000):
+                    await self.stream(link, message, frame)
             completed = True
         except TimeoutError as error:
             raise RequestError(
--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -49,6 +49,13 @@
     skips_redundant_heartbeats : bool
         Whether an unchanged heartbeat is postponed if other frames were sent within
         the interval. Only for peers that do not act on the arrival of a heartbeat.
+    silent : asyncio.Event
+        Set while the peer of an open link is silent. A peer that stands still goes on
+        later, and what it has read or sent is not lost.
+    retired : bool
+        Whether another link has replaced this one, which only ends its answers.
+    held_until_s : float
+        Until when a silent link stays open for the answers on it, on the loop's clock.
     """
 
     def __init__(self, handler: Handler, heartbeat: Callable[[], Heartbeat]):
@@ -68,7 +75,11 @@
         self.tasks: set[asyncio.Task] = set()
         self.heartbeat_timer: asyncio.Handle | None = None
         self.closed = asyncio.Event()
+        self.silent = asyncio.Event()
+        self.retired = False
+        self.held_until_s = 0.0
         self.reason: WireError | None = None
+        self.opened_s = 0.0
         self.last_received = 0.0
         self.own_pause_s = 0.0
         self.skips_redundant_heartbeats = False
@@ -173,7 +184,7 @@
     def start(self, heartbeat_ms: int, silence_ms: int) -> None:
         """Start receiving frames and sending heartbeats; call after `authenticate`."""
         loop = asyncio.get_running_loop()
-        self.last_received = loop.time()
+        self.opened_s = self.last_received = loop.time()
         self.buffer.limit = 0
         self.started = True
         self.heartbeat_timer = loop.call_soon(
@@ -316,28 +327,21 @@
     ) -> None:
         """Send a heartbeat if one is due, and set the timer again.
 
-        Closes the link if the peer was silent for more than `silence_s`. This is a
-        timer instead of a task because a process has dozens of links, and heartbeats
-        are most of their work.
+        This is a timer instead of a task because a process has dozens of links, and
+        heartbeats are most of their work.
 
         Parameters
         ----------
         heartbeat_s, silence_s : float
-            Seconds between heartbeats, and of silence before the link is closed.
+            Seconds between heartbeats, and of silence before it is noticed.
         due_s : float, optional
             When the timer was due, on the loop's clock.
         """
         loop = asyncio.get_running_loop()
         if due_s is not None:
             self.own_pause_s += max(0.0, loop.time() - due_s)
-        silent_s = self.peer_silence_s()
-        if silent_s > silence_s:
-            self.close(
-                WireError(
-                    ResultCode.LINK_SILENT,
-                    f"{self.peer_id} was silent for {silent_s:.1f} s",
-                )
-            )
+        self.check_silence(silence_s)
+        if self.closed.is_set():
             return
         delay_s = self.heartbeat_delay_s(heartbeat_s)
         if delay_s <= 0:
@@ -348,6 +352,33 @@
             due_s, self.run_heartbeat_timer, heartbeat_s, silence_s, due_s
         )
 
+    def check_silence(self, silence_s: float) -> None:
+        """Close a link that is silent or retired, once no answer may come over it.
+
+        Until then a silent peer is only reported: to `silent`, and to each call as an
+        error after which its replies go on.
+        """
+        silent_s = self.peer_silence_s()
+        is_silent = silent_s > silence_s
+        if not is_silent:
+            self.silent.clear()
+        if not is_silent and not self.retired:
+            return
+        text = f"{self.peer_id} was silent for {silent_s:.1f} s"
+        error = WireError(ResultCode.LINK_SILENT, text)
+        if asyncio.get_running_loop().time() >= self.held_until_s:
+            self.close(error)
+        elif is_silent and not self.silent.is_set():
+            self.silent.set()
+            log.info("silent link kept open: %s", error, extra=fields(code=error.code))
+            for call in self.calls.values():
+                call.replies.put_nowait(error)
+
+    def hold(self, duration_s: float) -> None:
+        """Keep the link open for an answer although its peer may fall silent."""
+        until_s = asyncio.get_running_loop().time() + duration_s
+        self.held_until_s = max(self.held_until_s, until_s)
+
     def peer_silence_s(self) -> float:
         """Return for how long nothing arrived while this process ran, in seconds.
 
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -119,7 +119,10 @@
   resumeFrom @15 :UInt64;
   expiresAtMs @16 :UInt64;
 }
-struct Cancel { requestId @0 :Text; }
+struct Cancel {
+  requestId @0 :Text;
+  attempt @1 :UInt32;
+}
 struct AnswerHead {
   requestId @0 :Text;
   status @1 :UInt16;
@@ -138,6 +141,7 @@
   requestId @4 :Text;
   expiresInMs @5 :UInt32;
   expiresAtMs @6 :UInt64;
+  remainingMs @7 :UInt32;
 }
 struct Resolution { state @0 :Text; }
 
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -92,9 +92,10 @@
 
 
 class Cancel(NamedTuple):
-    """Cancel a request at the target because the caller has left."""
+    """Cancel an attempt of a request at the target; 0 for any attempt."""
 
     request_id: str = ""
+    attempt: int = 0
 
 
 class AnswerHead(NamedTuple):
@@ -130,7 +131,10 @@
 
 
 class Resolve(NamedTuple):
-    """Ask for the state of an attempt; an unseen one becomes a tombstone."""
+    """Ask for the state of an attempt; an unseen one becomes a tombstone.
+
+    `remaining_ms` is how long the entry waits for the answer.
+    """
 
     account: str = ""
     idempotency_key: str = ""
@@ -139,6 +143,7 @@
     request_id: str = ""
     expires_in_ms: int = 0
     expires_at_ms: int = 0
+    remaining_ms: int = 0
 
 
 class Resolution(NamedTuple):
--- a/src/wisteriapulley/wire/reconnect.py
+++ b/src/wisteriapulley/wire/reconnect.py
@@ -24,7 +24,9 @@
 
 
 class ReconnectingLink:
-    """A link that is opened again whenever it closes.
+    """A link that is opened again whenever it closes or its peer falls silent.
+
+    A silent link that is held for answers stays open beside the next one.
 
     Parameters
     ----------
@@ -58,15 +60,17 @@
         self.settings = settings
         self.on_open = on_open
         self.link: Link | None = None
+        self.retired_links: set[Link] = set()
         self.task: asyncio.Task | None = None
         self.rng = random.Random(identity.node_id)
 
     @property
     def open_link(self) -> Link | None:
-        """The link, if it is open."""
-        if self.link is None or self.link.closed.is_set():
+        """The link, if it is open and its peer is not silent."""
+        link = self.link
+        if link is None or link.closed.is_set() or link.silent.is_set():
             return None
-        return self.link
+        return None if link.retired else link
 
     def start(self) -> None:
         """Start connecting."""
@@ -101,16 +105,37 @@
         try:
             if self.on_open is not None:
                 await self.on_open(self.link)
-            await self.link.closed.wait()
+            await first_set(self.link.closed, self.link.silent)
+            self.retire_link()
         finally:
-            self.link.close()
+            if not self.link.retired:
+                self.link.close()
+
+    def retire_link(self) -> None:
+        """Use the link for nothing new; it closes after its last answer."""
+        self.retired_links = {k for k in self.retired_links if not k.closed.is_set()}
+        if not self.link.closed.is_set():
+            self.link.retired = True
+            self.retired_links.add(self.link)
 
     async def stop(self) -> None:
-        """Stop connecting, and close the link."""
+        """Stop connecting, and close all links."""
         if self.task is not None:
             self.task.cancel()
         if self.link is not None:
             self.link.close()
+        for link in self.retired_links:
+            link.close()
+
+
+async def first_set(*events: asyncio.Event) -> None:
+    """Wait until one of the events is set."""
+    waits = [asyncio.ensure_future(event.wait()) for event in events]
+    try:
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for wait in waits:
+            wait.cancel()
 
 
 def reconnect_delay_s(unreachable_s: float, jitter: float) -> float:
--- a/tests/test_entry_at_most_once.py
+++ b/tests/test_entry_at_most_once.py
@@ -116,6 +116,9 @@
         return messages.Heartbeat(0, False, self.gate.chart.state, self.gate.version)
 
     async def handle(self, link, frame):
+        if isinstance(frame.message, messages.Credit):
+            self.gate.receive_credit(link, frame.message)
+            return
         receive = {
             messages.Dispatch: self.gate.receive_dispatch,
             messages.Resolve: self.gate.receive_resolve,
--- /dev/null
+++ b/tests/test_silent_links.py
@@ -0,0 +1,219 @@
+"""Answers over a link that is silent for a while, or for good."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from tests import test_entry_at_most_once as fleet
+from tests.relay import Relay
+from tests.test_entry_dispatch import answer_half
+from wisteriapulley.errors import ResultCode
+from wisteriapulley.wire import Frame, messages
+
+SILENCE_MS = 400
+
+
+async def send_halves(sidecar, request):
+    """Send half of an answer, and the rest once it may."""
+    response = web.StreamResponse()
+    await response.prepare(request)
+    await response.write(b"abc")
+    sidecar.half_sent.set()
+    await sidecar.may_answer.wait()
+    await response.write(b"def")
+    return response
+
+
+def with_relays(sidecars=1):
+    """Run a test with a relay before each sidecar."""
+
+    def wrap(test):
+        async def run(self):
+            control = fleet.FakeControl()
+            targets = []
+            relays = []
+            for number in range(sidecars):
+                target = await fleet.FakeSidecar(f"t{number}", control).start()
+                member = control.members[target.name]
+                relay = Relay(member.address)
+                await relay.start()
+                control.members[target.name] = member._replace(address=relay.address)
+                targets.append(target)
+                relays.append(relay)
+            entry = fleet.FakeEntry("e0", control)
+            try:
+                await entry.ready(sidecars)
+                async with asyncio.timeout(30):
+                    await test(self, targets, relays, entry)
+            finally:
+                await entry.targets.stop()
+                for target, relay in zip(targets, relays, strict=True):
+                    await target.stop()
+                    await relay.stop()
+
+        return lambda self: asyncio.run(run(self))
+
+    return wrap
+
+
+async def silence_noticed(entry, *sidecars):
+    """Wait until both ends of the links have noticed the silence."""
+    for sidecar in sidecars:
+        target = entry.targets.targets[sidecar.name]
+        while target.link is not None:
+            await asyncio.sleep(0.01)
+    # The sidecar's end notices it at its next heartbeat.
+    await asyncio.sleep(2 * fleet.HEARTBEAT_MS / 1000)
+
+
+@pytest.fixture(autouse=True)
+def short_silence(monkeypatch):
+    monkeypatch.setattr(fleet, "SILENCE_MS", SILENCE_MS)
+
+
+class TestLinkThatGoesOn:
+    """Guards against ends of answers that lie in the sockets of a silent link."""
+
+    @with_relays()
+    async def test_answer_in_progress_is_whole(self, sidecars, relays, entry):
+        answer_half(sidecars, {})
+        sidecars[0].respond = send_halves
+        sending = asyncio.create_task(entry.send(key=""))
+        while not entry.received:
+            await asyncio.sleep(0.01)
+        relays[0].hold()
+        await silence_noticed(entry, sidecars[0])
+        sidecars[0].may_answer.set()
+        relays[0].heal()
+        assert await sending == b"abcdef"
+
+    @with_relays()
+    async def test_only_target_answers_a_request_that_it_has_read(
+        self, sidecars, relays, entry
+    ):
+        sidecars[0].may_answer.clear()
+        sending = asyncio.create_task(entry.send(key=""))
+        await sidecars[0].started.wait()
+        relays[0].hold()
+        await silence_noticed(entry, sidecars[0])
+        sidecars[0].may_answer.set()
+        relays[0].heal()
+        assert await sending == b"letter"
+        assert len(sidecars[0].executed_keys) == 1
+
+    @with_relays()
+    async def test_keyed_request_runs_once_and_is_answered(
+        self, sidecars, relays, entry
+    ):
+        sidecars[0].may_answer.clear()
+        sending = asyncio.create_task(entry.send())
+        await sidecars[0].started.wait()
+        relays[0].hold()
+        await silence_noticed(entry, sidecars[0])
+        sidecars[0].may_answer.set()
+        relays[0].heal()
+        assert await sending == b"letter"
+        assert sidecars[0].executed_keys == ["k"]
+
+    @with_relays()
+    async def test_new_request_is_served_over_the_next_link(
+        self, sidecars, relays, entry
+    ):
+        sidecars[0].may_answer.clear()
+        first = asyncio.create_task(entry.send(key=""))
+        await sidecars[0].started.wait()
+        relays[0].hold()
+        await silence_noticed(entry, sidecars[0])
+        relays[0].heal()
+        sidecars[0].may_answer.set()
+        assert await first == b"letter"
+        while not entry.targets.views(fleet.ENTRY):
+            await asyncio.sleep(0.01)
+        assert await entry.send(key="") == b"letter"
+
+
+class TestLinkThatStaysSilent:
+    """A link that is dead must still be left, for another target or another link."""
+
+    @with_relays(sidecars=2)
+    async def test_request_without_a_head_goes_to_another_target(
+        self, sidecars, relays, entry
+    ):
+        sidecars[0].may_answer.clear()
+        sending = asyncio.create_task(entry.send(key=""))
+        await sidecars[0].started.wait()
+        relays[0].hold()
+        assert await sending == b"letter"
+        assert len(sidecars[1].executed_keys) == 1
+
+    @with_relays(sidecars=2)
+    async def test_resumable_answer_goes_on_at_another_target(
+        self, sidecars, relays, entry
+    ):
+        answer_half(sidecars, {"X-Resumable": "1"})
+        sending = asyncio.create_task(entry.send(key=""))
+        while not entry.received:
+            await asyncio.sleep(0.01)
+        relays[0].hold()
+        assert await sending == b"abcdef"
+
+    @with_relays()
+    async def test_only_target_is_sent_the_request_over_the_next_link(
+        self, sidecars, relays, entry
+    ):
+        sidecars[0].may_answer.clear()
+        sending = asyncio.create_task(entry.send(key=""))
+        await sidecars[0].started.wait()
+        relays[0].silence()
+        sidecars[0].may_answer.set()
+        assert await sending == b"letter"
+
+    @with_relays()
+    async def test_answer_that_can_not_be_resumed_is_cut_before_its_deadline(
+        self, sidecars, relays, entry
+    ):
+        answer_half(sidecars, {})
+        sending = asyncio.create_task(entry.send_refused(key="", seconds=600.0))
+        await entry.head_received.wait()
+        relays[0].silence()
+        assert await sending == ResultCode.LINK_SILENT
+        sidecars[0].may_answer.set()
+
+    @with_relays()
+    async def test_caller_who_leaves_ends_the_request_at_the_target(
+        self, sidecars, relays, entry
+    ):
+        sidecars[0].may_answer.clear()
+        sending = asyncio.create_task(entry.send(key="", seconds=600.0))
+        await sidecars[0].started.wait()
+        relays[0].silence()
+        while entry.targets.link_to("t0") is None or not is_silent(entry):
+            await asyncio.sleep(0.01)
+        sending.cancel()
+        while not sidecars[0].cancelled:
+            await asyncio.sleep(0.01)
+        sidecars[0].may_answer.set()
+
+
+def is_silent(entry):
+    """Return whether the entry has replaced a silent link."""
+    return bool(entry.targets.targets["t0"].connection.retired_links)
+
+
+class TestCancel:
+    @with_relays()
+    async def test_late_cancellation_does_not_end_a_later_attempt(
+        self, sidecars, relays, entry
+    ):
+        # Guards against a cancellation that was held up on the link of the first one.
+        gate = sidecars[0].gate
+        sidecars[0].may_answer.clear()
+        sending = asyncio.create_task(entry.send(key="", request_id="r"))
+        await sidecars[0].started.wait()
+        gate.tasks["r"] = gate.tasks["r"]._replace(attempt=2)
+        late = messages.Cancel("r", 1)
+        await gate.receive_cancel(None, late, Frame(0, 0, late))
+        await asyncio.sleep(0)
+        sidecars[0].may_answer.set()
+        assert await sending == b"letter"
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -86,6 +86,9 @@
     async def drain(self):
         """Return immediately."""
 
+    def hold(self, duration_s):
+        """Stay open."""
+
 
 class TargetHarness:
     """Version switcher, engine and origin of one target, in one process."""
