Let a stopping sidecar wait until its answers are read

Callers could get a cut answer at the stop of a sidecar although it had drained: it closed its links one heartbeat (1 s) after its last answer was written, and closing discards what an entry that stands still or reads slowly has not taken yet.

Cause: a written answer was taken for a received one, and after a fixed time for a read one.

Evidence: the new test, an answer of 60 kB over a link with small kernel buffers to an entry that reads 0.1 s late, failed before with LINK_CLOSED. It was not seen in the field: with the pauses of 1.0 s that lost answers the links were closed for silence first.

The sidecar now sends the end of the stream and waits until the entry, which has then read everything before it, closes the link; at most until the callers' time ends and for `drain_ms`. It is idle for a whole heartbeat before that, as an entry may ask for a kept answer again over its next link.

--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -480,6 +480,14 @@
         """Wait until no request runs and no answer is being sent."""
         await self.idle.wait()
 
+    async def drained_for(self, duration_s: float) -> None:
+        """Wait until drained for a while; an entry may fetch a kept answer again."""
+        is_drained = False
+        while not is_drained:
+            await self.drained()
+            await asyncio.sleep(duration_s)
+            is_drained = self.idle.is_set()
+
     async def drained_at_engine(self) -> None:
         """Wait until drained, and until no request that was given up may still run."""
         await self.drained()
--- a/src/wisteriapulley/sidecar/service.py
+++ b/src/wisteriapulley/sidecar/service.py
@@ -148,10 +148,10 @@
             task.cancel()
         try:
             async with asyncio.timeout(self.settings.drain_ms / 1000):
-                await self.gate.drained()
+                await self.gate.drained_for(self.settings.heartbeat_ms / 1000)
+                await self.server.end_links()
         except TimeoutError:
             log.error("requests still running after drain_ms; closing anyway")
-        await asyncio.sleep(self.settings.heartbeat_ms / 1000)
         await self.control.stop()
         await self.neighbours.stop()
         await self.server.stop()
--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -1,6 +1,7 @@
 """Links: bidirectional streams of frames over one TCP connection, with heartbeats."""
 
 import asyncio
+import contextlib
 import itertools
 import logging
 from collections.abc import Awaitable, Callable, Iterable
@@ -52,6 +53,8 @@
     silent : asyncio.Event
         Set while the peer of an open link is silent. A peer that stands still goes on
         later, and what it has read or sent is not lost.
+    ending : bool
+        Whether this end has sent its last message.
     retired : bool
         Whether another link has replaced this one, which only ends its answers.
     held_until_s : float
@@ -77,6 +80,7 @@
         self.closed = asyncio.Event()
         self.silent = asyncio.Event()
         self.retired = False
+        self.ending = False
         self.held_until_s = 0.0
         self.reason: WireError | None = None
         self.opened_s = 0.0
@@ -152,6 +156,11 @@
 
     # -- opening ---------------------------------------------------------
 
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return not self.closed.is_set() and not self.ending
+
     @property
     def peer_id(self) -> str:
         """Node id of the other end."""
@@ -232,7 +241,7 @@
         WireError
             The link is closed.
         """
-        if self.closed.is_set():
+        if not self.is_open:
             raise self.reason or WireError(
                 ResultCode.LINK_CLOSED, f"the link to {self.peer_id} is closed"
             )
@@ -316,7 +325,7 @@
         """
         if frame.id == codec.NO_ID:
             log.warning("one-way message from %s not handled: %s", self.peer_id, error)
-        elif not self.closed.is_set():
+        elif self.is_open:
             self.post(
                 Failure(int(error.code), error.message, error.retry_after_ms),
                 reply_to=frame.id,
@@ -403,7 +412,7 @@
 
     def send_heartbeat(self) -> None:
         """Send a heartbeat now, as a load or a bare header where that suffices."""
-        if self.closed.is_set():
+        if not self.is_open:
             return
         sent, current = self.sent_heartbeat, self.heartbeat()
         self.sent_heartbeat = current
@@ -416,6 +425,21 @@
         else:
             self.post(current)
 
+    async def end(self) -> None:
+        """Send all that is written, and wait until the peer has read it and closes.
+
+        Closing at once would discard what a slow peer has not read yet. Waits only for
+        a peer that may still expect an answer.
+        """
+        is_held = asyncio.get_running_loop().time() < self.held_until_s
+        if not self.is_open or not is_held:
+            return
+        self.ending = True
+        self.transport.write_eof()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(self.held_until_s):
+                await self.closed.wait()
+
     def close(self, reason: WireError | None = None) -> None:
         """Close the link; every in-flight call receives `reason`."""
         if self.closed.is_set():
--- a/src/wisteriapulley/wire/server.py
+++ b/src/wisteriapulley/wire/server.py
@@ -116,6 +116,10 @@
         for link in tuple(self.links):
             link.send_heartbeat()
 
+    async def end_links(self) -> None:
+        """Wait until the peers have read the answers sent to them; see `Link.end`."""
+        await asyncio.gather(*(link.end() for link in tuple(self.links)))
+
     async def stop(self) -> None:
         """Stop listening and close every link."""
         if self.server is not None:
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -1,6 +1,7 @@
 """Answers over a link that is silent for a while, or for good."""
 
 import asyncio
+import socket
 
 import pytest
 from aiohttp import web
@@ -8,8 +9,10 @@
 from tests import test_entry_at_most_once as fleet
 from tests.relay import Relay
 from tests.test_entry_dispatch import answer_half
+from tests.test_wire import HOUR_MS, identity
 from wisteriapulley.errors import ResultCode
-from wisteriapulley.wire import Frame, messages
+from wisteriapulley.settings import Address
+from wisteriapulley.wire import Frame, LinkServer, connect, messages
 
 SILENCE_MS = 400
 
@@ -217,3 +220,54 @@
         await asyncio.sleep(0)
         sidecars[0].may_answer.set()
         assert await sending == b"letter"
+
+
+class TestStop:
+    """Guards against a sidecar that has drained and closes before it is read."""
+
+    BODY = b"x" * 60_000
+
+    async def answer(self, link, frame):
+        link.hold(60.0)
+        link.post(messages.AnswerPart("r", 0), reply_to=frame.id, body=self.BODY)
+        self.answered.set()
+
+    async def read_slowly(self, address):
+        """Send a request and read nothing; return the link and the call."""
+        link = await connect(
+            address, identity("entry"), None, messages.Heartbeat, HOUR_MS, HOUR_MS
+        )
+        shrink_buffer(link, socket.SO_RCVBUF)
+        link.transport.pause_reading()
+        return link, link.call(messages.HaveQuery("v"))
+
+    def test_slow_entry_reads_the_whole_answer(self):
+        async def run():
+            self.answered = asyncio.Event()
+            server = LinkServer(
+                identity("sidecar"), self.answer, messages.Heartbeat, HOUR_MS, HOUR_MS
+            )
+            server.on_open = lambda link: shrink_buffer(link, socket.SO_SNDBUF)
+            link, call = await self.read_slowly(
+                await server.start(Address("127.0.0.1", 0))
+            )
+            await self.answered.wait()
+            stopping = asyncio.create_task(stop_links(server))
+            await asyncio.sleep(0.1)
+            link.transport.resume_reading()
+            assert (await call.reply(30.0)).body == self.BODY
+            await stopping
+
+        asyncio.run(run())
+
+
+async def stop_links(server):
+    """Stop a server as a sidecar that has drained does."""
+    await server.end_links()
+    await server.stop()
+
+
+def shrink_buffer(link, option):
+    """Make the kernel keep few bytes of a link."""
+    sock = link.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, option, 4096)
