Count a request as in progress until its response has left the process

A caller who reads slowly could get a response cut by up to 64 kB at the stop of an entry, own interface and platform alike: the entry had no request in progress any more, closed and ended.

Cause: aiohttp returns from the end of a response while up to 64 kB wait in the buffer of its transport. It is the fault of the links of a sidecar (a written answer taken for a received one) at the other end of the entry.

It was not seen in the field.

The handler now waits for an empty buffer, so the drain covers it and its limits hold. What the kernel holds is sent after the end of the process.

--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -34,6 +34,7 @@
 from wisteriapulley.logs import fields
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy import Admission
+from wisteriapulley.response_end import write_end
 from wisteriapulley.settings import EntrySettings
 from wisteriapulley.wire import Frame, Link, messages
 from wisteriapulley.wire.handshake import Identity
@@ -250,7 +251,7 @@
             async with asyncio.timeout(max(0.001, caller.remaining_s)):
                 async for part in answer.parts:
                     await response.write(part)
-                await response.write_eof()
+                await write_end(response, request.transport)
         except TimeoutError as error:
             timeout_error = RequestError(
                 ResultCode.DEADLINE_EXCEEDED,
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -19,6 +19,7 @@
 from wisteriapulley.idle_connections import close_idle
 from wisteriapulley.logs import fields
 from wisteriapulley.platform import names
+from wisteriapulley.response_end import write_end
 from wisteriapulley.settings import Address
 
 log = logging.getLogger(__name__)
@@ -86,7 +87,7 @@
 
     async def finish(self) -> None:
         """Send the end of the body."""
-        await self.response.write_eof()
+        await write_end(self.response, self.request.transport)
 
     def cut(self) -> None:
         """Abort the connection without ending the body."""
