Tell a write torn at any byte from damage of synced data

A control instance could fail to start for good after a loss of power: it ended with LOG_DAMAGED at each start, and the core went on without it (seen once, 61 exits).

Cause: a write since the last sync is present, missing or torn at any byte. A torn one was recognised by eight zero bytes in a row, so one that lacked its last one to seven bytes counted as a complete write that had changed later.

The tests that cut each unsynced write at each byte, alone and before a later write that is present, failed before.

Header and frame now end in a byte that is never zero and that no change of one bit makes zero, so both ends tell a tear from a change. The tests that flip bits of synced data are unchanged, and there is one more for logs of the earlier release, which are read as before.

--- a/src/wisteriapulley/consensus/frames.py
+++ b/src/wisteriapulley/consensus/frames.py
@@ -1,7 +1,12 @@
 """Frames of the storage files: two checksums, a length, a kind and a payload.
 
-A frame is ``header crc32 | payload crc32 | length | kind | payload``. The header has
-its own checksum, so that a corrupted length is not taken for a torn write.
+A frame is ``header crc32 | payload crc32 | length | kind | payload | end byte``. The
+header has its own checksum, so that a corrupted length is not taken for a torn write.
+
+The missing bytes of a torn write read as zeros. Header and frame end in a byte that is
+never zero, and that no change of one bit makes zero, so a write that is torn at any
+byte differs from one that was complete and changed later. Frames of earlier releases
+have neither: their kind is a small number, and they have no end byte.
 """
 
 import struct
@@ -15,9 +20,12 @@
 # Disks write complete sectors; a sector that was not written before a crash reads as
 # zeros.
 SECTOR_BYTES = 512
-# Writes may also be torn at any byte within a sector; the missing bytes read as zeros.
-# A run of this length does not occur in a payload by chance.
+# Writes may also be torn at any byte within a sector. A run of this length does not
+# occur in a payload by chance.
 ZERO_RUN = bytes(8)
+# Set in the kind of a frame that has an end byte.
+HAS_END = 0xF0
+END = b"\xff"
 
 KIND_HARD_STATE = 1
 KIND_RECORD = 2
@@ -37,8 +45,9 @@
 
 def pack(kind: int, payload: bytes) -> bytes:
     """Encode one frame."""
-    header = HEADER.pack(0, zlib.crc32(payload), len(payload), kind)[CRC_BYTES:]
-    return zlib.crc32(header).to_bytes(CRC_BYTES, "little") + header + payload
+    stored_kind = HAS_END | kind
+    header = HEADER.pack(0, zlib.crc32(payload), len(payload), stored_kind)[CRC_BYTES:]
+    return zlib.crc32(header).to_bytes(CRC_BYTES, "little") + header + payload + END
 
 
 def pack_sync_mark(offset: int) -> bytes:
@@ -62,7 +71,17 @@
     payload = data[start : start + length]
     if len(payload) < length or zlib.crc32(payload) != payload_crc:
         return None
-    return ScannedFrame(kind, payload, start + length)
+    end = start + length
+    if not has_end(kind):
+        return ScannedFrame(kind, payload, end)
+    if data[end : end + len(END)] != END:
+        return None
+    return ScannedFrame(kind & ~HAS_END, payload, end + len(END))
+
+
+def has_end(kind: int) -> bool:
+    """Return whether a frame with this kind in its header has an end byte."""
+    return kind & HAS_END == HAS_END
 
 
 def scan(data: bytes) -> Iterator[ScannedFrame]:
@@ -75,7 +94,13 @@
 
 def is_marked_synced(data: bytes, offset: int) -> bool:
     """Return whether a sync mark after `offset` covers the byte at `offset`."""
-    pattern = HEADER.pack(0, 0, UINT64.size, KIND_SYNCED)[2 * CRC_BYTES :]
+    kinds = (KIND_SYNCED, HAS_END | KIND_SYNCED)
+    return any(is_covered_by_mark(data, offset, kind) for kind in kinds)
+
+
+def is_covered_by_mark(data: bytes, offset: int, kind: int) -> bool:
+    """Return whether a sync mark of this stored kind covers the byte at `offset`."""
+    pattern = HEADER.pack(0, 0, UINT64.size, kind)[2 * CRC_BYTES :]
     found = data.find(pattern, offset)
     while found >= 0:
         frame = frame_at(data, found - 2 * CRC_BYTES)
@@ -88,17 +113,10 @@
 def is_torn_write(data: bytes, offset: int) -> bool:
     """Return whether the bytes from `offset` on look like a torn write.
 
-    An append that a crash interrupted is either too short or has missing sectors, which
-    read as zeros. Data that is complete but wrong was corrupted later.
+    An append that a crash interrupted is too short, lacks the bytes at its end, or has
+    missing sectors. Data that is complete but wrong was corrupted later.
     """
-    if offset + HEADER.size > len(data):
-        return True
-    header_crc, _, length, _ = HEADER.unpack_from(data, offset)
-    start = offset + HEADER.size
-    if zlib.crc32(data[offset + CRC_BYTES : start]) == header_crc:
-        if start + length > len(data):
-            return True
-    if ZERO_RUN in data[offset:]:
+    if lacks_end(data, offset) or ZERO_RUN in data[offset:]:
         return True
     edges = [
         offset,
@@ -106,3 +124,18 @@
     ]
     pieces = zip(edges, [*edges[1:], len(data)], strict=True)
     return any(not any(data[first:last]) for first, last in pieces)
+
+
+def lacks_end(data: bytes, offset: int) -> bool:
+    """Return whether the header or the frame at `offset` lacks its last byte."""
+    start = offset + HEADER.size
+    if start > len(data):
+        return True
+    header_crc, _, length, kind = HEADER.unpack_from(data, offset)
+    if zlib.crc32(data[offset + CRC_BYTES : start]) != header_crc:
+        # The payload, of one byte at least, and the end byte are missing too.
+        return not any(data[start - 1 : start + 2])
+    end = start + length
+    if not has_end(kind):
+        return end > len(data)
+    return end >= len(data) or data[end] == 0
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,13 +1,29 @@
 import errno
+import itertools
 import os
 import subprocess
 import sys
+import zlib
+from typing import NamedTuple
 
 import pytest
 
-from wisteriapulley.consensus import HardState, Log, Members, Record, Snapshot, Storage
+from wisteriapulley.consensus import (
+    HardState,
+    Log,
+    Members,
+    Record,
+    Snapshot,
+    Storage,
+    frames,
+)
 from wisteriapulley.consensus.files import Files
 from wisteriapulley.consensus.frames import HEADER, pack_sync_mark
+from wisteriapulley.consensus.storage import (
+    DiskIdentity,
+    read_identity,
+    write_identity,
+)
 from wisteriapulley.errors import ResultCode, StorageError
 
 MARK_BYTES = len(pack_sync_mark(0))
@@ -117,6 +133,140 @@
             assert open_error_code(tmp_path) == ResultCode.LOG_DAMAGED, position
 
 
+class RecordedWrite(NamedTuple):
+    """One write to the log: what was there before, and how often it was synced."""
+
+    before: bytes
+    data: bytes
+    syncs: int
+
+
+class RecordingFiles(Files):
+    """Files that record every write to the log."""
+
+    def __init__(self):
+        self.writes = []
+        self.syncs = 0
+
+    def write_all(self, path, descriptor, data):
+        if path.name == "log":
+            write = RecordedWrite(path.read_bytes(), bytes(data), self.syncs)
+            self.writes.append(write)
+        super().write_all(path, descriptor, data)
+
+    def sync(self, path, descriptor):
+        super().sync(path, descriptor)
+        self.syncs += path.name == "log"
+
+
+def torn_logs(before, data):
+    """Yield a log after each tear of a write, with and without the missing bytes."""
+    for length in range(len(data)):
+        yield before + data[:length]
+        yield before + data[:length] + bytes(len(data) - length)
+
+
+class TestTornWrites:
+    """Guards against instances that stop for good after a loss of power.
+
+    Each write since the last sync is present, missing or torn at any byte, and missing
+    bytes before a later write read as zeros.
+    """
+
+    def write_log(self, folder):
+        """Write a log; return every write to it."""
+        files = RecordingFiles()
+        storage = Storage.open(str(folder), files)
+        storage.save(HardState(1, "a"), ())
+        for index in range(1, 5):
+            storage.save(None, (record(index, bytes(range(index, 256, 7))),))
+            storage.record_committed_index(index)
+        storage.save(HardState(2, ""), (record(5), record(6, b"")))
+        storage.close()
+        return files.writes
+
+    def recover(self, folder, content):
+        """Start from this log; return the index of its last record."""
+        (folder / "log").write_bytes(content)
+        return reopened(folder).log.last_index
+
+    def test_every_cut_of_every_write_is_dropped(self, tmp_path):
+        for write in self.write_log(tmp_path):
+            for content in torn_logs(write.before, write.data):
+                self.recover(tmp_path, content)
+
+    def test_every_cut_before_a_later_write_is_dropped(self, tmp_path):
+        writes = self.write_log(tmp_path)
+        pairs = [p for p in itertools.pairwise(writes) if p[0].syncs == p[1].syncs]
+        assert len(pairs) > 8
+        for torn, later in pairs:
+            for length in range(len(torn.data)):
+                missing = bytes(len(torn.data) - length)
+                present = torn.data[:length] + missing + later.data
+                self.recover(tmp_path, torn.before + present)
+
+    def test_records_before_the_cut_are_kept(self, tmp_path):
+        *_, (before, data, _), _ = self.write_log(tmp_path)
+        assert self.recover(tmp_path, before) == 4
+        for content in torn_logs(before, data):
+            assert self.recover(tmp_path, content) in (4, 5)
+
+    def test_complete_write_that_changed_later_is_no_cut(self, tmp_path):
+        *_, (before, data, _), _ = self.write_log(tmp_path)
+        for position in range(8 * len(data)):
+            changed = bytearray(data)
+            changed[position // 8] ^= 1 << position % 8
+            (tmp_path / "log").write_bytes(before + changed)
+            assert open_error_code(tmp_path) == ResultCode.LOG_DAMAGED, position
+
+
+class TestTornReplacements:
+    """Files that are replaced are synced under another name first."""
+
+    @pytest.mark.parametrize("name", ["log", "snapshot", "identity.json"])
+    def test_cut_new_file_leaves_the_old_one_in_force(self, tmp_path, name):
+        members = Members({"a": "disk-a"})
+        write_identity(str(tmp_path), DiskIdentity("a", "disk-a", members), Files())
+        TestSnapshotFile().with_snapshot(tmp_path).close()
+        content = (tmp_path / name).read_bytes()
+        for length in range(len(content)):
+            (tmp_path / f"{name}.new").write_bytes(content[:length])
+            storage = reopened(tmp_path)
+            assert storage.log.last_index == 5
+            assert storage.snapshot.last_index == 4
+            assert read_identity(str(tmp_path)).identity == "disk-a"
+
+
+def pack_without_end(kind, payload):
+    """Encode a frame as earlier releases do."""
+    header = HEADER.pack(0, zlib.crc32(payload), len(payload), kind)[4:]
+    return zlib.crc32(header).to_bytes(4, "little") + header + payload
+
+
+class TestLogOfEarlierRelease:
+    @pytest.fixture(autouse=True)
+    def earlier_frames(self, monkeypatch, tmp_path):
+        with monkeypatch.context() as patch:
+            patch.setattr(frames, "pack", pack_without_end)
+            self.path = filled(tmp_path)
+            self.mark_bytes = len(pack_sync_mark(0))
+
+    def test_is_read_and_continued(self, tmp_path):
+        storage = Storage.open(str(tmp_path))
+        assert storage.log.last_index == 3
+        storage.save(None, (record(4),))
+        storage.close()
+        assert reopened(tmp_path).log.last_index == 4
+
+    def test_change_of_its_last_record_prevents_the_start(self, tmp_path):
+        content = self.path.read_bytes()[: -self.mark_bytes]
+        for position in range(8 * len(content)):
+            data = bytearray(content)
+            data[position // 8] ^= 1 << position % 8
+            self.path.write_bytes(data)
+            assert open_error_code(tmp_path) == ResultCode.LOG_DAMAGED, position
+
+
 class TestCommittedIndex:
     def write_log(self, folder):
         storage = Storage.open(folder)
