Let an instance with a damaged data folder join again

Cause: a damaged folder stopped the process, whatever could be done about it.

The instance now starts on an empty folder inside the damaged one, under a new identity, and joins as after the loss of its disk. That can't lose what was acknowledged: the identity gets its vote by a change of the members, which a majority of the others commits. With two of three damaged at once nothing is acknowledged, and the damaged files stay. Instances whose peers are configured still refuse the start, as operators join them.

Measured on the virtual clock: with one of three damaged all three vote again and the second may be lost; with two damaged no member changes and proposals get NO_QUORUM. Before, the first of the new tests ended with LOG_DAMAGED.

--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -21,6 +21,7 @@
     encode,
 )
 from wisteriapulley.control.control_api import ControlApi
+from wisteriapulley.control.damaged_disk import open_driver
 from wisteriapulley.control.driver import REPLICA_MESSAGES, Driver, no_quorum
 from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES, Fanout
 from wisteriapulley.control.followers import knows_evacuations
@@ -74,6 +75,10 @@
         self.evacuated_gauge = self.metrics.gauge(
             "failure_domains_evacuated", "Failure domains that are evacuated."
         )
+        self.damaged_gauge = self.metrics.gauge(
+            "data_folder_damaged",
+            "Whether the instance joined again because its data folder was damaged.",
+        )
         self.member_links: dict[str, Link] = {}
         self.peer_links: dict[str, Link] = {}
         self.operators = load_operators(settings.operators_file)
@@ -122,9 +127,9 @@
             peer.node_id: self.new_peer_connection(peer.address)
             for peer in settings.peers
         }
-        self.driver = Driver(
-            settings, self.state, self.peers, self.on_applied, self.fatal.set_exception
-        )
+        self.driver = open_driver(settings, self.new_driver)
+        is_set_aside = self.driver.settings.data_folder != settings.data_folder
+        self.damaged_gauge.set({}, int(is_set_aside))
         self.publisher.driver = self.driver
         self.pieces = PieceServer(
             settings, self.driver, self.publisher.origin, self.open_origin
@@ -138,6 +143,12 @@
         self.driver.start()
         self.sweep_task = asyncio.get_running_loop().create_task(self.sweep_loop())
 
+    def new_driver(self, settings: ControlSettings) -> Driver:
+        """Open a data folder, and create the driver of its replica."""
+        return Driver(
+            settings, self.state, self.peers, self.on_applied, self.fatal.set_exception
+        )
+
     def new_peer_connection(self, address: Address) -> ReconnectingLink:
         """Create the reconnecting link to one peer."""
         return ReconnectingLink(
--- a/tests/test_control_isolated.py
+++ b/tests/test_control_isolated.py
@@ -45,6 +45,7 @@
     now_ms = 0.0
 
     def __init__(self, folder):
+        self.folder = folder
         self.isolated = ""
         self.queue = []
         self.drivers = {name: self.open(folder / name, name) for name in VOTERS}
@@ -75,6 +76,7 @@
             Cluster.now_ms += STEP_MS
             for driver in self.drivers.values():
                 driver.replica.tick(Cluster.now_ms)
+                driver.request_join()
                 await driver.process_ready()
             arriving, self.queue = self.queue, []
             for peer, message in arriving:
