Let a dropped request wait for a target that has stated its rest

Cause: a dropped request may have run, so nothing but an answer or a failure is true. It looked for another engine for 1.2 s only, or not at all once it had been sent to as many targets as its route permits, the last of which had turned it away.

The first two of the new tests failed before, with these two reasons.

The route limits the targets, not the sends: a request that was turned away has not run there, and goes back to that target when its rest ends, within its time and the retry budget. A request that was not dropped is refused at once as before, since it has not run and that is true.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -13,7 +13,7 @@
 from wisteriapulley.direct.hedging import HedgedRelay
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.registry import TargetRegistry
-from wisteriapulley.direct.sending import Sender
+from wisteriapulley.direct.sending import MIN_SEND_S, Sender
 from wisteriapulley.direct.settings import DirectSettings
 from wisteriapulley.direct.signal_recorder import SignalRecorder
 from wisteriapulley.direct.slot_allocation import AllocatedSlot, SlotAllocator
@@ -31,7 +31,7 @@
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
 from wisteriapulley.policy.shared_budget import SharedRetryBudget
-from wisteriapulley.policy.silence import next_look_s
+from wisteriapulley.policy.silence import MAX_LOOK_INTERVAL_S, next_look_s
 from wisteriapulley.routing import Account, Route, RouteIndex, RoutingTable
 from wisteriapulley.routing.homes import describe_homes, shared_homes
 
@@ -344,17 +344,40 @@
         """Return whether a request without another target looks for one again.
 
         One that this entry dropped, since its version of the weights ended, goes on
-        where an engine switches to the newer version until then.
+        where an engine switches to the newer version until then. It may have run, so
+        without another target it fails; so it also waits for one that has stated when
+        it accepts requests again.
         """
         now_s = self.now_s()
-        budget = self.retry_budget(progress.service)
+        rest_ends_s = self.rest_ends_s(admitted, progress)
+        if rest_ends_s + MIN_SEND_S < admitted.deadline_s:
+            look_until_s = rest_ends_s + MAX_LOOK_INTERVAL_S
+            progress.look_until_s = max(progress.look_until_s, look_until_s)
         return (
             now_s < progress.look_until_s
             and admitted.route.repeatable
-            and budget.has_budget(now_s)
+            and self.retry_budget(progress.service).has_budget(now_s)
             and not self.crashes.is_quarantined(admitted, progress)
         )
 
+    def rest_ends_s(self, admitted: Admitted, progress: Progress) -> float:
+        """Return when the first target ends a rest that it has stated.
+
+        Infinite if the request was not dropped, or no target that it may still be sent
+        to rests.
+        """
+        if not progress.was_dropped:
+            return float("inf")
+        now_s = self.now_s()
+        closed = progress.closed_targets(self.registry.targets)
+        alive = self.registry.alive(progress.service, now_s, admitted.homes)
+        rests_s = (
+            target.throttled_s(now_s, True)
+            for target in alive
+            if target.target_id not in closed
+        )
+        return now_s + min(filter(None, rests_s), default=float("inf"))
+
     async def open_exchange(
         self,
         admitted: Admitted,
@@ -520,8 +543,9 @@
         is_last = progress.is_last_send or not self.retry_budget(service).has_budget(
             now_s
         )
+        excluded = progress.excluded(self.registry.targets, now_s)
         return await self.allocator.allocate(
-            admitted, service, engine, progress.tried, now_s, is_last
+            admitted, service, engine, excluded, now_s, is_last
         )
 
     def final_refusal(
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -1,5 +1,6 @@
 """State of one request: its admission, and its progress so far."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from wisteriapulley.direct.events import EventSplitter
@@ -83,6 +84,8 @@
         Ids of targets that are not tried again.
     open_exchanges : int
         Targets that the request is at now.
+    rejected_until_s : dict of str to float
+        By id, until when a target that turned the request away accepts none.
     look_until_s : float
         Until when the request looks for another target after it was dropped, on the
         loop's clock; 0 if it was not.
@@ -101,15 +104,42 @@
         self.may_have_run = False
         self.tried: set[str] = set()
         self.open_exchanges = 0
+        self.rejected_until_s: dict[str, float] = {}
         self.look_until_s = 0.0
         self.budget_spent = False
         self.events = EventSplitter(request.resume_after)
         self.fingerprint = b""
 
+    @property
+    def has_targets_left(self) -> bool:
+        """Whether the route permits one more target."""
+        return len(self.tried) < self.max_sends
+
     @property
     def has_sends_left(self) -> bool:
-        """Whether the route permits one more send."""
-        return self.sends < self.max_sends
+        """Whether the request may be sent once more.
+
+        The route limits the targets. One that may have run can't be refused, so it goes
+        back to a target that turned it away rather than fail.
+        """
+        returns = self.was_dropped and bool(self.rejected_until_s)
+        return self.has_targets_left or returns
+
+    @property
+    def was_dropped(self) -> bool:
+        """Whether it was dropped at a target where it had not started in time."""
+        return self.look_until_s > 0.0
+
+    def excluded(self, known: Iterable[str], now_s: float) -> set[str]:
+        """Return which of the known targets the request can't be sent to now."""
+        until_s = self.rejected_until_s.items()
+        resting = {target_id for target_id, at_s in until_s if now_s < at_s}
+        return self.closed_targets(known) | resting
+
+    def closed_targets(self, known: Iterable[str]) -> set[str]:
+        """Return which of the known targets the request can't be sent to any more."""
+        closed = self.tried if self.has_targets_left else set(known)
+        return closed - set(self.rejected_until_s) if self.was_dropped else set(closed)
 
     @property
     def is_last_send(self) -> bool:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -191,6 +191,7 @@
                 progress.service, self.now_s(), homes=admitted.homes
             )
             retry_s = max(REJECTED_RETRY_S, wait_s)
+            progress.rejected_until_s[target.target_id] = self.now_s() + retry_s
             return Refusal(
                 RefusalKind.OVERLOADED, retry_s, "target rejected the request"
             )
@@ -212,7 +213,7 @@
         if not admitted.route.repeatable or answer.started or left_s <= MIN_SEND_S:
             return False
         return progress.open_exchanges > 1 or (
-            progress.has_sends_left and self.has_untried_target(admitted, progress)
+            progress.has_targets_left and self.has_untried_target(admitted, progress)
         )
 
     def has_untried_target(self, admitted: Admitted, progress: Progress) -> bool:
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -24,6 +24,7 @@
 )
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.metrics import Metrics
+from wisteriapulley.policy.response_signals import RequestedCooldown, ResponseSignals
 from wisteriapulley.policy.silence import STREAM_SILENCE_S
 from wisteriapulley.policy.version_end import PAUSE_ALLOWANCE_MS
 from wisteriapulley.routing import Route, RouteKind, RoutingTable, Service, Split
@@ -557,3 +558,59 @@
         entry.allocator.release = observe
         entry.serve()
         assert [work.took_ms for work in observed] == [0.0]
+
+
+class TestDroppedWhileTargetsRest:
+    """Guards against a failure with seconds left while a target states its rest."""
+
+    REST = ResponseSignals(cooldown=RequestedCooldown(2.0))
+
+    def entry(self, *answers):
+        """Return an entry that drops requests at its first target after 0.5 s."""
+        entry = Entry(PacedAnswer(head_s=4.0), *answers)
+        entry.dispatcher.retry_budget("s").slack = 100.0
+        allocate = entry.allocator.allocate
+        entry.allocator.slots = 3
+
+        async def allocate_with_deadline(*args, **more):
+            slot = await allocate(*args, **more)
+            if isinstance(slot, Refusal) or slot.target.target_id == "i-1":
+                return slot
+            return slot._replace(start_deadline_s=0.5)
+
+        entry.allocator.allocate = allocate_with_deadline
+        return entry
+
+    def test_goes_on_at_a_target_that_ends_its_rest_in_time(self):
+        entry = self.entry(PacedAnswer((0.1, events(1, 4))))
+        entry.registry.targets["i-1"].record_signals(self.REST, 0.0, 0.0)
+        refusal, ended_s = entry.serve()
+        assert refusal is None
+        assert_whole(entry)
+        assert 2.0 <= ended_s < 2.6
+
+    def test_goes_back_to_a_target_that_turned_it_away(self):
+        """The route permits two targets, and that one has not run it."""
+        resting = PacedAnswer(status=503, not_run=True, signals=self.REST)
+        entry = self.entry(resting, PacedAnswer((0.1, events(1, 4))))
+        refusal, ended_s = entry.serve()
+        assert refusal is None
+        assert_whole(entry)
+        assert 2.5 <= ended_s < 3.1
+        ids = [plan.target_id for plan in entry.client.plans]
+        assert ids == ["i-0", "i-1", "i-1"]
+
+    def test_rest_that_ends_too_late_is_not_waited_for(self):
+        entry = self.entry()
+        too_long = ResponseSignals(cooldown=RequestedCooldown(LIMIT_S))
+        entry.registry.targets["i-1"].record_signals(too_long, 0.0, 0.0)
+        refusal, ended_s = entry.serve()
+        assert refusal.kind is RefusalKind.FAILED
+        assert ended_s < 2.2
+
+    def test_request_that_has_not_run_is_refused_at_once(self):
+        resting = PacedAnswer(status=503, not_run=True, signals=self.REST)
+        entry = Entry(resting, resting)
+        refusal, ended_s = entry.serve()
+        assert refusal.kind is RefusalKind.OVERLOADED and refusal.retry_s > 0
+        assert ended_s < 0.1
