--- a/tests/test_shared_budget.py
+++ b/tests/test_shared_budget.py
@@ -39,6 +39,61 @@
         assert [budget.spend(0.0) for _ in range(2)] == [True, False]
 
 
+def busiest_window(starts_s, per_s, reported_at, until_s=40.0):
+    """Return the most retries in any window, and the allowance, if all sends fail.
+
+    Parameters
+    ----------
+    starts_s : sequence of float
+        When each entry starts.
+    per_s : float
+        Requests per second, over all entries.
+    reported_at : callable
+        Number of entries that control instances report at a time.
+    until_s : float
+        When the requests end.
+    """
+    budgets = [SharedRetryBudget(RATIO, SLACK, WINDOW_S) for _ in starts_s]
+    retries = []
+    for number in range(int(per_s * until_s)):
+        now_s = number / per_s
+        started = [b for b, s in zip(budgets, starts_s, strict=True) if s <= now_s]
+        budget = started[number % len(started)]
+        budget.update_entries(reported_at(now_s))
+        budget.record_request(now_s)
+        if budget.spend(now_s):
+            retries.append(now_s)
+    most = max(sum(at <= s < at + WINDOW_S for s in retries) for at in retries)
+    return most, RATIO * per_s * WINDOW_S + SLACK
+
+
+class TestSmallFleet:
+    def test_two_entries_do_not_keep_to_the_parts_of_twenty(self):
+        """Guards against callers who fail while most of the allowance is unused."""
+        most, allowed = busiest_window([0.0, 0.0], 4.0, lambda now_s: 2)
+        assert most > allowed / 3
+
+    @pytest.mark.parametrize("entries", [1, 2, 5, 9, 12, 25])
+    @pytest.mark.parametrize("per_s", [4, 40])
+    def test_total_is_kept_in_every_window(self, entries, per_s):
+        most, allowed = busiest_window([0.0] * entries, per_s, lambda now_s: entries)
+        assert most <= allowed
+
+    @pytest.mark.parametrize("entries", [2, 6, 10, 18])
+    def test_total_is_kept_if_half_of_the_entries_are_reported(self, entries):
+        most, allowed = busiest_window([0.0] * entries, 40.0, lambda _: entries // 2)
+        assert most <= allowed
+
+    @pytest.mark.parametrize("per_s", [4, 40])
+    def test_total_is_kept_while_the_fleet_grows(self, per_s):
+        """Eight entries join two, and are reported three seconds later."""
+        starts_s = [0.0] * 2 + [20.0] * 8
+        most, allowed = busiest_window(
+            starts_s, per_s, lambda now_s: 10 if now_s > 23.0 else 2
+        )
+        assert most <= allowed
+
+
 class TestEntriesInFleet:
     def test_each_entry_follows_several_instances(self):
         assert FOLLOWED_INSTANCES == 2
