Allow a stop to end a process that has not run a line yet

Cause: the signal came before the interpreter ran the program's first line, which sets the handler.

The check asked for 0 always. It now asks for it unless three things hold: just before the signal the kernel shows neither a handler of the signal nor a socket, and at the end log and data folder are as they were at the start. So a process that has accepted a connection or written anything still has to end with 0, as has one that lost its handlers at its end.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,6 +18,7 @@
 from soak.network import Network
 from soak.plan import FAILURE_DOMAINS, FleetShape
 from soak.targets import HeartbeatSender, SoakEngine, SoakPlainTarget
+from soak.traces import FileState, has_run_a_line
 from wisteriapulley.consensus import frames
 
 log = logging.getLogger(__name__)
@@ -83,6 +84,7 @@
         command = ["-S", "deploy/run.py", role]
         self.process = Process(name, command, folder / f"{name}.log", variables)
         self.incarnation = 0
+        self.files_at_start: FileState | None = None
         self.bootstrap = True
         self.stopping = False
         # Whether it should be running: no fault has stopped it.
@@ -141,6 +143,7 @@
         self.data.mkdir(parents=True, exist_ok=True)
         self.should_run = True
         self.incarnation += 1
+        self.files_at_start = FileState.of(self.process.log, self.data)
         self.process.start()
 
     def kill(self) -> None:
@@ -158,12 +161,16 @@
             return
         self.stopping, self.should_run = True, False
         popen, began_s = self.process.popen, time.monotonic()
+        had_run = has_run_a_line(popen.pid)
         self.process.signal(signal.SIGTERM)
         while popen.poll() is None and time.monotonic() < began_s + STOP_TIMEOUT_S:
             await asyncio.sleep(0.05)
         ended = popen.poll()
         if ended != -signal.SIGKILL:
-            checker.check_stop(self.name, time.monotonic() - began_s, ended)
+            wrote = FileState.of(self.process.log, self.data) != self.files_at_start
+            checker.check_stop(
+                self.name, time.monotonic() - began_s, ended, had_run or wrote
+            )
         self.kill()
         self.stopping = False
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import random
+import signal
+import subprocess
+import sys
 import time
 import zlib
 from types import SimpleNamespace
@@ -48,6 +51,7 @@
     SoakPlainTarget,
     expected_stream,
 )
+from soak.traces import FileState, has_run_a_line
 
 from tests.fakes.platform import Origin
 from wisteriapulley.consensus.frames import pack_committed_index
@@ -600,6 +604,50 @@
         assert (tmp_path / "log").read_bytes() == torn
 
 
+class TestStopBeforeTheFirstLine:
+    """Nothing can handle a signal before the interpreter runs the first line."""
+
+    @pytest.mark.parametrize("had_begun", [True, False])
+    @pytest.mark.parametrize("status", [0, 1, -signal.SIGTERM, -signal.SIGKILL])
+    def test_only_a_process_that_had_not_begun_may_end_by_the_signal(
+        self, status, had_begun
+    ):
+        checker = new_checker()
+        checker.check_stop("entry-1", 0.1, status, had_begun)
+        allowed = status == 0 or (status == -signal.SIGTERM and not had_begun)
+        assert violations(checker) == ([] if allowed else ["exit"])
+
+    @pytest.mark.parametrize(
+        ("program", "has_run"),
+        [
+            ("", False),
+            ("import signal; signal.signal(signal.SIGTERM, print)", True),
+            ("import socket; kept = socket.socket()", True),
+        ],
+    )
+    def test_handler_or_socket_shows_that_a_line_was_run(self, program, has_run):
+        program += "\nprint(1, flush=True)\ninput()"
+        process = subprocess.Popen(
+            [sys.executable, "-S", "-c", program],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        with process:
+            process.stdout.readline()
+            assert has_run_a_line(process.pid) is has_run
+            process.kill()
+
+    def test_files_show_what_was_written(self, tmp_path):
+        log, data = tmp_path / "log", tmp_path / "data"
+        data.mkdir()
+        states = [FileState.of(log, data)]
+        log.write_bytes(b"a line")
+        states.append(FileState.of(log, data))
+        (data / "file").write_bytes(b"")
+        states.append(FileState.of(log, data))
+        assert len(set(states)) == 3
+
+
 class TestReserveNetwork:
     def test_concurrent_runs_get_different_networks(self):
         networks = [reserve_network(100) for _ in range(100)]
