Look for another target for as long as a link is silent

The rest of a resumable answer was asked of another target once, at the moment its link fell silent. Where no other had room then, and the target stayed dead, its caller waited until the deadline although room came free meanwhile.

The look is repeated as long as the link is silent, and takes a retry of the budget only where a target has room. The new test, whose other target is busy at that moment, timed out before. A replaced link also says why it closes.

--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -337,7 +337,10 @@
         can_resume = find_header(head, "x-resumable") and not request.key
         if error.code == ResultCode.ENGINE_WRONG_DIGEST:
             return None
-        if not can_resume or request.remaining_s <= 0 or not self.retry_budget.spend():
+        if not can_resume or request.remaining_s <= 0:
+            return None
+        has_room = self.placer.has_room(request, {slot.node_id}, head.version)
+        if not has_room or not self.retry_budget.spend():
             return None
         try:
             other_slot = await self.placer.acquire(
--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -242,11 +242,14 @@
         )
         return await pool.acquire(work, entry.limits.in_flight, avoid, version)
 
-    def has_room(self, request: CallerRequest, avoid: set[str]) -> bool:
+    def has_room(
+        self, request: CallerRequest, avoid: set[str], version: str = ""
+    ) -> bool:
         """Return whether a target other than those in `avoid` has a free slot."""
         pool = self.pools[request.entry.service]
+        views = pool.views(avoid, version)
         limit = request.entry.limits.in_flight
-        return bool(pool.scheduler.available_targets(pool.views(avoid), limit))
+        return bool(pool.scheduler.available_targets(views, limit))
 
     async def sweep_forever(self) -> None:
         """Sweep every pool at a fixed interval until cancelled."""
--- a/src/wisteriapulley/entry/resuming.py
+++ b/src/wisteriapulley/entry/resuming.py
@@ -124,11 +124,7 @@
             Neither can go on: the link has closed, or only its replacement is in use.
         """
         reading = asyncio.ensure_future(self.reader.next_part())
-        resuming = asyncio.ensure_future(
-            self.dispatcher.resume(
-                self.request, self.opened, self.slot, self.reader.offset, error
-            )
-        )
+        resuming = self.start_resuming(error)
         try:
             while not has_succeeded(reading):
                 if resuming.done():
@@ -137,6 +133,7 @@
                         return None
                     if reading.done() or self.slot.is_superseded(self.opened.call.link):
                         raise reading.exception() if reading.done() else error
+                    resuming = self.start_resuming(error)
                 await asyncio.wait(
                     [task for task in (reading, resuming) if not task.done()],
                     timeout=SILENCE_POLL_INTERVAL_S,
@@ -149,6 +146,19 @@
             if self.rest is None:
                 resuming.add_done_callback(abandon_result)
 
+    def start_resuming(self, error: WisteriapulleyError) -> asyncio.Future:
+        """Start to look for another target."""
+        return asyncio.ensure_future(self.resume_elsewhere(error))
+
+    async def resume_elsewhere(self, error: WisteriapulleyError) -> Answer | None:
+        """Ask another target for the rest; without one, wait before the next look."""
+        answer = await self.dispatcher.resume(
+            self.request, self.opened, self.slot, self.reader.offset, error
+        )
+        if answer is None:
+            await asyncio.sleep(SILENCE_POLL_INTERVAL_S)
+        return answer
+
 
 def has_succeeded(task: asyncio.Future) -> bool:
     """Return whether a task has ended without an error."""
--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -374,6 +374,8 @@
         if not is_silent and not self.retired:
             return
         text = f"{self.peer_id} was silent for {silent_s:.1f} s"
+        if not is_silent:
+            text = f"{self.peer_id} was silent for a while, and another link is in use"
         error = WireError(ResultCode.LINK_SILENT, text)
         if asyncio.get_running_loop().time() >= self.held_until_s:
             self.close(error)
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -3,13 +3,15 @@
 import asyncio
 import socket
 
+import msgspec
 import pytest
 from aiohttp import web
 
 from tests import test_entry_at_most_once as fleet
 from tests.relay import Relay
-from tests.test_entry_dispatch import answer_half
+from tests.test_entry_dispatch import answer_half, send_half
 from tests.test_wire import HOUR_MS, identity
+from wisteriapulley.catalogue import Limits
 from wisteriapulley.errors import ResultCode
 from wisteriapulley.settings import Address
 from wisteriapulley.wire import Frame, LinkServer, connect, messages
@@ -161,6 +163,27 @@
         relays[0].hold()
         assert await sending == b"abcdef"
 
+    @with_relays(sidecars=2)
+    async def test_resumable_answer_waits_for_room_at_another_target(
+        self, sidecars, relays, entry
+    ):
+        # Guards against one look for room, at the moment of the silence.
+        limited = msgspec.structs.replace(fleet.ENTRY, limits=Limits(in_flight=1))
+        answer_half(sidecars, {"X-Resumable": "1"})
+        sending = asyncio.create_task(entry.send(key="", entry=limited))
+        while not entry.received:
+            await asyncio.sleep(0.01)
+        sidecars[1].respond = fleet.echo
+        other = asyncio.create_task(entry.send(key="", entry=limited))
+        await sidecars[1].started.wait()
+        relays[0].hold()
+        await silence_noticed(entry, sidecars[0])
+        assert not sending.done()
+        sidecars[1].respond = send_half
+        sidecars[1].may_answer.set()
+        assert await other == b"letter"
+        assert await sending == b"abcdef"
+
     @with_relays()
     async def test_only_target_is_sent_the_request_over_the_next_link(
         self, sidecars, relays, entry
