Take a process that the kernel does not show for one that had begun

The check of a stop allows an end by the signal to a process that shows neither a handler nor a socket. Where its state could not be read, or a descriptor was closed while the list was read, it counted as such a process: an error excused what nothing proved.

A process that can't be read now counts as begun, and a closed descriptor is passed over. The new test failed before.

--- a/soak/traces.py
+++ b/soak/traces.py
@@ -1,5 +1,6 @@
 """What a process has done since its start, as its files and the kernel show it."""
 
+import contextlib
 import os
 import signal
 from pathlib import Path
@@ -27,8 +28,8 @@
 def has_run_a_line(pid: int) -> bool:
     """Return whether a process has run a line of the program, or holds a socket.
 
-    The first line of the program sets the handler of the stop signal. False also for a
-    process that has ended.
+    The first line of the program sets the handler of the stop signal. True also for a
+    process that the kernel does not show, which proves nothing.
     """
     folder = Path(f"/proc/{pid}")
     try:
@@ -37,9 +38,16 @@
             for line in (folder / "status").read_text().splitlines()
             if line.startswith("SigCgt:")
         )
-        links = [os.readlink(path) for path in (folder / "fd").iterdir()]
+        return bool(caught & SIGTERM_BIT) or holds_socket(folder / "fd")
     except (OSError, ValueError):
-        return False
-    return bool(caught & SIGTERM_BIT) or any(
-        link.startswith("socket:") for link in links
-    )
+        return True
+
+
+def holds_socket(descriptors: Path) -> bool:
+    """Return whether a socket is among the descriptors of a process."""
+    for path in descriptors.iterdir():
+        # The interpreter closes files while it starts.
+        with contextlib.suppress(FileNotFoundError):
+            if os.readlink(path).startswith("socket:"):
+                return True
+    return False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -637,6 +637,11 @@
             assert has_run_a_line(process.pid) is has_run
             process.kill()
 
+    def test_process_that_is_not_shown_proves_nothing(self):
+        process = subprocess.Popen([sys.executable, "-S", "-c", ""])
+        process.wait()
+        assert has_run_a_line(process.pid)
+
     def test_files_show_what_was_written(self, tmp_path):
         log, data = tmp_path / "log", tmp_path / "data"
         data.mkdir()
