Do not wait for the reader of a refusal

Since the end of a response waits for an empty buffer, a refusal did too. An answer waits within its request's time; a refusal is written after it, so a caller who reads nothing could hold its handler for as long as its connection stands.

A refusal is written as before that change. The new test timed out without this.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -86,7 +86,7 @@
             await self.response.write(data)
 
     async def finish(self) -> None:
-        """Send the end of the body."""
+        """Send the end of the body; wait for a slow caller, in the request's time."""
         await write_end(self.response, self.request.transport)
 
     def cut(self) -> None:
@@ -102,7 +102,8 @@
         body = f"{refusal.kind.value}: {refusal.reason}\n".encode()
         await self.start(STATUS_BY_REFUSAL[refusal.kind], tuple(headers), len(body))
         await self.write(body)
-        await self.finish()
+        # Not `finish`: no time limit of the request ends the wait for its caller.
+        await self.response.write_eof()
 
     async def end(self, refusal: Refusal) -> None:
         """Send a refusal, or cut a response that has begun."""
--- a/tests/test_response_end.py
+++ b/tests/test_response_end.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import socket
+from types import SimpleNamespace
 
 import pytest
 from aiohttp import web
 
+from wisteriapulley.direct.types import Refusal, RefusalKind
 from wisteriapulley.platform.ingress import HttpCallerAnswer
 from wisteriapulley.response_end import write_end
 
@@ -28,6 +30,37 @@
     return answer.response
 
 
+class TestRefusal:
+    def test_does_not_wait_for_a_caller_who_reads_nothing(self):
+        """Guards against a wait that no time limit of a request ends."""
+
+        class Transport:
+            def is_closing(self):
+                return False
+
+            def get_write_buffer_size(self):
+                return 1
+
+        class Response(web.StreamResponse):
+            async def write(self, data):
+                pass
+
+            async def write_eof(self, data=b""):
+                pass
+
+        async def run():
+            answer = HttpCallerAnswer(SimpleNamespace(transport=Transport()), bool)
+
+            async def start(status, headers, length):
+                answer.response = Response(status=status)
+
+            answer.start = start
+            async with asyncio.timeout(10):
+                await answer.refuse(Refusal(RefusalKind.OVERLOADED, 1.0, "full"))
+
+        asyncio.run(run())
+
+
 class TestWriteEnd:
     @pytest.mark.parametrize("end", [end_response, end_answer])
     def test_request_is_in_progress_until_its_caller_has_read(self, end):
