Extend the look of a dropped request outside the question for it

may_look_again changed the state that it asked for. The extension is a step of its own now, and the closed targets are told in three plain lines. No decision changes: the tests of dispatch, silent targets and silent drains pass.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -328,6 +328,7 @@
         while progress.has_sends_left:
             exchange = await self.open_exchange(admitted, progress, refusal)
             if isinstance(exchange, Refusal):
+                self.extend_look(admitted, progress)
                 if not self.may_look_again(admitted, progress):
                     return self.final_refusal(admitted, progress, exchange)
                 await asyncio.sleep(next_look_s(exchange.retry_s))
@@ -344,15 +345,9 @@
         """Return whether a request without another target looks for one again.
 
         One that this entry dropped, since its version of the weights ended, goes on
-        where an engine switches to the newer version until then. It may have run, so
-        without another target it fails; so it also waits for one that has stated when
-        it accepts requests again.
+        where an engine switches to the newer version until then.
         """
         now_s = self.now_s()
-        rest_ends_s = self.rest_ends_s(admitted, progress)
-        if rest_ends_s + MIN_SEND_S < admitted.deadline_s:
-            look_until_s = rest_ends_s + MAX_LOOK_INTERVAL_S
-            progress.look_until_s = max(progress.look_until_s, look_until_s)
         return (
             now_s < progress.look_until_s
             and admitted.route.repeatable
@@ -360,6 +355,16 @@
             and not self.crashes.is_quarantined(admitted, progress)
         )
 
+    def extend_look(self, admitted: Admitted, progress: Progress) -> None:
+        """Let a dropped request look until a target ends a rest that it has stated.
+
+        It may have run, so it can't be refused, and fails without another target.
+        """
+        rest_ends_s = self.rest_ends_s(admitted, progress)
+        if rest_ends_s + MIN_SEND_S < admitted.deadline_s:
+            look_until_s = rest_ends_s + MAX_LOOK_INTERVAL_S
+            progress.look_until_s = max(progress.look_until_s, look_until_s)
+
     def rest_ends_s(self, admitted: Admitted, progress: Progress) -> float:
         """Return when the first target ends a rest that it has stated.
 
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -138,8 +138,10 @@
 
     def closed_targets(self, known: Iterable[str]) -> set[str]:
         """Return which of the known targets the request can't be sent to any more."""
-        closed = self.tried if self.has_targets_left else set(known)
-        return closed - set(self.rejected_until_s) if self.was_dropped else set(closed)
+        closed = set(self.tried if self.has_targets_left else known)
+        if self.was_dropped:
+            closed.difference_update(self.rejected_until_s)
+        return closed
 
     @property
     def is_last_send(self) -> bool:
