Begin the requests of the silent links in one place

Seven tests repeated the three lines that bring a request to a target which does not answer yet. What they assert is unchanged, and they pass.

--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -62,6 +62,14 @@
     return wrap
 
 
+async def begin(sidecar, entry, **options):
+    """Send a request; return its task once its target runs it without an answer."""
+    sidecar.may_answer.clear()
+    sending = asyncio.create_task(entry.send(**options))
+    await sidecar.started.wait()
+    return sending
+
+
 async def silence_noticed(entry, *sidecars):
     """Wait until both ends of the links have noticed the silence."""
     for sidecar in sidecars:
@@ -97,9 +105,7 @@
     async def test_only_target_answers_a_request_that_it_has_read(
         self, sidecars, relays, entry
     ):
-        sidecars[0].may_answer.clear()
-        sending = asyncio.create_task(entry.send(key=""))
-        await sidecars[0].started.wait()
+        sending = await begin(sidecars[0], entry, key="")
         relays[0].hold()
         await silence_noticed(entry, sidecars[0])
         sidecars[0].may_answer.set()
@@ -111,9 +117,7 @@
     async def test_keyed_request_runs_once_and_is_answered(
         self, sidecars, relays, entry
     ):
-        sidecars[0].may_answer.clear()
-        sending = asyncio.create_task(entry.send())
-        await sidecars[0].started.wait()
+        sending = await begin(sidecars[0], entry)
         relays[0].hold()
         await silence_noticed(entry, sidecars[0])
         sidecars[0].may_answer.set()
@@ -125,9 +129,7 @@
     async def test_new_request_is_served_over_the_next_link(
         self, sidecars, relays, entry
     ):
-        sidecars[0].may_answer.clear()
-        first = asyncio.create_task(entry.send(key=""))
-        await sidecars[0].started.wait()
+        first = await begin(sidecars[0], entry, key="")
         relays[0].hold()
         await silence_noticed(entry, sidecars[0])
         relays[0].heal()
@@ -145,9 +147,7 @@
     async def test_request_without_a_head_goes_to_another_target(
         self, sidecars, relays, entry
     ):
-        sidecars[0].may_answer.clear()
-        sending = asyncio.create_task(entry.send(key=""))
-        await sidecars[0].started.wait()
+        sending = await begin(sidecars[0], entry, key="")
         relays[0].hold()
         assert await sending == b"letter"
         assert len(sidecars[1].executed_keys) == 1
@@ -188,9 +188,7 @@
     async def test_only_target_is_sent_the_request_over_the_next_link(
         self, sidecars, relays, entry
     ):
-        sidecars[0].may_answer.clear()
-        sending = asyncio.create_task(entry.send(key=""))
-        await sidecars[0].started.wait()
+        sending = await begin(sidecars[0], entry, key="")
         relays[0].silence()
         sidecars[0].may_answer.set()
         assert await sending == b"letter"
@@ -210,9 +208,7 @@
     async def test_caller_who_leaves_ends_the_request_at_the_target(
         self, sidecars, relays, entry
     ):
-        sidecars[0].may_answer.clear()
-        sending = asyncio.create_task(entry.send(key="", seconds=600.0))
-        await sidecars[0].started.wait()
+        sending = await begin(sidecars[0], entry, key="", seconds=600.0)
         relays[0].silence()
         while entry.targets.link_to("t0") is None or not is_silent(entry):
             await asyncio.sleep(0.01)
@@ -234,9 +230,7 @@
     ):
         # Guards against a cancellation that was held up on the link of the first one.
         gate = sidecars[0].gate
-        sidecars[0].may_answer.clear()
-        sending = asyncio.create_task(entry.send(key="", request_id="r"))
-        await sidecars[0].started.wait()
+        sending = await begin(sidecars[0], entry, key="", request_id="r")
         gate.tasks["r"] = gate.tasks["r"]._replace(attempt=2)
         late = messages.Cancel("r", 1)
         await gate.receive_cancel(None, late, Frame(0, 0, late))
