Log the parts of prompts under which targets end

The line of a target that ended now has the keyed digests of the parts that other prompts may share, and the number of events that the target had sent. Ids of parts are read as numbers in hexadecimal; the last part belongs to the request itself. No decision changes.

--- a/src/wisteriapulley/direct/crashes.py
+++ b/src/wisteriapulley/direct/crashes.py
@@ -10,7 +10,11 @@
 from wisteriapulley.direct.registry import Target
 from wisteriapulley.logs import fields
 from wisteriapulley.policy.crash_suspects import CrashSuspects
-from wisteriapulley.policy.fingerprint import fingerprint
+from wisteriapulley.policy.fingerprint import (
+    PART_PREFIX,
+    fingerprint,
+    part_fingerprint,
+)
 from wisteriapulley.wire.messages import SuspectNews
 
 log = logging.getLogger(__name__)
@@ -64,6 +68,17 @@
             )
         return progress.fingerprint
 
+    def part_fingerprints(
+        self, admitted: Admitted, progress: Progress
+    ) -> tuple[bytes, ...]:
+        """Return the fingerprints of the parts that other prompts may share."""
+        if progress.part_fingerprints is None:
+            progress.part_fingerprints = tuple(
+                part_fingerprint(self.key, progress.service, part)
+                for part in admitted.request.prompt_parts
+            )
+        return progress.part_fingerprints
+
     def is_quarantined(self, admitted: Admitted, progress: Progress) -> bool:
         """Return whether a request may not be sent to any target.
 
@@ -76,23 +91,39 @@
     # -- local events -----------------------------------------------------
 
     async def check_for_crash(
-        self, admitted: Admitted, target: Target, progress: Progress
+        self,
+        admitted: Admitted,
+        target: Target,
+        progress: Progress,
+        events: int = 0,
     ) -> None:
         """Check whether a target crashed while it ran a request.
 
         A target that announced that it is leaving exits as planned. A check that takes
         longer than `CRASH_CHECK_WAIT_S` continues, and its result is still recorded.
+
+        Parameters
+        ----------
+        admitted : Admitted
+            The request.
+        target : Target
+            The target.
+        progress : Progress
+            Progress of the request.
+        events : int
+            Complete events that this target has sent in response.
         """
         if target.is_leaving:
             return
         loop = asyncio.get_running_loop()
-        task = loop.create_task(self.record_if_crashed(admitted, target, progress))
+        check = self.record_if_crashed(admitted, target, progress, events)
+        task = loop.create_task(check)
         self.checks.add(task)
         task.add_done_callback(self.checks.discard)
         await asyncio.wait({task}, timeout=CRASH_CHECK_WAIT_S)
 
     async def record_if_crashed(
-        self, admitted: Admitted, target: Target, progress: Progress
+        self, admitted: Admitted, target: Target, progress: Progress, events: int
     ) -> None:
         """Record a request if its target has crashed, and put the target aside."""
         if not await self.liveness.has_ended(target):
@@ -110,11 +141,20 @@
                 account=admitted.account_name,
                 route=admitted.route.name,
                 fingerprint=digest.hex(),
+                parts=self.part_names(admitted, progress),
+                events=events,
                 ended=len(record.ended),
                 quarantined=self.suspects.is_quarantined(digest),
             ),
         )
 
+    def part_names(self, admitted: Admitted, progress: Progress) -> list[str]:
+        """Return the fingerprints of a request's parts as they appear in logs."""
+        return [
+            digest.removeprefix(PART_PREFIX).hex()
+            for digest in self.part_fingerprints(admitted, progress)
+        ]
+
     def put_aside(self, target: Target) -> None:
         """Start the backoff of a target that refuses connections.
 
--- a/src/wisteriapulley/direct/exchange.py
+++ b/src/wisteriapulley/direct/exchange.py
@@ -97,10 +97,14 @@
     @property
     def work(self) -> ObservedWork:
         """What was observed of the target's work."""
-        events = self.events.event_count - self.events_before
         if self.broke_off or self.was_silent:
-            return NOTHING_OBSERVED._replace(events=events)
-        return ObservedWork(events, self.waited_s * 1000)
+            return NOTHING_OBSERVED._replace(events=self.events_received)
+        return ObservedWork(self.events_received, self.waited_s * 1000)
+
+    @property
+    def events_received(self) -> int:
+        """Number of complete events that the target has sent."""
+        return self.events.event_count - self.events_before
 
     def record_part(self, begin_s: float, now_s: float) -> None:
         """Record that the target sent something after a wait since `begin_s`."""
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -95,6 +95,8 @@
         Events that were relayed to the caller.
     fingerprint : bytes
         Identifies the request across attempts; empty until it is needed.
+    part_fingerprints : tuple of bytes or None
+        Identify the parts that other prompts may share; None until they are needed.
     """
 
     def __init__(self, request: CallerRequest, service: str = "", max_sends: int = 1):
@@ -109,6 +111,7 @@
         self.budget_spent = False
         self.events = EventSplitter(request.resume_after)
         self.fingerprint = b""
+        self.part_fingerprints: tuple[bytes, ...] | None = None
 
     @property
     def has_targets_left(self) -> bool:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -135,7 +135,7 @@
             progress.may_have_run = True
             self.log_no_response(admitted, exchange, error)
             self.record_no_response(exchange, progress, error)
-            await self.check_for_crash(admitted, target, progress, error)
+            await self.check_for_crash(admitted, exchange, progress, error)
             return Refusal(
                 RefusalKind.FAILED, reason=f"no response from target: {error!r}"
             )
@@ -162,7 +162,11 @@
             self.registry.record_outcome(exchange.target, True, now_s)
 
     async def check_for_crash(
-        self, admitted: Admitted, target: Target, progress: Progress, error: Exception
+        self,
+        admitted: Admitted,
+        exchange: Exchange,
+        progress: Progress,
+        error: Exception,
     ) -> None:
         """Check whether a target that broke off a response has crashed.
 
@@ -170,7 +174,9 @@
         the target, which may be exiting as planned.
         """
         if isinstance(error, BrokenAnswerError):
-            await self.crashes.check_for_crash(admitted, target, progress)
+            await self.crashes.check_for_crash(
+                admitted, exchange.target, progress, exchange.events_received
+            )
 
     def check_head(
         self,
@@ -257,7 +263,7 @@
             exchange.broke_off = True
             self.record_no_response(exchange, progress, error)
             self.log_broken_stream(admitted, exchange, error)
-            await self.check_for_crash(admitted, exchange.target, progress, error)
+            await self.check_for_crash(admitted, exchange, progress, error)
             reason = "stream broke off"
             return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
         if data:
--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -37,6 +37,9 @@
         Expected tokens in the response; 0 if the caller did not state it.
     resume_after : str
         Id of the last event that the caller has; empty for a complete stream.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share, each once: all
+        parts but the last.
     """
 
     request_id: str
@@ -52,6 +55,7 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     resume_after: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
 
 class Refusal(NamedTuple):
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -37,6 +37,8 @@
 # Larger numbers would not fit into a slot request to a sidecar.
 MAX_WAIT_MS = 86_400_000.0
 MAX_TOKENS = 2**32 - 1
+# Parts of a prompt that are read; prompts of users have some thirty.
+MAX_PROMPT_PARTS = 64
 STATUS_BY_REFUSAL = {
     RefusalKind.NO_ROUTE: 404,
     RefusalKind.BAD_KEY: 401,
@@ -310,6 +312,7 @@
         prompt_tokens,
         answer_tokens,
         headers.get(names.LAST_EVENT, ""),
+        parse_shared_parts(headers.get(names.PROMPT_PARTS, "")),
     )
 
 
@@ -367,6 +370,16 @@
     return checked_count(prompt), checked_count(answer)
 
 
+def parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last, in order, each once.
+
+    Ids are hexadecimal numbers, so case and leading zeros do not distinguish them.
+    """
+    parts = text.split(",", MAX_PROMPT_PARTS)[:-1]
+    ids = (part.partition(":")[0].strip().lower() for part in parts)
+    return tuple(dict.fromkeys(name.lstrip("0") or "0" for name in ids if name))
+
+
 def checked_count(count: int) -> int:
     """Return a number of tokens, or 0 if it is out of range."""
     return count if 0 < count <= MAX_TOKENS else 0
--- a/src/wisteriapulley/platform/names.py
+++ b/src/wisteriapulley/platform/names.py
@@ -12,6 +12,8 @@
 TOKEN_COUNTS = "X-Token-Counts"
 # The caller's estimate of the answer tokens: right in the median, often far off.
 LENGTH_HINT = "X-Length-Hint"
+# Parts of the prompt in order, as comma-separated pairs of id and token count.
+PROMPT_PARTS = "X-Prompt-Prefix"
 LAST_EVENT = "Last-Event-Id"
 NOT_RUN = "X-Not-Executed"
 # Running requests, waiting requests, slots and, from some targets, the time that work
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -46,10 +46,10 @@
 BODY = b"body of a caller"
 
 
-def admitted(body=BODY, number=1):
+def admitted(body=BODY, number=1, parts=()):
     request = CallerRequest(
         f"id-{number}", "POST", "/x", "h", "/x", (), body, "key-1", 0.0, 5.0
-    )
+    )._replace(prompt_parts=parts)
     return Admitted(request, ROUTE, Account("a", ("key-1",)), 5.0)
 
 
@@ -79,11 +79,30 @@
         assert (first.target, second.target) == ("i-1", "i-2")
         assert first.fingerprint == second.fingerprint
 
-    def test_logs_neither_key_nor_body(self, caplog):
+    def test_logs_show_which_parts_two_prompts_share(self, caplog):
+        async def run():
+            crashes = crash_tracker(crashed=True)
+            await broke_off(crashes, admitted(b"1", parts=("5c1e", "91bd")), target(1))
+            await broke_off(crashes, admitted(b"2", parts=("5c1f", "91bd")), target(2))
+
+        asyncio.run(run())
+        first, second = lines(caplog)
+        assert first.parts[0] != second.parts[0]
+        assert first.parts[1] == second.parts[1]
+
+    @pytest.mark.parametrize(("sent", "count"), [(b"", 0), (events(1, 2), 2)])
+    def test_logs_show_whether_the_response_had_begun(self, caplog, sent, count):
+        serve(FakeAnswer([sent], breaks=True), crashed=True, targets=1)
+        (line,) = lines(caplog)
+        assert line.events == count
+
+    def test_logs_neither_key_nor_body_nor_part(self, caplog):
         caplog.set_level(logging.DEBUG)
-        asyncio.run(broke_off(crash_tracker(crashed=True), admitted(), target()))
+        request = admitted(parts=("part-1",))
+        asyncio.run(broke_off(crash_tracker(crashed=True), request, target()))
         text = str([record.__dict__ for record in caplog.records])
         assert "key-1" not in text and BODY.decode() not in text
+        assert "part-1" not in text
         assert BODY.hex() not in text
 
     def test_lost_connection_is_no_crash(self, caplog):
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -9,11 +9,13 @@
 from wisteriapulley.platform import ingress as ingress_module
 from wisteriapulley.platform.ingress import (
     DEFAULT_MAX_WAIT_MS,
+    MAX_PROMPT_PARTS,
     MAX_TOKENS,
     MAX_WAIT_MS,
     Ingress,
     parse_count,
     parse_max_wait_ms,
+    parse_shared_parts,
     parse_token_counts,
 )
 from wisteriapulley.settings import Address
@@ -214,3 +216,29 @@
             wait_ms=int(MAX_WAIT_MS),
         )
         codec.encode(Frame(1, 0, reservation))
+
+
+class TestSharedParts:
+    """Parts of a prompt that other prompts may share, as their callers state them."""
+
+    @pytest.mark.parametrize(
+        ("text", "parts"),
+        [
+            ("5c1e:800,91bd:410,e440:250", ("5c1e", "91bd")),
+            # The last part belongs to the request itself.
+            ("5c1e:800", ()),
+            ("", ()),
+            # Ids are numbers in hexadecimal.
+            ("5C1E:800,0091bd:410,000:1,1:1", ("5c1e", "91bd", "0")),
+            ("5c1e:800,5C1E:3,5c1e:250", ("5c1e",)),
+            (" 5c1e : 800, ,91bd:410,1:1", ("5c1e", "91bd")),
+            (":5,,:,1:1", ()),
+            ("no number,5c1e:x:y,1", ("no number", "5c1e")),
+        ],
+    )
+    def test_are_read_once_each(self, text, parts):
+        assert parse_shared_parts(text) == parts
+
+    def test_are_limited(self):
+        text = ",".join(f"{number:x}:1" for number in range(1, 16_000))
+        assert len(parse_shared_parts(text)) == MAX_PROMPT_PARTS
