--- a/tests/plain_fleet.py
+++ b/tests/plain_fleet.py
@@ -31,8 +31,9 @@
 class Fleet:
     """A control instance and entries, each on a host of its own, and targets."""
 
-    def __init__(self, folder, targets):
+    def __init__(self, folder, targets, route=ROUTE):
         self.folder = folder
+        self.route = route
         self.control_host, *self.entry_hosts = free_hosts(1 + ENTRIES)
         self.base = free_port()
         self.targets = targets
@@ -51,7 +52,7 @@
         for number in range(ENTRIES):
             await self.start_entry(number)
         self.heartbeat_task = asyncio.create_task(self.heartbeat_loop())
-        table = configuration(1, Origin(), routes=[ROUTE], services=[self.service])
+        table = configuration(1, Origin(), routes=[self.route], services=[self.service])
         await self.until(lambda: self.post(names.REPLACE_CALL, table))
         for number in range(ENTRIES):
             await self.until(lambda number=number: self.serves(number))
@@ -127,14 +128,18 @@
         path = names.HEARTBEAT_CALL.format(target_id=target.target_id)
         await self.post(path, json.dumps(heartbeat).encode())
 
-    async def send(self, number, body, path="/p/x", key="key-1"):
-        """Send a request to an entry; return the status and the Retry-After header."""
+    async def send(self, number, body, path="/p/x", key="key-1", parts=""):
+        """Send a request to an entry; return the status and the Retry-After header.
+
+        `parts` are the parts of its prompt, as its caller states them.
+        """
         url = f"http://{self.entry_hosts[number]}:{self.base + 8}{path}"
         headers = {
             "Host": "plain.example",
             "X-Request-Attempt-Id": f"id-{number}-{body.decode()}",
             "X-Deadline-Ms": "5000",
             "Authorization": f"Bearer {key}",
+            "X-Prompt-Prefix": parts,
         }
         async with self.session.post(url, data=body, headers=headers) as answer:
             await answer.read()
