Quarantine parts of prompts that crash targets

Cause: a bound kept for an identity that callers can vary. A request is known by its host, path, account and body, so each of these prompts was a new one, with two sends of its own and two more of its caller's retry.

Entries now read which parts of a prompt others may share, and keep a record for each part under which a target ended, with the records of requests: they merge in the same way, pass through instances of earlier versions and stand in the same file. Group testing tells the culprit from parts that sound prompts share. It is in each prompt that ended a target, and in none that a target has begun to answer, so an event clears all parts of its prompt at all entries. Ends are ranked: one counts above the ends that were known where its prompt was sent, and targets that are lost together all give the first rank. With the third rank a part is quarantined, unless another part explains all of its ends. Of parts with the same ends only prompts with all of them are refused; one with some of them decides. From the second rank a prompt that broke off is not sent again.

--- a/src/wisteriapulley/control/suspect_feed.py
+++ b/src/wisteriapulley/control/suspect_feed.py
@@ -1,4 +1,7 @@
-"""Forwards crash suspects, the requests that ran when targets ended, to all entries."""
+"""Forwards crash suspects to all entries.
+
+These are the requests that ran when targets ended, and the parts of their prompts.
+"""
 
 from collections.abc import Callable, Iterable
 
@@ -6,13 +9,16 @@
 from wisteriapulley.control.followers import Followers
 from wisteriapulley.control.suspect_store import SuspectStore
 from wisteriapulley.policy.crash_suspects import CrashSuspects
+from wisteriapulley.policy.fingerprint import is_part
 from wisteriapulley.policy.token_bucket import TokenBucket
 from wisteriapulley.wire import Link, messages
 
 # Rate and burst at which one instance forwards suspects under which only one target
 # ended. If hundreds of targets end together, each of their thousands of requests is a
 # suspect, and each would be sent to each entry. A suspect under which more targets
-# ended is always forwarded.
+# ended is always forwarded. Parts have a limit of their own: most requests at a target
+# are neighbours of the one that crashed it, while most of their parts are known to be
+# harmless.
 NEW_SUSPECTS_PER_S = 100.0
 NEW_SUSPECTS_BURST = 300.0
 # Highest number of ended targets for which a suspect is rate-limited.
@@ -42,7 +48,8 @@
         self.send_to_peers = send_to_peers
         self.suspects = CrashSuspects()
         self.store: SuspectStore | None = None
-        self.new_suspects = TokenBucket(NEW_SUSPECTS_PER_S, NEW_SUSPECTS_BURST)
+        self.new_requests = TokenBucket(NEW_SUSPECTS_PER_S, NEW_SUSPECTS_BURST)
+        self.new_parts = TokenBucket(NEW_SUSPECTS_PER_S, NEW_SUSPECTS_BURST)
 
     def restore(self, store: SuspectStore) -> None:
         """Load the quarantined requests from `store`, and save to it from now on."""
@@ -75,9 +82,8 @@
         record = self.suspects.records.get(digest)
         if record is None:
             return False
-        return len(record.ended) > MAX_RATE_LIMITED_ENDS or self.new_suspects.take(
-            steady_s()
-        )
+        bucket = self.new_parts if is_part(digest) else self.new_requests
+        return len(record.ended) > MAX_RATE_LIMITED_ENDS or bucket.take(steady_s())
 
     def save(self) -> None:
         """Save the quarantined requests."""
--- a/src/wisteriapulley/direct/crashes.py
+++ b/src/wisteriapulley/direct/crashes.py
@@ -1,20 +1,22 @@
-"""Detects requests that crash targets, and quarantines them."""
+"""Detects requests, and parts of prompts, that crash targets; quarantines them."""
 
 import asyncio
+import itertools
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from wisteriapulley.clocks import steady_s
+from wisteriapulley.direct.exchange import Exchange
 from wisteriapulley.direct.liveness import Liveness
+from wisteriapulley.direct.part_tracking import PartTracker
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.registry import Target
 from wisteriapulley.logs import fields
-from wisteriapulley.policy.crash_suspects import CrashSuspects
-from wisteriapulley.policy.fingerprint import (
-    PART_PREFIX,
-    fingerprint,
-    part_fingerprint,
+from wisteriapulley.policy.crash_suspects import (
+    MAX_SUSPECTS_PER_FRAME,
+    CrashSuspects,
 )
+from wisteriapulley.policy.fingerprint import fingerprint, is_part
 from wisteriapulley.wire.messages import SuspectNews
 
 log = logging.getLogger(__name__)
@@ -25,6 +27,8 @@
 # All requests at a crashed target break off at the same time, so their updates are
 # sent in one frame.
 UPDATE_BATCH_S = 0.01
+REQUEST_REASON = "request crashes targets"
+PART_REASON = "part of the prompt crashes targets"
 
 
 class CrashTracker:
@@ -42,7 +46,9 @@
     Attributes
     ----------
     suspects : CrashSuspects
-        Suspected requests of all entries, as far as received here.
+        Suspected requests and parts of all entries, as far as received here.
+    parts : PartTracker
+        Tracks the parts of prompts.
     checks : set of asyncio.Task
         Crash checks in progress.
     unpublished : set of bytes
@@ -56,6 +62,7 @@
         self.liveness = liveness
         self.publish = publish
         self.suspects = CrashSuspects()
+        self.parts = PartTracker(key, self.suspects, self.schedule_update)
         self.checks: set[asyncio.Task] = set()
         self.unpublished: set[bytes] = set()
 
@@ -68,35 +75,28 @@
             )
         return progress.fingerprint
 
-    def part_fingerprints(
-        self, admitted: Admitted, progress: Progress
-    ) -> tuple[bytes, ...]:
-        """Return the fingerprints of the parts that other prompts may share."""
-        if progress.part_fingerprints is None:
-            progress.part_fingerprints = tuple(
-                part_fingerprint(self.key, progress.service, part)
-                for part in admitted.request.prompt_parts
-            )
-        return progress.part_fingerprints
-
-    def is_quarantined(self, admitted: Admitted, progress: Progress) -> bool:
-        """Return whether a request may not be sent to any target.
+    def quarantine_reason(self, admitted: Admitted, progress: Progress) -> str:
+        """Return why a request may not be sent to any target; empty if it may.
 
         Without suspects no fingerprint is computed, so long bodies cost nothing.
         """
         if not self.suspects.records:
-            return False
-        return self.suspects.is_quarantined(self.fingerprint(admitted, progress))
+            return ""
+        if self.parts.is_quarantined(progress):
+            return PART_REASON
+        if self.suspects.is_quarantined(self.fingerprint(admitted, progress)):
+            return REQUEST_REASON
+        return ""
+
+    def count_quarantined(self) -> tuple[int, int]:
+        """Return the numbers of quarantined requests and of parts of prompts."""
+        quarantined = self.suspects.quarantined()
+        parts = sum(map(is_part, quarantined))
+        return len(quarantined) - parts, parts
 
     # -- local events -----------------------------------------------------
 
-    async def check_for_crash(
-        self,
-        admitted: Admitted,
-        target: Target,
-        progress: Progress,
-        events: int = 0,
-    ) -> None:
+    async def check_for_crash(self, admitted: Admitted, exchange: Exchange) -> None:
         """Check whether a target crashed while it ran a request.
 
         A target that announced that it is leaving exits as planned. A check that takes
@@ -106,32 +106,30 @@
         ----------
         admitted : Admitted
             The request.
-        target : Target
-            The target.
-        progress : Progress
-            Progress of the request.
-        events : int
-            Complete events that this target has sent in response.
+        exchange : Exchange
+            Its exchange with the target, which broke off.
         """
-        if target.is_leaving:
+        if exchange.target.is_leaving:
             return
         loop = asyncio.get_running_loop()
-        check = self.record_if_crashed(admitted, target, progress, events)
-        task = loop.create_task(check)
+        task = loop.create_task(self.record_if_crashed(admitted, exchange))
         self.checks.add(task)
         task.add_done_callback(self.checks.discard)
         await asyncio.wait({task}, timeout=CRASH_CHECK_WAIT_S)
 
-    async def record_if_crashed(
-        self, admitted: Admitted, target: Target, progress: Progress, events: int
-    ) -> None:
+    async def record_if_crashed(self, admitted: Admitted, exchange: Exchange) -> None:
         """Record a request if its target has crashed, and put the target aside."""
+        target, progress = exchange.target, exchange.progress
         if not await self.liveness.has_ended(target):
             return
         self.put_aside(target)
         digest = self.fingerprint(admitted, progress)
         record = self.suspects.record_crash(digest, target.incarnation, steady_s())
         self.schedule_update(digest)
+        if not exchange.events.event_count:
+            self.parts.record_crash(
+                progress, target.incarnation, exchange.known_suspects
+            )
         log.warning(
             "target ended under request",
             extra=fields(
@@ -141,20 +139,13 @@
                 account=admitted.account_name,
                 route=admitted.route.name,
                 fingerprint=digest.hex(),
-                parts=self.part_names(admitted, progress),
-                events=events,
+                parts=self.parts.names(progress),
+                events=exchange.events_received,
                 ended=len(record.ended),
                 quarantined=self.suspects.is_quarantined(digest),
             ),
         )
 
-    def part_names(self, admitted: Admitted, progress: Progress) -> list[str]:
-        """Return the fingerprints of a request's parts as they appear in logs."""
-        return [
-            digest.removeprefix(PART_PREFIX).hex()
-            for digest in self.part_fingerprints(admitted, progress)
-        ]
-
     def put_aside(self, target: Target) -> None:
         """Start the backoff of a target that refuses connections.
 
@@ -166,6 +157,7 @@
 
     def record_answered(self, admitted: Admitted, progress: Progress) -> None:
         """Clear a request that a target completed."""
+        self.parts.record_begun(progress)
         if not self.suspects.records:
             return
         digest = self.fingerprint(admitted, progress)
@@ -183,7 +175,8 @@
     def publish_pending(self) -> None:
         """Publish all pending changes."""
         changed, self.unpublished = self.unpublished, set()
-        self.publish(self.make_update(changed))
+        for digests in batched(changed, MAX_SUSPECTS_PER_FRAME):
+            self.publish(self.make_update(digests))
 
     def full_update(self) -> SuspectNews:
         """Return the update for a control instance that is followed from now on."""
@@ -195,8 +188,12 @@
 
     def apply_update(self, update: SuspectNews) -> None:
         """Apply an update received from a control instance."""
-        for digest in self.suspects.merge_updates(update.suspects, steady_s()):
-            if self.suspects.is_quarantined(digest):
+        changed = self.suspects.merge_updates(update.suspects, steady_s())
+        self.parts.clear_begun(changed)
+        for digest in changed:
+            if is_part(digest):
+                self.parts.log_if_quarantined(digest)
+            elif self.suspects.is_quarantined(digest):
                 log.warning(
                     "request quarantined", extra=fields(fingerprint=digest.hex())
                 )
@@ -204,3 +201,11 @@
     def sweep(self) -> None:
         """Remove expired records."""
         self.suspects.remove_expired(steady_s())
+        self.parts.begun.remove_expired(asyncio.get_running_loop().time())
+
+
+def batched(digests: Iterable[bytes], size: int) -> Iterator[tuple[bytes, ...]]:
+    """Yield groups of at most `size` fingerprints."""
+    rest = iter(digests)
+    while batch := tuple(itertools.islice(rest, size)):
+        yield batch
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -55,8 +55,10 @@
     RefusalKind.FAILED: ResultCode.MAY_HAVE_RUN,
     RefusalKind.TIMED_OUT: ResultCode.DEADLINE_EXCEEDED,
 }
-QUARANTINED_REFUSAL = Refusal(RefusalKind.QUARANTINED, reason="request crashes targets")
 NO_SEND_LEFT = Refusal(RefusalKind.FAILED, reason="no attempt left")
+SUSPECTED = Refusal(
+    RefusalKind.FAILED, reason="part of the prompt may crash another target"
+)
 # Refusals after which an immediate retry would be refused again.
 SPREAD_RETRY_KINDS = frozenset({RefusalKind.OVERLOADED, RefusalKind.NOT_READY})
 # Refusals for want of a target or of a slot.
@@ -352,7 +354,7 @@
             now_s < progress.look_until_s
             and admitted.route.repeatable
             and self.retry_budget(progress.service).has_budget(now_s)
-            and not self.crashes.is_quarantined(admitted, progress)
+            and not self.crashes.quarantine_reason(admitted, progress)
         )
 
     def extend_look(self, admitted: Admitted, progress: Progress) -> None:
@@ -402,8 +404,9 @@
         """
         if not progress.has_sends_left:
             return refusal or NO_SEND_LEFT
-        if self.crashes.is_quarantined(admitted, progress):
-            return QUARANTINED_REFUSAL
+        quarantined = self.refuse_quarantined(admitted, progress)
+        if quarantined is not None:
+            return quarantined
         budget = self.retry_budget(progress.service)
         if progress.open_exchanges and not budget.has_budget(self.now_s()):
             # Each look would take a slot, and a request of the target's rate, in vain.
@@ -412,10 +415,11 @@
         slot = await self.allocate_slot(admitted, progress)
         if isinstance(slot, Refusal):
             return merge_refusals(refusal, slot)
-        if self.crashes.is_quarantined(admitted, progress):
+        quarantined = self.refuse_quarantined(admitted, progress)
+        if quarantined is not None:
             # Updates of other entries may have arrived during the slot allocation.
             slot.release()
-            return QUARANTINED_REFUSAL
+            return quarantined
         if progress.sends and not budget.spend(self.now_s()):
             slot.release()
             self.log_no_budget(admitted, progress, budget)
@@ -424,6 +428,17 @@
         self.log_placed(admitted, slot, progress)
         return self.sender.open(slot, progress)
 
+    def refuse_quarantined(
+        self, admitted: Admitted, progress: Progress
+    ) -> Refusal | None:
+        """Return why a request may not be sent, since it may crash the target."""
+        reason = self.crashes.quarantine_reason(admitted, progress)
+        if reason:
+            return Refusal(RefusalKind.QUARANTINED, reason=reason)
+        if progress.may_have_run and self.crashes.parts.may_crash_another(progress):
+            return SUSPECTED
+        return None
+
     def log_placed(
         self, admitted: Admitted, slot: AllocatedSlot, progress: Progress
     ) -> None:
--- a/src/wisteriapulley/direct/exchange.py
+++ b/src/wisteriapulley/direct/exchange.py
@@ -9,6 +9,7 @@
 from wisteriapulley.direct.slot_allocation import AllocatedSlot
 from wisteriapulley.direct.types import Refusal, TargetAnswer
 from wisteriapulley.policy.circuit_breaker import SendOutcome
+from wisteriapulley.policy.part_suspects import SuspectRecord
 from wisteriapulley.policy.slot_requests import NOTHING_OBSERVED, ObservedWork
 
 
@@ -69,6 +70,8 @@
         Whether the response broke off, or the target was left for another one.
     closed : bool
         Whether the slot was released.
+    known_suspects : dict of bytes to SuspectRecord
+        What was known of the parts of the prompt when it was sent.
     """
 
     def __init__(self, slot: AllocatedSlot, progress: Progress, now_s: float):
@@ -88,6 +91,7 @@
         self.was_silent = False
         self.broke_off = False
         self.closed = False
+        self.known_suspects: dict[bytes, SuspectRecord] = {}
 
     @property
     def target(self) -> Target:
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -76,6 +76,8 @@
 
     Attributes
     ----------
+    prompt_parts : tuple of str
+        Parts of its prompt that other prompts may share.
     sends : int
         Targets that it was sent to so far.
     may_have_run : bool
@@ -101,6 +103,7 @@
 
     def __init__(self, request: CallerRequest, service: str = "", max_sends: int = 1):
         self.service = service
+        self.prompt_parts = request.prompt_parts
         self.max_sends = max(1, max_sends)
         self.sends = 0
         self.may_have_run = False
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -82,7 +82,9 @@
     def open(self, slot: AllocatedSlot, progress: Progress) -> Exchange:
         """Return the exchange with one target, which has received nothing yet."""
         progress.tried.add(slot.target.target_id)
-        return Exchange(slot, progress, self.now_s())
+        exchange = Exchange(slot, progress, self.now_s())
+        exchange.known_suspects = self.crashes.parts.known_suspects(progress)
+        return exchange
 
     async def next_arrival(
         self,
@@ -135,7 +137,7 @@
             progress.may_have_run = True
             self.log_no_response(admitted, exchange, error)
             self.record_no_response(exchange, progress, error)
-            await self.check_for_crash(admitted, exchange, progress, error)
+            await self.check_for_crash(admitted, exchange, error)
             return Refusal(
                 RefusalKind.FAILED, reason=f"no response from target: {error!r}"
             )
@@ -162,11 +164,7 @@
             self.registry.record_outcome(exchange.target, True, now_s)
 
     async def check_for_crash(
-        self,
-        admitted: Admitted,
-        exchange: Exchange,
-        progress: Progress,
-        error: Exception,
+        self, admitted: Admitted, exchange: Exchange, error: Exception
     ) -> None:
         """Check whether a target that broke off a response has crashed.
 
@@ -174,9 +172,7 @@
         the target, which may be exiting as planned.
         """
         if isinstance(error, BrokenAnswerError):
-            await self.crashes.check_for_crash(
-                admitted, exchange.target, progress, exchange.events_received
-            )
+            await self.crashes.check_for_crash(admitted, exchange)
 
     def check_head(
         self,
@@ -244,7 +240,7 @@
         except BrokenAnswerError as error:
             target = exchange.target
             self.registry.record_outcome(target, True, self.now_s())
-            await self.crashes.check_for_crash(admitted, target, progress)
+            await self.crashes.check_for_crash(admitted, exchange)
             reason = f"response broke off: {error}"
             return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
         return Arrival(b"".join(parts), ended=True)
@@ -256,17 +252,19 @@
 
         If it breaks off, another target can resume it after the last complete event.
         """
-        events = exchange.events
+        events, events_before = exchange.events, exchange.events_received
         try:
             data = await self.read_events(exchange)
         except (BrokenAnswerError, TimeoutError) as error:
             exchange.broke_off = True
             self.record_no_response(exchange, progress, error)
             self.log_broken_stream(admitted, exchange, error)
-            await self.check_for_crash(admitted, exchange, progress, error)
+            await self.check_for_crash(admitted, exchange, error)
             reason = "stream broke off"
             return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
         if data:
+            if not events_before:
+                self.crashes.parts.record_begun(progress)
             return Arrival(data)
         if events.partial:
             reason = "stream ended within an event"
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -76,6 +76,10 @@
         self.quarantined = self.metrics.gauge(
             "requests_quarantined", "Requests that are sent to no target any more."
         )
+        self.parts_quarantined = self.metrics.gauge(
+            "prompt_parts_quarantined",
+            "Parts whose prompts are sent to no target any more.",
+        )
         self.targets_evacuated = self.metrics.gauge(
             "targets_evacuated", "Targets in evacuated failure domains, by domain."
         )
@@ -182,7 +186,9 @@
             self.allocator.rate_permits.sweep(loop.time())
             cold = self.allocator.cold_services
             self.cold.set({}, cold.check(self.registry.targets.values(), loop.time()))
-            self.quarantined.set({}, len(self.crashes.suspects.quarantined()))
+            requests, parts = self.crashes.count_quarantined()
+            self.quarantined.set({}, requests)
+            self.parts_quarantined.set({}, parts)
             self.count_evacuated()
             for priority, count in self.allocator.levels.refused.items():
                 self.refused_below_level.set({"priority": str(priority)}, count)
--- a/src/wisteriapulley/errors.py
+++ b/src/wisteriapulley/errors.py
@@ -282,8 +282,10 @@
         True,
     ),
     ResultCode.QUARANTINED: CodeEntry(
-        "Targets crashed each time they ran this request, so it is no longer sent.",
-        "Change the request; its fingerprint is in the logs of the entries.",
+        "Targets crashed each time they ran this request, or prompts that share a part"
+        " with it, so it is no longer sent.",
+        "Change the request, or that part of its prompt; their fingerprints are in the"
+        " logs of the entries.",
         503,
         True,
     ),
--- a/src/wisteriapulley/policy/crash_suspects.py
+++ b/src/wisteriapulley/policy/crash_suspects.py
@@ -1,4 +1,6 @@
-"""Requests that are suspected of crashing targets, tracked across the fleet. Pure.
+"""Requests, and parts of prompts, that may crash targets, tracked across the fleet.
+
+Pure.
 
 One request may crash each target that begins to run it, while its caller sends it
 again and again, through any entry. Each send then costs a target and interrupts all
@@ -9,12 +11,16 @@
 them are innocent, and are cleared by the first complete answer that any entry
 delivers. A request that goes on ending targets is quarantined: no entry sends it any
 more. Records of all entries merge to the same result whatever their order and number.
+
+The same holds for parts that many prompts share; see `policy.part_suspects`.
 """
 
 import heapq
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
 
+from wisteriapulley.policy import part_suspects
+from wisteriapulley.policy.fingerprint import is_part
+from wisteriapulley.policy.part_suspects import SuspectRecord
 from wisteriapulley.wire.messages import Suspect
 
 # Targets that a request may end before it is quarantined. With fewer, requests that
@@ -23,35 +29,19 @@
 # A request may only have run beside the culprit if each target that ended under it also
 # ended under one other request. It is quarantined only after this many targets.
 MAX_ENDED = 4
+# Ends that the record of a part holds at most: those of the highest ranks.
+MAX_PART_ENDS = 16
 # A suspect that ends no more targets is forgotten after this time, and so is a
 # quarantine: the fault that the request triggered may have been fixed since.
 RETENTION_S = 86_400.0
 # Maximum number of records; each takes half a kilobyte.
 MAX_SUSPECTS = 1024
-# Maximum number of suspects sent on a new link: keeps the frame below 60 kB.
-MAX_INITIAL_SUSPECTS = 256
-
-
-class SuspectRecord(NamedTuple):
-    """Crash record of one request.
-
-    Attributes
-    ----------
-    cleared : int
-        How often a complete answer cleared the request after targets had ended.
-    ended : tuple of str
-        Incarnations of targets that ended under it since then, sorted.
-    at_s : float
-        When the last of them ended, on a clock that counts suspensions.
-    """
-
-    cleared: int
-    ended: tuple[str, ...]
-    at_s: float
+# Maximum number of suspects in a frame, also on a new link: some 60 kB.
+MAX_SUSPECTS_PER_FRAME = 256
 
 
 class CrashSuspects:
-    """Crash records by request digest.
+    """Crash records by fingerprint of the request, or of the part of prompts.
 
     Parameters
     ----------
@@ -69,7 +59,9 @@
         self.records: dict[bytes, SuspectRecord] = {}
 
     def is_quarantined(self, digest: bytes) -> bool:
-        """Return whether a request may not be sent any more."""
+        """Return whether a request may not be sent any more, or a part is to blame."""
+        if is_part(digest):
+            return part_suspects.is_suspected(self.records, digest)
         record = self.records.get(digest)
         if record is None or len(record.ended) < MIN_ENDED_ALONE:
             return False
@@ -87,7 +79,7 @@
         )
 
     def quarantined(self) -> list[bytes]:
-        """Return the digests of the requests that may not be sent any more."""
+        """Return the digests of what is quarantined."""
         return [digest for digest in self.records if self.is_quarantined(digest)]
 
     def record_crash(
@@ -116,8 +108,37 @@
         self.merge(digest, record)
         return self.records.get(digest, record)
 
+    def record_part_crash(
+        self,
+        digest: bytes,
+        incarnation: str,
+        known: SuspectRecord | None,
+        now_s: float,
+    ) -> SuspectRecord:
+        """Record that a target ended that had not begun to answer a prompt with a part.
+
+        Parameters
+        ----------
+        digest : bytes
+            Fingerprint of the part.
+        incarnation : str
+            Identity of the target's process start.
+        known : SuspectRecord or None
+            The part's record when the prompt was sent to the target.
+        now_s : float
+            Current time.
+
+        Returns
+        -------
+        SuspectRecord
+            The part's record, even if there is no room to keep it.
+        """
+        rank = part_suspects.next_rank(known, self.records.get(digest))
+        end = part_suspects.ranked_end(rank, incarnation)
+        return self.record_crash(digest, end, now_s)
+
     def record_answer(self, digest: bytes, now_s: float) -> bool:
-        """Clear a completely answered request; return whether its record changed."""
+        """Clear what a target has answered; return whether its record changed."""
         current = self.records.get(digest)
         if current is None or not current.ended:
             return False
@@ -135,7 +156,7 @@
         elif record.cleared != current.cleared:
             merged = max(record, current, key=lambda r: r.cleared)
         else:
-            ended = truncate_incarnations((*current.ended, *record.ended))
+            ended = truncate_ends(digest, (*current.ended, *record.ended))
             merged = SuspectRecord(
                 current.cleared, ended, max(current.at_s, record.at_s)
             )
@@ -162,7 +183,7 @@
     def top_suspects(self) -> list[bytes]:
         """Return the suspects to send on a new link, most ended targets first."""
         suspects = (digest for digest, r in self.records.items() if r.ended)
-        return heapq.nlargest(MAX_INITIAL_SUSPECTS, suspects, key=self.retention_rank)
+        return heapq.nlargest(MAX_SUSPECTS_PER_FRAME, suspects, key=self.retention_rank)
 
     def merge_updates(self, suspects: Iterable[Suspect], now_s: float) -> list[bytes]:
         """Merge suspects of another instance; return the digests that changed."""
@@ -183,11 +204,11 @@
 
 def decode_record(suspect: Suspect, now_s: float) -> SuspectRecord:
     """Return the record of a suspect message."""
-    return SuspectRecord(
-        suspect.cleared, truncate_incarnations(suspect.ended), now_s - suspect.age_s
-    )
+    ended = truncate_ends(suspect.digest, suspect.ended)
+    return SuspectRecord(suspect.cleared, ended, now_s - suspect.age_s)
 
 
-def truncate_incarnations(incarnations: Iterable[str]) -> tuple[str, ...]:
-    """Return the incarnations that count, the same ones on all instances."""
-    return tuple(sorted(set(incarnations))[:MAX_ENDED])
+def truncate_ends(digest: bytes, ends: Iterable[str]) -> tuple[str, ...]:
+    """Return the ends that count, the same ones on all instances."""
+    max_ends = MAX_PART_ENDS if is_part(digest) else MAX_ENDED
+    return tuple(sorted(set(ends))[:max_ends])
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -7,7 +7,7 @@
 import pytest
 
 from wisteriapulley.policy.crash_suspects import (
-    MAX_INITIAL_SUSPECTS,
+    MAX_SUSPECTS_PER_FRAME,
     MIN_ENDED_ALONE,
     CrashSuspects,
     SuspectRecord,
@@ -103,12 +103,12 @@
 
     def test_top_suspects_are_sent_on_a_new_link(self):
         suspects = crashed("a", "b", "c")
-        for number in range(2 * MAX_INITIAL_SUSPECTS):
+        for number in range(2 * MAX_SUSPECTS_PER_FRAME):
             suspects.record_crash(number.to_bytes(16, "little"), "z", 5.0)
         suspects.record_crash(OTHER, "z", 6.0)
         suspects.record_answer(OTHER, 7.0)
         sent = suspects.top_suspects()
-        assert len(sent) == MAX_INITIAL_SUSPECTS
+        assert len(sent) == MAX_SUSPECTS_PER_FRAME
         assert sent[0] == ONE and OTHER not in sent
 
     def test_least_important_suspect_is_evicted(self):
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -19,6 +19,7 @@
 from tests.test_silent_targets import NEVER_S, SILENT_S, PacedAnswer, PacedClient
 from wisteriapulley.direct.crashes import UPDATE_BATCH_S, CrashTracker
 from wisteriapulley.direct.dispatch import Dispatcher
+from wisteriapulley.direct.exchange import Exchange
 from wisteriapulley.direct.liveness import CONNECT_TIMEOUT_S, Liveness
 from wisteriapulley.direct.progress import Admitted, Progress
 from wisteriapulley.direct.registry import INITIAL_BACKOFF_S, Target, TargetRegistry
@@ -54,7 +55,10 @@
 
 
 def broke_off(crashes, request, at):
-    return crashes.check_for_crash(request, at, Progress(request.request))
+    exchange = Exchange(
+        AllocatedSlot(at, 1, lambda *_: None), Progress(request.request, "s"), 0.0
+    )
+    return crashes.check_for_crash(request, exchange)
 
 
 def target(number=1, **more):
--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -45,11 +45,21 @@
             return 0
 
     async def send_sound(self):
-        return (await self.send_prompt(FIRST, THIRD))[0]
+        """Return the status, 0 if the response breaks off."""
+        try:
+            return (await self.send_prompt(FIRST, THIRD))[0]
+        except aiohttp.ClientError:
+            return 0
+
+    async def serves_sound(self):
+        return await self.send_sound() == 200
 
     def crashes(self):
         return sum(target.incarnation_number for target in self.targets)
 
+    def runs(self):
+        return sum(len(target.runs) for target in self.targets)
+
     async def send_repeatedly(self, times):
         """Send crashing prompts, with sound ones between them.
 
@@ -59,9 +69,30 @@
             await self.send_crashing()
             await self.send_sound()
             await asyncio.sleep(PAUSE_S)
-            for target in self.targets:
-                if not target.is_up:
-                    await target.restart()
+            await self.restart_targets()
+
+    async def restart_targets(self):
+        for target in self.targets:
+            if not target.is_up:
+                await target.restart()
+
+    async def send_at_once(self, callers, seconds):
+        """Send crashing prompts from several callers, while crashed targets restart."""
+        end_s = asyncio.get_running_loop().time() + seconds
+
+        async def send_repeatedly():
+            while asyncio.get_running_loop().time() < end_s:
+                await self.send_crashing()
+                await asyncio.sleep(PAUSE_S)
+
+        async def restart_repeatedly():
+            while asyncio.get_running_loop().time() < end_s:
+                await asyncio.sleep(2 * PAUSE_S)
+                await self.restart_targets()
+
+        await asyncio.gather(
+            restart_repeatedly(), *(send_repeatedly() for _ in range(callers))
+        )
 
 
 def play(tmp_path, scenario):
@@ -78,6 +109,85 @@
 
         play(tmp_path, scenario)
 
+    def test_is_refused_immediately_as_not_run(self, tmp_path):
+        async def scenario(fleet):
+            await fleet.send_repeatedly(2 * ENTRIES)
+            runs = fleet.runs()
+            for _ in range(ENTRIES):
+                # A retry does not help, so the response has no Retry-After.
+                prompt = fleet.send_prompt(FIRST, CRASHING, THIRD)
+                assert await prompt == (503, None)
+            assert fleet.runs() == runs
+
+        play(tmp_path, scenario)
+
+    def test_prompts_without_it_are_served(self, tmp_path):
+        """They share their caller and all their other parts with the crashing ones."""
+
+        async def scenario(fleet):
+            await fleet.send_repeatedly(2 * ENTRIES)
+            for _ in range(ENTRIES):
+                assert await fleet.send_sound() == 200
+
+        play(tmp_path, scenario)
+
+    def test_prompts_at_the_same_time_crash_no_more_targets(self, tmp_path):
+        """Later than this after the fifth crash, three may still be sent."""
+
+        async def scenario(fleet):
+            window_s = 3.0
+            sends = asyncio.create_task(fleet.send_at_once(4, seconds=8.0))
+            while fleet.crashes() < MAX_CRASHED and not sends.done():
+                await asyncio.sleep(0.02)
+            if not sends.done():
+                await asyncio.sleep(window_s)
+            crashes = fleet.crashes()
+            await sends
+            assert fleet.crashes() <= crashes + MAX_LATER_SENDS
+            assert await fleet.send_sound() == 200
+
+        play(tmp_path, scenario)
+
+    def test_many_targets_that_end_for_other_reasons_quarantine_nothing(self, tmp_path):
+        """All are lost at once, and some one after the other, with prompts waiting."""
+
+        async def scenario(fleet):
+            for target in fleet.targets:
+                target.service_time_s = 0.3
+            for lost in (fleet.targets, fleet.targets[:3], fleet.targets[3:6]):
+                sends = [
+                    asyncio.create_task(fleet.send_sound()) for _ in range(TARGETS)
+                ]
+                await asyncio.sleep(0.1)
+                for target in lost:
+                    await target.crash()
+                await asyncio.gather(*sends)
+                for target in lost:
+                    await target.restart()
+            for _ in range(ENTRIES):
+                await fleet.until(fleet.serves_sound)
+            for entry in fleet.entries.values():
+                assert not entry.crashes.suspects.quarantined()
+
+        play(tmp_path, scenario)
+
+
+class TestQuarantineIsKept:
+    def test_over_a_restart_of_all_instances(self, tmp_path):
+        async def scenario(fleet):
+            await fleet.send_repeatedly(2 * ENTRIES)
+            await fleet.stop_services()
+            await fleet.start_control()
+            for number in range(ENTRIES):
+                await fleet.start_entry(number)
+                await fleet.until(lambda number=number: fleet.serves(number))
+            runs = fleet.runs()
+            for _ in range(ENTRIES):
+                assert await fleet.send_crashing() == 503
+            assert fleet.runs() == runs
+
+        play(tmp_path, scenario)
+
 
 class TestUnframedResponse:
     """It ends with its connection, and so it does if its target crashes."""
--- a/tests/test_suspect_feed.py
+++ b/tests/test_suspect_feed.py
@@ -10,10 +10,12 @@
 from wisteriapulley.control.suspect_feed import NEW_SUSPECTS_BURST, SuspectFeed
 from wisteriapulley.control.suspect_store import FILE_NAME, SuspectStore
 from wisteriapulley.errors import ResultCode, StorageError
+from wisteriapulley.policy.fingerprint import PART_PREFIX
 from wisteriapulley.regions import Regions
 from wisteriapulley.wire.messages import Suspect, SuspectNews
 
 DIGEST = b"d" * 16
+PART = PART_PREFIX + DIGEST
 ENDED_ONE = SuspectNews((Suspect(DIGEST, 0, ("a",)),))
 QUARANTINED = SuspectNews((Suspect(DIGEST, 0, ("a", "b", "c")),))
 
@@ -68,6 +70,15 @@
         instance.feed.observe(QUARANTINED, from_entry=True)
         assert instance.entry.written[-1] == QUARANTINED
 
+    def test_many_requests_do_not_keep_parts_from_entries(self):
+        instance = Instance()
+        for number in range(4 * int(NEW_SUSPECTS_BURST)):
+            suspect = Suspect(number.to_bytes(16, "little"), 0, ("a",))
+            instance.feed.observe(SuspectNews((suspect,)), from_entry=True)
+        news = SuspectNews((Suspect(PART, 0, ("8/a",)),))
+        instance.feed.observe(news, from_entry=True)
+        assert instance.entry.written[-1] == news
+
 
 class TestSuspectStore:
     def saved(self, folder, files=None):
@@ -91,6 +102,19 @@
         assert feed.suspects.quarantined() == [DIGEST]
         assert len(feed.suspects.records) == 1
 
+    def test_quarantined_part_is_restored(self, tmp_path):
+        suspect = Suspect(PART, 0, ("6/c", "7/b", "8/a"))
+
+        async def run():
+            feed = Instance().feed
+            feed.restore(SuspectStore(tmp_path))
+            feed.observe(SuspectNews((suspect,)), from_entry=True)
+            while feed.store.write_task is not None:
+                await asyncio.sleep(0.001)
+
+        asyncio.run(run())
+        assert SuspectStore(tmp_path).load() == (suspect,)
+
     def test_missing_file_is_empty(self, tmp_path):
         assert SuspectStore(tmp_path).load() == ()
 
