Tell a response without framing that a crash cuts from a whole one

Callers got a broken response as a good one: an answer with neither a length nor chunks ends with its connection, and so it does if its target crashes. An empty stream reached its caller as a whole 200. Nothing showed the crash, and the empty answer even cleared the request of suspicion. A stream that ended within an event was sent on, but no crash was looked for, the target got no failed outcome and the log no line.

Cause: the end of a connection taken for the end of an answer. RFC 9112, section 8, says that a recipient can't tell the one from the other by the bytes.

An entry now asks the target's state, by the check that it makes after a broken stream: such a response counts as broken off if its target refuses connections and has not announced that it leaves. A framed response needs no check. A stream that ends within an event takes the way of every other broken stream.

--- a/src/wisteriapulley/direct/crashes.py
+++ b/src/wisteriapulley/direct/crashes.py
@@ -94,6 +94,15 @@
         parts = sum(map(is_part, quarantined))
         return len(quarantined) - parts, parts
 
+    async def may_have_cut(self, exchange: Exchange) -> bool:
+        """Return whether a crash may have ended a response that looks whole.
+
+        A target that announced that it is leaving ends its responses before it exits.
+        """
+        if not exchange.response.unframed or exchange.target.is_leaving:
+            return False
+        return await self.liveness.has_ended(exchange.target)
+
     # -- local events -----------------------------------------------------
 
     async def check_for_crash(self, admitted: Admitted, exchange: Exchange) -> None:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -237,9 +237,9 @@
             async for part in exchange.parts:
                 exchange.waiting_since_s = self.now_s()
                 parts.append(part)
+            await self.check_end(exchange)
         except BrokenAnswerError as error:
-            target = exchange.target
-            self.registry.record_outcome(target, True, self.now_s())
+            self.registry.record_outcome(exchange.target, True, self.now_s())
             await self.crashes.check_for_crash(admitted, exchange)
             reason = f"response broke off: {error}"
             return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
@@ -252,7 +252,7 @@
 
         If it breaks off, another target can resume it after the last complete event.
         """
-        events, events_before = exchange.events, exchange.events_received
+        events_before = exchange.events_received
         try:
             data = await self.read_events(exchange)
         except (BrokenAnswerError, TimeoutError) as error:
@@ -266,9 +266,6 @@
             if not events_before:
                 self.crashes.parts.record_begun(progress)
             return Arrival(data)
-        if events.partial:
-            reason = "stream ended within an event"
-            return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
         return Arrival(ended=True)
 
     async def read_events(self, exchange: Exchange) -> bytes:
@@ -286,12 +283,26 @@
             try:
                 part = await self.read_part(exchange)
             except StopAsyncIteration:
+                if exchange.events.partial:
+                    raise BrokenAnswerError("stream ended within an event") from None
+                await self.check_end(exchange)
                 return b""
             exchange.record_part(begin_s, self.now_s())
             data = exchange.events.feed(part)
             if data:
                 return data
 
+    async def check_end(self, exchange: Exchange) -> None:
+        """Check that a response that has ended is whole.
+
+        Raises
+        ------
+        BrokenAnswerError
+            It may have been cut.
+        """
+        if await self.crashes.may_have_cut(exchange):
+            raise BrokenAnswerError("target ended, and may have cut its response")
+
     async def read_part(self, exchange: Exchange) -> bytes:
         """Return the next part of a stream.
 
--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -145,6 +145,9 @@
         Headers to forward to the caller.
     length : int or None
         Bytes of the body, if the target states it.
+    unframed : bool
+        Whether the body has neither a length nor chunks, and ends with the connection.
+        A recipient can't tell a whole one from a cut one (RFC 9112, section 8).
     not_run : bool
         Whether the target states that it did not run the request.
     other_instance : bool
@@ -156,6 +159,7 @@
     status: int
     headers: Headers
     length: int | None
+    unframed: bool
     not_run: bool
     other_instance: bool
     signals: ResponseSignals
--- a/src/wisteriapulley/platform/target_client.py
+++ b/src/wisteriapulley/platform/target_client.py
@@ -56,6 +56,7 @@
         self.status = response.status
         self.headers = forwarded_headers(response)
         self.length = response.content_length
+        self.unframed = is_unframed(response)
         not_run = response.headers.get(names.NOT_RUN, "")
         self.other_instance = response.status == names.MISDIRECTED_STATUS
         self.not_run = bool(not_run) or self.other_instance
@@ -80,6 +81,14 @@
         self.response.close()
 
 
+def is_unframed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a body ends with its connection (RFC 9112, section 6.3)."""
+    if response.method == "HEAD" or response.status in names.BODILESS_STATUSES:
+        return False
+    encoding = response.headers.get("Transfer-Encoding", "")
+    return response.content_length is None and "chunked" not in encoding.lower()
+
+
 def request_headers(request: CallerRequest, plan: SendPlan) -> CIMultiDict:
     """Return the headers of a request to a target."""
     headers = CIMultiDict(request.headers)
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -1,6 +1,7 @@
 """Dispatch of requests to failing targets, from arrival to the final result."""
 
 import asyncio
+import logging
 
 import pytest
 
@@ -54,6 +55,7 @@
         self.chunks, self.breaks = parts, breaks
         self.not_run = options.get("not_run", False)
         self.other_instance = options.get("other_instance", False)
+        self.unframed = options.get("unframed", False)
         self.signals = options.get("signals", ResponseSignals())
         self.closed = False
 
@@ -324,6 +326,74 @@
         assert caller.body == events(1, 2) and caller.was_cut
 
 
+class TestUnframedResponse:
+    """It has neither a length nor chunks, and ends with its connection."""
+
+    def answer(self, *parts, **options):
+        return FakeAnswer(parts, unframed=True, **options)
+
+    @pytest.mark.parametrize("sent", [b"", events(1, 2), events(1, 2) + b"id: 3"])
+    def test_stream_that_ends_with_its_target_is_resumed(self, sent, caplog):
+        caplog.set_level(logging.INFO)
+        last = sent.count(b"data")
+        rest = FakeAnswer([events(last + 1, 4)])
+        refusal, caller, client = serve(self.answer(sent), rest, crashed=True)
+        assert refusal is None and caller.ended
+        assert caller.body == events(1, 4)
+        assert client.plans[1].resume_after == (str(last) if last else "")
+        messages = [record.message for record in caplog.records]
+        assert messages.count("stream broke off") == 1
+        assert messages.count("target ended under request") == 1
+
+    def test_stream_of_a_running_target_is_whole(self):
+        refusal, caller, client = serve(self.answer(events(1, 2)))
+        assert refusal is None and caller.ended
+        assert caller.body == events(1, 2) and len(client.plans) == 1
+
+    def test_stream_that_ends_within_an_event_is_resumed(self, caplog):
+        """Its target may be running."""
+        caplog.set_level(logging.INFO)
+        cut = self.answer(events(1, 2) + b"id: 3")
+        refusal, caller, client = serve(cut, FakeAnswer([events(3, 4)]))
+        assert caller.body == events(1, 4) and caller.ended
+        (line,) = [r for r in caplog.records if r.message == "stream broke off"]
+        assert "within an event" in line.reason
+
+    @pytest.mark.parametrize("crashed", [True, False])
+    def test_body_is_whole_unless_its_target_ended(self, crashed):
+        refusal, caller, client = serve(
+            self.answer(b"body"),
+            FakeAnswer([b"whole"]),
+            kind=RouteKind.IDEMPOTENT,
+            crashed=crashed,
+        )
+        assert refusal is None
+        assert caller.body == (b"whole" if crashed else b"body")
+        assert len(client.plans) == 1 + crashed
+
+    def test_body_that_ends_with_its_target_is_no_answer_to_an_unrepeatable_request(
+        self,
+    ):
+        refusal, caller, client = serve(
+            self.answer(b"body"),
+            kind=RouteKind.NON_IDEMPOTENT,
+            resumable=False,
+            crashed=True,
+        )
+        assert refusal.kind is RefusalKind.FAILED
+        assert not caller.started and len(client.plans) == 1
+
+    def test_framed_response_needs_no_running_target(self):
+        whole = FakeAnswer([events(1, 2)])
+        refusal, caller, client = serve(whole, crashed=True)
+        assert refusal is None and caller.ended and len(client.plans) == 1
+
+    def test_of_a_target_that_has_announced_its_exit_is_whole(self):
+        whole = self.answer(events(1, 2), signals=ResponseSignals(leaving=True))
+        refusal, caller, client = serve(whole, crashed=True)
+        assert refusal is None and caller.ended and len(client.plans) == 1
+
+
 class TestAtMostOnce:
     def once(self, *answers, **more):
         more.setdefault("attempts", 3)
