Keep requests beside a crashing part out of quarantine

Cause: a request is spared where another request explains all of its ends, and here no other one did, as each crashing prompt is a new request. The part that they share explains them now: ends of targets under a quarantined part do not count for a request.

The new tests of neighbours failed before (the neighbour was quarantined with the part).

--- a/src/wisteriapulley/policy/crash_suspects.py
+++ b/src/wisteriapulley/policy/crash_suspects.py
@@ -65,9 +65,22 @@
         record = self.records.get(digest)
         if record is None or len(record.ended) < MIN_ENDED_ALONE:
             return False
-        return len(record.ended) >= MAX_ENDED or not self.is_explained_by_another(
-            digest
+        ended = set(record.ended) - self.explained_by_parts()
+        if len(ended) < MIN_ENDED_ALONE:
+            return False
+        return len(ended) >= MAX_ENDED or not self.is_explained_by_another(digest)
+
+    def explained_by_parts(self) -> set[str]:
+        """Return the incarnations of targets that ended under quarantined parts.
+
+        They prove nothing of the other requests that were in progress there.
+        """
+        ended = (
+            part_suspects.incarnations(self.records[digest])
+            for digest in filter(is_part, self.records)
+            if part_suspects.is_suspected(self.records, digest)
         )
+        return set().union(*ended)
 
     def is_explained_by_another(self, digest: bytes) -> bool:
         """Return whether one other request could have ended all these targets."""
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -12,9 +12,11 @@
     CrashSuspects,
     SuspectRecord,
 )
+from wisteriapulley.policy.fingerprint import PART_PREFIX
 from wisteriapulley.wire.messages import Suspect
 
 ONE, OTHER, CULPRIT = b"1" * 16, b"2" * 16, b"3" * 16
+PART = PART_PREFIX + b"p" * 16
 
 
 def crashed(*ended, digest=ONE, **options):
@@ -123,6 +125,31 @@
         assert updates == (Suspect(ONE, 0, ("a", "b"), 10),)
 
 
+class TestNeighboursOfCrashingPart:
+    """Requests that were in progress where a part of other prompts crashed targets."""
+
+    def crashed(self, *ended, part=("a", "b", "c")):
+        """Return suspects after targets ended under a request, and under a part."""
+        suspects = crashed(*ended)
+        for start in part:
+            known = suspects.records.get(PART)
+            suspects.record_part_crash(PART, start, known, 3.0)
+        return suspects
+
+    def test_are_not_quarantined(self):
+        assert self.crashed("a", "b", "c").quarantined() == [PART]
+
+    def test_are_quarantined_after_three_other_targets(self):
+        suspects = self.crashed("a", "d", "e")
+        assert suspects.quarantined() == [PART]
+        suspects.record_crash(ONE, "f", 9.0)
+        assert sorted(suspects.quarantined()) == sorted([ONE, PART])
+
+    def test_are_quarantined_if_no_part_is_to_blame(self):
+        suspects = self.crashed("a", "b", "c", part=("a", "b"))
+        assert suspects.quarantined() == [ONE]
+
+
 class TestMerging:
     """Records of all entries, in any order and any number of times."""
 
