Let the soak crash engines by a part of prompts

In two of five runs callers now send prompts with a part that crashes each engine which begins to answer, beside sound ones that share their other parts. The engine refuses connections for a while, which the relays in front of it could not do before.

Draws of other faults do not change.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,13 +4,19 @@
 import logging
 import random
 import time
+import zlib
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
 import aiohttp
 
-from soak.invariants import InvariantChecker, RequestResult, SentRequest
+from soak.invariants import (
+    InvariantChecker,
+    RequestResult,
+    SentRequest,
+    is_streaming,
+)
 from soak.targets import expected_plain_body, expected_stream
 from wisteriapulley.platform import names
 
@@ -65,6 +71,8 @@
         self.address = address
         self.checker = checker
         self.rng = random.Random(name)
+        # The other choices of a name do not depend on its prompts.
+        self.prompt_rng = random.Random(f"prompts/{name}")
         self.number = 0
         self.status_counts: Counter[int] = Counter()
         self.session: aiohttp.ClientSession | None = None
@@ -127,6 +135,10 @@
             names.TOKEN_COUNTS: "100,60",
             "Authorization": f"{names.BEARER_PREFIX}{KEY}",
         }
+        if is_streaming(sent):
+            own = f"{zlib.crc32(sent.request_id.encode()):x}"
+            prompt = self.checker.crashing_parts.draw_prompt(self.prompt_rng, own)
+            headers[names.PROMPT_PARTS] = prompt
         if self.rng.random() < NEW_CONNECTION_FRACTION:
             headers["Connection"] = "close"
         url = aiohttp.client.URL(f"http://{self.address}{sent.path}", encoded=True)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,11 +9,13 @@
 import signal
 import socket
 import time
+from functools import partial
 from pathlib import Path
 
 from tests.fakes.platform import Listener, Origin, PausingTarget
 from tests.fleet import ROOT, Process
 
+from soak.crashing_parts import RESTART_S
 from soak.invariants import STOP_GRACE_S, VERSION_GRACE_S, InvariantChecker
 from soak.network import Network
 from soak.plan import FAILURE_DOMAINS, FleetShape
@@ -210,6 +212,7 @@
         self.plain_targets: dict[str, SoakPlainTarget] = {}
         self.heartbeat_senders: dict[str, HeartbeatSender] = {}
         self.apps: dict[str, str] = {}
+        self.restarts: list[asyncio.Task] = []
         self.entry_addresses: dict[str, str] = {}
         self.control_addresses: dict[str, str] = {}
         (folder / "settings").mkdir(parents=True)
@@ -271,6 +274,7 @@
             self.heartbeat_senders[name].failure_domain = self.nodes[
                 name
             ].failure_domain
+            engine.exit = partial(self.exit_engine, name)
         for number, name in enumerate(self.shape.plain_targets):
             plain = self.plain_targets[name] = SoakPlainTarget(self.checker, name)
             await self.start_target(name, plain, self.host(count + 1 + number))
@@ -331,6 +335,7 @@
         for node in self.nodes.values():
             node.process.signal(signal.SIGCONT)
             node.kill()
+        await asyncio.gather(*self.restarts)
         for announcer in self.heartbeat_senders.values():
             await announcer.stop()
         for target in (
@@ -390,6 +395,21 @@
         await asyncio.gather(*(target.fall_silent(pause_s) for target in targets))
         self.checker.pauses.append((began_s, time.monotonic()))
 
+    def exit_engine(self, name: str) -> None:
+        """Let an engine exit, and start it again at the same address after a while."""
+        engine = self.engines[name]
+        engine.is_down = True
+        engine.crash()
+        (path,) = self.network.paths_touching(f"{name}-target")
+        path.close_listener()
+
+        async def restart() -> None:
+            await asyncio.sleep(RESTART_S)
+            await path.reopen()
+            engine.is_down = False
+
+        self.restarts.append(asyncio.create_task(restart()))
+
     async def supervise(self) -> None:
         """Record and restart processes that end by themselves, as the platform does."""
         while True:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -7,6 +7,7 @@
 from signal import SIGTERM
 from typing import NamedTuple
 
+from soak.crashing_parts import MAX_LATER_SENDS, Arrival, CrashingParts
 from soak.plan import PLANNED_KINDS, Fault, FaultKind
 
 # Time after the end of a failure in which time bounds are still not checked.
@@ -131,6 +132,7 @@
         self.evacuations: list[Evacuation] = []
         # When targets stood still: start and end.
         self.pauses: list[tuple[float, float]] = []
+        self.crashing_parts = CrashingParts()
         self.findings: list[Finding] = []
         self.check_counts: Counter[str] = Counter()
 
@@ -330,6 +332,28 @@
                 self.check("not run", not executions, f"{result} ran: {executions}")
             self.check_truncated(result)
             self.check_paused(result)
+        for part in self.crashing_parts.arrivals:
+            self.check_crashing_part(part)
+
+    def check_crashing_part(self, part: str) -> None:
+        """Check that prompts with a part that crashes engines are sent no more."""
+        late = self.crashing_parts.late_arrivals(part)
+        excess = [arrival for arrival in late if not self.is_word_disturbed(arrival)]
+        self.check("part", len(excess) <= MAX_LATER_SENDS, f"{part}: {excess}")
+
+    def is_word_disturbed(self, arrival: Arrival) -> bool:
+        """Return whether the entry, or what told it of crashes, was disturbed lately.
+
+        An entry has this much time to hear from others again.
+        """
+        entry = self.sent[arrival.request_id].entry
+        return any(
+            began_s <= arrival.at_s <= ended_s + RECOVERY_S
+            for fault, began_s, ended_s in self.faults
+            if fault.name == entry
+            or "control" in fault.name
+            or fault.kind in (FaultKind.KILL_CONTROLS, FaultKind.KILL_ALL)
+        )
 
     def check_truncated(self, result: RequestResult) -> None:
         """Check that planned operations alone truncate no response."""
@@ -390,7 +414,7 @@
             for fault, began_s, ended_s in self.faults
             if fault.kind not in PLANNED_KINDS
             and (
-                fault.kind is FaultKind.KILL_ALL
+                fault.kind in (FaultKind.KILL_ALL, FaultKind.CRASHING_PART)
                 or fault.name == sent.entry
                 or fault.name.startswith(service)
             )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -33,6 +33,7 @@
     ENGINE_CRASH = "engine_crash"
     ENGINE_UNRESPONSIVE = "engine_dark"
     ENGINE_RELEASE = "engine_release"
+    CRASHING_PART = "crashing_part"
     TARGET_GREY = "target_grey"
     TARGET_COOLDOWN = "target_rest"
     ORIGIN_UNREACHABLE = "origin_away"
@@ -118,6 +119,10 @@
 # Mean time between two cool-downs that targets request. These are drawn with a
 # separate generator, so that the other faults of a seed do not change.
 COOLDOWN_INTERVAL_S = 4.0
+# Parts of prompts that crash engines have a generator of their own, and come in this
+# fraction of the runs, since the engines that they crash excuse what fails elsewhere.
+CRASHING_PART_FRACTION = 0.4
+CRASHING_PART_S = (12.0, 20.0)
 FAILURE_DOMAINS = ("domain-a", "domain-b", "domain-c")
 # Evacuations, too, have a generator of their own. One lasts longer than the time in
 # which it must take effect. They follow one another with a mean pause of this length.
@@ -218,6 +223,7 @@
         *draw_cooldowns(random.Random(f"rests/{seed}"), seconds, shape),
         *draw_evacuations(random.Random(f"evacuations/{seed}"), seconds),
         *draw_pauses(random.Random(f"pauses/{seed}"), seconds, shape),
+        *draw_crashing_parts(random.Random(f"parts/{seed}"), seconds),
     ]
     if calm:
         faults = [fault for fault in faults if fault.kind in PLANNED_KINDS]
@@ -267,6 +273,15 @@
         at_s += rng.expovariate(1 / PAUSE_INTERVAL_S)
 
 
+def draw_crashing_parts(rng: random.Random, seconds: float) -> Iterator[Fault]:
+    """Yield a time in which callers send prompts with a part that crashes engines."""
+    if rng.random() < CRASHING_PART_FRACTION:
+        at_s = SETTLE_S + rng.uniform(0.0, seconds / 2)
+        part = f"bad{rng.randrange(1 << 16):x}"
+        duration_s = rng.uniform(*CRASHING_PART_S)
+        yield Fault(at_s, FaultKind.CRASHING_PART, part, duration_s)
+
+
 def draw_series(
     rng: random.Random, seconds: float, shape: FleetShape, mean_interval_s: float
 ) -> Iterator[Fault]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -284,6 +284,12 @@
         """Let an engine leave as planned and restart."""
         await self.fleet.heartbeat_senders[fault.name].leave_and_restart(self.checker)
 
+    async def crashing_part(self, fault: Fault) -> None:
+        """Let callers send prompts with a part that crashes engines."""
+        self.checker.crashing_parts.begin(fault.name)
+        await asyncio.sleep(fault.duration_s)
+        self.checker.crashing_parts.end(fault.name)
+
     async def target_grey(self, fault: Fault) -> None:
         """Make a plain target fail half of its requests."""
         target = self.fleet.plain_targets[fault.name]
@@ -399,6 +405,7 @@
     FaultKind.ENGINE_CRASH: SoakRun.engine_crash,
     FaultKind.ENGINE_UNRESPONSIVE: SoakRun.engine_unresponsive,
     FaultKind.ENGINE_RELEASE: SoakRun.engine_release,
+    FaultKind.CRASHING_PART: SoakRun.crashing_part,
     FaultKind.TARGET_GREY: SoakRun.target_grey,
     FaultKind.TARGET_COOLDOWN: SoakRun.target_cooldown,
     FaultKind.ORIGIN_UNREACHABLE: SoakRun.origin_unreachable,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from tests.fakes.platform import Engine, Origin, PausingTarget
 
+from soak.crashing_parts import Arrival
 from soak.invariants import Execution, InvariantChecker
 from wisteriapulley.platform import names
 
@@ -110,6 +111,8 @@
         self.incarnation = 1
         self.running: dict[int, web.Request] = {}
         self.cooldown_s = 0.0
+        self.is_down = False
+        self.exit: Callable[[], None] = lambda: None
         self.app.middlewares.insert(0, record_arrival_time)
         for position in range(origin.chunks):
             self.staged[position] = origin.piece_bytes(1, position)
@@ -172,6 +175,7 @@
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         await response.prepare(request)
+        await self.crash_by_part(request)
         first = int(request.headers.get(names.LAST_EVENT, 0)) + 1
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(self.event_s)
@@ -180,6 +184,21 @@
         await response.write_eof()
         return response
 
+    async def crash_by_part(self, request: web.Request) -> None:
+        """Exit before the first event of a prompt with a part that crashes engines."""
+        crashing = self.checker.crashing_parts
+        part = crashing.crashing_part(request.headers.get(names.PROMPT_PARTS, ""))
+        if not part:
+            return
+        request_id, now_s = request.headers[names.REQUEST_ID], time.monotonic()
+        crashing.arrivals[part].append(Arrival(request_id, self.target_id, now_s))
+        await asyncio.sleep(self.event_s)
+        await self.awake.wait()
+        if not self.is_down and request.transport is not None:
+            crashing.crashes[part].append(time.monotonic())
+            self.exit()
+        raise asyncio.CancelledError
+
 
 class SoakPlainTarget(PausingTarget):
     """Plain target; fails half of its requests while `grey` is set."""
@@ -192,6 +211,7 @@
         self.checker = checker
         self.target_id = f"{name}-i1"
         self.grey = False
+        self.is_down = False
         self.leaving = False
         self.cooldown_s = 0.0
         self.served = 0
@@ -273,6 +293,8 @@
         """Send one heartbeat when awake; return whether it was acknowledged."""
         target = self.target
         await target.awake.wait()
+        if target.is_down:
+            return False
         self.sequence += 1
         models = [{"name": "model", "version": target.version, "adapters": []}]
         body = {
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -97,6 +97,22 @@
         for task in tuple(self.connections):
             task.cancel()
 
+    def close_listener(self) -> None:
+        """Reset all connections and refuse new ones, as after a process has exited."""
+        self.refusing = True
+        self.server.close()
+        self.reset()
+
+    async def reopen(self) -> None:
+        """Listen at the same address again."""
+        host, _, port = self.address.rpartition(":")
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind((host, int(port)))
+        self.socket.listen(128)
+        self.refusing = False
+        await self.start()
+
     def hold(self, forward: bool = True, reverse: bool = True) -> None:
         """Hold one direction or both."""
         if forward:
