Tell records of parts from those of requests when ends are compared

Prompts with a part that crashes targets would have been sent on where the same ends stood in the record of a request: a target whose id begins with a digit looked like a ranked end, and the request like another part that explains them. The new test failed before.

The ends of all suspected parts are collected once for each decision now.

--- a/src/wisteriapulley/policy/part_suspects.py
+++ b/src/wisteriapulley/policy/part_suspects.py
@@ -12,9 +12,11 @@
 which each follows from the result of the one before add higher ranks.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from wisteriapulley.policy.fingerprint import is_part
+
 # Rank at which a part is quarantined: two prompts in a row ended a target although an
 # earlier end was known.
 QUARANTINE_RANK = 3
@@ -66,7 +68,7 @@
     if record is None or not record.ended:
         return 0
     # The first one has the highest rank.
-    order = record.ended[0].partition(SEPARATOR)[0]
+    order = record.ended[0][:1]
     return MAX_RANK - int(order) if order.isdecimal() else 0
 
 
@@ -108,41 +110,32 @@
         Rank from which a part may be to blame.
     """
     digests = frozenset(digests)
-    for digest in digests:
-        if is_suspected(records, digest, min_rank):
-            if frozenset(equals(records, digest, min_rank)) <= digests:
-                return digest
+    suspected = [d for d in digests if rank_of(records.get(d)) >= min_rank]
+    if not suspected:
+        return None
+    ends = ends_by_part(records, min_rank)
+    for digest in suspected:
+        equals = (part for part, ended in ends.items() if ended == ends[digest])
+        if not is_explained(ends, digest) and digests.issuperset(equals):
+            return digest
     return None
 
 
-def is_suspected(
-    records: Records, digest: bytes, min_rank: int = QUARANTINE_RANK
-) -> bool:
-    """Return whether a part of some rank is to blame, alone or with its equals.
+def is_suspected(records: Records, digest: bytes) -> bool:
+    """Return whether a part is quarantined, alone or with those of the same ends."""
+    ends = ends_by_part(records, QUARANTINE_RANK)
+    return digest in ends and not is_explained(ends, digest)
 
-    It is not if more targets ended under another part, all of its own among them.
-    """
-    record = records.get(digest)
-    if record is None or rank_of(record) < min_rank:
-        return False
-    ended = incarnations(record)
-    return not any(
-        ended < others for _, others in ends_of_others(records, digest, min_rank)
-    )
-
-
-def equals(records: Records, digest: bytes, min_rank: int) -> Iterator[bytes]:
-    """Yield the other parts under which the same targets ended."""
-    ended = incarnations(records[digest])
-    for other, others in ends_of_others(records, digest, min_rank):
-        if others == ended:
-            yield other
-
-
-def ends_of_others(
-    records: Records, digest: bytes, min_rank: int
-) -> Iterator[tuple[bytes, frozenset[str]]]:
-    """Yield each other part of at least a rank, and the targets that ended under it."""
-    for other, record in records.items():
-        if other != digest and rank_of(record) >= min_rank:
-            yield other, incarnations(record)
+
+def is_explained(ends: Mapping[bytes, frozenset[str]], digest: bytes) -> bool:
+    """Return whether more targets ended under another part, all of these among them."""
+    return any(ends[digest] < others for others in ends.values())
+
+
+def ends_by_part(records: Records, min_rank: int) -> dict[bytes, frozenset[str]]:
+    """Return the targets that ended under each part of at least a rank."""
+    return {
+        digest: incarnations(record)
+        for digest, record in records.items()
+        if rank_of(record) >= min_rank and is_part(digest)
+    }
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -159,6 +159,16 @@
         assert fleet.rank(OTHER) == QUARANTINE_RANK
         assert fleet.refuses(CULPRIT) and not fleet.refuses(OTHER)
 
+    def test_is_not_explained_by_a_request(self):
+        """Ids of targets may look like ranked ends."""
+        fleet = Fleet()
+        for _ in range(QUARANTINE_RANK):
+            fleet.crash(CULPRIT)
+        request = b"r" * DIGEST_BYTES
+        for end in fleet.suspects.records[CULPRIT].ended + ("0/i-9",):
+            fleet.suspects.record_crash(request, end, 9.0)
+        assert fleet.refuses(CULPRIT)
+
     def test_is_suspected_at_a_lower_rank(self):
         fleet = Fleet()
         for _ in range(SINGLE_SEND_RANK):
