Tell instances that missed a clearing what was cleared

A control instance now sends back the records that were cleared since the sender's were, to entries and peers. The test of the feed failed before, since nothing was sent back.

--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -453,7 +453,9 @@
     ) -> None:
         """Handle the message `SuspectNews` of an entry or another instance."""
         if link.peer.role in ("control", "entry"):
-            self.publisher.suspect_feed.observe(message, link.peer.role == "entry")
+            feed = self.publisher.suspect_feed
+            feed.observe(message, link.peer.role == "entry")
+            feed.correct(message, link)
 
     @receive.register
     async def receive_target_rate(
--- a/src/wisteriapulley/control/suspect_feed.py
+++ b/src/wisteriapulley/control/suspect_feed.py
@@ -77,6 +77,22 @@
         if before != self.suspects.quarantined():
             self.save()
 
+    def correct(self, message: messages.SuspectNews, link: Link) -> None:
+        """Send back the records that were cleared since the sender's were.
+
+        It was not connected then. Suspects without ends are not sent on a new link, so
+        it would keep its quarantine.
+        """
+        records = self.suspects.records
+        outdated = [
+            suspect.digest
+            for suspect in message.suspects
+            if suspect.digest in records
+            and records[suspect.digest].cleared > suspect.cleared
+        ]
+        if outdated:
+            link.post(self.message_for(outdated))
+
     def may_forward(self, digest: bytes) -> bool:
         """Return whether a suspect may be forwarded now."""
         record = self.suspects.records.get(digest)
--- a/tests/test_suspect_feed.py
+++ b/tests/test_suspect_feed.py
@@ -70,6 +70,22 @@
         instance.feed.observe(QUARANTINED, from_entry=True)
         assert instance.entry.written[-1] == QUARANTINED
 
+    def test_sender_that_missed_a_clearing_learns_it(self):
+        """It was cut off then, and reports its records on a new link."""
+        instance, link = Instance(), RecordingLink("entry")
+        cleared = SuspectNews((Suspect(DIGEST, 1, ()),))
+        for news in (QUARANTINED, cleared):
+            instance.feed.observe(news, from_entry=True)
+        instance.feed.correct(QUARANTINED, link)
+        assert link.written == [cleared]
+
+    def test_sender_that_knows_as_much_is_sent_nothing(self):
+        instance, link = Instance(), RecordingLink("entry")
+        instance.feed.observe(QUARANTINED, from_entry=True)
+        for news in (QUARANTINED, ENDED_ONE, SuspectNews((Suspect(PART, 0, ("a",)),))):
+            instance.feed.correct(news, link)
+        assert link.written == []
+
     def test_many_requests_do_not_keep_parts_from_entries(self):
         instance = Instance()
         for number in range(4 * int(NEW_SUSPECTS_BURST)):
