Let operators see and lift quarantines

A part may be in many callers' prompts, so this weighs more than with single requests.

`wisteriapulley quarantine` prints what is quarantined by the names that logs have, and `--lift` clears one record at all entries and control instances, by the message that a target's answer clears it with, so that instances of earlier versions follow. It needs no quorum, and an order that is resent is acknowledged.

--- a/src/wisteriapulley/cli.py
+++ b/src/wisteriapulley/cli.py
@@ -12,6 +12,7 @@
 from wisteriapulley.catalogue_commands import CatalogueCommand, Control, TokenFile
 from wisteriapulley.errors import ResultCode, WisteriapulleyError
 from wisteriapulley.evacuate_command import EvacuateCommand
+from wisteriapulley.quarantine_command import QuarantineCommand
 
 EXIT_OK = 0
 EXIT_ERROR = 1
@@ -329,6 +330,7 @@
         | SidecarCommand
         | CatalogueCommand
         | EvacuateCommand
+        | QuarantineCommand
         | ManifestCommand
         | SettingsCommand
         | ExplainCommand
--- a/src/wisteriapulley/control/operators.py
+++ b/src/wisteriapulley/control/operators.py
@@ -1,6 +1,7 @@
 """HTTP interface for operators of a control instance, with bearer tokens."""
 
 import hmac
+import logging
 
 import msgspec
 from aiohttp import web
@@ -9,14 +10,22 @@
 from wisteriapulley.catalogue.catalogue import history_rows
 from wisteriapulley.control.commands import ChangeCatalogue
 from wisteriapulley.control.driver import no_quorum
-from wisteriapulley.control.reports import EvacuationStatus, Status
+from wisteriapulley.control.reports import (
+    EvacuationStatus,
+    QuarantineStatus,
+    Status,
+)
 from wisteriapulley.errors import CODE_TABLE, CatalogueError, ResultCode
+from wisteriapulley.logs import fields
+
+log = logging.getLogger(__name__)
 
 BEARER = "Bearer "
 # Maximum size of a change: enough for one of every entry at about 300 bytes each.
 # Without a limit one body could fill the log and the memory of every follower.
 MAX_CHANGE_BYTES = 1 << 20
 EVACUATION_PATH = "/v1/evacuations/{failure_domain}"
+QUARANTINE_PATH = "/v1/quarantine/{fingerprint}"
 
 
 def operator_routes(service) -> list[web.RouteDef]:
@@ -30,6 +39,8 @@
         web.get("/v1/evacuations", operators.evacuations),
         web.put(EVACUATION_PATH, operators.evacuate),
         web.delete(EVACUATION_PATH, operators.end_evacuation),
+        web.get("/v1/quarantine", operators.quarantine),
+        web.delete(QUARANTINE_PATH, operators.lift_quarantine),
     ]
 
 
@@ -142,6 +153,27 @@
         self.authenticate(request)
         return json_response(EvacuationStatus(await self.service.api.read_evacuated()))
 
+    async def quarantine(self, request: web.Request) -> web.Response:
+        """Return what is quarantined; this needs no quorum."""
+        self.authenticate(request)
+        feed = self.service.publisher.suspect_feed
+        return json_response(QuarantineStatus(feed.quarantined()))
+
+    async def lift_quarantine(self, request: web.Request) -> web.Response:
+        """End one quarantine; return what else is quarantined.
+
+        What still crashes targets is quarantined again. An order that is resent finds
+        nothing to lift, and is acknowledged.
+        """
+        owner = self.authenticate(request)
+        fingerprint = request.match_info["fingerprint"]
+        feed = self.service.publisher.suspect_feed
+        if feed.lift(fingerprint):
+            log.warning(
+                "quarantine lifted", extra=fields(fingerprint=fingerprint, owner=owner)
+            )
+        return json_response(QuarantineStatus(feed.quarantined()))
+
 
 def json_response(value: object, status: int = 200) -> web.Response:
     """Return a response with `value` as JSON."""
--- a/src/wisteriapulley/control/reports.py
+++ b/src/wisteriapulley/control/reports.py
@@ -59,6 +59,25 @@
     evacuated: tuple[str, ...]
 
 
+class QuarantineRow(msgspec.Struct, frozen=True):
+    """One quarantined request or part of prompts.
+
+    `kind` is ``request`` or ``part``, `fingerprint` its name in logs; `ended` are the
+    targets that ended under it, and `age_s` is the time since the last of them ended.
+    """
+
+    fingerprint: str
+    kind: str
+    ended: tuple[str, ...]
+    age_s: int
+
+
+class QuarantineStatus(msgspec.Struct, frozen=True):
+    """Response of ``/v1/quarantine``, as far as one control instance knows."""
+
+    quarantined: tuple[QuarantineRow, ...]
+
+
 class ReportedProgress:
     """One node's newest report and the rate of its download."""
 
--- a/src/wisteriapulley/control/suspect_feed.py
+++ b/src/wisteriapulley/control/suspect_feed.py
@@ -7,9 +7,10 @@
 
 from wisteriapulley.clocks import steady_s
 from wisteriapulley.control.followers import Followers
+from wisteriapulley.control.reports import QuarantineRow
 from wisteriapulley.control.suspect_store import SuspectStore
 from wisteriapulley.policy.crash_suspects import CrashSuspects
-from wisteriapulley.policy.fingerprint import is_part
+from wisteriapulley.policy.fingerprint import is_part, log_name
 from wisteriapulley.policy.token_bucket import TokenBucket
 from wisteriapulley.wire import Link, messages
 
@@ -93,6 +94,37 @@
         if outdated:
             link.post(self.message_for(outdated))
 
+    def quarantined(self) -> tuple[QuarantineRow, ...]:
+        """Return what is quarantined, as far as this instance knows."""
+        now_s = steady_s()
+        return tuple(
+            QuarantineRow(
+                log_name(digest),
+                "part" if is_part(digest) else "request",
+                self.suspects.records[digest].ended,
+                int(now_s - self.suspects.records[digest].at_s),
+            )
+            for digest in self.suspects.quarantined()
+        )
+
+    def lift(self, name: str) -> bool:
+        """End a quarantine, and tell all instances; return whether there was one.
+
+        Parameters
+        ----------
+        name : str
+            The fingerprint as it appears in logs.
+        """
+        lifted = [d for d in self.suspects.quarantined() if log_name(d) == name]
+        for digest in lifted:
+            self.suspects.record_answer(digest, steady_s())
+        if lifted:
+            message = self.message_for(lifted)
+            self.followers.push_suspects(message)
+            self.send_to_peers(message)
+            self.save()
+        return bool(lifted)
+
     def may_forward(self, digest: bytes) -> bool:
         """Return whether a suspect may be forwarded now."""
         record = self.suspects.records.get(digest)
--- a/src/wisteriapulley/direct/part_tracking.py
+++ b/src/wisteriapulley/direct/part_tracking.py
@@ -9,7 +9,7 @@
 from wisteriapulley.logs import fields
 from wisteriapulley.policy.begun_parts import BegunParts
 from wisteriapulley.policy.crash_suspects import CrashSuspects
-from wisteriapulley.policy.fingerprint import PART_PREFIX, part_fingerprint
+from wisteriapulley.policy.fingerprint import log_name, part_fingerprint
 from wisteriapulley.policy.part_suspects import (
     SINGLE_SEND_RANK,
     SuspectRecord,
@@ -67,7 +67,7 @@
 
     def names(self, progress: Progress) -> list[str]:
         """Return the fingerprints of a prompt's parts as they appear in logs."""
-        return [part_name(digest) for digest in self.fingerprints(progress)]
+        return [log_name(digest) for digest in self.fingerprints(progress)]
 
     # -- before a send ----------------------------------------------------
 
@@ -148,7 +148,7 @@
                 if rank_of(record) > 1:
                     log.info(
                         "part of prompts cleared",
-                        extra=fields(part=part_name(digest), rank=rank_of(record)),
+                        extra=fields(part=log_name(digest), rank=rank_of(record)),
                     )
 
     def log_if_quarantined(self, digest: bytes) -> None:
@@ -157,10 +157,5 @@
             record = self.suspects.records[digest]
             log.warning(
                 "part of prompts quarantined",
-                extra=fields(part=part_name(digest), ended=record.ended),
+                extra=fields(part=log_name(digest), ended=record.ended),
             )
-
-
-def part_name(digest: bytes) -> str:
-    """Return the fingerprint of a part as it appears in logs."""
-    return digest.removeprefix(PART_PREFIX).hex()
--- a/src/wisteriapulley/operator_client.py
+++ b/src/wisteriapulley/operator_client.py
@@ -13,7 +13,12 @@
 from wisteriapulley.catalogue import Change, ChangeResult, diff, load_folder
 from wisteriapulley.catalogue.catalogue import CatalogueImage
 from wisteriapulley.catalogue.changes import format_changes
-from wisteriapulley.control.reports import EvacuationStatus, Status
+from wisteriapulley.control.reports import (
+    EvacuationStatus,
+    QuarantineRow,
+    QuarantineStatus,
+    Status,
+)
 from wisteriapulley.errors import CatalogueError, ResultCode, SettingsError
 from wisteriapulley.settings import Address
 
@@ -135,6 +140,16 @@
         path = f"/v1/evacuations/{quote(failure_domain, safe='')}"
         return decode(self.request(method, path), EvacuationStatus).evacuated
 
+    def quarantined(self) -> tuple[QuarantineRow, ...]:
+        """Return what is quarantined, as far as the instance that answers knows."""
+        data = self.request("GET", "/v1/quarantine")
+        return decode(data, QuarantineStatus).quarantined
+
+    def lift_quarantine(self, fingerprint: str) -> tuple[QuarantineRow, ...]:
+        """End a quarantine; return what else is quarantined. A resend is safe."""
+        path = f"/v1/quarantine/{quote(fingerprint, safe='')}"
+        return decode(self.request("DELETE", path), QuarantineStatus).quarantined
+
     def change(self, change: Change) -> ChangeResult:
         """Send a change and return its result."""
         body = msgspec.json.encode(change)
--- a/src/wisteriapulley/policy/fingerprint.py
+++ b/src/wisteriapulley/policy/fingerprint.py
@@ -70,6 +70,11 @@
     return digest.startswith(PART_PREFIX) and len(digest) > DIGEST_BYTES
 
 
+def log_name(digest: bytes) -> str:
+    """Return a fingerprint as it appears in logs and in the operators' interface."""
+    return digest.removeprefix(PART_PREFIX).hex()
+
+
 def keyed_digest(key: bytes, person: bytes, fields: Iterable[bytes]) -> bytes:
     """Return the digest of some fields, each with its length."""
     digest = hashlib.blake2b(
--- /dev/null
+++ b/tests/test_quarantine_orders.py
@@ -0,0 +1,102 @@
+"""Operators who look at what is quarantined, and lift it."""
+
+import msgspec
+import pytest
+
+from tests.test_operators import VALID_HEADERS, FakeService, send
+from tests.test_suspect_feed import DIGEST, PART, QUARANTINED, Instance
+from wisteriapulley import cli
+from wisteriapulley.control.reports import QuarantineRow, QuarantineStatus
+from wisteriapulley.operator_client import OperatorClient
+from wisteriapulley.policy.fingerprint import log_name
+from wisteriapulley.wire.messages import Suspect, SuspectNews
+
+QUARANTINED_PART = SuspectNews((Suspect(PART, 0, ("6/f", "7/e", "8/d")),))
+ROW = QuarantineRow("0a1b", "part", ("6/c", "7/b", "8/a"), 17)
+
+
+class QuarantineService(FakeService):
+    """A control service without a quorum that has quarantined a request and a part."""
+
+    def __init__(self):
+        super().__init__(has_quorum=False)
+        self.publisher = self.instance = Instance()
+        self.publisher.suspect_feed = self.instance.feed
+        for news in (QUARANTINED, QUARANTINED_PART):
+            self.instance.feed.observe(news, from_entry=True)
+
+
+class TestOperators:
+    def request(self, service, method="get", digest=None, headers=VALID_HEADERS):
+        path = f"/v1/quarantine/{log_name(digest)}" if digest else "/v1/quarantine"
+        status, _, answer = send(service, b"", headers, method, path)
+        return status, answer
+
+    def kinds(self, answer):
+        return [row["kind"] for row in answer["quarantined"]]
+
+    def test_see_what_is_quarantined_by_its_name_in_logs(self):
+        status, answer = self.request(QuarantineService())
+        assert (status, self.kinds(answer)) == (200, ["request", "part"])
+        names = [row["fingerprint"] for row in answer["quarantined"]]
+        assert names == [DIGEST.hex(), log_name(PART)]
+
+    def test_lift_one_for_all_instances(self):
+        service = QuarantineService()
+        instance = service.instance
+        status, answer = self.request(service, "delete", PART)
+        assert (status, self.kinds(answer)) == (200, ["request"])
+        cleared = SuspectNews((Suspect(PART, 1, ()),))
+        assert instance.entry.written[-1] == instance.sent_to_peers[-1] == cleared
+
+    def test_resend_an_order(self):
+        service = QuarantineService()
+        for _ in range(2):
+            assert self.request(service, "delete", PART)[0] == 200
+        assert service.instance.sent_to_peers.count(QUARANTINED_PART) == 1
+
+    def test_what_still_crashes_targets_is_quarantined_again(self):
+        service = QuarantineService()
+        self.request(service, "delete", PART)
+        suspects = service.instance.feed.suspects
+        for incarnation in ("g", "h", "i"):
+            known = suspects.records[PART]
+            suspects.record_part_crash(PART, incarnation, known, 9.0)
+        assert self.kinds(self.request(service)[1]) == ["request", "part"]
+
+    @pytest.mark.parametrize("method", ["get", "delete"])
+    def test_need_a_token(self, method):
+        service = QuarantineService()
+        digest = PART if method == "delete" else None
+        assert self.request(service, method, digest, {})[0] == 401
+        assert len(service.instance.feed.quarantined()) == 2
+
+
+class TestCommand:
+    @pytest.fixture
+    def requests(self, monkeypatch):
+        """Answer all requests with one quarantined part; return what is asked."""
+        requests = []
+
+        def request(client, method, path, body=b""):
+            requests.append((method, path))
+            rows = () if method == "DELETE" else (ROW,)
+            return msgspec.json.encode(QuarantineStatus(rows))
+
+        monkeypatch.setattr(OperatorClient, "request", request)
+        return requests
+
+    def run(self, tmp_path, *arguments):
+        (tmp_path / "token").write_text("t")
+        options = ["--control", "127.0.0.1:1", "--token-file", str(tmp_path / "token")]
+        return cli.main(["quarantine", *options, *arguments])
+
+    def test_prints_what_is_quarantined(self, tmp_path, capsys, requests):
+        assert self.run(tmp_path) == 0
+        assert capsys.readouterr().out == "0a1b part: 3 ends, 17 s ago\n"
+        assert requests == [("GET", "/v1/quarantine")]
+
+    def test_lifts_one(self, tmp_path, capsys, requests):
+        assert self.run(tmp_path, "--lift", "0a1b") == 0
+        assert capsys.readouterr().out == "nothing is quarantined\n"
+        assert requests == [("DELETE", "/v1/quarantine/0a1b")]
--- a/tests/test_suspect_feed.py
+++ b/tests/test_suspect_feed.py
@@ -15,7 +15,7 @@
 from wisteriapulley.wire.messages import Suspect, SuspectNews
 
 DIGEST = b"d" * 16
-PART = PART_PREFIX + DIGEST
+PART = PART_PREFIX + b"p" * 16
 ENDED_ONE = SuspectNews((Suspect(DIGEST, 0, ("a",)),))
 QUARANTINED = SuspectNews((Suspect(DIGEST, 0, ("a", "b", "c")),))
 
