Blame no part while most targets end for other reasons

Cause: the rank of an end told how often a prompt had failed in a row, not whether that said anything about the prompt. An end now counts above the known ones only if 0.4 or more of the targets that ended in the last 10 s ended under the part. Entries learn of the others' ends from the suspects that they report. A part is explained by another one that was under all of its trials, so that an earlier end for another reason no longer makes an innocent part the culprit; a prompt with one of them alone decides.

The test of a neighbour changes: the culprit was told from a part that was at all of its trials by one end before, which proves nothing; one more prompt decides now.

--- a/src/wisteriapulley/direct/crashes.py
+++ b/src/wisteriapulley/direct/crashes.py
@@ -132,6 +132,7 @@
         if not await self.liveness.has_ended(target):
             return
         self.put_aside(target)
+        self.parts.record_end(target.incarnation)
         digest = self.fingerprint(admitted, progress)
         record = self.suspects.record_crash(digest, target.incarnation, steady_s())
         self.schedule_update(digest)
@@ -197,6 +198,7 @@
 
     def apply_update(self, update: SuspectNews) -> None:
         """Apply an update received from a control instance."""
+        self.parts.record_ends(update)
         changed = self.suspects.merge_updates(update.suspects, steady_s())
         self.parts.clear_begun(changed)
         for digest in changed:
@@ -210,7 +212,7 @@
     def sweep(self) -> None:
         """Remove expired records."""
         self.suspects.remove_expired(steady_s())
-        self.parts.begun.remove_expired(asyncio.get_running_loop().time())
+        self.parts.remove_expired()
 
 
 def batched(digests: Iterable[bytes], size: int) -> Iterator[tuple[bytes, ...]]:
--- a/src/wisteriapulley/direct/part_tracking.py
+++ b/src/wisteriapulley/direct/part_tracking.py
@@ -8,14 +8,17 @@
 from wisteriapulley.direct.progress import Progress
 from wisteriapulley.logs import fields
 from wisteriapulley.policy.begun_parts import BegunParts
-from wisteriapulley.policy.crash_suspects import CrashSuspects
-from wisteriapulley.policy.fingerprint import log_name, part_fingerprint
+from wisteriapulley.policy.crash_suspects import CrashSuspects, decode_record
+from wisteriapulley.policy.fingerprint import is_part, log_name, part_fingerprint
 from wisteriapulley.policy.part_suspects import (
     SINGLE_SEND_RANK,
     SuspectRecord,
     culprit,
+    incarnations,
     rank_of,
 )
+from wisteriapulley.policy.recent_ends import RecentEnds
+from wisteriapulley.wire.messages import SuspectNews
 
 log = logging.getLogger(__name__)
 
@@ -39,6 +42,8 @@
     ----------
     begun : BegunParts
         Parts that targets have begun to answer a short time ago.
+    recent_ends : RecentEnds
+        Targets that ended a short time ago.
     """
 
     def __init__(
@@ -51,6 +56,7 @@
         self.suspects = suspects
         self.schedule_update = schedule_update
         self.begun = BegunParts()
+        self.recent_ends = RecentEnds()
 
     def now_s(self) -> float:
         """Return the time of the event loop's clock."""
@@ -114,18 +120,42 @@
                 continue
             was_quarantined = self.suspects.is_quarantined(digest)
             self.suspects.record_part_crash(
-                digest, incarnation, known.get(digest), steady_s()
+                digest,
+                incarnation,
+                known.get(digest),
+                steady_s(),
+                self.share_of(digest, incarnation),
             )
             self.schedule_update(digest)
             if not was_quarantined:
                 self.log_if_quarantined(digest)
 
+    def share_of(self, digest: bytes, incarnation: str) -> float:
+        """Return which share of the recent ends were under a part, with one more."""
+        record = self.suspects.records.get(digest)
+        ended = incarnations(record) if record is not None else frozenset()
+        return self.recent_ends.share_of({*ended, incarnation}, self.now_s())
+
     def record_begun(self, progress: Progress) -> None:
         """Clear the parts of a prompt that a target has begun to answer."""
         self.begun.record(progress.service, progress.prompt_parts, self.now_s())
         if self.suspects.records:
             self.clear(self.fingerprints(progress))
 
+    def record_end(self, incarnation: str) -> None:
+        """Record that a target ended, whatever ran there."""
+        self.recent_ends.record((incarnation,), self.now_s())
+
+    def record_ends(self, update: SuspectNews) -> None:
+        """Record the recent ends that another entry has reported."""
+        now_s = self.now_s()
+        for suspect in update.suspects:
+            record = decode_record(suspect, now_s)
+            ended = record.ended
+            if is_part(suspect.digest):
+                ended = incarnations(record)
+            self.recent_ends.record(ended, record.at_s)
+
     def clear_begun(self, changed: Iterable[bytes]) -> None:
         """Clear suspects of other entries that targets began to answer here lately."""
         ended = {d for d in changed if rank_of(self.suspects.records.get(d))}
@@ -151,6 +181,12 @@
                         extra=fields(part=log_name(digest), rank=rank_of(record)),
                     )
 
+    def remove_expired(self) -> None:
+        """Forget what is no longer recent."""
+        now_s = self.now_s()
+        self.begun.remove_expired(now_s)
+        self.recent_ends.remove_expired(now_s)
+
     def log_if_quarantined(self, digest: bytes) -> None:
         """Log that prompts with a part are sent to no target any more."""
         if self.suspects.is_quarantined(digest):
--- a/src/wisteriapulley/policy/crash_suspects.py
+++ b/src/wisteriapulley/policy/crash_suspects.py
@@ -127,6 +127,7 @@
         incarnation: str,
         known: SuspectRecord | None,
         now_s: float,
+        share: float = 1.0,
     ) -> SuspectRecord:
         """Record that a target ended that had not begun to answer a prompt with a part.
 
@@ -140,13 +141,15 @@
             The part's record when the prompt was sent to the target.
         now_s : float
             Current time.
+        share : float
+            Share of the targets that ended lately that ended under the part.
 
         Returns
         -------
         SuspectRecord
             The part's record, even if there is no room to keep it.
         """
-        rank = part_suspects.next_rank(known, self.records.get(digest))
+        rank = part_suspects.next_rank(known, self.records.get(digest), share)
         end = part_suspects.ranked_end(rank, incarnation)
         return self.record_crash(digest, end, now_s)
 
--- a/src/wisteriapulley/policy/part_suspects.py
+++ b/src/wisteriapulley/policy/part_suspects.py
@@ -20,12 +20,18 @@
 # Rank at which a part is quarantined: two prompts in a row ended a target although an
 # earlier end was known.
 QUARANTINE_RANK = 3
+# Rank of the ends of prompts that were sent although an earlier end was known.
+TRIAL_RANK = 2
 # Rank from which a prompt that ended one target is not sent to another one.
 SINGLE_SEND_RANK = 2
 # Highest rank that is told from others. Ends of high ranks sort first, so that they are
 # kept where the number of ends is limited.
 MAX_RANK = 9
 SEPARATOR = "/"
+# An end counts above the known ones only if at least this share of the targets that
+# ended lately ended under the part. Two parts may crash targets at the same time, each
+# of them near half; targets that are lost piece by piece quarantine none.
+MIN_SHARE = 0.4
 
 
 class SuspectRecord(NamedTuple):
@@ -72,12 +78,17 @@
     return MAX_RANK - int(order) if order.isdecimal() else 0
 
 
-def incarnations(record: SuspectRecord) -> frozenset[str]:
-    """Return the incarnations of targets that ended under a part."""
-    return frozenset(end.partition(SEPARATOR)[2] for end in record.ended)
+def incarnations(record: SuspectRecord, min_rank: int = 1) -> frozenset[str]:
+    """Return the targets that ended under a part, with ends of at least a rank."""
+    last = str(MAX_RANK - min_rank)
+    return frozenset(
+        end.partition(SEPARATOR)[2] for end in record.ended if end[:1] <= last
+    )
 
 
-def next_rank(known: SuspectRecord | None, current: SuspectRecord | None) -> int:
+def next_rank(
+    known: SuspectRecord | None, current: SuspectRecord | None, share: float = 1.0
+) -> int:
     """Return the rank of an end.
 
     Parameters
@@ -86,10 +97,13 @@
         Record of the part when the prompt was sent.
     current : SuspectRecord or None
         Its record now. What was known counts only if the part was not cleared since.
+    share : float
+        Share of the targets that ended lately, this one among them, that ended under
+        the part. While most of them end for other reasons, an end proves little.
     """
     if known is None or (current is not None and current.cleared != known.cleared):
         return 1
-    return rank_of(known) + 1
+    return max(1, rank_of(known) + (share >= MIN_SHARE))
 
 
 def culprit(
@@ -97,8 +111,8 @@
 ) -> bytes | None:
     """Return the part of a prompt that is to blame, or None.
 
-    A part that ended targets together with others may be innocent. The prompt is a test
-    of it if it lacks one of them, and is sent.
+    A part that ended targets only together with others may be innocent. A prompt that
+    lacks one of them is a test of it, and is sent.
 
     Parameters
     ----------
@@ -113,29 +127,41 @@
     suspected = [d for d in digests if rank_of(records.get(d)) >= min_rank]
     if not suspected:
         return None
-    ends = ends_by_part(records, min_rank)
+    suspects = suspects_of(records, min_rank)
     for digest in suspected:
-        equals = (part for part, ended in ends.items() if ended == ends[digest])
-        if not is_explained(ends, digest) and digests.issuperset(equals):
+        if digests.issuperset(partners(suspects, digest)):
             return digest
     return None
 
 
 def is_suspected(records: Records, digest: bytes) -> bool:
-    """Return whether a part is quarantined, alone or with those of the same ends."""
-    ends = ends_by_part(records, QUARANTINE_RANK)
-    return digest in ends and not is_explained(ends, digest)
+    """Return whether a part is quarantined, alone or together with others.
 
-
-def is_explained(ends: Mapping[bytes, frozenset[str]], digest: bytes) -> bool:
-    """Return whether more targets ended under another part, all of these among them."""
-    return any(ends[digest] < others for others in ends.values())
+    It is not if all its trials are explained by another part which it does not explain.
+    """
+    suspects = suspects_of(records, QUARANTINE_RANK)
+    return digest in suspects and all(
+        digest in partners(suspects, other) for other in partners(suspects, digest)
+    )
 
 
-def ends_by_part(records: Records, min_rank: int) -> dict[bytes, frozenset[str]]:
-    """Return the targets that ended under each part of at least a rank."""
+def suspects_of(records: Records, min_rank: int) -> dict[bytes, SuspectRecord]:
+    """Return the records of the parts of at least a rank."""
     return {
-        digest: incarnations(record)
+        digest: record
         for digest, record in records.items()
         if rank_of(record) >= min_rank and is_part(digest)
     }
+
+
+def partners(suspects: Records, digest: bytes) -> frozenset[bytes]:
+    """Return the other suspects under which all targets ended that a part was tried at.
+
+    Ends of the first rank are no trials: they may have had any reason.
+    """
+    tried = incarnations(suspects[digest], TRIAL_RANK)
+    return frozenset(
+        other
+        for other, record in suspects.items()
+        if other != digest and tried <= incarnations(record)
+    )
--- a/tests/test_part_tracking.py
+++ b/tests/test_part_tracking.py
@@ -144,6 +144,32 @@
         run(scenario)
         assert lines(caplog, "part of prompts quarantined")
 
+    @pytest.mark.parametrize(("age_s", "rank"), [(0, 1), (60, QUARANTINE_RANK)])
+    def test_ends_for_other_reasons_keep_the_rank_low(self, age_s, rank):
+        """Other entries report them, with the requests that were in progress there."""
+
+        async def scenario(tracker):
+            suspects = tuple(
+                Suspect(b"%016d" % number, 0, (f"i-lost-{number}/0",), age_s)
+                for number in range(12)
+            )
+            tracker.crashes.apply_update(SuspectNews(suspects))
+            for _ in range(QUARANTINE_RANK):
+                await tracker.crash(FIRST, CRASHING)
+            assert tracker.rank(CRASHING) == rank
+
+        run(scenario)
+
+    def test_ends_under_another_part_count_once(self):
+        async def scenario(tracker):
+            digest = tracker.digest(THIRD)
+            for ended in (("8/i-8/0",), ("7/i-9/0", "8/i-8/0")):
+                tracker.crashes.apply_update(SuspectNews((Suspect(digest, 0, ended),)))
+            await tracker.crash(FIRST, CRASHING)
+            assert len(tracker.parts.recent_ends.ended_s) == 3
+
+        run(scenario)
+
     def test_computes_nothing_without_suspects(self, monkeypatch):
         def fingerprint(*args):
             raise AssertionError("computed")
