Take only an event or a whole answer for a sign that a target has begun

A culprit could have been cleared, so that more targets ended: an answer with status 400 and a stream that ended properly without any event counted as answers that a target had begun, though the target need not have read the prompt. And a prompt with a known suspect was sent to a spare beside a silent target, which made two ends of one.

Only an event, or a whole body with status 200, clears the parts of a prompt now. A prompt that is at a target counts as sent, whether or not its head has come.

--- a/src/wisteriapulley/direct/crashes.py
+++ b/src/wisteriapulley/direct/crashes.py
@@ -167,7 +167,6 @@
 
     def record_answered(self, admitted: Admitted, progress: Progress) -> None:
         """Clear a request that a target completed."""
-        self.parts.record_begun(progress)
         if not self.suspects.records:
             return
         digest = self.fingerprint(admitted, progress)
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -435,7 +435,8 @@
         reason = self.crashes.quarantine_reason(admitted, progress)
         if reason:
             return Refusal(RefusalKind.QUARANTINED, reason=reason)
-        if progress.may_have_run and self.crashes.parts.may_crash_another(progress):
+        was_sent = progress.may_have_run or progress.open_exchanges
+        if was_sent and self.crashes.parts.may_crash_another(progress):
             return SUSPECTED
         return None
 
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -243,6 +243,8 @@
             await self.crashes.check_for_crash(admitted, exchange)
             reason = f"response broke off: {error}"
             return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
+        if exchange.response.status == HTTP_OK:
+            self.crashes.parts.record_begun(progress)
         return Arrival(b"".join(parts), ended=True)
 
     async def receive_events(
--- a/tests/test_part_tracking.py
+++ b/tests/test_part_tracking.py
@@ -8,7 +8,7 @@
 
 from tests.test_crashes import admitted, lines, target
 from tests.test_direct_dispatch import crash_tracker, events
-from tests.test_silent_targets import Entry, PacedAnswer
+from tests.test_silent_targets import SILENT_S, Entry, PacedAnswer
 from wisteriapulley.direct.exchange import Exchange
 from wisteriapulley.direct.progress import Progress
 from wisteriapulley.direct.slot_allocation import AllocatedSlot
@@ -16,6 +16,7 @@
 from wisteriapulley.policy.begun_parts import RETENTION_S, BegunParts
 from wisteriapulley.policy.crash_suspects import MAX_SUSPECTS_PER_FRAME
 from wisteriapulley.policy.part_suspects import QUARANTINE_RANK, rank_of
+from wisteriapulley.routing import RouteKind
 from wisteriapulley.wire.messages import Suspect, SuspectNews
 
 FIRST, CRASHING, THIRD = "5c1e", "bad0", "d04f"
@@ -220,7 +221,8 @@
         progress = Progress(self.request(), "s")
         (digest,) = tracker.parts.fingerprints(progress)
         tracker.suspects.merge_updates([Suspect(digest, 0, known)], 0.0)
-        entry.dispatcher.retry_budget("s").spend = lambda now_s: True
+        budget = entry.dispatcher.retry_budget("s")
+        budget.spend = budget.has_budget = lambda now_s: True
         return entry
 
     def request(self):
@@ -255,6 +257,28 @@
         assert self.serve(entry) is None
         assert len(entry.client.plans) == 2 and entry.caller.ended
 
+    @pytest.mark.parametrize("status", [200, 400, 500])
+    def test_only_a_successful_response_clears(self, status):
+        """Any other one may have come from a target that began nothing."""
+        answer = PacedAnswer((0.1, b"body"), status=status)
+        entry = self.entry(answer, known=("8/i-1",), kind=RouteKind.NON_IDEMPOTENT)
+        self.serve(entry)
+        records = entry.dispatcher.crashes.suspects.records
+        assert any(map(rank_of, records.values())) == (status != 200)
+
+    def test_empty_stream_clears_nothing(self):
+        entry = self.entry(PacedAnswer((0.1, b"")), known=("8/i-1",))
+        assert self.serve(entry) is None
+        records = entry.dispatcher.crashes.suspects.records
+        assert any(map(rank_of, records.values()))
+
+    def test_known_suspect_is_not_sent_to_a_spare_of_a_silent_target(self):
+        silent = PacedAnswer((0.0, events(1, 2)), head_s=SILENT_S)
+        spare = PacedAnswer((0.1, events(1, 2)))
+        entry = self.entry(silent, spare, known=("7/i-2", "8/i-1"))
+        assert self.serve(entry) is None
+        assert len(entry.client.plans) == 1 and entry.caller.body == events(1, 2)
+
     def test_first_event_clears_before_the_response_ends(self):
         broken = PacedAnswer((0.1, events(1, 1)), (0.1, None))
         entry = self.entry(broken, known=("8/i-1",), resumable=False)
