--- a/src/wisteriapulley/direct/exchange.py
+++ b/src/wisteriapulley/direct/exchange.py
@@ -9,8 +9,8 @@
 from wisteriapulley.direct.slot_allocation import AllocatedSlot
 from wisteriapulley.direct.types import Refusal, TargetAnswer
 from wisteriapulley.policy.circuit_breaker import SendOutcome
-from wisteriapulley.policy.part_suspects import SuspectRecord
 from wisteriapulley.policy.slot_requests import NOTHING_OBSERVED, ObservedWork
+from wisteriapulley.policy.suspect_record import SuspectRecord
 
 
 class Arrival(NamedTuple):
--- a/src/wisteriapulley/direct/part_tracking.py
+++ b/src/wisteriapulley/direct/part_tracking.py
@@ -12,12 +12,12 @@
 from wisteriapulley.policy.fingerprint import is_part, log_name, part_fingerprint
 from wisteriapulley.policy.part_suspects import (
     SINGLE_SEND_RANK,
-    SuspectRecord,
     culprit,
     incarnations,
     rank_of,
 )
 from wisteriapulley.policy.recent_ends import RecentEnds
+from wisteriapulley.policy.suspect_record import SuspectRecord
 from wisteriapulley.wire.messages import SuspectNews
 
 log = logging.getLogger(__name__)
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -37,7 +37,7 @@
 # Larger numbers would not fit into a slot request to a sidecar.
 MAX_WAIT_MS = 86_400_000.0
 MAX_TOKENS = 2**32 - 1
-# Parts of a prompt that are read; prompts of users have some thirty.
+# Maximum number of parts that are read of a prompt.
 MAX_PROMPT_PARTS = 64
 STATUS_BY_REFUSAL = {
     RefusalKind.NO_ROUTE: 404,
--- a/src/wisteriapulley/policy/crash_suspects.py
+++ b/src/wisteriapulley/policy/crash_suspects.py
@@ -20,7 +20,7 @@
 
 from wisteriapulley.policy import part_suspects
 from wisteriapulley.policy.fingerprint import is_part
-from wisteriapulley.policy.part_suspects import SuspectRecord
+from wisteriapulley.policy.suspect_record import SuspectRecord
 from wisteriapulley.wire.messages import Suspect
 
 # Targets that a request may end before it is quarantined. With fewer, requests that
--- a/src/wisteriapulley/policy/part_suspects.py
+++ b/src/wisteriapulley/policy/part_suspects.py
@@ -13,9 +13,9 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import NamedTuple
 
 from wisteriapulley.policy.fingerprint import is_part
+from wisteriapulley.policy.suspect_record import SuspectRecord
 
 # Rank at which a part is quarantined: two prompts in a row ended a target although an
 # earlier end was known.
@@ -34,25 +34,6 @@
 MIN_SHARE = 0.4
 
 
-class SuspectRecord(NamedTuple):
-    """Crash record of one request, or of one part of prompts.
-
-    Attributes
-    ----------
-    cleared : int
-        How often an answer cleared it after targets had ended.
-    ended : tuple of str
-        What ended under it since then, sorted: incarnations of targets for a request,
-        ranked ends for a part.
-    at_s : float
-        When the last of them ended, on a clock that counts suspensions.
-    """
-
-    cleared: int
-    ended: tuple[str, ...]
-    at_s: float
-
-
 Records = Mapping[bytes, SuspectRecord]
 
 
--- a/src/wisteriapulley/policy/recent_ends.py
+++ b/src/wisteriapulley/policy/recent_ends.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Collection, Iterable
 
-# How long an end counts as recent: some times as long as prompts wait until a target
-# begins to answer.
+# How long an end counts as recent. Long against the time until a target begins to
+# answer a prompt.
 WINDOW_S = 10.0
 # Ends are kept for longer, since news of them may be repeated.
 RETENTION_S = 60.0
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -621,11 +621,12 @@
 
 
 class Suspect(NamedTuple):
-    """A request during which targets ended; see `policy.crash_suspects`.
+    """A request, or a part of prompts, under which targets ended.
 
-    `digest` identifies the request, and `cleared` counts how often it was cleared of
-    suspicion. `ended` lists the incarnations of targets that ended while they ran it
-    since it was last cleared; `age_s` is the time since the last of them ended.
+    `digest` identifies it, and `cleared` counts how often it was cleared of suspicion.
+    `ended` lists the targets that ended since then: their incarnations for a request
+    (see `policy.crash_suspects`), ranked ends for a part (`policy.part_suspects`).
+    `age_s` is the time since the last of them ended.
     """
 
     digest: bytes = b""
@@ -635,7 +636,7 @@
 
 
 class SuspectNews(NamedTuple):
-    """Requests during which targets ended, or that were cleared of suspicion."""
+    """Requests and parts under which targets ended, or that were cleared."""
 
     suspects: tuple[Suspect, ...] = ()
 
