--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,7 +4,6 @@
 import logging
 import random
 import time
-import zlib
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
@@ -136,9 +135,9 @@
             "Authorization": f"{names.BEARER_PREFIX}{KEY}",
         }
         if is_streaming(sent):
-            own = f"{zlib.crc32(sent.request_id.encode()):x}"
-            prompt = self.checker.crashing_parts.draw_prompt(self.prompt_rng, own)
-            headers[names.PROMPT_PARTS] = prompt
+            headers[names.PROMPT_PARTS] = self.checker.crashing_parts.draw_prompt(
+                self.prompt_rng, sent.request_id
+            )
         if self.rng.random() < NEW_CONNECTION_FRACTION:
             headers["Connection"] = "close"
         url = aiohttp.client.URL(f"http://{self.address}{sent.path}", encoded=True)
--- a/soak/crashing_parts.py
+++ b/soak/crashing_parts.py
@@ -1,6 +1,7 @@
 """Prompts with a part that crashes each engine which begins to answer them."""
 
 import random
+import zlib
 from typing import NamedTuple
 
 # Parts that sound and crashing prompts share; the last part belongs to the request.
@@ -28,6 +29,8 @@
     ----------
     sent : str
         Part that callers send now; empty for none.
+    prompts : dict of str to list of str
+        Ids of the requests that were to hold a part, by part, in order.
     arrivals : dict of str to list of Arrival
         Prompts that reached engines, by part.
     crashes : dict of str to list of float
@@ -36,24 +39,27 @@
 
     def __init__(self):
         self.sent = ""
+        self.prompts: dict[str, list[str]] = {}
         self.arrivals: dict[str, list[Arrival]] = {}
         self.crashes: dict[str, list[float]] = {}
 
     def begin(self, part: str) -> None:
         """Let callers send a part from now on."""
         self.sent = part
-        self.arrivals[part], self.crashes[part] = [], []
+        self.prompts[part], self.arrivals[part], self.crashes[part] = [], [], []
 
     def end(self, part: str) -> None:
         """Let callers send the part no longer."""
         if self.sent == part:
             self.sent = ""
 
-    def draw_prompt(self, rng: random.Random, own: str) -> str:
+    def draw_prompt(self, rng: random.Random, request_id: str) -> str:
         """Return the parts of a new prompt as its caller states them."""
         first, third = rng.sample(SHARED_PARTS, 2)
+        own = f"{zlib.crc32(request_id.encode()):x}"
         parts = [first, third, own]
         if self.sent and rng.random() < CRASHING_FRACTION:
+            self.prompts[self.sent].append(request_id)
             parts.insert(rng.choice((0, 1, 2)), self.sent)
         return ",".join(f"{part}:40" for part in parts)
 
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -332,8 +332,9 @@
                 self.check("not run", not executions, f"{result} ran: {executions}")
             self.check_truncated(result)
             self.check_paused(result)
-        for part in self.crashing_parts.arrivals:
-            self.check_crashing_part(part)
+        if self.timed:
+            for part in self.crashing_parts.arrivals:
+                self.check_crashing_part(part)
 
     def check_crashing_part(self, part: str) -> None:
         """Check that prompts with a part that crashes engines are sent no more."""
--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -29,6 +29,7 @@
         targets = [StreamTarget(n, {CRASHING}) for n in range(TARGETS)]
         super().__init__(folder, targets, ROUTE)
         self.prompts = 0
+        self.responses = []
 
     async def send_prompt(self, *parts):
         """Send a new prompt to the next entry; return the status and Retry-After."""
@@ -76,24 +77,36 @@
             if not target.is_up:
                 await target.restart()
 
-    async def send_at_once(self, callers, seconds):
-        """Send crashing prompts from several callers, while crashed targets restart."""
-        end_s = asyncio.get_running_loop().time() + seconds
-
-        async def send_repeatedly():
-            while asyncio.get_running_loop().time() < end_s:
-                await self.send_crashing()
-                await asyncio.sleep(PAUSE_S)
+    async def send_until(self, done):
+        """Send crashing prompts from one more caller."""
+        caller = len(self.responses)
+        self.responses.append(0)
+        while not done.is_set():
+            await self.send_crashing()
+            self.responses[caller] += 1
+            await asyncio.sleep(PAUSE_S)
 
-        async def restart_repeatedly():
-            while asyncio.get_running_loop().time() < end_s:
-                await asyncio.sleep(2 * PAUSE_S)
-                await self.restart_targets()
+    async def restart_until(self, done):
+        while not done.is_set():
+            await asyncio.sleep(2 * PAUSE_S)
+            await self.restart_targets()
 
-        await asyncio.gather(
-            restart_repeatedly(), *(send_repeatedly() for _ in range(callers))
+    async def all_entries_know(self):
+        """Return whether all entries have quarantined the part."""
+        return all(
+            entry.crashes.count_quarantined()[1] for entry in self.entries.values()
         )
 
+    async def until_each_caller_sent_twice(self):
+        """Wait until all that was in progress has ended, and more was sent."""
+        before = tuple(self.responses)
+
+        async def sent_twice():
+            pairs = zip(before, self.responses, strict=True)
+            return all(now >= then + 2 for then, now in pairs)
+
+        await self.until(sent_twice)
+
 
 def play(tmp_path, scenario):
     plain_fleet.play(CrashingFleet(tmp_path), scenario)
@@ -132,18 +145,19 @@
         play(tmp_path, scenario)
 
     def test_prompts_at_the_same_time_crash_no_more_targets(self, tmp_path):
-        """Later than this after the fifth crash, three may still be sent."""
+        """Once all entries know the part, only what was sent before may reach any."""
 
         async def scenario(fleet):
-            window_s = 3.0
-            sends = asyncio.create_task(fleet.send_at_once(4, seconds=8.0))
-            while fleet.crashes() < MAX_CRASHED and not sends.done():
-                await asyncio.sleep(0.02)
-            if not sends.done():
-                await asyncio.sleep(window_s)
-            crashes = fleet.crashes()
-            await sends
-            assert fleet.crashes() <= crashes + MAX_LATER_SENDS
+            done = asyncio.Event()
+            callers = [fleet.send_until(done) for _ in range(4)]
+            sending = asyncio.gather(fleet.restart_until(done), *callers)
+            await fleet.until(fleet.all_entries_know)
+            await fleet.until_each_caller_sent_twice()
+            runs = fleet.runs()
+            await fleet.until_each_caller_sent_twice()
+            assert fleet.runs() == runs
+            done.set()
+            await sending
             assert await fleet.send_sound() == 200
 
         play(tmp_path, scenario)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -558,7 +558,7 @@
 
     def violations(self, arrivals, crashes=5, faults=()):
         """Return what is violated if the last crash of several was at 20 s."""
-        checker = new_checker(timed=False)
+        checker = new_checker()
         checker.faults.extend(faults)
         checker.crashing_parts.begin("bad0")
         checker.crashing_parts.crashes["bad0"] += range(21 - crashes, 21)
@@ -583,13 +583,14 @@
 
     def test_prompts_share_parts_with_crashing_ones(self):
         parts, rng = CrashingParts(), random.Random(1)
-        sound = [parts.draw_prompt(rng, "e1") for _ in range(50)]
+        sound = [parts.draw_prompt(rng, "id") for _ in range(50)]
         assert not any(map(parts.crashing_part, sound))
         parts.begin("bad0")
-        drawn = [parts.draw_prompt(rng, "e1") for _ in range(50)]
-        assert {parts.crashing_part(prompt) for prompt in drawn} == {"", "bad0"}
+        drawn = [parts.draw_prompt(rng, "id") for _ in range(50)]
+        crashing = [prompt for prompt in drawn if parts.crashing_part(prompt)]
+        assert 0 < len(crashing) == len(parts.prompts["bad0"]) < 50
         # The last part belongs to the request itself.
-        assert all(prompt.endswith(",e1:40") for prompt in drawn)
+        assert len({prompt.rpartition(",")[2] for prompt in drawn}) == 1
 
 
 class TestConfigurationHistory:
@@ -737,4 +738,8 @@
         run.plan = [Fault(0.0, FaultKind.CRASHING_PART, "bad0", 12.0)]
         outcome = asyncio.run(run.run())
         assert outcome.findings == ()
-        assert run.checker.crashing_parts.crashes["bad0"]
+        parts = run.checker.crashing_parts
+        assert parts.crashes["bad0"]
+        reached = {arrival.request_id for arrival in parts.arrivals["bad0"]}
+        prompts = parts.prompts["bad0"]
+        assert reached.isdisjoint(prompts[len(prompts) // 2 :])
