Ask for the rank of a part before comparing it with others

What is quarantined is asked for at each news of suspects, twice at a control instance, and once a second at each entry. The test counts the comparisons: 201 before, one now.

--- a/src/wisteriapulley/policy/part_suspects.py
+++ b/src/wisteriapulley/policy/part_suspects.py
@@ -120,8 +120,10 @@
 
     It is not if all its trials are explained by another part which it does not explain.
     """
+    if rank_of(records.get(digest)) < QUARANTINE_RANK:
+        return False
     suspects = suspects_of(records, QUARANTINE_RANK)
-    return digest in suspects and all(
+    return all(
         digest in partners(suspects, other) for other in partners(suspects, digest)
     )
 
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from wisteriapulley.policy import recent_ends
+from wisteriapulley.policy import part_suspects, recent_ends
 from wisteriapulley.policy.begun_parts import BegunParts
 from wisteriapulley.policy.crash_suspects import MAX_PART_ENDS, CrashSuspects
 from wisteriapulley.policy.fingerprint import DIGEST_BYTES, PART_PREFIX
@@ -206,6 +206,23 @@
             fleet.suspects.record_crash(request, end, 9.0)
         assert fleet.refuses(CULPRIT)
 
+    def test_is_looked_for_only_among_parts_of_its_rank(self, monkeypatch):
+        """Each change of a suspect asks for all that is quarantined."""
+        fleet, looks = Fleet(), []
+        for number in range(200):
+            fleet.crash(part(f"rare-{number}"), known={})
+        for _ in range(QUARANTINE_RANK):
+            fleet.crash(CULPRIT)
+        suspects_of = part_suspects.suspects_of
+
+        def look(records, min_rank):
+            looks.append(min_rank)
+            return suspects_of(records, min_rank)
+
+        monkeypatch.setattr(part_suspects, "suspects_of", look)
+        assert fleet.suspects.quarantined() == [CULPRIT]
+        assert len(looks) == 1
+
     def test_is_suspected_at_a_lower_rank(self):
         fleet = Fleet()
         for _ in range(SINGLE_SEND_RANK):
