See the restart of a leaving engine before it holds weights again

The engine had said that it leaves, and started again while its sidecar prepared a load. The load was ordered 12 ms after the download, and the next report showed its weights.

Cause: what tells a restart is a report without weights, and the load came before it. The engine counted as leaving from then on, and a leaving one gets no newer version.

The sidecar asks for a report before it orders a load to an engine that it knows as leaving. The test on a virtual clock failed before: of two versions named the second was never ordered.

--- a/src/wisteriapulley/rollout/updater.py
+++ b/src/wisteriapulley/rollout/updater.py
@@ -255,6 +255,9 @@
 
     async def load(self, model: str, version: int) -> None:
         """Order the engine to load, and wait until it reports the version."""
+        if self.state.report.leaving:
+            # Once it holds weights, a report no longer shows that it has restarted.
+            await self.poll_engine()
         self.loading = True
         self.update_admission()
         loop = asyncio.get_running_loop()
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -255,6 +255,30 @@
         play(tmp_path, scenario)
 
 
+class TestRestart:
+    def test_between_two_reports_ends_leaving(self, tmp_path, monkeypatch):
+        """The load that was in preparation begins before the next report."""
+        monkeypatch.setattr("tests.test_silent_engines.LOAD_S", 0.01)
+
+        async def scenario(sidecar):
+            engine, updater = sidecar.engine, sidecar.service.updater
+            downloaded = asyncio.Event()
+            updater.staging.fetch_missing = lambda manifest: downloaded.wait()
+            name_version(sidecar.service, 2)
+            await asyncio.sleep(0.5)
+            engine.version, engine.leaving = 0, True
+            await asyncio.sleep(1.0)
+            engine.leaving = False
+            downloaded.set()
+            await asyncio.sleep(1.0)
+            assert engine.begun == [2]
+            name_version(sidecar.service, 3)
+            await asyncio.sleep(1.0)
+            assert engine.begun == [2, 3]
+
+        play(tmp_path, scenario, started_ms=0)
+
+
 class TestSpeed:
     """A pause lengthens everything that runs at the time."""
 
