Record no signal that a caller of the soak can't have got

Soak (20 s) found requests at a target in its cool-down, twice in two plays of this code. The trace: the target stood still, and meanwhile the entry dropped the request at the end of its version and closed the connection. The cool-down began in the pause, and on waking the target turned the dropped request away. The checker took this for a signal that the entry had got; it had got none, and sent to the target only after the cool-down had ended.

A signal counts only if the connection of its request is still open, for leaving too. The new test failed before for the caller that left.

--- a/soak/targets.py
+++ b/soak/targets.py
@@ -74,11 +74,15 @@
     now_s = time.monotonic()
     request_id = request.headers.get(names.REQUEST_ID, "")
     target.checker.record_arrival(request_id, target.target_id, request[ARRIVED_S])
-    if target.leaving:
+    # A caller that has closed its connection meanwhile gets no signal.
+    is_open = request.transport is not None
+    if target.leaving and is_open:
         target.checker.record_signal(request_id, target.target_id, now_s)
     if not target.cooldown_s:
         return None
-    target.checker.record_signal(request_id, target.target_id, now_s, target.cooldown_s)
+    if is_open:
+        cooldown_s = target.cooldown_s
+        target.checker.record_signal(request_id, target.target_id, now_s, cooldown_s)
     headers = {
         names.NOT_RUN: "rest",
         names.RETRY_AFTER: str(target.cooldown_s),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak test: plan, invariants, and a short run of the real programs."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import subprocess
@@ -269,6 +270,22 @@
         assert len(checker.executions["id"]) == 1
         assert not checker.findings
 
+    @pytest.mark.parametrize("leaves", [True, False])
+    def test_signal_to_caller_that_left_is_not_recorded(self, leaves):
+        """Its entry can't know of the cool-down that begins in the pause."""
+
+        async def scenario(engine, session, url):
+            pause = asyncio.create_task(engine.fall_silent(0.3))
+            with contextlib.suppress(asyncio.TimeoutError):
+                async with asyncio.timeout(0.1 if leaves else None):
+                    engine.cooldown_s = 9.0
+                    await session.post(url, data=b"body", headers=self.HEADERS)
+            await pause
+            await asyncio.sleep(0.1)
+
+        checker = self.play(scenario)
+        assert bool(checker.signals["entry-1", "sidecar-1-i1"]) == (not leaves)
+
     def test_response_goes_on_where_it_stood_still(self):
         async def scenario(engine, session, url):
             async with session.post(url, data=b"body", headers=self.HEADERS) as answer:
