--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -74,4 +74,16 @@
         " requests could no longer start on its version of the weights",
         calm=True,
     ),
+    Regression(
+        2094945565,
+        20.0,
+        "an engine that left and restarted between two reports, with a load in"
+        " preparation, was treated as leaving forever",
+    ),
+    Regression(
+        659643124,
+        20.0,
+        "the soak test took a cool-down for known to an entry that had closed the"
+        " connection before",
+    ),
 )
