Let the virtual targets say that their responses are framed

Two tests of the emulator failed since (test_emulator, the ways for silent targets: all answers lost): its responses lacked the attribute that the end of a response is checked by, and each stream ended by an internal error. Responses of virtual targets are whole when they end. Both tests pass unchanged.

--- a/bench/turned_away.py
+++ b/bench/turned_away.py
@@ -139,6 +139,7 @@
         self.headers: Headers = ()
         self.length = None
         self.not_run = status == 503
+        self.unframed = False
         self.other_instance = False
         self.events = parts
 
