Log requests given up at targets, unsent bytes and the lag of the loop

Callers of recorded streams left, and their requests ran on at their target. The logs said that the caller had left, but not at which target the request was then, how long that target had sent nothing, whether a part of the body had arrived, nor whether the connection still had bytes to send; nothing told how far the event loop was behind. So four causes could not be told apart: a caller's patience that the entry does not know, a close that the target does not see, one that the entry hears late, and a request that no handler owns any more.

New: the lines "request given up at target" and "connection closed before all was sent", the counter requests_given_up_total by whether a part of the body had arrived, and the gauge event_loop_lag_seconds. Lines about silences also say how long ago the request was sent and came in. No decision changes.

--- a/src/wisteriapulley/direct/hedging.py
+++ b/src/wisteriapulley/direct/hedging.py
@@ -122,6 +122,9 @@
         except TimeoutError:
             if not self.waiting.expired():
                 raise
+        except asyncio.CancelledError:
+            self.sender.record_given_up(exchange, self.admitted)
+            raise
         finally:
             self.waiting = None
         if arrival is None:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -371,6 +371,11 @@
         if exchange.begun or exchange.slot.may_start(self.now_s()):
             self.registry.record_silence(exchange.target, self.now_s())
 
+    def record_given_up(self, exchange: Exchange, admitted: Admitted) -> None:
+        """Record that a request is cancelled while its target works on it."""
+        self.log_silence("request given up at target", exchange, admitted)
+        self.metrics.record_given_up(exchange.begun)
+
     def record_spare_error(
         self, error: BaseException | None, admitted: Admitted
     ) -> None:
@@ -386,6 +391,7 @@
 
     def log_silence(self, message: str, exchange: Exchange, admitted: Admitted) -> None:
         """Log a silence of a target, with its length so far."""
+        now_s = self.now_s()
         log.info(
             message,
             extra=fields(
@@ -393,7 +399,9 @@
                 admitted.revision,
                 target=exchange.target.target_id,
                 last_event=exchange.events.last_id,
-                silent_ms=exchange.silent_ms(self.now_s()),
+                silent_ms=exchange.silent_ms(now_s),
+                sent_ms=int((now_s - exchange.sent_s) * 1000),
+                waited_ms=int((now_s - admitted.request.arrived_s) * 1000),
             ),
         )
 
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -73,6 +73,10 @@
         self.lines_lost = self.metrics.gauge(
             "log_lines_lost", "Log lines dropped since the start."
         )
+        self.loop_lag = self.metrics.gauge(
+            "event_loop_lag_seconds",
+            "How late the event loop ran the last periodic task.",
+        )
         self.quarantined = self.metrics.gauge(
             "requests_quarantined", "Requests that are sent to no target any more."
         )
@@ -177,7 +181,9 @@
         """Update gauges and remove expired state, periodically."""
         loop = asyncio.get_running_loop()
         while True:
+            due_s = loop.time() + SWEEP_INTERVAL_S
             await asyncio.sleep(SWEEP_INTERVAL_S)
+            self.loop_lag.set({}, loop.time() - due_s)
             self.lines_lost.set({}, lines_lost())
             self.crashes.sweep()
             entry_count = self.follower.entries_reported()
--- a/src/wisteriapulley/entry/metrics.py
+++ b/src/wisteriapulley/entry/metrics.py
@@ -34,6 +34,11 @@
             "Targets that were silent for so long that another one was looked for, by"
             " how the silence ended.",
         )
+        self.given_up = metrics.counter(
+            "requests_given_up_total",
+            "Requests cancelled at a target that had not answered them whole, by"
+            " whether a part of the body had arrived.",
+        )
         self.internal_errors = metrics.counter(
             "internal_errors_total", "Requests that an error of this process ended."
         )
@@ -72,6 +77,10 @@
         """Record the end of a target's silence: it went on, or was left."""
         self.silences.inc({"end": end})
 
+    def record_given_up(self, begun: bool) -> None:
+        """Record a request that was cancelled while its target worked on it."""
+        self.given_up.inc({"begun": "yes" if begun else "no"})
+
     def record_first_part(
         self, account: str, traffic_class: str, seconds: float
     ) -> None:
--- a/src/wisteriapulley/platform/http.py
+++ b/src/wisteriapulley/platform/http.py
@@ -1,10 +1,16 @@
 """HTTP client for targets, engines and the origin."""
 
 import functools
+import logging
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from wisteriapulley.logs import fields
+from wisteriapulley.platform.unsent import unsent_bytes
+
+log = logging.getLogger(__name__)
+
 # Time limit for connecting, which takes a millisecond within a region. A host without
 # power does not respond at all, and the request must keep enough time for another
 # target.
@@ -22,6 +28,16 @@
     reset as such an end.
     """
 
+    def close(self) -> None:
+        """Close the connection, and log what the peer has not received yet."""
+        if self.transport is not None and (unsent := unsent_bytes(self.transport)):
+            peer = self.transport.get_extra_info("peername")
+            log.info(
+                "connection closed before all was sent",
+                extra=fields(peer=peer, unsent=unsent),
+            )
+        super().close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Mark the response in progress as broken before aiohttp treats it as ended."""
         payload = self._payload
--- /dev/null
+++ b/src/wisteriapulley/platform/unsent.py
@@ -0,0 +1,27 @@
+"""How much of what was written to a connection its peer has not received."""
+
+import asyncio
+import fcntl
+import struct
+import termios
+
+
+def unsent_bytes(transport: asyncio.Transport) -> int:
+    """Return how many written bytes the peer has not acknowledged yet.
+
+    The bytes in the process and those in the socket buffer of the kernel are counted.
+    """
+    return transport.get_write_buffer_size() + unacknowledged_bytes(transport)
+
+
+def unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes in the send buffer of the kernel; 0 if it does not tell."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    size = struct.pack("i", 0)
+    try:
+        # For TCP sockets this is SIOCOUTQ; see tcp(7).
+        return struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, size))[0]
+    except OSError:
+        return 0
