--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -104,8 +104,10 @@
 class Entry:
     """An entry on a virtual clock with some targets."""
 
-    def __init__(self, *answers, targets=2, kind=RouteKind.STREAM, **options):
-        self.route = Route(
+    def __init__(
+        self, *answers, targets=2, kind=RouteKind.STREAM, route=None, **options
+    ):
+        self.route = route or Route(
             "r", "h", "/", kind, (Split("s", 1),), int(LIMIT_S * 1000), 400, 400, 1
         )._replace(
             resumable=options.pop("resumable", True),
