End streams that do not begin before their callers leave

Callers leave a stream that shows nothing for some seconds, long before the time limit of the whole response.

Cause: nothing derived from the route how long its callers wait for an event. The only limit was that of the whole response, 6 s, so a request could be queued, held and worked for without anybody waiting for it.

"caller left" is logged within 30 ms, so the entry hears of it in time.

Now a stream must begin within 0.95 of its caller's patience, which follows from the latency objective and the pause that the route states. One that has not is ended while its caller still reads the answer: 504, or 503 with a time to come back if it was sent nowhere. Requests for a slot and further sends keep to the same limit. The first event lifts it; plain routes have none.

test_caller_is_answered_before_it_leaves failed before.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -248,11 +248,12 @@
             return self.finish_refusal(request, admitted)
         service = self.choose_service(admitted.route, self.now_s(), admitted.homes)
         self.retry_budget(service).record_request(self.now_s())
+        progress = Progress(request, service, admitted.route.attempts)
         try:
-            async with asyncio.timeout_at(admitted.deadline_s):
-                refusal = await self.send_until_answered(admitted, service, answer)
+            async with asyncio.timeout_at(admitted.ends_s) as progress.time_limit:
+                refusal = await self.send_until_answered(admitted, progress, answer)
         except TimeoutError:
-            refusal = Refusal(RefusalKind.TIMED_OUT, reason="request timed out")
+            refusal = self.refuse_overdue(admitted, progress, answer)
         except asyncio.CancelledError:
             log.info("caller left", extra=fields(request.request_id))
             raise
@@ -272,6 +273,19 @@
             return None
         return self.finish_refusal(request, refusal)
 
+    def refuse_overdue(
+        self, admitted: Admitted, progress: Progress, answer: CallerAnswer
+    ) -> Refusal:
+        """Return the refusal of a request whose time has passed.
+
+        One that was sent nowhere has not run, and its caller may come back.
+        """
+        has_time = self.now_s() < admitted.deadline_s
+        if has_time and not progress.sends:
+            return Refusal(RefusalKind.OVERLOADED, FAILED_RETRY_S, "no slot in time")
+        reason = "request timed out" if answer.started else "no response in time"
+        return Refusal(RefusalKind.TIMED_OUT, reason=reason)
+
     async def wait_for_table(self, request: CallerRequest) -> None:
         """Wait a short time for the first routing table."""
         if self.index is not None:
@@ -321,10 +335,9 @@
         return asyncio.get_running_loop().time()
 
     async def send_until_answered(
-        self, admitted: Admitted, service: str, answer: CallerAnswer
+        self, admitted: Admitted, progress: Progress, answer: CallerAnswer
     ) -> Refusal | None:
         """Send to one target after the other, as often as the route permits."""
-        progress = Progress(admitted.request, service, admitted.route.attempts)
         open_another = functools.partial(self.open_exchange, admitted, progress)
         refusal: Refusal | None = None
         while progress.has_sends_left:
@@ -363,7 +376,8 @@
         It may have run, so it can't be refused, and fails without another target.
         """
         rest_ends_s = self.rest_ends_s(admitted, progress)
-        if rest_ends_s + MIN_SEND_S < admitted.deadline_s:
+        ends_s = admitted._replace(has_begun=progress.has_begun).ends_s
+        if rest_ends_s + MIN_SEND_S < ends_s:
             look_until_s = rest_ends_s + MAX_LOOK_INTERVAL_S
             progress.look_until_s = max(progress.look_until_s, look_until_s)
 
@@ -565,6 +579,7 @@
             now_s
         )
         excluded = progress.excluded(self.registry.targets, now_s)
+        admitted = admitted._replace(has_begun=progress.has_begun)
         return await self.allocator.allocate(
             admitted, service, engine, excluded, now_s, is_last
         )
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -1,10 +1,12 @@
 """State of one request: its admission, and its progress so far."""
 
+import asyncio
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from wisteriapulley.direct.events import EventSplitter
 from wisteriapulley.direct.types import CallerRequest
+from wisteriapulley.policy.patience import begin_limit_s
 from wisteriapulley.routing import Account, Engine, Route, RouteIndex, RoutingTable
 
 EMPTY_INDEX = RouteIndex(RoutingTable(0))
@@ -30,6 +32,8 @@
     index : RouteIndex
         Index of the routing table that admitted it. It applies until the request ends,
         since a newer table may lack the services of its route.
+    has_begun : bool
+        Whether its response has begun.
     """
 
     request: CallerRequest
@@ -39,11 +43,20 @@
     is_retry: bool = False
     homes: tuple[str, ...] = ()
     index: RouteIndex = EMPTY_INDEX
+    has_begun: bool = False
 
     def engine_of(self, service: str) -> Engine | None:
         """Return the engine parameters of a service; None for plain targets."""
         return self.index.services[service].engine
 
+    @property
+    def ends_s(self) -> float:
+        """When its time to begin ends, or to end once it has begun; loop's clock."""
+        if self.has_begun:
+            return self.deadline_s
+        limit_s = begin_limit_s(self.route, self.request.max_wait_s)
+        return min(self.deadline_s, self.request.arrived_s + limit_s)
+
     @property
     def revision(self) -> int:
         """Version of the routing table that admitted the request."""
@@ -91,6 +104,10 @@
     look_until_s : float
         Until when the request looks for another target after it was dropped, on the
         loop's clock; 0 if it was not.
+    has_begun : bool
+        Whether the response to the caller has begun.
+    time_limit : asyncio.Timeout or None
+        Ends the request when its time to begin ends, or at its deadline.
     budget_spent : bool
         Whether the retry budget once did not permit another send.
     events : EventSplitter
@@ -111,6 +128,8 @@
         self.open_exchanges = 0
         self.rejected_until_s: dict[str, float] = {}
         self.look_until_s = 0.0
+        self.has_begun = False
+        self.time_limit: asyncio.Timeout | None = None
         self.budget_spent = False
         self.events = EventSplitter(request.resume_after)
         self.fingerprint = b""
@@ -149,6 +168,12 @@
             closed.difference_update(self.rejected_until_s)
         return closed
 
+    def record_begun(self, deadline_s: float) -> None:
+        """Record that the response begins, and lift the time limit for that."""
+        self.has_begun = True
+        if self.time_limit is not None:
+            self.time_limit.reschedule(deadline_s)
+
     @property
     def is_last_send(self) -> bool:
         """Whether the next send is the last one that the route permits."""
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -110,7 +110,7 @@
         """Send a request and wait for status and headers."""
         target, slot, sent_s = exchange.target, exchange.slot, exchange.sent_s
         remaining_s = admitted.deadline_s - self.now_s()
-        if remaining_s < MIN_SEND_S:
+        if self.left_s(admitted, progress) < MIN_SEND_S:
             return Refusal(RefusalKind.TIMED_OUT, reason="no time left")
         if not slot.may_start(self.now_s()):
             # A kept connection would take the request before a timeout cancels it.
@@ -211,13 +211,19 @@
         self, admitted: Admitted, progress: Progress, answer: CallerAnswer
     ) -> bool:
         """Return whether another target may still serve a failed request."""
-        left_s = admitted.deadline_s - self.now_s()
-        if not admitted.route.repeatable or answer.started or left_s <= MIN_SEND_S:
+        if not admitted.route.repeatable or answer.started:
+            return False
+        if self.left_s(admitted, progress) <= MIN_SEND_S:
             return False
         return progress.open_exchanges > 1 or (
             progress.has_targets_left and self.has_untried_target(admitted, progress)
         )
 
+    def left_s(self, admitted: Admitted, progress: Progress) -> float:
+        """Return how much time a request has left to begin, or then to end."""
+        ends_s = admitted._replace(has_begun=progress.has_begun).ends_s
+        return ends_s - self.now_s()
+
     def has_untried_target(self, admitted: Admitted, progress: Progress) -> bool:
         """Return whether an available target has not been tried yet."""
         candidates = self.registry.candidates(
@@ -342,6 +348,7 @@
             if is_stream and arrival.data:
                 self.record_first_event(admitted, target)
             length = None if is_stream else len(arrival.data)
+            progress.record_begun(admitted.deadline_s)
             await answer.start(response.status, response.headers, length)
         if arrival.data:
             await answer.write(arrival.data)
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -615,8 +615,12 @@
         return Urgency(left_ms, priority, False)
     run_ms = DECODE_TIME_FACTOR * request.answer_tokens * engine.step_ms
     slack_ms = request.max_wait_s * 1000 - LATENCY_MARGIN_MS - run_ms
-    if not (admitted.is_retry and returns_wait):
+    may_wait = admitted.is_retry and returns_wait
+    if may_wait:
+        wait_ms = late_wait_ms(slack_ms, MIN_LATE_WAIT_MS, waited_ms)
+    else:
         wait_ms = max(MIN_LATE_WAIT_MS, slack_ms - waited_ms)
-        return Urgency(wait_ms, priority + LATE_PRIORITY_OFFSET, True)
-    wait_ms = late_wait_ms(slack_ms, MIN_LATE_WAIT_MS, waited_ms)
-    return Urgency(wait_ms, priority + RETURN_PRIORITY_OFFSET, True, True)
+    # Its caller does not wait for a later first event.
+    wait_ms = max(0.0, min(wait_ms, (admitted.ends_s - now_s) * 1000))
+    offset = RETURN_PRIORITY_OFFSET if may_wait else LATE_PRIORITY_OFFSET
+    return Urgency(wait_ms, priority + offset, True, may_wait)
--- a/tests/test_callers_leave.py
+++ b/tests/test_callers_leave.py
@@ -11,10 +11,14 @@
 
 from tests.test_direct_dispatch import events
 from tests.test_silent_targets import NEVER_S, Entry, PacedAnswer
+from wisteriapulley.direct.progress import Admitted
+from wisteriapulley.direct.slot_allocation import urgency_of
 from wisteriapulley.direct.types import CallerRequest, Refusal, RefusalKind, SendPlan
 from wisteriapulley.platform.documents import WireRoute, to_route
 from wisteriapulley.platform.http import HttpClient
 from wisteriapulley.platform.target_client import HttpTargetClient
+from wisteriapulley.policy.patience import begin_limit_s, patience_s
+from wisteriapulley.routing import Engine, RouteKind
 
 # Callers leave a stream after eight of these pauses without an event.
 GAP_MS = 400
@@ -82,6 +86,89 @@
         assert isinstance(refusal, Refusal), "the caller left without an answer"
         assert refusal.kind is RefusalKind.TIMED_OUT
         assert ended_s < LEAVES_S
+        assert entry.client.cancelled == 1
+
+    def test_target_has_it_no_longer_when_the_caller_leaves(self):
+        """Two targets are silent; the second one was tried beside the first."""
+        silent = PacedAnswer(head_s=NEVER_S)
+        entry = Entry(silent, silent, route=STREAM)
+        entry.serve(leaves_s=LEAVES_S)
+        assert len(entry.client.plans) == entry.client.cancelled == 2
+
+    def test_head_without_an_event_is_no_beginning(self):
+        entry = Entry(PacedAnswer((NEVER_S, b"")), targets=1, route=STREAM)
+        refusal, ended_s = entry.serve(leaves_s=LEAVES_S)
+        assert refusal.kind is RefusalKind.TIMED_OUT and ended_s < LEAVES_S
+
+    def test_request_that_was_sent_nowhere_is_refused(self):
+        """It has not run, so its caller may come back."""
+        entry = Entry(targets=2, route=STREAM, slots=0)
+
+        async def allocate(*args):
+            await asyncio.sleep(NEVER_S)
+
+        entry.allocator.allocate = allocate
+        refusal, ended_s = entry.serve(leaves_s=LEAVES_S)
+        assert refusal.kind is RefusalKind.OVERLOADED and refusal.retry_s > 0
+        assert ended_s < LEAVES_S
+
+    def test_no_target_is_tried_that_could_not_begin_in_time(self):
+        """Room at a second target falls free when the caller is about to leave."""
+        answers = PacedAnswer(head_s=NEVER_S), PacedAnswer((0.0, events(1, 4)))
+        entry = Entry(*answers, route=STREAM, wait_s=1.42)
+        refusal, _ = entry.serve(leaves_s=LEAVES_S)
+        assert refusal.kind is RefusalKind.TIMED_OUT
+        assert len(entry.client.plans) == 1
+
+
+class TestStreamThatHasBegun:
+    """Its caller waits as long as events come."""
+
+    def test_time_limit_is_that_of_the_whole_response(self):
+        steps = [(0.9, events(n, n)) for n in range(1, 7)]
+        entry = Entry(PacedAnswer(*steps), targets=1, route=STREAM)
+        refusal, ended_s = entry.serve()
+        assert refusal is None and entry.caller.ended
+        assert ended_s == pytest.approx(5.4)
+
+    def test_target_that_goes_on_late_is_waited_for(self):
+        """Its caller may still be there: that is for the caller to decide."""
+        steps = (1.0, events(1, 1)), (3.1, events(2, 4))
+        entry = Entry(PacedAnswer(*steps), targets=1, route=STREAM)
+        assert entry.serve()[0] is None
+        assert entry.caller.body == events(1, 4)
+
+
+class TestPatience:
+    """How long callers wait for an event, by what their route states."""
+
+    @pytest.mark.parametrize(
+        ("latency_ms", "gap_ms", "limit_s"),
+        [(400, 400, 3.2), (1000, 400, 4.0), (400, 0, 2.0), (0, 0, 2.0)],
+    )
+    def test_longest_of_three(self, latency_ms, gap_ms, limit_s):
+        route = STREAM._replace(latency_ms=latency_ms, gap_ms=gap_ms)
+        assert patience_s(route) == pytest.approx(limit_s)
+        assert begin_limit_s(route, 60.0) < limit_s
+
+    def test_caller_with_little_time_waits_no_longer_than_that(self):
+        assert begin_limit_s(STREAM, 1.0) < 1.0
+
+    @pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT])
+    def test_callers_of_plain_routes_wait_for_the_whole_response(self, kind):
+        route = STREAM._replace(kind=kind)
+        assert patience_s(route) == begin_limit_s(route, 1.0) == float("inf")
+
+    @pytest.mark.parametrize("waited_s", [0.2, 1.5, 2.5])
+    def test_slot_is_asked_for_in_the_time_that_is_left(self, waited_s):
+        """A late request queues no longer than its caller waits for an event."""
+        request = CallerRequest(
+            "id", "POST", "/x", "h", "/x", (), b"", "", -waited_s, 60.0, 100, 50
+        )
+        route = STREAM._replace(gap_ms=100, latency_ms=100)
+        admitted = Admitted(request, route, None, 60.0)
+        wait_ms = urgency_of(admitted, Engine("m"), 0.0).wait_ms
+        assert 0.0 <= wait_ms <= max(0.0, 1000 * (patience_s(route) - waited_s))
 
 
 class SlowReader:
