Count the time of a request from its head

Callers state with the head of a request how long they wait. The entry counted that from when it had read the body, so a request whose body came slowly was held and worked for after its caller's time had passed, and targets were given more time than was left.

Seen in the code and in test_time_of_the_request_counts_from_its_head, which failed before; not seen in the field, where bodies are of some hundred bytes. Two tests patch the decoder, and take its new argument now.

--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -28,7 +28,7 @@
     key : str
         API key of the caller; empty without one.
     arrived_s : float
-        When the request was read, on the loop's clock.
+        When the head of the request was read, on the loop's clock.
     max_wait_s : float
         How long the caller waits from then on.
     prompt_tokens : int
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -198,10 +198,11 @@
         if request.transport is None or request.transport.is_closing():
             return web.StreamResponse(status=503)
         self.active[request.protocol] = asyncio.current_task()
+        arrived_s = asyncio.get_running_loop().time()
         answer = HttpCallerAnswer(request, lambda: self.closing)
         try:
             body = await request.read()
-            decoded = decode_request(request, body)
+            decoded = decode_request(request, body, arrived_s)
             refusal = await self.serve(decoded, answer)
             if refusal is not None:
                 await answer.refuse(refusal)
@@ -285,8 +286,10 @@
     return fields(request.headers.get(names.REQUEST_ID, ""), **more)
 
 
-def decode_request(request: web.BaseRequest, body: bytes) -> CallerRequest:
-    """Return the product's form of a request."""
+def decode_request(
+    request: web.BaseRequest, body: bytes, arrived_s: float
+) -> CallerRequest:
+    """Return the product's form of a request, whose head came at `arrived_s`."""
     headers = request.headers
     target = request._message.path
     prompt_tokens, max_answer_tokens = parse_token_counts(
@@ -307,7 +310,7 @@
         forwarded_headers(request),
         body,
         parse_api_key(headers.get("Authorization", "")),
-        asyncio.get_running_loop().time(),
+        arrived_s,
         parse_max_wait_ms(headers.get(names.DEADLINE_MS, "")) / 1000,
         prompt_tokens,
         answer_tokens,
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -98,6 +98,33 @@
         run_scenario(scenario)
 
 
+class TestBodyThatArrivesLate:
+    """The time of a caller runs while it sends the body of its request."""
+
+    HEAD = REQUEST.replace(b"GET", b"POST").rstrip() + b"\r\nContent-Length: 4\r\n\r\n"
+
+    def test_time_of_the_request_counts_from_its_head(self):
+        """Guards against work for a caller whose time has passed."""
+        times = []
+
+        async def scenario(ingress, served, reader, writer):
+            async def serve(request, answer):
+                times.append(request.arrived_s)
+                await served.serve(request, answer)
+
+            ingress.serve = serve
+            writer.write(self.HEAD)
+            while not ingress.active:
+                await asyncio.sleep(0.001)
+            times.append(asyncio.get_running_loop().time())
+            writer.write(b"body")
+            await reader.readuntil(b"ok")
+
+        run_scenario(scenario)
+        head_read_s, arrived_s = times
+        assert arrived_s <= head_read_s
+
+
 class TestInternalError:
     """Errors outside the dispatcher, which answers and logs its own."""
 
@@ -111,7 +138,7 @@
         run_scenario(count_errors)
 
     def test_request_that_is_not_understood_gets_a_failure(self, monkeypatch, caplog):
-        def fail(request, body):
+        def fail(*args):
             raise KeyError("unexpected")
 
         monkeypatch.setattr(ingress_module, "decode_request", fail)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -222,7 +222,7 @@
         run_scenario(tmp_path, scenario)
 
     def test_request_that_is_not_understood_is_counted(self, tmp_path, monkeypatch):
-        def fail(request, body):
+        def fail(*args):
             raise KeyError("unexpected")
 
         async def scenario(path):
