Let callers of the soak leave streams, and pause engines for longer than they wait

The soak's callers waited 5 s for anything, and no pause lasted longer than 2.5 s, so nothing showed that a stream at an engine that stands still stays there until its caller has gone. Its routes now state a latency objective and a pause between events, callers leave after 3.2 s without an event, and in three runs of five one engine stands still for 3.4 to 4.4 s. Checked: no caller leaves a stream that it has had no event of, unless a failure affected it. The new pauses have a generator of their own, so the other faults of a seed stay as they were.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from soak.invariants import (
+    Departure,
     InvariantChecker,
     RequestResult,
     SentRequest,
@@ -25,6 +26,9 @@
 KEY = "key-of-the-soak"
 REQUEST_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
+# How long a caller waits for the first or the next event of a stream, by the objectives
+# of its route.
+PATIENCE_S = 3.2
 THINK_TIME_S = (0.02, 0.15)
 # After a rejection a caller retries at the requested time, but not later than this.
 MAX_RETRY_WAIT_S = 1.0
@@ -49,6 +53,14 @@
 )
 
 
+class ImpatientError(Exception):
+    """A caller has left a stream that showed no first or next event in time."""
+
+    def __init__(self, has_event: bool):
+        super().__init__(has_event)
+        self.has_event = has_event
+
+
 class Caller:
     """Sends requests to one entry, one at a time.
 
@@ -115,7 +127,12 @@
             kind.max_targets,
         )
         self.checker.record_sent(sent)
-        status, data, retry_s = await self.exchange(sent)
+        try:
+            status, data, retry_s = await self.exchange(sent)
+        except ImpatientError as error:
+            departure = Departure(request_id, time.monotonic(), error.has_event)
+            self.checker.record_departure(departure)
+            return 0.0
         correct = data == kind.expected_body(request_id)
         self.checker.record_result(
             RequestResult(
@@ -126,7 +143,13 @@
         return min(retry_s, MAX_RETRY_WAIT_S)
 
     async def exchange(self, sent: SentRequest) -> tuple[int, bytes | None, float]:
-        """Send; return status, complete body (None if truncated) and retry time."""
+        """Send; return status, complete body (None if truncated) and retry time.
+
+        Raises
+        ------
+        ImpatientError
+            The caller has left a stream without a first or next event.
+        """
         headers = {
             "Host": HOST,
             names.REQUEST_ID: sent.request_id,
@@ -141,14 +164,25 @@
         if self.rng.random() < NEW_CONNECTION_FRACTION:
             headers["Connection"] = "close"
         url = aiohttp.client.URL(f"http://{self.address}{sent.path}", encoded=True)
-        status, retry_s = 0, 0.0
+        loop = asyncio.get_running_loop()
+        patience_s = PATIENCE_S if is_streaming(sent) else None
+        status, retry_s, data = 0, 0.0, b""
         try:
-            async with self.session.request(
-                sent.method, url, data=sent.body or None, headers=headers
-            ) as answer:
+            async with (
+                asyncio.timeout(patience_s) as limit,
+                self.session.request(
+                    sent.method, url, data=sent.body or None, headers=headers
+                ) as answer,
+            ):
                 status = answer.status
                 retry_s = float(answer.headers.get("Retry-After", 0))
-                return status, await answer.read(), retry_s
+                async for part in answer.content.iter_any():
+                    data += part
+                    if patience_s is not None:
+                        limit.reschedule(loop.time() + patience_s)
+                return status, data, retry_s
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            if limit.expired():
+                raise ImpatientError(bool(data)) from None
             log.debug("%s: %r", sent.request_id, error)
             return status, None, retry_s
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -78,6 +78,14 @@
     correct: bool
 
 
+class Departure(NamedTuple):
+    """A caller that left a stream, before its first event or in a gap."""
+
+    request_id: str
+    at_s: float
+    has_event: bool
+
+
 class ReportedSignal(NamedTuple):
     """What a target reported to one entry: it is leaving, or cools down.
 
@@ -123,6 +131,7 @@
         self.sent: dict[str, SentRequest] = {}
         self.executions: dict[str, list[Execution]] = defaultdict(list)
         self.results: dict[str, RequestResult] = {}
+        self.departures: list[Departure] = []
         self.faults: list[tuple[Fault, float, float]] = []
         self.leaving_since_s: dict[str, float] = {}
         self.signals: dict[tuple[str, str], list[ReportedSignal]] = defaultdict(list)
@@ -180,6 +189,10 @@
             self.check_drain(execution)
             self.check_superseded_version(execution)
 
+    def record_departure(self, departure: Departure) -> None:
+        """Record a caller that has left."""
+        self.departures.append(departure)
+
     def record_result(self, result: RequestResult) -> None:
         """Record and check how a request ended."""
         self.results[result.request_id] = result
@@ -332,10 +345,22 @@
                 self.check("not run", not executions, f"{result} ran: {executions}")
             self.check_truncated(result)
             self.check_paused(result)
+        for departure in self.departures:
+            self.check_departure(departure)
         if self.timed:
             for part in self.crashing_parts.arrivals:
                 self.check_crashing_part(part)
 
+    def check_departure(self, departure: Departure) -> None:
+        """Check that no caller leaves a stream that it has had no event of.
+
+        It gets a failure or a refusal before, so that no target works for nobody.
+        """
+        sent = self.sent[departure.request_id]
+        if not self.timed or self.is_affected_by_failure(sent, departure.at_s):
+            return
+        self.check("left", departure.has_event, f"{departure} of {sent}")
+
     def check_crashing_part(self, part: str) -> None:
         """Check that prompts with a part that crashes engines are sent no more."""
         late = self.crashing_parts.late_arrivals(part)
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -24,6 +24,9 @@
 
 ACCOUNT = "account-of-the-soak"
 CALL_TIMEOUT_S = 2.5
+# Objectives of streams. Their callers leave after four latencies or eight gaps without
+# an event.
+LATENCY_MS, GAP_MS = 800, 400
 RETRY_INTERVAL_S = 0.2
 READ_INTERVAL_S = 0.5
 # An order without an acknowledgement for this long is a finding. All faults that stop a
@@ -39,6 +42,7 @@
     text = json.loads(configuration(version, origin))
     model, once = text["routes"]
     model |= {"host": HOST, "path-prefix": "/stream/"}
+    model |= {"target-latency-ms": LATENCY_MS, "target-gap-ms": GAP_MS}
     plain = {"host": HOST, "service": "plain-service", "timeout-ms": 4000}
     once |= plain | {"path-prefix": "/once/"}
     safe = once | {
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -47,6 +47,7 @@
     PAUSE = "pause"
     PAUSE_WITH_CONFIG = "pause_config"
     PAUSE_WITH_WEIGHTS = "pause_weights"
+    LONG_PAUSE = "pause_long"
 
 
 # Targets stand still and go on: alone, while the configuration changes, or while the
@@ -61,6 +62,7 @@
 PLANNED_KINDS = frozenset(
     {
         *PAUSE_KINDS,
+        FaultKind.LONG_PAUSE,
         FaultKind.TERM,
         FaultKind.HUP,
         FaultKind.ENGINE_RELEASE,
@@ -145,6 +147,11 @@
 # requests were sent before, and ends later than any of them may start.
 PAUSE_AT_VERSION_END_S = (1.4, 2.5)
 
+# An engine stands still for longer than callers wait for an event, in this fraction of
+# the runs. A generator of its own leaves the other faults of a seed unchanged.
+LONG_PAUSE_FRACTION = 0.6
+LONG_PAUSE_S = (3.4, 4.4)
+
 
 class Fault(NamedTuple):
     """One fault; `duration_s` is its length, or the time until a process restarts."""
@@ -223,6 +230,7 @@
         *draw_cooldowns(random.Random(f"rests/{seed}"), seconds, shape),
         *draw_evacuations(random.Random(f"evacuations/{seed}"), seconds),
         *draw_pauses(random.Random(f"pauses/{seed}"), seconds, shape),
+        *draw_long_pauses(random.Random(f"long pauses/{seed}"), seconds, shape),
         *draw_crashing_parts(random.Random(f"parts/{seed}"), seconds),
     ]
     if calm:
@@ -273,6 +281,16 @@
         at_s += rng.expovariate(1 / PAUSE_INTERVAL_S)
 
 
+def draw_long_pauses(
+    rng: random.Random, seconds: float, shape: FleetShape
+) -> Iterator[Fault]:
+    """Yield a pause of one engine that callers of streams do not wait for."""
+    if rng.random() < LONG_PAUSE_FRACTION:
+        at_s = SETTLE_S + rng.uniform(0.0, seconds)
+        name = rng.choice(shape.sidecars)
+        yield Fault(at_s, FaultKind.LONG_PAUSE, name, rng.uniform(*LONG_PAUSE_S))
+
+
 def draw_crashing_parts(rng: random.Random, seconds: float) -> Iterator[Fault]:
     """Yield a time in which callers send prompts with a part that crashes engines."""
     if rng.random() < CRASHING_PART_FRACTION:
--- a/soak/run.py
+++ b/soak/run.py
@@ -417,6 +417,7 @@
     FaultKind.WEIGHTS: partial(SoakRun.operate, action=Operator.set_desired_version),
     FaultKind.EVACUATE: SoakRun.evacuate,
     FaultKind.PAUSE: SoakRun.pause,
+    FaultKind.LONG_PAUSE: SoakRun.pause,
     FaultKind.PAUSE_WITH_CONFIG: SoakRun.pause_with_config,
     FaultKind.PAUSE_WITH_WEIGHTS: SoakRun.pause_with_weights,
 }
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 import aiohttp
 import pytest
 from soak.__main__ import runs_of
+from soak.callers import PATIENCE_S
 from soak.crashing_parts import MAX_LATER_SENDS, Arrival, CrashingParts
 from soak.fleet import SoakFleet, reserve_network
 from soak.invariants import (
@@ -21,6 +22,7 @@
     SUPERSEDED_BOUND_S,
     VERSION_GRACE_S,
     ConfigurationHistory,
+    Departure,
     Evacuation,
     Execution,
     InvariantChecker,
@@ -233,6 +235,32 @@
         assert self.violations(timed=False) == []
 
 
+class TestDepartures:
+    """Callers leave a stream that shows nothing."""
+
+    STREAM = SENT._replace(path="/stream/")
+
+    def violations(self, has_event=False, faults=(), timed=True):
+        checker = InvariantChecker("account", timed)
+        checker.record_sent(self.STREAM)
+        checker.faults = [(Fault(0.0, *f, 1.0), 11.0, 12.0) for f in faults]
+        checker.record_departure(Departure("id", 13.2, has_event))
+        checker.check_final()
+        return violations(checker)
+
+    def test_caller_without_an_event(self):
+        assert self.violations() == ["left"]
+        assert self.violations(timed=False) == []
+
+    def test_stream_that_has_begun_is_left_by_its_caller(self):
+        assert self.violations(has_event=True) == []
+
+    def test_pause_of_the_engine_is_no_excuse(self):
+        paused = (FaultKind.LONG_PAUSE, "sidecar-1")
+        assert self.violations(faults=[paused]) == ["left"]
+        assert self.violations(faults=[(FaultKind.FREEZE, "entry-1")]) == []
+
+
 class TestPausingTargets:
     """A target that stands still has read requests, and starts them when it wakes."""
 
@@ -416,6 +444,7 @@
             FaultKind.TARGET_COOLDOWN,
             FaultKind.EVACUATE,
             FaultKind.CRASHING_PART,
+            FaultKind.LONG_PAUSE,
             *PAUSE_KINDS,
         }
         assert separate.isdisjoint(DRAW_WEIGHTS)
@@ -434,9 +463,8 @@
     def test_later_kinds_do_not_change_other_faults_of_a_seed(self, seed, checksum):
         faults = draw_faults(seed, 60, SHAPE)
         later = {FaultKind.EVACUATE, *PAUSE_KINDS}
-        others = [
-            str(f) for f in faults if f.kind not in {*later, FaultKind.CRASHING_PART}
-        ]
+        rare = {FaultKind.CRASHING_PART, FaultKind.LONG_PAUSE}
+        others = [str(f) for f in faults if f.kind not in later | rare]
         assert later <= {f.kind for f in faults}
         assert zlib.crc32("\n".join(others).encode()) == checksum
 
@@ -464,6 +492,13 @@
         durations_s = [f.duration_s for f in pauses]
         assert 0.3 <= min(durations_s) < 1.5 < max(durations_s) <= MAX_PAUSE_S
 
+    def test_engines_pause_for_longer_than_callers_wait(self):
+        faults = [f for seed in range(20) for f in draw_faults(seed, 30, SHAPE)]
+        pauses = [f for f in faults if f.kind is FaultKind.LONG_PAUSE]
+        assert 0 < len(pauses) <= 20
+        assert all(f.duration_s > PATIENCE_S for f in pauses)
+        assert {f.name for f in pauses} == set(SHAPE.sidecars)
+
     def test_calm_run_has_the_planned_operations_and_pauses_of_its_seed(self):
         calm = draw_faults(7, 60, SHAPE, calm=True)
         planned = [f for f in draw_faults(7, 60, SHAPE) if f.kind in PLANNED_KINDS]
