Limit only streams whose route states the pause between events

How long callers wait for an event follows from the pause that their route allows. A route that states none leaves it unknown, and callers who would have waited must not lose their answer: for these only the caller's whole time counts.

--- a/src/wisteriapulley/policy/patience.py
+++ b/src/wisteriapulley/policy/patience.py
@@ -19,14 +19,16 @@
 
 
 def patience_s(route: Route) -> float:
-    """Return how long callers wait for an event; infinite if it is not a stream.
+    """Return how long callers wait for an event; infinite if that is not known.
+
+    It is not for routes without streams, nor for streams whose route states no pause.
 
     Parameters
     ----------
     route : Route
         Route of the request.
     """
-    if route.kind is not RouteKind.STREAM:
+    if route.kind is not RouteKind.STREAM or not route.gap_ms:
         return float("inf")
     stated_ms = (PATIENCE_OBJECTIVES * route.latency_ms, PATIENCE_GAPS * route.gap_ms)
     return max(MIN_PATIENCE_S, *(ms / 1000 for ms in stated_ms))
