Check requests that meet part of a long pause again

The 502 comes of a request that is dropped before the grace period of its version ends, at an engine that begins it after that.

--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -400,23 +400,15 @@
 
         A request whose connection was closed before it was sent on has not failed.
         One that had not started when the grace period of its version ended must not
-        start, so it fails. A pause that is longer in all is none of these, however much
-        of it the request has met.
+        start, so it fails.
         """
         sent = self.sent[result.request_id]
-        met = [
-            (began_s, ended_s)
-            for began_s, ended_s in self.pauses
-            if began_s < result.at_s and sent.at_s < ended_s
-        ]
         pause_s = sum(
-            min(ended_s, result.at_s) - max(began_s, sent.at_s)
-            for began_s, ended_s in met
+            max(0.0, min(ended_s, result.at_s) - max(began_s, sent.at_s))
+            for began_s, ended_s in self.pauses
         )
         if not self.timed or not 0.0 < pause_s <= MAX_PAUSE_S:
             return
-        if any(ended_s - began_s > MAX_PAUSE_S for began_s, ended_s in met):
-            return
         if self.is_affected_by_failure(sent, result.at_s):
             return
         if self.is_version_ended(sent, result.at_s):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -207,10 +207,6 @@
         assert self.violations(result=late, pause=(10.5, 13.0)) == ["paused"]
         assert self.violations(result=late, pause=(10.5, 13.2)) == []
 
-    def test_part_of_a_longer_pause(self):
-        assert self.violations(pause=(9.5, 12.0)) == ["paused"]
-        assert self.violations(pause=(9.0, 12.0)) == []
-
     def test_other_pauses_and_planned_operations_are_no_excuse(self):
         planned = [(kind, "entry-1") for kind in PLANNED_KINDS]
         assert self.violations(*planned) == ["paused"]
