--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -376,7 +376,7 @@
         It may have run, so it can't be refused, and fails without another target.
         """
         rest_ends_s = self.rest_ends_s(admitted, progress)
-        ends_s = admitted._replace(has_begun=progress.has_begun).ends_s
+        ends_s = progress.as_of_now(admitted).ends_s
         if rest_ends_s + MIN_SEND_S < ends_s:
             look_until_s = rest_ends_s + MAX_LOOK_INTERVAL_S
             progress.look_until_s = max(progress.look_until_s, look_until_s)
@@ -579,9 +579,8 @@
             now_s
         )
         excluded = progress.excluded(self.registry.targets, now_s)
-        admitted = admitted._replace(has_begun=progress.has_begun)
         return await self.allocator.allocate(
-            admitted, service, engine, excluded, now_s, is_last
+            progress.as_of_now(admitted), service, engine, excluded, now_s, is_last
         )
 
     def final_refusal(
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -168,6 +168,10 @@
             closed.difference_update(self.rejected_until_s)
         return closed
 
+    def as_of_now(self, admitted: Admitted) -> Admitted:
+        """Return the admitted request with whether its response has begun by now."""
+        return admitted._replace(has_begun=self.has_begun)
+
     def record_begun(self, deadline_s: float) -> None:
         """Record that the response begins, and lift the time limit for that."""
         self.has_begun = True
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -221,8 +221,7 @@
 
     def left_s(self, admitted: Admitted, progress: Progress) -> float:
         """Return how much time a request has left to begin, or then to end."""
-        ends_s = admitted._replace(has_begun=progress.has_begun).ends_s
-        return ends_s - self.now_s()
+        return progress.as_of_now(admitted).ends_s - self.now_s()
 
     def has_untried_target(self, admitted: Admitted, progress: Progress) -> bool:
         """Return whether an available target has not been tried yet."""
