Log requests given up while their caller reads nothing

Cause: a request was recorded as given up at its target only if the entry waited for the target at that moment. A caller that left, or reset its connection, while the entry was writing an event to it left one line without a target.

Change: such a request is recorded as well, unless its response was whole already. No decision changes.

--- a/src/wisteriapulley/direct/hedging.py
+++ b/src/wisteriapulley/direct/hedging.py
@@ -95,9 +95,7 @@
                 exchange, arrival = await self.next_arrival(exchange)
                 if arrival.refusal is not None:
                     return arrival.refusal
-                await self.sender.relay(
-                    exchange, arrival, self.admitted, self.progress, self.answer
-                )
+                await self.relay(exchange, arrival)
                 if arrival.ended:
                     return None
                 # The time that the caller took to read is not the target's.
@@ -105,6 +103,17 @@
         finally:
             self.close()
 
+    async def relay(self, exchange: Exchange, arrival: Arrival) -> None:
+        """Relay what arrived, to a caller that may leave before it has read it."""
+        try:
+            await self.sender.relay(
+                exchange, arrival, self.admitted, self.progress, self.answer
+            )
+        except (asyncio.CancelledError, ConnectionError):
+            if not arrival.ended:
+                self.sender.record_given_up(exchange, self.admitted)
+            raise
+
     async def next_arrival(self, exchange: Exchange) -> Arrived:
         """Return what arrives next, from this target or from a spare.
 
--- a/tests/test_callers_leave.py
+++ b/tests/test_callers_leave.py
@@ -69,6 +69,30 @@
         assert line.sent_ms == line.waited_ms == pytest.approx(2500, abs=1)
         assert entry.dispatcher.metrics.given_up.get({"begun": begun}) == 1
 
+    @pytest.mark.parametrize(("parts", "expected"), [((1, 2), 1), ((), 0)])
+    def test_caller_that_reads_nothing(self, caplog, parts, expected):
+        """It leaves while an event, or the end of the response, waits for it."""
+
+        async def wait(*args):
+            await asyncio.sleep(NEVER_S)
+
+        caplog.set_level(logging.INFO)
+        steps = [(0.1, events(number, number)) for number in parts]
+        entry = Entry(PacedAnswer(*steps), targets=1)
+        entry.caller.write = entry.caller.finish = wait
+        entry.serve(leaves_s=1.0)
+        assert len(logged(caplog, "request given up at target")) == expected
+
+    def test_caller_that_resets_its_connection(self, caplog):
+        async def reset(*args):
+            raise ConnectionResetError
+
+        caplog.set_level(logging.INFO)
+        entry = Entry(PacedAnswer((0.1, events(1, 1)), (NEVER_S, b"")), targets=1)
+        entry.caller.write = reset
+        entry.serve()
+        assert len(logged(caplog, "request given up at target")) == 1
+
     def test_answered_request_is_not_given_up(self, caplog):
         caplog.set_level(logging.INFO)
         Entry(PacedAnswer((0.5, events(1, 4))), targets=1).serve()
