--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -169,7 +169,7 @@
         return closed
 
     def as_of_now(self, admitted: Admitted) -> Admitted:
-        """Return the admitted request with whether its response has begun by now."""
+        """Return the admitted request, updated with whether its response has begun."""
         return admitted._replace(has_begun=self.has_begun)
 
     def record_begun(self, deadline_s: float) -> None:
--- a/src/wisteriapulley/platform/http.py
+++ b/src/wisteriapulley/platform/http.py
@@ -29,10 +29,10 @@
     """
 
     def close(self) -> None:
-        """Close the connection; reset it if the peer has not received everything.
+        """Close the connection; reset it if the peer has not acknowledged everything.
 
-        The peer would get the whole of a request that was cancelled on its way, and
-        run it.
+        An orderly close would first send the rest of a request that was cancelled on
+        its way, and the peer would run it.
         """
         transport = self.transport
         unsent = unsent_bytes(transport) if transport is not None else 0
--- a/src/wisteriapulley/policy/patience.py
+++ b/src/wisteriapulley/policy/patience.py
@@ -2,14 +2,14 @@
 
 A caller leaves a stream that shows no event for some time, long before the time limit
 of the whole response. What a target does for it after that is in vain, and a target
-that stands still does not even notice that the connection has ended. So a request that
-has not begun by then is ended here, while its caller still reads the answer.
+that stands still does not even notice that the connection has ended. So an entry ends a
+stream that has not begun by then, while its caller still reads the answer.
 """
 
 from wisteriapulley.routing import Route, RouteKind
 
-# Callers wait for an event for the longest of this time, some latency objectives, and
-# some of the pauses that their route allows between events.
+# Callers leave after the longest of three times without an event: this one, a number of
+# latency objectives, and a number of the pauses that their route allows between events.
 MIN_PATIENCE_S = 2.0
 PATIENCE_OBJECTIVES = 4
 PATIENCE_GAPS = 8
@@ -21,7 +21,8 @@
 def patience_s(route: Route) -> float:
     """Return how long callers wait for an event; infinite if that is not known.
 
-    It is not for routes without streams, nor for streams whose route states no pause.
+    Callers of plain routes wait for the whole response, and a route of streams that
+    states no pause does not tell.
 
     Parameters
     ----------
@@ -35,7 +36,7 @@
 
 
 def begin_limit_s(route: Route, max_wait_s: float) -> float:
-    """Return how long after its arrival a response must begin; infinite for any time.
+    """Return how long after its arrival a response must begin; infinite if no limit.
 
     A stream that begins at the end of its caller's time can't end within it.
 
