Log why slots are denied, and count requests by the size of their prompt

Large requests are left unserved under lasting overload. The logs could not tell why: `refused` stated neither the route, the sizes nor whether its caller had come back, a sidecar did not say why it denied a slot, and no metric counted by size, so nobody saw it. A denial now carries its reason to the entry, which logs them all, and entries count attempts whose prompt is one of the largest tenth of its route apart.

The schema of an older sidecar in test_wire.py leaves out the new field as well, since fields are numbered without gaps; it is compared as before. Decisions are unchanged.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -28,6 +28,7 @@
 from wisteriapulley.errors import ResultCode
 from wisteriapulley.logs import fields
 from wisteriapulley.policy.outage_hold import OutageHold
+from wisteriapulley.policy.prompt_sizes import PromptSizes
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
 from wisteriapulley.policy.shared_budget import SharedRetryBudget
@@ -94,6 +95,8 @@
         Largest number of entries in the fleet seen so far.
     retry_detectors : dict of str to RetryDetector
         Detects retries of refused callers, by route.
+    prompt_sizes : dict of str to PromptSizes
+        Sizes of the prompts of new requests, by route.
     outages : dict of tuple to OutageHold
         Hold requests during outages, by service and home regions.
     """
@@ -123,6 +126,7 @@
         self.retry_detectors: defaultdict[str, RetryDetector] = defaultdict(
             RetryDetector
         )
+        self.prompt_sizes: defaultdict[str, PromptSizes] = defaultdict(PromptSizes)
         self.outages: defaultdict[tuple[str, tuple[str, ...]], OutageHold] = (
             defaultdict(OutageHold)
         )
@@ -246,6 +250,8 @@
         admitted = self.admit(request)
         if isinstance(admitted, Refusal):
             return self.finish_refusal(request, admitted)
+        if request.prompt_tokens and not admitted.is_retry:
+            self.prompt_sizes[admitted.route.name].record(request.prompt_tokens)
         service = self.choose_service(admitted.route, self.now_s(), admitted.homes)
         self.retry_budget(service).record_request(self.now_s())
         progress = Progress(request, service, admitted.route.attempts)
@@ -271,7 +277,7 @@
             )
             answer.cut()
             return None
-        return self.finish_refusal(request, refusal)
+        return self.finish_refusal(request, refusal, admitted)
 
     def refuse_overdue(
         self, admitted: Admitted, progress: Progress, answer: CallerAnswer
@@ -304,10 +310,20 @@
         took_s = self.now_s() - admitted.request.arrived_s
         traffic_class = f"{service}/{admitted.route.kind.value}"
         self.metrics.record_response(admitted.account_name, traffic_class, code, took_s)
+        prompt_tokens = admitted.request.prompt_tokens
+        if prompt_tokens:
+            name = admitted.route.name
+            is_large = self.prompt_sizes[name].is_large(prompt_tokens)
+            self.metrics.record_size(name, is_large, code)
         if admitted.homes and refusal is not None and refusal.kind in NO_ROOM_KINDS:
             self.metrics.record_refused_in_homes(admitted.account_name)
 
-    def finish_refusal(self, request: CallerRequest, refusal: Refusal) -> Refusal:
+    def finish_refusal(
+        self,
+        request: CallerRequest,
+        refusal: Refusal,
+        admitted: Admitted | None = None,
+    ) -> Refusal:
         """Log a refusal and fit its retry time to the time that the caller has left."""
         waited_s = self.now_s() - request.arrived_s
         left_s = request.max_wait_s - waited_s
@@ -326,6 +342,11 @@
                 retry_s=round(retry_s, 3),
                 left_s=round(left_s, 3),
                 waited_s=round(waited_s, 3),
+                denials=refusal.denials,
+                route=admitted.route.name if admitted is not None else "",
+                returned=admitted is not None and admitted.is_retry,
+                prompt_tokens=request.prompt_tokens,
+                answer_tokens=request.answer_tokens,
             ),
         )
         return refusal._replace(retry_s=retry_s)
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -20,7 +21,11 @@
 from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.policy.connection_share import max_requests
 from wisteriapulley.policy.return_queue import late_wait_ms
-from wisteriapulley.policy.slot_requests import NOTHING_OBSERVED, ObservedWork
+from wisteriapulley.policy.slot_requests import (
+    NOTHING_OBSERVED,
+    DenialReason,
+    ObservedWork,
+)
 from wisteriapulley.policy.target_ranking import EntryLocation, Load, rank_targets
 from wisteriapulley.policy.version_end import start_left_ms
 from wisteriapulley.regions import Regions
@@ -150,10 +155,13 @@
     limited_s : list of float
         For each engine at its rate limit or in a cool-down, when it may accept a
         request again.
+    reasons : Counter of str
+        Why sidecars denied a slot.
     """
 
     def __init__(self):
         self.counted = 0
+        self.reasons: Counter[str] = Counter()
         self.full_s: list[float] = []
         self.limited_s: list[float] = []
 
@@ -164,6 +172,10 @@
 
     def add(self, reserved: messages.Reserved | None) -> None:
         """Record a denial; None if the sidecar did not respond."""
+        if reserved is None:
+            self.reasons["no_response"] += 1
+        else:
+            self.reasons[DenialReason.from_wire(reserved.reason).label] += 1
         if reserved is not None and reserved.limited:
             self.limited_s.append(reserved.retry_ms / 1000)
             return
@@ -171,6 +183,10 @@
         if reserved is not None and not reserved.closed:
             self.full_s.append(reserved.retry_ms / 1000)
 
+    def describe(self) -> str:
+        """Return the reasons and their numbers, for the log."""
+        return ", ".join(f"{n} {reason}" for reason, n in self.reasons.most_common())
+
     @property
     def retry_s(self) -> float:
         """When the caller may retry, in seconds.
@@ -440,7 +456,12 @@
                 return slot
             # Another engine may hold the newer version.
             denials.counted += 1
-        return Refusal(RefusalKind.OVERLOADED, denials.retry_s, "no slot in time")
+        return Refusal(
+            RefusalKind.OVERLOADED,
+            denials.retry_s,
+            "no slot in time",
+            denials.describe(),
+        )
 
     def record_denial(
         self,
--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -69,11 +69,14 @@
         When the caller may retry; 0 if a retry does not help.
     reason : str
         Text for the log and the caller.
+    denials : str
+        Text for the log: why sidecars denied a slot, and how many.
     """
 
     kind: "RefusalKind"
     retry_s: float = 0.0
     reason: str = ""
+    denials: str = ""
 
 
 class RefusalKind(Enum):
--- a/src/wisteriapulley/entry/metrics.py
+++ b/src/wisteriapulley/entry/metrics.py
@@ -39,6 +39,11 @@
             "Requests cancelled at a target that had not answered them whole, by"
             " whether a part of the body had arrived.",
         )
+        self.by_size = metrics.counter(
+            "requests_by_size_total",
+            "Attempts of callers with a prompt, by route, by whether the prompt is one"
+            " of the route's largest tenth, and by result code.",
+        )
         self.internal_errors = metrics.counter(
             "internal_errors_total", "Requests that an error of this process ended."
         )
@@ -81,6 +86,11 @@
         """Record a request that was cancelled while its target worked on it."""
         self.given_up.inc({"begun": "yes" if begun else "no"})
 
+    def record_size(self, route: str, large: bool, code: int) -> None:
+        """Record the end of a request with a prompt; `code` 0 means complete."""
+        size = "large" if large else "other"
+        self.by_size.inc({"route": route, "size": size, "code": str(code)})
+
     def record_first_part(
         self, account: str, traffic_class: str, seconds: float
     ) -> None:
--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -36,6 +36,7 @@
     NOTHING_OBSERVED,
     AdmissionDecision,
     AdmissionState,
+    DenialReason,
     ObservedWork,
     QueuedRequest,
     SlotRequest,
@@ -115,14 +116,11 @@
         """Grant a slot, queue the request, or deny it at once."""
         self.expire_opening(now_ms)
         if self.state is AdmissionState.CLOSED:
-            return AdmissionDecision(request.request_id, denied=True)
+            return deny(request, DenialReason.CLOSED)._replace(retry_ms=0.0)
         self.set_target(request.target)
         throttled_ms = self.throttle_wait_ms(request, now_ms)
         if throttled_ms > 0:
-            retry_ms = max(MIN_RETRY_MS, throttled_ms)
-            return AdmissionDecision(
-                request.request_id, denied=True, retry_ms=retry_ms, limited=True
-            )
+            return deny(request, DenialReason.THROTTLED, throttled_ms)
         if request.late:
             return self.request_slot_late(request, now_ms)
         decision = self.request_slot_in_time(request, now_ms)
@@ -145,16 +143,11 @@
         if not in_time and not (
             self.open and late_anywhere and is_late_by_own_length(self, self.queue)
         ):
-            return AdmissionDecision(
-                request.request_id,
-                denied=True,
-                retry_ms=max(MIN_RETRY_MS, slot_ms + event_ms - request.wait_ms),
-                reserved=self.slot_wait_ms(self.queue.ahead_of(rank)) < slot_ms,
-            )
+            unreserved_ms = self.slot_wait_ms(self.queue.ahead_of(rank))
+            reason = late_reason(request, unreserved_ms, slot_ms, event_ms)
+            return deny(request, reason, slot_ms + event_ms - request.wait_ms)
         if self.begins_too_late(request, slot_ms + event_ms, now_ms):
-            return AdmissionDecision(
-                request.request_id, denied=True, retry_ms=MIN_RETRY_MS
-            )
+            return deny(request, DenialReason.WEIGHTS_END)
         if slot_ms <= 0 and self.open:
             return self.grant(request, now_ms)
         return self.enqueue(request, rank, now_ms + request.wait_ms - event_ms)
@@ -173,16 +166,12 @@
         open_in_ms = 0.0 if self.open else max(0.0, self.opens_at_ms - now_ms)
         event_ms = open_in_ms + self.first_event_ms(request.prompt_tokens, now_ms)
         if not self.has_late_place(request):
-            return AdmissionDecision(
-                request.request_id, denied=True, retry_ms=self.late_slot_wait_ms()
-            )
+            return deny(request, DenialReason.NO_LATE_PLACE, self.late_slot_wait_ms())
         prefill_ms = event_ms + self.queued_prefill_ms()
-        if prefill_ms > request.wait_ms or self.begins_too_late(
-            request, prefill_ms, now_ms
-        ):
-            return AdmissionDecision(
-                request.request_id, denied=True, retry_ms=MIN_RETRY_MS
-            )
+        if prefill_ms > request.wait_ms:
+            return deny(request, DenialReason.PREFILL)
+        if self.begins_too_late(request, prefill_ms, now_ms):
+            return deny(request, DenialReason.WEIGHTS_END)
         if self.open and not self.queue and can_prefill_late(self, self.queue, now_ms):
             return self.grant(request, now_ms)
         expires_ms = now_ms + request.wait_ms - event_ms
@@ -352,11 +341,12 @@
         self.expire_opening(now_ms)
         while self.queue:
             first = self.queue.first
-            if self.state is AdmissionState.CLOSED or self.cannot_be_served(
-                first, now_ms
-            ):
+            reason = self.hopeless_reason(first, now_ms)
+            if self.state is AdmissionState.CLOSED:
+                reason = DenialReason.CLOSED
+            if reason is not None:
                 self.queue.pop()
-                yield self.deny_queued(first, now_ms)
+                yield self.deny_queued(first, reason, now_ms)
             elif self.can_grant(first, now_ms):
                 self.queue.pop()
                 self.reserve.record_grant(first.request.priority, now_ms)
@@ -382,10 +372,12 @@
             else:
                 kept += 1
         for queued in self.queue.remove(overtaken.__contains__):
-            yield self.deny_queued(queued, now_ms)
+            yield self.deny_queued(queued, DenialReason.OVERTAKEN, now_ms)
 
-    def cannot_be_served(self, queued: QueuedRequest, now_ms: float) -> bool:
-        """Return whether a queued request has no chance of a slot.
+    def hopeless_reason(
+        self, queued: QueuedRequest, now_ms: float
+    ) -> DenialReason | None:
+        """Return why a queued request has no chance of a slot; None if it has one.
 
         Its time has passed, or it is late and new requests take all free slots. A
         request for a throttled engine may get a slot elsewhere at once. One that
@@ -393,16 +385,18 @@
         since it was queued, and other prompts go before its own.
         """
         if now_ms > queued.expires_ms:
-            return True
+            return DenialReason.EXPIRED
         if self.weights_end_ms is not None:
             event_ms = self.first_event_ms(queued.request.prompt_tokens, now_ms)
             if self.starts_too_late(event_ms, now_ms):
-                return True
+                return DenialReason.WEIGHTS_END
         if self.throttle_wait_ms(queued.request, now_ms) > 0:
-            return True
+            return DenialReason.THROTTLED
         if not queued.request.late or queued.request.may_wait:
-            return False
-        return self.open and not has_spare_slots(self, self.queue)
+            return None
+        if self.open and not has_spare_slots(self, self.queue):
+            return DenialReason.NO_LATE_PLACE
+        return None
 
     def can_grant(self, queued: QueuedRequest, now_ms: float) -> bool:
         """Return whether the first queued request may get a slot now."""
@@ -415,19 +409,42 @@
 
     def deny_expired(self, now_ms: float) -> Iterator[AdmissionDecision]:
         """Deny requests further back in the queue that have no chance of a slot."""
-        expired = self.queue.remove(
-            lambda queued: self.cannot_be_served(queued, now_ms)
-        )
-        for queued in expired:
-            yield self.deny_queued(queued, now_ms)
+        reasons = {q.sequence: self.hopeless_reason(q, now_ms) for q in self.queue}
+        for queued in self.queue.remove(lambda q: reasons[q.sequence] is not None):
+            yield self.deny_queued(queued, reasons[queued.sequence], now_ms)
 
-    def deny_queued(self, queued: QueuedRequest, now_ms: float) -> AdmissionDecision:
+    def deny_queued(
+        self, queued: QueuedRequest, reason: DenialReason, now_ms: float
+    ) -> AdmissionDecision:
         """Deny a queued request, with the time after which a slot may be free."""
         slot_ms = self.slot_wait_ms(len(self.queue))
         throttled_ms = self.throttle_wait_ms(queued.request, now_ms)
-        return AdmissionDecision(
-            queued.request.request_id,
-            denied=True,
-            retry_ms=max(MIN_RETRY_MS, slot_ms, throttled_ms),
-            limited=throttled_ms > 0,
-        )
+        decision = deny(queued.request, reason, max(slot_ms, throttled_ms))
+        return decision._replace(limited=throttled_ms > 0)
+
+
+def deny(
+    request: SlotRequest, reason: DenialReason, retry_ms: float = MIN_RETRY_MS
+) -> AdmissionDecision:
+    """Return the denial of a request, with the time until a slot is likely."""
+    return AdmissionDecision(
+        request.request_id,
+        denied=True,
+        retry_ms=max(MIN_RETRY_MS, retry_ms),
+        limited=reason is DenialReason.THROTTLED,
+        reason=reason,
+    )
+
+
+def late_reason(
+    request: SlotRequest, unreserved_ms: float, slot_ms: float, event_ms: float
+) -> DenialReason:
+    """Return why a request that would be late is denied.
+
+    `unreserved_ms` is the wait for a slot if none were kept for more urgent requests.
+    """
+    if unreserved_ms < slot_ms:
+        return DenialReason.RESERVED
+    if event_ms > request.wait_ms:
+        return DenialReason.FIRST_EVENT
+    return DenialReason.SLOT_WAIT
--- a/src/wisteriapulley/policy/slot_requests.py
+++ b/src/wisteriapulley/policy/slot_requests.py
@@ -1,6 +1,6 @@
 """Requests for a slot of an engine, and the decisions on them. Pure."""
 
-from enum import Enum
+from enum import Enum, IntEnum
 from typing import NamedTuple
 
 from wisteriapulley.policy.target_speed import WorkMark
@@ -18,6 +18,38 @@
     CLOSED = "closed"
 
 
+class DenialReason(IntEnum):
+    """Why a slot was denied; the numbers are those of the wire.
+
+    `FIRST_EVENT` means that the request would be late even without a wait for a slot,
+    `SLOT_WAIT` that it would be in time without one, and `NO_LATE_PLACE` that all
+    places for late requests are taken. `PREFILL` means that too many queued prompts go
+    before a late one.
+    """
+
+    UNKNOWN = 0
+    CLOSED = 1
+    THROTTLED = 2
+    RESERVED = 3
+    SLOT_WAIT = 4
+    FIRST_EVENT = 5
+    NO_LATE_PLACE = 6
+    PREFILL = 7
+    WEIGHTS_END = 8
+    EXPIRED = 9
+    OVERTAKEN = 10
+
+    @classmethod
+    def from_wire(cls, number: int) -> "DenialReason":
+        """Return the reason of this number; UNKNOWN for one of a newer sidecar."""
+        return cls(number) if number in cls._value2member_map_ else cls.UNKNOWN
+
+    @property
+    def label(self) -> str:
+        """Name in logs and metrics."""
+        return self.name.lower()
+
+
 class SlotRequest(NamedTuple):
     """Request of an entry for a slot.
 
@@ -117,8 +149,7 @@
     """Decision on a request; neither granted nor denied means that it is queued.
 
     `limited` tells that the engine itself is throttled: it advertises a rate, or
-    rejected some requests. `reserved` tells that the request was denied because slots
-    are kept for more urgent ones.
+    rejected some requests. `reason` is why the request was denied.
     """
 
     request_id: str
@@ -126,7 +157,7 @@
     denied: bool = False
     retry_ms: float = 0.0
     limited: bool = False
-    reserved: bool = False
+    reason: DenialReason = DenialReason.UNKNOWN
 
     @property
     def outcome(self) -> str:
@@ -135,4 +166,5 @@
             return "granted"
         if not self.denied:
             return "queued"
-        return "reserved" if self.reserved else "denied"
+        is_reserved = self.reason is DenialReason.RESERVED
+        return "reserved" if is_reserved else "denied"
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -273,6 +273,7 @@
             not self.slots.open,
             limited=decision.limited,
             start_left_ms=self.start_left_ms() if decision.granted else 0,
+            reason=decision.reason.value,
         )
 
     def start_left_ms(self) -> int:
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -335,6 +335,7 @@
   queued @6 :Bool;
   limited @7 :Bool;
   startLeftMs @8 :UInt32;
+  reason @9 :UInt8;
 }
 struct Release {
   requestId @0 :Text;
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -564,7 +564,8 @@
     accepts no requests now, regardless of its load; `queued` whether the request
     waits and another reply follows; `limited` whether the target itself is
     throttled, because it advertises a rate or rejected requests. `start_left_ms` is
-    how long a granted request may still start; 0 without a limit.
+    how long a granted request may still start; 0 without a limit. `reason` is why the
+    slot was denied; see `policy.slot_requests`.
     """
 
     granted: bool = False
@@ -576,6 +577,7 @@
     queued: bool = False
     limited: bool = False
     start_left_ms: int = 0
+    reason: int = 0
 
 
 class Release(NamedTuple):
--- a/tests/test_engine_slots.py
+++ b/tests/test_engine_slots.py
@@ -6,6 +6,7 @@
 
 from wisteriapulley.policy.batch_steps import BatchStepClock
 from wisteriapulley.policy.engine_slots import MAX_HOLD_MS, EngineSlots, SlotRequest
+from wisteriapulley.policy.slot_requests import DenialReason
 from wisteriapulley.routing import Engine
 
 ENGINE = Engine("m", 16, 5, 9.27, 0.0232, 20.7)
@@ -270,3 +271,50 @@
             assert len(slots.grants) <= slots.max_grants
             assert all(now - since <= 420 for since in pending.values())
         assert len(granted) > 50
+
+
+class TestDenialReason:
+    def reason(self, slots, request, now_ms=0.0):
+        decision = slots.request_slot(request, now_ms)
+        assert decision.denied
+        return decision.reason
+
+    def full_slots(self):
+        slots = open_slots(ENGINE._replace(slots=1))
+        for number in range(2):
+            slots.request_slot(slot_request(number, 1), 0.0)
+        return slots
+
+    def test_closed(self):
+        slots = EngineSlots(ENGINE)
+        assert self.reason(slots, slot_request(1)) is DenialReason.CLOSED
+
+    def test_wait_for_a_slot(self):
+        slots = self.full_slots()
+        request = slot_request(2, 900, wait_ms=400.0)
+        assert self.reason(slots, request) is DenialReason.SLOT_WAIT
+
+    def test_prompt_that_is_late_in_any_case(self):
+        slots = self.full_slots()
+        request = slot_request(2, 9000, wait_ms=400.0)
+        assert self.reason(slots, request) is DenialReason.FIRST_EVENT
+
+    def test_late_request_without_a_place(self):
+        request = slot_request(2)._replace(late=True)
+        assert self.reason(self.full_slots(), request) is DenialReason.NO_LATE_PLACE
+
+    def test_end_of_the_weights(self):
+        slots = open_slots()
+        slots.weights_end_ms = 50.0
+        assert self.reason(slots, slot_request(1)) is DenialReason.WEIGHTS_END
+
+    def test_queued_until_too_late(self):
+        slots = self.full_slots()
+        slots.mean_hold_ms = 10.0
+        assert not slots.request_slot(slot_request(2, 1), 0.0).denied
+        denials = list(slots.advance(399.0))
+        assert [d.reason for d in denials] == [DenialReason.EXPIRED]
+
+    def test_number_of_a_newer_sidecar(self):
+        assert DenialReason.from_wire(200) is DenialReason.UNKNOWN
+        assert DenialReason.from_wire(4) is DenialReason.SLOT_WAIT
--- a/tests/test_slot_admission.py
+++ b/tests/test_slot_admission.py
@@ -4,9 +4,10 @@
 import types
 
 from tests.fakes.links import RecordingLink
+from wisteriapulley.policy.slot_requests import DenialReason
 from wisteriapulley.rollout.admission import SlotAdmission
 from wisteriapulley.routing import Engine
-from wisteriapulley.wire import Frame, messages
+from wisteriapulley.wire import Frame, codec, messages
 
 TEST_TIMEOUT_S = 10.0
 ENGINE = Engine("m", 16, 5, 9.27, 0.0232, 20.7)
@@ -64,6 +65,19 @@
         assert not denied.granted and not denied.start_left_ms
 
 
+class TestDenial:
+    def test_reason_reaches_the_entry(self):
+        async def run():
+            admission, link = make_admission(ENGINE), EntryLink()
+            admission.slots.open = False
+            await reserve(admission, link, 1)
+            return link.written[-1]
+
+        frame = codec.encode(Frame(1, 1, asyncio.run(run())))[codec.HEADER.size :]
+        denied = codec.decode(frame).message
+        assert DenialReason.from_wire(denied.reason) is DenialReason.CLOSED
+
+
 class TestQueue:
     def test_queued_request_is_denied_at_its_deadline_without_any_other_event(self):
         """A full engine with long requests frees no slot, and nothing else arrives."""
--- a/tests/test_slot_allocation.py
+++ b/tests/test_slot_allocation.py
@@ -11,6 +11,7 @@
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.slot_allocation import SlotAllocator
 from wisteriapulley.direct.types import CallerRequest, Refusal, RefusalKind
+from wisteriapulley.policy.slot_requests import DenialReason
 from wisteriapulley.policy.target_ranking import Load
 from wisteriapulley.policy.version_end import start_left_ms
 from wisteriapulley.routing import Engine, Route, RouteKind, Split
@@ -84,6 +85,14 @@
     return asyncio.run(run())
 
 
+class TestDenials:
+    def test_refusal_tells_the_reasons_of_the_sidecars(self):
+        busy = DENIED._replace(reason=DenialReason.SLOT_WAIT)
+        refusal = allocate(FakeSidecars(busy, None, busy))
+        assert refusal.kind is RefusalKind.OVERLOADED
+        assert refusal.denials == "2 slot_wait, 1 no_response"
+
+
 class TestSlotRequests:
     def test_time_spent_at_one_engine_is_not_offered_to_the_next(self):
         """Sidecars queue a request for a while before they deny it."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -80,10 +80,10 @@
     @pytest.fixture
     def older(self, tmp_path):
         text = files("wisteriapulley.wire").joinpath("messages.capnp").read_text()
-        line = "  startLeftMs @8 :UInt32;\n"
-        assert text.count(line) == 1
+        lines = "  startLeftMs @8 :UInt32;\n  reason @9 :UInt8;\n"
+        assert text.count(lines) == 1
         path = tmp_path / "messages.capnp"
-        path.write_text(text.replace(line, ""))
+        path.write_text(text.replace(lines, ""))
         return capnp.SchemaParser().load(str(path))
 
     def test_its_grant_has_no_limit(self, older):
@@ -94,7 +94,7 @@
         assert decoded.message == messages.Reserved(True, 2, start_left_ms=0)
 
     def test_it_reads_a_grant_with_a_limit(self, older):
-        grant = messages.Reserved(True, 2, limited=True, start_left_ms=900)
+        grant = messages.Reserved(True, 2, limited=True, start_left_ms=900, reason=4)
         data = codec.encode(Frame(3, 4, grant))[codec.HEADER.size :]
         with older.Frame.from_bytes(data) as frame:
             assert frame.which() == "reserved"
