Give large prompts an even chance of a slot under lasting overload

Cause: a slot is granted, or a place in the queue, if the wait for a slot and the own first event together are in time. Under lasting overload the queue is as long as the shortest prompts can bear, so a large one never fits, at any engine, each time. Returns are refused for want of a late place at all sizes alike, and no denial was for an end of weights, so neither is the cause.

Entries now learn from new requests what a large prompt of each route is and state it with each slot request. While large prompts get slots less than 0.9 times as often as the others, a sidecar lets a request wait only as long as such a prompt could, and it grants a free slot, one in a batch step, to one whose own prefill takes longer than its objective. Nothing goes to the front, so a stated size gains nothing. An entry or a sidecar of the release before keeps the earlier rule.

--- a/bench/returns.py
+++ b/bench/returns.py
@@ -24,6 +24,7 @@
     SlotRequest,
 )
 from wisteriapulley.policy.outage_hold import OutageHold
+from wisteriapulley.policy.prompt_sizes import PromptSizes
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
 from wisteriapulley.routing import Engine, Route, RouteKind
@@ -187,6 +188,7 @@
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.sequence = itertools.count()
         self.callers: list[Caller] = []
+        self.prompt_sizes = {kind.name: PromptSizes() for kind in KINDS}
         self.entries = [Entry() for _ in range(wave.entries)]
         self.slots = [EngineSlots(ENGINE) for _ in range(wave.engines)]
         self.engines = [
@@ -289,6 +291,7 @@
         caller.repeats = self.arrivals.random() < self.wave.repeating
         if caller.repeats:
             caller.max_attempts = 4
+        self.prompt_sizes[kind.name].record(caller.prompt)
         self.callers.append(caller)
         return caller
 
@@ -378,6 +381,7 @@
             urgency.wait_ms,
             urgency.late,
             may_wait=urgency.may_wait and self.wave.claims,
+            large_prompt=self.prompt_sizes[attempt.caller.kind.name].typical_large,
         )
 
     def hold_or_refuse(self, attempt: Attempt) -> None:
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -250,8 +250,7 @@
         admitted = self.admit(request)
         if isinstance(admitted, Refusal):
             return self.finish_refusal(request, admitted)
-        if request.prompt_tokens and not admitted.is_retry:
-            self.prompt_sizes[admitted.route.name].record(request.prompt_tokens)
+        admitted = self.record_prompt(admitted)
         service = self.choose_service(admitted.route, self.now_s(), admitted.homes)
         self.retry_budget(service).record_request(self.now_s())
         progress = Progress(request, service, admitted.route.attempts)
@@ -279,6 +278,16 @@
             return None
         return self.finish_refusal(request, refusal, admitted)
 
+    def record_prompt(self, admitted: Admitted) -> Admitted:
+        """Record the size of a new request's prompt, and add what is large there."""
+        prompt_tokens = admitted.request.prompt_tokens
+        if not prompt_tokens:
+            return admitted
+        sizes = self.prompt_sizes[admitted.route.name]
+        if not admitted.is_retry:
+            sizes.record(prompt_tokens)
+        return admitted._replace(large_prompt=sizes.typical_large)
+
     def refuse_overdue(
         self, admitted: Admitted, progress: Progress, answer: CallerAnswer
     ) -> Refusal:
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -34,6 +34,8 @@
         since a newer table may lack the services of its route.
     has_begun : bool
         Whether its response has begun.
+    large_prompt : int
+        Tokens of a typical large prompt of its route; 0 if that is not known.
     """
 
     request: CallerRequest
@@ -44,6 +46,7 @@
     homes: tuple[str, ...] = ()
     index: RouteIndex = EMPTY_INDEX
     has_begun: bool = False
+    large_prompt: int = 0
 
     def engine_of(self, service: str) -> Engine | None:
         """Return the engine parameters of a service; None for plain targets."""
--- a/src/wisteriapulley/emulator/fleet.py
+++ b/src/wisteriapulley/emulator/fleet.py
@@ -27,6 +27,7 @@
     ObservedWork,
     SlotRequest,
 )
+from wisteriapulley.policy.prompt_sizes import PromptSizes
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
 from wisteriapulley.policy.target_ranking import Load
@@ -287,6 +288,7 @@
         self.rng = random.Random(scenario.seed)
         self.max_wait_rng = random.Random(scenario.seed)
         self.retry_detector = RetryDetector()
+        self.prompt_sizes = {kind.name: PromptSizes() for kind in self.mix.kinds}
         self.now_ms = 0.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.last_sequence = 0
@@ -379,6 +381,7 @@
             len(self.requests), kind, prompt, events, expected, self.now_ms, max_wait_ms
         )
         self.requests[request.request_id] = request
+        self.prompt_sizes[kind.name].record(prompt)
         self.submit(request)
         surge = sum(weights) / sum(kind.relative_rate for kind in mix.kinds)
         per_s = mix.per_s * self.scenario.load * surge
@@ -461,6 +464,7 @@
             request.kind.priority + (LATE_PRIORITY_OFFSET if late else 0),
             MIN_LATE_WAIT_MS if late else remaining_ms,
             late and self.scenario.deprioritize_late,
+            large_prompt=self.prompt_sizes[request.kind.name].typical_large,
         )
 
     def schedule_retry(self, request: EmulatedRequest) -> None:
--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -18,6 +18,7 @@
 from wisteriapulley.policy.batch_steps import BatchStepClock
 from wisteriapulley.policy.circuit_breaker import CircuitBreaker, SendOutcome
 from wisteriapulley.policy.class_reserve import ClassReserve
+from wisteriapulley.policy.large_share import LargeShare, is_large
 from wisteriapulley.policy.late_requests import (
     can_prefill_late,
     has_late_slots,
@@ -100,6 +101,7 @@
         # Tracks what the engine did with granted requests.
         self.breaker = CircuitBreaker()
         self.reserve = ClassReserve(self)
+        self.large_share = LargeShare()
         self.admission_level = AdmissionLevel(self.reserve, self.queue)
 
     @property
@@ -125,6 +127,7 @@
             return self.request_slot_late(request, now_ms)
         decision = self.request_slot_in_time(request, now_ms)
         self.reserve.record_decision(request, decision, now_ms)
+        self.large_share.record_decision(request, decision, now_ms)
         return decision
 
     def request_slot_in_time(
@@ -137,12 +140,7 @@
         if self.state is AdmissionState.OPENING:
             slot_ms = max(slot_ms, self.opens_at_ms - now_ms)
             event_ms += self.queued_prefill_ms()
-        in_time = slot_ms + event_ms <= request.wait_ms
-        # A request that is late only at a slow engine may be in time at another one.
-        late_anywhere = slot_ms + event_ms / self.factor > request.wait_ms
-        if not in_time and not (
-            self.open and late_anywhere and is_late_by_own_length(self, self.queue)
-        ):
+        if not self.is_admissible(request, slot_ms, event_ms, now_ms):
             unreserved_ms = self.slot_wait_ms(self.queue.ahead_of(rank))
             reason = late_reason(request, unreserved_ms, slot_ms, event_ms)
             return deny(request, reason, slot_ms + event_ms - request.wait_ms)
@@ -152,6 +150,46 @@
             return self.grant(request, now_ms)
         return self.enqueue(request, rank, now_ms + request.wait_ms - event_ms)
 
+    def is_admissible(
+        self, request: SlotRequest, slot_ms: float, event_ms: float, now_ms: float
+    ) -> bool:
+        """Return whether a request may get a slot, or wait for one.
+
+        Parameters
+        ----------
+        request : SlotRequest
+            The request.
+        slot_ms, event_ms : float
+            Its wait for a slot, and the time to its first event after that.
+        now_ms : float
+            Current time.
+        """
+        in_time = slot_ms + event_ms <= request.wait_ms
+        if not self.open:
+            return in_time
+        large_starve = self.large_share.is_below_floor(now_ms)
+        if in_time:
+            return not large_starve or self.leaves_room(request, slot_ms, now_ms)
+        # A request that is late only at a slow engine may be in time at another one.
+        late_anywhere = slot_ms + event_ms / self.factor > request.wait_ms
+        if late_anywhere and is_late_by_own_length(self, self.queue):
+            return True
+        is_hopeless = is_large(request) and event_ms > request.wait_ms
+        return large_starve and is_hopeless and self.has_idle_step(slot_ms)
+
+    def leaves_room(self, request: SlotRequest, slot_ms: float, now_ms: float) -> bool:
+        """Return whether a large prompt of the same route would be in time as well.
+
+        Otherwise the queue is longer than a large prompt can bear.
+        """
+        tokens = max(request.prompt_tokens, request.large_prompt)
+        event_ms = self.first_event_ms(tokens, now_ms)
+        return slot_ms <= 0 or slot_ms + event_ms <= request.wait_ms
+
+    def has_idle_step(self, slot_ms: float) -> bool:
+        """Return whether a slot is free, and no other prompt waits for prefill."""
+        return slot_ms <= 0 and not self.queue and not self.step_clock.prefill_ms
+
     def request_slot_late(
         self, request: SlotRequest, now_ms: float
     ) -> AdmissionDecision:
@@ -350,6 +388,8 @@
             elif self.can_grant(first, now_ms):
                 self.queue.pop()
                 self.reserve.record_grant(first.request.priority, now_ms)
+                if not first.request.late:
+                    self.large_share.record_grant(first.request, now_ms)
                 yield self.grant(first.request, now_ms)
             else:
                 break
--- a/src/wisteriapulley/policy/prompt_sizes.py
+++ b/src/wisteriapulley/policy/prompt_sizes.py
@@ -11,8 +11,9 @@
 # Prompts that are remembered, and fewest ones that tell what is large.
 MAX_PROMPTS = 128
 MIN_PROMPTS = 20
-# A large prompt is one of the largest tenth.
+# A large prompt is one of the largest tenth, and a typical large one is in its middle.
 LARGE_QUANTILE = 0.9
+TYPICAL_LARGE_QUANTILE = 0.95
 
 
 class PromptSizes:
@@ -50,6 +51,11 @@
             return 0
         return self.ordered[int(fraction * (len(self.ordered) - 1))]
 
+    @property
+    def typical_large(self) -> int:
+        """Tokens of a typical large prompt; 0 while too few prompts are known."""
+        return self.quantile(TYPICAL_LARGE_QUANTILE)
+
     def is_large(self, prompt_tokens: int) -> bool:
         """Return whether a prompt is one of the largest tenth."""
         limit = self.quantile(LARGE_QUANTILE)
--- a/src/wisteriapulley/policy/slot_requests.py
+++ b/src/wisteriapulley/policy/slot_requests.py
@@ -73,6 +73,8 @@
         Whether it can't be sent again if the engine rejects it.
     may_wait : bool
         Whether it may wait for a slot although it is late; see `policy.return_queue`.
+    large_prompt : int
+        Tokens of a typical large prompt of its route; 0 if that is not known.
     """
 
     request_id: str
@@ -85,6 +87,7 @@
     target: str = ""
     is_last: bool = False
     may_wait: bool = False
+    large_prompt: int = 0
 
 
 class GrantedSlot(NamedTuple):
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -361,4 +361,5 @@
         message.target,
         message.is_last,
         message.may_wait,
+        message.large_prompt,
     )
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -324,6 +324,7 @@
   late @6 :Bool;
   isLast @7 :Bool;
   mayWait @8 :Bool;
+  largePrompt @9 :UInt32;
 }
 struct Reserved {
   granted @0 :Bool;
--- a/tests/test_prompt_sizes.py
+++ b/tests/test_prompt_sizes.py
@@ -81,3 +81,30 @@
             for labels, count in dispatcher.metrics.by_size.get_all()
         }
         assert counts["large"] >= 1 and sum(counts.values()) == 41
+
+
+class TestLargePromptOfTheRoute:
+    """An entry learns from new requests what is large, and states it with each."""
+
+    def record(self, prompts, **more):
+        dispatcher = dispatcher_without_targets()
+        request = CallerRequest(
+            "q", "POST", "/a/", "h", "/a/", (), b"", "k", 0.0, 5.0, answer_tokens=50
+        )
+        for prompt in prompts:
+            admitted = dispatcher.admit(request._replace(prompt_tokens=prompt))
+            admitted = dispatcher.record_prompt(admitted._replace(**more))
+        return admitted.large_prompt
+
+    def test_is_typical_of_the_largest_tenth(self):
+        assert self.record(range(1, 102)) == 96
+
+    def test_is_not_known_from_few(self):
+        assert self.record([500]) == 0
+
+    def test_returns_count_once(self):
+        """Refused callers come back, and these have larger prompts."""
+        assert self.record(range(1, 102), is_retry=True) == 0
+
+    def test_request_without_a_prompt(self):
+        assert self.record([0] * 50) == 0
--- a/tests/test_slot_admission.py
+++ b/tests/test_slot_admission.py
@@ -5,7 +5,7 @@
 
 from tests.fakes.links import RecordingLink
 from wisteriapulley.policy.slot_requests import DenialReason
-from wisteriapulley.rollout.admission import SlotAdmission
+from wisteriapulley.rollout.admission import SlotAdmission, slot_request
 from wisteriapulley.routing import Engine
 from wisteriapulley.wire import Frame, codec, messages
 
@@ -19,6 +19,7 @@
     """Link of an entry that keeps the messages that are posted to it."""
 
     peer_id = "entry-x"
+    peer = types.SimpleNamespace(incarnation=1)
 
     def post(self, message, reply_to=0):
         self.written.append(message)
@@ -65,6 +66,14 @@
         assert not denied.granted and not denied.start_left_ms
 
 
+class TestSlotRequest:
+    def test_has_the_large_prompt_of_its_route(self):
+        reserve = messages.Reserve("r", 700, 90, large_prompt=2500)
+        frame = codec.encode(Frame(1, 0, reserve))[codec.HEADER.size :]
+        request = slot_request(codec.decode(frame).message, EntryLink())
+        assert (request.prompt_tokens, request.large_prompt) == (700, 2500)
+
+
 class TestDenial:
     def test_reason_reaches_the_entry(self):
         async def run():
--- a/tests/test_slot_allocation.py
+++ b/tests/test_slot_allocation.py
@@ -62,7 +62,7 @@
         self.released += 1
 
 
-def allocate(sidecars, is_retry=False, count=3):
+def allocate(sidecars, is_retry=False, count=3, **more):
     """Allocate a slot for one request, with `count` engines."""
 
     async def run():
@@ -79,7 +79,7 @@
         request = CallerRequest(
             "q", "POST", "/", "h", "/", (), b"", "", now_s, 5.4, 900, 90
         )
-        admitted = Admitted(request, ROUTE, None, now_s + 5.4, is_retry)
+        admitted = Admitted(request, ROUTE, None, now_s + 5.4, is_retry, **more)
         return await allocator.allocate(admitted, "s", ENGINE, set(), now_s)
 
     return asyncio.run(run())
@@ -94,6 +94,11 @@
 
 
 class TestSlotRequests:
+    def test_state_the_large_prompt_of_the_route(self):
+        sidecars = FakeSidecars(DENIED)
+        allocate(sidecars, count=1, large_prompt=2500)
+        assert sidecars.reservations[0].large_prompt == 2500
+
     def test_time_spent_at_one_engine_is_not_offered_to_the_next(self):
         """Sidecars queue a request for a while before they deny it."""
         sidecars = FakeSidecars(DENIED, DENIED, DENIED, decision_s=0.02)
