Tell callers that expect it to send the body

Callers that send `Expect: 100-continue`, as common clients do by themselves with long bodies, got no interim response: one that sends the body after a second without it was served after 1.01 s, beyond its objective, and one that waits on as late or never.

Cause: the low-level server for callers reads the body at once and leaves the expectation to its user, and nobody looked at the header. Now the interim response is sent before the body is read, unless some of it has arrived, and a body announced as longer than the limit is refused with 413 before it is sent (RFC 9110, 10.1.1).

The tests waited for ever before; tests of this file now have a limit of 30 s.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Awaitable, Callable
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from wisteriapulley.direct.types import (
@@ -50,6 +50,7 @@
     RefusalKind.TIMED_OUT: 504,
 }
 STOPPED = Refusal(RefusalKind.FAILED, reason="entry stopped before the response")
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 INTERNAL_ERROR = Refusal(RefusalKind.FAILED, reason="internal error")
 
 RequestHandler = Callable[
@@ -201,6 +202,7 @@
         arrived_s = asyncio.get_running_loop().time()
         answer = HttpCallerAnswer(request, lambda: self.closing)
         try:
+            await self.confirm_expected(request)
             body = await request.read()
             decoded = decode_request(request, body, arrived_s)
             refusal = await self.serve(decoded, answer)
@@ -222,6 +224,29 @@
             del self.active[request.protocol]
         return answer.response or web.StreamResponse(status=500)
 
+    async def confirm_expected(self, request: web.BaseRequest) -> None:
+        """Tell a caller that waits for it to send the body, or refuse the body.
+
+        Such a caller may send the body without it after a second or so, which is later
+        than most latency objectives, or never.
+
+        Raises
+        ------
+        HTTPRequestEntityTooLarge
+            The body is longer than allowed; it was not sent.
+        """
+        if not expects_continue(request):
+            return
+        length = request.content_length or 0
+        if length > self.max_body_bytes:
+            error = web.HTTPRequestEntityTooLarge(self.max_body_bytes, length)
+            # A caller that does not send the body can't use the connection again.
+            error.force_close()
+            raise error
+        await request.writer.write(CONTINUE)
+        # It is no part of the response, of which nothing was sent yet.
+        request.writer.output_size = 0
+
     async def end_by_internal_error(
         self, request: web.BaseRequest, answer: HttpCallerAnswer
     ) -> None:
@@ -281,6 +306,16 @@
             await self.runner.cleanup()
 
 
+def expects_continue(request: web.BaseRequest) -> bool:
+    """Return whether a caller sends the body only when it is told to.
+
+    None of the body has arrived yet; see RFC 9110, 10.1.1.
+    """
+    expected = request.headers.get("Expect", "").lower() == "100-continue"
+    is_waiting = request.can_read_body and not request.content.total_bytes
+    return expected and is_waiting and request.version >= HttpVersion11
+
+
 def request_fields(request: web.BaseRequest, **more: object) -> dict[str, object]:
     """Return the fields of a log line about a request."""
     return fields(request.headers.get(names.REQUEST_ID, ""), **more)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -21,6 +21,7 @@
 from wisteriapulley.settings import Address
 from wisteriapulley.wire import Frame, codec, messages
 
+TEST_TIMEOUT_S = 30.0
 REQUEST = (
     b"GET /a HTTP/1.1\r\nHost: h.example\r\nX-Request-Attempt-Id: 1\r\n"
     b"X-Deadline-Ms: 1000\r\n\r\n"
@@ -50,7 +51,8 @@
         while not ingress.server.connections:
             await asyncio.sleep(0.001)
         try:
-            await scenario(ingress, served, reader, writer)
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                await scenario(ingress, served, reader, writer)
         finally:
             writer.close()
             await ingress.stop()
@@ -184,6 +186,86 @@
         assert [r.request_id for r in caplog.records if "refused" in r.msg] == ["1"]
 
 
+class TestExpectedContinue:
+    """A caller sends the body once it is told to; see RFC 9110, 10.1.1."""
+
+    POST = REQUEST.replace(b"GET", b"POST").removesuffix(b"\r\n")
+    EXPECT = b"Expect: 100-continue\r\n"
+
+    def test_caller_waits_for_an_interim_response(self):
+        async def scenario(ingress, served, reader, writer):
+            bodies = []
+
+            async def serve(request, answer):
+                bodies.append(request.body)
+                return await served.serve(request, answer)
+
+            ingress.serve = serve
+            for body in (b"first", b"second"):
+                length = b"Content-Length: %d\r\n\r\n" % len(body)
+                writer.write(self.POST + self.EXPECT + length)
+                interim = await reader.readuntil(b"\r\n\r\n")
+                assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+                writer.write(body)
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200")
+                assert await reader.readexactly(2) == b"ok"
+            assert bodies == [b"first", b"second"]
+
+        run_scenario(scenario)
+
+    def test_chunked_body(self):
+        async def scenario(ingress, served, reader, writer):
+            chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+            writer.write(self.POST + b"expect: 100-Continue\r\n" + chunked)
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+            writer.write(b"4\r\nbody\r\n0\r\n\r\n")
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize(
+        "request_bytes",
+        [
+            POST + EXPECT + b"Content-Length: 4\r\n\r\nbody",
+            POST + EXPECT + b"Content-Length: 0\r\n\r\n",
+            REQUEST,
+            (POST + EXPECT).replace(b"HTTP/1.1", b"HTTP/1.0") + b"\r\n",
+        ],
+        ids=["body was sent", "no body", "nothing expected", "HTTP/1.0"],
+    )
+    def test_no_interim_response_where_nobody_waits(self, request_bytes):
+        async def scenario(ingress, served, reader, writer):
+            writer.write(request_bytes)
+            assert b" 200 " in await reader.readline()
+
+        run_scenario(scenario)
+
+    def test_body_that_is_too_long_is_refused_before_it_is_sent(self):
+        async def scenario(ingress, served, reader, writer):
+            length = b"Content-Length: 1001\r\n\r\n"
+            writer.write(self.POST + self.EXPECT + length)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 413")
+            assert b"connection: close" in head.lower()
+            assert served.count == 0
+
+        run_scenario(scenario)
+
+    def test_caller_leaves_in_place_of_sending(self, caplog):
+        async def scenario(ingress, served, reader, writer):
+            writer.write(self.POST + self.EXPECT + b"Content-Length: 4\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            while ingress.active or ingress.server.connections:
+                await asyncio.sleep(0.001)
+            assert served.count == 0
+
+        with caplog.at_level(logging.INFO):
+            run_scenario(scenario)
+        assert not [r for r in caplog.records if r.levelno >= logging.WARNING]
+
+
 class TestCallerThatLeaves:
     """Nothing of its request stays, and it is no error of the entry."""
 
