Leave large prompts time where prefill or another route's prompts fill engines

Cause: the limit covered the wait for a slot alone. There engines had free slots and lacked time for prefill, so the prompts to be prefilled were as many as short ones can bear; and the large prompts of all routes were counted together, so that those of a route with short prompts hid the others. Both are the same admission by the own first event.

Now all that waits ahead counts, slots and prefill. Large prompts are counted by route and priority, over 10 s, which is long enough for an engine to see some, and without what waits for an engine to open. While those of a route get slots less than 0.75 times as often as its others, no request of the same or a lower urgency may wait behind more than such a prompt can. A free slot in a batch step without other prefill is always granted.

--- a/bench/returns.py
+++ b/bench/returns.py
@@ -381,6 +381,7 @@
             urgency.wait_ms,
             urgency.late,
             may_wait=urgency.may_wait and self.wave.claims,
+            route=attempt.caller.kind.name,
             large_prompt=self.prompt_sizes[attempt.caller.kind.name].typical_large,
         )
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import sys
 from concurrent.futures import ProcessPoolExecutor
 
+from soak.callers import CALLERS_PER_ENTRY
 from soak.plan import draw_faults
 from soak.regressions import REGRESSIONS
 from soak.run import Outcome
@@ -35,6 +36,12 @@
     parser.add_argument(
         "--calm", action="store_true", help="only planned operations and pauses"
     )
+    parser.add_argument(
+        "--callers",
+        type=int,
+        default=CALLERS_PER_ENTRY,
+        help="callers of each entry; 60 are more than three engines serve",
+    )
     return parser.parse_args()
 
 
@@ -50,7 +57,12 @@
     """Return the seeds to run, each with its options; regressions have their own."""
     if arguments.regressions:
         return [
-            (each.seed, options._replace(seconds=each.seconds, calm=each.calm))
+            (
+                each.seed,
+                options._replace(
+                    seconds=each.seconds, calm=each.calm, callers=each.callers
+                ),
+            )
             for each in REGRESSIONS
         ]
     seeds = arguments.seed or [
@@ -69,6 +81,7 @@
         not arguments.untimed,
         arguments.keep,
         arguments.calm,
+        arguments.callers,
     )
     runs = runs_of(arguments, options)
     if arguments.timeline:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,6 +24,7 @@
 
 HOST = "soak.example"
 KEY = "key-of-the-soak"
+CALLERS_PER_ENTRY = 3
 REQUEST_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
 # How long a caller waits for the first or the next event of a stream, by the objectives
@@ -35,6 +36,12 @@
 # Fraction of requests on a new connection.
 NEW_CONNECTION_FRACTION = 0.1
 
+# Tokens of a usual and of the longest prompt, the spread of their logarithm, and tokens
+# of each answer.
+USUAL_PROMPT, LONGEST_PROMPT = 1800, 9000
+PROMPT_SPREAD = 1.0
+ANSWER_TOKENS = 60
+
 
 class RequestKind(NamedTuple):
     """Kind of request; `expected_body` maps a request id to the only correct body."""
@@ -53,6 +60,12 @@
 )
 
 
+def draw_prompt_tokens(rng: random.Random) -> int:
+    """Draw the size of a prompt."""
+    drawn = USUAL_PROMPT * rng.lognormvariate(0.0, PROMPT_SPREAD)
+    return max(1, min(LONGEST_PROMPT, int(drawn)))
+
+
 class ImpatientError(Exception):
     """A caller has left a stream that showed no first or next event in time."""
 
@@ -84,6 +97,7 @@
         self.rng = random.Random(name)
         # The other choices of a name do not depend on its prompts.
         self.prompt_rng = random.Random(f"prompts/{name}")
+        self.size_rng = random.Random(f"sizes/{name}")
         self.number = 0
         self.status_counts: Counter[int] = Counter()
         self.session: aiohttp.ClientSession | None = None
@@ -125,6 +139,7 @@
             time.monotonic(),
             kind.idempotent,
             kind.max_targets,
+            draw_prompt_tokens(self.size_rng),
         )
         self.checker.record_sent(sent)
         try:
@@ -154,7 +169,7 @@
             "Host": HOST,
             names.REQUEST_ID: sent.request_id,
             names.DEADLINE_MS: str(int(REQUEST_TIMEOUT_S * 1000)),
-            names.TOKEN_COUNTS: "100,60",
+            names.TOKEN_COUNTS: f"{sent.prompt_tokens},{ANSWER_TOKENS}",
             "Authorization": f"{names.BEARER_PREFIX}{KEY}",
         }
         if is_streaming(sent):
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -39,6 +39,10 @@
 # Targets that stood still for no longer than this during a request can still answer it.
 MAX_PAUSE_S = 2.6
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+# The largest tenth of the prompts is served at least this often, as a part of how often
+# all are, once it has as many requests as tell that.
+LEAST_LARGE_PART = 0.5
+MIN_LARGE_REQUESTS = 30
 
 
 class SentRequest(NamedTuple):
@@ -52,6 +56,7 @@
     at_s: float
     idempotent: bool
     max_targets: int
+    prompt_tokens: int = 0
 
 
 class Execution(NamedTuple):
@@ -347,10 +352,35 @@
             self.check_paused(result)
         for departure in self.departures:
             self.check_departure(departure)
+        self.check_sizes()
         if self.timed:
             for part in self.crashing_parts.arrivals:
                 self.check_crashing_part(part)
 
+    def check_sizes(self) -> None:
+        """Check that streams with large prompts are served about as often as others.
+
+        Faults break off streams of all sizes.
+        """
+        results = sorted(
+            (result for result in self.results.values() if self.is_stream(result)),
+            key=lambda result: self.sent[result.request_id].prompt_tokens,
+        )
+        large = results[-(len(results) // 10) :]
+        if len(large) < MIN_LARGE_REQUESTS:
+            return
+        all_part, large_part = served_part(results), served_part(large)
+        self.check(
+            "sizes",
+            large_part >= LEAST_LARGE_PART * all_part,
+            f"of {len(large)} large prompts {large_part:.2f} were served,"
+            f" of all {len(results)} {all_part:.2f}",
+        )
+
+    def is_stream(self, result: RequestResult) -> bool:
+        """Return whether a result is that of a streaming request."""
+        return is_streaming(self.sent[result.request_id])
+
     def check_departure(self, departure: Departure) -> None:
         """Check that no caller leaves a stream that it has had no event of.
 
@@ -447,6 +477,12 @@
         )
 
 
+def served_part(results: list[RequestResult]) -> float:
+    """Return which part of some results are whole responses."""
+    whole = sum(result.status == 200 and result.complete for result in results)
+    return whole / len(results)
+
+
 def is_streaming(sent: SentRequest) -> bool:
     """Return whether a request is served by engines, not by plain targets."""
     return sent.path.startswith("/stream/")
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -2,17 +2,21 @@
 
 from typing import NamedTuple
 
+from soak.callers import CALLERS_PER_ENTRY
+
 
 class Regression(NamedTuple):
     """A seed, the fault time it was run with in seconds, and why it failed.
 
-    `calm` tells whether only planned operations and pauses were drawn.
+    `calm` tells whether only planned operations and pauses were drawn, and `callers`
+    how many callers each entry had.
     """
 
     seed: int
     seconds: float
     cause: str
     calm: bool = False
+    callers: int = CALLERS_PER_ENTRY
 
 
 REGRESSIONS = (
@@ -86,4 +90,12 @@
         "the soak test took a cool-down for known to an entry that had closed the"
         " connection before",
     ),
+    Regression(
+        5,
+        12.0,
+        "of the largest tenth of the prompts 0.08 were served, of all 0.38: the prefill"
+        " of short ones left them no time",
+        calm=True,
+        callers=60,
+    ),
 )
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from soak.callers import Caller
+from soak.callers import CALLERS_PER_ENTRY, Caller
 from soak.fleet import START_TIMEOUT_S, SoakFleet
 from soak.invariants import (
     VERSION_GRACE_S,
@@ -22,7 +22,6 @@
 
 log = logging.getLogger(__name__)
 
-CALLERS_PER_ENTRY = 3
 # Time after the last fault in which everything must serve again. The platform's bounds
 # are shorter, but the machine may be busy.
 RECOVERY_TIMEOUT_S = 60.0
@@ -65,6 +64,8 @@
         Whether time bounds are checked.
     calm : bool
         Whether only planned operations and pauses are drawn.
+    callers : int
+        Callers of each entry.
     """
 
     def __init__(
@@ -75,7 +76,9 @@
         shape: FleetShape,
         timed: bool = True,
         calm: bool = False,
+        callers: int = CALLERS_PER_ENTRY,
     ):
+        self.callers_per_entry = callers
         self.seed = seed
         self.shape = shape
         self.checker = InvariantChecker(ACCOUNT, timed)
@@ -122,7 +125,7 @@
         for name, address in self.fleet.entry_addresses.items():
             self.callers += [
                 Caller(f"{name}-{number}", name, address, self.checker)
-                for number in range(CALLERS_PER_ENTRY)
+                for number in range(self.callers_per_entry)
             ]
             self.background_tasks.append(self.start_prober(name, address))
         for caller in self.callers:
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from soak.callers import CALLERS_PER_ENTRY
 from soak.plan import FleetShape
 from soak.run import Outcome, SoakRun
 
@@ -13,7 +14,7 @@
 
 
 class SeedOptions(NamedTuple):
-    """Options of a run: seconds of faults, fleet size, and what is drawn and kept."""
+    """Options of a run: seconds of faults, sizes, and what is drawn and kept."""
 
     seconds: float = 30.0
     entries: int = 2
@@ -21,6 +22,7 @@
     timed: bool = True
     keep_folder: bool = False
     calm: bool = False
+    callers: int = CALLERS_PER_ENTRY
 
     @property
     def shape(self) -> FleetShape:
@@ -41,7 +43,13 @@
     )
     logging.getLogger("asyncio").setLevel(logging.WARNING)
     run = SoakRun(
-        folder, seed, options.seconds, options.shape, options.timed, options.calm
+        folder,
+        seed,
+        options.seconds,
+        options.shape,
+        options.timed,
+        options.calm,
+        options.callers,
     )
     outcome = asyncio.run(run.run())
     if not outcome.findings and not options.keep_folder:
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -527,6 +527,7 @@
             late=urgency.late,
             is_last=is_last,
             may_wait=urgency.may_wait,
+            route=admitted.route.name,
             large_prompt=admitted.large_prompt,
         )
 
--- a/src/wisteriapulley/emulator/fleet.py
+++ b/src/wisteriapulley/emulator/fleet.py
@@ -464,6 +464,7 @@
             request.kind.priority + (LATE_PRIORITY_OFFSET if late else 0),
             MIN_LATE_WAIT_MS if late else remaining_ms,
             late and self.scenario.deprioritize_late,
+            route=request.kind.name,
             large_prompt=self.prompt_sizes[request.kind.name].typical_large,
         )
 
--- a/src/wisteriapulley/emulator/mixes.py
+++ b/src/wisteriapulley/emulator/mixes.py
@@ -88,6 +88,14 @@
         333.9,
         GEBEYA_ENGINE,
     ),
+    # Long prompts and short answers: engines lack time for prefill, not slots.
+    "prompts": RequestMix(
+        (
+            RequestKind("report", 40, 2400, 6, 1.0, 0.7, 800, 2.4, 0.6),
+            RequestKind("note", 40, 1200, 6, 1.0, 0.7, 800, 1.5, 0.4),
+        ),
+        60.0,
+    ),
 }
 # Longest answer, in events, and longest prompt, as a multiple of the mean.
 MAX_EVENTS = 50
--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -18,7 +18,7 @@
 from wisteriapulley.policy.batch_steps import BatchStepClock
 from wisteriapulley.policy.circuit_breaker import CircuitBreaker, SendOutcome
 from wisteriapulley.policy.class_reserve import ClassReserve
-from wisteriapulley.policy.large_share import LargeShare, is_large
+from wisteriapulley.policy.large_share import LargeShares, is_large
 from wisteriapulley.policy.late_requests import (
     can_prefill_late,
     has_late_slots,
@@ -101,7 +101,7 @@
         # Tracks what the engine did with granted requests.
         self.breaker = CircuitBreaker()
         self.reserve = ClassReserve(self)
-        self.large_share = LargeShare()
+        self.large_shares = LargeShares()
         self.admission_level = AdmissionLevel(self.reserve, self.queue)
 
     @property
@@ -127,7 +127,10 @@
             return self.request_slot_late(request, now_ms)
         decision = self.request_slot_in_time(request, now_ms)
         self.reserve.record_decision(request, decision, now_ms)
-        self.large_share.record_decision(request, decision, now_ms)
+        if self.open:
+            # Callers who wait for an engine to open come at once, and only once.
+            share = self.large_shares.of(request)
+            share.record_decision(request, decision, now_ms)
         return decision
 
     def request_slot_in_time(
@@ -142,7 +145,7 @@
             event_ms += self.queued_prefill_ms()
         if not self.is_admissible(request, slot_ms, event_ms, now_ms):
             unreserved_ms = self.slot_wait_ms(self.queue.ahead_of(rank))
-            reason = late_reason(request, unreserved_ms, slot_ms, event_ms)
+            reason = denial_reason(request, unreserved_ms, slot_ms, event_ms)
             return deny(request, reason, slot_ms + event_ms - request.wait_ms)
         if self.begins_too_late(request, slot_ms + event_ms, now_ms):
             return deny(request, DenialReason.WEIGHTS_END)
@@ -167,24 +170,27 @@
         in_time = slot_ms + event_ms <= request.wait_ms
         if not self.open:
             return in_time
-        large_starve = self.large_share.is_below_floor(now_ms)
         if in_time:
-            return not large_starve or self.leaves_room(request, slot_ms, now_ms)
+            return self.has_idle_step(slot_ms) or self.leaves_time(
+                request, slot_ms, now_ms
+            )
         # A request that is late only at a slow engine may be in time at another one.
         late_anywhere = slot_ms + event_ms / self.factor > request.wait_ms
         if late_anywhere and is_late_by_own_length(self, self.queue):
             return True
         is_hopeless = is_large(request) and event_ms > request.wait_ms
-        return large_starve and is_hopeless and self.has_idle_step(slot_ms)
+        starves = self.large_shares.of(request).is_below_floor(now_ms)
+        return is_hopeless and starves and self.has_idle_step(slot_ms)
 
-    def leaves_room(self, request: SlotRequest, slot_ms: float, now_ms: float) -> bool:
-        """Return whether a large prompt of the same route would be in time as well.
+    def leaves_time(self, request: SlotRequest, slot_ms: float, now_ms: float) -> bool:
+        """Return whether large prompts that starve could wait for as long as this one.
 
-        Otherwise the queue is longer than a large prompt can bear.
+        Otherwise more waits for slots and prefill than they can bear.
         """
-        tokens = max(request.prompt_tokens, request.large_prompt)
-        event_ms = self.first_event_ms(tokens, now_ms)
-        return slot_ms <= 0 or slot_ms + event_ms <= request.wait_ms
+        ahead_ms = slot_ms + self.first_event_ms(0, now_ms)
+        return ahead_ms <= self.large_shares.bearable_ms(
+            request.priority, self.prefill_ms, now_ms
+        )
 
     def has_idle_step(self, slot_ms: float) -> bool:
         """Return whether a slot is free, and no other prompt waits for prefill."""
@@ -389,7 +395,8 @@
                 self.queue.pop()
                 self.reserve.record_grant(first.request.priority, now_ms)
                 if not first.request.late:
-                    self.large_share.record_grant(first.request, now_ms)
+                    share = self.large_shares.of(first.request)
+                    share.record_grant(first.request, now_ms)
                 yield self.grant(first.request, now_ms)
             else:
                 break
@@ -476,13 +483,15 @@
     )
 
 
-def late_reason(
+def denial_reason(
     request: SlotRequest, unreserved_ms: float, slot_ms: float, event_ms: float
 ) -> DenialReason:
-    """Return why a request that would be late is denied.
+    """Return why a request that is not admissible is denied.
 
     `unreserved_ms` is the wait for a slot if none were kept for more urgent requests.
     """
+    if slot_ms + event_ms <= request.wait_ms:
+        return DenialReason.LARGE_PROMPTS
     if unreserved_ms < slot_ms:
         return DenialReason.RESERVED
     if event_ms > request.wait_ms:
--- a/src/wisteriapulley/policy/slot_requests.py
+++ b/src/wisteriapulley/policy/slot_requests.py
@@ -24,7 +24,8 @@
     `FIRST_EVENT` means that the request would be late even without a wait for a slot,
     `SLOT_WAIT` that it would be in time without one, and `NO_LATE_PLACE` that all
     places for late requests are taken. `PREFILL` means that too many queued prompts go
-    before a late one.
+    before a late one, and `LARGE_PROMPTS` that large prompts, which get too few slots,
+    could not wait for as long.
     """
 
     UNKNOWN = 0
@@ -38,6 +39,7 @@
     WEIGHTS_END = 8
     EXPIRED = 9
     OVERTAKEN = 10
+    LARGE_PROMPTS = 11
 
     @classmethod
     def from_wire(cls, number: int) -> "DenialReason":
@@ -73,6 +75,8 @@
         Whether it can't be sent again if the engine rejects it.
     may_wait : bool
         Whether it may wait for a slot although it is late; see `policy.return_queue`.
+    route : str
+        Name of its route.
     large_prompt : int
         Tokens of a typical large prompt of its route; 0 if that is not known.
     """
@@ -87,6 +91,7 @@
     target: str = ""
     is_last: bool = False
     may_wait: bool = False
+    route: str = ""
     large_prompt: int = 0
 
 
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -361,5 +361,6 @@
         message.target,
         message.is_last,
         message.may_wait,
+        message.route,
         message.large_prompt,
     )
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -324,7 +324,8 @@
   late @6 :Bool;
   isLast @7 :Bool;
   mayWait @8 :Bool;
-  largePrompt @9 :UInt32;
+  route @9 :Text;
+  largePrompt @10 :UInt32;
 }
 struct Reserved {
   granted @0 :Bool;
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -544,7 +544,7 @@
     `target` is the incarnation of the target. `late` is whether the request's
     objective has already passed, `is_last` whether it can't be retried if the target
     rejects it, `may_wait` whether it may wait for a slot although it is late.
-    `large_prompt` is the tokens of a typical large prompt of its route; 0 if unknown.
+    `large_prompt` is the tokens of a typical large prompt of `route`; 0 if unknown.
     """
 
     request_id: str = ""
@@ -556,6 +556,7 @@
     late: bool = False
     is_last: bool = False
     may_wait: bool = False
+    route: str = ""
     large_prompt: int = 0
 
 
--- a/tests/test_large_requests.py
+++ b/tests/test_large_requests.py
@@ -14,6 +14,7 @@
     "four times the load": {"load": 4.0},
     "half of the engines": {"load": 2.0, "engines": 5},
     "some engines slow": {"load": 3.0, "slow_engines": 3},
+    "no time for prefill": {"load": 3.0, "mix": "prompts"},
 }
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -753,6 +753,39 @@
         assert len(set(states)) == 3
 
 
+class TestSizes:
+    """300 streams with prompts of 1 to 300 tokens; the largest tenth is 30."""
+
+    def violations(self, served, count=300, path="/stream/x"):
+        checker = InvariantChecker("account")
+        for tokens in range(1, count + 1):
+            request_id = f"r{tokens}"
+            checker.record_sent(
+                SENT._replace(request_id=request_id, path=path, prompt_tokens=tokens)
+            )
+            status = 200 if served(tokens) else 503
+            checker.record_result(RequestResult(request_id, 11.0, status, True, True))
+        checker.check_sizes()
+        return violations(checker)
+
+    def test_starved_large_prompts_are_found(self):
+        assert self.violations(lambda tokens: tokens <= 270) == ["sizes"]
+        assert self.violations(lambda tokens: tokens <= 280) == ["sizes"]
+
+    def test_half_as_often_as_all_is_allowed(self):
+        assert not self.violations(lambda tokens: tokens % 2 or tokens <= 270)
+
+    def test_refusals_of_all_sizes_are_no_finding(self):
+        assert not self.violations(lambda tokens: tokens % 3 == 0)
+        assert not self.violations(lambda tokens: False)
+
+    def test_few_requests_tell_nothing(self):
+        assert not self.violations(lambda tokens: tokens <= 270, count=280)
+
+    def test_plain_requests_have_no_prompt(self):
+        assert not self.violations(lambda tokens: tokens <= 270, path="/once/")
+
+
 class TestReserveNetwork:
     def test_concurrent_runs_get_different_networks(self):
         networks = [reserve_network(100) for _ in range(100)]
@@ -765,8 +798,8 @@
     def test_regressions_are_run_as_they_failed(self):
         arguments = SimpleNamespace(regressions=True, seed=[], seeds=1)
         runs = runs_of(arguments, SeedOptions(30.0, timed=False))
-        assert [(s, o.seconds, o.calm) for s, o in runs] == [
-            (each.seed, each.seconds, each.calm) for each in REGRESSIONS
+        assert [(s, o.seconds, o.calm, o.callers) for s, o in runs] == [
+            (each.seed, each.seconds, each.calm, each.callers) for each in REGRESSIONS
         ]
         assert not any(options.timed for _, options in runs)
 
