Take the prefill of requests that end before it off the engine's clock

One caller could do so to each engine.

Cause: the clock of batch steps adds the prefill of a prompt when its slot is granted, and nothing took it back when the request was rejected, left or lost with its entry before its first event. Now the end of such a slot removes what is left of its own prefill. Five of the six new tests failed before; the sixth guards ends after the first event. Two tests pass the time to `release_owner`, which needs it.

--- a/src/wisteriapulley/policy/batch_steps.py
+++ b/src/wisteriapulley/policy/batch_steps.py
@@ -50,6 +50,13 @@
         """Add a request, given the time to prefill its prompt."""
         self.prefill_ms += prefill_ms
 
+    def remove(self, prefill_ms: float, now_ms: float) -> None:
+        """Remove prefill that was added but is not done any more."""
+        pending_ms = min(prefill_ms, self.prefill_ms)
+        self.prefill_ms -= pending_ms
+        end_ms = self.step_end_ms - (prefill_ms - pending_ms)
+        self.step_end_ms = max(min(now_ms, self.step_end_ms), end_ms)
+
     def first_event_ms(
         self, prompt_tokens: int, prefill_rate: float, step_ms: float, now_ms: float
     ) -> float:
--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -340,7 +340,7 @@
             )
             if outcome is SendOutcome.REJECTED:
                 # The hold time of a rejected request is no sample of service times.
-                del self.grants[request_id]
+                self.remove_grant(request_id, now_ms)
         self.release(request_id, now_ms)
 
     def release(self, request_id: str, now_ms: float) -> None:
@@ -351,9 +351,11 @@
         else:
             self.queue.remove(lambda queued: queued.request.request_id == request_id)
 
-    def release_owner(self, owner: str) -> None:
+    def release_owner(self, owner: str, now_ms: float) -> None:
         """Drop all slots and queued requests of an entry that is gone."""
-        self.grants = {k: h for k, h in self.grants.items() if h.owner != owner}
+        owned = [k for k, grant in self.grants.items() if grant.owner == owner]
+        for request_id in owned:
+            self.remove_grant(request_id, now_ms)
         self.queue.remove(lambda queued: queued.request.owner == owner)
 
     def revoke_all(self) -> None:
--- a/src/wisteriapulley/policy/slot_estimates.py
+++ b/src/wisteriapulley/policy/slot_estimates.py
@@ -121,8 +121,9 @@
 
     def add_grant(self, request: SlotRequest, now_ms: float) -> None:
         """Record that a request has a slot and that its prompt is prefilled next."""
-        self.advance_step_clock(now_ms)
-        self.step_clock.add(self.prefill_ms(request.prompt_tokens))
+        event_ms = now_ms + self.first_event_ms(request.prompt_tokens, now_ms)
+        prompt_ms = self.prefill_ms(request.prompt_tokens)
+        self.step_clock.add(prompt_ms)
         self.grants[request.request_id] = GrantedSlot(
             request.owner,
             now_ms,
@@ -131,6 +132,8 @@
             begun=self.speed.mark(now_ms / 1000),
             prefilled_ms=self.prefilled_ms,
             running=len(self.grants) + 1,
+            prompt_ms=prompt_ms,
+            first_event_ms=event_ms,
         )
         rate = self.engine.prefill_tokens_per_ms
         self.prefilled_ms += request.prompt_tokens / rate
@@ -152,7 +155,7 @@
 
     def release_grant(self, request_id: str, now_ms: float) -> GrantedSlot | None:
         """Release a slot, learn from its times and return it, if there was one."""
-        grant = self.grants.pop(request_id, None)
+        grant = self.remove_grant(request_id, now_ms)
         if grant is None:
             return None
         if self.speed.stood_still_since(grant.begun):
@@ -166,10 +169,23 @@
             )
         return grant
 
+    def remove_grant(self, request_id: str, now_ms: float) -> GrantedSlot | None:
+        """Remove a slot, and what is left of its prefill, and return it.
+
+        A request that ended before its first event is not prefilled any more. Callers
+        may state any size, and the engine rejects what exceeds its memory.
+        """
+        grant = self.grants.pop(request_id, None)
+        if grant is not None and grant.first_event_ms > now_ms:
+            self.advance_step_clock(now_ms)
+            left_ms = grant.first_event_ms - now_ms - self.batch_step_ms()
+            left_ms = max(0.0, min(left_ms, grant.prompt_ms))
+            self.step_clock.remove(left_ms, now_ms)
+        return grant
+
     def expire_grants(self, now_ms: float) -> None:
         """Revoke slots that were never released."""
         limit_ms = now_ms - MAX_HOLD_MS
-        if any(h.granted_ms < limit_ms for h in self.grants.values()):
-            self.grants = {
-                k: h for k, h in self.grants.items() if h.granted_ms >= limit_ms
-            }
+        overdue = [k for k, grant in self.grants.items() if grant.granted_ms < limit_ms]
+        for request_id in overdue:
+            self.remove_grant(request_id, now_ms)
--- a/src/wisteriapulley/policy/slot_requests.py
+++ b/src/wisteriapulley/policy/slot_requests.py
@@ -114,6 +114,10 @@
         Time, at the usual speed, of all prompts that were granted before.
     running : int
         Slots in use, this one included.
+    prompt_ms : float
+        Time to prefill its own prompt, at the speed when it was granted.
+    first_event_ms : float
+        When its first event was expected.
     """
 
     owner: str
@@ -123,6 +127,8 @@
     begun: WorkMark = WorkMark(0.0, 0.0)
     prefilled_ms: float = 0.0
     running: int = 1
+    prompt_ms: float = 0.0
+    first_event_ms: float = 0.0
 
 
 class ObservedWork(NamedTuple):
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -332,7 +332,7 @@
 
     def link_closed(self, link: Link) -> None:
         """Release the slots and queued requests of an entry that disconnected."""
-        self.slots.release_owner(owner_of(link))
+        self.slots.release_owner(owner_of(link), self.now_ms())
         self.advance()
 
 
--- a/tests/test_engine_slots.py
+++ b/tests/test_engine_slots.py
@@ -5,6 +5,7 @@
 import pytest
 
 from wisteriapulley.policy.batch_steps import BatchStepClock
+from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.policy.engine_slots import MAX_HOLD_MS, EngineSlots, SlotRequest
 from wisteriapulley.policy.slot_requests import DenialReason
 from wisteriapulley.routing import Engine
@@ -145,7 +146,7 @@
         late = slot_request("late", 1)._replace(late=True)
         assert slots.request_slot(late, 0.0).denied
         assert slots.request_slot(slot_request("new", 1), 0.0).granted
-        slots.release_owner("e")
+        slots.release_owner("e", 0.0)
         assert slots.request_slot(late, 0.0).granted
 
     def request_late_slots(self, count, wait_ms=3000.0):
@@ -226,7 +227,7 @@
         slots = open_slots()
         for number in range(5):
             slots.request_slot(slot_request(number, 1, owner="gone"), 0.0)
-        slots.release_owner("gone")
+        slots.release_owner("gone", 0.0)
         assert not slots.grants
 
     def test_unused_slot_is_revoked(self):
@@ -273,6 +274,57 @@
         assert len(granted) > 50
 
 
+class TestPromptThatIsNotPrefilled:
+    """Its caller left or its engine rejected it before the first event."""
+
+    def test_huge_prompt_does_not_close_the_engine(self):
+        slots = open_slots()
+        huge = slot_request(0, tokens=4_000_000_000)
+        assert slots.request_slot(huge, 0.0).granted
+        slots.release("r0", 10.0)
+        for number in range(1, 4):
+            request = slot_request(number)
+            assert slots.request_slot(request, 100.0 * number).granted
+
+    def test_rejected_by_the_engine(self):
+        slots = open_slots()
+        slots.request_slot(slot_request(0, tokens=1_000_000), 0.0)
+        slots.record_end("r0", SendOutcome.REJECTED, 10.0)
+        assert slots.first_event_ms(900, 20.0) < 400.0
+
+    def test_entry_that_is_lost(self):
+        slots = open_slots()
+        slots.request_slot(slot_request(0, tokens=1_000_000), 0.0)
+        slots.release_owner("e", 10.0)
+        assert slots.first_event_ms(900, 20.0) < 400.0
+
+    def test_slot_that_is_never_released(self):
+        slots = open_slots()
+        slots.request_slot(slot_request(0, tokens=1_000_000), 0.0)
+        list(slots.advance(MAX_HOLD_MS + 1))
+        assert slots.first_event_ms(900, MAX_HOLD_MS + 1) < 400.0
+
+    def test_only_its_own_prefill_is_forgotten(self):
+        slots = open_slots()
+        for number, tokens in enumerate((900, 900, 300_000)):
+            slots.request_slot(slot_request(number, tokens, wait_ms=1e6), 0.0)
+        before_ms = open_slots()
+        for number in range(2):
+            before_ms.request_slot(slot_request(number, wait_ms=1e6), 0.0)
+        slots.release("r2", 5.0)
+        left_ms = slots.first_event_ms(900, 5.0)
+        assert left_ms == pytest.approx(before_ms.first_event_ms(900, 5.0))
+
+    def test_end_after_the_first_event_changes_nothing(self):
+        slots = open_slots()
+        for number in range(2):
+            slots.request_slot(slot_request(number), 0.0)
+        slots.advance_step_clock(500.0)
+        end_ms = slots.step_clock.step_end_ms
+        slots.release("r0", 500.0)
+        assert slots.step_clock.step_end_ms == end_ms
+
+
 class TestDenialReason:
     def reason(self, slots, request, now_ms=0.0):
         decision = slots.request_slot(request, now_ms)
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -194,7 +194,7 @@
     def test_entry_that_is_lost_keeps_no_place(self):
         slots = full_slots()
         slots.request_slot(late_request(1), 0.0)
-        slots.release_owner("e")
+        slots.release_owner("e", 0.0)
         assert not slots.queue
 
     def test_time_until_a_late_slot_grows_with_those_who_wait(self):
