Show in a gauge where large prompts starve

An operator sees refused large prompts in the metrics of entries, but not whether an engine already limits what waits for them.

--- a/src/wisteriapulley/policy/large_share.py
+++ b/src/wisteriapulley/policy/large_share.py
@@ -31,7 +31,7 @@
 
 
 def is_large(request: SlotRequest) -> bool:
-    """Return whether a request's prompt is a large one of its route."""
+    """Return whether a prompt is at least as long as a typical large one there."""
     return 0 < request.large_prompt <= request.prompt_tokens
 
 
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -100,6 +100,10 @@
         self.class_reserved = self.metrics.gauge(
             "class_reserved", "Slots kept free when a priority asks."
         )
+        self.large_starving = self.metrics.gauge(
+            "large_prompts_starving",
+            "1 while large prompts of a route get too few slots, and less may wait.",
+        )
 
     async def start(self) -> None:
         """Listen, follow control instances, watch the engine and grant slots."""
@@ -208,6 +212,9 @@
             self.class_reserved.set(labels, reserved)
             for outcome, count in demand.decisions.items():
                 self.class_decisions.set({**labels, "decision": outcome}, count)
+        for key, share in self.admission.slots.large_shares.routes.items():
+            labels = {"route": key.route, "priority": str(key.priority)}
+            self.large_starving.set(labels, int(share.is_below_floor(now_ms)))
 
     def log_pace(self, pace: int) -> None:
         """Log that the engine is slow for longer than a moment, or no longer."""
--- a/tests/test_large_share.py
+++ b/tests/test_large_share.py
@@ -1,5 +1,8 @@
 """Slots for large prompts beside the others, at one engine."""
 
+import asyncio
+
+from tests.test_evacuated_engine import new_service
 from wisteriapulley.policy.engine_slots import EngineSlots, SlotRequest
 from wisteriapulley.policy.large_share import (
     MAX_ROUTES,
@@ -115,6 +118,22 @@
         assert RouteKey(f"r{MAX_ROUTES + 9}", 1) in shares.routes
 
 
+class TestGauge:
+    def test_tells_where_large_prompts_starve(self, tmp_path):
+        async def run():
+            service = new_service(tmp_path)
+            service.admission.now_ms = lambda: NOW_MS
+            routes = service.admission.slots.large_shares.routes
+            routes[RouteKey("starved", 1)] = share([DENIED] * 12, [GRANTED] * 6)
+            routes[RouteKey("served", 1)] = share([GRANTED], [GRANTED])
+            service.update_class_gauges()
+            return service.large_starving
+
+        gauge = asyncio.run(run())
+        assert gauge.get({"route": "starved", "priority": "1"}) == 1
+        assert gauge.get({"route": "served", "priority": "1"}) == 0
+
+
 class TestQueue:
     """All slots are in use, and a few others wait for one."""
 
