Log who told the age of a version of weights, and when it is corrected

The logs could not tell why a request began late on superseded weights: no line named the control instance that told an age, a corrected age left no line, control instances logged no versions at all, and a grant's limit was not told apart from what the entry itself knew.

Entries and sidecars name the instance (peer); control instances log where they have a version from (log, disk or another instance); a correction of more than 20 ms is logged with what was believed; placed lines have own_start_left_ms beside start_left_ms. The publisher counts in seconds, as followers do. No decision changes.

Measured: tests of versions, followers, publisher and slots pass.

--- a/src/wisteriapulley/control/following.py
+++ b/src/wisteriapulley/control/following.py
@@ -24,7 +24,7 @@
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine, RoutingTable
 from wisteriapulley.settings import Address, NodeSettings
-from wisteriapulley.weights.desired_versions import DesiredVersions
+from wisteriapulley.weights.desired_versions import DesiredVersions, is_correction
 from wisteriapulley.wire import Frame, Link, broadcast, messages
 from wisteriapulley.wire.handshake import Identity
 from wisteriapulley.wire.reconnect import ReconnectingLink
@@ -312,6 +312,8 @@
         """Handle an update from an instance."""
         if isinstance(frame.message, messages.TargetBeats):
             self.receive_heartbeats(frame.message, link)
+        elif isinstance(frame.message, messages.ModelNews):
+            self.receive_models(frame.message, link.peer_id)
         else:
             self.receive(frame.message)
 
@@ -348,25 +350,33 @@
         self.on_table(self.table)
 
     @receive.register
-    def receive_models(self, message: messages.ModelNews) -> None:
-        """Handle the message `ModelNews`."""
+    def receive_models(self, message: messages.ModelNews, peer: str = "") -> None:
+        """Handle the message `ModelNews` of an instance."""
         now_s = steady_s()
         for state in message.models:
             self.engines[state.service] = engine_of(state)
             self.cold_limits[state.service] = (state.cold_start_s, state.cold_per_s)
             for desired in state.named:
-                self.record_version(state.model, desired, now_s)
+                self.record_version(state.model, desired, now_s, peer)
         self.on_models()
 
     def record_version(
-        self, model: str, desired: messages.VersionAge, now_s: float
+        self, model: str, desired: messages.VersionAge, now_s: float, peer: str
     ) -> None:
         """Record a desired version and the earliest time at which it was accepted."""
-        if self.versions.record(model, desired.version, now_s - desired.age_ms / 1000):
+        known_s = self.versions.accepted_at(model, desired.version)
+        accepted_s = now_s - desired.age_ms / 1000
+        is_new = self.versions.record(model, desired.version, accepted_s)
+        details = {"model": model, "version": desired.version, "peer": peer}
+        if is_new:
+            log.info("weights named", extra=fields(age_ms=desired.age_ms, **details))
+        elif is_correction(known_s, accepted_s):
             log.info(
-                "weights named",
+                "age of weights corrected",
                 extra=fields(
-                    model=model, version=desired.version, age_ms=desired.age_ms
+                    age_ms=desired.age_ms,
+                    believed_ms=int((now_s - known_s) * 1000),
+                    **details,
                 ),
             )
 
--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -1,9 +1,10 @@
 """Publishes the state of one control instance to entries and sidecars."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 
-from wisteriapulley.clocks import steady_ms
+from wisteriapulley.clocks import steady_ms, steady_s
 from wisteriapulley.control.control_api import unpack_table
 from wisteriapulley.control.driver import Driver
 from wisteriapulley.control.evacuations import EvacuationView
@@ -13,16 +14,19 @@
 from wisteriapulley.control.target_feed import TargetFeed
 from wisteriapulley.control.targets import TargetTable
 from wisteriapulley.errors import WisteriapulleyError
+from wisteriapulley.logs import fields
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine, Origin, RoutingTable
 from wisteriapulley.settings import ControlSettings
-from wisteriapulley.weights.desired_versions import DesiredVersions
+from wisteriapulley.weights.desired_versions import DesiredVersions, is_correction
 from wisteriapulley.wire import Frame, Link, messages
 
+log = logging.getLogger(__name__)
+
 # How long the reply to a follower waits for a quorum to confirm the table.
 CONFIRM_TIMEOUT_S = 0.8
 # Age given to versions restored from disk: longer than a superseded version may serve.
-RESTORED_AGE_MS = 3_600_000.0
+RESTORED_AGE_S = 3600.0
 
 
 class Publisher:
@@ -83,7 +87,7 @@
         desired long ago.
         """
         for model, version in self.state.weights.items():
-            self.versions.record(model, version, steady_ms() - RESTORED_AGE_MS)
+            self.record_version(model, version, RESTORED_AGE_S, "disk")
         self.publish_changes()
 
     def origin(self) -> Origin | None:
@@ -125,7 +129,7 @@
     def record_weights(self) -> bool:
         """Record when versions came into force; return whether the models changed."""
         for model, version in self.state.weights.items():
-            if self.versions.record(model, version, steady_ms()):
+            if self.record_version(model, version, 0.0, "log"):
                 self.on_new_weights(model, version)
         states = [
             state._replace(named=tuple(desired.version for desired in state.named))
@@ -134,7 +138,28 @@
         changed, self.published_models = states != self.published_models, states
         return changed
 
-    def observe_models(self, message: messages.ModelNews) -> None:
+    def record_version(
+        self, model: str, version: int, age_s: float, source: str
+    ) -> bool:
+        """Record a version and when it was accepted; return whether it is new here."""
+        now_s = steady_s()
+        known_s = self.versions.accepted_at(model, version)
+        is_new = self.versions.record(model, version, now_s - age_s)
+        details = {"model": model, "version": version, "source": source}
+        if is_new:
+            log.info("weights named", extra=fields(age_ms=int(age_s * 1000), **details))
+        elif is_correction(known_s, now_s - age_s):
+            log.info(
+                "age of weights corrected",
+                extra=fields(
+                    age_ms=int(age_s * 1000),
+                    believed_ms=int((now_s - known_s) * 1000),
+                    **details,
+                ),
+            )
+        return is_new
+
+    def observe_models(self, message: messages.ModelNews, peer: str = "") -> None:
         """Record weights in force at another instance, and publish them to followers.
 
         When a version becomes desired while downloads of the previous one fill the
@@ -144,13 +169,12 @@
         committed versions are in force anywhere, so the first message about one is
         enough.
         """
-        now_ms = steady_ms()
         new = [
             (state.model, desired.version)
             for state in message.models
             for desired in state.named
-            if self.versions.record(
-                state.model, desired.version, now_ms - desired.age_ms
+            if self.record_version(
+                state.model, desired.version, desired.age_ms / 1000, peer
             )
         ]
         for key in new:
@@ -211,13 +235,13 @@
 
     def model_state(self, service: str, engine: Engine) -> messages.ModelState:
         """Return the engine parameters and versions of one model service."""
-        now_ms = steady_ms()
+        now_s = steady_s()
         return messages.ModelState(
             service,
             engine.model,
             tuple(
-                messages.VersionAge(version, int(now_ms - since_ms))
-                for version, since_ms in self.versions.versions_of(engine.model)
+                messages.VersionAge(version, int((now_s - since_s) * 1000))
+                for version, since_s in self.versions.versions_of(engine.model)
             ),
             engine.slots,
             engine.stride,
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -422,7 +422,7 @@
     ) -> None:
         """Handle the message `ModelNews` of another instance."""
         if link.peer.role == "control":
-            self.publisher.observe_models(message)
+            self.publisher.observe_models(message, link.peer_id)
 
     @receive.register
     async def receive_evacuations(
--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -502,6 +502,7 @@
                 send=progress.sends,
                 weights=slot.version,
                 start_left_ms=slot.start_left_ms(now_s),
+                own_start_left_ms=slot.own_start_left_ms(now_s),
                 prompt_tokens=admitted.request.prompt_tokens,
                 answer_tokens=admitted.request.answer_tokens,
                 granted=slot.granted,
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -137,8 +137,12 @@
 
     def start_left_ms(self, now_s: float) -> int | None:
         """Return how long the request may still start; None without a limit."""
-        deadline_s = self.deadline_s()
-        return None if deadline_s is None else int((deadline_s - now_s) * 1000)
+        return remaining_ms(self.deadline_s(), now_s)
+
+    def own_start_left_ms(self, now_s: float) -> int | None:
+        """Return the same by what this entry alone knows of newer versions."""
+        version_s = self.version_deadline_s() if self.version_deadline_s else None
+        return remaining_ms(version_s, now_s)
 
 
 class Denials:
@@ -613,6 +617,11 @@
         return start_left_ms(superseded_for_ms, self.settings.old_version_ms)
 
 
+def remaining_ms(deadline_s: float | None, now_s: float) -> int | None:
+    """Return the time until a deadline; None without one."""
+    return None if deadline_s is None else int((deadline_s - now_s) * 1000)
+
+
 def plain_load(target: Target, now_s: float) -> Load:
     """Return a plain target's load: this entry's requests, and others as stated."""
     outstanding = target.load.outstanding(target.outstanding, now_s)
--- a/src/wisteriapulley/weights/desired_versions.py
+++ b/src/wisteriapulley/weights/desired_versions.py
@@ -8,40 +8,60 @@
 # Versions kept per model: more than can be accepted within the grace period of a
 # superseded version.
 MAX_VERSIONS_KEPT = 8
+# Two instances that hear of a version at about the same time differ by less than this.
+CORRECTION_S = 0.02
 
 
 class DesiredVersions:
     """Desired versions of each model, and when each was first accepted."""
 
     def __init__(self):
-        self.accepted_at: dict[str, dict[int, float]] = {}
+        self.models: dict[str, dict[int, float]] = {}
 
-    def record(self, model: str, version: int, accepted_at: float) -> bool:
+    def record(self, model: str, version: int, accepted_s: float) -> bool:
         """Record a version; of two times for the same version, the earlier is kept.
 
+        Parameters
+        ----------
+        model : str
+            Model of the weights.
+        version : int
+            The version.
+        accepted_s : float
+            When it was accepted, in seconds of `clocks.steady_s`.
+
         Returns
         -------
         bool
             Whether the version was not known before.
         """
-        known = self.accepted_at.setdefault(model, {})
+        known = self.models.setdefault(model, {})
         if version in known:
-            known[version] = min(known[version], accepted_at)
+            known[version] = min(known[version], accepted_s)
             return False
-        known[version] = accepted_at
+        known[version] = accepted_s
         for superseded in sorted(known)[:-MAX_VERSIONS_KEPT]:
             del known[superseded]
         return version in known
 
+    def accepted_at(self, model: str, version: int) -> float | None:
+        """Return when a version was accepted; None if it is unknown or not kept."""
+        return self.models.get(model, {}).get(version)
+
     def versions_of(self, model: str) -> list[tuple[int, float]]:
         """Return the versions of a model and when each was accepted, newest last."""
-        return sorted(self.accepted_at.get(model, {}).items())
+        return sorted(self.models.get(model, {}).items())
 
     def newest(self, model: str) -> int:
         """Return the newest version of a model; 0 if there is none."""
-        return max(self.accepted_at.get(model, {0: 0.0}))
+        return max(self.models.get(model, {0: 0.0}))
 
     def superseded_at(self, model: str, held: int) -> float | None:
         """Return when the first version newer than `held` was accepted, or None."""
-        newer = [s for v, s in self.accepted_at.get(model, {}).items() if v > held]
+        newer = [s for v, s in self.models.get(model, {}).items() if v > held]
         return min(newer, default=None)
+
+
+def is_correction(known_s: float | None, accepted_s: float) -> bool:
+    """Return whether a version was accepted earlier than known so far, in seconds."""
+    return known_s is not None and known_s - accepted_s > CORRECTION_S
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -86,3 +86,29 @@
         instance.link.written.clear()
         instance.publisher.observe_models(models_of(3, age_ms=500))
         assert instance.link.written == []
+
+
+class TestLogOfAges:
+    """The logs of two processes tell which of them believed which age, and why."""
+
+    def lines(self, caplog, message):
+        return [r for r in caplog.records if r.getMessage() == message]
+
+    def test_source_of_a_version_is_logged(self, caplog):
+        caplog.set_level("INFO")
+        instance = Instance()
+        instance.publisher.observe_models(models_of(3, age_ms=40), "10.0.0.2")
+        instance.state.weights["m"] = 4
+        instance.publisher.publish_changes()
+        named = self.lines(caplog, "weights named")
+        assert [(r.version, r.source) for r in named] == [(3, "10.0.0.2"), (4, "log")]
+
+    def test_corrected_age_is_logged_with_what_was_believed(self, caplog):
+        caplog.set_level("INFO")
+        instance = Instance()
+        instance.publisher.observe_models(models_of(3, age_ms=40), "10.0.0.2")
+        instance.publisher.observe_models(models_of(3, age_ms=45), "10.0.0.3")
+        instance.publisher.observe_models(models_of(3, age_ms=900), "10.0.0.3")
+        (corrected,) = self.lines(caplog, "age of weights corrected")
+        assert (corrected.age_ms, corrected.source) == (900, "10.0.0.3")
+        assert corrected.believed_ms < 900
