Add failing tests for begins on weights that were superseded long ago

With nine versions or more within the time of one, the end of the first one moves on with each further name: the model of an entry, a sidecar and an engine begins requests on version 1 up to 1 s after its end, and on until the newest version is loaded.

--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -49,6 +49,25 @@
         assert len(named.versions_of("m")) == MAX_VERSIONS_KEPT
         assert not named.record("m", 1, 0.0)
 
+    @pytest.mark.parametrize("count", [10, 20, 500])
+    def test_end_of_an_old_version_does_not_move_on_with_newer_ones(self, count):
+        """Requests on it would begin later than allowed."""
+        named = DesiredVersions()
+        for version in range(1, count):
+            named.record("m", version, version * 0.3)
+        for held in range(count - 2):
+            assert named.superseded_at("m", held) <= (held + 1) * 0.3
+
+    def test_version_that_is_told_again_changes_no_end(self):
+        """Other instances tell the versions that they keep."""
+        named = DesiredVersions()
+        for version in range(1, 500):
+            named.record("m", version, version * 0.3)
+        before = named.versions_of("m")
+        for version in range(1, 500):
+            assert not named.record("m", version, version * 0.3)
+        assert named.versions_of("m") == before
+
     def test_unknown_model(self):
         assert DesiredVersions().newest("m") == 0
         assert DesiredVersions().superseded_at("m", 0) is None
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -104,10 +104,13 @@
         Whether the entry has heard of the newer version.
     linked : bool
         Whether the entry has a link to the sidecar.
+    beside : callable, optional
+        Awaited with this object, beside the requests.
     """
 
-    def __init__(self, folder, engine, entry_knows=True, linked=True):
+    def __init__(self, folder, engine, entry_knows=True, linked=True, beside=None):
         self.engine = engine
+        self.beside = beside
         self.sidecar = new_service(folder)
         name_version(self.sidecar, 2)
         self.sidecar.admission.slots.engine = ENGINE
@@ -152,6 +155,8 @@
             loop.create_task(self.poll()),
             loop.create_task(self.sidecar.admission.advance_loop()),
         ]
+        if self.beside is not None:
+            tasks.append(loop.create_task(self.beside(self)))
         asked = []
         while loop.time() < END_S + 1:
             asked.append(loop.create_task(self.ask(len(asked))))
@@ -223,6 +228,25 @@
         assert play(before_s, pause_s, first_event_s, **options) == []
 
 
+class TestVersionsInARow:
+    """Further versions are named while an old one is still in use everywhere."""
+
+    NAMED_EVERY_S = 0.3
+
+    def test_no_request_begins_after_the_end_of_the_old_one(self, play):
+        async def name_versions(end):
+            for version in range(3, 60):
+                await asyncio.sleep(self.NAMED_EVERY_S)
+                now_s = asyncio.get_running_loop().time()
+                for follower in (
+                    end.entry.allocator.follower,
+                    end.sidecar.follower,
+                ):
+                    follower.versions.record("m", version, now_s)
+
+        assert play(0.0, pause_s=0.0, beside=name_versions) == []
+
+
 class TestNamedWhileTheRequestWaits:
     """A request is sent without a limit, and a newer version is named after it."""
 
