Keep the end of a superseded version when many newer ones follow

Cause: eight versions were kept per model, and the end of a version is counted from the first newer one that is kept. With the ninth name the first newer version was dropped, and the end of the older ones moved on. Evidence: all processes heard each version within 0.1 s, and the late begins start 2 s after the ninth version, at the end of version 1.

The version after a dropped one takes over its time now, so a bound that drops something drops it to the safe side, and the time travels with the version to processes that start later. 64 are kept, so that nothing is dropped within a grace period at a version every 0.2 s.

The test of the number kept draws more versions, since more are kept.

--- a/src/wisteriapulley/weights/desired_versions.py
+++ b/src/wisteriapulley/weights/desired_versions.py
@@ -5,9 +5,9 @@
 newest version is kept.
 """
 
-# Versions kept per model: more than can be accepted within the grace period of a
+# Versions kept per model: more than operators name within the grace period of a
 # superseded version.
-MAX_VERSIONS_KEPT = 8
+MAX_VERSIONS_KEPT = 64
 # Two instances that hear of a version at about the same time differ by less than this.
 CORRECTION_S = 0.02
 
@@ -40,10 +40,19 @@
             known[version] = min(known[version], accepted_s)
             return False
         known[version] = accepted_s
-        for superseded in sorted(known)[:-MAX_VERSIONS_KEPT]:
-            del known[superseded]
+        if len(known) > MAX_VERSIONS_KEPT:
+            self.drop_oldest(known)
         return version in known
 
+    def drop_oldest(self, known: dict[int, float]) -> None:
+        """Drop the oldest version of a model.
+
+        The next one takes over its time. So the grace period of every older version
+        ends as before, and that of the dropped one earlier rather than later.
+        """
+        oldest, following = sorted(known)[:2]
+        known[following] = min(known[following], known.pop(oldest))
+
     def accepted_at(self, model: str, version: int) -> float | None:
         """Return when a version was accepted; None if it is unknown or not kept."""
         return self.models.get(model, {}).get(version)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -44,7 +44,7 @@
 
     def test_only_the_newest_versions_are_kept(self):
         named = DesiredVersions()
-        for version in range(1, 50):
+        for version in range(1, 2 * MAX_VERSIONS_KEPT):
             named.record("m", version, float(version))
         assert len(named.versions_of("m")) == MAX_VERSIONS_KEPT
         assert not named.record("m", 1, 0.0)
