Let a process ask a control instance for the ages of versions as they are now

An age in an unasked message grows on the way, and its reader can't tell for how long. New message ModelQuery, answered with ModelNews: the ages in the reply were true after the query was sent, so the time of the query less such an age is never after the time of acceptance, whatever the way took. Nothing sends it yet. Message set 2: a process of an earlier release closes a link over which it gets an unknown message, so peers are to be checked with knows_model_query.

The bound takes a millisecond more, since ages are sent in whole milliseconds, rounded down.

--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -424,6 +424,13 @@
         if link.peer.role == "control":
             self.publisher.observe_models(message, link.peer_id)
 
+    @receive.register
+    async def receive_model_query(
+        self, message: messages.ModelQuery, link: Link, frame: Frame
+    ) -> None:
+        """Handle the message `ModelQuery`; the ages are those of now."""
+        link.post(self.publisher.models_message(), reply_to=frame.id)
+
     @receive.register
     async def receive_evacuations(
         self, message: messages.EvacuationNews, link: Link, frame: Frame
--- a/src/wisteriapulley/wire/handshake.py
+++ b/src/wisteriapulley/wire/handshake.py
@@ -14,10 +14,12 @@
 
 PROTOCOL = 1
 # Version of the set of messages that this release decodes; it grows with each new
-# message that is sent without a request.
-MESSAGE_SET = 1
+# message that is sent to a peer of any release.
+MESSAGE_SET = 2
 # First version with `EvacuationNews`.
 EVACUATION_MESSAGE_SET = 1
+# First version with `ModelQuery`.
+MODEL_QUERY_MESSAGE_SET = 2
 NONCE_BYTES = 32
 
 
@@ -73,6 +75,15 @@
         )
 
 
+def knows_model_query(peer: Hello) -> bool:
+    """Return whether a peer decodes `ModelQuery`.
+
+    A process of an earlier release closes a link over which it receives an unknown
+    message, and would do so after each reconnect.
+    """
+    return peer.message_set >= MODEL_QUERY_MESSAGE_SET
+
+
 def sign(key: bytes, signer: Hello, other: Hello, opener: bool) -> Proof:
     """Sign both hellos as `signer`; `opener` is whether `signer` opened the link."""
     parts = (
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -64,6 +64,7 @@
     passageQuery @57 :PassageQuery;
     passage @58 :Passage;
     evacuationNews @59 :EvacuationNews;
+    modelQuery @60 :ModelQuery;
   }
 }
 
@@ -272,6 +273,7 @@
   coldPerS @9 :Float64;
 }
 struct ModelNews { models @0 :List(ModelState); }
+struct ModelQuery { }
 struct EvacuationNews { revision @0 :UInt64; failureDomains @1 :List(Text); }
 struct TargetState {
   targetId @0 :Text;
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -428,6 +428,14 @@
     models: tuple[ModelState, ...] = ()
 
 
+class ModelQuery(NamedTuple):
+    """Ask a control instance for `ModelNews`, which bounds the ages in it.
+
+    The ages in a message that nobody asked for may be outdated when it is read. Those
+    in the reply were true at some time after the query was sent.
+    """
+
+
 class EvacuationNews(NamedTuple):
     """The evacuated failure domains.
 
