Pass corrected ages of weights on to followers

Callers' requests could begin on a superseded version after its end: an entry or sidecar that first heard of the newer version from an instance that was away believed the instance's own time of hearing.

Cause: an instance that learns from a peer that a version was accepted earlier than it believed recorded and logged the correction, and pushed to followers only versions that were new to it. Evidence: a play with real processes, an instance killed while a version is named and started 4 s later, then entries and sidecars started again: two of five hear 1,331 and 1,653 ms first where 5,9 to 6,4 s are true.

A time that is earlier by more than 20 ms (CORRECTION_S) is pushed like a new version. The earlier of two times holds at followers already, so they only have to hear it; what differs by less is not sent.

--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -1,6 +1,7 @@
 """Publishes the state of one control instance to entries and sidecars."""
 
 import asyncio
+import enum
 import logging
 from collections.abc import Callable
 
@@ -29,6 +30,14 @@
 RESTORED_AGE_S = 3600.0
 
 
+class Learned(enum.IntEnum):
+    """What a message or the log told about a version of weights."""
+
+    NOTHING = 0
+    CORRECTION = 1
+    NEW = 2
+
+
 class Publisher:
     """Publishes tables, weights, evacuations, targets and instances to followers.
 
@@ -129,7 +138,7 @@
     def record_weights(self) -> bool:
         """Record when versions came into force; return whether the models changed."""
         for model, version in self.state.weights.items():
-            if self.record_version(model, version, 0.0, "log"):
+            if self.record_version(model, version, 0.0, "log") is Learned.NEW:
                 self.on_new_weights(model, version)
         states = [
             state._replace(named=tuple(desired.version for desired in state.named))
@@ -140,24 +149,26 @@
 
     def record_version(
         self, model: str, version: int, age_s: float, source: str
-    ) -> bool:
-        """Record a version and when it was accepted; return whether it is new here."""
+    ) -> Learned:
+        """Record a version and when it was accepted; return what was learned."""
         now_s = steady_s()
         known_s = self.versions.accepted_at(model, version)
         is_new = self.versions.record(model, version, now_s - age_s)
         details = {"model": model, "version": version, "source": source}
         if is_new:
             log.info("weights named", extra=fields(age_ms=int(age_s * 1000), **details))
-        elif is_correction(known_s, now_s - age_s):
-            log.info(
-                "age of weights corrected",
-                extra=fields(
-                    age_ms=int(age_s * 1000),
-                    believed_ms=int((now_s - known_s) * 1000),
-                    **details,
-                ),
-            )
-        return is_new
+            return Learned.NEW
+        if not is_correction(known_s, now_s - age_s):
+            return Learned.NOTHING
+        log.info(
+            "age of weights corrected",
+            extra=fields(
+                age_ms=int(age_s * 1000),
+                believed_ms=int((now_s - known_s) * 1000),
+                **details,
+            ),
+        )
+        return Learned.CORRECTION
 
     def observe_models(self, message: messages.ModelNews, peer: str = "") -> None:
         """Record weights in force at another instance, and publish them to followers.
@@ -167,19 +178,20 @@
         operator's acknowledgement. If followers waited for the log, they would let
         requests start on superseded weights for that much longer than allowed. Only
         committed versions are in force anywhere, so the first message about one is
-        enough.
+        enough. An earlier time of a known version goes to followers too: those that
+        follow no other instance would hold the version before it for too long.
         """
-        new = [
-            (state.model, desired.version)
-            for state in message.models
-            for desired in state.named
-            if self.record_version(
+        learned = {
+            (state.model, desired.version): self.record_version(
                 state.model, desired.version, desired.age_ms / 1000, peer
             )
-        ]
-        for key in new:
-            self.on_new_weights(*key)
-        if new:
+            for state in message.models
+            for desired in state.named
+        }
+        for key, what in learned.items():
+            if what is Learned.NEW:
+                self.on_new_weights(*key)
+        if any(learned.values()):
             self.followers.push_models(self.models_message())
 
     # -- evacuations -----------------------------------------------------
