Tell a new version of weights to followers whose links have no room

Callers' requests would begin on a superseded version without end at an entry or sidecar whose link to its control instance held much unsent data when the newer version was named.

Cause: versions are pushed to links with less than 256 KiB unsent only, and nothing repeats them: a follower that was left out hears no more of the version until it reconnects or another one is named.

All followers get versions now, as they get evacuations: a message of some hundred bytes that is as rare. A link whose peer never reads is closed at 128 MiB unsent, as before.

test_follower_without_room_gets_new_version fails before (nothing was sent). Measured: tests of the publisher and of evacuations pass.

--- a/src/wisteriapulley/control/followers.py
+++ b/src/wisteriapulley/control/followers.py
@@ -78,8 +78,13 @@
                 link.send_heartbeat()
 
     def push_models(self, message: messages.ModelNews) -> None:
-        """Send the weights in force to all followers."""
-        broadcast(self.open_links(), message)
+        """Send the weights in force to all followers.
+
+        A link without room gets them too: the message is small and rare, and a
+        follower that missed it would get no other until it reconnects.
+        """
+        links = (link for link in tuple(self.links) if not link.closed.is_set())
+        broadcast(links, message)
 
     def push_evacuations(self, message: messages.EvacuationNews) -> None:
         """Send the evacuated failure domains to all followers and watchers.
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -1,6 +1,7 @@
 """Weights in force that a control instance publishes."""
 
 from tests.fakes.links import RecordingLink
+from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES
 from wisteriapulley.control.publisher import Publisher
 from wisteriapulley.control.state import ControlState
 from wisteriapulley.routing import Engine, RoutingTable
@@ -98,6 +99,13 @@
         assert instance.link.written[0].models[0].named[0].age_ms >= 500
         assert instance.prefetched == [("m", 3)]
 
+    def test_follower_without_room_gets_new_version(self):
+        """Nothing repeats it: requests would begin on the old one without end."""
+        instance = Instance()
+        instance.link.write_buffer_bytes = lambda: 2 * MAX_BUFFERED_BYTES
+        instance.publisher.observe_models(models_of(3))
+        assert instance.published_versions() == [3]
+
 
 class TestLogOfAges:
     """The logs of two processes tell which of them believed which age, and why."""
