Count a superseded version from its naming where the news is read late

Callers saw requests begin later on a superseded version than they should where entries and sidecars stood still while the newer one was named. Cause: ModelNews states the age at its sending, and a follower took it for the age at its reading. Evidence: all five processes that stood still for 0.5 s across a naming log age_ms 0, and the last begin is 6.64 s after the acknowledgement.

A follower now asks each instance that tells of a version or corrects an age (ModelQuery), and takes the age in the reply plus the time since it asked, which is never less than the true one; of two times the earlier is kept, so it only gets stricter. A slow reply is dropped and asked for again with more time, since a version serves shorter by the way of the reply. Not sent to peers that do not know it.

--- a/src/wisteriapulley/control/following.py
+++ b/src/wisteriapulley/control/following.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from wisteriapulley.clocks import steady_s
+from wisteriapulley.control.age_queries import AgeQueries
 from wisteriapulley.control.client import ISOLATED_STATE
 from wisteriapulley.control.control_api import unpack_table
 from wisteriapulley.control.evacuations import EvacuationView
@@ -25,6 +26,7 @@
 from wisteriapulley.routing import Engine, RoutingTable
 from wisteriapulley.settings import Address, NodeSettings
 from wisteriapulley.weights.desired_versions import DesiredVersions, is_correction
+from wisteriapulley.weights.version_ages import earliest_accepted_s
 from wisteriapulley.wire import Frame, Link, broadcast, messages
 from wisteriapulley.wire.handshake import Identity
 from wisteriapulley.wire.reconnect import ReconnectingLink
@@ -123,6 +125,7 @@
         self.fresh = False
         self.evacuations = EvacuationView()
         self.versions = DesiredVersions()
+        self.age_queries = AgeQueries(self.receive_ages)
         self.engines: dict[str, Engine] = {}
         # By model service, `cold_start_s` and `cold_per_s`; see `routing.Service`.
         self.cold_limits: dict[str, tuple[float, float]] = {}
@@ -313,7 +316,8 @@
         if isinstance(frame.message, messages.TargetBeats):
             self.receive_heartbeats(frame.message, link)
         elif isinstance(frame.message, messages.ModelNews):
-            self.receive_models(frame.message, link.peer_id)
+            changed = self.receive_models(frame.message, link.peer_id)
+            self.age_queries.observe(link, frame.message, changed)
         else:
             self.receive(frame.message)
 
@@ -350,35 +354,61 @@
         self.on_table(self.table)
 
     @receive.register
-    def receive_models(self, message: messages.ModelNews, peer: str = "") -> None:
-        """Handle the message `ModelNews` of an instance."""
-        now_s = steady_s()
+    def receive_models(self, message: messages.ModelNews, peer: str = "") -> bool:
+        """Handle the message `ModelNews`; return whether it told anything new."""
         for state in message.models:
             self.engines[state.service] = engine_of(state)
             self.cold_limits[state.service] = (state.cold_start_s, state.cold_per_s)
-            for desired in state.named:
-                self.record_version(state.model, desired, now_s, peer)
+        changed = self.record_versions(message, peer, steady_s())
         self.on_models()
+        return changed
 
-    def record_version(
-        self, model: str, desired: messages.VersionAge, now_s: float, peer: str
+    def receive_ages(
+        self, link: Link, message: messages.ModelNews, asked_s: float
     ) -> None:
+        """Handle the reply to a query for the ages of versions."""
+        self.record_versions(message, link.peer_id, asked_s)
+        self.on_models()
+
+    def record_versions(
+        self, message: messages.ModelNews, peer: str, sent_s: float
+    ) -> bool:
+        """Record when versions were accepted, by ages that were sent after `sent_s`.
+
+        Returns
+        -------
+        bool
+            Whether a version was not known, or was accepted earlier than known.
+        """
+        changes = [
+            self.record_version(state.model, desired, peer, sent_s)
+            for state in message.models
+            for desired in state.named
+        ]
+        return any(changes)
+
+    def record_version(
+        self, model: str, desired: messages.VersionAge, peer: str, sent_s: float
+    ) -> bool:
         """Record a desired version and the earliest time at which it was accepted."""
+        now_s = steady_s()
         known_s = self.versions.accepted_at(model, desired.version)
-        accepted_s = now_s - desired.age_ms / 1000
+        accepted_s = earliest_accepted_s(sent_s, desired.age_ms)
         is_new = self.versions.record(model, desired.version, accepted_s)
-        details = {"model": model, "version": desired.version, "peer": peer}
+        details = {
+            "model": model,
+            "version": desired.version,
+            "peer": peer,
+            "age_ms": desired.age_ms,
+            "asked_ms": int((now_s - sent_s) * 1000),
+        }
+        corrected = is_correction(known_s, accepted_s)
         if is_new:
-            log.info("weights named", extra=fields(age_ms=desired.age_ms, **details))
-        elif is_correction(known_s, accepted_s):
-            log.info(
-                "age of weights corrected",
-                extra=fields(
-                    age_ms=desired.age_ms,
-                    believed_ms=int((now_s - known_s) * 1000),
-                    **details,
-                ),
-            )
+            log.info("weights named", extra=fields(**details))
+        elif corrected:
+            details["believed_ms"] = int((now_s - known_s) * 1000)
+            log.info("age of weights corrected", extra=fields(**details))
+        return is_new or corrected
 
     @receive.register
     def receive_evacuations(self, message: messages.EvacuationNews) -> None:
--- a/tests/test_version_ages.py
+++ b/tests/test_version_ages.py
@@ -4,12 +4,17 @@
 from types import SimpleNamespace
 
 import pytest
+from bench.turned_away import VirtualLoop
 
+from tests.fakes.links import LateLink
 from tests.test_control_publisher import Instance, models_of
+from tests.test_direct_dispatch import SETTINGS
+from wisteriapulley.control.age_queries import QUERY_TIMEOUTS_S
+from wisteriapulley.control.following import ControlFollower
 from wisteriapulley.control.service import ControlService
 from wisteriapulley.weights.version_ages import earliest_accepted_s
 from wisteriapulley.wire import codec, messages
-from wisteriapulley.wire.handshake import MESSAGE_SET, knows_model_query
+from wisteriapulley.wire.handshake import MESSAGE_SET, Identity, knows_model_query
 
 
 def decode(frame):
@@ -57,3 +62,167 @@
     def test_peer_of_an_earlier_release_does_not_know_it(self, message_set):
         assert not knows_model_query(messages.Hello(message_set=message_set))
         assert knows_model_query(messages.Hello(message_set=MESSAGE_SET))
+
+
+class Scene:
+    """A follower of control instances, at which version 2 was accepted at 0 s."""
+
+    def __init__(self):
+        identity = Identity("e", "entry", "z", 1, b"k" * 40)
+        self.follower = ControlFollower(identity, SETTINGS, (), messages.Heartbeat)
+        self.instance = Instance()
+        self.instance.publisher.observe_models(models_of(2))
+
+    @property
+    def accepted_s(self):
+        """When the follower believes that version 2 was accepted."""
+        return self.follower.versions.accepted_at("m", 2)
+
+    async def tell(self, link, late_s=0.0):
+        """Tell the follower the versions; it reads the message late."""
+        news = link.news()
+        await asyncio.sleep(late_s)
+        await self.follower.handle(link, news)
+
+
+@pytest.fixture
+def play(monkeypatch):
+    """Play a scenario on a virtual clock; return its scene."""
+
+    def loop_time_s():
+        return asyncio.get_running_loop().time()
+
+    for module in ("age_queries", "following", "publisher"):
+        monkeypatch.setattr(f"wisteriapulley.control.{module}.steady_s", loop_time_s)
+
+    def run(scenario):
+        async def scene():
+            made = Scene()
+            await scenario(made)
+            # Longer than all repeats of a query.
+            await asyncio.sleep(2 * sum(QUERY_TIMEOUTS_S))
+            return made
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            return runner.run(scene())
+
+    return run
+
+
+# Slack of the bound: ages are whole milliseconds.
+STEP_S = 0.003
+
+
+class TestNewsReadLate:
+    """A version is named while its follower stands still or has a slow link."""
+
+    LATE_S = 0.5
+
+    @pytest.mark.parametrize("way_s", [0.0, 0.05, 0.2])
+    @pytest.mark.parametrize("way_back_s", [0.0, 0.04])
+    def test_version_does_not_count_from_when_the_news_was_read(
+        self, play, way_s, way_back_s
+    ):
+        async def scenario(scene):
+            link = LateLink(scene.instance.publisher, way_s, [way_back_s])
+            await scene.tell(link, self.LATE_S)
+
+        assert -way_s - STEP_S <= play(scenario).accepted_s <= 0.0
+
+    def test_slow_reply_is_not_used_if_a_faster_one_comes(self, play):
+        """A version serves shorter by the time that the reply takes."""
+
+        async def scenario(scene):
+            link = LateLink(scene.instance.publisher, 0.0, [0.6, 0.9, 0.01])
+            await scene.tell(link, self.LATE_S)
+
+        assert -STEP_S <= play(scenario).accepted_s <= 0.0
+
+    def test_slow_reply_is_used_if_no_faster_one_comes(self, play):
+        async def scenario(scene):
+            link = LateLink(scene.instance.publisher, 0.4, [0.4] * 9)
+            await scene.tell(link, self.LATE_S)
+
+        assert -0.4 - STEP_S <= play(scenario).accepted_s <= 0.0
+
+    def test_lost_query_is_repeated_a_few_times(self, play):
+        links = []
+
+        async def scenario(scene):
+            links.append(LateLink(scene.instance.publisher, 0.0, []))
+            await scene.tell(links[0], self.LATE_S)
+
+        assert play(scenario).accepted_s <= self.LATE_S
+        assert len(links[0].asked_s) == len(QUERY_TIMEOUTS_S)
+
+    def test_new_link_asks_again(self, play):
+        """The link was lost before the reply came."""
+
+        async def scenario(scene):
+            lost = LateLink(scene.instance.publisher, 0.0, [])
+            await scene.tell(lost, self.LATE_S)
+            await asyncio.sleep(0.1)
+            lost.close()
+            await scene.tell(LateLink(scene.instance.publisher), self.LATE_S)
+            await asyncio.sleep(5.0)
+            assert len(lost.asked_s) == 1
+
+        assert play(scenario).accepted_s <= 0.0
+
+    def test_instance_that_heard_earlier_is_asked_too(self, play):
+        async def scenario(scene):
+            await asyncio.sleep(0.3)
+            later = Instance()
+            later.publisher.observe_models(models_of(2))
+            await scene.tell(LateLink(later.publisher))
+            assert scene.accepted_s > 0.2
+            await scene.tell(LateLink(scene.instance.publisher), self.LATE_S)
+
+        assert play(scenario).accepted_s <= 0.0
+
+    def test_corrected_age_is_asked_for(self, play):
+        """The instance heard of an earlier time from another one, and tells it."""
+
+        async def scenario(scene):
+            link = LateLink(scene.instance.publisher, 0.0, [0.0] * 9)
+            await scene.tell(link)
+            await asyncio.sleep(1.0)
+            scene.instance.publisher.observe_models(models_of(2, age_ms=5000))
+            await scene.tell(link, self.LATE_S)
+
+        assert play(scenario).accepted_s <= -4.0
+
+    def test_version_is_asked_for_once(self, play):
+        links = []
+
+        async def scenario(scene):
+            links.append(LateLink(scene.instance.publisher, 0.0, [0.0] * 9))
+            for _ in range(3):
+                await scene.tell(links[0])
+
+        play(scenario)
+        assert len(links[0].asked_s) == 1
+
+    @pytest.mark.parametrize("message_set", [0, 1])
+    def test_instance_of_an_earlier_release_gets_no_query(self, play, message_set):
+        """It would close the link over the unknown message."""
+        links = []
+
+        async def scenario(scene):
+            publisher = scene.instance.publisher
+            links.append(LateLink(publisher, message_set=message_set))
+            await scene.tell(links[0], self.LATE_S)
+
+        play(scenario)
+        assert links[0].asked_s == []
+
+    def test_sidecar_hears_of_the_bound_at_once(self, play):
+        """What follows from versions is done again, without waiting for a report."""
+        ends_s = []
+
+        async def scenario(scene):
+            scene.follower.on_models = lambda: ends_s.append(scene.accepted_s)
+            await scene.tell(LateLink(scene.instance.publisher), self.LATE_S)
+
+        play(scenario)
+        assert ends_s[0] > 0.0 >= ends_s[-1]
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -7,9 +7,12 @@
 from bench.turned_away import VirtualLoop, VirtualSidecars
 from msgspec import structs
 
+from tests.fakes.links import LateLink
+from tests.test_control_publisher import Instance, models_of
 from tests.test_direct_dispatch import SETTINGS, FakeCaller, crash_tracker, events
 from tests.test_evacuated_engine import ENGINE, MANIFEST, name_version, new_service
 from tests.test_silent_targets import PacedAnswer
+from wisteriapulley.control.following import ControlFollower
 from wisteriapulley.direct.dispatch import Dispatcher
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.slot_allocation import SlotAllocator
@@ -36,6 +39,14 @@
 PAUSE_S = 1.0
 REQUEST_INTERVAL_S = 0.05
 POLL_INTERVAL_S = 0.4
+# Modules that take ages of versions by the steady clock.
+STEADY_CLOCKS = (
+    "control.age_queries",
+    "control.following",
+    "control.publisher",
+    "direct.slot_allocation",
+    "rollout.state",
+)
 ROUTE = Route(
     "r", "h", "/", RouteKind.STREAM, (Split("s", 1),), 6000, 400, 400, 1, 2
 )._replace(resumable=True)
@@ -174,7 +185,7 @@
     def loop_time_s():
         return asyncio.get_running_loop().time()
 
-    for module in ("direct.slot_allocation", "rollout.state", "control.following"):
+    for module in STEADY_CLOCKS:
         monkeypatch.setattr(f"wisteriapulley.{module}.steady_s", loop_time_s)
 
     def run(before_s, pause_s=PAUSE_S, first_event_s=0.03, **options):
@@ -247,6 +258,32 @@
         assert play(0.0, pause_s=0.0, beside=name_versions) == []
 
 
+class TestEntryAndSidecarHearLate:
+    """Both stand still while the newer version is named, and read of it later."""
+
+    @pytest.mark.parametrize("late_s", [0.5, 1.0])
+    @pytest.mark.parametrize("before_s", BEFORE_S)
+    def test_granted_request_does_not_begin_late(self, play, before_s, late_s):
+        async def hear_late(end):
+            instance = Instance()
+            instance.publisher.observe_models(models_of(2))
+            end.entry.allocator.follower = ControlFollower(
+                end.sidecar.identity, SETTINGS, (), messages.Heartbeat
+            )
+            followers = (end.entry.allocator.follower, end.sidecar.follower)
+            links = [LateLink(instance.publisher) for _ in followers]
+            news = links[0].news()
+            for follower in followers:
+                follower.versions = DesiredVersions()
+                follower.versions.record("m", 1, -60.0)
+            end.sidecar.update_admission()
+            await asyncio.sleep(late_s)
+            for follower, link in zip(followers, links, strict=True):
+                await follower.handle(link, news)
+
+        assert play(before_s, beside=hear_late) == []
+
+
 class TestNamedWhileTheRequestWaits:
     """A request is sent without a limit, and a newer version is named after it."""
 
@@ -258,7 +295,7 @@
         def loop_time_s():
             return asyncio.get_running_loop().time()
 
-        for module in ("direct.slot_allocation", "rollout.state", "control.following"):
+        for module in STEADY_CLOCKS:
             monkeypatch.setattr(f"wisteriapulley.{module}.steady_s", loop_time_s)
 
         async def scenario():
