Bound a granted slot by the time since its entry asked for it

A request could begin after the end of a superseded version where its entry had not heard of the newer one and read the grant late. Cause: start_left_ms is how long a request may still start when the sidecar sends the grant, and the entry counted it from its reading. Evidence: in a play without network, grants read 0.6 s late and an engine silent across the end for 1 s, a request begins 0.01 s after the end.

The sidecar tells how long the request waited there (Reserved.waited_ms, 0 from earlier releases), and the entry takes off the time since it asked less that wait: the grant was sent after both. Where the entry knows the newer version, its own limit binds, and a slow grant costs nothing.

--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -27,7 +27,7 @@
     ObservedWork,
 )
 from wisteriapulley.policy.target_ranking import EntryLocation, Load, rank_targets
-from wisteriapulley.policy.version_end import start_left_ms
+from wisteriapulley.policy.version_end import grant_left_ms, start_left_ms
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine, RoutingTable
 from wisteriapulley.routing.homes import describe_homes
@@ -444,6 +444,7 @@
                 denials.counted += 1
                 continue
             reservation = self.make_reservation(admitted, engine, target, is_last)
+            asked_s = steady_s()
             answer = await self.sidecars.reserve(link, target, reservation)
             if answer is None or not answer.granted:
                 self.record_denial(denials, target, answer, now_s)
@@ -455,7 +456,9 @@
                 self.sidecars.release(link, admitted.request.request_id)
                 denials.add_throttled(wait_s)
                 continue
-            slot = self.use_grant(link, admitted.request, target, engine, answer)
+            slot = self.use_grant(
+                link, admitted.request, target, engine, answer, asked_s
+            )
             if slot is not None:
                 return slot
             # Another engine may hold the newer version.
@@ -542,8 +545,12 @@
         target: Target,
         engine: Engine,
         answer: messages.Reserved,
+        asked_s: float,
     ) -> AllocatedSlot | None:
-        """Use a granted slot; None if requests may no longer start on its version."""
+        """Use a granted slot; None if requests may no longer start on its version.
+
+        The slot was asked for at `asked_s`, by the steady clock.
+        """
 
         def release(
             outcome: SendOutcome = SendOutcome.UNKNOWN,
@@ -552,7 +559,7 @@
             cooling_down = target.cooldown.wait_s(self.now_s()) > 0
             self.sidecars.release(link, request.request_id, outcome, cooling_down, work)
 
-        left_ms = self.grant_left_ms(engine.model, answer)
+        left_ms = self.grant_left_ms(engine.model, answer, asked_s)
         if left_ms is not None and left_ms <= VERSION_END_MARGIN_MS:
             release()
             return None
@@ -598,15 +605,21 @@
         """Return when a request must have started by the versions known now."""
         return self.start_deadline_s(self.version_left_ms(model, version))
 
-    def grant_left_ms(self, model: str, grant: messages.Reserved) -> float | None:
+    def grant_left_ms(
+        self, model: str, grant: messages.Reserved, asked_s: float
+    ) -> float | None:
         """Return how long a granted request may still start; None for no limit.
 
-        Whichever of this entry and the sidecar heard of the newer version knows it.
+        Whichever of this entry and the sidecar heard of the newer version knows it. An
+        entry that has heard of it has a limit that a slow grant does not extend.
         """
         own_ms = self.version_left_ms(model, grant.version)
         if not grant.start_left_ms:
             return own_ms
-        return min(grant.start_left_ms, float("inf") if own_ms is None else own_ms)
+        if own_ms is not None:
+            return min(grant.start_left_ms, own_ms)
+        asked_for_ms = (steady_s() - asked_s) * 1000
+        return grant_left_ms(grant.start_left_ms, asked_for_ms, grant.waited_ms)
 
     def version_left_ms(self, model: str, version: int) -> float | None:
         """Return how long requests may still start on a version; None for no limit."""
--- a/src/wisteriapulley/policy/version_end.py
+++ b/src/wisteriapulley/policy/version_end.py
@@ -29,3 +29,21 @@
         How long a superseded version may serve.
     """
     return old_version_ms - PAUSE_ALLOWANCE_MS - superseded_for_ms
+
+
+def grant_left_ms(left_ms: float, asked_for_ms: float, waited_ms: float) -> float:
+    """Return how long a granted request may still start when its grant is read.
+
+    The grant may have been on its way for long, or its reader stood still. It was sent
+    after the slot request had been sent and had waited.
+
+    Parameters
+    ----------
+    left_ms : float
+        How long the request might start when the grant was sent.
+    asked_for_ms : float
+        Time since the slot request was sent.
+    waited_ms : float
+        How long the slot request waited at the sidecar.
+    """
+    return left_ms - max(0.0, asked_for_ms - waited_ms)
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -246,8 +246,9 @@
         self, message: messages.Reserve, link: Link, frame: Frame
     ) -> None:
         """Handle the message `Reserve`."""
+        arrived_ms = self.now_ms()
         request = slot_request(message, link)
-        decision = self.slots.request_slot(request, self.now_ms())
+        decision = self.slots.request_slot(request, arrived_ms)
         if not decision.denied:
             self.send_decisions(self.slots.deny_overtaken(request, self.now_ms()))
         if not decision.granted and not decision.denied:
@@ -260,7 +261,9 @@
             self.slots.release(message.request_id, self.now_ms())
             return
         self.report_limit()
-        link.post(self.reserved_message(decision), reply_to=frame.id)
+        waited_ms = int(self.now_ms() - arrived_ms)
+        reply = self.reserved_message(decision)._replace(waited_ms=waited_ms)
+        link.post(reply, reply_to=frame.id)
 
     def reserved_message(self, decision: AdmissionDecision) -> messages.Reserved:
         """Return the response to a `Reserve` message."""
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -340,6 +340,7 @@
   limited @7 :Bool;
   startLeftMs @8 :UInt32;
   reason @9 :UInt8;
+  waitedMs @10 :UInt32;
 }
 struct Release {
   requestId @0 :Text;
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -576,7 +576,8 @@
     waits and another reply follows; `limited` whether the target itself is
     throttled, because it advertises a rate or rejected requests. `start_left_ms` is
     how long a granted request may still start; 0 without a limit. `reason` is why the
-    slot was denied; see `policy.slot_requests`.
+    slot was denied; see `policy.slot_requests`. `waited_ms` is the time from the
+    arrival of the slot request to the sending of this reply.
     """
 
     granted: bool = False
@@ -589,6 +590,7 @@
     limited: bool = False
     start_left_ms: int = 0
     reason: int = 0
+    waited_ms: int = 0
 
 
 class Release(NamedTuple):
--- a/tests/test_slot_admission.py
+++ b/tests/test_slot_admission.py
@@ -57,6 +57,28 @@
         granted = self.grant(60_000.0)
         assert granted.granted and 0 < granted.start_left_ms <= 60_000
 
+    def test_says_how_long_the_request_waited(self):
+        """The rest of the time that its entry waited may lie after the grant."""
+
+        async def run():
+            admission, link = make_admission(ENGINE), EntryLink()
+            now_ms = 0.0
+            admission.now_ms = lambda: now_ms
+            for number in range(admission.slots.max_grants):
+                await reserve(admission, link, number)
+            assert link.written[-1].granted and link.written[-1].waited_ms == 0
+            waiting = asyncio.create_task(reserve(admission, link, 99))
+            await asyncio.sleep(0)
+            assert link.written[-1].queued
+            now_ms = 300.0
+            admission.slots.release("r0", now_ms)
+            admission.advance()
+            await waiting
+            return link.written[-1]
+
+        granted = asyncio.run(run())
+        assert granted.granted and granted.waited_ms == 300
+
     def test_current_version_has_no_limit(self):
         granted = self.grant(None)
         assert granted.granted and not granted.start_left_ms
--- a/tests/test_slot_allocation.py
+++ b/tests/test_slot_allocation.py
@@ -144,14 +144,18 @@
 
     OLD_VERSION_MS = 60_000
 
-    def deadline_s(self, grant_ms, superseded_for_ms=None):
-        """Return how long after the grant a request must have started."""
+    def deadline_s(self, grant_ms, superseded_for_ms=None, asked_for_s=0.0, waited_s=0):
+        """Return how long after the grant a request must have started.
+
+        The slot was asked for earlier, and the request waited at the sidecar.
+        """
         settings = structs.replace(SETTINGS, old_version_ms=self.OLD_VERSION_MS)
         versions = DesiredVersions()
         if superseded_for_ms is not None:
             versions.record("m", 2, steady_s() - superseded_for_ms / 1000)
         follower = SimpleNamespace(versions=versions, open_links=list)
-        grant = messages.Reserved(True, 1, start_left_ms=grant_ms)
+        waited_ms = int(waited_s * 1000)
+        grant = messages.Reserved(True, 1, start_left_ms=grant_ms, waited_ms=waited_ms)
 
         async def run():
             registry = TargetRegistry()
@@ -160,7 +164,8 @@
             request = SimpleNamespace(request_id="q")
             target = registry.targets["i"]
             now_s = asyncio.get_running_loop().time()
-            slot = allocator.use_grant(None, request, target, ENGINE, grant)
+            asked_s = steady_s() - asked_for_s
+            slot = allocator.use_grant(None, request, target, ENGINE, grant, asked_s)
             if slot.start_deadline_s is None:
                 return None
             return slot.start_deadline_s - now_s
@@ -177,6 +182,19 @@
         assert self.deadline_s(30_000, superseded_for_ms) < 20.0
         assert self.deadline_s(0, superseded_for_ms) < 20.0
 
+    def test_grant_that_was_on_its_way_for_long_ends_as_when_it_was_sent(self):
+        """Only the sidecar has heard of the newer version."""
+        assert 19.0 < self.deadline_s(50_000, None, 30.0) < 20.0 + SLACK_S
+
+    def test_wait_at_the_sidecar_does_not_shorten_a_grant(self):
+        assert 39.0 < self.deadline_s(50_000, None, 30.0, 20.0) < 40.0 + SLACK_S
+        assert 49.0 < self.deadline_s(50_000, None, 30.0, 40.0) < 50.0 + SLACK_S
+
+    def test_slow_grant_costs_nothing_where_the_entry_knows_the_version(self):
+        left_ms = start_left_ms(0.0, self.OLD_VERSION_MS)
+        superseded_for_ms = left_ms - 40_000
+        assert 39.0 < self.deadline_s(50_000, superseded_for_ms, 30.0) < 40.0 + SLACK_S
+
     def test_current_version_has_no_deadline(self):
         assert self.deadline_s(0) is None
 
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -53,11 +53,20 @@
 
 
 class OneSidecar(VirtualSidecars):
-    """Sidecar of the only engine; there may be no link to it."""
+    """Sidecar of the only engine; there may be no link to it.
 
-    def __init__(self, admission, linked):
+    Its replies reach the entry `late_s` later than usual.
+    """
+
+    def __init__(self, admission, linked, late_s=0.0):
         super().__init__("e", {"i-1": admission} if linked else {})
         self.admission = admission
+        self.late_s = late_s
+
+    async def reserve(self, link, target, reservation):
+        reply = await super().reserve(link, target, reservation)
+        await asyncio.sleep(self.late_s)
+        return reply
 
     def is_available(self, target):
         return self.admission.slots.open
@@ -117,9 +126,19 @@
         Whether the entry has a link to the sidecar.
     beside : callable, optional
         Awaited with this object, beside the requests.
+    grants_late_s : float
+        How much later than usual the entry reads grants.
     """
 
-    def __init__(self, folder, engine, entry_knows=True, linked=True, beside=None):
+    def __init__(
+        self,
+        folder,
+        engine,
+        entry_knows=True,
+        linked=True,
+        beside=None,
+        grants_late_s=0.0,
+    ):
         self.engine = engine
         self.beside = beside
         self.sidecar = new_service(folder)
@@ -135,7 +154,7 @@
         follower = SimpleNamespace(versions=versions, open_links=list)
         identity = Identity("e", "entry", "z", 1, b"k" * 40)
         allocator = SlotAllocator(SETTINGS, identity, registry, follower)
-        allocator.sidecars = OneSidecar(self.sidecar.admission, linked)
+        allocator.sidecars = OneSidecar(self.sidecar.admission, linked, grants_late_s)
         self.entry = Dispatcher(
             SETTINGS,
             registry,
@@ -219,6 +238,13 @@
     def test_entry_that_has_not_heard_of_the_newer_version(self, play, before_s):
         assert play(before_s, entry_knows=False) == []
 
+    @pytest.mark.parametrize("grants_late_s", [0.3, 0.6])
+    @pytest.mark.parametrize("before_s", BEFORE_S)
+    def test_entry_that_reads_grants_late(self, play, before_s, grants_late_s):
+        """It has not heard of the newer version, and stands still for a moment."""
+        options = {"entry_knows": False, "grants_late_s": grants_late_s}
+        assert play(before_s, **options) == []
+
     @pytest.mark.parametrize("before_s", BEFORE_S)
     def test_without_a_link_to_the_sidecar(self, play, before_s):
         assert play(before_s, linked=False) == []
