Count a suspension in the age of the quorum lease before a load order

Found while all ages in messages were gone through; not known from the field. A sidecar checks the quorum lease by the time since it asked for it, so that a delayed reply or a suspension in between does not count as a live quorum. Cause: it used the ordinary monotonic clock, which stands still while an instance is suspended. The steady clock, as for the other leases. Test: suspended for 60 s with a lease of 30 s, the order is refused; on the code before, it is given.

--- a/src/wisteriapulley/sidecar/switch.py
+++ b/src/wisteriapulley/sidecar/switch.py
@@ -7,9 +7,9 @@
 import asyncio
 import logging
 import random
-import time
 
 from wisteriapulley.catalogue import Entry
+from wisteriapulley.clocks import steady_s
 from wisteriapulley.control.client import ControlClient
 from wisteriapulley.control.commands import AcquirePermit, PermitResult, ReleasePermit
 from wisteriapulley.errors import ResultCode, WeightsError, WisteriapulleyError
@@ -422,11 +422,11 @@
         """
         if version == self.last_served_version and self.chart.state == "empty":
             return
-        sent_s = time.monotonic()
+        sent_s = steady_s()
         lease = await self.control.lease()
         # The lease runs from the time of the request: the response may have been
         # delayed, or this process suspended in the meantime.
-        if time.monotonic() >= sent_s + lease.remaining_ms / 1000:
+        if steady_s() >= sent_s + lease.remaining_ms / 1000:
             raise WeightsError(
                 ResultCode.NO_QUORUM,
                 "the quorum lease expired before the load was ordered",
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import time
 from types import SimpleNamespace
 
 import aiohttp
@@ -268,6 +269,29 @@
 
         run_target(scenario)
 
+    def test_lease_expires_while_the_instance_is_suspended(self, monkeypatch):
+        """The ordinary monotonic clock stands still meanwhile."""
+        suspended_s = 0.0
+
+        def clock_gettime(clock):
+            return time.monotonic() + suspended_s
+
+        clock = SimpleNamespace(clock_gettime=clock_gettime, CLOCK_BOOTTIME=0)
+        monkeypatch.setattr("wisteriapulley.clocks.time", clock)
+
+        async def lease():
+            nonlocal suspended_s
+            suspended_s += 60.0
+            return messages.Lease(1, "c", 30_000)
+
+        switcher = SimpleNamespace(
+            last_served_version="1",
+            chart=SimpleNamespace(state="serving"),
+            control=SimpleNamespace(lease=lease),
+        )
+        with pytest.raises(WeightsError):
+            asyncio.run(VersionSwitcher.check_lease(switcher, "2"))
+
     def test_gate_reopens_if_a_request_runs_too_long(self, run_target):
         async def scenario(target):
             target.control.name_version(run_target.first)
