--- a/src/wisteriapulley/control/age_queries.py
+++ b/src/wisteriapulley/control/age_queries.py
@@ -13,6 +13,7 @@
 
 from wisteriapulley.clocks import steady_s
 from wisteriapulley.errors import WisteriapulleyError
+from wisteriapulley.logs import fields
 from wisteriapulley.wire import Link, messages
 from wisteriapulley.wire.handshake import knows_model_query
 
@@ -79,7 +80,7 @@
                 continue
             self.record(link, frame.message, asked_s)
             return
-        log.warning("no ages of weights from %s", link.peer_id)
+        log.warning("no ages of weights", extra=fields(peer=link.peer_id))
 
 
 def versions_of(news: messages.ModelNews) -> Iterator[tuple[str, int]]:
--- a/tests/test_version_ages.py
+++ b/tests/test_version_ages.py
@@ -145,7 +145,7 @@
 
         assert -0.4 - STEP_S <= play(scenario).accepted_s <= 0.0
 
-    def test_lost_query_is_repeated_a_few_times(self, play):
+    def test_lost_query_is_repeated_a_few_times(self, play, caplog):
         links = []
 
         async def scenario(scene):
@@ -154,6 +154,8 @@
 
         assert play(scenario).accepted_s <= self.LATE_S
         assert len(links[0].asked_s) == len(QUERY_TIMEOUTS_S)
+        (line,) = [r for r in caplog.records if r.message == "no ages of weights"]
+        assert line.peer == "c"
 
     def test_new_link_asks_again(self, play):
         """The link was lost before the reply came."""
