Count begins after the end of their version, and lengthen the soak's freezes

Half of the short freezes last for more than 0.8 s now, and the pauses at the end for 0.7 to 1.0 s from earlier on, so that what is lost at the naming and at the end adds up. The bound of the check leaves 0.5 s to the machine; begins within it are counted beside the findings, so that a reader sees them.

--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -160,6 +160,7 @@
         # When targets stood still: start and end.
         self.pauses: list[tuple[float, float]] = []
         self.silences: list[Silence] = []
+        self.begins_past_end = 0
         self.late_begins = 0
         self.last_begin_s = 0.0
         self.crashing_parts = CrashingParts()
@@ -366,6 +367,7 @@
             return
         age_s = execution.at_s - since_s
         late = age_s > SUPERSEDED_BOUND_S
+        self.begins_past_end += age_s > VERSION_GRACE_S
         self.late_begins += late
         self.last_begin_s = max(self.last_begin_s, age_s)
         self.check("version", not late, self.describe_begin(execution, since_s))
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -182,12 +182,12 @@
     ("freeze", "row", "return"),
 )
 # A sound process stands still for no longer than this. Of such a freeze this fraction
-# passes before the version is named.
+# passes before the version is named, and the rest makes its age wrong.
 SHORT_FREEZE_S = (0.3, 1.0)
-FREEZE_BEFORE_NAMING = (0.05, 0.5)
+FREEZE_BEFORE_NAMING = (0.05, 0.3)
 # Engines stand still across the end in this fraction of the draws, for this long.
 PAUSE_AT_END_FRACTION = 0.5
-PAUSE_AT_END_S = (0.5, 1.0)
+PAUSE_AT_END_S = (0.7, 1.0)
 ROW_VERSIONS = (10, 20)
 ROW_INTERVAL_S = (0.2, 0.6)
 # How long before the naming a control instance stops, how long it is away at most (all
@@ -384,11 +384,16 @@
 def draw_short_freezes(
     rng: random.Random, named_s: float, shape: FleetShape
 ) -> Iterator[Fault]:
-    """Yield freezes of all or some entries and sidecars while a version is named."""
+    """Yield freezes of all or some entries and sidecars while a version is named.
+
+    Half of them last for more than three quarters of the range, as short ones alone
+    are borne.
+    """
     names = (*shape.entries, *shape.sidecars)
     if rng.random() < 0.5:
         names = rng.sample(names, rng.randint(1, len(names)))
-    duration_s = rng.uniform(*SHORT_FREEZE_S)
+    shortest_s, longest_s = SHORT_FREEZE_S
+    duration_s = longest_s - (longest_s - shortest_s) * rng.random() ** 2
     at_s = named_s - duration_s * rng.uniform(*FREEZE_BEFORE_NAMING)
     for name in names:
         yield Fault(at_s, FaultKind.SHORT_FREEZE, name, duration_s)
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,8 +32,11 @@
 MIN_UNRESPONSIVE_S = 0.5
 # A change of the configuration is sent when a pause has lasted for this fraction.
 PAUSE_BEFORE_CHANGE = 0.2
-# Fraction of a pause that lies before the end of a version's grace period.
+# Fraction of a pause that lies before the end of a version's grace period. More of a
+# short one does: it begins when requests are still sent to engines that believe the
+# end to be later by what others stood still for at the naming.
 PAUSE_BEFORE_VERSION_END = 0.4
+SHORT_PAUSE_BEFORE_VERSION_END = 0.7
 
 
 class Outcome(NamedTuple):
@@ -46,8 +49,10 @@
     requests: dict[int, int]
     checked: dict[str, int]
     resident_mb: int
-    # Begins on weights that were superseded too long ago, and the greatest time after
-    # the acknowledgement of a newer version at which any request began.
+    # Begins after the end of their version; those of them that are findings, as they
+    # are later than the allowance for the machine; and the greatest time after the
+    # acknowledgement of a newer version at which any request began.
+    begins_past_end: int
     late_begins: int
     last_begin_s: float
     findings: tuple[Finding, ...]
@@ -119,6 +124,7 @@
             dict(sum((c.status_counts for c in self.callers), Counter())),
             dict(self.checker.check_counts),
             resident >> 20,
+            self.checker.begins_past_end,
             self.checker.late_begins,
             round(self.checker.last_begin_s, 2),
             tuple(self.checker.findings),
@@ -342,7 +348,9 @@
         """
         with self.origin_away():
             await self.operator.set_desired_version()
-            await self.pause_at_version_end(fault.name, fault.duration_s)
+            lead_s = fault.duration_s * PAUSE_BEFORE_VERSION_END
+            await asyncio.sleep(VERSION_GRACE_S - lead_s)
+            await self.pause(fault)
 
     async def name_with_origin_away(self, fault: Fault) -> None:
         """Name a version that no engine gets before the old one ends.
@@ -354,14 +362,13 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(asyncio.sleep(fault.duration_s))
                 if fault.pause_s:
-                    pause = self.pause_at_version_end(fault.name, fault.pause_s)
-                    group.create_task(pause)
+                    group.create_task(self.pause_at_version_end(fault))
 
-    async def pause_at_version_end(self, name: str, pause_s: float) -> None:
-        """Let targets stand still when a version that is named now ends the old one."""
-        lead_s = pause_s * PAUSE_BEFORE_VERSION_END
+    async def pause_at_version_end(self, fault: Fault) -> None:
+        """Let targets stand still shortly across the end of the old version."""
+        lead_s = fault.pause_s * SHORT_PAUSE_BEFORE_VERSION_END
         await asyncio.sleep(VERSION_GRACE_S - lead_s)
-        await self.fleet.pause_targets(name, pause_s)
+        await self.fleet.pause_targets(fault.name, fault.pause_s)
 
     @contextlib.contextmanager
     def origin_away(self) -> Iterator[None]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -720,6 +720,7 @@
     def test_begin_within_the_bound_is_not_counted(self):
         checker = self.checker(age_s=8.4)
         assert not checker.findings and not checker.late_begins
+        assert checker.begins_past_end == 1
         assert checker.last_begin_s == pytest.approx(8.4)
 
     @pytest.mark.parametrize(
