Tell an assumed age of weights from a witnessed one

Callers are refused while no engine holds a version that may serve. An instance that started again within a grace period ended the old version at once for all that heard it.

Cause: the disk does not hold when a version was accepted, so an instance that starts gives it an age of an hour, and told it like a true one; the earlier of two times holds everywhere. Followers of the instance took the hour over the true age from the other instance that they follow. Found in the code: restored ages were not told to peers yet, which a peer that connects needs.

A time has a flag now, also on the wire (VersionAge.assumed, False from older processes): a witnessed time replaces an assumed one, even if it is later; an assumed one never replaces a witnessed one; of two of one kind the earlier holds. While nothing better is known an assumed time holds, so after a restart of all instances the newest version is published at once and older ones have ended, as before. The own state no longer records a known version again. A time that a dropped version leaves to the next one counts as witnessed, so that nothing moves the end of older versions on.

The new tests of versions, of restored versions and of followers fail before: there is no flag, and a correction to a later time is not noticed. Measured: tests of versions, publisher, followers, slots, wire pass.

--- a/src/wisteriapulley/control/following.py
+++ b/src/wisteriapulley/control/following.py
@@ -394,7 +394,9 @@
         now_s = steady_s()
         known_s = self.versions.accepted_at(model, desired.version)
         accepted_s = earliest_accepted_s(sent_s, desired.age_ms)
-        is_new = self.versions.record(model, desired.version, accepted_s)
+        is_new = self.versions.record(
+            model, desired.version, accepted_s, desired.assumed
+        )
         details = {
             "model": model,
             "version": desired.version,
@@ -402,7 +404,8 @@
             "age_ms": desired.age_ms,
             "asked_ms": int((now_s - sent_s) * 1000),
         }
-        corrected = is_correction(known_s, accepted_s)
+        recorded_s = self.versions.accepted_at(model, desired.version)
+        corrected = is_correction(known_s, recorded_s)
         if is_new:
             log.info("weights named", extra=fields(**details))
         elif corrected:
--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -26,7 +26,8 @@
 
 # How long the reply to a follower waits for a quorum to confirm the table.
 CONFIRM_TIMEOUT_S = 0.8
-# Age given to versions restored from disk: longer than a superseded version may serve.
+# Age assumed of versions that are restored from disk: longer than a superseded version
+# may serve.
 RESTORED_AGE_S = 3600.0
 
 
@@ -92,11 +93,11 @@
     def publish_restored(self) -> None:
         """Publish the state restored from disk.
 
-        The time at which its versions became desired is not stored, so they count as
-        desired long ago.
+        The time at which its versions became desired is not stored, so they are
+        assumed to be desired since long ago, until a peer tells when it was.
         """
         for model, version in self.state.weights.items():
-            self.record_version(model, version, RESTORED_AGE_S, "disk")
+            self.record_version(model, version, RESTORED_AGE_S, "disk", assumed=True)
         self.publish_changes()
 
     def origin(self) -> Origin | None:
@@ -138,7 +139,8 @@
     def record_weights(self) -> bool:
         """Record when versions came into force; return whether the models changed."""
         for model, version in self.state.weights.items():
-            if self.record_version(model, version, 0.0, "log") is Learned.NEW:
+            if self.versions.accepted_at(model, version) is None:
+                self.record_version(model, version, 0.0, "log")
                 self.on_new_weights(model, version)
         states = [
             state._replace(named=tuple(desired.version for desired in state.named))
@@ -148,17 +150,27 @@
         return changed
 
     def record_version(
-        self, model: str, version: int, age_s: float, source: str
+        self,
+        model: str,
+        version: int,
+        age_s: float,
+        source: str,
+        assumed: bool = False,
     ) -> Learned:
         """Record a version and when it was accepted; return what was learned."""
         now_s = steady_s()
         known_s = self.versions.accepted_at(model, version)
-        is_new = self.versions.record(model, version, now_s - age_s)
-        details = {"model": model, "version": version, "source": source}
+        is_new = self.versions.record(model, version, now_s - age_s, assumed)
+        details = {
+            "model": model,
+            "version": version,
+            "source": source,
+            "assumed": assumed,
+        }
         if is_new:
             log.info("weights named", extra=fields(age_ms=int(age_s * 1000), **details))
             return Learned.NEW
-        if not is_correction(known_s, now_s - age_s):
+        if not is_correction(known_s, self.versions.accepted_at(model, version)):
             return Learned.NOTHING
         log.info(
             "age of weights corrected",
@@ -178,12 +190,16 @@
         operator's acknowledgement. If followers waited for the log, they would let
         requests start on superseded weights for that much longer than allowed. Only
         committed versions are in force anywhere, so the first message about one is
-        enough. An earlier time of a known version goes to followers too: those that
+        enough. A better time of a known version goes to followers too: those that
         follow no other instance would hold the version before it for too long.
         """
         learned = {
             (state.model, desired.version): self.record_version(
-                state.model, desired.version, desired.age_ms / 1000, peer
+                state.model,
+                desired.version,
+                desired.age_ms / 1000,
+                peer,
+                desired.assumed,
             )
             for state in message.models
             for desired in state.named
@@ -252,8 +268,10 @@
             service,
             engine.model,
             tuple(
-                messages.VersionAge(version, int((now_s - since_s) * 1000))
-                for version, since_s in self.versions.versions_of(engine.model)
+                messages.VersionAge(
+                    version, int((now_s - known.at_s) * 1000), known.assumed
+                )
+                for version, known in self.versions.acceptances(engine.model)
             ),
             engine.slots,
             engine.stride,
--- a/src/wisteriapulley/wire/messages.capnp
+++ b/src/wisteriapulley/wire/messages.capnp
@@ -259,7 +259,7 @@
 }
 struct Follow { routingVersion @0 :UInt64; }
 struct RoutingNews { version @0 :UInt64; fresh @1 :Bool; content @2 :Data; }
-struct VersionAge { version @0 :UInt64; ageMs @1 :UInt64; }
+struct VersionAge { version @0 :UInt64; ageMs @1 :UInt64; assumed @2 :Bool; }
 struct ModelState {
   service @0 :Text;
   model @1 :Text;
--- a/src/wisteriapulley/wire/messages.py
+++ b/src/wisteriapulley/wire/messages.py
@@ -396,10 +396,15 @@
 
 
 class VersionAge(NamedTuple):
-    """A desired version of weights, and how long ago it was set."""
+    """A desired version of weights, and how long ago it was set.
+
+    `assumed` is whether the sender knows nobody who witnessed that: it assumes an age
+    on the safe side, and a witnessed one replaces it. Never set by older processes.
+    """
 
     version: int = 0
     age_ms: int = 0
+    assumed: bool = False
 
 
 class ModelState(NamedTuple):
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -7,7 +7,7 @@
 from wisteriapulley.routing import Engine, RoutingTable
 from wisteriapulley.routing.table import Service
 from wisteriapulley.settings import Address, ControlSettings
-from wisteriapulley.wire import messages
+from wisteriapulley.wire import codec, messages
 from wisteriapulley.wire.messages import ModelNews, ModelState, VersionAge
 
 
@@ -49,8 +49,9 @@
         ]
 
 
-def models_of(version, age_ms=0):
-    return ModelNews((ModelState("s", "m", (VersionAge(version, age_ms),)),))
+def models_of(version, age_ms=0, assumed=False):
+    named = (VersionAge(version, age_ms, assumed),)
+    return ModelNews((ModelState("s", "m", named),))
 
 
 class TestWeightsInForce:
@@ -107,6 +108,54 @@
         assert instance.published_versions() == [3]
 
 
+class TestRestoredVersions:
+    """The disk does not hold when a version was accepted."""
+
+    def restored(self):
+        instance = Instance()
+        instance.state.weights["m"] = 3
+        instance.publisher.publish_restored()
+        return instance
+
+    def told(self, instance):
+        """Return the version that a new follower or peer is told."""
+        return instance.publisher.models_message().models[0].named[0]
+
+    def test_restored_version_is_told_as_assumed(self):
+        told = self.told(self.restored())
+        assert told.assumed
+        assert told.age_ms >= 3_600_000
+
+    def test_assumed_age_goes_over_the_wire(self):
+        message = models_of(3, age_ms=3_600_000, assumed=True)
+        data = codec.encode(codec.Frame(codec.NO_ID, 0, message))
+        assert codec.decode(data[codec.HEADER.size :]).message == message
+
+    def test_restart_of_one_instance_ends_no_version_at_others(self):
+        """Engines would refuse requests on the old version until they have loaded."""
+        instance = Instance()
+        instance.publisher.observe_models(models_of(3, age_ms=500))
+        instance.link.written.clear()
+        instance.publisher.observe_models(models_of(3, age_ms=3_600_000, assumed=True))
+        assert instance.link.written == []
+        assert self.told(instance).age_ms < 3_000
+
+    def test_age_that_a_peer_witnessed_replaces_the_assumed_one(self):
+        instance = self.restored()
+        instance.link.written.clear()
+        instance.publisher.observe_models(models_of(3, age_ms=500))
+        assert instance.published_versions() == [3]
+        assert not self.told(instance).assumed
+        assert self.told(instance).age_ms < 3_000
+
+    def test_own_state_does_not_make_the_assumed_time_a_witnessed_one(self):
+        """It would count from now, and requests begin on the old version."""
+        instance = self.restored()
+        instance.publisher.publish_changes()
+        assert self.told(instance).assumed
+        assert self.told(instance).age_ms >= 3_600_000
+
+
 class TestLogOfAges:
     """The logs of two processes tell which of them believed which age, and why."""
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -156,3 +156,29 @@
             await fleet.wait_until_followed(set())
 
         run_scenario(scenario)
+
+
+class TestAgesOfVersions:
+    def test_assumed_age_does_not_end_a_version_whose_age_is_known(self):
+        """One of the followed instances started again within the grace period."""
+        follower = Fleet().follower
+        now_s = steady_s()
+        for desired in (
+            messages.VersionAge(2, 500),
+            messages.VersionAge(2, 3_600_000, assumed=True),
+        ):
+            state = messages.ModelState("s", "m", (desired,))
+            follower.receive_models(messages.ModelNews((state,)))
+        assert follower.versions.superseded_at("m", 1) > now_s - 3.0
+
+    def test_assumed_age_holds_until_the_true_one_is_told(self):
+        follower = Fleet().follower
+        now_s = steady_s()
+        for desired, oldest_s, newest_s in (
+            (messages.VersionAge(2, 3_600_000, assumed=True), 3601.0, 3599.0),
+            (messages.VersionAge(2, 500), 3.0, 0.4),
+        ):
+            state = messages.ModelState("s", "m", (desired,))
+            follower.receive_models(messages.ModelNews((state,)))
+            superseded_s = follower.versions.superseded_at("m", 1)
+            assert now_s - oldest_s < superseded_s < steady_s() - newest_s
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -16,7 +16,11 @@
 )
 from wisteriapulley.weights import relay as relay_module
 from wisteriapulley.weights.chunk_bitmap import unpack_bitmap
-from wisteriapulley.weights.desired_versions import MAX_VERSIONS_KEPT, DesiredVersions
+from wisteriapulley.weights.desired_versions import (
+    MAX_VERSIONS_KEPT,
+    DesiredVersions,
+    is_correction,
+)
 from wisteriapulley.weights.download import Download
 from wisteriapulley.weights.pieces import PieceManifest
 from wisteriapulley.weights.relay import MAX_PIECES_IN_FLIGHT, Relay
@@ -68,6 +72,46 @@
             assert not named.record("m", version, version * 0.3)
         assert named.versions_of("m") == before
 
+    def test_assumed_time_ends_older_versions_until_the_true_one_is_told(self):
+        """A control instance that restarts can't know when a version was accepted."""
+        named = DesiredVersions()
+        assert named.record("m", 2, -3600.0, assumed=True)
+        assert named.superseded_at("m", 1) == -3600.0
+        assert not named.record("m", 2, 18.0)
+        assert named.superseded_at("m", 1) == 18.0
+
+    def test_assumed_time_never_replaces_a_witnessed_one(self):
+        """An instance that restarts would end the old version everywhere at once."""
+        named = DesiredVersions()
+        named.record("m", 2, 18.0)
+        assert not named.record("m", 2, -3600.0, assumed=True)
+        assert not named.record("m", 2, 30.0, assumed=True)
+        assert named.versions_of("m") == [(2, 18.0)]
+
+    @pytest.mark.parametrize("assumed", [False, True])
+    def test_earlier_of_two_times_of_one_kind_holds(self, assumed):
+        named = DesiredVersions()
+        for accepted_s in (18.0, 17.0, 19.0):
+            named.record("m", 2, accepted_s, assumed)
+        assert named.versions_of("m") == [(2, 17.0)]
+
+    def test_dropped_assumed_time_is_not_replaced_by_a_later_one(self):
+        """The end of versions older than the dropped one would move on."""
+        named = DesiredVersions()
+        named.record("m", 1, -3600.0, assumed=True)
+        for version in range(2, MAX_VERSIONS_KEPT + 2):
+            named.record("m", version, float(version), assumed=version == 2)
+        named.record("m", 2, 2.0)
+        assert named.superseded_at("m", 0) == -3600.0
+        assert named.superseded_at("m", 2) == 3.0
+
+    @pytest.mark.parametrize(
+        ("before_s", "after_s", "corrected"),
+        [(None, 5.0, False), (5.0, 5.01, False), (5.0, 4.0, True), (-9.0, 5.0, True)],
+    )
+    def test_correction_in_either_direction(self, before_s, after_s, corrected):
+        assert is_correction(before_s, after_s) == corrected
+
     def test_unknown_model(self):
         assert DesiredVersions().newest("m") == 0
         assert DesiredVersions().superseded_at("m", 0) is None
