Tell a control instance that connects the ages of weights first

Callers' requests could begin on a superseded version after its end: in plays with real processes, an instance killed while a version is named and started 4 s later told the entries and sidecars that it serves 1,331 to 1,699 ms first, where 6.1 to 6.5 s were true.

Cause: a peer that connects gets members, targets and reports, and no versions. The version came to it with the log and counted from then, until an instance happened to publish versions again.

The weights in force are the first message over each link between control instances, of its opener and of its acceptor, since the leader sends the log over either. Messages of a link are handled in their order, so the true age is there before the log. A peer tells older versions too, so only one that is newer than all others is fetched at once: an instance that holds the newest one would otherwise download one that was superseded.

The two tests of links fail before (members first; nothing sent), that of older versions without its part of the change (versions 1, 2 and 4 are fetched).

--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -20,7 +20,7 @@
 from wisteriapulley.routing import Engine, Origin, RoutingTable
 from wisteriapulley.settings import ControlSettings
 from wisteriapulley.weights.desired_versions import DesiredVersions, is_correction
-from wisteriapulley.wire import Frame, Link, messages
+from wisteriapulley.wire import Frame, Link, broadcast, messages
 
 log = logging.getLogger(__name__)
 
@@ -49,7 +49,8 @@
     state : ControlState
         The replicated state.
     on_new_weights : callable
-        Called with model and version when a version is first observed here.
+        Called with model and version when a version is first observed here that is
+        newer than all others.
     send_to_peers : callable
         Sends a message to every other control instance.
 
@@ -119,9 +120,15 @@
         self.followers.push_hosts(hosts)
         return True
 
-    def record_peer(self, peer: messages.Hello) -> None:
-        """Record the failure domain of another control instance."""
-        self.failure_domains[peer.node_id] = peer.failure_domain
+    def greet_peer(self, link: Link) -> None:
+        """Record another control instance, and send it the weights in force.
+
+        This is the first message over a link, in both directions: the log may bring
+        versions that were named while the peer was away, and they would count from
+        then.
+        """
+        self.failure_domains[link.peer.node_id] = link.peer.failure_domain
+        broadcast((link,), self.models_message())
 
     def publish_changes(self) -> None:
         """Publish new tables, weights and evacuations to followers and peers."""
@@ -204,9 +211,9 @@
             for state in message.models
             for desired in state.named
         }
-        for key, what in learned.items():
-            if what is Learned.NEW:
-                self.on_new_weights(*key)
+        for (model, version), what in learned.items():
+            if what is Learned.NEW and version == self.versions.newest(model):
+                self.on_new_weights(model, version)
         if any(learned.values()):
             self.followers.push_models(self.models_message())
 
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -484,7 +484,7 @@
 
     async def send_state_to_peer(self, link: Link) -> None:
         """Send a newly connected peer this instance's members, targets and reports."""
-        self.publisher.record_peer(link.peer)
+        self.publisher.greet_peer(link)
         self.publisher.send_evacuations(link)
         link.post(self.members.full_update())
         link.post(self.publisher.target_feed.full_update())
@@ -529,9 +529,9 @@
             self.fanout.publish_members(changes.view)
 
     def link_opened(self, link: Link) -> None:
-        """Record the newest link of a control instance."""
+        """Record the newest link of a control instance, and send it the versions."""
         if link.peer.role == "control":
-            self.publisher.record_peer(link.peer)
+            self.publisher.greet_peer(link)
             self.peer_links[link.peer_id] = link
             self.driver.accepted_links[link.peer_id] = link
             self.add_hosts((link.peer_id,))
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -1,8 +1,13 @@
 """Weights in force that a control instance publishes."""
 
+import asyncio
+from types import SimpleNamespace
+
 from tests.fakes.links import RecordingLink
 from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES
+from wisteriapulley.control.members import MemberTable
 from wisteriapulley.control.publisher import Publisher
+from wisteriapulley.control.service import ControlService
 from wisteriapulley.control.state import ControlState
 from wisteriapulley.routing import Engine, RoutingTable
 from wisteriapulley.routing.table import Service
@@ -156,6 +161,61 @@
         assert self.told(instance).age_ms >= 3_600_000
 
 
+class TestPeerThatConnects:
+    """The log may bring it versions that were named while it was away."""
+
+    def service(self, instance):
+        """Return a control service without I/O."""
+        members = MemberTable("10.0.0.1", 1, 1000, 1000)
+        return SimpleNamespace(
+            publisher=instance.publisher,
+            members=members,
+            member_links={},
+            peer_links={},
+            driver=SimpleNamespace(accepted_links={}),
+            add_hosts=lambda hosts: None,
+        )
+
+    def assert_told_first(self, link):
+        first = link.written[0]
+        assert isinstance(first, messages.ModelNews)
+        ((told,),) = [state.named for state in first.models]
+        assert told.version == 3
+        assert told.age_ms >= 500
+
+    def test_peer_is_told_true_age_over_an_opened_link(self):
+        """Its followers would hold the old version for as long as it was away."""
+        instance, link = Instance(), RecordingLink("control")
+        instance.publisher.observe_models(models_of(3, age_ms=500))
+        asyncio.run(ControlService.send_state_to_peer(self.service(instance), link))
+        self.assert_told_first(link)
+
+    def test_peer_is_told_true_age_over_an_accepted_link(self):
+        """The leader may send the log over the link that the peer opened."""
+        instance, link = Instance(), RecordingLink("control")
+        link.peer_id = link.peer.node_id
+        instance.publisher.observe_models(models_of(3, age_ms=500))
+        ControlService.link_opened(self.service(instance), link)
+        self.assert_told_first(link)
+
+    def test_older_versions_of_a_peer_are_not_prefetched(self):
+        """They would take the links from the newest one."""
+        instance = Instance()
+        instance.state.weights["m"] = 3
+        instance.publisher.publish_restored()
+        named = tuple(VersionAge(n, 1000 * (5 - n)) for n in (1, 2, 3, 4))
+        instance.publisher.observe_models(ModelNews((ModelState("s", "m", named),)))
+        assert instance.prefetched == [("m", 4)]
+
+    def test_own_log_does_not_replace_what_a_peer_told(self):
+        """Its own log brings the version later, when the peer has told the age."""
+        instance = Instance()
+        instance.publisher.observe_models(models_of(3, age_ms=5_500))
+        instance.state.weights["m"] = 3
+        instance.publisher.publish_changes()
+        assert instance.publisher.models_message().models[0].named[0].age_ms >= 5_500
+
+
 class TestLogOfAges:
     """The logs of two processes tell which of them believed which age, and why."""
 
