Count a version of weights from when its record was appended

Callers' requests could begin on a superseded version after its end, by the time between an acknowledgement and the moment at which an instance applies the record: an election after a crash of the leader, or the time for which an instance was away.

Cause: a version that came with the log counted from when it was published here. Of several versions that are applied together only the newest was recorded. Records on the disk at the start, which are of unknown age, counted from the start.

A record counts from when it was appended here: on an instance of the majority that is before the acknowledgement. Each named version is recorded, of those of unknown age the newest.

--- a/src/wisteriapulley/control/driver.py
+++ b/src/wisteriapulley/control/driver.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from wisteriapulley.clocks import STARTED_MS, steady_ms
+from wisteriapulley.clocks import STARTED_MS, steady_ms, steady_s
 from wisteriapulley.consensus import (
     HardState,
     Ready,
@@ -17,6 +17,7 @@
 )
 from wisteriapulley.consensus.log import Log
 from wisteriapulley.consensus.storage import DiskIdentity, read_identity
+from wisteriapulley.control.append_times import AppendTimes
 from wisteriapulley.control.commands import Command, Result, encode
 from wisteriapulley.control.seeds import file_operations
 from wisteriapulley.control.state import ControlState, stamp
@@ -127,6 +128,7 @@
         self.next_join_ms = 0.0
         self.next_commit_save_ms = 0.0
         self.pending: dict[int, tuple[int, asyncio.Future]] = {}
+        self.append_times = AppendTimes()
         self.applied = asyncio.Condition()
         self.wakeup = asyncio.Event()
         self.tasks: list[asyncio.Task] = []
@@ -332,6 +334,7 @@
                 self.copy_log(),
             )
             self.state.restore(ready.snapshot.data)
+            self.append_times.forget(ready.snapshot.last_index)
             self.fail_pending(ready.snapshot.last_index)
         self.replica.synced(ready)
 
@@ -416,11 +419,19 @@
         """Handle a replica message."""
         if self.failed or self.suspended:
             return
+        unsaved = len(self.replica.unsaved_records)
         try:
             self.replica.step(steady_ms(), message)
         except StorageError as error:
             self.fail(error)
             return
+        if isinstance(message, messages.AppendRequest):
+            self.append_times.record(
+                self.replica.unsaved_records[unsaved:],
+                message.term,
+                message.commit,
+                steady_s(),
+            )
         self.wakeup.set()
 
     def fail_pending(self, index: int) -> None:
@@ -433,8 +444,9 @@
     def apply(self, record: Record) -> None:
         """Apply one committed record and complete its proposal."""
         result = None
+        appended_s = self.append_times.take(record)
         if record.kind == RecordKind.COMMAND:
-            result = self.state.apply(record.index, record.data)
+            result = self.state.apply(record.index, record.data, appended_s)
             self.on_applied(result)
         term, future = self.pending.pop(record.index, (0, None))
         if future is None or future.done():
@@ -459,7 +471,12 @@
     async def propose_here(self, command: Command) -> Result:
         """Append a command to the log with the leader's time, and commit it."""
         data = encode(stamp(command, unix_ms()))
-        return await self.wait_committed(self.replica.propose(data))
+        index = self.replica.propose(data)
+        if index is not None:
+            self.append_times.record(
+                self.replica.unsaved_records[-1:], self.replica.term, 0, steady_s()
+            )
+        return await self.wait_committed(index)
 
     async def wait_committed(self, index: int | None) -> Result | None:
         """Wait until the record at `index` of this leader's term is applied."""
--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -3,14 +3,14 @@
 import asyncio
 import enum
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from wisteriapulley.clocks import steady_ms, steady_s
 from wisteriapulley.control.control_api import unpack_table
 from wisteriapulley.control.driver import Driver
 from wisteriapulley.control.evacuations import EvacuationView
 from wisteriapulley.control.followers import ENTRY, Followers, knows_evacuations
-from wisteriapulley.control.state import ControlState
+from wisteriapulley.control.state import ControlState, NamedVersion
 from wisteriapulley.control.suspect_feed import SuspectFeed
 from wisteriapulley.control.target_feed import TargetFeed
 from wisteriapulley.control.targets import TargetTable
@@ -145,16 +145,36 @@
 
     def record_weights(self) -> bool:
         """Record when versions came into force; return whether the models changed."""
+        learned = {
+            named[:2]: self.record_named(named)
+            for named in without_older_unknown(self.state.take_named())
+        }
         for model, version in self.state.weights.items():
             if self.versions.accepted_at(model, version) is None:
-                self.record_version(model, version, 0.0, "log")
-                self.on_new_weights(model, version)
+                unknown = NamedVersion(model, version, None)
+                learned[model, version] = self.record_named(unknown, "snapshot")
+        self.fetch_newest(learned)
         states = [
             state._replace(named=tuple(desired.version for desired in state.named))
             for state in self.models_message().models
         ]
         changed, self.published_models = states != self.published_models, states
-        return changed
+        return changed or any(learned.values())
+
+    def record_named(self, named: NamedVersion, source: str = "log") -> Learned:
+        """Record a version that the replicated state brought."""
+        model, version, accepted_s = named
+        if accepted_s is None:
+            return self.record_version(
+                model, version, RESTORED_AGE_S, source, assumed=True
+            )
+        return self.record_version(model, version, steady_s() - accepted_s, source)
+
+    def fetch_newest(self, learned: Mapping[tuple[str, int], Learned]) -> None:
+        """Start to fetch versions that are new and newer than all others."""
+        for (model, version), what in learned.items():
+            if what is Learned.NEW and version == self.versions.newest(model):
+                self.on_new_weights(model, version)
 
     def record_version(
         self,
@@ -211,9 +231,7 @@
             for state in message.models
             for desired in state.named
         }
-        for (model, version), what in learned.items():
-            if what is Learned.NEW and version == self.versions.newest(model):
-                self.on_new_weights(model, version)
+        self.fetch_newest(learned)
         if any(learned.values()):
             self.followers.push_models(self.models_message())
 
@@ -327,3 +345,13 @@
         except (WisteriapulleyError, TimeoutError):
             fresh = False
         return self.routing_message(fresh, known)
+
+
+def without_older_unknown(named: list[NamedVersion]) -> list[NamedVersion]:
+    """Drop versions of unknown age before a newer one of unknown age.
+
+    The newer one ends them anyway. After a start, the log on the disk may hold all
+    versions of months.
+    """
+    newest = {n.model: n.version for n in named if n.accepted_s is None}
+    return [n for n in named if n.accepted_s is not None or n[:2] in newest.items()]
--- a/src/wisteriapulley/control/state.py
+++ b/src/wisteriapulley/control/state.py
@@ -1,6 +1,7 @@
 """State machine of the log: catalogue, routing, claims, permits and evacuations."""
 
 from functools import singledispatchmethod
+from typing import NamedTuple
 
 import msgspec
 
@@ -41,8 +42,27 @@
     evacuations: dict[str, DomainState] = {}
 
 
+class NamedVersion(NamedTuple):
+    """A version of weights that a record of the log named.
+
+    `accepted_s` is a time of `clocks.steady_s` at which it was not acknowledged yet,
+    None if it is not known here.
+    """
+
+    model: str
+    version: int
+    accepted_s: float | None
+
+
 class ControlState:
-    """The replicated state of a control instance."""
+    """The replicated state of a control instance.
+
+    Attributes
+    ----------
+    named : list of NamedVersion
+        Versions of weights that were named since the publisher took them, oldest
+        first. Their times differ by instance, so they are not part of the snapshot.
+    """
 
     def __init__(self):
         self.catalogue = Catalogue()
@@ -51,11 +71,24 @@
         self.routing = NO_ROUTING
         self.weights: dict[str, int] = {}
         self.evacuations = Evacuations()
+        self.named: list[NamedVersion] = []
         self.index = 0
-
-    def apply(self, index: int, data: bytes) -> Result:
-        """Apply the command at `index`."""
+        self.appended_s: float | None = None
+
+    def apply(self, index: int, data: bytes, appended_s: float | None = None) -> Result:
+        """Apply the command at `index`.
+
+        Parameters
+        ----------
+        index : int
+            Index of the record in the log.
+        data : bytes
+            The command.
+        appended_s : float, optional
+            When the record was appended on this disk, if that is known.
+        """
         self.index = index
+        self.appended_s = appended_s
         return self.run(COMMAND_DECODER.decode(data))
 
     def snapshot(self) -> bytes:
@@ -133,10 +166,20 @@
     @run.register
     def run_weights(self, command: PutWeights) -> VersionResult:
         """Handle the command `PutWeights`: the highest version wins."""
-        version = max(command.version, self.weights.get(command.model, 0))
+        known = self.weights.get(command.model, 0)
+        if command.version > known:
+            self.named.append(
+                NamedVersion(command.model, command.version, self.appended_s)
+            )
+        version = max(command.version, known)
         self.weights[command.model] = version
         return VersionResult(version)
 
+    def take_named(self) -> list[NamedVersion]:
+        """Return the versions that were named since the last call."""
+        named, self.named = self.named, []
+        return named
+
 
 def stamp(command: Command, now_ms: int) -> Command:
     """Return a command with the leader's time, if it has a field for it."""
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -3,7 +3,11 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
+
 from tests.fakes.links import RecordingLink
+from wisteriapulley.clocks import steady_s
+from wisteriapulley.control.commands import PutWeights, encode
 from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES
 from wisteriapulley.control.members import MemberTable
 from wisteriapulley.control.publisher import Publisher
@@ -207,13 +211,81 @@
         instance.publisher.observe_models(ModelNews((ModelState("s", "m", named),)))
         assert instance.prefetched == [("m", 4)]
 
-    def test_own_log_does_not_replace_what_a_peer_told(self):
+    @pytest.mark.parametrize("appended_s", [None, steady_s()])
+    def test_own_log_does_not_replace_what_a_peer_told(self, appended_s):
         """Its own log brings the version later, when the peer has told the age."""
         instance = Instance()
-        instance.publisher.observe_models(models_of(3, age_ms=5_500))
-        instance.state.weights["m"] = 3
+        instance.publisher.observe_models(models_of(3, age_ms=500_000))
+        instance.state.apply(1, encode(PutWeights("m", 3)), appended_s)
         instance.publisher.publish_changes()
-        assert instance.publisher.models_message().models[0].named[0].age_ms >= 5_500
+        told = instance.publisher.models_message().models[0].named[0]
+        assert not told.assumed
+        assert 500_000 <= told.age_ms < 600_000
+
+
+class TestVersionsOfTheLog:
+    """A version counts from a moment no later than its acknowledgement."""
+
+    def named(self, *versions):
+        """Return the versions told after records named some at given times."""
+        instance = Instance()
+        for index, (version, appended_s) in enumerate(versions, 1):
+            instance.state.apply(index, encode(PutWeights("m", version)), appended_s)
+        instance.publisher.publish_changes()
+        (state,) = instance.publisher.models_message().models
+        assert instance.published_versions() == [v.version for v in state.named]
+        assert instance.prefetched == [("m", max(version for version, _ in versions))]
+        return state.named
+
+    def test_version_counts_from_its_append_here(self):
+        """A new leader applies it after the old one had acknowledged it."""
+        (told,) = self.named((2, steady_s() - 2.0))
+        assert not told.assumed
+        assert 2_000 <= told.age_ms < 60_000
+
+    def test_each_of_several_versions_counts_from_its_own_append(self):
+        """A new leader applies them at once; the oldest ends what was before."""
+        now_s = steady_s()
+        first, second = self.named((2, now_s - 90.0), (3, now_s - 60.0))
+        assert 90_000 <= first.age_ms < 150_000
+        assert 60_000 <= second.age_ms < 90_000
+
+    def test_record_of_unknown_age_is_assumed_to_be_old(self):
+        """It was on the disk at the start: counted from now, it would end late."""
+        (told,) = self.named((2, None))
+        assert told.assumed
+        assert told.age_ms >= 3_600_000
+
+    def test_older_versions_of_unknown_age_are_not_told(self):
+        told = self.named((2, None), (3, None), (4, steady_s()))
+        assert [(v.version, v.assumed) for v in told] == [(3, True), (4, False)]
+
+    def test_versions_of_a_snapshot_are_assumed_to_be_old(self):
+        """An instance that catches up by a snapshot can't know when it was."""
+        other = ControlState()
+        other.apply(1, encode(PutWeights("m", 3)), steady_s())
+        instance = Instance()
+        instance.state.restore(other.snapshot())
+        instance.publisher.publish_changes()
+        told = instance.publisher.models_message().models[0].named[0]
+        assert told.assumed
+        assert told.age_ms >= 3_600_000
+
+    def test_older_version_of_the_log_is_not_prefetched(self):
+        """A peer told the newest one before the log brought any."""
+        instance = Instance()
+        instance.publisher.observe_models(models_of(5))
+        instance.state.apply(1, encode(PutWeights("m", 4)), steady_s())
+        instance.publisher.publish_changes()
+        assert instance.prefetched == [("m", 5)]
+
+    def test_version_is_not_told_again_without_change(self):
+        instance = Instance()
+        instance.state.apply(1, encode(PutWeights("m", 2)), steady_s())
+        for _ in range(3):
+            instance.publisher.publish_changes()
+        assert instance.published_versions() == [2]
+        assert len(instance.sent_to_peers) == 1
 
 
 class TestLogOfAges:
@@ -226,7 +298,7 @@
         caplog.set_level("INFO")
         instance = Instance()
         instance.publisher.observe_models(models_of(3, age_ms=40), "10.0.0.2")
-        instance.state.weights["m"] = 4
+        instance.state.apply(1, encode(PutWeights("m", 4)), steady_s())
         instance.publisher.publish_changes()
         named = self.lines(caplog, "weights named")
         assert [(r.version, r.source) for r in named] == [(3, "10.0.0.2"), (4, "log")]
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -5,16 +5,18 @@
 import pytest
 
 from wisteriapulley.claims import Claim, ClaimKey
-from wisteriapulley.consensus import Storage
+from wisteriapulley.clocks import steady_s
+from wisteriapulley.consensus import Record, RecordKind, Storage
 from wisteriapulley.consensus.files import Files, write_error
 from wisteriapulley.consensus.setup import init_folder, join_folder
 from wisteriapulley.control import driver as driver_module
-from wisteriapulley.control.commands import PutClaim
+from wisteriapulley.control.append_times import AppendTimes
+from wisteriapulley.control.commands import PutClaim, PutWeights, encode
 from wisteriapulley.control.driver import Driver, unix_ms
 from wisteriapulley.control.state import ControlState
 from wisteriapulley.errors import ResultCode, StorageError, WisteriapulleyError
 from wisteriapulley.settings import Address, ControlSettings
-from wisteriapulley.wire.messages import VoteRequest
+from wisteriapulley.wire.messages import AppendRequest, LogRecord, VoteRequest
 
 
 class CountingFiles(Files):
@@ -89,6 +91,115 @@
     return node
 
 
+class TestAppendTimes:
+    """A version of weights counts from when its record was appended here."""
+
+    def records(self, *versions, term=3, first=1):
+        return tuple(
+            Record(term, index, RecordKind.COMMAND, encode(PutWeights("m", version)))
+            for index, version in enumerate(versions, first)
+        )
+
+    def test_record_is_taken_with_the_time_of_its_append(self):
+        times = AppendTimes()
+        (record,) = self.records(2)
+        times.record([record], 3, 0, 10.0)
+        assert times.take(record) == 10.0
+        assert times.take(record) is None
+
+    def test_record_that_was_committed_before_is_of_unknown_time(self):
+        """An instance that was cut off catches up on what was acknowledged."""
+        times = AppendTimes()
+        committed, new = self.records(2, 3)
+        times.record([committed, new], 3, 1, 10.0)
+        assert times.take(committed) is None
+        assert times.take(new) == 10.0
+
+    def test_record_of_an_earlier_leader_is_of_unknown_time(self):
+        """All restarted, and the new leader has not committed anything yet."""
+        times = AppendTimes()
+        (record,) = self.records(2, term=2)
+        times.record([record], 3, 0, 10.0)
+        assert times.take(record) is None
+
+    def test_time_of_a_replaced_record_is_not_used(self):
+        times = AppendTimes()
+        times.record(self.records(2, term=2), 2, 0, 10.0)
+        (record,) = self.records(5, term=3)
+        times.record([record], 4, 0, 12.0)
+        assert times.take(record) is None
+
+    def test_records_of_a_snapshot_are_forgotten(self):
+        times = AppendTimes()
+        times.record(self.records(2, 3), 3, 0, 10.0)
+        times.forget(1)
+        assert list(times.appended) == [2]
+
+    def test_leader_counts_from_its_proposal(self, node):
+        async def run():
+            driver = await node.start()
+            before_s = steady_s()
+            await driver.propose(PutWeights("m", 2))
+            after_s = steady_s()
+            await driver.stop()
+            return before_s, after_s
+
+        before_s, after_s = asyncio.run(run())
+        (named,) = node.state.take_named()
+        assert before_s <= named.accepted_s <= after_s
+        assert node.driver.append_times.appended == {}
+
+    def test_record_on_the_disk_at_the_start_is_of_unknown_time(self, node):
+        async def run():
+            driver = await node.start()
+            await driver.propose(PutWeights("m", 2))
+            await driver.stop()
+            driver = await node.start()
+            await driver.stop()
+
+        asyncio.run(run())
+        assert node.state.take_named() == [("m", 2, None)]
+
+    def follower(self, node, *requests):
+        """Return the versions applied by a follower that gets requests in turn."""
+
+        async def run():
+            driver = node.open()
+            for request in requests:
+                driver.receive(request)
+                await driver.process_ready()
+            driver.storage.close()
+
+        asyncio.run(run())
+        return node.state.take_named()
+
+    def test_follower_counts_from_the_append_and_not_from_the_commit(
+        self, node, monkeypatch
+    ):
+        """A new leader commits it after the old one had acknowledged it."""
+        times = iter((10.0, 12.0))
+        monkeypatch.setattr(driver_module, "steady_s", lambda: next(times))
+        records = tuple(
+            LogRecord(r.term, r.index, int(r.kind), r.data)
+            for r in self.records(2, term=1)
+        )
+        named = self.follower(
+            node,
+            AppendRequest(1, "b", 0, 0, 0, records, 1),
+            AppendRequest(2, "c", 1, 1, 1, (), 1),
+        )
+        assert named == [("m", 2, 10.0)]
+
+    def test_follower_that_catches_up_does_not_know_the_time(self, node):
+        """The record was committed before it came here."""
+        records = tuple(
+            LogRecord(r.term, r.index, int(r.kind), r.data)
+            for r in self.records(2, term=1)
+        )
+        named = self.follower(node, AppendRequest(1, "b", 0, 0, 1, records, 1))
+        assert named == [("m", 2, None)]
+
+
 class FullDisk(CountingFiles):
     """While full, accepts a few bytes of a write and then fails."""
 
