Ask peers for the age of a version that a control instance learns

Callers' requests could begin on a superseded version after its end where a control instance stood still, or its links were cut or full, for less than the silence after which links are opened again: what told of the newer version was read late, and it counted from then.

Cause: neither a message nor a record tells for how long it was on its way.

An instance that learns a version, or hears the first witnessed age of one, asks each peer whose link is open and that knows ModelQuery. It records what a reply bounds to be earlier, and passes corrections on to followers; peers ask for themselves. A reply counts only for the versions that were asked for, each once: it makes a version older by the way of the query, and asked for again with each new name, its predecessor would end by as much earlier each time.

--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -10,6 +10,7 @@
 from wisteriapulley.control.driver import Driver
 from wisteriapulley.control.evacuations import EvacuationView
 from wisteriapulley.control.followers import ENTRY, Followers, knows_evacuations
+from wisteriapulley.control.peer_ages import Key
 from wisteriapulley.control.state import ControlState, NamedVersion
 from wisteriapulley.control.suspect_feed import SuspectFeed
 from wisteriapulley.control.target_feed import TargetFeed
@@ -20,6 +21,7 @@
 from wisteriapulley.routing import Engine, Origin, RoutingTable
 from wisteriapulley.settings import ControlSettings
 from wisteriapulley.weights.desired_versions import DesiredVersions, is_correction
+from wisteriapulley.weights.version_ages import earliest_accepted_s
 from wisteriapulley.wire import Frame, Link, broadcast, messages
 
 log = logging.getLogger(__name__)
@@ -36,7 +38,9 @@
 
     NOTHING = 0
     CORRECTION = 1
-    NEW = 2
+    # The age was only assumed before.
+    WITNESSED = 2
+    NEW = 3
 
 
 class Publisher:
@@ -62,6 +66,9 @@
         The routing table in force here.
     evacuations : EvacuationView
         The newest set of evacuated failure domains, from the log or a peer.
+    ask_peers : callable
+        Called with the models and versions that were learned, to ask the peers for
+        their ages; set by the service.
     """
 
     def __init__(
@@ -74,6 +81,7 @@
         self.settings = settings
         self.state = state
         self.on_new_weights = on_new_weights
+        self.ask_peers: Callable[[frozenset[Key]], None] = lambda keys: None
         self.driver: Driver | None = None
         self.followers = Followers(
             settings.failure_domain, Regions(settings.failure_domain_regions)
@@ -154,6 +162,7 @@
                 unknown = NamedVersion(model, version, None)
                 learned[model, version] = self.record_named(unknown, "snapshot")
         self.fetch_newest(learned)
+        self.ask_for(learned)
         states = [
             state._replace(named=tuple(desired.version for desired in state.named))
             for state in self.models_message().models
@@ -170,7 +179,7 @@
             )
         return self.record_version(model, version, steady_s() - accepted_s, source)
 
-    def fetch_newest(self, learned: Mapping[tuple[str, int], Learned]) -> None:
+    def fetch_newest(self, learned: Mapping[Key, Learned]) -> None:
         """Start to fetch versions that are new and newer than all others."""
         for (model, version), what in learned.items():
             if what is Learned.NEW and version == self.versions.newest(model):
@@ -187,6 +196,7 @@
         """Record a version and when it was accepted; return what was learned."""
         now_s = steady_s()
         known_s = self.versions.accepted_at(model, version)
+        was_assumed = self.versions.is_assumed(model, version)
         is_new = self.versions.record(model, version, now_s - age_s, assumed)
         details = {
             "model": model,
@@ -207,7 +217,10 @@
                 **details,
             ),
         )
-        return Learned.CORRECTION
+        is_assumed = self.versions.is_assumed(model, version)
+        return (
+            Learned.WITNESSED if was_assumed and not is_assumed else Learned.CORRECTION
+        )
 
     def observe_models(self, message: messages.ModelNews, peer: str = "") -> None:
         """Record weights in force at another instance, and publish them to followers.
@@ -234,6 +247,40 @@
         self.fetch_newest(learned)
         if any(learned.values()):
             self.followers.push_models(self.models_message())
+        self.ask_for(learned)
+
+    def ask_for(self, learned: Mapping[Key, Learned]) -> None:
+        """Ask the peers for the ages of versions that are new, or were assumed.
+
+        What told them may have been read late. Each is asked for once, since a reply
+        makes it older by the way of the messages.
+        """
+        keys = frozenset(k for k, what in learned.items() if what >= Learned.WITNESSED)
+        if keys:
+            self.ask_peers(keys)
+
+    def observe_reply(
+        self,
+        message: messages.ModelNews,
+        asked_s: float,
+        keys: frozenset[Key],
+        peer: str,
+    ) -> None:
+        """Record what a peer replied about some versions; publish corrections."""
+        learned = [
+            self.record_version(
+                state.model,
+                desired.version,
+                steady_s() - earliest_accepted_s(asked_s, desired.age_ms),
+                peer,
+                desired.assumed,
+            )
+            for state in message.models
+            for desired in state.named
+            if (state.model, desired.version) in keys
+        ]
+        if any(learned):
+            self.followers.push_models(self.models_message())
 
     # -- evacuations -----------------------------------------------------
 
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -29,6 +29,7 @@
 from wisteriapulley.control.members import Changes, MemberTable
 from wisteriapulley.control.nearest import entries_in_fleet
 from wisteriapulley.control.operators import MAX_CHANGE_BYTES, operator_routes
+from wisteriapulley.control.peer_ages import PeerAges
 from wisteriapulley.control.permits import PermitSweeper
 from wisteriapulley.control.pieces import PieceServer
 from wisteriapulley.control.publisher import Publisher
@@ -99,6 +100,10 @@
             lambda *key: self.pieces.relay.prefetch(*key),
             self.send_to_peers,
         )
+        ages = PeerAges(
+            lambda: self.open_peer_links().values(), self.publisher.observe_reply
+        )
+        self.publisher.ask_peers = ages.ask
         cold = ColdOwner(settings, self.publisher.targets, lambda: self.publisher.table)
         self.rates = RateOwner(settings.node_id, self.open_peer_links, cold)
 
--- a/src/wisteriapulley/weights/desired_versions.py
+++ b/src/wisteriapulley/weights/desired_versions.py
@@ -85,6 +85,11 @@
         known = self.models.get(model, {}).get(version)
         return None if known is None else known.at_s
 
+    def is_assumed(self, model: str, version: int) -> bool:
+        """Return whether a version is known and its time only assumed."""
+        known = self.models.get(model, {}).get(version)
+        return known is not None and known.assumed
+
     def acceptances(self, model: str) -> list[tuple[int, Acceptance]]:
         """Return the versions of a model and their acceptances, newest last."""
         return sorted(self.models.get(model, {}).items())
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -10,6 +10,7 @@
 from wisteriapulley.control.commands import PutWeights, encode
 from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES
 from wisteriapulley.control.members import MemberTable
+from wisteriapulley.control.peer_ages import PeerAges
 from wisteriapulley.control.publisher import Publisher
 from wisteriapulley.control.service import ControlService
 from wisteriapulley.control.state import ControlState
@@ -17,6 +18,7 @@
 from wisteriapulley.routing.table import Service
 from wisteriapulley.settings import Address, ControlSettings
 from wisteriapulley.wire import codec, messages
+from wisteriapulley.wire.handshake import MESSAGE_SET
 from wisteriapulley.wire.messages import ModelNews, ModelState, VersionAge
 
 
@@ -43,6 +45,8 @@
             self.sent_to_peers.append,
         )
         service = Service("s", engine=Engine("m"))
+        self.asked = []
+        self.publisher.ask_peers = self.asked.append
         self.publisher.table = RoutingTable(1, services=(service,))
         self.link = RecordingLink()
         self.publisher.followers.add(self.link)
@@ -288,6 +292,104 @@
         assert len(instance.sent_to_peers) == 1
 
 
+class TestAgesAskedOfPeers:
+    """What told of a version may have been read seconds after it was sent."""
+
+    KEYS = frozenset({("m", 3)})
+
+    def told(self, instance):
+        return instance.publisher.models_message().models[0].named[0]
+
+    def test_peers_are_asked_once_about_a_new_version(self):
+        instance = Instance()
+        instance.publisher.observe_models(models_of(3))
+        instance.state.apply(1, encode(PutWeights("m", 3)), steady_s() - 1.0)
+        instance.publisher.publish_changes()
+        instance.publisher.observe_models(models_of(3, age_ms=5_000))
+        assert instance.asked == [self.KEYS]
+
+    def test_peers_are_asked_about_a_version_of_the_log(self):
+        instance = Instance()
+        instance.state.apply(1, encode(PutWeights("m", 3)), steady_s())
+        instance.publisher.publish_changes()
+        assert instance.asked == [self.KEYS]
+
+    def test_peers_are_asked_once_one_tells_of_a_restored_version(self):
+        instance = Instance()
+        instance.state.weights["m"] = 3
+        instance.publisher.publish_restored()
+        assert instance.asked == []
+        instance.publisher.observe_models(models_of(3, age_ms=500))
+        assert instance.asked == [self.KEYS]
+
+    def test_earlier_time_in_a_reply_is_published(self):
+        """An instance that stood still took the age that it read late for true."""
+        instance = Instance()
+        instance.publisher.observe_models(models_of(3))
+        instance.link.written.clear()
+        instance.publisher.observe_reply(
+            models_of(3, age_ms=3_000), steady_s() - 0.5, self.KEYS, "10.0.0.2"
+        )
+        assert instance.published_versions() == [3]
+        assert 3_500 <= self.told(instance).age_ms < 60_000
+        assert instance.asked == [self.KEYS]
+        assert instance.sent_to_peers == []
+
+    def test_reply_that_tells_nothing_new_is_not_published(self):
+        instance = Instance()
+        instance.publisher.observe_models(models_of(3, age_ms=5_000))
+        instance.link.written.clear()
+        instance.publisher.observe_reply(
+            models_of(3, age_ms=3_000), steady_s() - 0.5, self.KEYS, "10.0.0.2"
+        )
+        assert instance.link.written == []
+
+    def test_version_that_was_not_asked_for_keeps_its_time(self):
+        """Each reply makes it older by its way: after many names, by seconds."""
+        instance = Instance()
+        instance.publisher.observe_models(models_of(3))
+        reply = models_of(3, age_ms=3_000)
+        instance.publisher.observe_reply(
+            reply, steady_s() - 0.5, frozenset({("m", 4)}), "10.0.0.2"
+        )
+        assert self.told(instance).age_ms < 3_000
+
+    def test_assumed_age_in_a_reply_replaces_no_witnessed_one(self):
+        instance = Instance()
+        instance.publisher.observe_models(models_of(3))
+        instance.publisher.observe_reply(
+            models_of(3, age_ms=3_600_000, assumed=True),
+            steady_s(),
+            self.KEYS,
+            "10.0.0.2",
+        )
+        assert self.told(instance).age_ms < 60_000
+
+    @pytest.mark.parametrize(("message_set", "asked"), [(1, 0), (MESSAGE_SET, 1)])
+    def test_only_peers_that_know_the_query_are_asked(self, message_set, asked):
+        """A peer of an earlier release would close the link."""
+        replies, requests = [], []
+
+        class Link(RecordingLink):
+            peer_id = "10.0.0.2"
+
+            async def request(self, message, timeout_s):
+                requests.append(message)
+                return codec.Frame(1, 1, models_of(3, age_ms=40))
+
+            def spawn(self, coroutine):
+                asyncio.run(coroutine)
+
+        link = Link("control")
+        link.peer = link.peer._replace(message_set=message_set)
+        ages = PeerAges(lambda: [link], lambda *reply: replies.append(reply))
+        ages.ask(self.KEYS)
+        assert requests == [messages.ModelQuery()] * asked
+        assert [(r[0], r[2], r[3]) for r in replies] == [
+            (models_of(3, age_ms=40), self.KEYS, "10.0.0.2")
+        ] * asked
+
+
 class TestLogOfAges:
     """The logs of two processes tell which of them believed which age, and why."""
 
