Tell control instances of earlier releases no assumed ages

While releases are mixed, an instance that starts again tells each peer the weights in force when it connects, some with an age that it only assumes. A peer of an earlier release knows no flag: it would take the hour for a true age and tell it as one, so a version named shortly before would end the one before it for the whole fleet, and callers would be refused.

Such a peer gets the versions whose age was witnessed; the log brings it the others, as before. The flag came with the message set of ModelQuery.

The test of an earlier release fails before (version 3, assumed, was told). Measured: tests of the publisher pass.

--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -23,6 +23,7 @@
 from wisteriapulley.weights.desired_versions import DesiredVersions, is_correction
 from wisteriapulley.weights.version_ages import earliest_accepted_s
 from wisteriapulley.wire import Frame, Link, broadcast, messages
+from wisteriapulley.wire.handshake import knows_model_query
 
 log = logging.getLogger(__name__)
 
@@ -136,7 +137,12 @@
         then.
         """
         self.failure_domains[link.peer.node_id] = link.peer.failure_domain
-        broadcast((link,), self.models_message())
+        news = self.models_message()
+        if not knows_model_query(link.peer):
+            # The flag came with the query: an earlier release takes an assumed age for
+            # a true one, and would end the version before it everywhere.
+            news = without_assumed(news)
+        broadcast((link,), news)
 
     def publish_changes(self) -> None:
         """Publish new tables, weights and evacuations to followers and peers."""
@@ -394,6 +400,16 @@
         return self.routing_message(fresh, known)
 
 
+def without_assumed(news: messages.ModelNews) -> messages.ModelNews:
+    """Return a message without the versions whose age is only assumed."""
+    return messages.ModelNews(
+        tuple(
+            state._replace(named=tuple(v for v in state.named if not v.assumed))
+            for state in news.models
+        )
+    )
+
+
 def without_older_unknown(named: list[NamedVersion]) -> list[NamedVersion]:
     """Drop versions of unknown age before a newer one of unknown age.
 
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -206,6 +206,18 @@
         ControlService.link_opened(self.service(instance), link)
         self.assert_told_first(link)
 
+    @pytest.mark.parametrize(("message_set", "told"), [(1, [4]), (MESSAGE_SET, [3, 4])])
+    def test_peer_of_an_earlier_release_gets_no_assumed_age(self, message_set, told):
+        """It knows no flag, and would end the old version for the whole fleet."""
+        instance, link = Instance(), RecordingLink("control")
+        link.peer = link.peer._replace(message_set=message_set)
+        instance.state.weights["m"] = 3
+        instance.publisher.publish_restored()
+        instance.publisher.observe_models(models_of(4))
+        instance.publisher.greet_peer(link)
+        (news,) = link.written
+        assert [v.version for v in news.models[0].named] == told
+
     def test_older_versions_of_a_peer_are_not_prefetched(self):
         """They would take the links from the newest one."""
         instance = Instance()
