Finish some versions of weights when they follow faster than a download

Cause: each newer name replaced the fetch of the older version at control instances, and the download at engines, at once or when half of the newer version had arrived there; engines finished an older one only if a control instance held it completely. A fetch takes 2.8 s and a download 5.5 s, so none ever ended.

A control instance that has given up a fetch finishes the next ones, until it holds the newest version, if they complete before the origin is expected to drop them; one without pieces for 0.3 s is given up. It keeps up to three complete versions for 8 s after they were superseded. An engine that has given up a download finishes the next one that arrives and can serve for a second; an almost complete one is finished also by the second half of the switch order. Both log what they give up. An update that began to load while the instances were asked is no longer cancelled, and the progress of the previous download is not taken for the new one's.

Why it works: each engine and instance gives up a newer-for-older choice only until the first restart, and what it begins after that is served for some seconds, by different engines at different times.

The tests of finishes_superseded keep their cases and get the times that it takes now; the case of an advanced download at the end of the order states 3 s left, since with more time it is finished, which has a test of its own.

--- a/src/wisteriapulley/rollout/switch_order.py
+++ b/src/wisteriapulley/rollout/switch_order.py
@@ -20,6 +20,12 @@
 # Fraction from which on a download counts as advanced. To finish it takes less than
 # half of the time that a superseded version may serve.
 ADVANCED_DOWNLOAD_FRACTION = 0.3
+# An engine finishes a superseded version if it can serve it for at least this long.
+# A load and the requests that it delays cost some tenths of a second.
+MIN_SERVICE_MS = 1000.0
+# An engine that leaves a superseded version to others finishes it nevertheless if it
+# serves this many times longer than the newer version is delayed.
+SERVICE_PER_DELAY = 3.0
 # Once a control instance holds this fraction of the newer version, its pieces arrive
 # as fast as an engine's link can receive them.
 AVAILABLE_FRACTION = 0.5
@@ -37,6 +43,33 @@
         return self.rank / max(1, self.count - 1)
 
 
+class DownloadOutlook(NamedTuple):
+    """What becomes of a download whose version has been superseded.
+
+    Attributes
+    ----------
+    ready_ms : float
+        Time until the version is loaded.
+    left_ms : float
+        How long requests may still start on it.
+    stalled : bool
+        Whether no pieces arrive.
+    in_row : bool
+        Whether the engine has given up a download since it last held the newest
+        version.
+    """
+
+    ready_ms: float
+    left_ms: float
+    stalled: bool = False
+    in_row: bool = False
+
+    @property
+    def service_ms(self) -> float:
+        """How long the version can serve once it is loaded."""
+        return self.left_ms - self.ready_ms
+
+
 def switch_rank(address: str, engines: Iterable[tuple[str, str]]) -> SwitchRank:
     """Return the position of the engine at `address` in the switch order.
 
@@ -62,7 +95,11 @@
 
 
 def finishes_superseded(
-    rank: SwitchRank, done_fraction: float, older_fraction: float, newer_fraction: float
+    rank: SwitchRank,
+    done_fraction: float,
+    older_fraction: float,
+    newer_fraction: float,
+    outlook: DownloadOutlook,
 ) -> bool:
     """Return whether to finish the download of a version that has been superseded.
 
@@ -70,8 +107,14 @@
     origin may be unreachable at that moment. If all engines started over, none would
     hold either version when the version that they serve expires. So an advanced
     download continues until the newer version is available, and the first half of
-    the engines finishes it in any case and serves it meanwhile. But control instances
-    fetch only the newest version: pieces of an older one that they lack never arrive.
+    the engines finishes it in any case and serves it meanwhile.
+
+    When versions follow faster than one is downloaded, an engine that started over
+    with each of them would never hold one. So once it has given up a download, it
+    finishes the next one that arrives completely and that it can serve for a while.
+
+    Control instances do likewise with their fetches. Once one holds pieces of the newer
+    version, those of the older one that it lacks never arrive.
 
     Parameters
     ----------
@@ -83,12 +126,20 @@
         Fraction of the superseded version that a control instance holds.
     newer_fraction : float
         Fraction of the newer version that a control instance holds.
+    outlook : DownloadOutlook
+        When the superseded version is ready, and how long it may serve.
     """
-    if older_fraction < 1:
+    is_fetched = outlook.in_row and not (newer_fraction or outlook.stalled)
+    if older_fraction < 1 and not is_fetched:
+        return False
+    if not done_fraction or outlook.service_ms < MIN_SERVICE_MS:
         return False
+    if outlook.in_row or newer_fraction < AVAILABLE_FRACTION:
+        return True
     if done_fraction < ADVANCED_DOWNLOAD_FRACTION:
-        return newer_fraction < AVAILABLE_FRACTION and done_fraction > 0
-    return rank.fraction < 0.5 or newer_fraction < AVAILABLE_FRACTION
+        return False
+    worthwhile = outlook.service_ms >= SERVICE_PER_DELAY * outlook.ready_ms
+    return rank.fraction < 0.5 or worthwhile
 
 
 def switch_due_ms(rank: SwitchRank, download_ms: float, old_version_ms: float) -> float:
--- a/src/wisteriapulley/rollout/updater.py
+++ b/src/wisteriapulley/rollout/updater.py
@@ -7,11 +7,16 @@
 
 from wisteriapulley.errors import ResultCode, WisteriapulleyError
 from wisteriapulley.logs import fields
+from wisteriapulley.policy.version_end import start_left_ms
 from wisteriapulley.rollout.admission import SlotAdmission
 from wisteriapulley.rollout.engine import EngineClient, EngineReport, OrderOutcome
 from wisteriapulley.rollout.staging import DownloadRate, StagingArea
 from wisteriapulley.rollout.state import RolloutState
-from wisteriapulley.rollout.switch_order import finishes_superseded, switch_due_ms
+from wisteriapulley.rollout.switch_order import (
+    DownloadOutlook,
+    finishes_superseded,
+    switch_due_ms,
+)
 from wisteriapulley.weights.pieces import PieceManifest
 
 log = logging.getLogger(__name__)
@@ -76,6 +81,9 @@
         What is being downloaded or loaded.
     load_ms : float
         Estimated load time of an idle engine.
+    in_row : bool
+        Whether a download was given up for a newer version since the engine last held
+        the newest one.
     """
 
     def __init__(
@@ -103,6 +111,7 @@
         self.goal: Goal | None = None
         self.update_task: asyncio.Task | None = None
         self.load_ms = INITIAL_LOAD_MS
+        self.in_row = False
 
     def stop(self) -> None:
         """Cancel the update in progress."""
@@ -131,6 +140,7 @@
         desired, held = state.desired_version(), state.held_version()
         if held and held >= desired:
             self.goal = None
+            self.in_row = False
             return
         goal = Goal(engine.model, desired)
         running = self.update_task is not None and not self.update_task.done()
@@ -140,6 +150,7 @@
             return
         if running:
             self.update_task.cancel()
+            self.give_up_download(desired)
         self.goal = goal
         loop = asyncio.get_running_loop()
         self.update_task = loop.create_task(self.run_update(goal))
@@ -152,8 +163,35 @@
             self.staging.held_fraction(newer.model, self.manifest.version),
             self.staging.held_fraction(newer.model, newer.version),
         )
-        rank, done_fraction = self.state.switch_rank(), self.staging.done_fraction
-        return finishes_superseded(rank, done_fraction, older_fraction, newer_fraction)
+        if self.loading or self.manifest is None:
+            return self.loading
+        return finishes_superseded(
+            self.state.switch_rank(),
+            self.staging.done_fraction,
+            older_fraction,
+            newer_fraction,
+            self.download_outlook(self.manifest),
+        )
+
+    def give_up_download(self, newer: int) -> None:
+        """Record that the current download makes way for a newer version."""
+        if self.manifest is not None:
+            self.in_row = True
+            given_up = fields(version=self.manifest.version, newer=newer)
+            log.info("download given up", extra=given_up)
+
+    def download_outlook(self, manifest: PieceManifest) -> DownloadOutlook:
+        """Return when a version is loaded, and how long it may serve."""
+        rate = DownloadRate.while_serving(self.settings.link_mbps)
+        missing = total_bytes(manifest) * (1 - self.staging.done_fraction)
+        wait_ms = max(rate.duration_ms(missing), self.switch_in_ms(manifest), 0.0)
+        age_ms = self.state.superseded_for_ms(manifest.version) or 0.0
+        return DownloadOutlook(
+            wait_ms + self.load_ms,
+            start_left_ms(age_ms, self.settings.old_version_ms),
+            self.staging.is_stalled(),
+            self.in_row,
+        )
 
     async def run_update(self, goal: Goal) -> None:
         """Update the engine to a version; retry until it succeeds."""
@@ -181,6 +219,7 @@
         """Download, wait for the engine's turn in the switch order, verify and load."""
         manifest = await self.staging.fetch_manifest(goal.model, goal.version)
         log.info("download started", extra=fields(version=manifest.version))
+        self.staging.done_fraction = 0.0
         self.manifest = manifest
         await self.staging.prepare(manifest)
         self.expect_opening(manifest)
--- a/src/wisteriapulley/weights/relay.py
+++ b/src/wisteriapulley/weights/relay.py
@@ -10,13 +10,16 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 from collections.abc import Callable
 
+from wisteriapulley.clocks import steady_s
 from wisteriapulley.errors import ResultCode, WeightsError, WisteriapulleyError
 from wisteriapulley.logs import fields
 from wisteriapulley.weights.chunk_bitmap import pack_bitmap, unpack_bitmap
 from wisteriapulley.weights.download import Download, PieceHolder
+from wisteriapulley.weights.fetch_order import VersionFetch
 from wisteriapulley.weights.pieces import PieceManifest
 from wisteriapulley.wire import Link, messages
 
@@ -61,6 +64,12 @@
 ATTEMPTS_BEFORE_ORIGIN = 5
 # Versions of a model that are kept: the newest and the one that it supersedes.
 KEPT_VERSIONS = 2
+# Complete versions that are kept beside them, and how long after they were superseded:
+# engines finish some of them when versions are named faster than one is downloaded.
+KEPT_COMPLETE_VERSIONS = 3
+KEPT_COMPLETE_S = 8.0
+# A superseded version is checked this often for whether its fetch still goes on.
+FETCH_CHECK_S = 0.1
 
 PieceKey = tuple[str, int, int]
 
@@ -156,10 +165,15 @@
     def __init__(self, sources: Callable[[], list[PieceHolder]]):
         self.sources = sources
         self.manifests: dict[tuple[str, int], PieceManifest] = {}
+        self.manifest_times_s: dict[tuple[str, int], float] = {}
         self.pieces: dict[PieceKey, bytes] = {}
         self.piece_tasks: dict[PieceKey, asyncio.Task] = {}
         self.fetch_slots = asyncio.Semaphore(MAX_PIECES_IN_FLIGHT)
         self.prefetch_tasks: dict[str, tuple[int, asyncio.Task]] = {}
+        self.fetches: dict[str, VersionFetch] = {}
+        # The newest version of each model whose fetch has to wait, and when it was
+        # requested.
+        self.waiting: dict[str, tuple[int, float]] = {}
         self.manifest_tasks: dict[tuple[str, int], asyncio.Task] = {}
         # Set and replaced by a new event when a piece or a manifest arrives.
         self.changed = asyncio.Event()
@@ -182,6 +196,7 @@
         model, version = key
         manifest = await self.ask_sources_for_manifest(model, version)
         self.manifests[model, manifest.version] = manifest
+        self.manifest_times_s.setdefault((model, manifest.version), steady_s())
         self.drop_superseded(model)
         self.notify_waiters()
         return manifest
@@ -261,23 +276,62 @@
         raise failure or no_source_error(model)
 
     def prefetch(self, model: str, version: int) -> None:
-        """Start to fetch all pieces of a version, replacing the fetch of an older one.
+        """Start to fetch all pieces of a version, after an older one or instead of it.
 
         A caller that asks for a manifest will request every piece; without the
         prefetch, each piece would be fetched from the origin only on request.
         """
+        now_s = steady_s()
         known_version, running_task = self.prefetch_tasks.get(model, (-1, None))
+        if running_task is None or running_task.done():
+            self.start_fetch(model, version, now_s)
+            return
+        waiting_version, _ = self.waiting.get(model, (known_version, 0.0))
+        if version <= waiting_version:
+            return
+        self.waiting[model] = (version, now_s)
+        self.fetches[model].supersede(now_s)
+        self.advance_fetch(model)
+
+    def start_fetch(self, model: str, version: int, named_s: float) -> None:
+        """Start to fetch all pieces of a version."""
+        waited = self.waiting.pop(model, None) is not None
+        older, running_task = self.prefetch_tasks.get(model, (-1, None))
+        in_row = waited and self.fetches[model].in_row
         if running_task is not None and not running_task.done():
-            if known_version >= version:
-                return
             running_task.cancel()
+            in_row = True
+            given_up = fields(model=model, version=older, newer=version)
+            log.info("fetch of weights given up", extra=given_up)
+        self.fetches[model] = VersionFetch(version, named_s, steady_s(), in_row)
         task = asyncio.get_running_loop().create_task(self.fetch_all(model, version))
         self.prefetch_tasks[model] = (version, task)
+        task.add_done_callback(lambda _: self.advance_fetch(model))
+
+    def advance_fetch(self, model: str) -> None:
+        """Go on to the waiting version, unless the running fetch is worth its end."""
+        if model not in self.waiting:
+            return
+        version, task = self.prefetch_tasks[model]
+        if not task.done():
+            fraction = self.held_fraction(model, version)
+            if self.fetches[model].is_worth_finishing(fraction, steady_s()):
+                loop = asyncio.get_running_loop()
+                loop.call_later(FETCH_CHECK_S, self.advance_fetch, model)
+                return
+        self.start_fetch(model, *self.waiting[model])
+
+    def held_fraction(self, model: str, version: int) -> float:
+        """Return the fraction of a version that is held."""
+        manifest = self.manifests.get((model, version))
+        if manifest is None:
+            return 0.0
+        return len(self.held_positions(manifest)) / max(1, len(manifest.digests))
 
     async def fetch_all(self, model: str, version: int) -> None:
         """Fetch all pieces of a version, retrying until all are held.
 
-        The task is cancelled when a newer version supersedes this one. It does not
+        The task is cancelled when a newer version takes its place. It does not
         give up while the origin is unreachable: otherwise each piece would have to
         be requested on its own after the origin recovers.
         """
@@ -305,6 +359,7 @@
 
         async def store(position: int, data: bytes) -> None:
             self.store_piece((model, manifest.version, position), data)
+            self.record_progress(model, manifest.version)
 
         missing = set(range(len(manifest.digests))) - self.held_positions(manifest)
         download = Download(
@@ -331,6 +386,12 @@
             return sources[:-1]
         return [*sources[:-1], ThrottledHolder(sources[-1])]
 
+    def record_progress(self, model: str, version: int) -> None:
+        """Record that a piece of a version arrived."""
+        fetch = self.fetches.get(model)
+        if fetch is not None and fetch.version == version:
+            fetch.progress_s = steady_s()
+
     # -- held pieces -----------------------------------------------------
 
     def store_piece(self, key: PieceKey, data: bytes) -> None:
@@ -376,15 +437,39 @@
         return held
 
     def drop_superseded(self, model: str) -> None:
-        """Drop all versions of a model but the `KEPT_VERSIONS` newest."""
+        """Drop all versions of a model but those that are still needed."""
         versions = sorted(v for m, v in self.manifests if m == model)
-        for version in versions[:-KEPT_VERSIONS]:
+        kept = self.kept_versions(model, versions)
+        for version in set(versions) - kept:
             del self.manifests[model, version]
+            del self.manifest_times_s[model, version]
             for key in [k for k in self.pieces if k[:2] == (model, version)]:
                 del self.pieces[key]
 
+    def kept_versions(self, model: str, versions: list[int]) -> set[int]:
+        """Return the versions to keep.
+
+        Parameters
+        ----------
+        model : str
+            The model.
+        versions : list of int
+            Known versions, newest last.
+        """
+        fetched, _ = self.prefetch_tasks.get(model, (-1, None))
+        since_s = steady_s() - KEPT_COMPLETE_S
+        complete = [
+            older
+            for older, newer in itertools.pairwise(versions)
+            if self.manifest_times_s[model, newer] >= since_s
+            and self.held_fraction(model, older) == 1
+        ]
+        newest = versions[-KEPT_VERSIONS:]
+        return {fetched, *newest, *complete[-KEPT_COMPLETE_VERSIONS:]}
+
     def stop(self) -> None:
         """Cancel all fetches."""
+        self.waiting.clear()
         for _, task in self.prefetch_tasks.values():
             task.cancel()
         for task in (*self.piece_tasks.values(), *self.manifest_tasks.values()):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -9,6 +9,7 @@
 from wisteriapulley.errors import ResultCode, WeightsError
 from wisteriapulley.rollout.switch_order import (
     SWITCH_MARGIN_MS,
+    DownloadOutlook,
     SwitchRank,
     finishes_superseded,
     switch_due_ms,
@@ -141,24 +142,48 @@
     def test_download_that_takes_longer_than_the_old_version_serves(self):
         assert switch_due_ms(SwitchRank(0, 5), 60_000, 8000) == 8000 - SWITCH_MARGIN_MS
 
+    def finishes(self, rank, done, older, newer, **outlook):
+        """Return whether a download that takes 5 s is finished; 6.5 s are left."""
+        outlook = DownloadOutlook(350 + 5000 * (1 - done), 6500)._replace(**outlook)
+        return finishes_superseded(SwitchRank(rank, 10), done, older, newer, outlook)
+
     def test_only_the_first_half_finishes_a_superseded_download(self):
-        assert finishes_superseded(SwitchRank(1, 10), 0.9, 1.0, 1.0)
-        assert not finishes_superseded(SwitchRank(1, 10), 0.1, 1.0, 1.0)
-        assert not finishes_superseded(SwitchRank(9, 10), 0.9, 1.0, 1.0)
+        left = {"left_ms": 3000}
+        assert self.finishes(1, 0.9, 1.0, 1.0, **left)
+        assert not self.finishes(1, 0.1, 1.0, 1.0)
+        assert not self.finishes(9, 0.9, 1.0, 1.0, **left)
+
+    def test_almost_complete_download_is_finished_by_all(self):
+        # It serves for several times as long as the newer version is delayed.
+        assert self.finishes(9, 0.95, 1.0, 1.0)
+        assert not self.finishes(9, 0.5, 1.0, 1.0)
 
     def test_download_continues_while_the_newer_version_is_unavailable(self):
         # A newer version is accepted and the origin fails. An engine that started
         # over would hold nothing when the version that it serves expires.
-        assert finishes_superseded(SwitchRank(9, 10), 0.9, 1.0, 0.1)
-        assert finishes_superseded(SwitchRank(9, 10), 0.1, 1.0, 0.1)
-        assert not finishes_superseded(SwitchRank(9, 10), 0.0, 1.0, 0.0)
+        assert self.finishes(9, 0.9, 1.0, 0.1)
+        assert self.finishes(9, 0.1, 1.0, 0.1)
+        assert not self.finishes(9, 0.0, 1.0, 0.0)
 
     def test_download_that_can_not_complete_is_cancelled(self):
         # The origin fails during the download of the first of two versions. Control
         # instances do not fetch its remaining pieces any more, so an engine that
         # waited for them would start the second version only when it is complete there.
         for rank in (0, 9):
-            assert not finishes_superseded(SwitchRank(rank, 10), 0.88, 0.88, 0.1)
+            assert not self.finishes(rank, 0.88, 0.88, 0.1)
+            assert not self.finishes(rank, 0.88, 0.88, 0.1, in_row=True)
+
+    def test_engine_gives_up_one_download_at_most(self):
+        # With versions every 2 s it would never hold one.
+        assert self.finishes(9, 0.3, 1.0, 1.0, in_row=True)
+        assert self.finishes(9, 0.3, 0.7, 0.0, in_row=True)
+        assert not self.finishes(9, 0.3, 0.7, 0.0, in_row=True, stalled=True)
+        assert not self.finishes(9, 0.3, 0.7, 0.0)
+
+    def test_version_that_could_hardly_serve_is_not_finished(self):
+        for rank in (0, 9):
+            assert not self.finishes(rank, 0.9, 1.0, 0.1, left_ms=1500)
+            assert not self.finishes(rank, 0.9, 1.0, 0.1, left_ms=1500, in_row=True)
 
 
 class CorruptingSource:
