--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -90,6 +90,13 @@
         "the soak test took a cool-down for known to an entry that had closed the"
         " connection before",
     ),
+    Regression(
+        28,
+        12.0,
+        "requests began on a version of the weights after its end, which moved on with"
+        " each of sixteen names",
+        calm=True,
+    ),
     Regression(
         5,
         12.0,
