Close an engine that is back with its old weights at the end of their version

Requests could begin on a superseded version without end at an engine that was away for one report while its newer weights were about to be whole.

Cause: while slots are announced to open on newer weights, the end of the version is computed for those, also once the engine reports again that it holds the older ones. Found by reading; only what the entry itself knows of the version held such requests back.

The announcement counts only while the engine holds no weights. The test failed before (the slots were open).

--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -314,7 +314,8 @@
         While slots are to open on other weights, requests queue for those.
         """
         updater = self.updater
-        opens = updater.manifest is not None and (updater.loading or updater.opens_soon)
+        opens_soon = updater.opens_soon and not self.state.held_version()
+        opens = updater.manifest is not None and (updater.loading or opens_soon)
         version = updater.manifest.version if opens else None
         age_ms = self.state.superseded_for_ms(version)
         if age_ms is None:
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -401,6 +401,24 @@
         assert not self.is_queued(tmp_path, newest=3, loading=True)
 
 
+class TestEngineIsBackWithItsOldWeights:
+    """It was away for one report while the newer weights were about to be whole."""
+
+    def test_no_request_starts_there_after_the_end(self, tmp_path):
+        async def run():
+            service = new_service(tmp_path)
+            name_aged_version(service, 2, SETTINGS.old_version_ms)
+            service.state.report = EngineReport({})
+            service.updater.manifest = MANIFEST
+            service.updater.opens_soon = True
+            service.update_admission()
+            service.state.report = EngineReport({"m": 1})
+            service.update_admission()
+            assert not service.admission.slots.open
+
+        asyncio.run(run())
+
+
 class TestSidecarHearsOfNewerVersion:
     """The engine stands still, so its report does not come."""
 
