Take the age that an earlier release gives versions of its disk for assumed

During a rolling upgrade the old version could end at once for all: a control instance of an earlier release that starts within a grace period tells an age of an hour without the flag that it is only assumed, and of two witnessed times the earlier holds.

Such an age from a peer of an earlier release counts as assumed now. test_age_of_its_disk_does_not_replace_a_true_one failed before (3,600,000 ms told where 600 ms are true).

--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -426,6 +426,24 @@
         return self.routing_message(fresh, known)
 
 
+def with_assumed(news: messages.ModelNews) -> messages.ModelNews:
+    """Mark ages that an instance of an earlier release has assumed.
+
+    It has no flag for that, and gives versions of its disk this age.
+    """
+    return messages.ModelNews(
+        tuple(
+            state._replace(
+                named=tuple(
+                    desired._replace(assumed=desired.age_ms >= RESTORED_AGE_S * 1000)
+                    for desired in state.named
+                )
+            )
+            for state in news.models
+        )
+    )
+
+
 def without_assumed(news: messages.ModelNews) -> messages.ModelNews:
     """Return a message without the versions whose age is only assumed."""
     return messages.ModelNews(
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -32,7 +32,7 @@
 from wisteriapulley.control.peer_ages import PeerAges
 from wisteriapulley.control.permits import PermitSweeper
 from wisteriapulley.control.pieces import PieceServer
-from wisteriapulley.control.publisher import Publisher
+from wisteriapulley.control.publisher import Publisher, with_assumed
 from wisteriapulley.control.quorum_members import quorum_routes
 from wisteriapulley.control.rate_owner import RateOwner
 from wisteriapulley.control.reports import ReportTable
@@ -46,7 +46,7 @@
 from wisteriapulley.settings import Address, ControlSettings, load_operators
 from wisteriapulley.weights.pieces import PieceSource
 from wisteriapulley.wire import Frame, Link, LinkServer, broadcast, messages
-from wisteriapulley.wire.handshake import Identity
+from wisteriapulley.wire.handshake import Identity, knows_model_query
 from wisteriapulley.wire.reconnect import ReconnectingLink
 
 log = logging.getLogger(__name__)
@@ -427,7 +427,8 @@
     ) -> None:
         """Handle the message `ModelNews` of another instance."""
         if link.peer.role == "control":
-            self.publisher.observe_models(message, link.peer_id)
+            news = message if knows_model_query(link.peer) else with_assumed(message)
+            self.publisher.observe_models(news, link.peer_id)
 
     @receive.register
     async def receive_model_query(
--- a/tests/test_peer_ages.py
+++ b/tests/test_peer_ages.py
@@ -9,6 +9,7 @@
 from tests.fakes.links import LateLink
 from tests.test_control_publisher import Instance, models_of
 from wisteriapulley.control.peer_ages import PeerAges
+from wisteriapulley.control.publisher import with_assumed
 from wisteriapulley.wire import codec
 
 PLAY_S = 12.0
@@ -78,3 +79,16 @@
     @pytest.mark.parametrize("seed", range(3))
     def test_no_instance_believes_a_later_time(self, seed):
         assert max(self.accepted_s(13, seed)) <= 0.0
+
+
+class TestEarlierRelease:
+    def test_age_of_its_disk_does_not_replace_a_true_one(self):
+        """It has no flag for an assumed age, and the old version would end at once."""
+        instance = Instance()
+        instance.publisher.observe_models(models_of(3, age_ms=500))
+        instance.publisher.observe_models(with_assumed(models_of(3, 3_600_000)))
+        instance.publisher.observe_models(with_assumed(models_of(3, 600)))
+        ((_, known),) = instance.publisher.versions.acceptances("m")
+        assert not known.assumed
+        (told,) = instance.publisher.models_message().models[0].named
+        assert 600 <= told.age_ms < 60_000
