Give assumed ages of versions a module of their own

The publisher held the filters of messages beside what it publishes. They and the age that is assumed move to control/assumed_ages.py; nothing else changes.

Measured: tests of publisher, peers, ages and the quorum pass.

--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 
 from wisteriapulley.clocks import steady_ms, steady_s
+from wisteriapulley.control.assumed_ages import RESTORED_AGE_S, without_assumed
 from wisteriapulley.control.control_api import unpack_table
 from wisteriapulley.control.driver import Driver
 from wisteriapulley.control.evacuations import EvacuationView
@@ -29,9 +30,6 @@
 
 # How long the reply to a follower waits for a quorum to confirm the table.
 CONFIRM_TIMEOUT_S = 0.8
-# Age assumed of versions that are restored from disk: longer than a superseded version
-# may serve.
-RESTORED_AGE_S = 3600.0
 
 
 class Learned(enum.IntEnum):
@@ -426,34 +424,6 @@
         return self.routing_message(fresh, known)
 
 
-def with_assumed(news: messages.ModelNews) -> messages.ModelNews:
-    """Mark ages that an instance of an earlier release has assumed.
-
-    It has no flag for that, and gives versions of its disk this age.
-    """
-    return messages.ModelNews(
-        tuple(
-            state._replace(
-                named=tuple(
-                    desired._replace(assumed=desired.age_ms >= RESTORED_AGE_S * 1000)
-                    for desired in state.named
-                )
-            )
-            for state in news.models
-        )
-    )
-
-
-def without_assumed(news: messages.ModelNews) -> messages.ModelNews:
-    """Return a message without the versions whose age is only assumed."""
-    return messages.ModelNews(
-        tuple(
-            state._replace(named=tuple(v for v in state.named if not v.assumed))
-            for state in news.models
-        )
-    )
-
-
 def without_older_unknown(named: list[NamedVersion]) -> list[NamedVersion]:
     """Drop versions of unknown age before a newer one of unknown age.
 
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -11,6 +11,7 @@
 
 from wisteriapulley.catalogue import ChangeResult
 from wisteriapulley.clocks import steady_ms
+from wisteriapulley.control.assumed_ages import with_assumed
 from wisteriapulley.control.client import ISOLATED_STATE
 from wisteriapulley.control.cold_owner import ColdOwner
 from wisteriapulley.control.commands import (
@@ -32,7 +33,7 @@
 from wisteriapulley.control.peer_ages import PeerAges
 from wisteriapulley.control.permits import PermitSweeper
 from wisteriapulley.control.pieces import PieceServer
-from wisteriapulley.control.publisher import Publisher, with_assumed
+from wisteriapulley.control.publisher import Publisher
 from wisteriapulley.control.quorum_members import quorum_routes
 from wisteriapulley.control.rate_owner import RateOwner
 from wisteriapulley.control.reports import ReportTable
--- a/tests/test_peer_ages.py
+++ b/tests/test_peer_ages.py
@@ -8,8 +8,8 @@
 
 from tests.fakes.links import LateLink
 from tests.test_control_publisher import Instance, models_of
+from wisteriapulley.control.assumed_ages import with_assumed
 from wisteriapulley.control.peer_ages import PeerAges
-from wisteriapulley.control.publisher import with_assumed
 from wisteriapulley.wire import codec
 
 PLAY_S = 12.0
