--- a/src/wisteriapulley/rollout/switch_order.py
+++ b/src/wisteriapulley/rollout/switch_order.py
@@ -54,7 +54,7 @@
         How long requests may still start on it.
     stalled : bool
         Whether no pieces arrive.
-    in_row : bool
+    has_given_up : bool
         Whether the engine has given up a download since it last held the newest
         version.
     """
@@ -62,7 +62,7 @@
     ready_ms: float
     left_ms: float
     stalled: bool = False
-    in_row: bool = False
+    has_given_up: bool = False
 
     @property
     def service_ms(self) -> float:
@@ -129,12 +129,12 @@
     outlook : DownloadOutlook
         When the superseded version is ready, and how long it may serve.
     """
-    is_fetched = outlook.in_row and not (newer_fraction or outlook.stalled)
+    is_fetched = outlook.has_given_up and not (newer_fraction or outlook.stalled)
     if older_fraction < 1 and not is_fetched:
         return False
     if not done_fraction or outlook.service_ms < MIN_SERVICE_MS:
         return False
-    if outlook.in_row or newer_fraction < AVAILABLE_FRACTION:
+    if outlook.has_given_up or newer_fraction < AVAILABLE_FRACTION:
         return True
     if done_fraction < ADVANCED_DOWNLOAD_FRACTION:
         return False
--- a/src/wisteriapulley/rollout/updater.py
+++ b/src/wisteriapulley/rollout/updater.py
@@ -81,7 +81,7 @@
         What is being downloaded or loaded.
     load_ms : float
         Estimated load time of an idle engine.
-    in_row : bool
+    has_given_up : bool
         Whether a download was given up for a newer version since the engine last held
         the newest one.
     """
@@ -111,7 +111,7 @@
         self.goal: Goal | None = None
         self.update_task: asyncio.Task | None = None
         self.load_ms = INITIAL_LOAD_MS
-        self.in_row = False
+        self.has_given_up = False
 
     def stop(self) -> None:
         """Cancel the update in progress."""
@@ -140,7 +140,7 @@
         desired, held = state.desired_version(), state.held_version()
         if held and held >= desired:
             self.goal = None
-            self.in_row = False
+            self.has_given_up = False
             return
         goal = Goal(engine.model, desired)
         running = self.update_task is not None and not self.update_task.done()
@@ -176,7 +176,7 @@
     def give_up_download(self, newer: int) -> None:
         """Record that the current download makes way for a newer version."""
         if self.manifest is not None:
-            self.in_row = True
+            self.has_given_up = True
             given_up = fields(version=self.manifest.version, newer=newer)
             log.info("download given up", extra=given_up)
 
@@ -190,7 +190,7 @@
             wait_ms + self.load_ms,
             start_left_ms(age_ms, self.settings.old_version_ms),
             self.staging.is_stalled(),
-            self.in_row,
+            self.has_given_up,
         )
 
     async def run_update(self, goal: Goal) -> None:
--- a/src/wisteriapulley/weights/fetch_order.py
+++ b/src/wisteriapulley/weights/fetch_order.py
@@ -16,7 +16,7 @@
         When it was first requested, in seconds of `clocks.steady_s`.
     started_s : float
         When its fetch started.
-    in_row : bool
+    has_given_up : bool
         Whether a fetch was given up for a newer version since the newest one was held.
 
     Attributes
@@ -32,12 +32,12 @@
         version: int,
         named_s: float,
         started_s: float,
-        in_row: bool = False,
+        has_given_up: bool = False,
     ):
         self.version = version
         self.named_s = named_s
         self.started_s = started_s
-        self.in_row = in_row
+        self.has_given_up = has_given_up
         self.superseded_s: float | None = None
         self.progress_s = started_s
 
@@ -62,7 +62,7 @@
         now_s : float
             Now, in seconds of `clocks.steady_s`.
         """
-        if not self.in_row or not held_fraction:
+        if not self.has_given_up or not held_fraction:
             return False
         if now_s - self.progress_s > SOURCE_LOST_AFTER_S:
             return False
--- a/src/wisteriapulley/weights/relay.py
+++ b/src/wisteriapulley/weights/relay.py
@@ -297,13 +297,13 @@
         """Start to fetch all pieces of a version."""
         waited = self.waiting.pop(model, None) is not None
         older, running_task = self.prefetch_tasks.get(model, (-1, None))
-        in_row = waited and self.fetches[model].in_row
+        has_given_up = waited and self.fetches[model].has_given_up
         if running_task is not None and not running_task.done():
             running_task.cancel()
-            in_row = True
+            has_given_up = True
             given_up = fields(model=model, version=older, newer=version)
             log.info("fetch of weights given up", extra=given_up)
-        self.fetches[model] = VersionFetch(version, named_s, steady_s(), in_row)
+        self.fetches[model] = VersionFetch(version, named_s, steady_s(), has_given_up)
         task = asyncio.get_running_loop().create_task(self.fetch_all(model, version))
         self.prefetch_tasks[model] = (version, task)
         task.add_done_callback(lambda _: self.advance_fetch(model))
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -171,19 +171,21 @@
         # waited for them would start the second version only when it is complete there.
         for rank in (0, 9):
             assert not self.finishes(rank, 0.88, 0.88, 0.1)
-            assert not self.finishes(rank, 0.88, 0.88, 0.1, in_row=True)
+            assert not self.finishes(rank, 0.88, 0.88, 0.1, has_given_up=True)
 
     def test_engine_gives_up_one_download_at_most(self):
         # With versions every 2 s it would never hold one.
-        assert self.finishes(9, 0.3, 1.0, 1.0, in_row=True)
-        assert self.finishes(9, 0.3, 0.7, 0.0, in_row=True)
-        assert not self.finishes(9, 0.3, 0.7, 0.0, in_row=True, stalled=True)
+        assert self.finishes(9, 0.3, 1.0, 1.0, has_given_up=True)
+        assert self.finishes(9, 0.3, 0.7, 0.0, has_given_up=True)
+        assert not self.finishes(9, 0.3, 0.7, 0.0, has_given_up=True, stalled=True)
         assert not self.finishes(9, 0.3, 0.7, 0.0)
 
     def test_version_that_could_hardly_serve_is_not_finished(self):
         for rank in (0, 9):
             assert not self.finishes(rank, 0.9, 1.0, 0.1, left_ms=1500)
-            assert not self.finishes(rank, 0.9, 1.0, 0.1, left_ms=1500, in_row=True)
+            assert not self.finishes(
+                rank, 0.9, 1.0, 0.1, left_ms=1500, has_given_up=True
+            )
 
 
 class CorruptingSource:
--- a/tests/test_versions_in_a_row.py
+++ b/tests/test_versions_in_a_row.py
@@ -269,15 +269,15 @@
 class TestFetchOrder:
     """A version of which 2.8 s of fetching are needed; another is named every 2 s."""
 
-    def fetch(self, started_s=0.0, in_row=True):
-        fetch = VersionFetch(2, 0.0, started_s, in_row)
+    def fetch(self, started_s=0.0, has_given_up=True):
+        fetch = VersionFetch(2, 0.0, started_s, has_given_up)
         fetch.progress_s = 2.0
         fetch.supersede(2.0)
         return fetch
 
     def test_fetch_after_one_that_was_given_up_is_finished(self):
         assert self.fetch().is_worth_finishing(2 / 2.8, 2.0)
-        assert not self.fetch(in_row=False).is_worth_finishing(2 / 2.8, 2.0)
+        assert not self.fetch(has_given_up=False).is_worth_finishing(2 / 2.8, 2.0)
 
     def test_fetch_that_the_origin_drops_before_its_end_is_given_up(self):
         assert not self.fetch(started_s=1.5).is_worth_finishing(0.5 / 2.8, 2.0)
