Separate the handler of model news from what it updates

receive_models was a handler by type, and was called directly with more arguments and for its result. update_models does the latter now.

Measured: tests of followers, ages and ends of versions pass.

--- a/src/wisteriapulley/control/following.py
+++ b/src/wisteriapulley/control/following.py
@@ -316,7 +316,7 @@
         if isinstance(frame.message, messages.TargetBeats):
             self.receive_heartbeats(frame.message, link)
         elif isinstance(frame.message, messages.ModelNews):
-            changed = self.receive_models(frame.message, link.peer_id)
+            changed = self.update_models(frame.message, link.peer_id)
             self.age_queries.observe(link, frame.message, changed)
         else:
             self.receive(frame.message)
@@ -354,8 +354,12 @@
         self.on_table(self.table)
 
     @receive.register
-    def receive_models(self, message: messages.ModelNews, peer: str = "") -> bool:
-        """Handle the message `ModelNews`; return whether it told anything new."""
+    def receive_models(self, message: messages.ModelNews) -> None:
+        """Handle the message `ModelNews`."""
+        self.update_models(message)
+
+    def update_models(self, message: messages.ModelNews, peer: str = "") -> bool:
+        """Use what an instance told of models; return whether anything was new."""
         for state in message.models:
             self.engines[state.service] = engine_of(state)
             self.cold_limits[state.service] = (state.cold_start_s, state.cold_per_s)
