--- a/review/3/play.py
+++ b/review/3/play.py
@@ -8,10 +8,10 @@
 from typing import NamedTuple
 
 import aiohttp
-from review.standins.clients import Clients
-from review.standins.deployment import BOUNDS, Deployment, run_case, wait_until
-from review.standins.operator import Operator, plain_config, plain_route
-from review.standins.servers import PlainServer
+from standins.clients import Clients
+from standins.deployment import BOUNDS, Deployment, run_case, wait_until
+from standins.operator import Operator, plain_config, plain_route
+from standins.servers import PlainServer
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HERE = Path(__file__).resolve().parent
@@ -96,16 +96,21 @@
     await server.report()
     deployment.record(f"{server.instance} reports ready for the last time")
     await asyncio.sleep(PHASE_S)
+    asked_s = deployment.now_s()
     acked = await server.deregister(acknowledger.address(10))
     if TROUBLE:
         acknowledger.signal("control", signal.SIGKILL)
     acked_s = deployment.now_s()
+    took_ms = (acked_s - asked_s) * 1000
     if not acked:
         raise AssertionError("the deregistration was not acknowledged")
     deployment.record(f"{server.instance} deregisters at {acknowledger.name}: 200")
     if not TROUBLE:
         return Leave(acked_s, acked_s)
-    deployment.record(f"control on {acknowledger.name} killed")
+    deployment.record(
+        f"control on {acknowledger.name} killed {took_ms:.1f} ms after it was asked"
+    )
+    print(f"killed {took_ms:.1f} ms after the leave was sent, so sooner after the ack")
     await asyncio.sleep(RESTART_S)
     acknowledger.processes["control"].wait()
     acknowledger.start("control")
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,9 @@
 #!/bin/bash
-# Compiles the stand-ins of the scripts. Run after the build of the deploy file.
+# Builds the stand-ins of the scripts into target/review. Run after the build of the
+# deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-python3 -m compileall -q review/standins review/*/play.py
+rm -rf target/review
+mkdir -p target/review/standins
+cp review/*.py target/review/standins/
+python3 -m compileall -q target/review
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -18,7 +18,8 @@
 
 import aiohttp
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+# This file is built into target/review/standins.
+ROOT = Path(__file__).resolve().parents[3]
 RUN_COMMANDS = {
     role: fields["run"].split()
     for role, fields in tomllib.loads((ROOT / "deploy" / "system.toml").read_text())[
@@ -30,6 +31,8 @@
 # The variables that a process gets from its caller; see DEPLOY.md.
 INHERITED = ("PATH", "HOME", "LANG")
 START_LIMIT_S = 15.0
+# Status of a play that broke the rule; Python exits with 1 on errors.
+BROKEN = 10
 # Bounds of kit/more/system/sites/lettercraft-relay.toml, as SYSTEM.md gives them.
 BOUNDS = {
     "seed-lag-s": 3,
@@ -244,13 +247,13 @@
 
 
 def run_case(play):
-    """Run a case; return its exit status: 1 if the rule broke, 2 without a result."""
+    """Run a case; return the status that `run.sh` maps: 0, or `BROKEN`."""
     # The stand-ins log each connection that ends.
     logging.disable(logging.CRITICAL)
     # Ends the processes of the case as well.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        return int(asyncio.run(play()))
+        return BROKEN if asyncio.run(play()) else 0
     except Exception as error:
         print(f"could not run: {error!r}")
         return 2
--- a/review/standins/engine.py
+++ b/review/engine.py
@@ -5,7 +5,7 @@
 import json
 
 from aiohttp import web
-from review.standins.servers import PlainServer
+from standins.servers import PlainServer
 
 MODEL = "daka510000"
 LAYERS, CHUNKS, CHUNK_BYTES = 16, 64, 32768
@@ -39,6 +39,7 @@
         self.deployment = deployment
         self.newest = 1
         self.spoils_next = False
+        self.answers = 0
         self.link = asyncio.Lock()
         app = web.Application()
         app.router.add_get("/api/manifest/{model}", self.manifest)
@@ -54,6 +55,7 @@
 
     async def manifest(self, request):
         """Return the digests of a version."""
+        self.answers += 1
         version = int(request.query.get("version", self.newest))
         digests = [
             hashlib.sha256(piece_bytes(version, n)).hexdigest() for n in range(CHUNKS)
@@ -77,6 +79,7 @@
 
     async def piece(self, request):
         """Return a piece."""
+        self.answers += 1
         version = int(request.query.get("version", self.newest))
         async with self.link:
             await asyncio.sleep(CHUNK_BYTES * 8 / ORIGIN_BITS_PER_S)
--- a/review/standins/servers.py
+++ b/review/servers.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 from aiohttp import web
-from review.standins.deployment import HEARTBEAT_S
+from standins.deployment import HEARTBEAT_S
 
 CALL_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 
