Log who has heard that a target leaves

A request reached a server 4.4 s after its leave had been acknowledged. The logs named the control instance that acknowledged it and nothing else, so they could not tell whether the others never heard of the leave, heard of it and passed nothing on, or were told otherwise later.

Instances now log a leave that another one tells them (`target changed` with `peer`), and entries log a target that leaves (`target leaves`).

--- a/src/wisteriapulley/control/control_api.py
+++ b/src/wisteriapulley/control/control_api.py
@@ -21,6 +21,7 @@
 )
 from wisteriapulley.control.driver import no_quorum
 from wisteriapulley.control.evacuations import EvacuationOrder
+from wisteriapulley.control.target_feed import target_fields
 from wisteriapulley.errors import CatalogueError, ResultCode
 from wisteriapulley.logs import fields
 from wisteriapulley.routing import RoutingTable, check_table
@@ -251,16 +252,3 @@
         """Record that a target shuts down."""
         state = self.service.publisher.target_feed.record_end(target_id)
         log.info("target changed", extra=target_fields(state))
-
-
-def target_fields(state: TargetState) -> dict[str, object]:
-    """Return the log fields that describe a target."""
-    return fields(
-        target=state.target_id,
-        service=state.service,
-        address=state.address,
-        sequence=state.sequence,
-        leaving=state.leaving,
-        gone=state.gone,
-        version=state.version,
-    )
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -422,7 +422,8 @@
     ) -> None:
         """Handle the message `TargetNews` of another instance."""
         if link.peer.role == "control":
-            self.publisher.target_feed.observe_peer_update(message.targets)
+            feed = self.publisher.target_feed
+            feed.observe_peer_update(message.targets, link.peer_id)
 
     @receive.register
     async def receive_models(
--- a/src/wisteriapulley/control/target_feed.py
+++ b/src/wisteriapulley/control/target_feed.py
@@ -9,14 +9,18 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable, Iterable
 
 from wisteriapulley.clocks import steady_ms
 from wisteriapulley.control.followers import Followers
 from wisteriapulley.control.targets import Change, TargetTable
+from wisteriapulley.logs import fields
 from wisteriapulley.wire import Link, messages
 from wisteriapulley.wire.messages import TargetBeats, TargetQuery, TargetState
 
+log = logging.getLogger(__name__)
+
 # Changes within this delay share one frame. It is far below the time within which a
 # leaving target must get no new requests, and long enough for a burst of starts.
 BATCH_DELAY_S = 0.02
@@ -69,13 +73,15 @@
         self.queue_change(target_id, Change.MEMBERSHIP)
         return state
 
-    def observe_peer_update(self, states: Iterable[TargetState]) -> None:
+    def observe_peer_update(self, states: Iterable[TargetState], peer: str) -> None:
         """Record targets that another instance published."""
         now_ms = steady_ms()
         for state in states:
             change = self.targets.update(state, now_ms, direct=False)
             if change:
                 self.queue_change(state.target_id, change)
+            if change is Change.MEMBERSHIP and (state.leaving or state.gone):
+                log.info("target changed", extra=target_fields(state, peer=peer))
 
     def queue_change(self, target_id: str, change: Change) -> None:
         """Queue a change for the next batch."""
@@ -134,3 +140,17 @@
         """Cancel the pending batch."""
         if self.flush_timer is not None:
             self.flush_timer.cancel()
+
+
+def target_fields(state: TargetState, **more: object) -> dict[str, object]:
+    """Return the log fields that describe a target."""
+    return fields(
+        target=state.target_id,
+        service=state.service,
+        address=state.address,
+        sequence=state.sequence,
+        leaving=state.leaving,
+        gone=state.gone,
+        version=state.version,
+        **more,
+    )
--- a/src/wisteriapulley/direct/registry.py
+++ b/src/wisteriapulley/direct/registry.py
@@ -287,11 +287,22 @@
         self.last_update_s = 0.0
         self.evacuated: frozenset[str] = frozenset()
 
-    def update(self, states: Iterable[TargetState], now_s: float) -> None:
-        """Apply target states received from control instances."""
+    def update(self, states: Iterable[TargetState], now_s: float) -> list[Target]:
+        """Apply target states received from control instances.
+
+        Return the targets that turned out to be leaving or gone.
+        """
+        left: list[Target] = []
         for state in states:
             self.last_update_s = now_s
+            known = self.targets.get(state.target_id)
+            before = known is not None and (known.state.leaving, known.state.gone)
             self.update_target(state, now_s - state.age_ms / 1000)
+            target = self.targets[state.target_id]
+            after = (target.state.leaving, target.state.gone)
+            if any(after) and after != before:
+                left.append(target)
+        return left
 
     def record_heartbeats(
         self, heartbeats: Iterable[TargetBeat], now_s: float
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -148,7 +148,11 @@
 
     def targets_changed(self, states: Iterable[messages.TargetState]) -> None:
         """Apply updates of target states."""
-        self.registry.update(states, asyncio.get_running_loop().time())
+        for target in self.registry.update(states, asyncio.get_running_loop().time()):
+            log.info(
+                "target leaves",
+                extra=fields(target=target.target_id, gone=target.state.gone),
+            )
         self.keep_links()
 
     def evacuations_changed(self) -> None:
--- a/src/wisteriapulley/explain.py
+++ b/src/wisteriapulley/explain.py
@@ -36,6 +36,7 @@
     "the engine does not answer",
     "weights not in place",
     "target changed",
+    "target leaves",
     "no control instance",
     "the disk stalls",
     "call not acknowledged",
--- a/tests/test_target_feed.py
+++ b/tests/test_target_feed.py
@@ -104,7 +104,7 @@
 
     def test_updates_of_other_instances_are_not_sent_back(self, monkeypatch):
         async def scenario(instance):
-            instance.feed.observe_peer_update([state(1)])
+            instance.feed.observe_peer_update([state(1)], "c-2")
             instance.now_ms = 1000.0
             heartbeat = messages.TargetBeat("i-1", 0, 1, False, 10)
             instance.feed.observe_heartbeats(
@@ -123,7 +123,7 @@
                 messages.TargetBeat("i-1", 0, 4, False, 0),
                 messages.TargetBeat("i-2", 0, 4, False, 0),
             )
-            instance.feed.observe_peer_update([state(2, 4)])
+            instance.feed.observe_peer_update([state(2, 4)], "c-2")
             instance.feed.observe_heartbeats(messages.TargetBeats(heartbeats), link)
             assert link.written == [messages.TargetQuery(("i-1",))]
 
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -70,6 +70,23 @@
         assert final_states == {state(sequence=12, leaving=True)}
 
 
+class TestTargetThatLeaves:
+    """What an entry logs, to tell what it has heard of a leave."""
+
+    def test_each_step_of_a_leave_is_reported_once(self):
+        registry = TargetRegistry()
+        leaving = state(sequence=2, leaving=True)
+        gone = state(sequence=2, leaving=True, gone=True)
+        steps = [state(), leaving, state(sequence=3, leaving=True), gone, gone]
+        reported = [len(registry.update([step], 0.0)) for step in steps]
+        assert reported == [0, 1, 0, 1, 0]
+
+    def test_target_that_is_back_is_not_reported(self):
+        registry = TargetRegistry()
+        registry.update([state(gone=True, leaving=True, started_ms=1000)], 0.0)
+        assert registry.update([state(started_ms=2000)], 1.0) == []
+
+
 class TestTargetThatRestarts:
     """One id, several incarnations: the latest counts, in any order of arrival."""
 
