Let every control instance repeat that a target has left

A majority knows of an acknowledged leave, but not every instance does: a lost machine takes with it what it had not sent yet. An instance that missed the leave was told by nobody, since the end of a target is repeated only by the instance that had it from the target itself. Entries that follow the one that missed it, and the lost one, go on sending until the target's last heartbeat is 5 s old.

All instances that know now repeat the end to the others once a second for 5 s, as they do to their followers. It shares the frame of the heartbeats.

Test: test_instance_that_missed_the_leave_hears_of_it_from_any_other fails before.

--- a/src/wisteriapulley/control/targets.py
+++ b/src/wisteriapulley/control/targets.py
@@ -137,13 +137,15 @@
         since_ms : float
             Time of the previous call.
         direct_only : bool
-            Leave out what other instances forwarded: they send it to each other.
+            Leave out what other instances forwarded, since they send it to each other.
+            The end of a target is not left out: the one that forwarded it may have
+            ended before it reached all.
         """
         for record in self.records.values():
             repeats = record.state.gone and now_ms - record.observed_ms < GONE_REPEAT_MS
             if record.updated_ms <= since_ms and not repeats:
                 continue
-            if direct_only and not record.direct:
+            if direct_only and not (record.direct or repeats):
                 continue
             yield heartbeat_of(record, now_ms)
 
--- a/tests/test_lost_leave.py
+++ b/tests/test_lost_leave.py
@@ -18,14 +18,23 @@
 from wisteriapulley.control.followers import Followers
 from wisteriapulley.control.leave_confirmation import LeaveConfirmer
 from wisteriapulley.control.leaves import KnownLeaves, Leave, includes_leave
-from wisteriapulley.control.target_feed import BATCH_DELAY_S, TargetFeed
+from wisteriapulley.control.target_feed import (
+    BATCH_DELAY_S,
+    HEARTBEAT_INTERVAL_S,
+    TargetFeed,
+)
 from wisteriapulley.control.targets import TargetTable
 from wisteriapulley.errors import ResultCode, WisteriapulleyError
 from wisteriapulley.platform import names
 from wisteriapulley.platform.daemons import new_control, new_entry
 from wisteriapulley.platform.settings import Tolerance
 from wisteriapulley.regions import Regions
-from wisteriapulley.wire.messages import TargetNews, TargetQuery, TargetState
+from wisteriapulley.wire.messages import (
+    TargetBeats,
+    TargetNews,
+    TargetQuery,
+    TargetState,
+)
 
 TARGET = "i-1"
 
@@ -94,14 +103,16 @@
         self.api = ControlApi(service)
 
     def receive(self, message, sender):
+        link = SimpleNamespace(
+            post=lambda m: self.network.send(self.node_id, m, [sender])
+        )
         if isinstance(message, TargetQuery):
-            link = SimpleNamespace(
-                post=lambda m: self.network.send(self.node_id, m, [sender])
-            )
             self.feed.answer_query(message, link)
         elif isinstance(message, TargetNews):
             self.feed.observe_peer_update(message.targets, sender)
             self.leaves.observe(message.targets, sender)
+        elif isinstance(message, TargetBeats):
+            self.feed.observe_heartbeats(message, link)
 
     def knows_leave(self, target_id=TARGET):
         return self.leaves.leaves.leave_of(target_id) is not None
@@ -232,6 +243,24 @@
 
         self.run(network, scenario)
 
+    def test_instance_that_missed_the_leave_hears_of_it_from_any_other(self):
+        # Guards against a leave that is unknown where a lost machine had not sent it.
+        network = Network("a", "b", "c")
+
+        async def scenario(a, b, c):
+            await a.api.observe_target(state())
+            await asyncio.sleep(2 * BATCH_DELAY_S)
+            network.deaf.add("c")
+            await a.api.remove_target(TARGET)
+            network.deaf.clear()
+            network.unlinked.add("a")
+            b.feed.send_heartbeats_if_due(steady_ms() + HEARTBEAT_INTERVAL_S * 1000)
+            await asyncio.sleep(2 * BATCH_DELAY_S)
+            assert c.knows_leave()
+            assert c.has_told_entry()
+
+        self.run(network, scenario)
+
     def test_repeated_reports_of_a_confirmed_leave_cause_no_messages(self):
         network = Network("a", "b", "c")
 
