Send leaves over links without room, too

A change of a target passes over a follower whose link has no room. What repeats it is the heartbeat a second later, over the same link, and only if there is room by then. An entry whose links are filled by other traffic, such as routing tables or pieces of weights, went on sending to a target that had left.

Leaves are rare and small, so they are queued there as evacuations and versions of weights are. Everything else still waits until the follower asks for it.

Test: test_leave_is_sent_over_a_link_without_room fails before.

--- a/src/wisteriapulley/control/followers.py
+++ b/src/wisteriapulley/control/followers.py
@@ -61,12 +61,12 @@
         """Return whether a follower is in this instance's region."""
         return self.regions.same(link.peer.failure_domain, self.failure_domain)
 
-    def open_links(self, role: str = "") -> Iterable[Link]:
-        """Yield open links that have room, of one role or of all roles."""
+    def open_links(self, role: str = "", has_room: bool = True) -> Iterable[Link]:
+        """Yield open links with or without room, of one role or of all roles."""
         for link in tuple(self.links):
             if link.closed.is_set() or (role and link.peer.role != role):
                 continue
-            if link.write_buffer_bytes() < MAX_BUFFERED_BYTES:
+            if (link.write_buffer_bytes() < MAX_BUFFERED_BYTES) is has_room:
                 yield link
 
     def push_routing(self, message: messages.RoutingNews) -> None:
@@ -103,6 +103,9 @@
     ) -> None:
         """Send changed targets to entries; membership and coldness to sidecars too.
 
+        A link without room gets only the leaves: they are rare, and a target that has
+        left must get no requests. It gets the rest when it requests what it missed.
+
         Parameters
         ----------
         states : iterable of TargetState
@@ -118,6 +121,9 @@
         )
         if for_sidecars:
             broadcast(self.open_links(SIDECAR), messages.TargetNews(for_sidecars))
+        leaves = tuple(state for state in for_sidecars if state.leaving or state.gone)
+        if leaves:
+            broadcast(self.open_links(has_room=False), messages.TargetNews(leaves))
 
     def push_heartbeats(self, heartbeats: tuple[messages.TargetBeat, ...]) -> None:
         """Send target heartbeats to entries."""
--- a/tests/test_target_feed.py
+++ b/tests/test_target_feed.py
@@ -7,6 +7,7 @@
 
 from tests.fakes.links import RecordingLink
 from wisteriapulley.control import target_feed
+from wisteriapulley.control.fanout import MAX_BUFFERED_BYTES
 from wisteriapulley.control.followers import Followers
 from wisteriapulley.control.target_feed import (
     BATCH_DELAY_S,
@@ -82,6 +83,25 @@
 
         run_scenario(scenario, monkeypatch)
 
+    def test_leave_is_sent_over_a_link_without_room(self, monkeypatch):
+        # Guards against requests to a target that left while other traffic fills links.
+        async def scenario(instance):
+            links = [instance.follower(role) for role in ("entry", "sidecar")]
+            for link in links:
+                link.write_buffer_bytes = lambda: MAX_BUFFERED_BYTES
+            instance.feed.observe_announcement(state(1))
+            instance.feed.observe_announcement(state(2))
+            await asyncio.sleep(2 * BATCH_DELAY_S)
+            assert [link.written for link in links] == [[], []]
+            instance.feed.observe_announcement(state(1, 2, leaving=True))
+            instance.feed.record_end("i-2")
+            await asyncio.sleep(2 * BATCH_DELAY_S)
+            for link in links:
+                (update,) = link.written
+                assert {s.target_id for s in update.targets} == {"i-1", "i-2"}
+
+        run_scenario(scenario, monkeypatch)
+
     def test_heartbeats_of_many_targets_share_one_frame_per_follower(self, monkeypatch):
         """100 targets send only heartbeats: one frame per second and follower."""
 
