Acknowledge a lifted quarantine only once a majority has it

An operator who lifts a quarantine got 200 as soon as the message was written to the links. If the machine lost power before it arrived, the request or part stayed quarantined at the other instances and their entries, and the instance had it back after its restart, since its file names what is quarantined and is written later. An order that was sent again found nothing to lift and told nobody.

The cause is that of the lost leave: a reply that says "done" before anyone else knows what was done. Now the reply waits until a majority of the voters has handled the message. Their reply to a query that comes behind it over the same link shows that. Otherwise the answer is 503 NO_QUORUM, and the command asks another instance; an order that is sent again tells the others once more.

Tests: three of `test_quarantine_orders.py` fail before (`..._is_not_acknowledged` twice, `test_resent_order_tells_the_other_instances_again`). The fake service of that file has three voters of which both others reply; its old tests are unchanged. Found by reading; not played with processes.

--- a/src/wisteriapulley/control/leave_confirmation.py
+++ b/src/wisteriapulley/control/leave_confirmation.py
@@ -11,7 +11,12 @@
 from wisteriapulley.clocks import steady_ms
 from wisteriapulley.consensus.types import Members
 from wisteriapulley.control.driver import no_quorum
-from wisteriapulley.control.leaves import KnownLeaves, Leave, is_majority
+from wisteriapulley.control.leaves import KnownLeaves, Leave
+from wisteriapulley.control.majority import (
+    CONFIRM_TIMEOUT_S,
+    check_reachable,
+    is_majority,
+)
 from wisteriapulley.control.target_feed import BATCH_DELAY_S, TargetFeed
 from wisteriapulley.logs import fields
 from wisteriapulley.wire import Link
@@ -19,9 +24,6 @@
 
 log = logging.getLogger(__name__)
 
-# A target without a response within a second turns to another instance, and it does so
-# sooner if it is refused.
-CONFIRM_TIMEOUT_S = 0.7
 # A link may close before its peer has read or answered.
 REPEAT_INTERVAL_S = 0.1
 
@@ -83,7 +85,7 @@
         """
         if self.is_done(target_id):
             return
-        self.check_reachable()
+        check_reachable(self.node_id, self.links(), self.members())
         since_ms = steady_ms()
         waiter = asyncio.get_running_loop().create_future()
         self.waiting.setdefault(target_id, set()).add(waiter)
@@ -107,13 +109,6 @@
         leave = self.leaves.leave_of(target_id)
         return leave is None or leave in self.confirmed
 
-    def check_reachable(self) -> None:
-        """Raise if no majority can be reached."""
-        links = (link for link in self.links() if not link.silent.is_set())
-        reachable = {self.node_id, *(link.peer_id for link in links)}
-        if not is_majority(reachable, self.members()):
-            raise no_quorum("no majority of the control instances can be reached")
-
     def remove_waiter(self, target_id: str, waiter: asyncio.Future) -> None:
         """Remove a caller that waits no more."""
         waiters = self.waiting.get(target_id, set())
--- a/src/wisteriapulley/control/leaves.py
+++ b/src/wisteriapulley/control/leaves.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterable, Set
 from typing import NamedTuple
 
-from wisteriapulley.consensus.types import Members
 from wisteriapulley.control.targets import TargetTable
 from wisteriapulley.wire.messages import TargetState
 
@@ -81,8 +80,3 @@
     if leave.started_ms and told.started_ms != leave.started_ms:
         return told.started_ms > leave.started_ms
     return told.gone or (told.leaving and not leave.gone)
-
-
-def is_majority(node_ids: Set[str], members: Members) -> bool:
-    """Return whether a majority of the voters is among some instances."""
-    return len(members.voters.keys() & node_ids) >= members.quorum_size()
--- a/src/wisteriapulley/control/operators.py
+++ b/src/wisteriapulley/control/operators.py
@@ -164,6 +164,12 @@
 
         What still crashes targets is quarantined again. An order that is resent finds
         nothing to lift, and is acknowledged.
+
+        Raises
+        ------
+        WisteriapulleyError
+            NO_QUORUM: it is lifted here, and too few other instances are known to have
+            heard of it.
         """
         owner = self.authenticate(request)
         fingerprint = request.match_info["fingerprint"]
@@ -172,6 +178,7 @@
             log.warning(
                 "quarantine lifted", extra=fields(fingerprint=fingerprint, owner=owner)
             )
+        await self.service.confirm_delivery()
         return json_response(QuarantineStatus(feed.quarantined()))
 
 
--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -28,6 +28,7 @@
 from wisteriapulley.control.followers import knows_evacuations
 from wisteriapulley.control.forward import forward
 from wisteriapulley.control.leave_confirmation import LeaveConfirmer
+from wisteriapulley.control.majority import confirm_delivery
 from wisteriapulley.control.members import Changes, MemberTable
 from wisteriapulley.control.nearest import entries_in_fleet
 from wisteriapulley.control.operators import MAX_CHANGE_BYTES, operator_routes
@@ -548,6 +549,11 @@
         accepted = {name: k for name, k in self.peer_links.items() if k.is_open}
         return list((accepted | self.open_peer_links()).values())
 
+    async def confirm_delivery(self) -> None:
+        """Wait until a majority has handled what was sent to the peers."""
+        links, members = self.open_peer_links().values(), self.driver.replica.members
+        await confirm_delivery(self.settings.node_id, links, members)
+
     def publish_member_changes(self, changes: Changes) -> None:
         """Send own members to peers and changes of the view to watchers."""
         if changes.own:
--- a/src/wisteriapulley/control/suspect_feed.py
+++ b/src/wisteriapulley/control/suspect_feed.py
@@ -110,18 +110,23 @@
     def lift(self, name: str) -> bool:
         """End a quarantine, and tell all instances; return whether there was one.
 
+        One that was lifted before is told again: others may have missed it.
+
         Parameters
         ----------
         name : str
             The fingerprint as it appears in logs.
         """
-        lifted = [d for d in self.suspects.quarantined() if log_name(d) == name]
+        named = [d for d in self.suspects.records if log_name(d) == name]
+        lifted = [d for d in named if self.suspects.is_quarantined(d)]
         for digest in lifted:
             self.suspects.record_answer(digest, steady_s())
-        if lifted:
-            message = self.message_for(lifted)
+        cleared = [d for d in named if not self.suspects.records[d].ended]
+        if cleared:
+            message = self.message_for(cleared)
             self.followers.push_suspects(message)
             self.send_to_peers(message)
+        if lifted:
             self.save()
         return bool(lifted)
 
--- a/tests/test_quarantine_orders.py
+++ b/tests/test_quarantine_orders.py
@@ -1,30 +1,58 @@
 """Operators who look at what is quarantined, and lift it."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 
+from tests.fakes.links import LateLink
 from tests.test_operators import VALID_HEADERS, FakeService, send
 from tests.test_suspect_feed import DIGEST, PART, QUARANTINED, Instance
 from wisteriapulley import cli
+from wisteriapulley.consensus.types import Members
+from wisteriapulley.control import majority
+from wisteriapulley.control.majority import confirm_delivery
 from wisteriapulley.control.reports import QuarantineRow, QuarantineStatus
 from wisteriapulley.operator_client import OperatorClient
 from wisteriapulley.policy.fingerprint import log_name
-from wisteriapulley.wire.messages import Suspect, SuspectNews
+from wisteriapulley.wire.handshake import MESSAGE_SET
+from wisteriapulley.wire.messages import ModelNews, Suspect, SuspectNews
 
 QUARANTINED_PART = SuspectNews((Suspect(PART, 0, ("6/f", "7/e", "8/d")),))
 ROW = QuarantineRow("0a1b", "part", ("6/c", "7/b", "8/a"), 17)
 
 
 class QuarantineService(FakeService):
-    """A control service without a quorum that has quarantined a request and a part."""
+    """A control service without a quorum that has quarantined a request and a part.
+
+    Parameters
+    ----------
+    replying : str
+        Node ids of the other instances that reply; "b" and "c" are voters beside "a".
+    message_set : int
+        Set of messages that the other instances know.
+    """
 
-    def __init__(self):
+    def __init__(self, replying="bc", message_set=MESSAGE_SET):
         super().__init__(has_quorum=False)
+        self.replying = replying
+        self.message_set = message_set
         self.publisher = self.instance = Instance()
         self.publisher.suspect_feed = self.instance.feed
         for news in (QUARANTINED, QUARANTINED_PART):
             self.instance.feed.observe(news, from_entry=True)
 
+    async def confirm_delivery(self):
+        members = Members(dict.fromkeys("abc", "disk"))
+        await confirm_delivery("a", map(self.new_link, "bc"), members)
+
+    def new_link(self, node_id):
+        ways_back_s = (0.0,) if node_id in self.replying else ()
+        publisher = SimpleNamespace(models_message=ModelNews)
+        link = LateLink(publisher, ways_back_s=ways_back_s)
+        link.peer = link.peer._replace(node_id=node_id, message_set=self.message_set)
+        return link
+
 
 class TestOperators:
     def request(self, service, method="get", digest=None, headers=VALID_HEADERS):
@@ -55,6 +83,31 @@
             assert self.request(service, "delete", PART)[0] == 200
         assert service.instance.sent_to_peers.count(QUARANTINED_PART) == 1
 
+    @pytest.mark.parametrize("replying", ["b", "c", "bc"])
+    def test_one_instance_that_does_not_reply_delays_nothing(self, replying):
+        assert self.request(QuarantineService(replying), "delete", PART)[0] == 200
+
+    @pytest.mark.parametrize("message_set", [MESSAGE_SET, 0])
+    def test_lift_that_no_other_instance_has_is_not_acknowledged(
+        self, message_set, monkeypatch
+    ):
+        # Guards against a lifted quarantine that is lost with one instance.
+        monkeypatch.setattr(majority, "CONFIRM_TIMEOUT_S", 0.1)
+        service = QuarantineService("", message_set)
+        status, answer = self.request(service, "delete", PART)
+        assert (status, answer["error"]["code"]) == (503, 206)
+        assert self.kinds(self.request(service)[1]) == ["request"]
+
+    def test_resent_order_tells_the_other_instances_again(self, monkeypatch):
+        monkeypatch.setattr(majority, "CONFIRM_TIMEOUT_S", 0.1)
+        service = QuarantineService("")
+        assert self.request(service, "delete", PART)[0] == 503
+        service.instance.sent_to_peers.clear()
+        service.replying = "b"
+        assert self.request(service, "delete", PART)[0] == 200
+        cleared = SuspectNews((Suspect(PART, 1, ()),))
+        assert service.instance.sent_to_peers == [cleared]
+
     def test_what_still_crashes_targets_is_quarantined_again(self):
         service = QuarantineService()
         self.request(service, "delete", PART)
