Let the soak kill the control instance that acknowledged a leave

No target of the soak deregistered, and the loss of a control instance excused late requests. With `--leaves` targets and engines deregister about every 4 s at an instance that is killed as soon as it has acknowledged, and go on serving. That instance is no excuse for a request that begins there later than the bound, and a leave must be acknowledged while nothing disturbs control instances. The option draws by itself, so the faults of known seeds stay.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -48,6 +48,11 @@
         default=False,
         help="also draw targets and engines whose answers come without end",
     )
+    parser.add_argument(
+        "--leaves",
+        action="store_true",
+        help="also draw targets whose leave is acknowledged by an instance that dies",
+    )
     return parser.parse_args()
 
 
@@ -89,12 +94,18 @@
         arguments.calm,
         arguments.callers,
         arguments.endless,
+        arguments.leaves,
     )
     runs = runs_of(arguments, options)
     if arguments.timeline:
         for seed, each in runs:
             faults = draw_faults(
-                seed, each.seconds, each.shape, calm=each.calm, endless=each.endless
+                seed,
+                each.seconds,
+                each.shape,
+                calm=each.calm,
+                endless=each.endless,
+                leaves=each.leaves,
             )
             print(*faults, sep="\n")
         return 0
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -343,14 +343,30 @@
         )
 
     def check_drain(self, execution: Execution) -> None:
-        """Check that a target gets no requests after it announced that it leaves."""
+        """Check that a target gets no requests after it announced that it leaves.
+
+        The loss of the control instance that acknowledged a leave is no excuse.
+        """
         since_s = self.leaving_since_s.get(execution.target_id)
-        if since_s is None or self.is_disturbed(since_s - RECOVERY_S, execution.at_s):
+        allowed = PLANNED_KINDS | {FaultKind.LEAVE_AND_KILL}
+        if since_s is None or self.is_disturbed(
+            since_s - RECOVERY_S, execution.at_s, allowed
+        ):
             return
         sent_s = self.sent[execution.request_id].at_s
         late = min(execution.at_s, sent_s) - since_s > DRAIN_BOUND_S
         self.check("drain", not late, f"{execution} leaving since {since_s:.2f} s")
 
+    def check_leave(self, leave: Fault, acknowledged: bool, at_s: float) -> None:
+        """Check that a leave is acknowledged while all control instances are sound."""
+        whole = (FaultKind.KILL_CONTROLS, FaultKind.KILL_ALL)
+        disturbed = any(
+            began_s <= at_s <= ended_s + RECOVERY_S
+            for fault, began_s, ended_s in self.faults
+            if fault is not leave and ("control" in fault.name or fault.kind in whole)
+        )
+        self.check("leave", acknowledged or disturbed, f"{leave} not acknowledged")
+
     def check_superseded_version(self, execution: Execution) -> None:
         """Check that no request starts on a version past its grace period.
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -58,6 +58,7 @@
     ENDLESS_BODY = "endless_body"
     ENDLESS_STREAM = "endless_stream"
     ENDLESS_REPORT = "endless_report"
+    LEAVE_AND_KILL = "leave_kill"
 
 
 # Targets stand still and go on: alone, while the configuration changes, or while the
@@ -129,6 +130,10 @@
 # mean time between the end of one and the start of the next.
 ENDLESS_S = (5.5, 8.0)
 ENDLESS_INTERVAL_S = 3.0
+# How long a control instance is away that is killed when it has acknowledged a leave,
+# and the mean time from one leave to the next, in which several may overlap.
+LEAVE_AWAY_S = (0.3, 3.0)
+LEAVE_INTERVAL_S = 4.0
 # Relative frequency of each kind. The draws of a seed depend on the order.
 DRAW_WEIGHTS = {
     FaultKind.KILL: 3,
@@ -240,7 +245,8 @@
 
     Targets stand still for `pause_s` when the grace period of a version ends. A fault
     at the end of a version starts at its naming, and takes effect `lead_s` before the
-    end; `duration_s` of slow begins is how much later than usual they are.
+    end; `duration_s` of slow begins is how much later than usual they are. `target`
+    leaves at the control instance `name`.
     """
 
     at_s: float
@@ -249,13 +255,15 @@
     duration_s: float
     pause_s: float = 0.0
     lead_s: float = 0.0
+    target: str = ""
 
     def __str__(self) -> str:
         pause = f", pause of {self.pause_s:.2f} s" if self.pause_s else ""
         lead = f", {self.lead_s:.2f} s before the end" if self.lead_s else ""
+        leave = f", leave of {self.target}" if self.target else ""
         return (
             f"{self.at_s:6.2f} s {self.kind.value} {self.name}"
-            f" for {self.duration_s:.2f} s{pause}{lead}"
+            f" for {self.duration_s:.2f} s{pause}{lead}{leave}"
         )
 
 
@@ -300,6 +308,7 @@
     mean_interval_s: float = 1.2,
     calm: bool = False,
     endless: bool = False,
+    leaves: bool = False,
 ) -> list[Fault]:
     """Return the faults of a run: single faults, series and overlapping faults.
 
@@ -318,6 +327,8 @@
         excuses a request that fails.
     endless : bool
         Whether targets and engines also give answers that come without end.
+    leaves : bool
+        Whether targets also leave at control instances that are killed at once.
     """
     faults = [
         *draw_series(random.Random(seed), seconds, shape, mean_interval_s),
@@ -336,6 +347,9 @@
         faults = [fault for fault in faults if fault.kind in PLANNED_KINDS]
     if endless:
         faults += draw_endless(random.Random(f"endless/{seed}"), seconds, shape)
+    if leaves:
+        drawn = draw_leaves(random.Random(f"leaves/{seed}"), seconds, shape)
+        faults += drop_stops_near_wipes(drawn, faults)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -363,6 +377,18 @@
         at_s += duration_s + rng.expovariate(1 / ENDLESS_INTERVAL_S)
 
 
+def draw_leaves(
+    rng: random.Random, seconds: float, shape: FleetShape
+) -> Iterator[Fault]:
+    """Yield targets that deregister at a control instance, which is killed at once."""
+    at_s = SETTLE_S + rng.expovariate(1 / LEAVE_INTERVAL_S)
+    while at_s < SETTLE_S + seconds:
+        name, target = rng.choice(shape.controls), rng.choice(shape.targets)
+        duration_s = rng.uniform(*LEAVE_AWAY_S)
+        yield Fault(at_s, FaultKind.LEAVE_AND_KILL, name, duration_s, target=target)
+        at_s += rng.expovariate(1 / LEAVE_INTERVAL_S)
+
+
 def draw_evacuations(rng: random.Random, seconds: float) -> Iterator[Fault]:
     """Yield evacuations of the failure domains in turn, one at a time.
 
@@ -564,7 +590,7 @@
 
 def candidates(kind: FaultKind, shape: FleetShape) -> tuple[str, ...]:
     """Return the names that a kind of fault can affect, or one empty name."""
-    if kind in CONTROL_KINDS:
+    if kind in (*CONTROL_KINDS, FaultKind.LEAVE_AND_KILL):
         return shape.controls
     if kind is FaultKind.ENDLESS_BODY:
         return shape.plain_targets
--- a/soak/run.py
+++ b/soak/run.py
@@ -84,6 +84,8 @@
         Callers of each entry.
     endless : bool
         Whether answers that come without end are drawn.
+    leaves : bool
+        Whether leaves are drawn whose control instance is killed.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         calm: bool = False,
         callers: int = CALLERS_PER_ENTRY,
         endless: bool = False,
+        leaves: bool = False,
     ):
         self.callers_per_entry = callers
         self.seed = seed
@@ -106,7 +109,9 @@
             self.checker, self.fleet.origin, self.fleet.shuffled_controls, seed
         )
         self.progression = VersionProgress(self.checker)
-        self.plan = draw_faults(seed, seconds, shape, calm=calm, endless=endless)
+        self.plan = draw_faults(
+            seed, seconds, shape, calm=calm, endless=endless, leaves=leaves
+        )
         self.callers: list[Caller] = []
         self.background_tasks: list[asyncio.Task] = []
         self.fault_tasks: set[asyncio.Task] = set()
@@ -319,6 +324,20 @@
         """Let an engine leave as planned and restart."""
         await self.fleet.heartbeat_senders[fault.name].leave_and_restart(self.checker)
 
+    async def leave_and_kill(self, fault: Fault) -> None:
+        """Let a target leave; kill the control instance that acknowledges it."""
+        sender = self.fleet.heartbeat_senders[fault.target]
+        control = self.fleet.control_addresses[fault.name]
+        acknowledged = await sender.deregister(control)
+        target_id = sender.left_id
+        self.checker.check_leave(fault, acknowledged, time.monotonic())
+        async with asyncio.TaskGroup() as group:
+            if acknowledged:
+                now_s = time.monotonic()
+                self.checker.leaving_since_s.setdefault(target_id, now_s)
+                group.create_task(self.kill(fault))
+            group.create_task(sender.serve_on_and_restart(target_id))
+
     async def crashing_part(self, fault: Fault) -> None:
         """Let callers send prompts with a part that crashes engines."""
         self.checker.crashing_parts.begin(fault.name)
@@ -521,4 +540,5 @@
     FaultKind.ENDLESS_BODY: SoakRun.answer_endlessly,
     FaultKind.ENDLESS_STREAM: SoakRun.answer_endlessly,
     FaultKind.ENDLESS_REPORT: SoakRun.answer_endlessly,
+    FaultKind.LEAVE_AND_KILL: SoakRun.leave_and_kill,
 }
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -24,6 +24,7 @@
     calm: bool = False
     callers: int = CALLERS_PER_ENTRY
     endless: bool = False
+    leaves: bool = False
 
     @property
     def shape(self) -> FleetShape:
@@ -52,6 +53,7 @@
         options.calm,
         options.callers,
         options.endless,
+        options.leaves,
     )
     outcome = asyncio.run(run.run())
     if not outcome.findings and not options.keep_folder:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -274,6 +274,8 @@
     def __init__(self, checker: InvariantChecker, name: str):
         super().__init__()
         self.checker = checker
+        self.name = name
+        self.incarnation = 1
         self.target_id = f"{name}-i1"
         self.grey = False
         self.endless: FaultKind | None = None
@@ -285,6 +287,11 @@
         self.app.middlewares.insert(0, record_arrival_time)
         self.app.add_routes([web.route("*", "/{tail:.*}", self.serve)])
 
+    def crash(self) -> None:
+        """Restart as a new incarnation."""
+        self.incarnation += 1
+        self.target_id = f"{self.name}-i{self.incarnation}"
+
     async def serve(self, request: web.Request) -> web.Response:
         """Run a request and record its execution."""
         body = await request.read()
@@ -337,6 +344,8 @@
         self.failure_domain = failure_domain
         self.controls = controls
         self.sequence = 0
+        # The incarnation of the target that has deregistered, and reports no more.
+        self.left_id = ""
         self.session: aiohttp.ClientSession | None = None
         self.task: asyncio.Task | None = None
 
@@ -361,7 +370,7 @@
         """Send one heartbeat when awake; return whether it was acknowledged."""
         target = self.target
         await target.awake.wait()
-        if target.is_down:
+        if target.is_down or target.target_id == self.left_id:
             return False
         self.sequence += 1
         models = [{"name": "model", "version": target.version, "adapters": []}]
@@ -398,6 +407,26 @@
         target.leaving = True
         if await self.announce():
             checker.leaving_since_s[target_id] = time.monotonic()
+        await self.serve_on_and_restart(target_id)
+
+    async def deregister(self, control: str) -> bool:
+        """Leave at one control instance; return whether it was acknowledged.
+
+        The target reports no more until it restarts, also without acknowledgement.
+        """
+        await self.target.awake.wait()
+        self.left_id = self.target.target_id
+        url = f"http://{control}{names.LEAVE_CALL.format(target_id=self.left_id)}"
+        try:
+            async with self.session.post(url) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            log.debug("leave of %s: %r", self.left_id, error)
+            return False
+
+    async def serve_on_and_restart(self, target_id: str) -> None:
+        """Go on serving for a while, then restart, unless a crash did so meanwhile."""
+        target = self.target
         await asyncio.sleep(LEAVE_DELAY_S)
         while target.running or not target.awake.is_set():
             await asyncio.sleep(EVENT_INTERVAL_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 from soak.__main__ import runs_of
 from soak.callers import PATIENCE_S, REQUEST_TIMEOUT_S
 from soak.crashing_parts import MAX_LATER_SENDS, Arrival, CrashingParts
@@ -432,6 +433,34 @@
 
         asyncio.run(run())
 
+    def test_deregistered_target_reports_no_more_until_it_restarts(self):
+        async def run():
+            control = Origin()
+            calls = []
+
+            async def answer(request):
+                calls.append(request.path)
+                return web.Response(body=b"{}")
+
+            control.app.add_routes([web.post("/api/{tail:.*}", answer)])
+            await control.start()
+            plain = SoakPlainTarget(InvariantChecker("account"), "plain-1")
+            sender = HeartbeatSender(
+                plain, "127.0.0.1:1", "domain-a", lambda: [control.address]
+            )
+            async with aiohttp.ClientSession() as sender.session:
+                assert await sender.deregister(control.address)
+                assert not await sender.announce()
+                plain.crash()
+                assert await sender.announce()
+            await control.stop()
+            assert [path.rpartition("/")[2] for path in calls] == [
+                "plain-1-i1",
+                "plain-1-i2",
+            ]
+
+        asyncio.run(run())
+
     @pytest.mark.parametrize(
         "name,expected",
         [("plain-2", {"b"}), ("domain-a", {"a", "c"}), ("", {"a", "b", "c"})],
@@ -511,6 +540,7 @@
             *VERSION_END_KINDS,
             *AT_END_KINDS,
             *ENDLESS_KINDS,
+            FaultKind.LEAVE_AND_KILL,
         }
         assert separate.isdisjoint(DRAW_WEIGHTS)
         assert {*DRAW_WEIGHTS, *separate} == set(FaultKind) == set(FAULT_ACTIONS)
@@ -644,6 +674,16 @@
             (kind, name) for kind in ENDLESS_KINDS for name in candidates(kind, SHAPE)
         }
 
+    def test_leaves_do_not_change_other_faults_of_a_seed(self):
+        drawn = set()
+        for seed in range(20):
+            others = draw_faults(seed, 60, SHAPE)
+            faults = draw_faults(seed, 60, SHAPE, leaves=True)
+            leaves = [f for f in faults if f.kind is FaultKind.LEAVE_AND_KILL]
+            assert [f for f in faults if f not in leaves] == others
+            drawn |= {(f.name, f.target) for f in leaves}
+        assert drawn == {(c, t) for c in SHAPE.controls for t in SHAPE.targets}
+
     def test_silences_and_slow_begins_add_up_at_the_end(self):
         drawn = set()
         for seed in range(60):
@@ -796,6 +836,23 @@
         checker.record_execution(EXECUTION)
         assert violations(checker) == ["drain"]
 
+    def test_leave_that_sound_control_instances_do_not_acknowledge(self):
+        leave = Fault(9, FaultKind.LEAVE_AND_KILL, "control-1", 1.0, target="plain-1")
+        for name, found in (("entry-1", ["leave"]), ("control-2", [])):
+            checker = new_checker()
+            kill = Fault(8, FaultKind.KILL, name, 1.0)
+            checker.faults += [(kill, 8.0, 9.0), (leave, 9.0, float("inf"))]
+            checker.check_leave(leave, False, 9.5)
+            assert violations(checker) == found
+
+    def test_loss_of_the_instance_that_acknowledged_a_leave_is_no_excuse(self):
+        checker = new_checker()
+        checker.leaving_since_s["i-1"] = 7.0
+        kill = Fault(0, FaultKind.LEAVE_AND_KILL, "control-1", 1.0, target="plain-1")
+        checker.faults.append((kill, 7.0, 8.0))
+        checker.record_execution(EXECUTION)
+        assert violations(checker) == ["drain"]
+
     def test_superseded_weights(self):
         checker = new_checker()
         checker.desired_since_s[2] = 10.0 - SUPERSEDED_BOUND_S
