--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -106,11 +106,11 @@
         self.leaves = LeaveConfirmer(
             settings.node_id,
             self.publisher.target_feed,
-            self.links_to_ask,
+            self.links_to_peers,
             lambda: self.driver.replica.members,
         )
         ages = PeerAges(
-            self.links_to_ask,
+            self.links_to_peers,
             self.publisher.observe_reply,
             self.publisher.versions.is_assumed,
         )
@@ -525,7 +525,7 @@
         can_skip = isinstance(message, messages.Report | messages.TargetBeats)
         is_evacuation = isinstance(message, messages.EvacuationNews)
         is_target = isinstance(message, messages.TargetNews | messages.TargetQuery)
-        links = self.links_to_ask() if is_target else self.open_peer_links().values()
+        links = self.links_to_peers() if is_target else self.open_peer_links().values()
         broadcast(
             (
                 link
@@ -541,7 +541,7 @@
         links = {name: connection.open_link for name, connection in self.peers.items()}
         return {name: link for name, link in links.items() if link is not None}
 
-    def links_to_ask(self) -> list[Link]:
+    def links_to_peers(self) -> list[Link]:
         """Return one open link to each other instance that has any.
 
         An instance may be connected only over the link that it opened itself.
--- a/tests/test_peer_ages.py
+++ b/tests/test_peer_ages.py
@@ -275,7 +275,7 @@
             "d": SimpleNamespace(open_link=None),
         }
         closed.closed.set()
-        assert restarted.links_to_ask() == [own, accepted]
+        assert restarted.links_to_peers() == [own, accepted]
 
 
 class TestEarlierRelease:
