--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -359,11 +359,11 @@
 
     def check_leave(self, leave: Fault, acknowledged: bool, at_s: float) -> None:
         """Check that a leave is acknowledged while all control instances are sound."""
-        whole = (FaultKind.KILL_CONTROLS, FaultKind.KILL_ALL)
+        of_all = (FaultKind.KILL_CONTROLS, FaultKind.KILL_ALL)
         disturbed = any(
             began_s <= at_s <= ended_s + RECOVERY_S
             for fault, began_s, ended_s in self.faults
-            if fault is not leave and ("control" in fault.name or fault.kind in whole)
+            if fault is not leave and ("control" in fault.name or fault.kind in of_all)
         )
         self.check("leave", acknowledged or disturbed, f"{leave} not acknowledged")
 
