Ignore further stop signals once a stop has begun

After 2.7 minutes the entry had used 2 min 44 s of processor time and 1.4 GB, and was still stopping.

Cause: the handler stayed installed and queued a call in the event loop for each signal. Where signals come faster than the loop runs them, the loop does nothing else, the queue grows, and neither requests in progress nor the stop go on.

Fix: the first signal sets the stop signals to be ignored, so that the kernel drops the others.

--- a/src/wisteriapulley/daemon.py
+++ b/src/wisteriapulley/daemon.py
@@ -81,8 +81,15 @@
     """
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
+
+    def request_stop(*_: object) -> None:
+        # Each call of a handler delays the loop, so frequent signals would keep it
+        # from ever running the shutdown.
+        ignore_stop_signals()
+        loop.call_soon_threadsafe(stop.set)
+
     for number in STOP_SIGNALS:
-        signal.signal(number, lambda *_: loop.call_soon_threadsafe(stop.set))
+        signal.signal(number, request_stop)
     service.fatal = loop.create_future()
     async with aiomisc.entrypoint(service, log_config=False, catch_signals=()):
         stopping = loop.create_task(stop.wait())
@@ -92,11 +99,16 @@
         stopping.cancel()
     # Python removes its signal handlers before the process ends: a signal in between
     # would kill the process instead of a clean exit.
-    for number in STOP_SIGNALS:
-        signal.signal(number, signal.SIG_IGN)
+    ignore_stop_signals()
     if service.fatal.done():
         service.fatal.result()
 
 
+def ignore_stop_signals() -> None:
+    """Let further stop signals have no effect, also while the interpreter ends."""
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 if __name__ == "__main__":
     sys.exit(main())
