Log what a connection had read when its entry closed it

A stop that loses a request leaves no line, so the hypotheses could not be told apart. A connection now tells what has arrived and is not answered when the entry closes it, and what it drops.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -17,6 +17,7 @@
 )
 from wisteriapulley.error_text import describe_error
 from wisteriapulley.errors import ResultCode, SettingsError
+from wisteriapulley.http_drain import CallerServer
 from wisteriapulley.idle_connections import close_idle
 from wisteriapulley.logs import fields
 from wisteriapulley.platform import names
@@ -158,10 +159,9 @@
         SettingsError
             ADDRESS_CLASH: the address can't be bound.
         """
-        server = web.Server(
+        server = CallerServer(
             self.handle,
             request_factory=self.new_request,
-            handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
             max_line_size=MAX_HEADER_BYTES,
