--- /dev/null
+++ b/tests/test_requests_read_at_a_stop.py
@@ -0,0 +1,285 @@
+"""Requests on their way in while an entry stops: each one that is read is answered."""
+
+import asyncio
+import re
+
+import pytest
+
+from wisteriapulley.http_drain import CallerServer
+from wisteriapulley.platform.ingress import Ingress
+from wisteriapulley.settings import Address
+
+TEST_TIMEOUT_S = 30.0
+ACCEPT_S, DRAIN_S = 0.2, 2.0
+# A stop with this limit ends within the time limit of a test only if nothing keeps it.
+LONG_DRAIN_S = 1000.0
+EVENT = b"id: 0\ndata: x\n\n"
+# How a response without an end is told from one that ends.
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def request_bytes(number, body=b""):
+    return (
+        b"POST /p/%d HTTP/1.1\r\nHost: h.example\r\nX-Request-Attempt-Id: %d\r\n"
+        b"X-Deadline-Ms: 6000\r\nContent-Length: %d\r\n\r\n"
+        % (number, number, len(body))
+    ) + body
+
+
+class Entry:
+    """An ingress, one caller, and a handler that answers once it may.
+
+    Attributes
+    ----------
+    handled : list of str
+        Ids of the requests that the handler was given.
+    may_answer : asyncio.Event
+        Lets the handler answer.
+    streams : bool
+        Whether the first response is a stream, whose head comes at once.
+    """
+
+    def __init__(self):
+        self.handled = []
+        self.bodies = []
+        self.may_answer = asyncio.Event()
+        self.streams = False
+        self.ingress = Ingress(self.serve, 100_000)
+        self.received = bytearray()
+
+    async def serve(self, request, answer):
+        self.handled.append(request.request_id)
+        self.bodies.append(request.body)
+        if self.streams and len(self.handled) == 1:
+            await answer.start(200, (), None)
+            await answer.write(EVENT)
+            await self.may_answer.wait()
+        else:
+            await self.may_answer.wait()
+            await answer.start(200, (), 2)
+            await answer.write(b"ok")
+        await answer.finish()
+
+    async def open(self):
+        """Start the ingress and connect the caller."""
+        await self.ingress.start(Address("127.0.0.1", 0))
+        self.port = self.ingress.site._server.sockets[0].getsockname()[1]
+        await self.connect()
+        await until(lambda: self.ingress.server.connections)
+
+    async def connect(self):
+        reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.reading = asyncio.create_task(self.read(reader))
+
+    async def read(self, reader):
+        """Keep what comes until the connection ends, however it does."""
+        try:
+            while data := await reader.read(65536):
+                self.received += data
+        except ConnectionError:
+            pass
+
+    def begin_stop(self, drain_s=DRAIN_S):
+        """Stop the entry as its service does; return the task."""
+        return asyncio.create_task(self.ingress.drain(ACCEPT_S, drain_s))
+
+    async def listener_closed(self):
+        """Wait until idle connections have been closed."""
+        await until(lambda: not self.ingress.runner.sites)
+        await asyncio.sleep(0.05)
+
+    @property
+    def statuses(self):
+        return [int(code) for code in re.findall(rb"HTTP/1\.1 (\d+)", self.received)]
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.001)
+
+
+@pytest.fixture
+def play():
+    """Return a function that plays a scenario with an open `Entry`."""
+
+    def run(scenario):
+        async def run_scenario():
+            entry = Entry()
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                await entry.open()
+                try:
+                    await scenario(entry)
+                finally:
+                    entry.writer.close()
+                    await entry.ingress.stop()
+
+        asyncio.run(run_scenario())
+
+    return run
+
+
+class TestRequestReadAtAStop:
+    def test_body_that_arrives_across_the_close_of_idle_connections(self, play):
+        async def scenario(entry):
+            whole = request_bytes(1, b"x" * 2000)
+            entry.may_answer.set()
+            stopping = entry.begin_stop()
+            entry.writer.write(whole[:-1000])
+            await entry.listener_closed()
+            entry.writer.write(whole[-1000:])
+            await entry.reading
+            assert entry.statuses == [200] and entry.bodies == [b"x" * 2000]
+            await stopping
+
+        play(scenario)
+
+    def test_head_that_arrives_across_the_close_of_idle_connections(self, play):
+        async def scenario(entry):
+            whole = request_bytes(1)
+            entry.may_answer.set()
+            stopping = entry.begin_stop()
+            entry.writer.write(whole[:40])
+            await entry.listener_closed()
+            entry.writer.write(whole[40:])
+            await entry.reading
+            assert entry.statuses == [200] and entry.handled == ["1"]
+            await stopping
+
+        play(scenario)
+
+    @pytest.mark.parametrize("moment", ["before the stop", "accepting", "draining"])
+    def test_request_behind_a_stream_of_before_the_stop(self, play, moment):
+        async def scenario(entry):
+            entry.streams = True
+            entry.writer.write(request_bytes(1))
+            await until(lambda: EVENT in entry.received)
+            if moment == "before the stop":
+                entry.writer.write(request_bytes(2))
+            stopping = entry.begin_stop()
+            if moment == "accepting":
+                entry.writer.write(request_bytes(2))
+            await entry.listener_closed()
+            if moment == "draining":
+                entry.writer.write(request_bytes(2))
+            await asyncio.sleep(0.05)
+            entry.may_answer.set()
+            await entry.reading
+            assert entry.statuses == [200, 200] and entry.handled == ["1", "2"]
+            await stopping
+
+        play(scenario)
+
+    def test_two_requests_in_one_write(self, play):
+        async def scenario(entry):
+            stopping = entry.begin_stop()
+            entry.writer.write(request_bytes(1) + request_bytes(2))
+            await entry.listener_closed()
+            entry.may_answer.set()
+            await entry.reading
+            assert entry.statuses == [200, 200] and entry.handled == ["1", "2"]
+            heads = entry.received.lower().split(b"http/1.1 200")[1:]
+            assert [b"connection: close" in head for head in heads] == [False, True]
+            await stopping
+
+        play(scenario)
+
+    def test_request_behind_an_answer_that_closes_is_not_run(self, play):
+        """Its caller may have taken it for unread, and have sent it elsewhere."""
+
+        async def scenario(entry):
+            entry.streams = True
+            stopping = entry.begin_stop()
+            entry.writer.write(request_bytes(1))
+            await until(lambda: EVENT in entry.received)
+            assert b"connection: close" in entry.received.lower()
+            entry.writer.write(request_bytes(2))
+            await until(lambda: entry.ingress.server.connections[0]._messages)
+            entry.may_answer.set()
+            await entry.reading
+            assert entry.statuses == [200, 503] and entry.handled == ["1"]
+            await stopping
+
+        play(scenario)
+
+
+class TestTimeOfAStop:
+    """A stop ends in its time, whatever its callers do."""
+
+    def test_body_that_never_ends_is_refused_as_not_run(self, play):
+        async def scenario(entry):
+            entry.ingress.time_needed_s = lambda head: DRAIN_S / 2
+            whole = request_bytes(1, b"x" * 2000)
+            entry.writer.write(whole[:-1000])
+            await until(lambda: entry.ingress.active)
+            stopping = entry.begin_stop()
+            await until(lambda: entry.received)
+            assert entry.statuses == [503] and entry.handled == []
+            assert b"connection: close" in entry.received.lower()
+            assert not stopping.done()
+            await stopping
+
+        play(scenario)
+
+    def test_request_without_enough_time_left_is_refused_at_once(self, play):
+        async def scenario(entry):
+            entry.ingress.time_needed_s = lambda head: 2 * LONG_DRAIN_S
+            stopping = entry.begin_stop(LONG_DRAIN_S)
+            await asyncio.sleep(0)
+            entry.writer.write(request_bytes(1))
+            await entry.reading
+            assert entry.statuses == [503] and entry.handled == []
+            assert b"retry-after" in entry.received.lower()
+            await stopping
+
+        play(scenario)
+
+    def test_half_of_a_head_delays_the_stop_no_longer_than_its_limit(self, play):
+        async def scenario(entry):
+            entry.writer.write(request_bytes(1)[:40])
+            await until(lambda: entry.ingress.server.connections[0].has_partial_head)
+            await entry.begin_stop(LONG_DRAIN_S)
+            await entry.reading
+
+        play(scenario)
+
+    def test_caller_that_goes_on_sending_on_a_kept_connection(self, play):
+        """Each request that is read has its answer, and the connection ends."""
+
+        async def scenario(entry):
+            entry.may_answer.set()
+            stopping = entry.begin_stop(LONG_DRAIN_S)
+            sent = 0
+            while not entry.reading.done():
+                sent += 1
+                entry.writer.write(request_bytes(sent))
+                await asyncio.sleep(0.02)
+            assert len(entry.statuses) >= len(entry.handled) >= 1
+            await stopping
+
+        play(scenario)
+
+
+class TestPartOfAHead:
+    """What a connection tells of requests that have arrived in part."""
+
+    def test_is_told_from_bodies_and_whole_requests(self, play):
+        async def scenario(entry):
+            (connection,) = entry.ingress.server.connections
+            entry.may_answer.set()
+            seen = []
+            whole = request_bytes(1, b"body")
+            for part in (whole[:20], whole[20:-2], whole[-2:], b"\r\n", b"POST "):
+                entry.writer.write(part)
+                await asyncio.sleep(0.05)
+                seen.append((connection.has_partial_head, connection.has_partial_body))
+            none, head, body = (False, False), (True, False), (False, True)
+            assert seen == [head, body, none, none, head]
+
+        play(scenario)
+
+    def test_server_makes_connections_of_this_class(self):
+        async def scenario():
+            connection = CallerServer(None, None)()
+            assert not connection.has_partial_head and not connection.has_partial_body
+
+        asyncio.run(scenario())
