Answer every request that a stopping entry has read

Callers saw: around a stop, a request that had been sent whole got neither an answer nor a refusal; one whose body was still on its way got 502 at the end of the drain.

Cause: the close of idle connections called aiohttp's RequestHandler.close() on each that was not idle. From then on the connection drops what arrives and, at the end of the request in progress, what it has parsed. A connection whose task had not begun to wait counted as not idle, and nothing ever closed it.

Fix: that flag is not used any more. A connection is closed only once each request that was read on it has its response, and so is one that has read nothing. A response announces the close only if nothing has arrived behind it; what arrives behind an announced close is refused as not run, since its caller may have sent it elsewhere. A request that can't be finished in what is left of the drain, by the response times of its kind, is refused at once; so is one whose body is late, which bounds the stop. Half a head is waited for for 1 s.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -31,8 +31,10 @@
 from wisteriapulley.policy.prompt_sizes import PromptSizes
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
+from wisteriapulley.policy.service_times import ServiceTimes
 from wisteriapulley.policy.shared_budget import SharedRetryBudget
 from wisteriapulley.policy.silence import MAX_LOOK_INTERVAL_S, next_look_s
+from wisteriapulley.policy.work import Work
 from wisteriapulley.routing import Account, Route, RouteIndex, RoutingTable
 from wisteriapulley.routing.homes import describe_homes, shared_homes
 
@@ -99,6 +101,8 @@
         Sizes of the prompts of new requests, by route.
     outages : dict of tuple to OutageHold
         Hold requests during outages, by service and home regions.
+    response_times : ServiceTimes
+        How long requests took from their arrival to the end of their response.
     """
 
     def __init__(
@@ -132,6 +136,7 @@
         self.outages: defaultdict[tuple[str, tuple[str, ...]], OutageHold] = (
             defaultdict(OutageHold)
         )
+        self.response_times = ServiceTimes()
         self.random = random.Random(settings.node_id)
 
     def set_table(self, table: RoutingTable) -> None:
@@ -303,6 +308,19 @@
         reason = "request timed out" if answer.started else "no response in time"
         return Refusal(RefusalKind.TIMED_OUT, reason=reason)
 
+    def time_needed_s(self, request: CallerRequest) -> float:
+        """Return how long a request may take until its response is complete.
+
+        By the response times of the requests before it, but no less than the latency
+        objective of its route.
+        """
+        index = self.index
+        route = index and index.find_route(request.host, request.path)
+        if not route:
+            return MIN_SEND_S
+        expected_s = self.response_times.upper_bound(work_of(route, request))
+        return max(expected_s, route.latency_ms / 1000, MIN_SEND_S)
+
     async def wait_for_table(self, request: CallerRequest) -> None:
         """Wait a short time for the first routing table."""
         if self.index is not None:
@@ -321,6 +339,9 @@
         took_s = self.now_s() - admitted.request.arrived_s
         traffic_class = f"{service}/{admitted.route.kind.value}"
         self.metrics.record_response(admitted.account_name, traffic_class, code, took_s)
+        if refusal is None:
+            work = work_of(admitted.route, admitted.request)
+            self.response_times.record(work, took_s)
         prompt_tokens = admitted.request.prompt_tokens
         if prompt_tokens:
             name = admitted.route.name
@@ -633,6 +654,15 @@
         return refusal
 
 
+def work_of(route: Route, request: CallerRequest) -> Work:
+    """Return a request as the estimate of response times sees it.
+
+    Its time depends on the tokens that it generates far more than on its prompt.
+    """
+    units = request.answer_tokens or 1
+    return Work(0, "", route.name, route.priority, units, 0.0)
+
+
 def merge_refusals(refusal: Refusal | None, no_slot: Refusal) -> Refusal:
     """Return the final refusal of a request that can't get another slot.
 
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -104,6 +104,7 @@
             lambda: self.follower.fresh,
         )
         self.ingress = new_ingress(self.dispatcher.serve, EdgeLimits().body_bytes)
+        self.ingress.time_needed_s = self.dispatcher.time_needed_s
         self.reported_domains: set[str] = set()
         self.leaving = False
         self.sweep_task: asyncio.Task | None = None
--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -1,4 +1,8 @@
-"""Connections of an aiohttp server that tell what they have read."""
+"""Connections of an aiohttp server that answer every request they have read.
+
+aiohttp closes a connection by a flag: it drops what arrives from then on and what it
+has parsed already, so that callers get no answer to requests that were read.
+"""
 
 import asyncio
 import logging
@@ -10,6 +14,8 @@
 
 log = logging.getLogger(__name__)
 
+POLL_INTERVAL_S = 0.02
+
 
 class CallerConnection(web.RequestHandler):
     """One connection of a caller.
@@ -20,22 +26,20 @@
         Body of the last request whose head has arrived.
     partial_of : int
         How many requests had arrived when a part of the next head did; -1 before.
+    close_announced : bool
+        Whether a response has told the caller that no other will follow.
     """
 
-    __slots__ = ("body", "partial_of")
+    __slots__ = ("body", "close_announced", "partial_of")
 
     def __init__(self, server: web.Server, **options: object):
         super().__init__(server, **options)
         self.body: StreamReader | None = None
         self.partial_of = -1
+        self.close_announced = False
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrives, and note whether it is a part of a head."""
-        if self._close and data:
-            log.warning(
-                "bytes dropped by a connection that closes",
-                extra=fields(bytes=len(data), **self.progress()),
-            )
         request_count = self._request_count
         is_body = self.has_partial_body
         super().data_received(data)
@@ -62,6 +66,11 @@
         """Whether a part of the head of the next request has arrived."""
         return self.partial_of == self._request_count
 
+    @property
+    def has_more(self) -> bool:
+        """Whether anything has arrived behind the request in progress."""
+        return bool(self._messages) or self.has_partial_head or self.has_partial_body
+
     def progress(self) -> dict[str, object]:
         """Return what has arrived, and is not answered, as fields of a log line."""
         return {
@@ -70,6 +79,23 @@
             "partial_body": self.has_partial_body,
         }
 
+    def announce_close(self, response: web.StreamResponse) -> None:
+        """Let a response tell the caller that the connection closes behind it.
+
+        aiohttp's own way would drop a request that arrives before the response ends.
+        """
+        response.headers["Connection"] = "close"
+        self.close_announced = True
+
+    async def finish_response(
+        self, request: web.BaseRequest, response: web.StreamResponse, start_s: object
+    ) -> tuple[web.StreamResponse, bool]:
+        """End a response, and close the connection if the caller was told so."""
+        result = await super().finish_response(request, response, start_s)
+        if self.close_announced and not self.has_more:
+            self.force_close()
+        return result
+
 
 class CallerServer(web.Server):
     """An aiohttp server with connections of the class `CallerConnection`.
@@ -99,3 +125,58 @@
         """Return the protocol of a new connection."""
         loop = asyncio.get_running_loop()
         return CallerConnection(self, loop=loop, **self.options)
+
+
+def is_idle(connection: web.RequestHandler) -> bool:
+    """Return whether each request that has arrived on a connection has its response.
+
+    The task of a connection waits for a request, or has not begun. It does neither
+    while a request was parsed and is not yet handled.
+    """
+    waiter = connection._waiter
+    if waiter is None:
+        return not connection._request_count
+    return not waiter.done()
+
+
+def close_idle(server: web.Server, keep_partial_heads: bool = False) -> None:
+    """Close idle connections.
+
+    Parameters
+    ----------
+    server : aiohttp.web.Server
+        Server whose connections to close.
+    keep_partial_heads : bool
+        Whether to keep the connections on which a part of a head has arrived.
+    """
+    for connection in server.connections:
+        is_kept = keep_partial_heads and has_partial_head(connection)
+        if is_idle(connection) and not is_kept:
+            connection.force_close()
+
+
+def has_partial_head(connection: web.RequestHandler) -> bool:
+    """Return whether a part of a head is known to have arrived on a connection."""
+    return isinstance(connection, CallerConnection) and connection.has_partial_head
+
+
+async def close_when_answered(
+    server: web.Server, ends_s: float, head_ends_s: float = 0.0
+) -> None:
+    """Close each connection once all requests that were read on it have a response.
+
+    Parameters
+    ----------
+    server : aiohttp.web.Server
+        Server that accepts no new connections any more.
+    ends_s : float
+        When to stop waiting, on the loop's clock.
+    head_ends_s : float
+        When to stop waiting for the rest of a head, on the loop's clock.
+    """
+    now_s = asyncio.get_running_loop().time
+    while True:
+        close_idle(server, keep_partial_heads=now_s() < head_ends_s)
+        if not server.connections or now_s() >= ends_s:
+            return
+        await asyncio.sleep(POLL_INTERVAL_S)
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -17,8 +17,7 @@
 )
 from wisteriapulley.error_text import describe_error
 from wisteriapulley.errors import ResultCode, SettingsError
-from wisteriapulley.http_drain import CallerServer
-from wisteriapulley.idle_connections import close_idle
+from wisteriapulley.http_drain import CallerServer, close_when_answered
 from wisteriapulley.logs import fields
 from wisteriapulley.platform import names
 from wisteriapulley.response_end import write_end
@@ -34,6 +33,10 @@
 KEEPALIVE_S = 75.0
 # Time limit for closing connections that are still open after all requests have ended.
 CLOSE_TIMEOUT_S = 0.2
+# How long a stopping entry waits for the rest of a head that has arrived in part.
+HEAD_WAIT_S = 1.0
+# A caller that a stopping entry refuses finds another entry at once.
+STOPPING_RETRY_S = 0.05
 # How long a caller waits that does not state it.
 DEFAULT_MAX_WAIT_MS = 30_000
 # Larger numbers would not fit into a slot request to a sidecar.
@@ -52,6 +55,12 @@
     RefusalKind.TIMED_OUT: 504,
 }
 STOPPED = Refusal(RefusalKind.FAILED, reason="entry stopped before the response")
+STOPPING = Refusal(
+    RefusalKind.UNAVAILABLE, STOPPING_RETRY_S, "not enough time left before the stop"
+)
+BEHIND_CLOSE = Refusal(
+    RefusalKind.UNAVAILABLE, STOPPING_RETRY_S, "sent behind a response that closes"
+)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 INTERNAL_ERROR = Refusal(RefusalKind.FAILED, reason="internal error")
 
@@ -81,10 +90,18 @@
         else:
             response.content_length = length
         if self.is_closing():
-            response.force_close()
+            self.end_connection(response)
         self.response = response
         await response.prepare(self.request)
 
+    def end_connection(self, response: web.StreamResponse) -> None:
+        """Let the connection close behind a response, unless requests wait there."""
+        if not self.request.content.is_eof():
+            # The rest of this request would be taken for the next one.
+            response.force_close()
+        elif not self.request.protocol.has_more:
+            self.request.protocol.announce_close(response)
+
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
         if data:
@@ -139,6 +156,12 @@
         Connections with a request in progress, and its task.
     overdue : bool
         Whether the time limit of the drain has passed.
+    drain_ends_s : float or None
+        When it passes, on the loop's clock; None before a drain.
+    time_needed_s : callable
+        Returns how long a request takes, in seconds, from its head without its body.
+    body_limits : dict of asyncio.Timeout to CallerRequest
+        Time limits of the bodies that are being read, and their heads.
     """
 
     def __init__(self, serve: RequestHandler, max_body_bytes: int):
@@ -148,6 +171,9 @@
         self.count_internal_error: Callable[[], None] = lambda: None
         self.active: dict[object, asyncio.Task] = {}
         self.overdue = False
+        self.drain_ends_s: float | None = None
+        self.time_needed_s: Callable[[CallerRequest], float] = lambda head: 0.0
+        self.body_limits: dict[asyncio.Timeout, CallerRequest] = {}
         self.runner: web.ServerRunner | None = None
         self.site: web.TCPSite | None = None
 
@@ -200,13 +226,9 @@
         if request.transport is None or request.transport.is_closing():
             return web.StreamResponse(status=503)
         self.active[request.protocol] = asyncio.current_task()
-        arrived_s = asyncio.get_running_loop().time()
         answer = HttpCallerAnswer(request, lambda: self.closing)
         try:
-            await self.confirm_expected(request)
-            body = await request.read()
-            decoded = decode_request(request, body, arrived_s)
-            refusal = await self.serve(decoded, answer)
+            refusal = await self.serve_in_time(request, answer)
             if refusal is not None:
                 await answer.refuse(refusal)
         except (ConnectionError, web.RequestPayloadError) as error:
@@ -227,6 +249,47 @@
             del self.active[request.protocol]
         return answer.response or web.StreamResponse(status=500)
 
+    async def serve_in_time(
+        self, request: web.BaseRequest, answer: HttpCallerAnswer
+    ) -> Refusal | None:
+        """Serve a request; refuse it at once if the entry stops too soon for it."""
+        if request.protocol.close_announced:
+            # The caller may have taken it for unread, and have sent it elsewhere.
+            return BEHIND_CLOSE
+        head = decode_request(request, asyncio.get_running_loop().time())
+        if self.is_too_late(head):
+            return STOPPING
+        await self.confirm_expected(request)
+        body = await self.read_body(request, head)
+        if body is None or self.is_too_late(head):
+            return STOPPING
+        return await self.serve(head._replace(body=body), answer)
+
+    def latest_start_s(self, head: CallerRequest) -> float | None:
+        """Return until when a request can be started before the end of the drain."""
+        if self.drain_ends_s is None:
+            return None
+        return self.drain_ends_s - self.time_needed_s(head)
+
+    def is_too_late(self, head: CallerRequest) -> bool:
+        """Return whether a request can't be finished before the end of the drain."""
+        latest_s = self.latest_start_s(head)
+        return latest_s is not None and asyncio.get_running_loop().time() > latest_s
+
+    async def read_body(
+        self, request: web.BaseRequest, head: CallerRequest
+    ) -> bytes | None:
+        """Return the body, or None if the entry stops before it has arrived."""
+        try:
+            async with asyncio.timeout_at(self.latest_start_s(head)) as time_limit:
+                self.body_limits[time_limit] = head
+                try:
+                    return await request.read()
+                finally:
+                    del self.body_limits[time_limit]
+        except TimeoutError:
+            return None
+
     async def confirm_expected(self, request: web.BaseRequest) -> None:
         """Tell a caller that waits for it to send the body, or refuse the body.
 
@@ -275,7 +338,9 @@
         await answer.end(STOPPED)
 
     async def drain(self, accept_s: float, max_s: float) -> None:
-        """Finish requests in progress, then close idle connections.
+        """Answer each request that is read, and close connections once they are idle.
+
+        A request that can't be finished in time is refused at once.
 
         Parameters
         ----------
@@ -286,14 +351,16 @@
             Time limit of the whole drain, in seconds.
         """
         self.closing = True
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + max_s
+        now_s = asyncio.get_running_loop().time
+        self.drain_ends_s = now_s() + max_s
+        for time_limit, head in self.body_limits.items():
+            time_limit.reschedule(self.latest_start_s(head))
         await asyncio.sleep(accept_s)
         await self.site.stop()
-        close_idle(self.server, self.active)
-        while self.active and loop.time() < deadline_s:
-            await asyncio.sleep(0.05)
+        head_ends_s = min(now_s() + HEAD_WAIT_S, self.drain_ends_s)
+        await close_when_answered(self.server, self.drain_ends_s, head_ends_s)
         await self.cancel_overdue()
+        await close_when_answered(self.server, now_s() + CLOSE_TIMEOUT_S)
 
     async def cancel_overdue(self) -> None:
         """End the requests that are in progress at the end of the drain."""
@@ -324,10 +391,11 @@
     return fields(request.headers.get(names.REQUEST_ID, ""), **more)
 
 
-def decode_request(
-    request: web.BaseRequest, body: bytes, arrived_s: float
-) -> CallerRequest:
-    """Return the product's form of a request, whose head came at `arrived_s`."""
+def decode_request(request: web.BaseRequest, arrived_s: float) -> CallerRequest:
+    """Return the product's form of a request without its body.
+
+    Its head came at `arrived_s`.
+    """
     headers = request.headers
     target = request._message.path
     prompt_tokens, max_answer_tokens = parse_token_counts(
@@ -346,7 +414,7 @@
         parse_host(headers.get("Host", "")),
         target.partition("?")[0],
         forwarded_headers(request),
-        body,
+        b"",
         parse_api_key(headers.get("Authorization", "")),
         arrived_s,
         parse_max_wait_ms(headers.get(names.DEADLINE_MS, "")) / 1000,
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from wisteriapulley.idle_connections import close_idle
+from wisteriapulley.http_drain import close_idle
 from wisteriapulley.platform import ingress as ingress_module
 from wisteriapulley.platform.ingress import (
     DEFAULT_MAX_WAIT_MS,
@@ -69,7 +69,7 @@
 class TestCloseIdle:
     def test_idle_connection_is_closed(self):
         async def scenario(ingress, served, reader, writer):
-            close_idle(ingress.server, ingress.active)
+            close_idle(ingress.server)
             assert await reader.read() == b""
 
         run_scenario(scenario)
@@ -84,7 +84,7 @@
                 await asyncio.sleep(0.001)
             connection.data_received(REQUEST)
             ingress.closing = True
-            close_idle(ingress.server, ingress.active)
+            close_idle(ingress.server)
             answer = await reader.read()
             assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"ok")
             assert b"connection: close" in answer.lower()
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -4,8 +4,9 @@
 import re
 
 import pytest
+import uvloop
 
-from wisteriapulley.http_drain import CallerServer
+from wisteriapulley.http_drain import CallerServer, close_idle
 from wisteriapulley.platform.ingress import Ingress
 from wisteriapulley.settings import Address
 
@@ -98,8 +99,8 @@
         await asyncio.sleep(0.001)
 
 
-@pytest.fixture
-def play():
+@pytest.fixture(params=[asyncio.new_event_loop, uvloop.new_event_loop])
+def play(request):
     """Return a function that plays a scenario with an open `Entry`."""
 
     def run(scenario):
@@ -113,7 +114,8 @@
                     entry.writer.close()
                     await entry.ingress.stop()
 
-        asyncio.run(run_scenario())
+        with asyncio.Runner(loop_factory=request.param) as runner:
+            runner.run(run_scenario())
 
     return run
 
@@ -183,6 +185,24 @@
 
         play(scenario)
 
+    def test_request_on_a_connection_accepted_in_the_turn_of_the_close(self, play):
+        """Either an answer, or a close before the request is read."""
+
+        async def scenario(entry):
+            server = entry.ingress.server
+            known = set(server.connections)
+            connecting = asyncio.create_task(entry.connect())
+            while not (accepted := set(server.connections) - known):
+                await asyncio.sleep(0)
+            close_idle(server)
+            await connecting
+            entry.writer.write(request_bytes(1))
+            await entry.reading
+            (connection,) = accepted
+            assert not connection._request_count and not entry.received
+
+        play(scenario)
+
     def test_request_behind_an_answer_that_closes_is_not_run(self, play):
         """Its caller may have taken it for unread, and have sent it elsewhere."""
 
