Test how long a stopping entry expects a request to take

The refusal of requests that can't be finished in time rests on the response times of their route and size, and before any response on the objective of the route. The tests pass on the code before them; they guard the estimate.

--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -6,7 +6,7 @@
 import pytest
 
 from wisteriapulley.direct.crashes import CrashTracker
-from wisteriapulley.direct.dispatch import Dispatcher
+from wisteriapulley.direct.dispatch import Dispatcher, work_of
 from wisteriapulley.direct.liveness import Liveness
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.settings import DirectSettings
@@ -521,3 +521,34 @@
 
     def test_non_idempotent_request_is_never_abandoned_early(self):
         assert self.silence_limit_s(True, RouteKind.NON_IDEMPOTENT) is None
+
+
+class TestTimeNeeded:
+    """What a stopping entry expects a request to take, from its head."""
+
+    def needed_s(self, dispatcher, path="/a/x", answer_tokens=50):
+        request = CallerRequest(
+            "id", "POST", path, "h", path, (), b"", "k", 0.0, 5.0, 100, answer_tokens
+        )
+        return dispatcher.time_needed_s(request)
+
+    def test_is_the_objective_of_its_route_before_the_first_response(self):
+        dispatcher = dispatcher_without_targets()
+        assert self.needed_s(dispatcher) == 0.4
+
+    def test_follows_the_responses_of_its_route_and_size(self):
+        dispatcher = dispatcher_without_targets()
+        route = dispatcher.index.table.routes[0]
+        long_request = CallerRequest(
+            "id", "POST", "/a/x", "h", "/a/x", (), b"", "k", 0.0, 5.0, 100, 50
+        )
+        for _ in range(50):
+            dispatcher.response_times.record(work_of(route, long_request), 3.0)
+        assert 3.0 <= self.needed_s(dispatcher) < 3.1
+        assert self.needed_s(dispatcher, answer_tokens=5) < 1.0
+
+    def test_without_a_route_is_that_of_a_refusal(self):
+        dispatcher = dispatcher_without_targets()
+        assert self.needed_s(dispatcher, path="/none/") < 0.1
+        dispatcher.index = None
+        assert self.needed_s(dispatcher) < 0.1
