Let the claims of a test expire from when they are put

Seen: test_isolated_leader_commits_no_permit_and_no_claim failed in a whole run with REQUEST_EXPIRED. Its claims expired 300 s after the module was imported, which is when tests are collected; that run took longer to get there, since another test hung for 2.7 minutes. The lifetime is the same and counts from the moment at which a claim is put.

--- a/tests/test_control_isolated.py
+++ b/tests/test_control_isolated.py
@@ -20,7 +20,7 @@
 STEP_MS = 25
 KEY = ClaimKey("dealer-1", "bid")
 VERSION = "a" * 64
-EXPIRES_MS = driver_module.unix_ms() + 300_000
+CLAIM_LIFETIME_MS = 300_000
 
 
 class FakePeer:
@@ -99,7 +99,9 @@
 
 
 def put_claim(target):
-    return PutClaim(KEY, Claim(b"body", target, 1, 1, EXPIRES_MS), 0)
+    # A whole run may take longer from its collection to this test.
+    expires_ms = driver_module.unix_ms() + CLAIM_LIFETIME_MS
+    return PutClaim(KEY, Claim(b"body", target, 1, 1, expires_ms), 0)
 
 
 def acquire_permit(target):
