Count the time of a request behind another from its arrival

Callers saw, by reading: a request that waits on its connection for the response before it got the time of its caller from when its turn came, so that a target worked for a caller whose time had passed.

Cause: the time of a request was taken when its handler began.

Fix: a connection keeps when each head arrived. The new test, two requests in one write, failed before by the time of the first response.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 from aiohttp import StreamReader, web
@@ -28,26 +29,37 @@
         How many requests had arrived when a part of the next head did; -1 before.
     close_announced : bool
         Whether a response has told the caller that no other will follow.
+    arrivals_s : collections.deque of float
+        When the heads of the requests arrived that are not handled yet.
     """
 
-    __slots__ = ("body", "close_announced", "partial_of")
+    __slots__ = ("arrivals_s", "body", "close_announced", "partial_of")
 
     def __init__(self, server: web.Server, **options: object):
         super().__init__(server, **options)
         self.body: StreamReader | None = None
         self.partial_of = -1
         self.close_announced = False
+        self.arrivals_s: deque[float] = deque()
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrives, and note whether it is a part of a head."""
         request_count = self._request_count
         is_body = self.has_partial_body
         super().data_received(data)
+        new_count = self._request_count - request_count
         if self._messages:
             self.body = self._messages[-1][1]
-        if self._request_count == request_count and not is_body and data.strip():
+        if new_count:
+            self.arrivals_s.extend([self._loop.time()] * new_count)
+        elif not is_body and data.strip():
             self.partial_of = request_count
 
+    def take_arrival_s(self) -> float:
+        """Return when the head of the next request to handle arrived."""
+        # aiohttp parses what came behind a declined upgrade by itself.
+        return self.arrivals_s.popleft() if self.arrivals_s else self._loop.time()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Log the requests that end without a response, unless the caller left."""
         is_own_close = self._close or self._force_close or self._task_handler is None
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -44,6 +44,8 @@
 MAX_TOKENS = 2**32 - 1
 # Maximum number of parts that are read of a prompt.
 MAX_PROMPT_PARTS = 64
+# Key of the time at which a request's head arrived.
+ARRIVED_S = web.RequestKey("arrived_s", float)
 STATUS_BY_REFUSAL = {
     RefusalKind.NO_ROUTE: 404,
     RefusalKind.BAD_KEY: 401,
@@ -209,9 +211,9 @@
             ) from error
 
     def new_request(self, message, payload, protocol, writer, task) -> web.BaseRequest:
-        """Return an aiohttp request that has the configured body limit."""
+        """Return an aiohttp request with its arrival and the configured body limit."""
         loop = asyncio.get_running_loop()
-        return web.BaseRequest(
+        request = web.BaseRequest(
             message,
             payload,
             protocol,
@@ -220,6 +222,8 @@
             loop,
             client_max_size=self.max_body_bytes,
         )
+        request[ARRIVED_S] = protocol.take_arrival_s()
+        return request
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request, unless its connection is already closed."""
@@ -256,7 +260,7 @@
         if request.protocol.close_announced:
             # The caller may have taken it for unread, and have sent it elsewhere.
             return BEHIND_CLOSE
-        head = decode_request(request, asyncio.get_running_loop().time())
+        head = decode_request(request)
         if self.is_too_late(head):
             return STOPPING
         await self.confirm_expected(request)
@@ -391,11 +395,8 @@
     return fields(request.headers.get(names.REQUEST_ID, ""), **more)
 
 
-def decode_request(request: web.BaseRequest, arrived_s: float) -> CallerRequest:
-    """Return the product's form of a request without its body.
-
-    Its head came at `arrived_s`.
-    """
+def decode_request(request: web.BaseRequest) -> CallerRequest:
+    """Return the product's form of a request without its body."""
     headers = request.headers
     target = request._message.path
     prompt_tokens, max_answer_tokens = parse_token_counts(
@@ -416,7 +417,7 @@
         forwarded_headers(request),
         b"",
         parse_api_key(headers.get("Authorization", "")),
-        arrived_s,
+        request[ARRIVED_S],
         parse_max_wait_ms(headers.get(names.DEADLINE_MS, "")) / 1000,
         prompt_tokens,
         answer_tokens,
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -133,6 +133,36 @@
         assert arrived_s <= head_read_s
 
 
+class TestRequestBehindAnother:
+    """The time of a caller runs while its request waits for another's response."""
+
+    def test_time_of_the_request_counts_from_its_head(self):
+        """Guards against work for a caller whose time has passed."""
+        times = []
+
+        async def scenario(ingress, served, reader, writer):
+            loop = asyncio.get_running_loop()
+
+            async def serve(request, answer):
+                times.append(request.arrived_s)
+                if len(times) == 1:
+                    (connection,) = ingress.server.connections
+                    while not connection._messages:
+                        await asyncio.sleep(0.001)
+                    times.append(loop.time())
+                    await asyncio.sleep(0.01)
+                await served.serve(request, answer)
+
+            ingress.serve = serve
+            writer.write(REQUEST + REQUEST)
+            await reader.readuntil(b"ok")
+            await reader.readuntil(b"ok")
+
+        run_scenario(scenario)
+        _, second_read_s, second_arrived_s = times
+        assert second_arrived_s <= second_read_s
+
+
 class TestInternalError:
     """Errors outside the dispatcher, which answers and logs its own."""
 
