--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -259,14 +259,14 @@
         """Serve a request; refuse it at once if the entry stops too soon for it."""
         if request.protocol.close_announced:
             # The caller may have taken it for unread, and have sent it elsewhere.
-            return BEHIND_CLOSE
+            return log_refusal(request, BEHIND_CLOSE)
         head = decode_request(request)
         if self.is_too_late(head):
-            return STOPPING
+            return log_refusal(request, STOPPING)
         await self.confirm_expected(request)
         body = await self.read_body(request, head)
         if body is None or self.is_too_late(head):
-            return STOPPING
+            return log_refusal(request, STOPPING)
         return await self.serve(head._replace(body=body), answer)
 
     def latest_start_s(self, head: CallerRequest) -> float | None:
@@ -395,6 +395,13 @@
     return fields(request.headers.get(names.REQUEST_ID, ""), **more)
 
 
+def log_refusal(request: web.BaseRequest, refusal: Refusal) -> Refusal:
+    """Log and return the refusal of a request that a stop leaves no time for."""
+    extra = request_fields(request, kind=refusal.kind.value, reason=refusal.reason)
+    log.info("refused", extra=extra)
+    return refusal
+
+
 def decode_request(request: web.BaseRequest) -> CallerRequest:
     """Return the product's form of a request without its body."""
     headers = request.headers
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -1,6 +1,7 @@
 """Requests on their way in while an entry stops: each one that is read is answered."""
 
 import asyncio
+import logging
 import re
 
 import pytest
@@ -240,7 +241,9 @@
 
         play(scenario)
 
-    def test_request_without_enough_time_left_is_refused_at_once(self, play):
+    def test_request_without_enough_time_left_is_refused_at_once(self, play, caplog):
+        caplog.set_level(logging.INFO)
+
         async def scenario(entry):
             entry.ingress.time_needed_s = lambda head: 2 * LONG_DRAIN_S
             stopping = entry.begin_stop(LONG_DRAIN_S)
@@ -249,6 +252,7 @@
             await entry.reading
             assert entry.statuses == [503] and entry.handled == []
             assert b"retry-after" in entry.received.lower()
+            assert [r.request_id for r in caplog.records if r.msg == "refused"] == ["1"]
             await stopping
 
         play(scenario)
