Answer requests whose target has a host that can't be decoded

Callers saw: a request like `GET http://xn--/a` got nothing, neither an answer nor a close, and nor did what they sent behind it. A stop waited for its connection until the end of the drain (3.2 s of a drain of 3 s).

Cause: aiohttp reads the host of an absolute target when it makes a request, in the task of the connection. yarl raises UnicodeError there, the task ends, and the connection stays open without one.

Evidence: on uvloop, the task of the connection had ended with "decoding with 'idna' codec failed" and the connection was open. The new test, such a request and another behind it, failed before by its time limit.

Fix: the product uses the text of a target and the header `Host` only, so an absolute URL is replaced before aiohttp reads it.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -8,6 +8,7 @@
 
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
+from yarl import URL
 
 from wisteriapulley.direct.types import (
     CallerRequest,
@@ -44,6 +45,8 @@
 MAX_TOKENS = 2**32 - 1
 # Maximum number of parts that are read of a prompt.
 MAX_PROMPT_PARTS = 64
+# Stands for the URL of a request, of which only the text is used.
+ROOT_URL = URL("/")
 # Key of the time at which a request's head arrived.
 ARRIVED_S = web.RequestKey("arrived_s", float)
 STATUS_BY_REFUSAL = {
@@ -213,6 +216,9 @@
     def new_request(self, message, payload, protocol, writer, task) -> web.BaseRequest:
         """Return an aiohttp request with its arrival and the configured body limit."""
         loop = asyncio.get_running_loop()
+        if message.url.absolute:
+            # aiohttp reads its host, which fails if that can't be decoded.
+            message = message._replace(url=ROOT_URL)
         request = web.BaseRequest(
             message,
             payload,
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -163,6 +163,22 @@
         assert second_arrived_s <= second_read_s
 
 
+class TestHostThatCannotBeDecoded:
+    """The target of a request may be a URL with a host of its own."""
+
+    def test_request_is_answered_and_its_connection_goes_on(self):
+        """Guards against a connection that is neither answered nor closed."""
+
+        async def scenario(ingress, served, reader, writer):
+            writer.write(REQUEST.replace(b"/a", b"http://xn--/a") + REQUEST)
+            for _ in range(2):
+                head = await reader.readuntil(b"ok")
+                assert head.startswith(b"HTTP/1.1 200")
+            assert served.count == 2
+
+        run_scenario(scenario)
+
+
 class TestInternalError:
     """Errors outside the dispatcher, which answers and logs its own."""
 
