Answer requests beyond the parser's queue behind a body that arrived late

Callers saw: of 33 requests or more in one write, on a connection on which a body had once arrived later than its head, the last got no answer until the caller sent something else. Of 37 requests 35 were answered. A stop closed the connection, with the others read.

Cause: aiohttp's parser pauses after 32 requests that are not handled, and the connection resumes it once its own queue was full. The parser counts a request whose body ends after its handler began, and never again takes it off, so it pauses at 31 queued requests, which the connection does not take for full.

Evidence: the connection had 31 messages and had not paused reading.

Fix: the connection takes its queue for full at one request less. The count is one too high at most, since the next request that is handled takes it off.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -37,6 +37,10 @@
 
     def __init__(self, server: web.Server, **options: object):
         super().__init__(server, **options)
+        # The parser counts a request as queued until it is handled, or for good if its
+        # body ends later. So it may pause one request before aiohttp expects it to, and
+        # nothing would make it go on.
+        self._max_msg_queue_size -= 1
         self.body: StreamReader | None = None
         self.partial_of = -1
         self.close_announced = False
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -6,6 +6,7 @@
 
 import pytest
 import uvloop
+from aiohttp.web_protocol import MAX_MSG_QUEUE_SIZE
 
 from wisteriapulley.http_drain import CallerServer, close_idle
 from wisteriapulley.platform.ingress import Ingress
@@ -222,6 +223,26 @@
 
         play(scenario)
 
+    def test_more_requests_than_the_parser_queues_behind_a_late_body(self, play):
+        """The parser pauses once its queue is full, and has to go on."""
+        count = MAX_MSG_QUEUE_SIZE + 2
+
+        async def scenario(entry):
+            whole = request_bytes(0, b"x" * 100)
+            entry.writer.write(whole[:-50])
+            await until(lambda: entry.ingress.active)
+            entry.writer.write(whole[-50:])
+            await until(lambda: entry.handled)
+            entry.writer.write(b"".join(map(request_bytes, range(1, count))))
+            await until(lambda: entry.ingress.server.connections[0]._messages)
+            stopping = entry.begin_stop()
+            entry.may_answer.set()
+            await entry.reading
+            assert entry.statuses == [200] * count
+            await stopping
+
+        play(scenario)
+
 
 class TestTimeOfAStop:
     """A stop ends in its time, whatever its callers do."""
