Keep the arrivals of a connection's requests in a list

An empty deque takes 760 bytes on each connection, so that a connection's object grew from 2,261 to 3,053 bytes; with a list it takes 2,349. At most 32 requests wait on a connection, so taking the first from a list is as fast. The tests of arrival times cover it; measured with tracemalloc over 1,000 connections.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Awaitable, Callable
 
 from aiohttp import StreamReader, web
@@ -29,7 +28,7 @@
         How many requests had arrived when a part of the next head did; -1 before.
     close_announced : bool
         Whether a response has told the caller that no other will follow.
-    arrivals_s : collections.deque of float
+    arrivals_s : list of float
         When the heads of the requests arrived that are not handled yet.
     """
 
@@ -44,7 +43,7 @@
         self.body: StreamReader | None = None
         self.partial_of = -1
         self.close_announced = False
-        self.arrivals_s: deque[float] = deque()
+        self.arrivals_s: list[float] = []
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrives, and note whether it is a part of a head."""
@@ -62,7 +61,7 @@
     def take_arrival_s(self) -> float:
         """Return when the head of the next request to handle arrived."""
         # aiohttp parses what came behind a declined upgrade by itself.
-        return self.arrivals_s.popleft() if self.arrivals_s else self._loop.time()
+        return self.arrivals_s.pop(0) if self.arrivals_s else self._loop.time()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Log the requests that end without a response, unless the caller left."""
