Set no time limit for bodies that have arrived already

Each request took 22 us more of processor time in the entry than before the limit of late bodies (140 and 162 us, sixteen requests in a write, the caller included). A body that is there is read at once, so that a limit has no effect. Measured in turns beside other work: 157 to 161 us before, 148 to 154 after, 134 to 144 without any limit. The tests of late bodies cover the rest.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -290,6 +290,9 @@
         self, request: web.BaseRequest, head: CallerRequest
     ) -> bytes | None:
         """Return the body, or None if the entry stops before it has arrived."""
+        if request.content.is_eof():
+            # A time limit would take longer than the read.
+            return await request.read()
         try:
             async with asyncio.timeout_at(self.latest_start_s(head)) as time_limit:
                 self.body_limits[time_limit] = head
