Wait for the rest of a refused body for a second at most

Cause: aiohttp reads the rest of a body for ten seconds before it closes the connection.

The wait is 1 s for bodies that are refused at a stop; for others, such as those that are too long, it stays.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -15,6 +15,8 @@
 log = logging.getLogger(__name__)
 
 POLL_INTERVAL_S = 0.02
+# How long a caller has to take a response that ends its connection before its body.
+UNREAD_BODY_WAIT_S = 1.0
 
 
 class CallerConnection(web.RequestHandler):
@@ -102,6 +104,15 @@
         response.headers["Connection"] = "close"
         self.close_announced = True
 
+    def close_before_body_ends(self, response: web.StreamResponse) -> None:
+        """Let a response close the connection although its request goes on arriving.
+
+        The rest would be taken for the next request. It is read for a while, since a
+        close beside unread bytes could keep the caller from reading the response.
+        """
+        response.force_close()
+        self._lingering_time = UNREAD_BODY_WAIT_S
+
     async def finish_response(
         self, request: web.BaseRequest, response: web.StreamResponse, start_s: object
     ) -> tuple[web.StreamResponse, bool]:
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -102,8 +102,7 @@
     def end_connection(self, response: web.StreamResponse) -> None:
         """Let the connection close behind a response, unless requests wait there."""
         if not self.request.content.is_eof():
-            # The rest of this request would be taken for the next one.
-            response.force_close()
+            self.request.protocol.close_before_body_ends(response)
         elif not self.request.protocol.has_more:
             self.request.protocol.announce_close(response)
 
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -278,6 +278,21 @@
 
         play(scenario)
 
+    def test_body_that_is_not_sent_after_a_refusal_does_not_delay_the_stop(self, play):
+        async def scenario(entry):
+            entry.ingress.time_needed_s = lambda head: 2 * LONG_DRAIN_S
+            (connection,) = entry.ingress.server.connections
+            connection._lingering_time = LONG_DRAIN_S
+            stopping = entry.begin_stop(LONG_DRAIN_S)
+            await asyncio.sleep(0)
+            head = request_bytes(1, b"x" * 2000)[:-2000].rstrip()
+            entry.writer.write(head + b"\r\nExpect: 100-continue\r\n\r\n")
+            await entry.reading
+            assert entry.statuses == [503] and entry.handled == []
+            await stopping
+
+        play(scenario)
+
     def test_half_of_a_head_delays_the_stop_no_longer_than_its_limit(self, play):
         async def scenario(entry):
             entry.writer.write(request_bytes(1)[:40])
