Ask another instance after a response whose head was cut

The other instances were not asked, and a change whose outcome was unknown was reported as malformed, without the id to repeat it with.

Cause: http.client ends a head at the end of the connection, and a response that states neither a length nor chunks ends there too. So a head that was cut after its status counted as whole, with an empty body.

Evidence: of one response of 112 bytes, the cuts after 12 to 76 bytes were returned as status 200 with an empty body.

Fix: a response without a stated end is refused like one that breaks off. A cut behind the length leaves the body short of it, which is noticed already. Control instances state a length in all responses.

--- a/src/wisteriapulley/operator_client.py
+++ b/src/wisteriapulley/operator_client.py
@@ -162,11 +162,19 @@
 def read_body(response: http.client.HTTPResponse) -> bytes:
     """Return a complete body of at most `MAX_RESPONSE_BYTES`.
 
+    A connection that closes within the head ends the head for `http.client`, and the
+    body too if neither a length nor chunks tell its end.
+
     Raises
     ------
     http.client.HTTPException
-        The body is longer, states a greater length or breaks off.
+        The body is longer, states a greater length, breaks off or has no stated end.
     """
+    if response.length is None and not response.chunked:
+        raise http.client.HTTPException(
+            "expected a body with a length or in chunks, got neither: the response may"
+            " have been cut"
+        )
     size = response.length or 0
     if size <= MAX_RESPONSE_BYTES:
         data = response.read(MAX_RESPONSE_BYTES + 1)
