Reset the connection of a cut response that has no stated end

Callers of HTTP/1.0 saw: when the target stopped behind its head and a part of the body, status 200 with the part, ended as a whole response is.

Cause: such a response has neither a length nor chunks, so the end of its connection is its own end, and the entry cut it by an orderly close.

Evidence: the bytes and the end of the connection were the same for a cut response and for a whole one. On both event loops the test failed before with "DID NOT RAISE ConnectionResetError", and passes now.

Fix: the connection of a response without a stated end is reset. All others are closed in order as before, since what was written may still arrive.

--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -34,7 +34,7 @@
 from wisteriapulley.logs import fields
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy import Admission
-from wisteriapulley.response_end import write_end
+from wisteriapulley.response_end import cut, write_end
 from wisteriapulley.settings import EntrySettings
 from wisteriapulley.wire import Frame, Link, messages
 from wisteriapulley.wire.handshake import Identity
@@ -292,11 +292,7 @@
         response: web.StreamResponse,
         error: WisteriapulleyError,
     ) -> None:
-        """End an incomplete response with an error event and a closed connection.
-
-        Without the final chunk or the full length no client accepts the response as
-        complete.
-        """
+        """End an incomplete response with an error event and a closed connection."""
         log.warning(
             "answer cut: %s", error, extra=fields(caller.request_id, code=error.code)
         )
@@ -307,9 +303,7 @@
                     await response.write(event)
             except (TimeoutError, ConnectionError):
                 log.info("the caller did not read the error event")
-        if request.transport is not None:
-            # Closing still sends what was written, but not the final chunk.
-            request.transport.close()
+        cut(response, request.transport)
 
     def request_started(self) -> None:
         """Count a started request."""
--- a/src/wisteriapulley/platform/http.py
+++ b/src/wisteriapulley/platform/http.py
@@ -10,7 +10,7 @@
 
 from wisteriapulley.direct.settings import ResponseLimits
 from wisteriapulley.logs import fields
-from wisteriapulley.platform.unsent import discard_unsent, unsent_bytes
+from wisteriapulley.unsent import discard_unsent, unsent_bytes
 
 log = logging.getLogger(__name__)
 
--- a/tests/fakes/cutting.py
+++ b/tests/fakes/cutting.py
@@ -3,7 +3,7 @@
 import asyncio
 import re
 
-from wisteriapulley.platform.unsent import discard_unsent
+from wisteriapulley.unsent import discard_unsent
 
 LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
 END = b"\r\n\r\n"
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -3,14 +3,38 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from tests.fakes.cutting import CuttingServer, cuts
+from tests.test_entry_service import FakeRun, Harness
 from wisteriapulley import operator_client
-from wisteriapulley.errors import CatalogueError, ResultCode
+from wisteriapulley.errors import CatalogueError, RequestError, ResultCode
 from wisteriapulley.operator_client import OperatorClient
 from wisteriapulley.settings import Address
 
 MAX_WAIT_S = 60.0
+LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]
+
+
+def play(loop_factory, scenario):
+    """Run a scenario on an event loop of its own, with a time limit."""
+
+    async def run():
+        async with asyncio.timeout(MAX_WAIT_S):
+            return await scenario
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        return runner.run(run())
+
+
+async def read_all(address, request):
+    """Send a request; return what comes until the end of the connection."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    try:
+        writer.write(request)
+        return await reader.read()
+    finally:
+        writer.close()
 
 
 async def with_server(server, scenario):
@@ -64,3 +88,44 @@
             await whole.stop()
 
         asyncio.run(with_server(cutting, scenario))
+
+
+async def cut_off():
+    raise RequestError(ResultCode.ANSWER_CUT, "the target stopped")
+
+
+async def end():
+    pass
+
+
+@pytest.mark.parametrize("loop_factory", LOOPS)
+class TestCallerOfAnEntry:
+    """An entry with sidecars whose target stops behind its head and a part."""
+
+    REQUEST = (
+        b"POST /services/letters/post HTTP/%s\r\nHost: h\r\nContent-Length: 0\r\n"
+        b"X-Client-Account: council\r\nConnection: close\r\n\r\n"
+    )
+
+    async def ask(self, version, run):
+        harness = Harness()
+        await harness.start(run.run)
+        try:
+            return await read_all(harness.http.address, self.REQUEST % version)
+        finally:
+            await harness.stop()
+
+    def test_chunks_do_not_end(self, loop_factory):
+        received = play(loop_factory, self.ask(b"1.1", FakeRun(cut_off)))
+        assert b"part" in received and not received.endswith(b"0\r\n\r\n")
+
+    # Its response ended as a whole one does, with an orderly close.
+    def test_connection_is_reset_where_its_end_is_that_of_the_response(
+        self, loop_factory
+    ):
+        with pytest.raises(ConnectionResetError):
+            play(loop_factory, self.ask(b"1.0", FakeRun(cut_off)))
+
+    def test_whole_response_ends_with_an_orderly_close(self, loop_factory):
+        received = play(loop_factory, self.ask(b"1.0", FakeRun(end)))
+        assert received.endswith(b"\r\n\r\npart")
--- a/tests/test_unsent.py
+++ b/tests/test_unsent.py
@@ -6,7 +6,7 @@
 import pytest
 import uvloop
 
-from wisteriapulley.platform.unsent import unsent_bytes
+from wisteriapulley.unsent import unsent_bytes
 
 SIZE = 600_000
 MAX_WAIT_S = 10.0
