Answer callers of HTTP/1.0 without chunks

Callers of HTTP/1.0 saw: the connection closed without a byte where the response was a stream or had no length, after a target had run the request.

Cause: the entry asked the library for chunks whatever the caller speaks, and the library refuses that for HTTP/1.0. The error was taken for one behind a response that had begun, and cut.

Evidence: the log had "Using chunked encoding is forbidden for HTTP/1.0" for each such request. On both event loops the two tests failed before, one with an empty response, the other with "DID NOT RAISE ConnectionResetError".

Fix: without chunks the body ends with the connection. A response that breaks off then resets it, since an orderly close would pass for the end.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -21,8 +21,9 @@
 from wisteriapulley.http_drain import CallerServer, close_when_answered
 from wisteriapulley.logs import fields
 from wisteriapulley.platform import names
-from wisteriapulley.response_end import write_end
+from wisteriapulley.response_end import is_unframed, write_end
 from wisteriapulley.settings import Address
+from wisteriapulley.unsent import discard_unsent
 
 log = logging.getLogger(__name__)
 
@@ -88,12 +89,16 @@
         return self.response is not None
 
     async def start(self, status: int, headers: Headers, length: int | None) -> None:
-        """Send the head."""
+        """Send the head.
+
+        Without a length the body is sent in chunks, or, as HTTP/1.0 has none, ends with
+        the connection.
+        """
         response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
-        if length is None:
-            response.enable_chunked_encoding()
-        else:
+        if length is not None:
             response.content_length = length
+        elif self.request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
         if self.is_closing():
             self.end_connection(response)
         self.response = response
@@ -117,8 +122,14 @@
 
     def cut(self) -> None:
         """Abort the connection without ending the body."""
-        if self.request.transport is not None:
-            self.request.transport.abort()
+        transport = self.request.transport
+        if transport is None:
+            return
+        is_begun = self.response is not None and not transport.is_closing()
+        if is_begun and is_unframed(self.response):
+            # An orderly close would end the body.
+            discard_unsent(transport)
+        transport.abort()
 
     async def refuse(self, refusal: Refusal) -> None:
         """Send a refusal."""
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -10,6 +10,7 @@
 from wisteriapulley import operator_client
 from wisteriapulley.errors import CatalogueError, RequestError, ResultCode
 from wisteriapulley.operator_client import OperatorClient
+from wisteriapulley.platform.ingress import Ingress
 from wisteriapulley.settings import Address
 
 MAX_WAIT_S = 60.0
@@ -129,3 +130,54 @@
     def test_whole_response_ends_with_an_orderly_close(self, loop_factory):
         received = play(loop_factory, self.ask(b"1.0", FakeRun(end)))
         assert received.endswith(b"\r\n\r\npart")
+
+
+EVENTS = b"id: 1\ndata: x\n\n"
+
+
+async def serve_events(request, answer):
+    """Respond with events, and cut the response if the request says so."""
+    await answer.start(200, (), None)
+    await answer.write(EVENTS)
+    if request.path == "/cut":
+        # The head and the events are on their way.
+        await asyncio.sleep(0.05)
+        answer.cut()
+        return
+    await answer.finish()
+
+
+@pytest.mark.parametrize("loop_factory", LOOPS)
+class TestCallerOfADirectEntry:
+    """An entry without sidecars whose target stops behind its head and an event."""
+
+    REQUEST = (
+        b"GET %s HTTP/%s\r\nHost: h\r\nX-Request-Attempt-Id: 1\r\n"
+        b"X-Deadline-Ms: 9000\r\nConnection: close\r\n\r\n"
+    )
+
+    async def ask(self, path, version):
+        ingress = Ingress(serve_events, 1000)
+        await ingress.start(Address("127.0.0.1", 0))
+        port = ingress.site._server.sockets[0].getsockname()[1]
+        try:
+            address = Address("127.0.0.1", port)
+            return await read_all(address, self.REQUEST % (path, version))
+        finally:
+            await ingress.stop()
+
+    def test_chunks_do_not_end(self, loop_factory):
+        received = play(loop_factory, self.ask(b"/cut", b"1.1"))
+        assert EVENTS in received and not received.endswith(b"0\r\n\r\n")
+
+    # The library refused to send it in chunks after the target had run the request,
+    # and the connection was closed without a response.
+    def test_caller_without_chunks_gets_the_response(self, loop_factory):
+        received = play(loop_factory, self.ask(b"/whole", b"1.0"))
+        assert received.startswith(b"HTTP/1.0 200") and received.endswith(EVENTS)
+
+    def test_connection_is_reset_where_its_end_is_that_of_the_response(
+        self, loop_factory
+    ):
+        with pytest.raises(ConnectionResetError):
+            play(loop_factory, self.ask(b"/cut", b"1.0"))
