Take no reset of an engine's connection for the end of its answer

Callers of an entry with sidecars saw: 200 with an empty or short body, ended as whole, when the engine reset its connection within a response that has neither a length nor chunks. With an idempotency key that answer was kept for resends.

Cause: aiohttp ends such a response at any end of its connection. The client for targets without sidecars tells a reset from a close; sidecars use a session of their own, which did not.

Evidence: each cut of a response of 70 bytes from the end of its head was sent on with an end mark. On both event loops, with a key and without, the test failed before, with a whole answer in place of ANSWER_CUT or MAY_HAVE_RUN.

Fix: both clients use the same connection class, which marks the response as broken before the library ends it.

--- a/src/wisteriapulley/platform/http.py
+++ b/src/wisteriapulley/platform/http.py
@@ -6,9 +6,9 @@
 import re
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
 from wisteriapulley.direct.settings import ResponseLimits
+from wisteriapulley.http_client import ResetHandler
 from wisteriapulley.logs import fields
 from wisteriapulley.unsent import discard_unsent, unsent_bytes
 
@@ -43,11 +43,10 @@
         self.part, self.size, self.max_size = part, size, max_size
 
 
-class StrictHandler(ResponseHandler):
+class StrictHandler(ResetHandler):
     """A connection that does not take a close or a reset for the end of a message.
 
-    A response without a length ends when its connection closes, and aiohttp treats a
-    reset as such an end. Of a request that is cancelled, aiohttp first sends the rest.
+    Of a request that is cancelled, aiohttp first sends the rest.
     Of a response that arrives in one read with bytes that are none, it drops all. It
     limits neither interim responses nor the number of chunks.
 
@@ -217,13 +216,6 @@
         discard_unsent(transport)
         self.abort()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Mark the response in progress as broken before aiohttp treats it as ended."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc}"))
-        super().connection_lost(exc)
-
 
 class HttpClient:
     """One session with a connection pool, and one without.
--- a/src/wisteriapulley/sidecar/service.py
+++ b/src/wisteriapulley/sidecar/service.py
@@ -4,11 +4,11 @@
 import logging
 from functools import singledispatchmethod
 
-import aiohttp
 import aiomisc
 
 from wisteriapulley.control.client import ControlClient
 from wisteriapulley.errors import ResultCode, WireError
+from wisteriapulley.http_client import new_session
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.settings import SidecarSettings
@@ -58,11 +58,7 @@
         settings = self.settings
         self.identity = Identity.from_settings(settings, "sidecar")
         self.incarnation = self.identity.incarnation
-        self.session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=None),
-            connector=aiohttp.TCPConnector(limit=0),
-            auto_decompress=False,
-        )
+        self.session = new_session()
         adapter = ModelEngine if settings.kind == "engine" else PlainService
         self.engine = adapter(self.session, settings.target_url, settings.fences)
         self.gate = Gate(self.engine, self.incarnation, self.chart)
--- a/tests/fakes/cutting.py
+++ b/tests/fakes/cutting.py
@@ -6,35 +6,45 @@
 from wisteriapulley.unsent import discard_unsent
 
 LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
+NUMBER = re.compile(rb"\S+ /(\d+) ")
 END = b"\r\n\r\n"
 
 
 class CuttingServer:
-    """Sends the same bytes to each request, and then ends the connection.
+    """Sends given bytes to each request, and then ends the connection.
+
+    Parameters
+    ----------
+    *responses : bytes
+        What it sends to a request for ``/0``, ``/1`` and so on; to any other, the
+        first.
+    first : bytes, optional
+        Sent instead to the first request of a connection, which is kept.
+    resets : bool, optional
+        Whether it resets connections; otherwise it closes them in order.
+    last_write : int, optional
+        How many bytes it sends in a write of their own.
 
     Attributes
     ----------
-    writes : tuple of bytes
-        What it sends, one write after the other.
-    first : bytes
-        Sent instead, and the connection kept, to the first request of a connection.
-    resets : bool
-        Whether it resets the connection; otherwise it closes it in order.
     requests : int
         Requests that it has read.
     connections : int
         Connections so far.
     """
 
-    PAUSE_S = 0.002
+    PAUSE_S = 0.005
 
-    def __init__(self, *writes, first=b"", resets=False):
-        self.writes, self.first, self.resets = writes, first, resets
+    def __init__(self, *responses, first=b"", resets=False, last_write=0):
+        self.responses = responses
+        self.first, self.resets, self.last_write = first, resets, last_write
         self.requests = self.connections = 0
 
     async def start(self):
         """Listen, and return the address."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(
+            self.serve, "127.0.0.1", 0, backlog=1000
+        )
         host, port = self.server.sockets[0].getsockname()
         return f"{host}:{port}"
 
@@ -48,11 +58,10 @@
             if self.first:
                 await self.read_request(reader)
                 writer.write(self.first)
-            await self.read_request(reader)
-            for data in self.writes:
-                writer.write(data)
-                await asyncio.sleep(self.PAUSE_S)
+            await self.send(await self.read_request(reader), writer)
             if self.resets:
+                # What was written has arrived before.
+                await asyncio.sleep(self.PAUSE_S)
                 discard_unsent(writer.transport)
                 writer.transport.abort()
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -61,13 +70,23 @@
             writer.close()
 
     async def read_request(self, reader):
+        """Read a request; return its response."""
         head = await reader.readuntil(END)
         length = LENGTH.search(head)
         await reader.readexactly(int(length[1]) if length else 0)
         self.requests += 1
+        number = NUMBER.match(head)
+        return self.responses[int(number[1]) if number else 0]
+
+    async def send(self, response, writer):
+        """Send a response in one or two writes."""
+        at = max(0, len(response) - self.last_write)
+        writer.write(response[:at])
+        if self.last_write:
+            await asyncio.sleep(self.PAUSE_S)
+            writer.write(response[at:])
 
 
-def cuts(head, body=b"", step=1):
-    """Yield a response cut after each number of bytes below its length."""
-    whole = head + body
-    yield from (whole[:size] for size in range(0, len(whole), step))
+def cuts(whole, begin=0):
+    """Return a response cut after each number of bytes from `begin`."""
+    return [whole[:size] for size in range(begin, len(whole))]
