Take no end of an engine's process for the end of its answer

Callers of an entry with sidecars saw: 200 with an empty or short body, ended as whole, when the process of the engine ended within a response that has neither a length nor chunks.

Cause: the kernel closes the connections of a process that ends in order, which is how such a response ends too. Entries without sidecars look whether the target still accepts connections; sidecars did not.

Fix: at the end of such a response the sidecar asks for the engine's state, and takes the response for broken off if connections are refused.

--- a/src/wisteriapulley/http_client.py
+++ b/src/wisteriapulley/http_client.py
@@ -1,4 +1,4 @@
-"""Connections of the HTTP client that tell a reset from the end of a response."""
+"""Tells the end of a response from the end of its connection."""
 
 import functools
 
@@ -6,6 +6,8 @@
 from aiohttp.client_proto import ResponseHandler
 
 NO_LIMIT = 0
+# Responses with these statuses have no body.
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 class ResetHandler(ResponseHandler):
@@ -32,3 +34,16 @@
         timeout=aiohttp.ClientTimeout(total=None),
         auto_decompress=False,
     )
+
+
+def is_bodiless(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response has no body, whatever length it states."""
+    return response.method == "HEAD" or response.status in BODILESS_STATUSES
+
+
+def is_unframed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a body ends with its connection (RFC 9112, section 6.3)."""
+    if is_bodiless(response):
+        return False
+    encoding = response.headers.get("Transfer-Encoding", "")
+    return response.content_length is None and "chunked" not in encoding.lower()
--- a/src/wisteriapulley/platform/names.py
+++ b/src/wisteriapulley/platform/names.py
@@ -31,8 +31,6 @@
 DATE = "Date"
 BEARER_PREFIX = "Bearer "
 
-# Responses with these statuses have no body.
-BODILESS_STATUSES = frozenset({204, 304})
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 
--- a/src/wisteriapulley/platform/target_client.py
+++ b/src/wisteriapulley/platform/target_client.py
@@ -16,6 +16,7 @@
     SendPlan,
 )
 from wisteriapulley.error_text import describe_error
+from wisteriapulley.http_client import is_bodiless, is_unframed
 from wisteriapulley.platform import names
 from wisteriapulley.platform.http import HttpClient, ResponseLimitError
 from wisteriapulley.platform.signal_parsing import parse_signals
@@ -101,19 +102,6 @@
     return OversizedAnswerError(error.part, error.size, error.max_size)
 
 
-def is_bodiless(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a response has no body, whatever length it states."""
-    return response.method == "HEAD" or response.status in names.BODILESS_STATUSES
-
-
-def is_unframed(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a body ends with its connection (RFC 9112, section 6.3)."""
-    if is_bodiless(response):
-        return False
-    encoding = response.headers.get("Transfer-Encoding", "")
-    return response.content_length is None and "chunked" not in encoding.lower()
-
-
 def request_headers(request: CallerRequest, plan: SendPlan) -> CIMultiDict:
     """Return the headers of a request to a target."""
     headers = CIMultiDict(request.headers)
--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -23,6 +23,7 @@
     WeightsError,
     WisteriapulleyError,
 )
+from wisteriapulley.http_client import is_unframed
 from wisteriapulley.sidecar.answers import (
     VERSION_HEADER,
     AnswerSender,
@@ -247,6 +248,7 @@
         snapshot = self.snapshot(timeout_ms)
         async with self.open_request(message, body, timeout_ms) as response:
             data = await read_bounded(response, MAX_KEPT_ANSWER_BYTES)
+            await self.check_end(response)
             await self.check_version(snapshot)
             headers = tuple(tuple(header) for header in end_to_end_headers(response))
             version = response.headers.get(VERSION_HEADER, "")
@@ -344,11 +346,30 @@
     async def checked_parts(
         self, snapshot: EngineSnapshot, response: aiohttp.ClientResponse
     ) -> AsyncIterator[bytes]:
-        """Yield the body; raise an error at its end if the version changed."""
+        """Yield the body; raise an error at its end if it is not whole."""
         async for data in response.content.iter_any():
             yield data
+        await self.check_end(response)
         await self.check_version(snapshot)
 
+    async def check_end(self, response: aiohttp.ClientResponse) -> None:
+        """Check that a crash of the engine did not end a response that looks whole.
+
+        Raises
+        ------
+        ClientPayloadError
+            The response ended with its connection, and the engine refuses others.
+        """
+        if not is_unframed(response):
+            return
+        try:
+            await self.engine.state()
+        except WeightsError as error:
+            if not is_silence(error):
+                raise aiohttp.ClientPayloadError(
+                    "the engine ended, and may have cut its response"
+                ) from error
+
     def snapshot(self, timeout_ms: int) -> EngineSnapshot:
         """Return the engine's state at the start of a request with this time left."""
         until_s = asyncio.get_running_loop().time() + timeout_ms / 1000
--- a/tests/fakes/cutting.py
+++ b/tests/fakes/cutting.py
@@ -22,6 +22,8 @@
         Sent instead to the first request of a connection, which is kept.
     resets : bool, optional
         Whether it resets connections; otherwise it closes them in order.
+    crashes : bool, optional
+        Whether it first closes its listener, as the end of its process does.
     last_write : int, optional
         How many bytes it sends in a write of their own.
 
@@ -35,9 +37,12 @@
 
     PAUSE_S = 0.005
 
-    def __init__(self, *responses, first=b"", resets=False, last_write=0):
+    def __init__(
+        self, *responses, first=b"", resets=False, crashes=False, last_write=0
+    ):
         self.responses = responses
-        self.first, self.resets, self.last_write = first, resets, last_write
+        self.first, self.last_write = first, last_write
+        self.resets, self.crashes = resets, crashes
         self.requests = self.connections = 0
 
     async def start(self):
@@ -59,6 +64,8 @@
                 await self.read_request(reader)
                 writer.write(self.first)
             await self.send(await self.read_request(reader), writer)
+            if self.crashes:
+                self.server.close()
             if self.resets:
                 # What was written has arrived before.
                 await asyncio.sleep(self.PAUSE_S)
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -318,6 +318,12 @@
         codes = self.codes(loop_factory, is_keyed, *responses, resets=True)
         assert codes == {MAY_HAVE_RUN if is_keyed else ANSWER_CUT}
 
+    # The close of a crash counted as the end of such a response too.
+    def test_end_of_the_engine_is_no_end(self, loop_factory, is_keyed):
+        for cut in cuts(UNFRAMED, UNFRAMED.index(END) + len(END)):
+            codes = self.codes(loop_factory, is_keyed, cut, crashes=True)
+            assert codes == {MAY_HAVE_RUN if is_keyed else ANSWER_CUT}
+
     def test_whole_responses_are_answers(self, loop_factory, is_keyed):
         sidecar = Sidecar(CuttingServer(*EMPTY, *BODIES.values(), UNFRAMED))
         answers = play(loop_factory, sidecar.ask_all(is_keyed))
