Tell a caller to leave that always has a request behind another

Callers saw: one that sends its next request before it has the last response kept its connection until the end of the drain, without ever being told to leave. Once too little time was left, all that it sent was refused: with 1 s needed, 2,792 of 2,825 responses in a drain of 3 s were 503, none with `Connection: close`, and two requests were open at the end.

Cause: a response announces the close only if nothing has arrived behind it.

Evidence: the counts above, of a caller with two requests on its way, on uvloop. The new test, which such a caller leaves as soon as it is told so, failed before by its time limit on both event loops.

Fix: only what had arrived when the listener closed keeps a connection open. What came later is behind an announced close, and is refused as not run.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable
 
 from aiohttp import StreamReader, web
@@ -34,10 +35,11 @@
         When the heads of the requests arrived that are not handled yet.
     """
 
-    __slots__ = ("arrivals_s", "body", "close_announced", "partial_of")
+    __slots__ = ("arrivals_s", "body", "close_announced", "partial_of", "server")
 
-    def __init__(self, server: web.Server, **options: object):
+    def __init__(self, server: "CallerServer", **options: object):
         super().__init__(server, **options)
+        self.server = server
         # The parser counts a request as queued until it is handled, or for good if its
         # body ends later. So it may pause one request before aiohttp expects it to, and
         # nothing would make it go on.
@@ -88,6 +90,17 @@
         """Whether anything has arrived behind the request in progress."""
         return bool(self._messages) or self.has_partial_head or self.has_partial_body
 
+    @property
+    def has_more_from_before(self) -> bool:
+        """Whether what has arrived behind did so before the server's listener closed.
+
+        A caller that always sends the next request before it has the last response
+        would keep the connection open, if all that it has sent were waited for.
+        """
+        if self.arrivals_s:
+            return self.arrivals_s[0] <= self.server.listener_closed_s
+        return self.has_more
+
     def progress(self) -> dict[str, object]:
         """Return what has arrived, and is not answered, as fields of a log line."""
         return {
@@ -134,6 +147,11 @@
         Creates the requests.
     **options : object
         Options of each connection.
+
+    Attributes
+    ----------
+    listener_closed_s : float
+        When it began to accept no new connections, on the loop's clock.
     """
 
     def __init__(
@@ -146,6 +164,7 @@
             handler, request_factory=request_factory, handler_cancellation=True
         )
         self.options = options
+        self.listener_closed_s = math.inf
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -105,10 +105,10 @@
         await response.prepare(self.request)
 
     def end_connection(self, response: web.StreamResponse) -> None:
-        """Let the connection close behind a response, unless requests wait there."""
+        """Let the connection close behind a response, unless earlier requests wait."""
         if not self.request.content.is_eof():
             self.request.protocol.close_before_body_ends(response)
-        elif not self.request.protocol.has_more:
+        elif not self.request.protocol.has_more_from_before:
             self.request.protocol.announce_close(response)
 
     async def write(self, data: bytes) -> None:
@@ -380,6 +380,7 @@
             time_limit.reschedule(self.latest_start_s(head))
         await asyncio.sleep(accept_s)
         await self.site.stop()
+        self.server.listener_closed_s = now_s()
         head_ends_s = min(now_s() + HEAD_WAIT_S, self.drain_ends_s)
         await close_when_answered(self.server, self.drain_ends_s, head_ends_s)
         await self.cancel_overdue()
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -318,6 +318,34 @@
 
         play(scenario)
 
+    def test_caller_that_always_has_a_request_behind_another(self, play):
+        """It is told to leave, and what it had sent behind is refused as not run."""
+
+        async def scenario(entry):
+            (connection,) = entry.ingress.server.connections
+
+            async def serve(request, answer):
+                entry.handled.append(request.request_id)
+                await until(lambda: connection._messages)
+                await answer.start(200, (), 2)
+                await answer.write(b"ok")
+                await answer.finish()
+
+            entry.ingress.serve = serve
+            stopping = entry.begin_stop(LONG_DRAIN_S)
+            sent = 0
+            while b"connection: close" not in entry.received.lower():
+                while sent < len(entry.statuses) + 2:
+                    sent += 1
+                    entry.writer.write(request_bytes(sent))
+                await asyncio.sleep(0.001)
+            await entry.reading
+            assert entry.statuses == [200] * (sent - 1) + [503]
+            assert len(entry.handled) == sent - 1
+            await stopping
+
+        play(scenario)
+
 
 class TestPartOfAHead:
     """What a connection tells of requests that have arrived in part."""
