Test the end of responses on the server that callers reach

test_request_is_in_progress_until_its_caller_has_read[end_answer] failed since stopping entries answer every request that they have read: its answer ends a connection, which needs a CallerConnection, and the test ran it on a plain aiohttp server, as no daemon does. It runs on a CallerServer now, with the same assertions; with a `write_end` that does not wait it fails.

--- a/tests/test_response_end.py
+++ b/tests/test_response_end.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from wisteriapulley.direct.types import Refusal, RefusalKind
+from wisteriapulley.http_drain import CallerServer
 from wisteriapulley.platform.ingress import HttpCallerAnswer
 from wisteriapulley.response_end import write_end
 
@@ -77,7 +78,7 @@
                 ended.set()
                 return response
 
-            server = web.Server(handle)
+            server = CallerServer(handle, None)
             runner = web.ServerRunner(server)
             await runner.setup()
             site = web.TCPSite(runner, "127.0.0.1", 0)
