Test the answers at the end of a drain

A stop that didn't end the requests in progress at the end of its drain, or didn't wait for the refusals of those behind them, passed all tests; with each of the two left out, the new test fails.

--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -346,6 +346,19 @@
 
         play(scenario)
 
+    def test_requests_at_the_end_of_the_drain(self, play):
+        """The one in progress fails, since it may have run; those behind have not."""
+
+        async def scenario(entry):
+            entry.writer.write(b"".join(map(request_bytes, range(20))))
+            await until(lambda: entry.ingress.active)
+            await entry.begin_stop()
+            await entry.ingress.stop()
+            await entry.reading
+            assert entry.statuses == [502] + 19 * [503] and entry.handled == ["0"]
+
+        play(scenario)
+
 
 class TestPartOfAHead:
     """What a connection tells of requests that have arrived in part."""
