--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -173,6 +173,24 @@
 
         play(scenario)
 
+    def test_head_that_arrives_in_part_behind_a_request(self, play):
+        async def scenario(entry):
+            whole = request_bytes(2)
+            stopping = entry.begin_stop()
+            entry.writer.write(request_bytes(1))
+            await until(lambda: entry.handled)
+            entry.writer.write(whole[:40])
+            (connection,) = entry.ingress.server.connections
+            await until(lambda: connection.has_partial_head)
+            entry.may_answer.set()
+            await until(lambda: entry.statuses)
+            entry.writer.write(whole[40:])
+            await entry.reading
+            assert entry.statuses == [200, 200] and entry.handled == ["1", "2"]
+            await stopping
+
+        play(scenario)
+
     def test_two_requests_in_one_write(self, play):
         async def scenario(entry):
             stopping = entry.begin_stop()
