Let no body that is too long delay a stop

Cause: this response is aiohttp's and didn't end its connection as the others do at a stop. The new test failed before by its time limit on both event loops.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -258,6 +258,8 @@
             answer.cut()
         except web.HTTPRequestEntityTooLarge as error:
             log.info("refused: %s", error.text, extra=request_fields(request))
+            if self.closing:
+                answer.end_connection(error)
             raise
         except asyncio.CancelledError:
             if not self.overdue:
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -13,6 +13,7 @@
 from wisteriapulley.settings import Address
 
 TEST_TIMEOUT_S = 30.0
+MAX_BODY_BYTES = 100_000
 ACCEPT_S, DRAIN_S = 0.2, 2.0
 # A stop with this limit ends within the time limit of a test only if nothing keeps it.
 LONG_DRAIN_S = 1000.0
@@ -47,7 +48,7 @@
         self.bodies = []
         self.may_answer = asyncio.Event()
         self.streams = False
-        self.ingress = Ingress(self.serve, 100_000)
+        self.ingress = Ingress(self.serve, MAX_BODY_BYTES)
         self.received = bytearray()
 
     async def serve(self, request, answer):
@@ -311,6 +312,20 @@
 
         play(scenario)
 
+    def test_body_that_is_too_long_does_not_delay_the_stop(self, play):
+        async def scenario(entry):
+            (connection,) = entry.ingress.server.connections
+            connection._lingering_time = LONG_DRAIN_S
+            stopping = entry.begin_stop(LONG_DRAIN_S)
+            whole = request_bytes(1, b"x" * (3 * MAX_BODY_BYTES))
+            entry.writer.write(whole[:-MAX_BODY_BYTES])
+            await entry.reading
+            assert entry.statuses == [413] and entry.handled == []
+            assert b"connection: close" in entry.received.lower()
+            await stopping
+
+        play(scenario)
+
     def test_half_of_a_head_delays_the_stop_no_longer_than_its_limit(self, play):
         async def scenario(entry):
             entry.writer.write(request_bytes(1)[:40])
