Answer the request behind the rest of a refused body

Callers saw, by reading: a request that came together with the last bytes of a body that a stopping entry had refused was read whole and got nothing.

Cause: that refusal ended the connection in aiohttp's way, which drops what is behind as soon as the body has ended.

The new test failed before on both event loops (one 503 for two requests).

Fix: the refusal announces the close as other responses do, so that the request behind it is refused as not run. aiohttp still closes if the body doesn't end.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -117,13 +117,13 @@
         response.headers["Connection"] = "close"
         self.close_announced = True
 
-    def close_before_body_ends(self, response: web.StreamResponse) -> None:
-        """Let a response close the connection although its request goes on arriving.
+    def announce_close_before_body_ends(self, response: web.StreamResponse) -> None:
+        """Let a response announce the close although its request goes on arriving.
 
-        The rest would be taken for the next request. It is read for a while, since a
-        close beside unread bytes could keep the caller from reading the response.
+        The rest is read for a while: a close beside unread bytes could keep the caller
+        from reading the response.
         """
-        response.force_close()
+        self.announce_close(response)
         self._lingering_time = UNREAD_BODY_WAIT_S
 
     async def finish_response(
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -107,7 +107,7 @@
     def end_connection(self, response: web.StreamResponse) -> None:
         """Let the connection close behind a response, unless earlier requests wait."""
         if not self.request.content.is_eof():
-            self.request.protocol.close_before_body_ends(response)
+            self.request.protocol.announce_close_before_body_ends(response)
         elif not self.request.protocol.has_more_from_before:
             self.request.protocol.announce_close(response)
 
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -262,6 +262,25 @@
 
         play(scenario)
 
+    def test_request_behind_the_rest_of_a_refused_body(self, play):
+        """It is refused as well, since the refusal before it announced the close."""
+
+        async def scenario(entry):
+            needed_s = {"1": LONG_DRAIN_S, "2": 0.0}
+            entry.ingress.time_needed_s = lambda head: needed_s[head.request_id]
+            entry.may_answer.set()
+            whole = request_bytes(1, b"x" * 2000)
+            stopping = entry.begin_stop()
+            await asyncio.sleep(0)
+            entry.writer.write(whole[:-1000])
+            await until(lambda: entry.received)
+            entry.writer.write(whole[-1000:] + request_bytes(2))
+            await entry.reading
+            assert entry.statuses == [503, 503] and entry.handled == []
+            await stopping
+
+        play(scenario)
+
 
 class TestTimeOfAStop:
     """A stop ends in its time, whatever its callers do."""
