Answer every request that an HTTP server of a daemon has read at its stop

Callers saw: a call to a control instance (a configuration, weights, a heartbeat or a leave of a target), a readiness check or a request of an operator that was read around a stop got no answer: one whose head or body was still on its way, one behind another on the same connection, one in progress after a second.

Cause: these servers ended by the clean-up of aiohttp's runners. It sets the flag by which every connection drops what arrives later and what it has parsed, and after the shutdown timeout cancels handlers without a response.

Fix: one listener for the three kinds of server, around the connections that callers of an entry have. It closes a connection only once all that was read on it is answered, and tells the caller only if nothing waits there. A stop has a limit: what is not done then is refused, as not run if its body is incomplete.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -25,6 +25,8 @@
 
     Attributes
     ----------
+    server : CallerServer
+        Server that accepted the connection.
     body : aiohttp.StreamReader or None
         Body of the last request whose head has arrived.
     partial_of : int
@@ -117,19 +119,26 @@
         response.headers["Connection"] = "close"
         self.close_announced = True
 
-    def announce_close_before_body_ends(self, response: web.StreamResponse) -> None:
-        """Let a response announce the close although its request goes on arriving.
+    def end_connection(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        """Let the connection close behind a response, unless earlier requests wait.
 
-        The rest is read for a while: a close beside unread bytes could keep the caller
-        from reading the response.
+        The rest of an incomplete body is read for a while: a close beside unread bytes
+        could keep the caller from reading the response.
         """
-        self.announce_close(response)
-        self._lingering_time = UNREAD_BODY_WAIT_S
+        if not request.content.is_eof():
+            self._lingering_time = UNREAD_BODY_WAIT_S
+            self.announce_close(response)
+        elif not self.has_more_from_before:
+            self.announce_close(response)
 
     async def finish_response(
         self, request: web.BaseRequest, response: web.StreamResponse, start_s: object
     ) -> tuple[web.StreamResponse, bool]:
         """End a response, and close the connection if the caller was told so."""
+        if self.server.closing and not getattr(response, "prepared", True):
+            self.end_connection(request, response)
         result = await super().finish_response(request, response, start_s)
         if self.close_announced and not self.has_more:
             self.force_close()
@@ -143,8 +152,10 @@
     ----------
     handler : callable
         Responds to a request.
-    request_factory : callable
+    request_factory : callable, optional
         Creates the requests.
+    handler_cancellation : bool
+        Whether a request ends when its caller leaves.
     **options : object
         Options of each connection.
 
@@ -152,19 +163,25 @@
     ----------
     listener_closed_s : float
         When it began to accept no new connections, on the loop's clock.
+    closing : bool
+        Whether responses tell their callers that the connection closes.
     """
 
     def __init__(
         self,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-        request_factory: Callable[..., web.BaseRequest],
+        request_factory: Callable[..., web.BaseRequest] | None,
+        handler_cancellation: bool = True,
         **options: object,
     ):
         super().__init__(
-            handler, request_factory=request_factory, handler_cancellation=True
+            handler,
+            request_factory=request_factory,
+            handler_cancellation=handler_cancellation,
         )
         self.options = options
         self.listener_closed_s = math.inf
+        self.closing = False
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
--- a/src/wisteriapulley/http_server.py
+++ b/src/wisteriapulley/http_server.py
@@ -14,6 +14,7 @@
     SettingsError,
     WisteriapulleyError,
 )
+from wisteriapulley.http_listener import STOP_LIMIT_S, HttpListener
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.settings import Address
 
@@ -40,6 +41,8 @@
         Additional routes of the daemon.
     max_body_bytes : int
         Maximum size of a request body.
+    overdue_code : ResultCode
+        Result of a request that a stop leaves undone.
     """
 
     def __init__(
@@ -48,9 +51,11 @@
         is_ready: Callable[[], bool],
         routes: Iterable[web.RouteDef] = (),
         max_body_bytes: int = MAX_BODY_BYTES,
+        overdue_code: ResultCode = ResultCode.MAY_HAVE_RUN,
     ):
         self.metrics = metrics
         self.is_ready = is_ready
+        self.overdue_code = overdue_code
         self.first_request_timeout_s = FIRST_REQUEST_TIMEOUT_S
         self.active_connections: set[object] = set()
         self.served_connections: set[object] = set()
@@ -66,7 +71,7 @@
                 *routes,
             ]
         )
-        self.runner: web.AppRunner | None = None
+        self.listener: HttpListener | None = None
         self.address: Address | None = None
 
     async def start(self, address: Address) -> None:
@@ -80,25 +85,25 @@
         self.sweep_task = asyncio.get_running_loop().create_task(
             self.close_idle_connections()
         )
-        self.runner = web.AppRunner(
-            self.app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
+        self.listener = await HttpListener.from_app(
+            self.app,
+            error_response,
+            overdue_code=self.overdue_code,
+            handler_cancellation=True,
         )
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, address.host, address.port)
         try:
-            await site.start()
+            await self.listener.start(address)
         except OSError as error:
             raise SettingsError(
                 ResultCode.ADDRESS_CLASH, f"$.http_listen {address}: {error}"
             ) from error
-        port = site._server.sockets[0].getsockname()[1]
-        self.address = Address(address.host, port)
+        self.address = Address(address.host, self.listener.port)
 
-    async def stop(self) -> None:
-        """Stop listening."""
+    async def stop(self, max_s: float = STOP_LIMIT_S) -> None:
+        """Stop listening; see `HttpListener.stop`."""
         self.sweep_task.cancel()
-        if self.runner is not None:
-            await self.runner.cleanup()
+        if self.listener is not None:
+            await self.listener.stop(max_s)
 
     async def close_idle_connections(self) -> None:
         """Close connections that stay without a request for too long.
@@ -110,7 +115,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now_s = time.monotonic()
-            connections = set(self.runner.server.connections)
+            connections = set(self.listener.server.connections)
             self.served_connections &= connections
             idle = connections - self.active_connections
             idle_since_s = {c: idle_since_s.get(c, now_s) for c in idle}
--- a/src/wisteriapulley/platform/control_calls.py
+++ b/src/wisteriapulley/platform/control_calls.py
@@ -11,6 +11,7 @@
     SettingsError,
     WisteriapulleyError,
 )
+from wisteriapulley.http_listener import STOP_LIMIT_S, HttpListener
 from wisteriapulley.platform import names
 from wisteriapulley.platform.documents import (
     decode_configuration,
@@ -38,8 +39,11 @@
 
     def __init__(self, api: ControlApi):
         self.api = api
-        app = web.Application(middlewares=[map_errors], client_max_size=MAX_BODY_BYTES)
-        app.add_routes(
+        self.app = web.Application(
+            middlewares=[map_errors], client_max_size=MAX_BODY_BYTES
+        )
+        self.listener: HttpListener | None = None
+        self.app.add_routes(
             [
                 web.post(names.REPLACE_CALL, self.replace),
                 web.get(names.READ_CALL, self.read),
@@ -50,7 +54,6 @@
                 web.post(names.END_EVACUATION_CALL, self.end_evacuation),
             ]
         )
-        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
 
     async def start(self, address: Address) -> None:
         """Start listening.
@@ -60,19 +63,21 @@
         SettingsError
             ADDRESS_CLASH: the address can't be bound.
         """
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, address.host, address.port, backlog=512)
+        self.listener = await HttpListener.from_app(
+            self.app, refuse, overdue_code=ResultCode.NO_QUORUM
+        )
         try:
-            await site.start()
+            await self.listener.start(address, backlog=512)
         except OSError as error:
             raise SettingsError(
                 ResultCode.ADDRESS_CLASH,
                 f"cannot listen for operators at {address}: {error}",
             ) from error
 
-    async def stop(self) -> None:
-        """Stop listening."""
-        await self.runner.cleanup()
+    async def stop(self, max_s: float = STOP_LIMIT_S) -> None:
+        """Stop listening; see `HttpListener.stop`."""
+        if self.listener is not None:
+            await self.listener.stop(max_s)
 
     async def replace(self, request: web.Request) -> web.Response:
         """Replace the current configuration."""
@@ -133,7 +138,10 @@
         log.warning("call rejected: %s", error)
         return web.Response(status=400 if is_permanent else 503, text=f"{error}\n")
     except (WisteriapulleyError, TimeoutError) as error:
-        log.info("call not acknowledged: %s", error)
-        return web.Response(
-            status=503, text=f"{error}\n", headers={"Retry-After": "0.2"}
-        )
+        return refuse(error)
+
+
+def refuse(error: Exception) -> web.Response:
+    """Return the response to a call that another instance may acknowledge."""
+    log.info("call not acknowledged: %s", error)
+    return web.Response(status=503, text=f"{error}\n", headers={"Retry-After": "0.2"})
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -100,17 +100,10 @@
         elif self.request.version >= HttpVersion11:
             response.enable_chunked_encoding()
         if self.is_closing():
-            self.end_connection(response)
+            self.request.protocol.end_connection(self.request, response)
         self.response = response
         await response.prepare(self.request)
 
-    def end_connection(self, response: web.StreamResponse) -> None:
-        """Let the connection close behind a response, unless earlier requests wait."""
-        if not self.request.content.is_eof():
-            self.request.protocol.announce_close_before_body_ends(response)
-        elif not self.request.protocol.has_more_from_before:
-            self.request.protocol.announce_close(response)
-
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
         if data:
@@ -259,7 +252,7 @@
         except web.HTTPRequestEntityTooLarge as error:
             log.info("refused: %s", error.text, extra=request_fields(request))
             if self.closing:
-                answer.end_connection(error)
+                request.protocol.end_connection(request, error)
             raise
         except asyncio.CancelledError:
             if not self.overdue:
