Answer operators before a stopping control instance stops its replica

Callers saw: an operator's change that was in progress when a control instance stopped got no answer, although it could have been committed.

Cause: the instance stopped its replica first, and the operators' HTTP server after it. A change that waited to be committed waited in vain, for a second.

Fix: both servers of a control instance now answer what they have read at first and at the same time, for at most a second or half of the drain limit. An order that isn't committed by then is refused with NO_QUORUM, as its outcome is unknown.

--- a/src/wisteriapulley/control/service.py
+++ b/src/wisteriapulley/control/service.py
@@ -44,6 +44,7 @@
 from wisteriapulley.control.state import ControlState
 from wisteriapulley.control.suspect_store import SuspectStore
 from wisteriapulley.errors import ResultCode, WireError, WisteriapulleyError
+from wisteriapulley.http_listener import STOP_LIMIT_S
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.settings import Address, ControlSettings, load_operators
@@ -206,11 +207,15 @@
         self.server.on_close = self.link_closed
         await self.server.start(settings.wire_listen)
         routes = [*operator_routes(self), *quorum_routes(self)]
-        self.http = HttpServer(self.metrics, self.is_ready, routes, MAX_CHANGE_BYTES)
+        self.http = HttpServer(
+            self.metrics, self.is_ready, routes, MAX_CHANGE_BYTES, ResultCode.NO_QUORUM
+        )
         await self.http.start(settings.http_listen)
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Transfer leadership, then stop the tasks, listeners and links."""
+        """Answer callers, transfer leadership, then stop the tasks and links."""
+        # An order in progress needs the leader and the links.
+        await self.stop_serving(self.caller_wait_s())
         # Leadership is transferred while the links are still open.
         await self.driver.stop()
         self.sweep_task.cancel()
@@ -219,11 +224,18 @@
         for task in self.release_tasks.values():
             task.cancel()
         self.pieces.stop()
-        await self.http.stop()
         for connection in self.peers.values():
             await connection.stop()
         await self.server.stop()
 
+    def caller_wait_s(self) -> float:
+        """Return how long a stop may wait for calls; the rest is for the leadership."""
+        return min(STOP_LIMIT_S, self.settings.drain_ms / 1000 / 2)
+
+    async def stop_serving(self, max_s: float) -> None:
+        """Answer the calls in progress, or refuse them after `max_s` seconds."""
+        await self.http.stop(max_s)
+
     def is_ready(self) -> bool:
         """Return whether a leader is known and this disk is a voter."""
         return self.driver.is_ready()
--- a/src/wisteriapulley/platform/daemons.py
+++ b/src/wisteriapulley/platform/daemons.py
@@ -24,6 +24,8 @@
 
 def new_control(settings: PlatformSettings, key_file: str) -> "aiomisc.Service":
     """Return a new control instance."""
+    import asyncio
+
     from wisteriapulley.control.service import ControlService
     from wisteriapulley.platform.control_calls import ControlCalls
     from wisteriapulley.platform.http import HttpClient
@@ -43,11 +45,14 @@
             )
 
         async def stop(self, exception: Exception | None = None) -> None:
-            """Stop serving calls, then stop the instance."""
-            await self.calls.stop()
+            """Stop the instance, then close the client of the weights' origin."""
             await super().stop(exception)
             await self.client.close()
 
+        async def stop_serving(self, max_s: float) -> None:
+            """Answer calls in progress; see `ControlService.stop_serving`."""
+            await asyncio.gather(self.calls.stop(max_s), super().stop_serving(max_s))
+
     return PlatformControl.from_settings(settings.control_settings(key_file))
 
 
