Keep a connection whose request arrives as its idle limit passes

Callers saw: a request to a daemon's HTTP server got no answer if it arrived on a kept connection as its idle limit passed.

Cause: the server kept its own record of connections with requests in progress, in a middleware. It also closed one in the middle of a head that had begun just before the limit.

A head that has begun has the time limit of a first request.

--- a/src/wisteriapulley/http_server.py
+++ b/src/wisteriapulley/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import msgspec
 from aiohttp import web
@@ -14,13 +15,14 @@
     SettingsError,
     WisteriapulleyError,
 )
+from wisteriapulley.http_drain import CallerConnection, is_idle
 from wisteriapulley.http_listener import STOP_LIMIT_S, HttpListener
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.settings import Address
 
 MAX_BODY_BYTES = 8 << 20
-# Time in which a new connection has to send the headers of its first request, however
-# slowly its bytes arrive.
+# Time in which a new connection has to send the headers of its first request, and any
+# connection the rest of headers that have begun, however slowly its bytes arrive.
 FIRST_REQUEST_TIMEOUT_S = 20.0
 # Idle time of a connection that has served a request; load balancers keep idle
 # connections open for a similar time.
@@ -28,6 +30,73 @@
 SWEEP_INTERVAL_S = 1.0
 
 
+class Wait(NamedTuple):
+    """What a connection without a request in progress waits for.
+
+    Attributes
+    ----------
+    connection : CallerConnection
+        The connection.
+    requests_read : int
+        How many requests have arrived on it.
+    rest_of_head : bool
+        Whether a part of the head of a further one has.
+    """
+
+    connection: CallerConnection
+    requests_read: int
+    rest_of_head: bool
+
+    @classmethod
+    def from_connection(cls, connection: CallerConnection) -> "Wait":
+        """Return what a connection waits for."""
+        requests_read = connection._request_count
+        is_kept = requests_read > 0
+        return cls(connection, requests_read, is_kept and connection.has_partial_head)
+
+
+class IdleConnections:
+    """Finds connections that stay without a request for too long.
+
+    Parameters
+    ----------
+    head_timeout_s : float
+        Time limit for the first request of a connection, and for the rest of a head.
+    keep_alive_timeout_s : float
+        Time limit for a further request.
+
+    Attributes
+    ----------
+    since_s : dict of Wait to float
+        When each wait was seen first.
+    """
+
+    def __init__(self, head_timeout_s: float, keep_alive_timeout_s: float):
+        self.head_timeout_s = head_timeout_s
+        self.keep_alive_timeout_s = keep_alive_timeout_s
+        self.since_s: dict[Wait, float] = {}
+
+    def overdue(
+        self, connections: Iterable[CallerConnection], now_s: float
+    ) -> list[CallerConnection]:
+        """Return the connections to close at `now_s`.
+
+        One on which a request has arrived is not idle, even before its handler runs.
+        """
+        waits = map(Wait.from_connection, filter(is_idle, connections))
+        self.since_s = {wait: self.since_s.get(wait, now_s) for wait in waits}
+        return [
+            wait.connection
+            for wait, since_s in self.since_s.items()
+            if now_s - since_s > self.limit_s(wait)
+        ]
+
+    def limit_s(self, wait: Wait) -> float:
+        """Return how long a wait may take."""
+        is_kept = wait.requests_read > 0 and not wait.rest_of_head
+        return self.keep_alive_timeout_s if is_kept else self.head_timeout_s
+
+
 class HttpServer:
     """Serve health checks, metrics and a daemon's own routes at one address.
 
@@ -56,12 +125,9 @@
         self.metrics = metrics
         self.is_ready = is_ready
         self.overdue_code = overdue_code
-        self.first_request_timeout_s = FIRST_REQUEST_TIMEOUT_S
-        self.active_connections: set[object] = set()
-        self.served_connections: set[object] = set()
+        self.idle = IdleConnections(FIRST_REQUEST_TIMEOUT_S, KEEP_ALIVE_TIMEOUT_S)
         self.app = web.Application(
-            middlewares=[self.track_connection, error_middleware],
-            client_max_size=max_body_bytes,
+            middlewares=[error_middleware], client_max_size=max_body_bytes
         )
         self.app.add_routes(
             [
@@ -111,35 +177,11 @@
         aiohttp has no timeout for the first header line of a connection, so callers
         that send it byte by byte would occupy sockets and memory indefinitely.
         """
-        idle_since_s: dict[object, float] = {}
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            now_s = time.monotonic()
-            connections = set(self.listener.server.connections)
-            self.served_connections &= connections
-            idle = connections - self.active_connections
-            idle_since_s = {c: idle_since_s.get(c, now_s) for c in idle}
-            for connection, since_s in idle_since_s.items():
-                limit_s = (
-                    KEEP_ALIVE_TIMEOUT_S
-                    if connection in self.served_connections
-                    else self.first_request_timeout_s
-                )
-                if now_s - since_s > limit_s:
-                    connection.force_close()
-
-    @web.middleware
-    async def track_connection(
-        self, request: web.Request, handler
-    ) -> web.StreamResponse:
-        """Record which connections have a request in progress."""
-        protocol = request.protocol
-        self.active_connections.add(protocol)
-        try:
-            return await handler(request)
-        finally:
-            self.active_connections.discard(protocol)
-            self.served_connections.add(protocol)
+            connections = self.listener.server.connections
+            for connection in self.idle.overdue(connections, time.monotonic()):
+                connection.force_close()
 
     async def live(self, request: web.Request) -> web.Response:
         """Report that the event loop is running."""
