Give the rest of a head its time when a connection's idle limit passes

Callers saw: a connection closed in the middle of a request's head, although the request had begun within the time for which idle connections are kept.

Cause: the library's timer closes a connection that waits for a request, also if a part of the next head has arrived. A request that has arrived whole it leaves alone, also in the turn of the loop in which it arrived.

Evidence: with the timer run amid a head, the test got no answer before, on both event loops. The test of a whole request in that turn passed.

Fix: a connection with a part of a head gets 20 s more, the time that a first request has.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -18,6 +18,8 @@
 POLL_INTERVAL_S = 0.02
 # How long a caller has to take a response that ends its connection before its body.
 UNREAD_BODY_WAIT_S = 1.0
+# How long a connection may take beyond its idle limit for the rest of a head.
+HEAD_TIMEOUT_S = 20.0
 # Turns of the loop in which a connection that was accepted becomes known.
 ACCEPT_TURNS = 3
 
@@ -79,6 +81,17 @@
             log.warning("connection closed before its end", extra=fields(**progress))
         super().connection_lost(exc)
 
+    def _process_keepalive(self) -> None:
+        """Close an idle connection, but give the rest of a head its time.
+
+        aiohttp calls this when the time to wait for a request has passed.
+        """
+        ends_s = self._next_keepalive_close_time + HEAD_TIMEOUT_S
+        if self.has_partial_head and self._loop.time() < ends_s:
+            self._keepalive_handle = self._loop.call_at(ends_s, self._process_keepalive)
+        else:
+            super()._process_keepalive()
+
     @property
     def has_partial_body(self) -> bool:
         """Whether the body of the last request is incomplete."""
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -9,7 +9,7 @@
 
 from tests.fleet import free_port
 from tests.test_calls_at_a_stop import HOST, Caller, OwnRoutes, until
-from wisteriapulley import http_server
+from wisteriapulley import http_drain, http_server
 from wisteriapulley.http_drain import is_idle
 from wisteriapulley.http_server import IdleConnections
 from wisteriapulley.settings import Address
@@ -109,3 +109,61 @@
             assert idle.overdue(connections, 620.2) == connections
 
         play(scenario)
+
+
+class TestTimerOfTheLibrary:
+    """A connection of callers whose time to wait for a request passes."""
+
+    def expire(self, connection):
+        connection._next_keepalive_close_time = asyncio.get_running_loop().time()
+        connection._process_keepalive()
+
+    def test_as_a_request_arrives(self, play, monkeypatch):
+        data_received = web.RequestHandler.data_received
+
+        def expire_behind(connection, data):
+            data_received(connection, data)
+            self.expire(connection)
+
+        monkeypatch.setattr(web.RequestHandler, "data_received", expire_behind)
+
+        async def scenario(calls, caller):
+            caller.writer.write(calls.request_bytes(1))
+            await until(lambda: caller.received or caller.reading.done())
+            assert caller.statuses == [200]
+
+        play(scenario)
+
+    def test_amid_a_head(self, play):
+        async def scenario(calls, caller):
+            (connection,) = calls.server.listener.server.connections
+            whole = calls.request_bytes(1)
+            caller.writer.write(whole[:30])
+            await until(lambda: connection.has_partial_head)
+            self.expire(connection)
+            caller.writer.write(whole[30:])
+            await until(lambda: caller.received or caller.reading.done())
+            assert caller.statuses == [200]
+
+        play(scenario)
+
+    def test_amid_a_head_that_never_ends(self, play, monkeypatch):
+        monkeypatch.setattr(http_drain, "HEAD_TIMEOUT_S", 0.0)
+
+        async def scenario(calls, caller):
+            (connection,) = calls.server.listener.server.connections
+            caller.writer.write(calls.request_bytes(1)[:30])
+            await until(lambda: connection.has_partial_head)
+            self.expire(connection)
+            await caller.reading
+            assert not caller.received
+
+        play(scenario)
+
+    def test_of_an_idle_connection(self, play):
+        async def scenario(calls, caller):
+            (connection,) = calls.server.listener.server.connections
+            self.expire(connection)
+            await caller.reading
+
+        play(scenario)
