Bound the stop of an entry's other servers by the drain limit

Callers saw nothing of this, but a stop could outlast the grace period, and the process be killed: a connection to the metrics or the readiness checks with an unfinished request kept an entry for up to two seconds after a drain that had taken its whole time.

Cause: each server had a time limit of its own, and aiohttp waits that long twice.

Evidence: with a drain limit of 0 the test saw the limit of 1 s at both servers before.

Fix: these servers get what is left of the drain limit, a second at most, and the clean-up of the library, which has nothing left to wait for, its shortest.

--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -16,6 +16,7 @@
 from wisteriapulley.direct.slot_allocation import SlotAllocator
 from wisteriapulley.direct.types import TargetClient
 from wisteriapulley.entry.metrics import EntryMetrics
+from wisteriapulley.http_listener import wait_limit_s
 from wisteriapulley.http_server import HttpServer
 from wisteriapulley.logs import fields, lines_lost
 from wisteriapulley.metrics import Metrics
@@ -108,6 +109,7 @@
         self.reported_domains: set[str] = set()
         self.leaving = False
         self.sweep_task: asyncio.Task | None = None
+        self.stop_ends_s = 0.0
 
     async def start(self) -> None:
         """Follow control instances and listen for callers."""
@@ -131,11 +133,13 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Leave the load balancer, drain requests in progress, and close."""
         self.leaving = True
+        drain_s = self.settings.drain_ms / 1000
+        self.stop_ends_s = asyncio.get_running_loop().time() + drain_s
         log.info("stopping", extra=fields(in_progress=len(self.ingress.active)))
-        await self.ingress.drain(BALANCER_REMOVAL_S, self.settings.drain_ms / 1000)
+        await self.ingress.drain(BALANCER_REMOVAL_S, drain_s)
         self.sweep_task.cancel()
         await self.ingress.stop()
-        await self.http.stop()
+        await self.http.stop(wait_limit_s(self.stop_ends_s))
         await self.allocator.stop()
         await self.follower.stop()
 
--- a/src/wisteriapulley/http_listener.py
+++ b/src/wisteriapulley/http_listener.py
@@ -7,7 +7,11 @@
 from aiohttp import web
 
 from wisteriapulley.errors import ResultCode, WisteriapulleyError
-from wisteriapulley.http_drain import CallerServer, close_when_answered
+from wisteriapulley.http_drain import (
+    POLL_INTERVAL_S,
+    CallerServer,
+    close_when_answered,
+)
 from wisteriapulley.logs import fields
 from wisteriapulley.settings import Address
 
@@ -64,7 +68,8 @@
         self.server = CallerServer(
             self.handle, request_factory, handler_cancellation, access_log=None
         )
-        self.runner = web.ServerRunner(self.server, shutdown_timeout=CLOSE_TIMEOUT_S)
+        # All waiting is done before; no limit, or 0, would mean to wait for good.
+        self.runner = web.ServerRunner(self.server, shutdown_timeout=POLL_INTERVAL_S)
 
     @classmethod
     async def from_app(
@@ -151,3 +156,15 @@
 def leaving(message: str) -> WisteriapulleyError:
     """Return the error of a request that did not run, since the instance stops."""
     return WisteriapulleyError(ResultCode.LEAVING, message, RETRY_AFTER_MS)
+
+
+def wait_limit_s(ends_s: float) -> float:
+    """Return how long a server may wait for its requests in a stop.
+
+    Parameters
+    ----------
+    ends_s : float
+        When the stop should end, on the loop's clock.
+    """
+    left_s = ends_s - asyncio.get_running_loop().time()
+    return min(STOP_LIMIT_S, max(0.0, left_s))
--- a/src/wisteriapulley/platform/daemons.py
+++ b/src/wisteriapulley/platform/daemons.py
@@ -59,6 +59,7 @@
 def new_entry(settings: PlatformSettings, key_file: str) -> "aiomisc.Service":
     """Return a new entry."""
     from wisteriapulley.direct.service import DirectEntryService
+    from wisteriapulley.http_listener import wait_limit_s
     from wisteriapulley.platform import names
     from wisteriapulley.platform.http import HttpClient
     from wisteriapulley.platform.ingress import Ingress
@@ -79,7 +80,7 @@
         async def stop(self, exception: Exception | None = None) -> None:
             """Stop the entry; readiness checks are answered until it has stopped."""
             await super().stop(exception)
-            await self.readiness.stop()
+            await self.readiness.stop(wait_limit_s(self.stop_ends_s))
             await http.close()
 
     entry_settings = settings.entry_settings(key_file)
