--- a/tests/test_calls_at_a_stop.py
+++ b/tests/test_calls_at_a_stop.py
@@ -1,8 +1,10 @@
 """Requests on their way in while a server of ours stops: each one read is answered."""
 
 import asyncio
+import contextlib
 import gc
 import json
+import random
 import re
 import socket
 
@@ -301,6 +303,74 @@
         play(scenario, Readiness)
 
 
+class BusyCaller(Caller):
+    """A caller that sends requests in parts, some behind each other, until it can't.
+
+    It reads what has arrived also if its own writes fail, unlike asyncio's streams.
+    """
+
+    async def connect(self):
+        self.loop = asyncio.get_running_loop()
+        self.socket = socket.create_connection((HOST, self.port))
+        self.socket.setblocking(False)
+        self.reading = asyncio.create_task(self.read_all())
+
+    async def read_all(self):
+        with contextlib.suppress(ConnectionError):
+            while data := await self.loop.sock_recv(self.socket, 65536):
+                self.received += data
+
+    async def send_all(self, calls, rng):
+        await self.connect()
+        number = 0
+        while not self.reading.done():
+            behind = rng.choice([1, 1, 2, 3])
+            whole = b"".join(calls.request_bytes(number + i) for i in range(behind))
+            number += behind
+            split = rng.choice([0, rng.randrange(len(whole))])
+            with contextlib.suppress(ConnectionError):
+                await self.loop.sock_sendall(self.socket, whole[:split])
+                await asyncio.sleep(rng.uniform(0, 0.02) if split else 0)
+                await self.loop.sock_sendall(self.socket, whole[split:])
+            await asyncio.sleep(rng.uniform(0, 0.01))
+        self.socket.close()
+
+
+@pytest.fixture
+def connections(monkeypatch):
+    """Return a list of all connections, filled as they are accepted."""
+    accepted = []
+    connection_made = web.RequestHandler.connection_made
+
+    def record(connection, transport):
+        accepted.append(connection)
+        connection_made(connection, transport)
+
+    monkeypatch.setattr(web.RequestHandler, "connection_made", record)
+    return accepted
+
+
+@pytest.mark.parametrize("new_calls", [Calls, OwnRoutes, Readiness])
+class TestManyCallers:
+    CALLERS = 30
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_all_that_was_read_is_answered(self, play, new_calls, seed, connections):
+        rng = random.Random(seed)
+
+        async def scenario(calls, caller):
+            calls.may_answer.set()
+            callers = [BusyCaller(caller.port) for _ in range(self.CALLERS)]
+            sending = [asyncio.create_task(c.send_all(calls, rng)) for c in callers]
+            await until(lambda: sum(len(c.statuses) for c in callers) > self.CALLERS)
+            await calls.server.stop()
+            await asyncio.gather(*sending)
+            answered = sum(len(c.statuses) for c in callers)
+            assert answered == sum(c._request_count for c in connections)
+
+        play(scenario, new_calls)
+
+
 class TestConnection:
     @pytest.mark.parametrize("new_calls", [Calls, OwnRoutes, Readiness])
     def test_keeps_nothing_of_requests_that_are_answered(self, play, new_calls):
