Answer what an entry has in progress at the end of its drain

Callers saw: a request that ran longer than drain_ms lasted after SIGTERM got a closed connection without a result, also one that waited for a slot or whose body was incomplete. A stream ended without the error event that every other cut has.

Cause: the stop closed the HTTP server, which cancels the handlers that are left, and a cancelled handler answers nothing.

Evidence: four tests, each on both event loops, fail on the code before: the connection closes without a byte, or without the event.

Fix: at the end of the drain queued requests are refused with LEAVING, and the others are cancelled by the entry itself: MAY_HAVE_RUN, LEAVING if the body is incomplete, or the error event. A key whose attempt goes on at its target is told to be sent again. Two seconds bound this.

--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -176,6 +176,12 @@
         except RequestError as error:
             future.set_exception(error)
 
+    def refuse_queued(self) -> None:
+        """Refuse the queued requests because this entry stops."""
+        for future in self.queued_futures.values():
+            if not future.done():
+                future.set_exception(leaving_error())
+
     def sweep(self) -> None:
         """Detect slow targets and use slots that other entries have freed."""
         self.scheduler.record_overdue(time.monotonic())
@@ -198,6 +204,15 @@
     )
 
 
+def leaving_error() -> RequestError:
+    """Return the error of a request that was sent to no target before the stop."""
+    return RequestError(
+        ResultCode.LEAVING,
+        "this entry stopped before the request was sent to a target",
+        RETRY_AFTER_MS,
+    )
+
+
 class Placer:
     """Assigns requests to targets, with one scheduler for each service.
 
@@ -251,6 +266,11 @@
         limit = request.entry.limits.in_flight
         return bool(pool.scheduler.available_targets(views, limit))
 
+    def refuse_queued(self) -> None:
+        """Refuse the queued requests of every service because this entry stops."""
+        for pool in self.pools.values():
+            pool.refuse_queued()
+
     async def sweep_forever(self) -> None:
         """Sweep every pool at a fixed interval until cancelled."""
         while True:
--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -15,7 +15,7 @@
 from wisteriapulley.entry.body import BodyBudget, BufferedBody
 from wisteriapulley.entry.dispatch import Dispatcher
 from wisteriapulley.entry.metrics import EntryMetrics
-from wisteriapulley.entry.placing import Placer
+from wisteriapulley.entry.placing import Placer, leaving_error
 from wisteriapulley.entry.request import (
     COMPLETIONS_PATH,
     SERVICE_PREFIX,
@@ -47,6 +47,9 @@
 INTERNAL_ERROR = "internal error of the entry"
 # How long a caller that does not read may delay the end of a cut response.
 ERROR_EVENT_TIMEOUT_S = 1.0
+# Time limit for the results of requests in progress at the end of the drain.
+OVERDUE_TIMEOUT_S = 2 * ERROR_EVENT_TIMEOUT_S
+OVERDUE = "the entry stopped before the response was complete"
 
 
 class EntryService(aiomisc.Service):
@@ -56,6 +59,13 @@
     ----------
     settings : EntrySettings
         Checked settings.
+
+    Attributes
+    ----------
+    tasks : set of asyncio.Task
+        Tasks of the requests in progress.
+    overdue : bool
+        Whether the time limit of the drain has passed.
     """
 
     def __init__(self, settings: EntrySettings):
@@ -66,7 +76,9 @@
         self.bodies = BodyBudget()
         self.admission = Admission()
         self.leaving = False
+        self.overdue = False
         self.running = 0
+        self.tasks: set[asyncio.Task] = set()
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -127,11 +139,27 @@
                 await self.idle.wait()
         except TimeoutError:
             log.error("requests still running after drain_ms; closing anyway")
+            await self.end_overdue()
         self.sweep_task.cancel()
         await self.http.stop()
         await self.targets.stop()
         await self.control.stop()
 
+    async def end_overdue(self) -> None:
+        """Answer the requests that are in progress at the end of the drain.
+
+        A closed connection would leave their callers without any result.
+        """
+        self.overdue = True
+        self.placer.refuse_queued()
+        # A refused request takes its error before a cancellation would replace it.
+        await asyncio.sleep(0)
+        tasks = tuple(self.tasks)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=OVERDUE_TIMEOUT_S)
+
     def is_ready(self) -> bool:
         """Return whether the catalogue is confirmed and the entry is not leaving."""
         return self.control.catalogue.confirmed and not self.leaving
@@ -196,6 +224,13 @@
         except (ConnectionError, web.HTTPException):
             # The caller has left, or the HTTP library answers.
             raise
+        except asyncio.CancelledError:
+            if not self.overdue:
+                # The caller has left.
+                raise
+            error = overdue_error(caller)
+            code = error.code
+            return error_response(error)
         except Exception:
             code = ResultCode.MAY_HAVE_RUN
             self.record_internal_error(caller)
@@ -264,6 +299,12 @@
             raise
         except ConnectionError:
             raise
+        except asyncio.CancelledError as error:
+            if not self.overdue:
+                raise
+            overdue_cut = RequestError(ResultCode.ANSWER_CUT, OVERDUE)
+            await self.abort_response(request, caller, response, overdue_cut)
+            raise overdue_cut from error
         except Exception as error:
             self.record_internal_error(caller)
             cut_error = RequestError(ResultCode.ANSWER_CUT, INTERNAL_ERROR)
@@ -308,11 +349,13 @@
     def request_started(self) -> None:
         """Count a started request."""
         self.running += 1
+        self.tasks.add(asyncio.current_task())
         self.idle.clear()
 
     def request_ended(self) -> None:
         """Count an ended request."""
         self.running -= 1
+        self.tasks.discard(asyncio.current_task())
         if self.running == 0:
             self.idle.set()
 
@@ -356,3 +399,19 @@
     ):
         return RequestError(error.code, error.message, RETRY_AFTER_MS)
     return error
+
+
+def overdue_error(caller: CallerRequest | None) -> RequestError:
+    """Return the error of a request that is in progress at the end of the drain.
+
+    Parameters
+    ----------
+    caller : CallerRequest or None
+        The request; None if its body is incomplete.
+    """
+    if caller is None:
+        return leaving_error()
+    if caller.key:
+        message = f"{OVERDUE}; send the same key again to get it"
+        return RequestError(ResultCode.MAY_HAVE_RUN, message, RETRY_AFTER_MS)
+    return RequestError(ResultCode.MAY_HAVE_RUN, OVERDUE)
--- a/tests/test_entry_service.py
+++ b/tests/test_entry_service.py
@@ -23,10 +23,11 @@
 
     def __init__(self, end):
         self.end = end
+        self.headers = ()
         self.abandoned = 0
 
     async def run(self, caller, now_s):
-        head = messages.AnswerHead(caller.request_id, 200, (), "", -1)
+        head = messages.AnswerHead(caller.request_id, 200, self.headers, "", -1)
         return Answer(head, self.parts(), self.abandon)
 
     async def parts(self):
--- /dev/null
+++ b/tests/test_entry_stop.py
@@ -0,0 +1,146 @@
+"""Requests in progress at the end of an entry's drain: each one gets a result."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+import uvloop
+
+from tests.test_entry_service import FakeRun, Harness
+from wisteriapulley.entry.dispatch import Dispatcher
+from wisteriapulley.entry.placing import Placer
+from wisteriapulley.errors import ResultCode
+from wisteriapulley.policy import TargetView
+
+TEST_TIMEOUT_S = 30.0
+DRAIN_MS = 200
+BODY = b"x" * 1000
+# How a response that ends is told from one that does not.
+LAST_CHUNK = b"\r\n0\r\n\r\n"
+
+
+async def stop_nothing():
+    """Stand in for the end of links that the entry of a test does not have."""
+
+
+class StoppableHarness(Harness):
+    """An entry that can be stopped, without control instances and targets."""
+
+    async def start(self, run):
+        await super().start(run)
+        service = self.service
+        service.settings = msgspec.structs.replace(service.settings, drain_ms=DRAIN_MS)
+        service.http = self.http
+        service.placer = Placer(FullTargets(), random.Random(1))
+        service.sweep_task = asyncio.create_task(stop_nothing())
+        service.targets = service.control
+        service.control.stop = stop_nothing
+
+    async def in_progress(self, count=1):
+        while self.service.running < count:
+            await asyncio.sleep(0.001)
+
+    async def send(self, body):
+        """Send a request with (a part of) its body; return the connection."""
+        address = self.http.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(
+            b"POST /services/letters/post HTTP/1.1\r\nHost: h.example\r\n"
+            b"X-Client-Account: council\r\nContent-Length: %d\r\n\r\n" % len(BODY)
+        )
+        writer.write(body)
+        return reader, writer
+
+
+class FullTargets:
+    """One target, without a free slot."""
+
+    def views(self, entry, avoid=(), version=""):
+        return [TargetView("t", entry.limits.in_flight, 0, 0)]
+
+
+@pytest.fixture(params=[asyncio.new_event_loop, uvloop.new_event_loop])
+def play(request):
+    """Return a function that plays a scenario with an open entry."""
+
+    def run(fake_run, scenario):
+        async def main():
+            harness = StoppableHarness()
+            await harness.start(fake_run)
+            try:
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    await scenario(harness)
+            finally:
+                await harness.stop()
+
+        with asyncio.Runner(loop_factory=request.param) as runner:
+            runner.run(main())
+
+    return run
+
+
+async def code_of(asking):
+    """Return the status and the result code of a response."""
+    async with asking as answer:
+        return answer.status, (await answer.json())["error"]["code"]
+
+
+class TestRequestAtTheEndOfTheDrain:
+    def test_one_that_runs_is_answered(self, play):
+        async def run_forever(caller, now_s):
+            await asyncio.Event().wait()
+
+        async def scenario(harness):
+            asking = asyncio.create_task(code_of(harness.ask()))
+            await harness.in_progress()
+            await harness.service.stop()
+            assert await asking == (502, ResultCode.MAY_HAVE_RUN)
+            assert harness.codes() == [ResultCode.MAY_HAVE_RUN]
+
+        play(run_forever, scenario)
+
+    def test_one_whose_body_is_incomplete_is_refused_as_not_run(self, play):
+        async def scenario(harness):
+            reader, writer = await harness.send(BODY[:-1])
+            await harness.in_progress()
+            await harness.service.stop()
+            answer = await reader.read()
+            writer.close()
+            assert answer.startswith(b"HTTP/1.1 503 ")
+            assert b"X-Result-Code: %d\r\n" % ResultCode.LEAVING in answer
+            assert harness.codes() == [ResultCode.LEAVING]
+
+        play(None, scenario)
+
+    def test_one_in_the_queue_is_refused_as_not_run(self, play):
+        async def scenario(harness):
+            service = harness.service
+            dispatcher = Dispatcher(service.placer)
+            service.run = lambda caller, now_s: dispatcher.run(caller)
+            asking = asyncio.create_task(code_of(harness.ask()))
+            await harness.in_progress()
+            await service.stop()
+            assert await asking == (503, ResultCode.LEAVING)
+
+        play(None, scenario)
+
+    def test_stream_ends_with_an_error_event(self, play):
+        fake = FakeRun(asyncio.Event().wait)
+        fake.headers = (
+            SimpleNamespace(name="Content-Type", value="text/event-stream"),
+        )
+
+        async def scenario(harness):
+            reader, writer = await harness.send(BODY)
+            begun = await reader.readuntil(b"part\r\n")
+            await harness.service.stop()
+            rest = await reader.read()
+            writer.close()
+            assert begun.startswith(b"HTTP/1.1 200 ")
+            assert b"event: error\n" in rest and LAST_CHUNK not in rest
+            assert harness.codes() == [ResultCode.ANSWER_CUT]
+            assert fake.abandoned == 1
+
+        play(fake.run, scenario)
