Fail the proposals of a control instance that stops

Callers saw: a change that a control instance had read when it got SIGTERM, and had not committed when it stopped its replica, got no result: an operator's call was closed after the HTTP server's second of grace, an entry waited for its claim until the link closed. A call that was read later waited as well.

Cause: the stop cancels the task that commits and applies, and the proposals that wait for it only have their own time limit of 3 s.

Evidence: two tests, of a proposal in progress and of one after the stop; on the code before neither ends within their time limit of 15 s.

Fix: the stop fails what waits, and what comes later, with NO_QUORUM, which says that the outcome is unknown and the same request can be sent again.

--- a/src/wisteriapulley/control/driver.py
+++ b/src/wisteriapulley/control/driver.py
@@ -60,6 +60,7 @@
 # A leadership transfer takes a round trip or two; after this time the others elect a
 # leader by themselves.
 TRANSFER_TIMEOUT_S = 1.0
+STOPPED = "this instance has stopped"
 
 REPLICA_MESSAGES = (
     messages.VoteRequest,
@@ -99,6 +100,8 @@
     suspended : bool
         Whether the disk is full. The instance keeps serving its current state,
         without a vote, and rejoins the quorum by itself when there is space.
+    stopped : bool
+        Whether nothing is committed or applied here any more.
     """
 
     def __init__(
@@ -133,6 +136,7 @@
         self.wakeup = asyncio.Event()
         self.tasks: list[asyncio.Task] = []
         self.failed = False
+        self.stopped = False
         self.suspended = False
         self.next_disk_retry_ms = 0.0
         if self.storage.failure is not None:
@@ -247,9 +251,7 @@
         log.error("the disk is full, no vote until there is space: %s", error)
         self.suspended = True
         self.replica.suspend()
-        for _, future in self.pending.values():
-            if not future.done():
-                future.set_exception(no_quorum("the disk is full"))
+        self.fail_proposals("the disk is full")
 
     async def resume_if_writable(self) -> None:
         """Reload the state from the disk and rejoin once writes succeed.
@@ -434,6 +436,12 @@
             )
         self.wakeup.set()
 
+    def fail_proposals(self, why: str) -> None:
+        """Fail all proposals in progress: their outcome is unknown."""
+        for _, future in self.pending.values():
+            if not future.done():
+                future.set_exception(no_quorum(why))
+
     def fail_pending(self, index: int) -> None:
         """Fail proposals that a snapshot covers: their outcome is unknown."""
         for covered in [i for i in self.pending if i <= index]:
@@ -480,6 +488,8 @@
 
     async def wait_committed(self, index: int | None) -> Result | None:
         """Wait until the record at `index` of this leader's term is applied."""
+        if self.stopped:
+            raise no_quorum(STOPPED)
         if index is None:
             raise no_quorum("this instance does not lead, or may not change it now")
         future = asyncio.get_running_loop().create_future()
@@ -555,11 +565,17 @@
         self.replica.transferring_leadership = False
 
     async def stop(self) -> None:
-        """Transfer leadership, stop ticking and close the disk."""
+        """Transfer leadership, stop ticking and close the disk.
+
+        What is not committed by then fails at once: the callers wait for a result, and
+        nothing completes it any more.
+        """
         if not self.failed:
             await self.transfer_leadership()
         for task in self.tasks:
             task.cancel()
+        self.stopped = True
+        self.fail_proposals(STOPPED)
         self.storage.close()
 
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -19,6 +19,8 @@
 from wisteriapulley.settings import Address, ControlSettings
 from wisteriapulley.wire.messages import AppendRequest, LogRecord, VoteRequest
 
+TEST_TIMEOUT_S = 15.0
+
 
 class CountingFiles(Files):
     """Counts syncs, and fails them on demand."""
@@ -492,3 +494,37 @@
         with pytest.raises(StorageError) as caught:
             node.open()
         assert caught.value.code == ResultCode.IDENTITY_MISMATCH
+
+
+class TestStop:
+    """Operators and entries get a result for what a stopping instance has read."""
+
+    @pytest.fixture(autouse=True)
+    def wait_for_long(self, monkeypatch):
+        monkeypatch.setattr(driver_module, "PROPOSE_TIMEOUT_S", 1000.0)
+
+    async def outcome_of(self, proposing):
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            with pytest.raises(WisteriapulleyError) as caught:
+                await proposing
+        return caught.value.code
+
+    def test_proposal_in_progress_fails_at_once(self, node):
+        async def run():
+            driver = await node.start()
+            proposing = asyncio.create_task(driver.propose(command(1)))
+            await asyncio.sleep(0)
+            assert driver.pending
+            await driver.stop()
+            assert await self.outcome_of(proposing) == ResultCode.NO_QUORUM
+
+        asyncio.run(run())
+
+    def test_proposal_after_it_fails_at_once(self, node):
+        async def run():
+            driver = await node.start()
+            await driver.stop()
+            proposing = driver.propose(command(1))
+            assert await self.outcome_of(proposing) == ResultCode.NO_QUORUM
+
+        asyncio.run(run())
