Refuse what waits for a slot at the end of the drain as not run

Callers saw: 502 from an entry that stopped, for a request that it had sent to no target; 502 says that it may have run, so they could not repeat it elsewhere.

Cause: the end of the drain cancels the requests in progress and answers all of them alike, without knowing which were sent.

Fix: the dispatcher answers the cancellation itself if nothing was sent: 503, to be repeated at once, counted and logged like other refusals.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -48,6 +48,8 @@
 STARTING_RETRY_S = 0.5
 # Retry time after a failure in which the request did not run.
 FAILED_RETRY_S = 0.3
+# Retry time at the end of a stop: another entry serves the caller.
+STOPPED_RETRY_S = 0.05
 RESULT_CODES = {
     RefusalKind.NO_ROUTE: ResultCode.NO_ROUTE,
     RefusalKind.BAD_KEY: ResultCode.UNAUTHORIZED,
@@ -59,6 +61,9 @@
     RefusalKind.TIMED_OUT: ResultCode.DEADLINE_EXCEEDED,
 }
 NO_SEND_LEFT = Refusal(RefusalKind.FAILED, reason="no attempt left")
+STOPPED_UNSENT = Refusal(
+    RefusalKind.UNAVAILABLE, STOPPED_RETRY_S, "entry stopped before a slot was free"
+)
 SUSPECTED = Refusal(
     RefusalKind.FAILED, reason="part of the prompt may crash another target"
 )
@@ -91,6 +96,8 @@
 
     Attributes
     ----------
+    is_overdue : callable
+        Returns whether requests are cancelled because the entry stops.
     retry_budgets : dict of str to SharedRetryBudget
         Retry budgets by service.
     entry_count : int
@@ -125,6 +132,7 @@
         self.sender = Sender(
             registry, client, metrics, crashes, recorder, settings.response_limits
         )
+        self.is_overdue: Callable[[], bool] = lambda: False
         self.index: RouteIndex | None = None
         self.has_table = asyncio.Event()
         self.retry_budgets: dict[str, SharedRetryBudget] = {}
@@ -267,8 +275,11 @@
         except TimeoutError:
             refusal = self.refuse_overdue(admitted, progress, answer)
         except asyncio.CancelledError:
-            log.info("caller left", extra=fields(request.request_id))
-            raise
+            if not self.is_overdue():
+                log.info("caller left", extra=fields(request.request_id))
+            if progress.sends or not self.is_overdue():
+                raise
+            refusal = STOPPED_UNSENT
         self.count_result(admitted, service, refusal)
         if refusal is None:
             return None
