Tell entries that a sidecar that ends has answered all it accepted

Callers saw: a request with a key that reached a sidecar while it closed its links, after its drain, waited for its whole time and then got 504 with "may still run", though it had not run and another target was free. It needs an entry that has not read the leave for a heartbeat, or a claim that took that long.

Cause: a link that has ended carries no refusal, so the sidecar drops what it reads then. The entry sees a lost link, takes the request for one that may have run, and asks for its outcome until its time is over.

Evidence: the new test of such a request fails with DEADLINE_EXCEEDED on the code before, on both event loops it passes now. A test that a target that is cut off in a run still counts as one that may have run passes before and after.

Fix: the last heartbeat of a drained sidecar has the state "ended". It follows all answers, so a dispatch that has none was not accepted: GATE_CLOSED, not run. All links are ended like that, not only those with an answer that may be unread; a peer that does not close is waited for for 1 s. No new link is accepted meanwhile. Entries before this change take the state for closed.

--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -217,6 +217,8 @@
         NotSentError
             The deadline has passed, or the link is closed or now leads to another
             incarnation.
+        RequestError
+            GATE_CLOSED: the target ended before it accepted the request.
         """
         link = slot.link
         if link is None or link.peer.incarnation != slot.incarnation:
@@ -242,8 +244,10 @@
             ) from error
         try:
             head = await self.read_head(request, call, can_leave)
-        except BaseException:
+        except BaseException as error:
             self.cancel(OpenAnswer(messages.AnswerHead(), call, attempt), request)
+            if isinstance(error, WireError) and link.peer_has_ended:
+                raise not_accepted_error(error) from error
             raise
         return OpenAnswer(head, call, attempt)
 
@@ -385,6 +389,15 @@
                 link.post(cancellation)
 
 
+def not_accepted_error(error: WireError) -> RequestError:
+    """Return the error of a request that crossed the end of its target."""
+    return RequestError(
+        ResultCode.GATE_CLOSED,
+        f"the target ended before it accepted the request: {error.message}",
+        RETRY_AFTER_MS,
+    )
+
+
 def find_header(head: messages.AnswerHead, name: str) -> str:
     """Return a header of an answer, or an empty string."""
     return next((h.value for h in head.headers if h.name.lower() == name), "")
--- a/src/wisteriapulley/wire/link.py
+++ b/src/wisteriapulley/wire/link.py
@@ -32,6 +32,12 @@
 # A link with more unsent bytes is closed: a peer that sends heartbeats but does not
 # read would let the write buffer grow without limit.
 MAX_WRITE_BUFFER_BYTES = 128 << 20
+# State in the last heartbeat of an end that has answered all that it accepted. What it
+# has not answered by then it has not accepted, unless only the link was lost.
+ENDED_STATE = "ended"
+# How long an end waits for its peer to close. A peer that runs closes within a round
+# trip; one that may expect an answer is waited for until that answer is overdue.
+END_TIMEOUT_S = 1.0
 Handler = Callable[["Link", Frame], Awaitable[None]]
 
 
@@ -161,6 +167,11 @@
         """Whether messages can be sent."""
         return not self.closed.is_set() and not self.ending
 
+    @property
+    def peer_has_ended(self) -> bool:
+        """Whether the peer has answered all that it accepted, and accepts no more."""
+        return self.peer_heartbeat.state == ENDED_STATE
+
     @property
     def peer_id(self) -> str:
         """Node id of the other end."""
@@ -430,16 +441,19 @@
     async def end(self) -> None:
         """Send all that is written, and wait until the peer has read it and closes.
 
-        Closing at once would discard what a slow peer has not read yet. Waits only for
-        a peer that may still expect an answer.
+        Closing at once would discard what a slow peer has not read yet, and the peer
+        could not tell whether this process has accepted its last requests. Call it
+        only when all that was accepted is answered.
         """
-        is_held = asyncio.get_running_loop().time() < self.held_until_s
-        if not self.is_open or not is_held:
+        with contextlib.suppress(WireError):
+            self.post(self.heartbeat()._replace(state=ENDED_STATE))
+        if not self.is_open:
             return
         self.ending = True
         self.transport.write_eof()
+        ends_s = asyncio.get_running_loop().time() + END_TIMEOUT_S
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(self.held_until_s):
+            async with asyncio.timeout_at(max(self.held_until_s, ends_s)):
                 await self.closed.wait()
 
     def close(self, reason: WireError | None = None) -> None:
--- a/src/wisteriapulley/wire/server.py
+++ b/src/wisteriapulley/wire/server.py
@@ -117,7 +117,11 @@
             link.send_heartbeat()
 
     async def end_links(self) -> None:
-        """Wait until the peers have read the answers sent to them; see `Link.end`."""
+        """Accept no more links, and end those that are open; see `Link.end`.
+
+        A peer whose link has ended would open the next one at once.
+        """
+        self.server.close()
         await asyncio.gather(*(link.end() for link in tuple(self.links)))
 
     async def stop(self) -> None:
--- a/tests/test_entry_at_most_once.py
+++ b/tests/test_entry_at_most_once.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import pytest
+import uvloop
 from aiohttp import web
 
 from wisteriapulley.catalogue import Entry
@@ -32,6 +33,7 @@
 from wisteriapulley.wire.handshake import Identity
 
 KEY = b"k" * 32
+BOTH_LOOPS = (asyncio.new_event_loop, uvloop.new_event_loop)
 HEARTBEAT_MS, SILENCE_MS = 200, 60_000
 ENTRY = Entry(name="letters", owner="o", traffic_class="c", service="s")
 
@@ -197,6 +199,12 @@
         self.targets.targets[sidecar.name].link.close()
 
 
+async def stop_links(server):
+    """Stop a server as a sidecar that has drained does."""
+    await server.end_links()
+    await server.stop()
+
+
 async def run_with_fleet(test, sidecars=2, entries=1):
     """Run the test with this number of sidecars and entries."""
     control = FakeControl()
@@ -214,13 +222,15 @@
             await target.stop()
 
 
-def with_fleet(sidecars=2, entries=1):
-    """Run the test with this number of sidecars and entries."""
+def with_fleet(sidecars=2, entries=1, loops=(asyncio.new_event_loop,)):
+    """Run the test with this number of sidecars and entries, on each kind of loop."""
 
     def wrap(test):
         def run(self):
             scenario = functools.partial(test, self)
-            asyncio.run(run_with_fleet(scenario, sidecars, entries))
+            for loop_factory in loops:
+                with asyncio.Runner(loop_factory=loop_factory) as runner:
+                    runner.run(run_with_fleet(scenario, sidecars, entries))
 
         return run
 
@@ -251,6 +261,42 @@
             "tombstone"
         ]
 
+    @with_fleet(loops=BOTH_LOOPS)
+    async def test_request_that_crosses_the_end_of_a_target_runs_at_another(
+        self, control, sidecars, entry
+    ):
+        # Guards against "may have run", after a wait until the target is not listed
+        # any more, for a request that the target had read but not accepted.
+        link = entry.targets.targets["t0"].link
+        link.transport.pause_reading()
+        sidecars[0].gate.chart.fire("leave")
+        stopping = asyncio.create_task(stop_links(sidecars[0].server))
+        while sidecars[0].server.links and not all(
+            accepted.ending for accepted in sidecars[0].server.links
+        ):
+            await asyncio.sleep(0.001)
+        sending = asyncio.create_task(entry.send())
+        while not link.calls and not link.closed.is_set():
+            await asyncio.sleep(0.001)
+        link.transport.resume_reading()
+        assert await sending == b"letter"
+        assert (sidecars[0].executed_keys, sidecars[1].executed_keys) == ([], ["k"])
+        await stopping
+
+    @with_fleet(loops=BOTH_LOOPS)
+    async def test_request_at_a_target_that_ends_in_its_run_may_have_run(
+        self, control, sidecars, entry
+    ):
+        sidecars[0].may_answer.clear()
+        sending = asyncio.create_task(entry.send_refused(seconds=0.5))
+        await sidecars[0].started.wait()
+        sidecars[0].gate.chart.fire("leave")
+        sidecars[0].server.send_heartbeats()
+        await sidecars[0].server.stop()
+        assert not CODE_TABLE[await sending].not_run
+        assert sidecars[1].executed_keys == []
+        sidecars[0].may_answer.set()
+
     @with_fleet(entries=2)
     async def test_resend_at_another_entry_gets_the_running_answer(
         self, control, sidecars, entry, other
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -12,7 +12,7 @@
 from tests.test_entry_dispatch import answer_half, send_half
 from tests.test_wire import HOUR_MS, identity
 from wisteriapulley.catalogue import Limits
-from wisteriapulley.errors import ResultCode
+from wisteriapulley.errors import ResultCode, WireError
 from wisteriapulley.settings import Address
 from wisteriapulley.wire import Frame, LinkServer, connect, messages
 
@@ -269,7 +269,7 @@
                 await server.start(Address("127.0.0.1", 0))
             )
             await self.answered.wait()
-            stopping = asyncio.create_task(stop_links(server))
+            stopping = asyncio.create_task(fleet.stop_links(server))
             await asyncio.sleep(0.1)
             link.transport.resume_reading()
             assert (await call.reply(30.0)).body == self.BODY
@@ -277,11 +277,35 @@
 
         asyncio.run(run())
 
+    @pytest.mark.parametrize("loop_factory", fleet.BOTH_LOOPS)
+    @pytest.mark.parametrize(
+        ("stop", "has_ended"), [(fleet.stop_links, True), (LinkServer.stop, False)]
+    )
+    def test_entry_learns_whether_all_that_was_accepted_is_answered(
+        self, stop, has_ended, loop_factory
+    ):
+        async def run():
+            server = LinkServer(
+                identity("sidecar"), never_answer, messages.Heartbeat, HOUR_MS, HOUR_MS
+            )
+            address = await server.start(Address("127.0.0.1", 0))
+            link = await connect(
+                address, identity("entry"), None, messages.Heartbeat, HOUR_MS, HOUR_MS
+            )
+            while not server.links:
+                await asyncio.sleep(0.001)
+            call = link.call(messages.HaveQuery("v"))
+            await stop(server)
+            with pytest.raises(WireError):
+                await call.reply(30.0)
+            assert link.peer_has_ended is has_ended
+
+        with asyncio.Runner(loop_factory=loop_factory) as runner:
+            runner.run(run())
+
 
-async def stop_links(server):
-    """Stop a server as a sidecar that has drained does."""
-    await server.end_links()
-    await server.stop()
+async def never_answer(link, frame):
+    await asyncio.Event().wait()
 
 
 def shrink_buffer(link, option):
