Read the settings again after a start

Operators saw: settings that were changed while a daemon started, with SIGHUP, did not come into force until the next change.

Cause: a daemon reads its settings first, ignores SIGHUP until it has imported its modules, and takes the time of the file at that moment for the time of what it had read.

Evidence: the new test changes the file between the two; on the code before the change is not reported within its limit of 10 s.

Fix: the first check, a second after the start, reads the file in any case.

--- a/src/wisteriapulley/settings_watch.py
+++ b/src/wisteriapulley/settings_watch.py
@@ -15,6 +15,8 @@
 # A check of the file's modification time costs a microsecond. Changes of control
 # instances in the file tolerate this delay, because open links report them as well.
 POLL_INTERVAL_S = 1.0
+# Differs from the stamp of every file, also of one that can't be read.
+UNKNOWN_STAMP = (-1, -1)
 
 
 AnySettings = TypeVar("AnySettings")
@@ -47,7 +49,8 @@
         self.settings = settings
         self.on_change = on_change
         self.reload_requested = asyncio.Event()
-        self.stamp = self.file_stamp()
+        # The file may have changed since it was read: the first check reads it again.
+        self.stamp = UNKNOWN_STAMP
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -17,10 +17,12 @@
     return text
 
 
-def run_scenario(tmp_path, scenario):
+def run_scenario(tmp_path, scenario, text="one"):
+    """Watch a file with `text` that had the text "one" when the daemon read it."""
+
     async def run():
         path = tmp_path / "settings"
-        path.write_text("one")
+        path.write_text(text)
         seen = asyncio.Queue()
         watch = SettingsWatch(str(path), "one", read, seen.put_nowait)
         watch.start()
@@ -50,6 +52,16 @@
 
         run_scenario(tmp_path, scenario)
 
+    def test_change_before_the_watch_is_detected(self, tmp_path, monkeypatch):
+        """A daemon reads its settings, and then imports its modules."""
+        monkeypatch.setattr(settings_watch, "POLL_INTERVAL_S", 0.01)
+
+        async def scenario(path, watch, seen):
+            async with asyncio.timeout(10):
+                assert await seen.get() == "two"
+
+        run_scenario(tmp_path, scenario, text="two")
+
     def test_invalid_file_keeps_the_settings(self, tmp_path):
         async def scenario(path, watch, seen):
             path.write_text("bad")
