Reply to what a sidecar has in progress at the end of its drain

Callers saw: a request with a key that still ran drain_ms after SIGTERM of its sidecar got its "may have run" only once the sidecar was no longer listed, or at its own deadline.

Cause: the sidecar closed its links without a reply. An entry that has only lost a link asks for the outcome until the sidecar is known to be gone.

Fix: at the end of the drain the sidecar ends what runs and replies: ANSWER_CUT, after which an entry may resume or send again as after a lost link, or MAY_HAVE_RUN for a key. Then it ends its links like a sidecar that has drained. One second bounds both.

--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -87,6 +87,11 @@
         Incarnation of this sidecar; dispatches to another one are refused.
     chart : StateChart
         State chart of the target.
+
+    Attributes
+    ----------
+    overdue : bool
+        Whether the time limit of the drain before a stop has passed.
     """
 
     def __init__(self, engine, incarnation: int, chart: StateChart):
@@ -96,6 +101,7 @@
         self.version = ""
         self.attempts = AttemptTable()
         self.sender = AnswerSender()
+        self.overdue = False
         self.running = 0
         self.sending = 0
         self.idle = asyncio.Event()
@@ -121,6 +127,13 @@
             message = await self.wait_cancelled(message)
             self.check_open(message)
             await self.run_streaming(link, message, frame)
+        except asyncio.CancelledError as error:
+            if not self.overdue:
+                raise
+            raise RequestError(
+                ResultCode.ANSWER_CUT,
+                "the sidecar stopped before the response was complete",
+            ) from error
         finally:
             # A second attempt may have begun before this one ended.
             if self.tasks.get(message.request_id) is running:
@@ -514,6 +527,18 @@
             await asyncio.sleep(duration_s)
             is_drained = self.idle.is_set()
 
+    async def end_overdue(self) -> None:
+        """Reply with a failure to each request that is still in progress.
+
+        An entry that only lost its link would wait for the outcome of a keyed request
+        until this sidecar is no longer listed.
+        """
+        self.overdue = True
+        streams = [running.task for running in self.tasks.values()]
+        for task in (*streams, *self.background_tasks):
+            task.cancel()
+        await self.drained()
+
     async def drained_at_engine(self) -> None:
         """Wait until drained, and until no request that was given up may still run."""
         await self.drained()
--- a/src/wisteriapulley/sidecar/service.py
+++ b/src/wisteriapulley/sidecar/service.py
@@ -1,6 +1,7 @@
 """The sidecar daemon."""
 
 import asyncio
+import contextlib
 import logging
 from functools import singledispatchmethod
 
@@ -28,6 +29,9 @@
 
 log = logging.getLogger(__name__)
 
+# Time limit for the replies to requests in progress at the end of the drain.
+OVERDUE_TIMEOUT_S = 1.0
+
 
 class SidecarService(aiomisc.Service):
     """The sidecar service of one process.
@@ -148,6 +152,7 @@
                 await self.server.end_links()
         except TimeoutError:
             log.error("requests still running after drain_ms; closing anyway")
+            await self.end_overdue()
         await self.control.stop()
         await self.neighbours.stop()
         await self.server.stop()
@@ -155,6 +160,13 @@
         self.gate.stop()
         await self.session.close()
 
+    async def end_overdue(self) -> None:
+        """Reply to the requests in progress at the end of the drain; end the links."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(OVERDUE_TIMEOUT_S):
+                await self.gate.end_overdue()
+                await self.server.end_links()
+
     # -- published state -------------------------------------------------
 
     def is_ready(self) -> bool:
