Refuse a request in the very moment at which the drain ends

Seen once in a run of several files: the second of 20 requests at the end of a drain got 502 instead of 503, after the wait for its handler was cancelled too.

Cause: the clock of uvloop stands still for a millisecond, so a request that is handled in the moment at which the drain ends was not late yet, by a comparison that excludes that moment. The new test, with a clock that stands still, failed before.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -289,7 +289,7 @@
     def is_too_late(self, head: CallerRequest) -> bool:
         """Return whether a request can't be finished before the end of the drain."""
         latest_s = self.latest_start_s(head)
-        return latest_s is not None and asyncio.get_running_loop().time() > latest_s
+        return latest_s is not None and asyncio.get_running_loop().time() >= latest_s
 
     async def read_body(
         self, request: web.BaseRequest, head: CallerRequest
