Keep the time that a request needs within the limit of its route

By reading and by a trial of it: a route that was seen with 32 tokens in 1 s would need 32 s for 1,024, so that a stopping entry refused such requests for its whole stop; and one with a long objective was refused however fast it is. Nothing takes longer than the limit of its route, and the objective counts only until a response has shown the time. Both tests failed before.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -322,15 +322,16 @@
     def time_needed_s(self, request: CallerRequest) -> float:
         """Return how long a request may take until its response is complete.
 
-        By the response times of the requests before it, but no less than the latency
-        objective of its route.
+        By the response times of the requests before it, within the limit of its route;
+        before any, by the latency objective of the route.
         """
         index = self.index
         route = index and index.find_route(request.host, request.path)
         if not route:
             return MIN_SEND_S
         expected_s = self.response_times.upper_bound(work_of(route, request))
-        return max(expected_s, route.latency_ms / 1000, MIN_SEND_S)
+        needed_s = expected_s or route.latency_ms / 1000
+        return max(MIN_SEND_S, min(needed_s, route.timeout_ms / 1000))
 
     async def wait_for_table(self, request: CallerRequest) -> None:
         """Wait a short time for the first routing table."""
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -547,6 +547,25 @@
         assert 3.0 <= self.needed_s(dispatcher) < 3.1
         assert self.needed_s(dispatcher, answer_tokens=5) < 1.0
 
+    def test_is_at_most_the_limit_of_the_route(self):
+        """Sizes that were not seen before are estimated from others."""
+        dispatcher = dispatcher_without_targets()
+        route = dispatcher.index.table.routes[0]
+        short_request = CallerRequest(
+            "id", "POST", "/a/x", "h", "/a/x", (), b"", "k", 0.0, 5.0, 100, 32
+        )
+        dispatcher.response_times.record(work_of(route, short_request), 1.0)
+        assert self.needed_s(dispatcher, answer_tokens=1024) == 6.0
+
+    def test_of_a_fast_route_is_below_its_objective(self):
+        dispatcher = dispatcher_without_targets()
+        route = dispatcher.index.table.routes[0]
+        request = CallerRequest(
+            "id", "POST", "/a/x", "h", "/a/x", (), b"", "k", 0.0, 5.0, 100, 50
+        )
+        dispatcher.response_times.record(work_of(route, request), 0.1)
+        assert 0.1 <= self.needed_s(dispatcher) < 0.4
+
     def test_without_a_route_is_that_of_a_refusal(self):
         dispatcher = dispatcher_without_targets()
         assert self.needed_s(dispatcher, path="/none/") < 0.1
