Ignore a second stop signal during the imports

Operators saw: a process that was stopped during its imports, and got a second stop signal some 30 ms later, ended with -15. No caller was connected yet.

Cause: the handler of the imports exits the process and stays in place. Python drops it before it has ended, and the next signal then has its default effect. Once a daemon runs, further signals are ignored; before, they were not.

The test holds up the end of the interpreter and sends the second signal there; it failed before, with -15.

Fix: the handler ignores further stop signals, which Python leaves in force.

--- a/deploy/run.py
+++ b/deploy/run.py
@@ -10,8 +10,14 @@
 import sys
 
 if __name__ == "__main__":
+
+    def stop(*_: object) -> None:
+        """End the process; a second signal must not kill it meanwhile."""
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        sys.exit(0)
+
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    signal.signal(signal.SIGTERM, stop)
 
 import gc
 import os
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -98,6 +98,34 @@
         assert process.wait(BUILD_TIMEOUT_S) == 0
         process.stdout.close()
 
+    def test_second_stop_during_the_imports_exits_cleanly(self, tmp_path):
+        """Python drops signal handlers before it has ended; soak seed 1706146021."""
+        shutil.copytree(ROOT / "deploy", tmp_path / "deploy")
+        slow = tmp_path / "target" / "app" / "wisteriapulley"
+        slow.mkdir(parents=True)
+        (slow / "__init__.py").write_text("")
+        text = (
+            "import os, sys, time\n"
+            "class Ending:\n"
+            "    def __del__(self, write=os.write, sleep=time.sleep):\n"
+            "        write(1, b'ending\\n')\n"
+            "        sleep(0.5)\n"
+            "sys.ending = Ending()\n"
+            "print('importing', flush=True)\n"
+            "time.sleep(600)\n"
+        )
+        (slow / "clocks.py").write_text(text)
+        process = subprocess.Popen(
+            [sys.executable, "-S", "deploy/run.py", "entry"],
+            cwd=tmp_path,
+            stdout=subprocess.PIPE,
+        )
+        for line in (b"importing\n", b"ending\n"):
+            assert process.stdout.readline() == line
+            process.terminate()
+        assert process.wait(BUILD_TIMEOUT_S) == 0
+        process.stdout.close()
+
     def test_start_skips_what_no_daemon_uses(self, checkout):
         """A start reads no certificates of authorities and imports no coloured logs."""
         code = (
