Play stops in series in the soak, and requests on their way in

The soak sent one request at a time, whole, over relays that hide how a connection ends, so it could not see that a process had read a request and dropped it.

A connection that ends without a reset was read to its last byte: each whole request on it must have a response.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 from soak.regressions import REGRESSIONS
 from soak.run import Outcome
 from soak.seeds import SeedOptions, run_seed
+from soak.stops import add_stops
 
 
 def parse_arguments() -> argparse.Namespace:
@@ -53,6 +54,11 @@
         action="store_true",
         help="also draw targets whose leave is acknowledged by an instance that dies",
     )
+    parser.add_argument(
+        "--stops",
+        action="store_true",
+        help="also draw stops in series, and callers that send in parts",
+    )
     return parser.parse_args()
 
 
@@ -95,6 +101,7 @@
         arguments.callers,
         arguments.endless,
         arguments.leaves,
+        arguments.stops,
     )
     runs = runs_of(arguments, options)
     if arguments.timeline:
@@ -107,6 +114,8 @@
                 endless=each.endless,
                 leaves=each.leaves,
             )
+            if each.stops:
+                faults = add_stops(faults, seed, each.seconds, each.shape)
             print(*faults, sep="\n")
         return 0
     found = 0
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -66,6 +66,16 @@
     return max(1, min(LONGEST_PROMPT, int(drawn)))
 
 
+def request_headers(sent: SentRequest) -> dict[str, str]:
+    """Return the headers of a request, without its host and parts of its prompt."""
+    return {
+        names.REQUEST_ID: sent.request_id,
+        names.DEADLINE_MS: str(int(REQUEST_TIMEOUT_S * 1000)),
+        names.TOKEN_COUNTS: f"{sent.prompt_tokens},{ANSWER_TOKENS}",
+        "Authorization": f"{names.BEARER_PREFIX}{KEY}",
+    }
+
+
 class ImpatientError(Exception):
     """A caller has left a stream that showed no first or next event in time."""
 
@@ -165,13 +175,7 @@
         ImpatientError
             The caller has left a stream without a first or next event.
         """
-        headers = {
-            "Host": HOST,
-            names.REQUEST_ID: sent.request_id,
-            names.DEADLINE_MS: str(int(REQUEST_TIMEOUT_S * 1000)),
-            names.TOKEN_COUNTS: f"{sent.prompt_tokens},{ANSWER_TOKENS}",
-            "Authorization": f"{names.BEARER_PREFIX}{KEY}",
-        }
+        headers = {"Host": HOST, **request_headers(sent)}
         if is_streaming(sent):
             headers[names.PROMPT_PARTS] = self.checker.crashing_parts.draw_prompt(
                 self.prompt_rng, sent.request_id
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -161,8 +161,10 @@
     async def stop(self, checker: InvariantChecker) -> None:
         """Send a stop signal, check how the process ends, and kill it if it does not.
 
-        Waits longer than the platform does.
+        Waits longer than the platform does. A process that stops gets one more signal.
         """
+        if self.stopping:
+            self.process.signal(signal.SIGTERM)
         if not self.is_up or self.stopping:
             return
         self.stopping, self.should_run = True, False
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -237,6 +237,17 @@
         if result.status == 200 and result.complete:
             self.check("whole", result.correct, f"{result} of {self.sent[result[0]]}")
 
+    def record_unanswered(self, result: RequestResult, was_read: bool) -> None:
+        """Record a request that was sent whole and has no response at all.
+
+        Planned operations do not lose one that a process had read.
+        """
+        self.record_result(result)
+        sent = self.sent[result.request_id]
+        if was_read and not self.is_affected_by_failure(sent, result.at_s):
+            self.add_finding("read", f"{result} of {sent}")
+        self.check_counts["read"] += 1
+
     def record_signal(
         self, request_id: str, target_id: str, at_s: float, cooldown_s: float = 0.0
     ) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from soak.callers import CALLERS_PER_ENTRY, Caller
-from soak.fleet import START_TIMEOUT_S, SoakFleet
+from soak.fleet import FRONTEND_OFFSET, START_TIMEOUT_S, SoakFleet
 from soak.invariants import (
     VERSION_GRACE_S,
     Finding,
@@ -21,6 +21,8 @@
 )
 from soak.operators import ACCOUNT, Operator, VersionProber
 from soak.plan import SETTLE_S, Fault, FaultKind, FleetShape, draw_faults
+from soak.raw_callers import RAW_CALLERS_PER_ENTRY, PipeliningCaller
+from soak.stops import add_stops
 
 log = logging.getLogger(__name__)
 
@@ -86,6 +88,9 @@
         Whether answers that come without end are drawn.
     leaves : bool
         Whether leaves are drawn whose control instance is killed.
+    stops : bool
+        Whether stops in series are drawn, and callers send in parts and behind one
+        another.
     """
 
     def __init__(
@@ -99,6 +104,7 @@
         callers: int = CALLERS_PER_ENTRY,
         endless: bool = False,
         leaves: bool = False,
+        stops: bool = False,
     ):
         self.callers_per_entry = callers
         self.seed = seed
@@ -112,7 +118,10 @@
         self.plan = draw_faults(
             seed, seconds, shape, calm=calm, endless=endless, leaves=leaves
         )
-        self.callers: list[Caller] = []
+        if stops:
+            self.plan = add_stops(self.plan, seed, seconds, shape)
+        self.raw_callers_per_entry = RAW_CALLERS_PER_ENTRY if stops else 0
+        self.callers: list[Caller | PipeliningCaller] = []
         self.background_tasks: list[asyncio.Task] = []
         self.fault_tasks: set[asyncio.Task] = set()
         # Faults that keep the origin away now.
@@ -158,6 +167,13 @@
                 Caller(f"{name}-{number}", name, address, self.checker)
                 for number in range(self.callers_per_entry)
             ]
+            own_address = self.fleet.nodes[name].address(FRONTEND_OFFSET)
+            self.callers += [
+                PipeliningCaller(
+                    f"raw-{name}-{number}", name, own_address, self.checker
+                )
+                for number in range(self.raw_callers_per_entry)
+            ]
             self.background_tasks.append(self.start_prober(name, address))
         for caller in self.callers:
             caller.start()
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -25,6 +25,7 @@
     callers: int = CALLERS_PER_ENTRY
     endless: bool = False
     leaves: bool = False
+    stops: bool = False
 
     @property
     def shape(self) -> FleetShape:
@@ -54,6 +55,7 @@
         options.callers,
         options.endless,
         options.leaves,
+        options.stops,
     )
     outcome = asyncio.run(run.run())
     if not outcome.findings and not options.keep_folder:
--- a/tests/test_stop_processes.py
+++ b/tests/test_stop_processes.py
@@ -4,11 +4,9 @@
 import json
 import os
 import signal
-import socket
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
-from typing import NamedTuple
 
 import aiohttp
 import msgspec
@@ -17,6 +15,7 @@
 
 from tests.fakes.plain import PlainTarget
 from tests.fakes.platform import Origin, configuration
+from tests.fakes.raw_caller import CLOSED, RawCaller, Request
 from tests.fleet import ROOT, Process, free_hosts, free_port
 from tests.plain_fleet import ROUTE, SERVICE
 from tests.test_platform_path import settings_file
@@ -37,7 +36,6 @@
     "target-gap-ms": 1000,
 }
 OK, REFUSED = 200, frozenset({404, 413, 503})
-CLOSED, RESET = "closed", "reset"
 # Log lines of requests that end without an answer, or with one of the drain's end.
 LOSSES = frozenset(
     {
@@ -83,121 +81,20 @@
     return head.encode() + body
 
 
-def parse_statuses(data):
-    """Return the statuses of the whole responses at the start of some bytes."""
-    statuses = []
-    while b"\r\n\r\n" in data:
-        head, _, data = data.partition(b"\r\n\r\n")
-        lines = head.decode().lower().split("\r\n")
-        fields = dict(line.split(": ", 1) for line in lines[1:])
-        if "content-length" in fields:
-            length = int(fields["content-length"])
-            if len(data) < length:
-                break
-            data = data[length:]
-        else:
-            _, end, data = data.partition(b"\r\n0\r\n\r\n")
-            if not end:
-                break
-        statuses.append(int(lines[0].split()[1]))
-    return statuses
-
-
-class Request(NamedTuple):
-    """A request of a caller."""
-
-    request_id: str
-    data: bytes
-
-
-class Caller:
-    """One connection to an entry.
-
-    Attributes
-    ----------
-    begun : list of str
-        Ids of the requests of which a part was sent, in order.
-    whole : set of str
-        Those that were sent whole.
-    end : str
-        ``CLOSED`` if the entry closed the connection and had read all that was sent
-        before; ``RESET`` if it had not, as the system then resets the connection.
-    """
+class Caller(RawCaller):
+    """A caller whose name is a part of the ids of its requests."""
 
     def __init__(self, name, host, port):
+        super().__init__(host, port)
         self.name = name
-        self.address = host, port
         self.count = 0
-        self.begun = []
-        self.whole = set()
-        self.received = bytearray()
-        self.end = ""
-
-    async def open(self):
-        reader, self.writer = await asyncio.open_connection(*self.address)
-        self.socket = self.writer.transport.get_extra_info("socket")
-        self.reading = asyncio.create_task(self.read(reader))
-
-    async def wait_for_end(self):
-        await asyncio.wait([self.reading])
-
-    async def read(self, reader):
-        try:
-            while data := await reader.read(65536):
-                self.received += data
-            error = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        except OSError as caught:
-            error = caught
-        self.end = RESET if error else CLOSED
-        self.writer.transport.abort()
-
-    @property
-    def is_open(self):
-        return not self.end and not self.writer.transport.is_closing()
 
     def new_request(self, body=b"", path="/p/x"):
-        """Return the id and the bytes of one more request."""
+        """Return one more request."""
         self.count += 1
         request_id = f"{self.name}-{self.count}"
         return Request(request_id, request_bytes(request_id, body, path))
 
-    def send(self, *requests):
-        """Send whole requests in one write."""
-        if self.is_open:
-            self.begun += (request.request_id for request in requests)
-            self.whole.update(request.request_id for request in requests)
-            self.writer.write(b"".join(request.data for request in requests))
-
-    async def send_in_parts(self, request, count, pause):
-        """Send a request in equal parts; `pause` returns what to wait for between."""
-        size = -(-len(request.data) // count)
-        parts = [request.data[at : at + size] for at in range(0, size * count, size)]
-        self.begin(request, parts[0])
-        for part in parts[1:]:
-            await pause()
-            self.write(part)
-        if self.is_open:
-            self.whole.add(request.request_id)
-
-    def begin(self, request, part):
-        """Send the first part of a request."""
-        if self.is_open:
-            self.begun.append(request.request_id)
-            self.writer.write(part)
-
-    def write(self, data):
-        if self.is_open:
-            self.writer.write(data)
-
-    @property
-    def unanswered(self):
-        """Ids of the requests that were sent whole and have no whole response."""
-        return [each for each in self.begun[len(self.statuses) :] if each in self.whole]
-
-    @property
-    def statuses(self):
-        return parse_statuses(bytes(self.received))
-
 
 class Entry:
     """An entry in a process of its own, and its callers.
@@ -239,8 +136,7 @@
             await send_one(caller)
             while caller.is_open and not caller.statuses:
                 await asyncio.sleep(0.01)
-            caller.writer.transport.abort()
-            await caller.wait_for_end()
+            await caller.leave()
         return caller.statuses == [OK]
 
     def send(self, number):
