Queue one reload of the settings, however often it is asked for

Found by review, as the stop signals that filled the queue of an event loop: the handler of SIGHUP queued a call for each signal. Not played with a flood of signals. The new test, 100 calls of the handler in one turn of the loop, failed before with 100 queued calls.

--- a/src/wisteriapulley/settings_watch.py
+++ b/src/wisteriapulley/settings_watch.py
@@ -49,6 +49,7 @@
         self.settings = settings
         self.on_change = on_change
         self.reload_requested = asyncio.Event()
+        self.is_request_queued = False
         # The file may have changed since it was read: the first check reads it again.
         self.stamp = UNKNOWN_STAMP
         self.task: asyncio.Task | None = None
@@ -56,12 +57,21 @@
     def start(self) -> None:
         """Install the SIGHUP handler and start to watch the file."""
         loop = asyncio.get_running_loop()
-        signal.signal(
-            signal.SIGHUP,
-            lambda *_: loop.call_soon_threadsafe(self.reload_requested.set),
-        )
+
+        def queue_request(*_: object) -> None:
+            # Signals that come faster than the loop runs must not fill its queue.
+            if not self.is_request_queued:
+                self.is_request_queued = True
+                loop.call_soon_threadsafe(self.request_reload)
+
+        signal.signal(signal.SIGHUP, queue_request)
         self.task = loop.create_task(self.run())
 
+    def request_reload(self) -> None:
+        """Let the file be read again at once."""
+        self.is_request_queued = False
+        self.reload_requested.set()
+
     def stop(self) -> None:
         """Stop watching the file and ignore later signals."""
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -94,3 +94,26 @@
                 assert await seen.get() == "two"
 
         run_scenario(tmp_path, scenario)
+
+    def test_repeated_signals_do_not_fill_the_queue_of_the_loop(
+        self, tmp_path, monkeypatch
+    ):
+        async def scenario(path, watch, seen):
+            loop, calls = asyncio.get_running_loop(), []
+            schedule = loop.call_soon_threadsafe
+
+            def count(callback, *args):
+                calls.append(callback)
+                return schedule(callback, *args)
+
+            monkeypatch.setattr(loop, "call_soon_threadsafe", count)
+            handler = signal.getsignal(signal.SIGHUP)
+            for _ in range(100):
+                handler()
+            assert len(calls) == 1
+            path.write_text("two")
+            await asyncio.sleep(0)
+            handler()
+            assert await seen.get() == "two"
+
+        run_scenario(tmp_path, scenario)
