Name the parts of a caller's connection for its readers

One property tells an idle connection, and one a part of a head; both stood twice. The module says where the library's private parts are tested.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -1,7 +1,9 @@
 """Connections of an aiohttp server that answer every request they have read.
 
 aiohttp closes a connection by a flag: it drops what arrives from then on and what it
-has parsed already, so that callers get no answer to requests that were read.
+has parsed already, so that callers get no answer to requests that were read. What a
+connection has read can be told only from private parts of the library;
+`tests/test_library_connections.py` fails if they change their meaning.
 """
 
 import asyncio
@@ -34,7 +36,8 @@
     body : aiohttp.StreamReader or None
         Body of the last request whose head has arrived.
     partial_of : int
-        How many requests had arrived when a part of the next head did; -1 before.
+        How many requests had arrived when a part of the next head did; -1 before. It
+        says nothing any more once that head is complete, and counts as a request.
     close_announced : bool
         Whether a response has told the caller that no other will follow.
     arrivals_s : list of float
@@ -92,6 +95,17 @@
         else:
             super()._process_keepalive()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether each request that has arrived has its response.
+
+        The task of a connection waits for a request, or has not begun. It does neither
+        while a request was parsed and is not yet handled.
+        """
+        if self._waiter is None:
+            return not self._request_count
+        return not self._waiter.done()
+
     @property
     def has_partial_body(self) -> bool:
         """Whether the body of the last request is incomplete."""
@@ -108,7 +122,7 @@
         return bool(self._messages) or self.has_partial_head or self.has_partial_body
 
     @property
-    def has_more_from_before(self) -> bool:
+    def has_earlier_requests(self) -> bool:
         """Whether what has arrived behind did so before the server's listener closed.
 
         A caller that always sends the next request before it has the last response
@@ -145,7 +159,7 @@
         if not request.content.is_eof():
             self._lingering_time = UNREAD_BODY_WAIT_S
             self.announce_close(response)
-        elif not self.has_more_from_before:
+        elif not self.has_earlier_requests:
             self.announce_close(response)
 
     async def finish_response(
@@ -204,47 +218,30 @@
         return CallerConnection(self, loop=loop, **self.options)
 
 
-def is_idle(connection: web.RequestHandler) -> bool:
-    """Return whether each request that has arrived on a connection has its response.
-
-    The task of a connection waits for a request, or has not begun. It does neither
-    while a request was parsed and is not yet handled.
-    """
-    waiter = connection._waiter
-    if waiter is None:
-        return not connection._request_count
-    return not waiter.done()
-
-
-def close_idle(server: web.Server, keep_partial_heads: bool = False) -> None:
+def close_idle(server: CallerServer, keep_partial_heads: bool = False) -> None:
     """Close idle connections.
 
     Parameters
     ----------
-    server : aiohttp.web.Server
+    server : CallerServer
         Server whose connections to close.
     keep_partial_heads : bool
         Whether to keep the connections on which a part of a head has arrived.
     """
     for connection in server.connections:
-        is_kept = keep_partial_heads and has_partial_head(connection)
-        if is_idle(connection) and not is_kept:
+        is_kept = keep_partial_heads and connection.has_partial_head
+        if connection.is_idle and not is_kept:
             connection.force_close()
 
 
-def has_partial_head(connection: web.RequestHandler) -> bool:
-    """Return whether a part of a head is known to have arrived on a connection."""
-    return isinstance(connection, CallerConnection) and connection.has_partial_head
-
-
 async def close_when_answered(
-    server: web.Server, ends_s: float, head_ends_s: float = 0.0
+    server: CallerServer, ends_s: float, head_ends_s: float = 0.0
 ) -> None:
     """Close each connection once all requests that were read on it have a response.
 
     Parameters
     ----------
-    server : aiohttp.web.Server
+    server : CallerServer
         Server that accepts no new connections any more.
     ends_s : float
         When to stop waiting, on the loop's clock.
--- a/src/wisteriapulley/http_server.py
+++ b/src/wisteriapulley/http_server.py
@@ -15,7 +15,7 @@
     SettingsError,
     WisteriapulleyError,
 )
-from wisteriapulley.http_drain import CallerConnection, is_idle
+from wisteriapulley.http_drain import CallerConnection
 from wisteriapulley.http_listener import STOP_LIMIT_S, HttpListener
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.settings import Address
@@ -83,7 +83,8 @@
 
         One on which a request has arrived is not idle, even before its handler runs.
         """
-        waits = map(Wait.from_connection, filter(is_idle, connections))
+        idle = (each for each in connections if each.is_idle)
+        waits = map(Wait.from_connection, idle)
         self.since_s = {wait: self.since_s.get(wait, now_s) for wait in waits}
         return [
             wait.connection
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -64,7 +64,7 @@
 STOPPING = Refusal(
     RefusalKind.UNAVAILABLE, STOPPING_RETRY_S, "not enough time left before the stop"
 )
-BEHIND_CLOSE = Refusal(
+SENT_AFTER_CLOSE = Refusal(
     RefusalKind.UNAVAILABLE, STOPPING_RETRY_S, "sent behind a response that closes"
 )
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -270,7 +270,7 @@
         """Serve a request; refuse it at once if the entry stops too soon for it."""
         if request.protocol.close_announced:
             # The caller may have taken it for unread, and have sent it elsewhere.
-            return log_refusal(request, BEHIND_CLOSE)
+            return log_refusal(request, SENT_AFTER_CLOSE)
         head = decode_request(request)
         if self.is_too_late(head):
             return log_refusal(request, STOPPING)
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -10,7 +10,6 @@
 from tests.fleet import free_port
 from tests.test_calls_at_a_stop import HOST, Caller, OwnRoutes, until
 from wisteriapulley import http_drain, http_server
-from wisteriapulley.http_drain import is_idle
 from wisteriapulley.http_server import IdleConnections
 from wisteriapulley.settings import Address
 
@@ -88,7 +87,7 @@
             idle = IdleConnections(20.0, 600.0)
             assert not idle.overdue(connections, 0.0)
             caller.writer.write(calls.request_bytes(1))
-            await until(lambda: caller.statuses and is_idle(connections[0]))
+            await until(lambda: caller.statuses and connections[0].is_idle)
             assert not idle.overdue(connections, 21.0)
             assert not idle.overdue(connections, 621.0)
             assert idle.overdue(connections, 621.1) == connections
@@ -100,7 +99,7 @@
             connections = calls.server.listener.server.connections
             idle = IdleConnections(20.0, 600.0)
             caller.writer.write(calls.request_bytes(1))
-            await until(lambda: caller.statuses and is_idle(connections[0]))
+            await until(lambda: caller.statuses and connections[0].is_idle)
             assert not idle.overdue(connections, 0.0)
             caller.writer.write(calls.request_bytes(2)[:30])
             await until(lambda: connections[0].has_partial_head)
--- a/tests/test_library_connections.py
+++ b/tests/test_library_connections.py
@@ -11,7 +11,7 @@
 
 from tests.fleet import free_port
 from tests.test_calls_at_a_stop import HOST, Caller, until
-from wisteriapulley.http_drain import CallerConnection, CallerServer, is_idle
+from wisteriapulley.http_drain import CallerConnection, CallerServer
 
 TEST_TIMEOUT_S = 30.0
 BODY = b"body"
@@ -143,7 +143,7 @@
             recorder.may_answer.set()
             await until(lambda: recorder.handled == 2 and recorder.now()["waits"])
             assert recorder.now() == state(count=2)
-            assert is_idle(recorder.connection)
+            assert recorder.connection.is_idle
 
         play(scenario)
 
