Tell callers whom a leaving entry refuses to use another connection

Callers saw, by reading: an entry with sidecars that stops refuses every new request, but kept the connection, so that a caller that reuses it came back to the same entry and was refused until the end of the drain.

Fix: from the beginning of the stop each response announces that its connection closes, unless a request waits there. The new test failed before: the refusal had no such header.

--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -134,6 +134,8 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Refuse new requests, finish those in progress, then close."""
         self.leaving = True
+        # A caller that keeps its connection would come back here and be refused again.
+        self.http.announce_close()
         try:
             async with asyncio.timeout(self.settings.drain_ms / 1000):
                 await self.idle.wait()
--- a/src/wisteriapulley/http_server.py
+++ b/src/wisteriapulley/http_server.py
@@ -166,6 +166,10 @@
             ) from error
         self.address = Address(address.host, self.listener.port)
 
+    def announce_close(self) -> None:
+        """Let each response tell its caller that the connection closes behind it."""
+        self.listener.server.closing = True
+
     async def stop(self, max_s: float = STOP_LIMIT_S) -> None:
         """Stop listening; see `HttpListener.stop`."""
         self.sweep_task.cancel()
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -144,3 +144,27 @@
             assert fake.abandoned == 1
 
         play(fake.run, scenario)
+
+
+class TestCallerThatKeepsItsConnection:
+    def test_is_told_to_leave_by_its_refusal(self, play):
+        """Guards against refusals of one caller until the end of the drain."""
+
+        async def run_forever(caller, now_s):
+            await asyncio.Event().wait()
+
+        async def scenario(harness):
+            running = asyncio.create_task(code_of(harness.ask()))
+            await harness.in_progress()
+            stopping = asyncio.create_task(harness.service.stop())
+            while not harness.service.leaving:
+                await asyncio.sleep(0.001)
+            reader, writer = await harness.send(BODY)
+            answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert b"connection: close" in answer.lower()
+            writer.close()
+            await stopping
+            await running
+
+        play(run_forever, scenario)
