Count callers' patience from the turn of a request on its connection

Cause: since the time of a request behind another counts from its arrival, so did the time in which its stream has to begin. While it waits, its caller has the events of the response before.

Fix: a request says how long it waited behind others. The new test of the limit can't run on the code before, which has no such wait.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -109,7 +109,7 @@
     outages : dict of tuple to OutageHold
         Hold requests during outages, by service and home regions.
     response_times : ServiceTimes
-        How long requests took from their arrival to the end of their response.
+        How long requests took from their turn to the end of their response.
     """
 
     def __init__(
@@ -353,7 +353,7 @@
         self.metrics.record_response(admitted.account_name, traffic_class, code, took_s)
         if refusal is None:
             work = work_of(admitted.route, admitted.request)
-            self.response_times.record(work, took_s)
+            self.response_times.record(work, took_s - admitted.request.queued_s)
         prompt_tokens = admitted.request.prompt_tokens
         if prompt_tokens:
             name = admitted.route.name
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -57,8 +57,9 @@
         """When its time to begin ends, or to end once it has begun; loop's clock."""
         if self.has_begun:
             return self.deadline_s
-        limit_s = begin_limit_s(self.route, self.request.max_wait_s)
-        return min(self.deadline_s, self.request.arrived_s + limit_s)
+        request = self.request
+        limit_s = begin_limit_s(self.route, request.max_wait_s, request.queued_s)
+        return min(self.deadline_s, request.arrived_s + limit_s)
 
     @property
     def revision(self) -> int:
--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -40,6 +40,8 @@
     prompt_parts : tuple of str
         Ids of the parts of the prompt that other requests may share, each once: all
         parts but the last.
+    queued_s : float
+        How long it waited behind others on its connection before it was handled.
     """
 
     request_id: str
@@ -56,6 +58,7 @@
     answer_tokens: int = 0
     resume_after: str = ""
     prompt_parts: tuple[str, ...] = ()
+    queued_s: float = 0.0
 
 
 class Refusal(NamedTuple):
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -418,7 +418,7 @@
 
 
 def decode_request(request: web.BaseRequest) -> CallerRequest:
-    """Return the product's form of a request without its body."""
+    """Return the product's form of a request without its body, as its turn comes."""
     headers = request.headers
     target = request._message.path
     prompt_tokens, max_answer_tokens = parse_token_counts(
@@ -445,6 +445,7 @@
         answer_tokens,
         headers.get(names.LAST_EVENT, ""),
         parse_shared_parts(headers.get(names.PROMPT_PARTS, "")),
+        asyncio.get_running_loop().time() - request[ARRIVED_S],
     )
 
 
--- a/src/wisteriapulley/policy/patience.py
+++ b/src/wisteriapulley/policy/patience.py
@@ -35,10 +35,11 @@
     return max(MIN_PATIENCE_S, *(ms / 1000 for ms in stated_ms))
 
 
-def begin_limit_s(route: Route, max_wait_s: float) -> float:
+def begin_limit_s(route: Route, max_wait_s: float, queued_s: float = 0.0) -> float:
     """Return how long after its arrival a response must begin; infinite if no limit.
 
-    A stream that begins at the end of its caller's time can't end within it.
+    A stream that begins at the end of its caller's time can't end within it. While it
+    waits behind another response, its caller has the events of that one.
 
     Parameters
     ----------
@@ -46,7 +47,10 @@
         Route of the request.
     max_wait_s : float
         How long the caller waits for the whole response.
+    queued_s : float
+        How long the request waited behind others on its connection.
     """
     if route.kind is not RouteKind.STREAM:
         return float("inf")
-    return BEGIN_FRACTION * min(patience_s(route), max_wait_s)
+    patience_ends_s = queued_s + BEGIN_FRACTION * patience_s(route)
+    return min(patience_ends_s, BEGIN_FRACTION * max_wait_s)
--- a/tests/test_callers_leave.py
+++ b/tests/test_callers_leave.py
@@ -187,6 +187,12 @@
         route = STREAM._replace(kind=kind)
         assert patience_s(route) == begin_limit_s(route, 1.0) == float("inf")
 
+    def test_patience_counts_from_the_turn_of_a_request_on_its_connection(self):
+        """A stream behind another was given up with seconds of its time left."""
+        alone_s = begin_limit_s(STREAM, 60.0)
+        assert begin_limit_s(STREAM, 60.0, 2.0) == alone_s + 2.0
+        assert begin_limit_s(STREAM, 1.0, 2.0) == begin_limit_s(STREAM, 1.0)
+
     @pytest.mark.parametrize("waited_s", [0.2, 1.5, 2.5])
     def test_slot_is_asked_for_in_the_time_that_is_left(self, waited_s):
         """A late request queues no longer than its caller waits for an event."""
