Decide outside of the platform's folder what a stopping entry still serves

The comparison with the end of the drain stood in the ingress, between reads and writes, and its retry time there and in the dispatcher. No behaviour changes.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -27,6 +27,7 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.errors import ResultCode
 from wisteriapulley.logs import fields
+from wisteriapulley.policy.drain_window import STOPPING_RETRY_S
 from wisteriapulley.policy.outage_hold import OutageHold
 from wisteriapulley.policy.prompt_sizes import PromptSizes
 from wisteriapulley.policy.retry_after import retry_after_s
@@ -48,8 +49,6 @@
 STARTING_RETRY_S = 0.5
 # Retry time after a failure in which the request did not run.
 FAILED_RETRY_S = 0.3
-# Retry time at the end of a stop: another entry serves the caller.
-STOPPED_RETRY_S = 0.05
 RESULT_CODES = {
     RefusalKind.NO_ROUTE: ResultCode.NO_ROUTE,
     RefusalKind.BAD_KEY: ResultCode.UNAUTHORIZED,
@@ -62,7 +61,7 @@
 }
 NO_SEND_LEFT = Refusal(RefusalKind.FAILED, reason="no attempt left")
 STOPPED_UNSENT = Refusal(
-    RefusalKind.UNAVAILABLE, STOPPED_RETRY_S, "entry stopped before a slot was free"
+    RefusalKind.UNAVAILABLE, STOPPING_RETRY_S, "entry stopped before a slot was free"
 )
 SUSPECTED = Refusal(
     RefusalKind.FAILED, reason="part of the prompt may crash another target"
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -21,6 +21,7 @@
 from wisteriapulley.http_drain import CallerServer, close_when_answered
 from wisteriapulley.logs import fields
 from wisteriapulley.platform import names
+from wisteriapulley.policy.drain_window import STOPPING_RETRY_S, DrainWindow
 from wisteriapulley.response_end import is_unframed, write_end
 from wisteriapulley.settings import Address
 from wisteriapulley.unsent import discard_unsent
@@ -37,8 +38,6 @@
 CLOSE_TIMEOUT_S = 0.2
 # How long a stopping entry waits for the rest of a head that has arrived in part.
 HEAD_WAIT_S = 1.0
-# A caller that a stopping entry refuses finds another entry at once.
-STOPPING_RETRY_S = 0.05
 # How long a caller waits that does not state it.
 DEFAULT_MAX_WAIT_MS = 30_000
 # Larger numbers would not fit into a slot request to a sidecar.
@@ -164,8 +163,8 @@
         Connections with a request in progress, and its task.
     overdue : bool
         Whether the time limit of the drain has passed.
-    drain_ends_s : float or None
-        When it passes, on the loop's clock; None before a drain.
+    window : DrainWindow
+        Time of the drain.
     time_needed_s : callable
         Returns how long a request takes, in seconds, from its head without its body.
     body_limits : dict of asyncio.Timeout to CallerRequest
@@ -179,7 +178,7 @@
         self.count_internal_error: Callable[[], None] = lambda: None
         self.active: dict[object, asyncio.Task] = {}
         self.overdue = False
-        self.drain_ends_s: float | None = None
+        self.window = DrainWindow()
         self.time_needed_s: Callable[[CallerRequest], float] = lambda head: 0.0
         self.body_limits: dict[asyncio.Timeout, CallerRequest] = {}
         self.runner: web.ServerRunner | None = None
@@ -281,15 +280,17 @@
         return await self.serve(head._replace(body=body), answer)
 
     def latest_start_s(self, head: CallerRequest) -> float | None:
-        """Return until when a request can be started before the end of the drain."""
-        if self.drain_ends_s is None:
+        """Return until when a request can be started; None before a drain."""
+        if not self.closing:
             return None
-        return self.drain_ends_s - self.time_needed_s(head)
+        return self.window.latest_start_s(self.time_needed_s(head))
 
     def is_too_late(self, head: CallerRequest) -> bool:
         """Return whether a request can't be finished before the end of the drain."""
-        latest_s = self.latest_start_s(head)
-        return latest_s is not None and asyncio.get_running_loop().time() >= latest_s
+        if not self.closing:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        return self.window.is_too_late(self.time_needed_s(head), now_s)
 
     async def read_body(
         self, request: web.BaseRequest, head: CallerRequest
@@ -370,14 +371,15 @@
         """
         self.closing = True
         now_s = asyncio.get_running_loop().time
-        self.drain_ends_s = now_s() + max_s
+        self.window = DrainWindow(now_s() + max_s)
         for time_limit, head in self.body_limits.items():
             time_limit.reschedule(self.latest_start_s(head))
         await asyncio.sleep(accept_s)
         await self.site.stop()
         self.server.listener_closed_s = now_s()
-        head_ends_s = min(now_s() + HEAD_WAIT_S, self.drain_ends_s)
-        await close_when_answered(self.server, self.drain_ends_s, head_ends_s)
+        ends_s = self.window.ends_s
+        head_ends_s = min(now_s() + HEAD_WAIT_S, ends_s)
+        await close_when_answered(self.server, ends_s, head_ends_s)
         await self.cancel_overdue()
         await close_when_answered(self.server, now_s() + CLOSE_TIMEOUT_S)
 
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -3,8 +3,6 @@
 import asyncio
 import logging
 import re
-from types import SimpleNamespace
-from typing import NamedTuple
 
 import pytest
 import uvloop
@@ -32,15 +30,6 @@
     ) + body
 
 
-class FixedClock(NamedTuple):
-    """A loop whose time stands still."""
-
-    now_s: float
-
-    def time(self):
-        return self.now_s
-
-
 class Entry:
     """An ingress, one caller, and a handler that answers once it may.
 
@@ -409,20 +398,6 @@
 
         play(scenario)
 
-    def test_request_in_the_last_moment_of_the_drain_is_refused(self, play):
-        """The clock of uvloop stands still for a millisecond."""
-
-        async def scenario(entry):
-            loop = asyncio.get_running_loop()
-            entry.ingress.closing = True
-            entry.ingress.drain_ends_s = now_s = loop.time()
-            head = SimpleNamespace()
-            with pytest.MonkeyPatch.context() as patch:
-                patch.setattr(asyncio, "get_running_loop", lambda: FixedClock(now_s))
-                assert entry.ingress.is_too_late(head)
-
-        play(scenario)
-
     def test_requests_at_the_end_of_the_drain(self, play):
         """The one in progress fails, since it may have run; those behind have not."""
 
