Refuse for a stop only what the stop has timed out

By reading: any TimeoutError from the read of a body was taken for the end of the drain, also where no drain had begun, and refused as if the entry stopped. None of the library's reads raises one today. It counts as an internal error now. The new test failed before with 503 in place of 502.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -307,6 +307,8 @@
                 finally:
                     del self.body_limits[time_limit]
         except TimeoutError:
+            if not time_limit.expired():
+                raise
             return None
 
     async def confirm_expected(self, request: web.BaseRequest) -> None:
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -6,6 +6,7 @@
 
 import pytest
 import uvloop
+from aiohttp import web
 from aiohttp.web_protocol import MAX_MSG_QUEUE_SIZE
 
 from wisteriapulley.http_drain import CallerServer, close_idle
@@ -436,3 +437,20 @@
             assert not connection.has_partial_head and not connection.has_partial_body
 
         asyncio.run(scenario())
+
+
+class TestTimeoutOfAnother:
+    def test_is_not_taken_for_the_end_of_the_drain(self, play, monkeypatch):
+        """A refusal says that the request may be sent elsewhere because of a stop."""
+
+        async def fail(request):
+            raise TimeoutError
+
+        monkeypatch.setattr(web.BaseRequest, "read", fail)
+
+        async def scenario(entry):
+            entry.writer.write(request_bytes(1, b"body")[:-1])
+            await until(lambda: entry.received)
+            assert entry.statuses == [502] and entry.handled == []
+
+        play(scenario)
