Give one name each to what stands in several servers

The time for closing answered connections stood in two modules, and one read the library's count of requests on its own. The comments say what they mean at the first reading. No behaviour changes.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -18,6 +18,8 @@
 log = logging.getLogger(__name__)
 
 POLL_INTERVAL_S = 0.02
+# Time limit for closing connections whose requests are answered or refused.
+CLOSE_TIMEOUT_S = 0.2
 # How long a caller has to take a response that ends its connection before its body.
 UNREAD_BODY_WAIT_S = 1.0
 # How long a connection may take beyond its idle limit for the rest of a head.
@@ -95,6 +97,11 @@
         else:
             super()._process_keepalive()
 
+    @property
+    def requests_read(self) -> int:
+        """How many requests have arrived."""
+        return self._request_count
+
     @property
     def is_idle(self) -> bool:
         """Whether each request that has arrived has its response.
--- a/src/wisteriapulley/http_listener.py
+++ b/src/wisteriapulley/http_listener.py
@@ -8,6 +8,7 @@
 
 from wisteriapulley.errors import ResultCode, WisteriapulleyError
 from wisteriapulley.http_drain import (
+    CLOSE_TIMEOUT_S,
     POLL_INTERVAL_S,
     CallerServer,
     close_when_answered,
@@ -20,8 +21,6 @@
 # How long a stop waits for requests in progress, and for the rest of a head. Callers
 # of a control instance turn to another one after a second.
 STOP_LIMIT_S = 1.0
-# Time limit for closing connections whose requests are answered or refused.
-CLOSE_TIMEOUT_S = 0.2
 RETRY_AFTER_MS = 200
 
 RequestHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -116,7 +115,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond to a request, or refuse it if a stop leaves it undone."""
-        # Nothing here depends on it, and the connection keeps those not taken.
+        # Not used here, but a connection keeps each arrival until it is taken.
         request.protocol.take_arrival_s()
         if request.protocol.close_announced:
             # The caller may have taken it for unread, and have sent it elsewhere.
--- a/src/wisteriapulley/http_server.py
+++ b/src/wisteriapulley/http_server.py
@@ -50,7 +50,7 @@
     @classmethod
     def from_connection(cls, connection: CallerConnection) -> "Wait":
         """Return what a connection waits for."""
-        requests_read = connection._request_count
+        requests_read = connection.requests_read
         is_kept = requests_read > 0
         return cls(connection, requests_read, is_kept and connection.has_partial_head)
 
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -18,7 +18,11 @@
 )
 from wisteriapulley.error_text import describe_error
 from wisteriapulley.errors import ResultCode, SettingsError
-from wisteriapulley.http_drain import CallerServer, close_when_answered
+from wisteriapulley.http_drain import (
+    CLOSE_TIMEOUT_S,
+    CallerServer,
+    close_when_answered,
+)
 from wisteriapulley.logs import fields
 from wisteriapulley.platform import names
 from wisteriapulley.policy.drain_window import STOPPING_RETRY_S, DrainWindow
@@ -34,8 +38,6 @@
 # Time until an idle connection is closed: longer than the operator's idle limit, within
 # which callers may reuse a connection.
 KEEPALIVE_S = 75.0
-# Time limit for closing connections that are still open after all requests have ended.
-CLOSE_TIMEOUT_S = 0.2
 # How long a stopping entry waits for the rest of a head that has arrived in part.
 HEAD_WAIT_S = 1.0
 # How long a caller waits that does not state it.
