--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -42,13 +42,14 @@
         while self.service.running < count:
             await asyncio.sleep(0.001)
 
-    async def send(self, body):
+    async def send(self, body, version=b"1.1"):
         """Send a request with (a part of) its body; return the connection."""
         address = self.http.address
         reader, writer = await asyncio.open_connection(address.host, address.port)
         writer.write(
-            b"POST /services/letters/post HTTP/1.1\r\nHost: h.example\r\n"
-            b"X-Client-Account: council\r\nContent-Length: %d\r\n\r\n" % len(BODY)
+            b"POST /services/letters/post HTTP/%b\r\nHost: h.example\r\n"
+            b"X-Client-Account: council\r\nContent-Length: %d\r\n\r\n"
+            % (version, len(BODY))
         )
         writer.write(body)
         return reader, writer
@@ -145,6 +146,20 @@
 
         play(fake.run, scenario)
 
+    def test_response_that_ends_with_its_connection_is_reset(self, play):
+        """A caller of HTTP/1.0 would take an orderly close for its end."""
+        fake = FakeRun(asyncio.Event().wait)
+
+        async def scenario(harness):
+            reader, writer = await harness.send(BODY, b"1.0")
+            await reader.readuntil(b"part")
+            await harness.service.stop()
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+            writer.close()
+
+        play(fake.run, scenario)
+
 
 class TestCallerThatKeepsItsConnection:
     def test_is_told_to_leave_by_its_refusal(self, play):
