Log the time limit that a target got

Whether a late request had been read before its engine stood still could be told from how long ago it was sent and when the engine stood still. Whether the engine should have stopped could not: no line has the time limit of the request.

--- a/src/wisteriapulley/direct/exchange.py
+++ b/src/wisteriapulley/direct/exchange.py
@@ -82,6 +82,8 @@
         Whether the response broke off, or the target was left for another one.
     closed : bool
         Whether the slot was released.
+    limit_s : float
+        Time limit that the target got; 0 before the request was sent.
     known_suspects : dict of bytes to SuspectRecord
         What was known of the parts of the prompt when it was sent.
     """
@@ -112,6 +114,7 @@
         self.was_silent = False
         self.broke_off = False
         self.closed = False
+        self.limit_s = 0.0
         self.known_suspects: dict[bytes, SuspectRecord] = {}
 
     @property
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -118,7 +118,7 @@
     ) -> Refusal | None:
         """Send a request and wait for status and headers."""
         target, slot, sent_s = exchange.target, exchange.slot, exchange.sent_s
-        remaining_s = admitted.deadline_s - self.now_s()
+        remaining_s = exchange.limit_s = admitted.deadline_s - self.now_s()
         if self.left_s(admitted, progress) < MIN_SEND_S:
             return Refusal(RefusalKind.TIMED_OUT, reason="no time left")
         if not slot.may_send(self.now_s()):
@@ -546,6 +546,7 @@
                 sent_ms=int((now_s - exchange.sent_s) * 1000),
                 first_event_ms=exchange.slot.first_event_ms,
                 start_left_ms=exchange.slot.start_left_ms(now_s),
+                limit_ms=int(exchange.limit_s * 1000),
                 reason=repr(error),
             ),
         )
@@ -581,6 +582,7 @@
                 sent_ms=int((now_s - exchange.sent_s) * 1000),
                 first_event_ms=exchange.slot.first_event_ms,
                 start_left_ms=exchange.slot.start_left_ms(now_s),
+                limit_ms=int(exchange.limit_s * 1000),
                 reason=repr(error),
             ),
         )
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -415,6 +415,7 @@
             assert each.first_event_ms == placed[each.request_id].first_event_ms > 0
             assert each.sent_ms > each.first_event_ms
             assert each.start_left_ms <= 0
+            assert each.limit_ms > each.sent_ms
 
     @pytest.mark.parametrize("silent_s", [[0.0], [1.2], [1.0, 0.0, 0.6]])
     def test_sidecar_logs_each_silence(self, tmp_path, caplog, silent_s):
