--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -11,7 +11,13 @@
 
 from tests.fakes.links import LateLink
 from tests.test_control_publisher import Instance, models_of
-from tests.test_direct_dispatch import SETTINGS, FakeCaller, crash_tracker, events
+from tests.test_direct_dispatch import (
+    SETTINGS,
+    FakeAnswer,
+    FakeCaller,
+    crash_tracker,
+    events,
+)
 from tests.test_evacuated_engine import ENGINE, MANIFEST, name_version, new_service
 from tests.test_silent_targets import PacedAnswer
 from wisteriapulley.control.following import ControlFollower
@@ -152,6 +158,47 @@
         return PacedAnswer((0.0, events(1, 2)), (0.05, events(3, 4)))
 
 
+class TimedEngine(BlindEngine):
+    """An engine that reads no closes, and stops at the time limit of a request.
+
+    What has not begun within the limit never does. The limit counts from when the
+    request is read.
+
+    Parameters
+    ----------
+    pauses : list of (float, float)
+        When it stands still: from, until.
+    first_event_s : float
+        Work until the first event.
+    reads : bool
+        Whether it reads requests while it stands still, and only begins none.
+    """
+
+    def __init__(self, pauses, first_event_s, reads=True):
+        super().__init__(pauses, first_event_s)
+        self.reads = reads
+
+    def read_s(self, sent_s):
+        """Return when a request is read that is sent now."""
+        for from_s, until_s in self.pauses:
+            if from_s <= sent_s < until_s and not self.reads:
+                return until_s
+        return sent_s
+
+    async def send(self, request, plan):
+        """Serve a request of an entry, unless its time ends before it begins."""
+        now_s = asyncio.get_running_loop().time()
+        self.sent += 1
+        begins_s = self.begins_s(now_s)
+        stops_s = self.read_s(now_s) + plan.remaining_s
+        if begins_s < stops_s:
+            self.begun_s.append(begins_s)
+            await asyncio.sleep(begins_s - now_s)
+            return PacedAnswer((0.0, events(1, 2)), (0.05, events(3, 4)))
+        await asyncio.sleep(begins_s - now_s)
+        return FakeAnswer(status=503, not_run=True)
+
+
 class VersionEnd:
     """An entry, a sidecar and an engine whose version is superseded at 0 s.
 
@@ -394,6 +441,34 @@
         )
 
 
+class TestEngineThatKeepsTimeLimits:
+    """Silences, and slow first events, of any length after a request was read.
+
+    Its entry can't reach such an engine; only the time limit that it has read ends the
+    request.
+    """
+
+    # From how long before the end on the engine stands still.
+    STARTS_S = [0.05 + number * 0.4 for number in range(6)]
+    ASKED_FROM_S = END_S - 5
+    EXPECTED_S = TestEngineThatIgnoresCloses.EXPECTED_S
+
+    def test_request_read_before_a_silence_does_not_begin_late(self, play_engine):
+        late = {}
+        for silence_s, late_s, options, before_s in itertools.product(
+            (1.4, 2.0, 4.0),
+            (0.0, 0.5, 1.5),
+            TestEngineThatIgnoresCloses.KNOWING,
+            self.STARTS_S,
+        ):
+            pauses = [(END_S - before_s, END_S - before_s + silence_s)]
+            engine = TimedEngine(pauses, self.EXPECTED_S + late_s)
+            begun_s = play_engine(engine, asked_from_s=self.ASKED_FROM_S, **options)
+            if begun_s:
+                late[silence_s, late_s, str(options), before_s] = begun_s
+        assert not late
+
+
 class TestLogs:
     """They tell a silent engine from a slow one, and one silence from two."""
 
