End the time limit that a target gets with its version of the weights

Cause: only the sender kept the end, by a sum of allowances. A target got the whole deadline of the caller, so one that read a request, fell silent or turned slow, and noticed no close, began it whenever it went on.

Now the target keeps the end itself: its time limit ends with the version, 0.1 s before the end for the age of the news, and up to 1.2 s earlier where the response is expected to be complete by then, which covers requests that lay unread for that long. What can't be repeated is sent only if it is expected to be complete in time. A target that stops at that limit has not failed: it is neither ejected nor checked for a crash, and the stream goes on where newer weights are.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -264,7 +264,7 @@
         admitted = self.admit(request)
         if isinstance(admitted, Refusal):
             return self.finish_refusal(request, admitted)
-        admitted = self.record_prompt(admitted)
+        admitted = self.add_expected(self.record_prompt(admitted))
         service = self.choose_service(admitted.route, self.now_s(), admitted.homes)
         self.retry_budget(service).record_request(self.now_s())
         progress = Progress(request, service, admitted.route.attempts)
@@ -305,6 +305,12 @@
             sizes.record(prompt_tokens)
         return admitted._replace(large_prompt=sizes.typical_large)
 
+    def add_expected(self, admitted: Admitted) -> Admitted:
+        """Add how long the response is expected to take, by those before it."""
+        work = work_of(admitted.route, admitted.request)
+        expected_s = self.response_times.upper_bound(work)
+        return admitted._replace(expected_s=expected_s or None)
+
     def refuse_overdue(
         self, admitted: Admitted, progress: Progress, answer: CallerAnswer
     ) -> Refusal:
--- a/src/wisteriapulley/direct/exchange.py
+++ b/src/wisteriapulley/direct/exchange.py
@@ -84,6 +84,9 @@
         Whether the slot was released.
     limit_s : float
         Time limit that the target got; 0 before the request was sent.
+    stops_s : float or None
+        When the target stops work because its version of the weights ends, on the
+        loop's clock; None if it works until the deadline of the request.
     known_suspects : dict of bytes to SuspectRecord
         What was known of the parts of the prompt when it was sent.
     """
@@ -115,6 +118,7 @@
         self.broke_off = False
         self.closed = False
         self.limit_s = 0.0
+        self.stops_s: float | None = None
         self.known_suspects: dict[bytes, SuspectRecord] = {}
 
     @property
@@ -160,6 +164,10 @@
             since_s = self.waiting_since_s
         return int((now_s - since_s) * 1000)
 
+    def has_stopped(self, now_s: float) -> bool:
+        """Return whether the target has stopped work because its version ended."""
+        return self.stops_s is not None and now_s >= self.stops_s
+
     def close(self) -> None:
         """Close the connection unless it is idle, and release the slot."""
         if self.closed:
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -36,6 +36,8 @@
         Whether its response has begun.
     large_prompt : int
         Tokens of a typical large prompt of its route; 0 if that is not known.
+    expected_s : float or None
+        How long its response is expected to take at most; None if that is not known.
     """
 
     request: CallerRequest
@@ -47,6 +49,7 @@
     index: RouteIndex = EMPTY_INDEX
     has_begun: bool = False
     large_prompt: int = 0
+    expected_s: float | None = None
 
     def engine_of(self, service: str) -> Engine | None:
         """Return the engine parameters of a service; None for plain targets."""
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -28,7 +28,11 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.logs import fields
 from wisteriapulley.policy.circuit_breaker import SendOutcome
-from wisteriapulley.policy.version_end import PAUSE_ALLOWANCE_MS
+from wisteriapulley.policy.version_end import (
+    PAUSE_ALLOWANCE_MS,
+    ends_too_late,
+    time_limit_ms,
+)
 from wisteriapulley.routing import RouteKind
 
 log = logging.getLogger(__name__)
@@ -46,6 +50,9 @@
 # How often a request that has not started looks whether a newer version of the weights
 # was named. Short against the time that a superseded version may serve.
 DEADLINE_LOOK_INTERVAL_S = 0.25
+# By how much a target may stop work before the end of its time limit, because limits
+# are whole milliseconds and clocks differ in speed.
+STOP_TOLERANCE_S = 0.01
 
 
 class Sender:
@@ -118,10 +125,9 @@
     ) -> Refusal | None:
         """Send a request and wait for status and headers."""
         target, slot, sent_s = exchange.target, exchange.slot, exchange.sent_s
-        remaining_s = exchange.limit_s = admitted.deadline_s - self.now_s()
         if self.left_s(admitted, progress) < MIN_SEND_S:
             return Refusal(RefusalKind.TIMED_OUT, reason="no time left")
-        if not slot.may_send(self.now_s()):
+        if not self.may_send(slot, admitted):
             # A kept connection would take the request before a timeout cancels it.
             reason = "weights superseded"
             return Refusal(RefusalKind.UNAVAILABLE, REJECTED_RETRY_S, reason)
@@ -129,7 +135,7 @@
             target.address,
             target.target_id,
             admitted.account_name,
-            remaining_s,
+            self.limit_time(exchange, admitted),
             slot.version,
             exchange.events.last_id,
             not admitted.route.repeatable,
@@ -145,8 +151,7 @@
         except (BrokenAnswerError, TimeoutError) as error:
             progress.may_have_run = True
             self.log_no_response(admitted, exchange, error)
-            self.record_no_response(exchange, progress, error)
-            await self.check_for_crash(admitted, exchange, error)
+            await self.record_no_response(exchange, admitted, error)
             return Refusal(
                 RefusalKind.FAILED, reason=f"no response from target: {error!r}"
             )
@@ -157,31 +162,48 @@
         exchange.record_part(sent_s, self.now_s())
         return None
 
-    def record_no_response(
-        self, exchange: Exchange, progress: Progress, error: Exception
-    ) -> None:
-        """Record that a target broke off, or that this entry dropped the request.
+    def may_send(self, slot: AllocatedSlot, admitted: Admitted) -> bool:
+        """Return whether a request may be sent now.
 
-        After a timeout the request had not started when the grace period of its version
-        ended. That is no failure of the target. Engines that have not switched yet do
-        so by the end of the version, which is this long after the last start on it.
+        One that can't be repeated is not sent where its target would stop it.
         """
         now_s = self.now_s()
-        if isinstance(error, TimeoutError):
-            progress.look_until_s = now_s + PAUSE_ALLOWANCE_MS / 1000
-        elif not isinstance(error, NoMemoryLeftError):
-            self.registry.record_outcome(exchange.target, True, now_s)
+        if not slot.may_send(now_s):
+            return False
+        return admitted.route.repeatable or not ends_too_late(
+            slot.start_left_ms(now_s), expected_ms(admitted)
+        )
 
-    async def check_for_crash(
-        self, admitted: Admitted, exchange: Exchange, error: Exception
+    def limit_time(self, exchange: Exchange, admitted: Admitted) -> float:
+        """Return the time limit for a target, in seconds, and record when it ends."""
+        now_s = self.now_s()
+        remaining_ms = (admitted.deadline_s - now_s) * 1000
+        limit_ms = time_limit_ms(
+            remaining_ms, exchange.slot.start_left_ms(now_s), expected_ms(admitted)
+        )
+        exchange.limit_s = limit_ms / 1000
+        if limit_ms < remaining_ms:
+            exchange.stops_s = now_s + exchange.limit_s - STOP_TOLERANCE_S
+        return exchange.limit_s
+
+    async def record_no_response(
+        self, exchange: Exchange, admitted: Admitted, error: Exception
     ) -> None:
-        """Check whether a target that broke off a response has crashed.
+        """Record that a target broke off, or that a version of the weights ended.
 
-        After a timeout the entry itself closes the connection. That tells nothing of
-        the target, which may be exiting as planned.
+        After a timeout the request had not started when the grace period of its version
+        ended, and this entry closed the connection. A target that stopped work at that
+        end breaks off. Neither is a failure of the target. Engines that have not
+        switched yet do so by the end of the version, which is this long after the last
+        start on it.
         """
-        if isinstance(error, BrokenAnswerError):
-            await self.crashes.check_for_crash(admitted, exchange)
+        now_s = self.now_s()
+        if isinstance(error, TimeoutError) or exchange.has_stopped(now_s):
+            exchange.progress.look_until_s = now_s + PAUSE_ALLOWANCE_MS / 1000
+            return
+        if not isinstance(error, NoMemoryLeftError):
+            self.registry.record_outcome(exchange.target, True, now_s)
+        await self.crashes.check_for_crash(admitted, exchange)
 
     def check_head(
         self,
@@ -251,9 +273,8 @@
             if ended:
                 await self.check_end(exchange)
         except BrokenAnswerError as error:
-            self.registry.record_outcome(exchange.target, True, self.now_s())
             self.log_broken_body(admitted, exchange, error)
-            await self.crashes.check_for_crash(admitted, exchange)
+            await self.record_no_response(exchange, admitted, error)
             reason = f"response broke off: {error}"
             return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
         if exchange.response.status == HTTP_OK:
@@ -307,9 +328,8 @@
             data = await self.read_events(exchange)
         except (BrokenAnswerError, TimeoutError) as error:
             exchange.broke_off = True
-            self.record_no_response(exchange, progress, error)
             self.log_broken_stream(admitted, exchange, error)
-            await self.check_for_crash(admitted, exchange, error)
+            await self.record_no_response(exchange, admitted, error)
             reason = "stream broke off"
             return Arrival(refusal=Refusal(RefusalKind.FAILED, reason=reason))
         if data:
@@ -613,6 +633,11 @@
                 timer.cancel()
 
 
+def expected_ms(admitted: Admitted) -> float | None:
+    """Return how long a response is expected to take; None if that is not known."""
+    return None if admitted.expected_s is None else admitted.expected_s * 1000
+
+
 def is_server_error(response: TargetAnswer) -> bool:
     """Return whether a target reported a server error."""
     return response.status >= SERVER_ERROR
--- a/src/wisteriapulley/policy/version_end.py
+++ b/src/wisteriapulley/policy/version_end.py
@@ -8,6 +8,12 @@
 So the last request is sent early enough that it starts in time after such a pause even
 if its first event is later than expected.
 
+The target itself keeps the end as well. It stops work at the time limit of a request,
+so that limit ends with the version. What the target has read before a pause then does
+not start after the end, however long the pause is and however slow the target. The
+limit counts from when the target reads the request, so it does not help one that lay
+unread; for that one, the limit is shorter where the response is complete by then.
+
 What has been sent and has not started is dropped some time after that. It then starts
 at no engine that notices the close in time, however slow it is. Dropping as early as
 sending ends would fail requests that still start in time.
@@ -38,6 +44,44 @@
     return old_version_ms - PAUSE_ALLOWANCE_MS - superseded_for_ms
 
 
+def time_limit_ms(
+    remaining_ms: float, start_left_ms: float | None, expected_ms: float | None
+) -> float:
+    """Return how long a target may work on a request, from when it reads it.
+
+    The target stops responses in progress as well. It may lie unread for as long as the
+    pause allowance, unless its response is expected to take longer than the rest.
+
+    Parameters
+    ----------
+    remaining_ms : float
+        Time until the deadline of the request.
+    start_left_ms : float or None
+        How long the request may still start; None without a limit.
+    expected_ms : float or None
+        How long the response is expected to take at most; None if that is not known.
+    """
+    if start_left_ms is None:
+        return remaining_ms
+    version_left_ms = start_left_ms + PAUSE_ALLOWANCE_MS
+    if expected_ms is None:
+        return min(remaining_ms, version_left_ms)
+    return min(remaining_ms, version_left_ms, max(start_left_ms, expected_ms))
+
+
+def ends_too_late(start_left_ms: float | None, expected_ms: float | None) -> bool:
+    """Return whether a target would stop a response before it is complete.
+
+    Parameters
+    ----------
+    start_left_ms, expected_ms : float or None
+        As for `time_limit_ms`.
+    """
+    if start_left_ms is None or expected_ms is None:
+        return False
+    return expected_ms > start_left_ms + PAUSE_ALLOWANCE_MS
+
+
 def grant_left_ms(left_ms: float, asked_for_ms: float, waited_ms: float) -> float:
     """Return how long a granted request may still start when its grant is read.
 
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -506,6 +506,95 @@
         assert ended_s == pytest.approx(0.5)
 
 
+class TestStoppedWithItsVersion:
+    """A target stops work at the time limit that ends with its version."""
+
+    START_LEFT_S = 0.5
+    VERSION_LEFT_S = START_LEFT_S + PAUSE_ALLOWANCE_MS / 1000
+
+    def entry(self, *answers, **options):
+        """Return an entry whose first target has weights that are superseded."""
+        entry = Entry(*answers, slots=1, **options)
+        allocate = entry.allocator.allocate
+
+        async def allocate_with_deadline(*args, **more):
+            now_s = asyncio.get_running_loop().time()
+            slot = await allocate(*args, **more)
+            if isinstance(slot, Refusal) or entry.allocator.slots > 1:
+                return slot
+            # Another engine holds newer weights when the first one stops.
+            entry.allocator.slots = 2
+            return slot._replace(start_deadline_s=now_s + self.START_LEFT_S)
+
+        entry.allocator.allocate = allocate_with_deadline
+        return entry
+
+    def expect(self, entry, expected_s):
+        """Let earlier responses of the entry have taken some seconds."""
+        times = entry.dispatcher.response_times
+        times.upper_bound = lambda work: expected_s
+
+    @pytest.mark.parametrize(
+        ("expected_s", "limit_s"),
+        [
+            (0.0, VERSION_LEFT_S),
+            (0.2, START_LEFT_S),
+            (1.0, 1.0),
+            (3.0, VERSION_LEFT_S),
+        ],
+    )
+    def test_limit_ends_with_the_version(self, expected_s, limit_s):
+        """It is shorter where the response is expected to be complete by then."""
+        entry = self.entry(PacedAnswer((0.0, events(1, 4))))
+        self.expect(entry, expected_s)
+        assert entry.serve()[0] is None
+        (plan,) = entry.client.plans
+        assert plan.remaining_s == pytest.approx(limit_s, abs=0.01)
+
+    def test_stopped_stream_goes_on_at_newer_weights(self):
+        stopped = PacedAnswer((0.1, events(1, 2)), (self.VERSION_LEFT_S, None))
+        entry = self.entry(stopped, PacedAnswer((0.1, events(3, 4))))
+        refusal, ended_s = entry.serve()
+        assert refusal is None
+        assert_whole(entry)
+        assert ended_s < self.VERSION_LEFT_S + 0.4
+        assert entry.client.plans[1].resume_after == "2"
+
+    def test_stopped_target_has_not_failed(self):
+        stopped = PacedAnswer((0.1, events(1, 2)), (self.VERSION_LEFT_S, None))
+        entry = self.entry(stopped, PacedAnswer((0.1, events(3, 4))))
+        checked = []
+        entry.dispatcher.crashes.check_for_crash = checked.append
+        entry.serve()
+        assert entry.registry.targets["i-0"].failure_rate == 0.0
+        assert not checked
+
+    def test_target_that_breaks_off_earlier_has_failed(self):
+        broken = PacedAnswer((0.1, events(1, 2)), (0.2, None))
+        entry = self.entry(broken, PacedAnswer((0.1, events(3, 4))))
+        entry.serve()
+        assert entry.registry.targets["i-0"].failure_rate > 0.0
+
+    def test_stopped_body_is_sent_by_another_target(self):
+        stopped = PacedAnswer((0.1, b"wh"), (self.VERSION_LEFT_S, None))
+        whole = PacedAnswer((0.0, b"whole"))
+        entry = self.entry(stopped, whole, kind=RouteKind.IDEMPOTENT)
+        assert entry.serve()[0] is None
+        assert entry.caller.body == b"whole"
+        assert entry.registry.targets["i-0"].failure_rate == 0.0
+
+    @pytest.mark.parametrize("expected_s", [1.0, 3.0])
+    def test_work_that_runs_once_is_not_sent_to_be_stopped(self, expected_s):
+        answer = PacedAnswer((0.0, events(1, 4)))
+        entry = self.entry(answer, resumable=False, attempts=1)
+        self.expect(entry, expected_s)
+        refusal, ended_s = entry.serve()
+        is_sent = expected_s < self.VERSION_LEFT_S
+        assert len(entry.client.plans) == is_sent
+        assert is_sent or refusal.kind is RefusalKind.UNAVAILABLE
+        assert ended_s < 0.2
+
+
 class TestWorkThatRunsOnce:
     @pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
     def test_is_never_sent_twice(self, kind):
