Take the time to connect off the time limit that a target gets

Callers could see requests begin on a version of the weights that had ended, by up to 0.3 s, at a target that took long to connect to and then fell silent or was slow.

Cause: the time limit ends with the version, 0.1 s before its end. It was computed before the connection was made, and a target counts it from when it reads the request. Connecting takes up to 0.4 s, and a lagging loop adds to it, so the end that the target keeps moved by as much. The same held for the deadline of the caller.

Now the request itself subtracts the time since it was made when it is written to its connection, after all that can delay it here, and is not sent once nothing is left.

--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -113,7 +113,7 @@
     account : str
         Client account; empty without one.
     remaining_s : float
-        Time budget of the target.
+        Time budget of the target from now on; connecting to it takes of that.
     version : int
         Expected version of the weights; 0 for any.
     resume_after : str
--- a/src/wisteriapulley/platform/http.py
+++ b/src/wisteriapulley/platform/http.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import logging
+import math
 import re
 
 import aiohttp
@@ -10,6 +11,7 @@
 from wisteriapulley.direct.settings import ResponseLimits
 from wisteriapulley.http_client import ResetHandler
 from wisteriapulley.logs import fields
+from wisteriapulley.platform import names
 from wisteriapulley.unsent import discard_unsent, unsent_bytes
 
 log = logging.getLogger(__name__)
@@ -43,6 +45,33 @@
         self.part, self.size, self.max_size = part, size, max_size
 
 
+class TimeLimitPassedError(aiohttp.ClientError):
+    """The time limit of a request passed before it had a connection."""
+
+
+class LimitedRequest(aiohttp.ClientRequest):
+    """A request whose stated time limit counts from when it was made.
+
+    Its target counts the stated time from when it reads the request. So what it took
+    to get a connection is taken off, and nothing is sent once no time is left.
+    """
+
+    def __init__(self, *args: object, **options: object):
+        super().__init__(*args, **options)
+        self.made_s = self.loop.time()
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Write the request to a connection."""
+        stated_ms = self.headers.get(names.DEADLINE_MS)
+        if stated_ms is not None:
+            waited_ms = math.ceil((self.loop.time() - self.made_s) * 1000)
+            left_ms = int(stated_ms) - waited_ms
+            if left_ms <= 0:
+                raise TimeLimitPassedError(f"no time left after {waited_ms} ms")
+            self.headers[names.DEADLINE_MS] = str(left_ms)
+        return await super().send(conn)
+
+
 class StrictHandler(ResetHandler):
     """A connection that does not take a close or a reset for the end of a message.
 
@@ -251,6 +280,7 @@
     )
     session = aiohttp.ClientSession(
         connector=connector,
+        request_class=LimitedRequest,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=DEFAULT_HEADERS,
--- a/src/wisteriapulley/platform/target_client.py
+++ b/src/wisteriapulley/platform/target_client.py
@@ -18,10 +18,18 @@
 from wisteriapulley.error_text import describe_error
 from wisteriapulley.http_client import is_bodiless, is_unframed
 from wisteriapulley.platform import names
-from wisteriapulley.platform.http import HttpClient, ResponseLimitError
+from wisteriapulley.platform.http import (
+    HttpClient,
+    ResponseLimitError,
+    TimeLimitPassedError,
+)
 from wisteriapulley.platform.signal_parsing import parse_signals
 
-CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+NOT_SENT_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    TimeLimitPassedError,
+)
 
 # Largest part of a body that is handled without a turn for other tasks.
 MAX_PART_BYTES = 64 << 10
@@ -44,7 +52,7 @@
                 data=request.body or None,
                 allow_redirects=False,
             )
-        except CONNECT_ERRORS as error:
+        except NOT_SENT_ERRORS as error:
             raise NotSentError(str(error)) from error
         except ResponseLimitError as error:
             raise oversized(error) from error
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from unittest.mock import Mock
 
+import aiohttp
 import pytest
 import uvloop
 from bench.turned_away import VirtualLoop
@@ -12,6 +13,7 @@
 from wisteriapulley.direct.types import (
     BrokenAnswerError,
     CallerRequest,
+    NotSentError,
     OversizedAnswerError,
     SendPlan,
 )
@@ -82,14 +84,67 @@
             writer.close()
 
 
+class SlowConnects:
+    """Lets each connection of a client take some time more.
+
+    Parameters
+    ----------
+    monkeypatch : pytest.MonkeyPatch
+        Patches the library.
+    took_s : float
+        How much longer.
+    """
+
+    def __init__(self, monkeypatch, took_s):
+        self.connect = aiohttp.TCPConnector.connect
+        self.took_s = took_s
+        monkeypatch.setattr(aiohttp.TCPConnector, "connect", self.connect_late(self))
+
+    @staticmethod
+    def connect_late(slow):
+        async def connect(connector, *args, **options):
+            connection = await slow.connect(connector, *args, **options)
+            await asyncio.sleep(slow.took_s)
+            return connection
+
+        return connect
+
+
+class HeadTarget(RawTarget):
+    """Records the heads of requests."""
+
+    def __init__(self):
+        super().__init__(SIX + b"answer")
+        self.heads = []
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(SIX + b"answer")
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    def limits_ms(self):
+        """Return the time limit in each request."""
+        return [
+            int(line.partition(b":")[2])
+            for head in self.heads
+            for line in head.split(b"\r\n")
+            if line.lower().startswith(b"x-deadline-ms:")
+        ]
+
+
 HEADERS = (("X-Prompt", "a caller's own"), ("X-Token", "secret"))
+REQUEST = CallerRequest("id", "GET", "/x", "h", "/x", HEADERS, b"", "", 0.0, 6.0)
 
 
 async def ask(client, address):
     """Return the body of a response, or why it broke off."""
-    request = CallerRequest("id", "GET", "/x", "h", "/x", HEADERS, b"", "", 0.0, 6.0)
     try:
-        answer = await client.send(request, SendPlan(address, "i-0", "", 6.0))
+        answer = await client.send(REQUEST, SendPlan(address, "i-0", "", 6.0))
         try:
             return b"".join([part async for part in answer.parts()])
         finally:
@@ -139,6 +194,57 @@
         assert isinstance(bodies[0], BrokenAnswerError)
 
 
+class TestTimeLimit:
+    """The target counts it from when it reads the request, not from when it was made.
+
+    A request on a superseded version of the weights may not begin after it.
+    """
+
+    TOOK_S = 0.2
+    # Timers may be a moment early.
+    TOLERANCE_S = 0.01
+
+    def send(self, remaining_s, requests=1, fresh=False):
+        """Return the limits that a target got, and the errors of the sender."""
+
+        async def scenario():
+            http, target = HttpClient(), HeadTarget()
+            client, address = HttpTargetClient(http), await target.start()
+            plan = SendPlan(address, "i-0", "", remaining_s, fresh_connection=fresh)
+            errors = []
+            async with asyncio.timeout(MAX_WAIT_S):
+                for _ in range(requests):
+                    try:
+                        answer = await client.send(REQUEST, plan)
+                        assert [part async for part in answer.parts()] == [b"answer"]
+                        answer.close()
+                    except NotSentError as error:
+                        errors.append(error)
+            await http.close()
+            target.server.close()
+            return target.limits_ms(), errors
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            return runner.run(scenario())
+
+    @pytest.mark.parametrize("fresh", [False, True])
+    def test_ends_no_later_where_connecting_takes_long(self, monkeypatch, fresh):
+        SlowConnects(monkeypatch, self.TOOK_S)
+        limits_ms, errors = self.send(6.0, requests=2, fresh=fresh)
+        latest_ms = (6.0 - self.TOOK_S + self.TOLERANCE_S) * 1000
+        assert len(limits_ms) == 2 and not errors
+        assert all(0 < limit_ms <= latest_ms for limit_ms in limits_ms)
+
+    def test_nothing_is_sent_once_it_has_passed(self, monkeypatch):
+        SlowConnects(monkeypatch, self.TOOK_S)
+        limits_ms, errors = self.send(self.TOOK_S / 2)
+        assert limits_ms == [] and len(errors) == 1
+
+    def test_quick_connection_takes_little_of_it(self):
+        limits_ms, _ = self.send(60.0)
+        assert limits_ms[0] > 60_000 - MAX_WAIT_S * 1000
+
+
 class TestHeads:
     @pytest.mark.parametrize("cut", range(len(SIX) - 5, len(SIX) + 2))
     def test_head_may_arrive_in_two_reads(self, cut):
