Close the slots of a restarted engine before they fall free

Callers could be sent to an engine that had just restarted and held no weights, with no version to expect. Whatever it loads first would have served them, also a version that has ended.

Cause: a report with a later start revoked all slots of the earlier incarnation, and decided the queued requests, before the sidecar had recorded that the engine held nothing. The slots were still open, so as many requests as were queued got a slot, and their grants, written a moment later, named version 0.

Now the report is recorded, and the slots closed by it, before any slot falls free.

--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -269,15 +269,17 @@
             log.info("engine holds", extra=fields(versions=report.versions))
             if not report.versions:
                 self.updater.staging.inspected = False
-        if report.started_ms > previous.started_ms > 0:
-            log.warning("engine restarted", extra=fields(at_ms=report.started_ms))
-            self.admission.engine_restarted()
-            self.updater.staging.inspected = False
         if report.leaving and not previous.leaving:
             log.info("engine says it leaves", extra=fields())
         self.polled = True
         self.state.engine_is_silent = False
         self.state.report = report
+        if report.started_ms > previous.started_ms > 0:
+            log.warning("engine restarted", extra=fields(at_ms=report.started_ms))
+            # First, so that no queued request gets a slot that falls free.
+            self.update_admission()
+            self.admission.engine_restarted()
+            self.updater.staging.inspected = False
         now_s = asyncio.get_running_loop().time()
         self.admission.slots.speed.observe_stated(report.pace * USUAL_PACE, now_s)
 
