Use no slot at an engine without a version of the weights

Callers could be served by whichever version an engine held when their request arrived, also by one that had ended.

Cause: a grant with version 0 was used like any other. Version 0 sends no expected version, so the target can't refuse. An entry that had heard of no version at all, as just after a start, set no limit either; one that had took the oldest for the newer one. A sidecar writes such a grant when its engine loses its weights between the decision and the reply.

Now such a grant is released, and the next engine is asked.

--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -552,7 +552,8 @@
     ) -> AllocatedSlot | None:
         """Use a granted slot; None if requests may no longer start on its version.
 
-        The slot was asked for at `asked_s`, by the steady clock.
+        The slot was asked for at `asked_s`, by the steady clock. One without a version
+        is at an engine that has restarted since: whatever it loads would be served.
         """
 
         def release(
@@ -575,7 +576,7 @@
                 answer.first_event_ms or busy_first_event_ms(request, engine)
             ),
         )
-        if not slot.may_send(self.now_s()):
+        if not answer.version or not slot.may_send(self.now_s()):
             release()
             return None
         return self.occupy(slot)
