Let only the end of its version shorten the time limit that a target gets

A review of the limit found responses that were worse off than before: one without a stated end, whose target stops in order, passed as whole; what took longer than expected was stopped up to 1.2 s before the end of its version; what runs once was refused by an engine though the next one held newer weights; a target that crashed after its limit had ended left no suspect.

Now the limit ends with the version alone. The shorter one for responses that are expected to be complete earlier was for requests that lay unread, and covered only short ones. A response without a stated end that ends after the limit counts as cut. What has only one send is not sent where its target would stop it, which is decided with the slot, so that the next engine is asked. A break after the limit is no failure of the target, but a crash is still looked for, and an answer that is too large counts as before.

The tests of responses without a stated end and of a crash at the limit failed before.

--- a/src/wisteriapulley/direct/exchange.py
+++ b/src/wisteriapulley/direct/exchange.py
@@ -165,7 +165,7 @@
         return int((now_s - since_s) * 1000)
 
     def has_stopped(self, now_s: float) -> bool:
-        """Return whether the target has stopped work because its version ended."""
+        """Return whether a target that keeps its time limit has stopped work."""
         return self.stops_s is not None and now_s >= self.stops_s
 
     def close(self) -> None:
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -37,7 +37,8 @@
     large_prompt : int
         Tokens of a typical large prompt of its route; 0 if that is not known.
     expected_s : float or None
-        How long its response is expected to take at most; None if that is not known.
+        How long its response is expected to take at most, from its admission on; None
+        if that is not known.
     """
 
     request: CallerRequest
@@ -64,6 +65,11 @@
         limit_s = begin_limit_s(self.route, request.max_wait_s, request.queued_s)
         return min(self.deadline_s, request.arrived_s + limit_s)
 
+    @property
+    def has_one_send(self) -> bool:
+        """Whether it can't be sent to a second target."""
+        return not self.route.repeatable or self.route.attempts <= 1
+
     @property
     def revision(self) -> int:
         """Version of the routing table that admitted the request."""
@@ -112,8 +118,8 @@
     rejected_until_s : dict of str to float
         By id, until when a target that turned the request away accepts none.
     look_until_s : float
-        Until when the request looks for another target after it was dropped, on the
-        loop's clock; 0 if it was not.
+        Until when the request looks for another target after its version of the
+        weights ended at the one before, on the loop's clock; 0 if it did not.
     has_begun : bool
         Whether the response to the caller has begun.
     body_begun : bool
@@ -167,7 +173,7 @@
 
     @property
     def was_dropped(self) -> bool:
-        """Whether it was dropped at a target where it had not started in time."""
+        """Whether a target had not started it in time, or stopped it at that end."""
         return self.look_until_s > 0.0
 
     def excluded(self, known: Iterable[str], now_s: float) -> set[str]:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -28,11 +28,7 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.logs import fields
 from wisteriapulley.policy.circuit_breaker import SendOutcome
-from wisteriapulley.policy.version_end import (
-    PAUSE_ALLOWANCE_MS,
-    ends_too_late,
-    time_limit_ms,
-)
+from wisteriapulley.policy.version_end import PAUSE_ALLOWANCE_MS, time_limit_ms
 from wisteriapulley.routing import RouteKind
 
 log = logging.getLogger(__name__)
@@ -127,7 +123,7 @@
         target, slot, sent_s = exchange.target, exchange.slot, exchange.sent_s
         if self.left_s(admitted, progress) < MIN_SEND_S:
             return Refusal(RefusalKind.TIMED_OUT, reason="no time left")
-        if not self.may_send(slot, admitted):
+        if not slot.may_send(self.now_s()):
             # A kept connection would take the request before a timeout cancels it.
             reason = "weights superseded"
             return Refusal(RefusalKind.UNAVAILABLE, REJECTED_RETRY_S, reason)
@@ -162,25 +158,11 @@
         exchange.record_part(sent_s, self.now_s())
         return None
 
-    def may_send(self, slot: AllocatedSlot, admitted: Admitted) -> bool:
-        """Return whether a request may be sent now.
-
-        One that can't be repeated is not sent where its target would stop it.
-        """
-        now_s = self.now_s()
-        if not slot.may_send(now_s):
-            return False
-        return admitted.route.repeatable or not ends_too_late(
-            slot.start_left_ms(now_s), expected_ms(admitted)
-        )
-
     def limit_time(self, exchange: Exchange, admitted: Admitted) -> float:
         """Return the time limit for a target, in seconds, and record when it ends."""
         now_s = self.now_s()
         remaining_ms = (admitted.deadline_s - now_s) * 1000
-        limit_ms = time_limit_ms(
-            remaining_ms, exchange.slot.start_left_ms(now_s), expected_ms(admitted)
-        )
+        limit_ms = time_limit_ms(remaining_ms, exchange.slot.start_left_ms(now_s))
         exchange.limit_s = limit_ms / 1000
         if limit_ms < remaining_ms:
             exchange.stops_s = now_s + exchange.limit_s - STOP_TOLERANCE_S
@@ -191,20 +173,29 @@
     ) -> None:
         """Record that a target broke off, or that a version of the weights ended.
 
-        After a timeout the request had not started when the grace period of its version
-        ended, and this entry closed the connection. A target that stopped work at that
-        end breaks off. Neither is a failure of the target. Engines that have not
-        switched yet do so by the end of the version, which is this long after the last
-        start on it.
+        After a timeout this entry has closed the connection. That tells nothing of the
+        target, which may be exiting as planned. One that breaks off at the end of its
+        time limit has not failed, unless it crashed.
         """
         now_s = self.now_s()
-        if isinstance(error, TimeoutError) or exchange.has_stopped(now_s):
-            exchange.progress.look_until_s = now_s + PAUSE_ALLOWANCE_MS / 1000
+        if isinstance(error, TimeoutError):
+            self.look_for_newer(exchange)
             return
-        if not isinstance(error, NoMemoryLeftError):
+        if exchange.has_stopped(now_s) and not isinstance(error, OversizedAnswerError):
+            self.look_for_newer(exchange)
+        elif not isinstance(error, NoMemoryLeftError):
             self.registry.record_outcome(exchange.target, True, now_s)
         await self.crashes.check_for_crash(admitted, exchange)
 
+    def look_for_newer(self, exchange: Exchange) -> None:
+        """Let a request look for a target with newer weights, as its version ended.
+
+        Engines that have not switched yet do so by the end of the version, which is
+        this long after the last start on it.
+        """
+        look_until_s = self.now_s() + PAUSE_ALLOWANCE_MS / 1000
+        exchange.progress.look_until_s = look_until_s
+
     def check_head(
         self,
         exchange: Exchange,
@@ -382,11 +373,16 @@
     async def check_end(self, exchange: Exchange) -> None:
         """Check that a response that has ended is whole.
 
+        One without a stated end may also have been stopped with its version.
+
         Raises
         ------
         BrokenAnswerError
             It may have been cut.
         """
+        unframed = exchange.response.unframed
+        if unframed and exchange.has_stopped(self.now_s()):
+            raise BrokenAnswerError("target ended at its time limit")
         if await self.crashes.may_have_cut(exchange):
             raise BrokenAnswerError("target ended, and may have cut its response")
 
@@ -457,8 +453,10 @@
         exchange.broke_off = True
         self.log_silence("silent target left", exchange, admitted)
         self.metrics.record_silence("left")
-        if exchange.begun or exchange.slot.may_start(self.now_s()):
-            self.registry.record_silence(exchange.target, self.now_s())
+        now_s = self.now_s()
+        may_work = exchange.begun or exchange.slot.may_start(now_s)
+        if may_work and not exchange.has_stopped(now_s):
+            self.registry.record_silence(exchange.target, now_s)
 
     def record_given_up(self, exchange: Exchange, admitted: Admitted) -> None:
         """Record that a request is cancelled while its target works on it."""
@@ -582,6 +580,7 @@
                 admitted.revision,
                 target=exchange.target.target_id,
                 silent_ms=exchange.silent_ms(self.now_s()),
+                limit_ms=int(exchange.limit_s * 1000),
                 reason=str(error),
             ),
         )
@@ -633,11 +632,6 @@
                 timer.cancel()
 
 
-def expected_ms(admitted: Admitted) -> float | None:
-    """Return how long a response is expected to take; None if that is not known."""
-    return None if admitted.expected_s is None else admitted.expected_s * 1000
-
-
 def is_server_error(response: TargetAnswer) -> bool:
     """Return whether a target reported a server error."""
     return response.status >= SERVER_ERROR
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -31,6 +31,7 @@
     BEGIN_MARGIN_MS,
     grant_left_ms,
     start_left_ms,
+    time_limit_ms,
 )
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine, RoutingTable
@@ -441,7 +442,7 @@
                 break
             link = self.sidecars.link_to(target)
             if link is None:
-                slot = self.allocate_without_sidecar(admitted.request, target, engine)
+                slot = self.allocate_without_sidecar(admitted, target, engine)
                 if slot is not None:
                     return slot
                 denials.counted += 1
@@ -459,9 +460,7 @@
                 self.sidecars.release(link, admitted.request.request_id)
                 denials.add_throttled(wait_s)
                 continue
-            slot = self.use_grant(
-                link, admitted.request, target, engine, answer, asked_s
-            )
+            slot = self.use_grant(link, admitted, target, engine, answer, asked_s)
             if slot is not None:
                 return slot
             # Another engine may hold the newer version.
@@ -544,7 +543,7 @@
     def use_grant(
         self,
         link: Link,
-        request: CallerRequest,
+        admitted: Admitted,
         target: Target,
         engine: Engine,
         answer: messages.Reserved,
@@ -555,6 +554,7 @@
         The slot was asked for at `asked_s`, by the steady clock. One without a version
         is at an engine that has restarted since: whatever it loads would be served.
         """
+        request = admitted.request
 
         def release(
             outcome: SendOutcome = SendOutcome.UNKNOWN,
@@ -576,13 +576,13 @@
                 answer.first_event_ms or busy_first_event_ms(request, engine)
             ),
         )
-        if not answer.version or not slot.may_send(self.now_s()):
+        if not answer.version or not self.may_use(slot, admitted):
             release()
             return None
         return self.occupy(slot)
 
     def allocate_without_sidecar(
-        self, request: CallerRequest, target: Target, engine: Engine
+        self, admitted: Admitted, target: Target, engine: Engine
     ) -> AllocatedSlot | None:
         """Use an engine without asking its sidecar, for few requests at a time.
 
@@ -600,17 +600,32 @@
             no_release,
             by_version(),
             version_deadline_s=by_version,
-            send_margin_s=send_margin_s(busy_first_event_ms(request, engine)),
+            send_margin_s=send_margin_s(busy_first_event_ms(admitted.request, engine)),
         )
-        now_s = self.now_s()
-        if not slot.may_send(now_s):
+        if not self.may_use(slot, admitted):
             return None
+        now_s = self.now_s()
         if target.rate.per_s is not None and self.rate_permits.local_wait_s(
             target, now_s
         ):
             return None
         return self.occupy(slot)
 
+    def may_use(self, slot: AllocatedSlot, admitted: Admitted) -> bool:
+        """Return whether a request may be sent at a slot.
+
+        A target stops work at the end of its version. What can't go on at another one
+        is not sent there to be stopped.
+        """
+        now_s = self.now_s()
+        if not slot.may_send(now_s):
+            return False
+        expected_s = admitted.expected_s
+        if not admitted.has_one_send or expected_s is None:
+            return True
+        expected_ms = expected_s * 1000
+        return time_limit_ms(expected_ms, slot.start_left_ms(now_s)) >= expected_ms
+
     def start_deadline_s(self, left_ms: float | None) -> float | None:
         """Return when a request must have started, on the loop's clock."""
         if left_ms is None:
--- a/src/wisteriapulley/policy/version_end.py
+++ b/src/wisteriapulley/policy/version_end.py
@@ -12,7 +12,7 @@
 so that limit ends with the version. What the target has read before a pause then does
 not start after the end, however long the pause is and however slow the target. The
 limit counts from when the target reads the request, so it does not help one that lay
-unread; for that one, the limit is shorter where the response is complete by then.
+unread.
 
 What has been sent and has not started is dropped some time after that. It then starts
 at no engine that notices the close in time, however slow it is. Dropping as early as
@@ -44,13 +44,10 @@
     return old_version_ms - PAUSE_ALLOWANCE_MS - superseded_for_ms
 
 
-def time_limit_ms(
-    remaining_ms: float, start_left_ms: float | None, expected_ms: float | None
-) -> float:
+def time_limit_ms(remaining_ms: float, start_left_ms: float | None) -> float:
     """Return how long a target may work on a request, from when it reads it.
 
-    The target stops responses in progress as well. It may lie unread for as long as the
-    pause allowance, unless its response is expected to take longer than the rest.
+    The target stops responses in progress as well.
 
     Parameters
     ----------
@@ -58,28 +55,10 @@
         Time until the deadline of the request.
     start_left_ms : float or None
         How long the request may still start; None without a limit.
-    expected_ms : float or None
-        How long the response is expected to take at most; None if that is not known.
     """
     if start_left_ms is None:
         return remaining_ms
-    version_left_ms = start_left_ms + PAUSE_ALLOWANCE_MS
-    if expected_ms is None:
-        return min(remaining_ms, version_left_ms)
-    return min(remaining_ms, version_left_ms, max(start_left_ms, expected_ms))
-
-
-def ends_too_late(start_left_ms: float | None, expected_ms: float | None) -> bool:
-    """Return whether a target would stop a response before it is complete.
-
-    Parameters
-    ----------
-    start_left_ms, expected_ms : float or None
-        As for `time_limit_ms`.
-    """
-    if start_left_ms is None or expected_ms is None:
-        return False
-    return expected_ms > start_left_ms + PAUSE_ALLOWANCE_MS
+    return min(remaining_ms, start_left_ms + PAUSE_ALLOWANCE_MS)
 
 
 def grant_left_ms(left_ms: float, asked_for_ms: float, waited_ms: float) -> float:
