Let engines report late in the tests of superseded loads

A report shows the state of some hundred milliseconds earlier. With reports 0.3 s late, too, no slot is open on a version that has ended: after a load that completes too late, after a download that is finished on purpose, and at an engine that is back with its old weights.

--- a/tests/test_superseded_loads.py
+++ b/tests/test_superseded_loads.py
@@ -14,6 +14,8 @@
 END_MS = SETTINGS.old_version_ms
 SAMPLE_S = 0.01
 VERIFY_S = 1.0
+# Reports show the state of some hundred milliseconds earlier.
+REPORT_LAG_S = 0.3
 
 
 async def never(model, version):
@@ -46,12 +48,16 @@
         monkeypatch.setattr(f"wisteriapulley.{module}.steady_s", loop_time_s)
 
 
+lags = pytest.mark.parametrize("lag_s", [0.0, REPORT_LAG_S])
+
+
 class TestLoadThatCompletesAfterTheEnd:
     """It was ordered in time, and a newer version is long accepted when it is done."""
 
+    @lags
     @pytest.mark.parametrize("pause_s", [0.0, SILENT_S])
     @pytest.mark.parametrize("age_ms", [END_MS - 1500, END_MS, 2 * END_MS])
-    def test_version_is_not_served(self, tmp_path, pause_s, age_ms):
+    def test_version_is_not_served(self, tmp_path, lag_s, pause_s, age_ms):
         async def scenario(sidecar):
             sidecar.engine.pause_in_load_s = pause_s
             name_version(sidecar.service, 2)
@@ -62,14 +68,15 @@
             assert await watch(sidecar, pause_s + LOAD_S + 3.0) <= {1}
             assert sidecar.engine.version == 2
 
-        play(tmp_path, scenario)
+        play(tmp_path, scenario, report_lag_s=lag_s)
 
 
 class TestSupersededDownload:
     """It is finished on purpose, as long as its version can serve."""
 
+    @lags
     @pytest.mark.parametrize("passed_s", [0.0, 3.0, 5.0, 6.0, 7.0, 9.0])
-    def test_no_load_is_ordered_that_is_too_late(self, tmp_path, passed_s):
+    def test_no_load_is_ordered_that_is_too_late(self, tmp_path, lag_s, passed_s):
         """Its pieces are read back slowly, and the version ends meanwhile."""
 
         async def scenario(sidecar):
@@ -97,14 +104,15 @@
             can_serve = left_ms > MIN_SERVICE_MS
             assert (2 in sidecar.engine.begun) == can_serve
 
-        play(tmp_path, scenario)
+        play(tmp_path, scenario, report_lag_s=lag_s)
 
 
 class TestEngineThatRestartsAfterTheEnd:
     """It is back with the weights that it held before, as the newer ones are away."""
 
+    @lags
     @pytest.mark.parametrize("away_s", [0.1, 0.5, SILENT_S])
-    def test_version_is_not_served_again(self, tmp_path, away_s):
+    def test_version_is_not_served_again(self, tmp_path, lag_s, away_s):
         async def scenario(sidecar):
             name_aged_version(sidecar.service, 2, END_MS)
             sidecar.service.updater.staging.fetch_manifest = never
@@ -116,9 +124,10 @@
             engine.record_state()
             assert await watch(sidecar, 3.0) == set()
 
-        play(tmp_path, scenario)
+        play(tmp_path, scenario, report_lag_s=lag_s)
 
-    def test_version_that_ends_while_it_restarts(self, tmp_path):
+    @lags
+    def test_version_that_ends_while_it_restarts(self, tmp_path, lag_s):
         async def scenario(sidecar):
             name_aged_version(sidecar.service, 2, END_MS - 2000)
             sidecar.service.updater.staging.fetch_manifest = never
@@ -129,4 +138,4 @@
             engine.version = 1
             assert await watch(sidecar, 3.0) == set()
 
-        play(tmp_path, scenario)
+        play(tmp_path, scenario, report_lag_s=lag_s)
