Grant a slot near the end of a version only once the engine has answered

Callers saw requests begin on a version that had ended, at sound engines that fell silent and went on.

Cause: a sidecar polls its engine every 0.4 s and granted slots at one that was silent already. What is sent into a silence lies unread, and its time limit counts only from when it is read.

Now a slot on superseded weights whose end a silence of 4 s would reach is granted only after the engine has answered a report that was sent after the decision. Requests of one moment share a call, and one call is in progress at a time. Without an answer within 0.1 s the slot is withdrawn and denied (`engine_silent`), and further ones at once until the call ends; nothing counts as a failure of the engine. One in a cool-down can't be asked and gets nothing there. A slot is also withdrawn if its entry releases it, the engine restarts, a load begins or the end comes nearer meanwhile.

The tests' sidecar engine is now silent when the modelled engine is.

--- a/src/wisteriapulley/policy/engine_slots.py
+++ b/src/wisteriapulley/policy/engine_slots.py
@@ -351,6 +351,29 @@
         else:
             self.queue.remove(lambda queued: queued.request.request_id == request_id)
 
+    def postpone(
+        self, request_id: str, by_ms: float, now_ms: float
+    ) -> DenialReason | None:
+        """Let a granted request start later; return why it may not start any more."""
+        grant = self.grants[request_id]
+        event_ms = grant.first_event_ms + by_ms
+        self.grants[request_id] = grant._replace(first_event_ms=event_ms)
+        if not self.open:
+            return DenialReason.CLOSED
+        if self.starts_too_late(event_ms - now_ms, now_ms):
+            return DenialReason.WEIGHTS_END
+        return None
+
+    def withdraw(self, request_id: str, now_ms: float) -> None:
+        """Take back a slot of which its entry has not heard.
+
+        Its hold time is no sample of service times, and nothing was sent.
+        """
+        grant = self.remove_grant(request_id, now_ms)
+        if grant is not None:
+            sent_s = grant.granted_ms / 1000
+            self.breaker.record_outcome(SendOutcome.UNKNOWN, sent_s, now_ms / 1000)
+
     def release_owner(self, owner: str, now_ms: float) -> None:
         """Drop all slots and queued requests of an entry that is gone."""
         owned = [k for k, grant in self.grants.items() if grant.owner == owner]
--- a/src/wisteriapulley/policy/slot_requests.py
+++ b/src/wisteriapulley/policy/slot_requests.py
@@ -25,7 +25,8 @@
     `SLOT_WAIT` that it would be in time without one, and `NO_LATE_PLACE` that all
     places for late requests are taken. `PREFILL` means that too many queued prompts go
     before a late one, and `LARGE_PROMPTS` that large prompts, which get too few slots,
-    could not wait for as long.
+    could not wait for as long. `ENGINE_SILENT` means that the weights end soon, and
+    that the engine has not just answered.
     """
 
     UNKNOWN = 0
@@ -40,6 +41,7 @@
     EXPIRED = 9
     OVERTAKEN = 10
     LARGE_PROMPTS = 11
+    ENGINE_SILENT = 12
 
     @classmethod
     def from_wire(cls, number: int) -> "DenialReason":
--- a/src/wisteriapulley/policy/version_end.py
+++ b/src/wisteriapulley/policy/version_end.py
@@ -12,7 +12,8 @@
 so that limit ends with the version. What the target has read before a pause then does
 not start after the end, however long the pause is and however slow the target. The
 limit counts from when the target reads the request, so it does not help one that lay
-unread.
+unread. Near the end a slot is granted only once the target has just answered its
+sidecar, so that little is sent to one that is silent already.
 
 What has been sent and has not started is dropped some time after that. It then starts
 at no engine that notices the close in time, however slow it is. Dropping as early as
@@ -29,6 +30,9 @@
 # A request is sent only if its first event is expected this long before requests may
 # no longer start.
 BEGIN_MARGIN_MS = FIRST_EVENT_ERROR_MS
+# Longer than a sound engine is silent, which is a second or so, by more than another
+# second. A longer time costs only more calls to the engine.
+LONGEST_SILENCE_MS = 4000.0
 
 
 def start_left_ms(superseded_for_ms: float, old_version_ms: float) -> float:
@@ -61,6 +65,22 @@
     return min(remaining_ms, start_left_ms + PAUSE_ALLOWANCE_MS)
 
 
+def needs_answer(start_left_ms: float | None, first_event_ms: float) -> bool:
+    """Return whether a request would begin late if its target has just fallen silent.
+
+    Parameters
+    ----------
+    start_left_ms : float or None
+        As for `time_limit_ms`.
+    first_event_ms : float
+        Time to the expected first event at a target that is not silent.
+    """
+    if start_left_ms is None:
+        return False
+    latest_ms = LONGEST_SILENCE_MS + first_event_ms + FIRST_EVENT_ERROR_MS
+    return latest_ms > start_left_ms + PAUSE_ALLOWANCE_MS
+
+
 def grant_left_ms(left_ms: float, asked_for_ms: float, waited_ms: float) -> float:
     """Return how long a granted request may still start when its grant is read.
 
--- a/src/wisteriapulley/rollout/admission.py
+++ b/src/wisteriapulley/rollout/admission.py
@@ -10,13 +10,16 @@
 from wisteriapulley.logs import fields
 from wisteriapulley.policy.circuit_breaker import SendOutcome
 from wisteriapulley.policy.engine_slots import (
+    MIN_RETRY_MS,
     AdmissionDecision,
     AdmissionState,
     EngineSlots,
     ObservedWork,
     SlotRequest,
 )
+from wisteriapulley.policy.slot_requests import DenialReason
 from wisteriapulley.rollout.cold_engine import ColdEngine
+from wisteriapulley.rollout.grant_check import GrantCheck
 from wisteriapulley.rollout.state import RolloutState
 from wisteriapulley.routing import Engine
 from wisteriapulley.wire import Frame, Link, LinkServer, messages
@@ -51,6 +54,8 @@
         self.server: LinkServer | None = None
         # Set where the engine's service limits requests to cold engines.
         self.cold: ColdEngine | None = None
+        # Set where the engine can be asked whether it answers.
+        self.check: GrantCheck | None = None
         # Set while requests are queued, so that an empty queue is not polled.
         self.has_queued = asyncio.Event()
 
@@ -252,12 +257,13 @@
         decision = self.slots.request_slot(request, arrived_ms)
         if not decision.denied:
             self.send_decisions(self.slots.deny_overtaken(request, self.now_ms()))
-        if not decision.granted and not decision.denied:
+        is_queued = not decision.granted and not decision.denied
+        if is_queued:
             self.has_queued.set()
-            # The entry treats a sidecar that does not respond as stalled.
-            queued = self.reserved_message(decision)._replace(queued=True)
-            link.post(queued, reply_to=frame.id)
+            self.post_waiting(decision, link, frame)
             decision = await self.wait_for_decision(message.request_id)
+        if decision.granted and self.check is not None:
+            decision = await self.check_grant(decision, link, frame, is_queued)
         if decision.granted and link.closed.is_set():
             self.slots.release(message.request_id, self.now_ms())
             return
@@ -266,6 +272,43 @@
         reply = self.reserved_message(decision)._replace(waited_ms=waited_ms)
         link.post(reply, reply_to=frame.id)
 
+    def post_waiting(
+        self, decision: AdmissionDecision, link: Link, frame: Frame
+    ) -> None:
+        """Tell an entry that another reply follows.
+
+        It treats a sidecar that does not respond as stalled.
+        """
+        queued = self.reserved_message(decision)._replace(queued=True)
+        link.post(queued, reply_to=frame.id)
+
+    async def check_grant(
+        self,
+        decision: AdmissionDecision,
+        link: Link,
+        frame: Frame,
+        is_told: bool,
+    ) -> AdmissionDecision:
+        """Return a grant, or its denial if a silent engine might begin it too late.
+
+        An entry that is told already that another reply follows takes the next one for
+        the decision.
+        """
+
+        def tell_waiting() -> None:
+            if not is_told and not link.closed.is_set():
+                waiting = AdmissionDecision(decision.request_id)
+                self.post_waiting(waiting, link, frame)
+
+        request_id = decision.request_id
+        reason = await self.check.denial_reason(request_id, tell_waiting)
+        if reason is None:
+            return decision
+        self.advance()
+        return AdmissionDecision(
+            request_id, denied=True, retry_ms=MIN_RETRY_MS, reason=reason
+        )
+
     def reserved_message(self, decision: AdmissionDecision) -> messages.Reserved:
         """Return the response to a `Reserve` message."""
         return messages.Reserved(
@@ -274,7 +317,7 @@
             int(decision.retry_ms),
             len(self.slots.grants),
             len(self.slots.queue),
-            not self.slots.open,
+            not self.slots.open or decision.reason is DenialReason.ENGINE_SILENT,
             limited=decision.limited,
             start_left_ms=self.start_left_ms() if decision.granted else 0,
             reason=decision.reason.value,
--- a/src/wisteriapulley/rollout/service.py
+++ b/src/wisteriapulley/rollout/service.py
@@ -22,6 +22,7 @@
     EngineReport,
     EngineSilentError,
 )
+from wisteriapulley.rollout.grant_check import GrantCheck
 from wisteriapulley.rollout.state import RolloutState
 from wisteriapulley.rollout.updater import LOAD_POLL_INTERVAL_S, WeightsUpdater
 from wisteriapulley.wire import LinkServer, messages
@@ -77,6 +78,8 @@
         self.admission.slots.reserve.enabled = settings.class_reserve
         self.cold = ColdEngine(settings, self.admission.limit_changed)
         self.admission.set_cold_engine(self.cold)
+        self.check = GrantCheck(self.admission.slots, engine)
+        self.admission.check = self.check
         self.changed = asyncio.Event()
         self.updater = WeightsUpdater(
             self.state,
@@ -133,6 +136,7 @@
         for task in self.tasks:
             task.cancel()
         self.updater.stop()
+        self.check.stop()
         await self.follower.stop()
         await self.server.stop()
         await self.http.stop()
--- a/tests/test_evacuated_engine.py
+++ b/tests/test_evacuated_engine.py
@@ -20,13 +20,20 @@
 
 
 class LoadingEngine:
-    """An engine that loads whatever is ordered."""
+    """An engine that loads whatever is ordered.
+
+    While it is silent, its report comes at `goes_on_s` of the time of the call.
+    """
 
     def __init__(self):
+        self.goes_on_s = None
         self.cooldown = SimpleNamespace(wait_s=lambda now_s: 0.0)
         self.version = 1
 
     async def report(self):
+        if self.goes_on_s is not None:
+            now_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(self.goes_on_s(now_s) - now_s)
         return EngineReport({"m": self.version})
 
 
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -158,6 +158,7 @@
         self.service = new_service(tmp_path)
         self.service.engine = self.engine
         self.service.updater.engine = self.engine
+        self.service.check.answers.engine = self.engine
         staging = self.service.updater.staging
         staging.engine = self.engine
         staging.fetch_manifest = self.fetch_manifest
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -102,6 +102,10 @@
     def is_silent(self, at_s):
         return self.pause[0] <= at_s < self.pause[1]
 
+    def goes_on_s(self, at_s):
+        """Return when it reads what arrives at a time."""
+        return self.pause[1] if self.is_silent(at_s) else at_s
+
     async def send(self, request, plan):
         """Serve a request of an entry."""
         loop = asyncio.get_running_loop()
@@ -137,6 +141,13 @@
         super().__init__(pauses[0], first_event_s)
         self.pauses = sorted(pauses)
 
+    def goes_on_s(self, at_s):
+        """Return when it reads what arrives at a time."""
+        for from_s, until_s in self.pauses:
+            if from_s <= at_s < until_s:
+                return until_s
+        return at_s
+
     def begins_s(self, sent_s):
         """Return when a request begins that is sent now."""
         at_s, work_s = sent_s, self.first_event_s
@@ -177,13 +188,12 @@
     def __init__(self, pauses, first_event_s, reads=True):
         super().__init__(pauses, first_event_s)
         self.reads = reads
+        # When the requests that began were sent.
+        self.sent_s = []
 
     def read_s(self, sent_s):
         """Return when a request is read that is sent now."""
-        for from_s, until_s in self.pauses:
-            if from_s <= sent_s < until_s and not self.reads:
-                return until_s
-        return sent_s
+        return sent_s if self.reads else self.goes_on_s(sent_s)
 
     async def send(self, request, plan):
         """Serve a request of an entry, unless its time ends before it begins."""
@@ -193,6 +203,7 @@
         stops_s = self.read_s(now_s) + plan.remaining_s
         if begins_s < stops_s:
             self.begun_s.append(begins_s)
+            self.sent_s.append(now_s)
             await asyncio.sleep(begins_s - now_s)
             return PacedAnswer((0.0, events(1, 2)), (0.05, events(3, 4)))
         await asyncio.sleep(begins_s - now_s)
@@ -236,6 +247,7 @@
         self.asked_from_s = asked_from_s
         self.beside = beside
         self.sidecar = new_service(folder)
+        self.sidecar.engine.goes_on_s = engine.goes_on_s
         name_version(self.sidecar, 2)
         self.sidecar.admission.slots.engine = ENGINE
         registry = TargetRegistry()
--- a/tests/test_versions_in_a_row.py
+++ b/tests/test_versions_in_a_row.py
@@ -154,6 +154,7 @@
         service.admission.slots.engine = ENGINE
         service.updater.settings = settings
         service.engine = service.updater.engine = self.engines[number]
+        service.check.answers.engine = self.engines[number]
         staging, link = service.updater.staging, ControlLink(self.relay)
         staging.engine, staging.upstream = self.engines[number], lambda: [link]
         staging.is_near = lambda link: True
