Keep no slot that falls free just as a load is ordered

A queued request that got a slot just before its engine was ordered to load newer weights was told the held version and the limit of the weights to come: none. An entry that had not heard of the newer version would have sent it without a limit; if the order was lost, the engine would have begun it at any time.

Now the grant is withdrawn if the slots have closed since the decision, and the entry asks another engine.

--- a/src/wisteriapulley/policy/version_end.py
+++ b/src/wisteriapulley/policy/version_end.py
@@ -3,10 +3,10 @@
 A request starts with its first event, not when it is sent. Between the two, a sound
 engine may stand still for a second or so and go on. While it does, it reads neither a
 new request nor that its sender has closed the connection, and what it had read before
-starts when it goes on. A deadline that the sender or the engine itself keeps can't
-prevent that, and some engines don't notice a closed connection while they prefill.
-So the last request is sent early enough that it starts in time after such a pause even
-if its first event is later than expected.
+starts when it goes on. A deadline that the sender keeps can't prevent that, and some
+engines don't notice a closed connection while they prefill. So the last request is
+sent early enough that it starts in time after such a pause even if its first event is
+later than expected.
 
 The target itself keeps the end as well. It stops work at the time limit of a request,
 so that limit ends with the version. What the target has read before a pause then does
--- a/src/wisteriapulley/rollout/grant_check.py
+++ b/src/wisteriapulley/rollout/grant_check.py
@@ -53,9 +53,13 @@
         """
         slots, granted_ms = self.slots, self.now_ms()
         grant = slots.grants.get(request_id)
-        if grant is None or not needs_answer(
-            self.start_left_ms(), grant.first_event_ms - granted_ms
-        ):
+        if grant is None:
+            return None
+        if not slots.open:
+            # A load was ordered since: its end is not that of the granted version.
+            slots.withdraw(request_id, granted_ms)
+            return DenialReason.CLOSED
+        if not needs_answer(self.start_left_ms(), grant.first_event_ms - granted_ms):
             return None
         try:
             answers = await self.wait_for_answer(tell_waiting)
