Let the soak's targets keep time limits, and be silent for longer at an end

The stand-in engine of the soak sent its stream to the end whatever its time limit, and read a prompt to its end before it looked at it; plain targets did not look at all. Now nothing begins after the limit, a prompt is read no longer, and a stream in progress is cut at it, also after a silence.

At three in five ends without a pause one of 1.0 to 2.5 s takes its place, mostly with begins 0.2 to 0.8 s slower, at engines that notice no close or do. Begins stay slow until the engine has gone on.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,7 +18,7 @@
 from soak.crashing_parts import RESTART_S
 from soak.invariants import STOP_GRACE_S, VERSION_GRACE_S, InvariantChecker
 from soak.network import Network
-from soak.plan import FAILURE_DOMAINS, FleetShape
+from soak.plan import FAILURE_DOMAINS, FleetShape, draw_late_readers
 from soak.targets import HeartbeatSender, SoakEngine, SoakPlainTarget
 from soak.traces import FileState, has_run_a_line
 from wisteriapulley.consensus import frames
@@ -212,6 +212,7 @@
         self.shape = shape
         self.checker = checker
         self.rng = random.Random(f"fleet{seed}")
+        self.late_readers = draw_late_readers(seed, shape)
         self.network = Network()
         self.origin = Origin()
         self.engines: dict[str, SoakEngine] = {}
@@ -258,6 +259,7 @@
 
     async def start(self) -> None:
         """Start fakes, relays, processes and heartbeats."""
+        log.info("read requests only after a silence: %s", sorted(self.late_readers))
         await self.start_targets()
         await self.connect_nodes()
         for name, node in self.nodes.items():
@@ -285,8 +287,9 @@
             plain = self.plain_targets[name] = SoakPlainTarget(self.checker, name)
             await self.start_target(name, plain, self.host(count + 1 + number))
 
-    async def start_target(self, name: str, target: Listener, host: str) -> str:
+    async def start_target(self, name: str, target: PausingTarget, host: str) -> str:
         """Start a target, create its heartbeat sender, and return its address."""
+        target.counts_silence = name not in self.late_readers
         await target.start(host, FAKE_PORT)
         address = await self.add_relay(f"{name}-target", target)
         domain = sorted(FAILURE_DOMAIN_REGIONS)[
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -55,6 +55,7 @@
     SILENCE_AT_END = "silence_end"
     SLOW_BEGIN = "begin_slow"
     UNNOTICED_CLOSE = "begin_deaf"
+    LONG_SILENCE_AT_END = "silence_long"
     ENDLESS_BODY = "endless_body"
     ENDLESS_STREAM = "endless_stream"
     ENDLESS_REPORT = "endless_report"
@@ -100,6 +101,7 @@
         FaultKind.SHORT_FREEZE,
         FaultKind.RETURN_AFTER_TERM,
         *AT_END_KINDS,
+        FaultKind.LONG_SILENCE_AT_END,
         FaultKind.TERM,
         FaultKind.HUP,
         FaultKind.ENGINE_RELEASE,
@@ -229,6 +231,22 @@
 # Slow begins take this much longer than usual, from this long before the silence on.
 SLOW_BEGIN_S = (0.2, 0.5)
 SLOW_BEFORE_SILENCE_S = 0.5
+# At this fraction of the ends without a pause one engine stands still for longer, alone
+# or with later begins on top, mostly without noticing closed connections. The end falls
+# anywhere into the silence.
+LONG_SILENCES_FRACTION = 0.6
+LONG_SILENCE_S = (1.0, 2.5)
+LONG_SILENCE_BEFORE_END = (0.1, 0.9)
+LONG_SILENCE_BEGINS = (
+    None,
+    FaultKind.SLOW_BEGIN,
+    FaultKind.UNNOTICED_CLOSE,
+    FaultKind.UNNOTICED_CLOSE,
+)
+LONG_SLOW_BEGIN_S = (0.2, 0.8)
+# The part of the targets that read a request only when they go on after a silence. For
+# the others its time limit passes meanwhile.
+LATE_READERS_FRACTION = 0.5
 ROW_VERSIONS = (10, 20)
 ROW_INTERVAL_S = (0.2, 0.6)
 # How long before the naming a control instance stops, how long it is away at most (all
@@ -342,7 +360,9 @@
     rng = random.Random(f"ends/{seed}")
     version_ends = list(draw_version_ends(rng, seconds, shape))
     faults += drop_stops_near_wipes(version_ends, faults)
-    faults += draw_at_ends(random.Random(f"at ends/{seed}"), version_ends, shape)
+    at_ends = draw_at_ends(random.Random(f"at ends/{seed}"), version_ends, shape)
+    rng = random.Random(f"long silences/{seed}")
+    faults += lengthen_silences(rng, at_ends, version_ends, shape)
     if calm:
         faults = [fault for fault in faults if fault.kind in PLANNED_KINDS]
     if endless:
@@ -457,15 +477,28 @@
         at_s += away_s + rng.uniform(*VERSION_END_INTERVAL_S)
 
 
+def draw_late_readers(seed: int, shape: FleetShape) -> frozenset[str]:
+    """Return the targets that read a request only when they go on after a silence."""
+    rng = random.Random(f"late readers/{seed}")
+    return frozenset(
+        name for name in shape.targets if rng.random() < LATE_READERS_FRACTION
+    )
+
+
+def first_namings(version_ends: Iterable[Fault]) -> Iterator[Fault]:
+    """Yield the namings that replace a version, without the others of a row."""
+    ended_s = 0.0
+    for naming in version_ends:
+        if naming.kind is FaultKind.WEIGHTS_ORIGIN_AWAY and naming.at_s >= ended_s:
+            ended_s = naming.at_s + naming.duration_s
+            yield naming
+
+
 def draw_at_ends(
     rng: random.Random, version_ends: Iterable[Fault], shape: FleetShape
 ) -> Iterator[Fault]:
     """Yield what single engines do at the ends of versions that no pause falls into."""
-    ended_s = 0.0
-    for naming in version_ends:
-        if naming.kind is not FaultKind.WEIGHTS_ORIGIN_AWAY or naming.at_s < ended_s:
-            continue
-        ended_s = naming.at_s + naming.duration_s
+    for naming in first_namings(version_ends):
         name, draws = rng.choice(shape.sidecars), rng.choice(AT_END_KINDS)
         if rng.random() >= SILENCES_FRACTION or naming.pause_s:
             continue
@@ -498,6 +531,36 @@
     yield Fault(named_s, FaultKind.SILENCE_AT_END, name, silence_s, lead_s=lead_s)
 
 
+def lengthen_silences(
+    rng: random.Random,
+    at_ends: Iterable[Fault],
+    version_ends: Iterable[Fault],
+    shape: FleetShape,
+) -> Iterator[Fault]:
+    """Yield what engines do at ends; at some, a longer silence takes its place."""
+    replaced = set()
+    for naming in first_namings(version_ends):
+        faults = tuple(draw_long_silence(rng, naming.at_s, shape))
+        if rng.random() < LONG_SILENCES_FRACTION and not naming.pause_s:
+            replaced.add(naming.at_s)
+            yield from faults
+    yield from (fault for fault in at_ends if fault.at_s not in replaced)
+
+
+def draw_long_silence(
+    rng: random.Random, named_s: float, shape: FleetShape
+) -> Iterator[Fault]:
+    """Yield a longer silence of one engine across an end, perhaps with slow begins."""
+    name, begins = rng.choice(shape.sidecars), rng.choice(LONG_SILENCE_BEGINS)
+    silence_s = rng.uniform(*LONG_SILENCE_S)
+    lead_s = silence_s * rng.uniform(*LONG_SILENCE_BEFORE_END)
+    if begins is not None:
+        slow_s, slow_lead_s = rng.uniform(*LONG_SLOW_BEGIN_S), SLOW_BEFORE_SILENCE_S
+        yield Fault(named_s, begins, name, slow_s, lead_s=lead_s + slow_lead_s)
+    kind = FaultKind.LONG_SILENCE_AT_END
+    yield Fault(named_s, kind, name, silence_s, lead_s=lead_s)
+
+
 def draw_naming(
     rng: random.Random, at_s: float, away_s: float, shape: FleetShape
 ) -> Fault:
@@ -594,7 +657,8 @@
         return shape.controls
     if kind is FaultKind.ENDLESS_BODY:
         return shape.plain_targets
-    if kind in (*ENGINE_KINDS, *AT_END_KINDS, *ENDLESS_KINDS):
+    at_end = (*AT_END_KINDS, FaultKind.LONG_SILENCE_AT_END)
+    if kind in (*ENGINE_KINDS, *at_end, *ENDLESS_KINDS):
         return shape.sidecars
     if kind in NODE_KINDS or kind in LINK_KINDS:
         return shape.nodes
--- a/soak/run.py
+++ b/soak/run.py
@@ -444,6 +444,9 @@
         engine = self.fleet.engines[fault.name]
         engine.reading_s, engine.notices_close = fault.duration_s, notices_close
         await asyncio.sleep(fault.lead_s + SLOW_AFTER_VERSION_END_S)
+        # What it had read before a silence still begins as slowly.
+        await engine.awake.wait()
+        await asyncio.sleep(fault.duration_s)
         engine.reading_s, engine.notices_close = 0.0, True
 
     @contextlib.contextmanager
@@ -551,6 +554,7 @@
     FaultKind.RETURN_AFTER_TERM: SoakRun.term,
     FaultKind.RETURN_AFTER_KILL: SoakRun.kill,
     FaultKind.SILENCE_AT_END: SoakRun.silence_at_version_end,
+    FaultKind.LONG_SILENCE_AT_END: SoakRun.silence_at_version_end,
     FaultKind.SLOW_BEGIN: SoakRun.begin_slowly,
     FaultKind.UNNOTICED_CLOSE: partial(SoakRun.begin_slowly, notices_close=False),
     FaultKind.ENDLESS_BODY: SoakRun.answer_endlessly,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 from aiohttp import web
-from tests.fakes.platform import Engine, Origin, PausingTarget
+from tests.fakes.platform import Engine, Origin, PausingTarget, cut, is_overdue
 
 from soak.crashing_parts import Arrival
 from soak.invariants import Execution, InvariantChecker
@@ -166,8 +166,7 @@
     def crash(self) -> None:
         """Abort all streams, and restart as a new incarnation without weights."""
         for request in tuple(self.running.values()):
-            if request.transport is not None:
-                request.transport.abort()
+            cut(request)
         self.incarnation += 1
         self.target_id = f"{self.name}-i{self.incarnation}"
         self.version, self.busy, self.sequence = 0, False, 0
@@ -214,11 +213,14 @@
             self.running.pop(id(request), None)
 
     async def read_prompt(self, request: web.Request) -> web.Response | None:
-        """Read a prompt, which takes no time usually; reject what can't begin then."""
+        """Read a prompt, which takes no time usually; reject what can't begin then.
+
+        It stops at the time limit, and has begun nothing.
+        """
         left_s = self.reading_s
         if not left_s:
             return None
-        while left_s > 0.0:
+        while left_s > 0.0 and not is_overdue(request):
             await asyncio.sleep(READING_STEP_S)
             await self.awake.wait()
             left_s -= READING_STEP_S
@@ -227,7 +229,10 @@
         return super().rejection(request)
 
     async def answer(self, request: web.Request) -> web.StreamResponse:
-        """Send the events after the last one that the caller already has."""
+        """Send the events after the last one that the caller already has.
+
+        A stream in progress is cut at the time limit.
+        """
         request_id = request.headers[names.REQUEST_ID]
         headers = {
             names.REQUEST_ID: request_id,
@@ -245,6 +250,10 @@
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(self.event_s)
             await self.awake.wait()
+            if is_overdue(request):
+                log.info("%s cut at its time limit by %s", request_id, self.target_id)
+                cut(request)
+                return response
             await response.write(make_event(request_id, number))
         await response.write_eof()
         return response
@@ -297,6 +306,8 @@
         body = await request.read()
         if request.headers.get(names.EXPECTED_TARGET) != self.target_id:
             return web.Response(status=421, headers={names.NOT_RUN: "other"})
+        if is_overdue(request):
+            return web.Response(status=503, headers={names.NOT_RUN: "late"})
         rejection = observe_arrival(self, request)
         if rejection is not None:
             return rejection
@@ -310,12 +321,14 @@
             self.running -= 1
 
     async def answer(self, request: web.Request) -> web.Response:
-        """Respond after the service time."""
+        """Respond after the service time, or at the time limit that has passed then."""
         request_id = request.headers[names.REQUEST_ID]
         await asyncio.sleep(SERVICE_TIME_S)
         await self.awake.wait()
         self.served += 1
         headers = {names.REQUEST_ID: request_id, "X-Server-Stamp": self.target_id}
+        if is_overdue(request):
+            return web.Response(status=504, headers=headers)
         if self.endless:
             return await send_endlessly(self, request, headers, b"x")
         if self.grey and self.served % 2:
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -10,6 +10,17 @@
 STOPS_AT_S = web.RequestKey("stops_at_s", float)
 
 
+def is_overdue(request):
+    """Return whether the time limit that a target got with a request has passed."""
+    return asyncio.get_running_loop().time() >= request[STOPS_AT_S]
+
+
+def cut(request):
+    """End the connection of a request within its response."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
 class Listener:
     """An HTTP server on loopback."""
 
@@ -267,8 +278,7 @@
             return web.Response(status=421, headers={"X-Instance-Id": self.target_id})
         if version and int(version) != self.version:
             return web.Response(status=421)
-        overdue = asyncio.get_running_loop().time() >= request[STOPS_AT_S]
-        if self.busy or overdue:
+        if self.busy or is_overdue(request):
             return web.Response(status=503, headers={"X-Not-Executed": "1"})
         return None
 
@@ -301,10 +311,10 @@
             if self.break_stream_after and number > self.break_stream_after:
                 await response.write(b"id: %d\nda" % number)
                 self.break_stream_after = 0
-                request.transport.abort()
+                cut(request)
                 return response
-            if asyncio.get_running_loop().time() >= request[STOPS_AT_S]:
-                request.transport.abort()
+            if is_overdue(request):
+                cut(request)
                 return response
             await response.write(b"id: %d\ndata: %d\n\n" % (number, number * 7))
             await asyncio.sleep(self.event_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,6 +41,7 @@
     ENDLESS_KINDS,
     EVACUATION_S,
     FAILURE_DOMAINS,
+    LONG_SILENCE_S,
     MIN_PAUSE_INTERVAL_S,
     PAUSE_KINDS,
     PLANNED_KINDS,
@@ -53,6 +54,7 @@
     FleetShape,
     candidates,
     draw_faults,
+    draw_late_readers,
     drop_early_wipes,
     drop_stops_near_wipes,
 )
@@ -86,6 +88,11 @@
     return [finding.invariant for finding in checker.findings]
 
 
+def ends_with_long_silences(faults):
+    """Return when the versions are named at whose end an engine is silent for long."""
+    return {f.at_s for f in faults if f.kind is FaultKind.LONG_SILENCE_AT_END}
+
+
 class TestReportedSignals:
     """Each incarnation of a target reports its signals to each entry separately."""
 
@@ -418,6 +425,87 @@
 
         assert not self.play(scenario).executions
 
+    @pytest.mark.parametrize("late_reader", [True, False])
+    def test_time_limit_passes_before_the_request_is_read(self, late_reader):
+        """It counts from when the engine reads the request."""
+
+        async def scenario(engine, session, url):
+            engine.counts_silence = not late_reader
+            pause = asyncio.create_task(engine.fall_silent(0.6))
+            await asyncio.sleep(0)
+            headers = self.HEADERS | {"X-Deadline-Ms": "100"}
+            async with session.post(url, data=b"body", headers=headers) as answer:
+                assert answer.status == (200 if late_reader else 503)
+                assert ("X-Not-Executed" in answer.headers) != late_reader
+            await pause
+
+        assert bool(self.play(scenario).executions) == late_reader
+
+    @pytest.mark.parametrize("late_reader", [True, False])
+    @pytest.mark.parametrize("silent_s", [0.0, 0.6])
+    def test_time_limit_passes_while_a_prompt_is_read(self, silent_s, late_reader):
+        """The engine stops then, and has begun nothing."""
+
+        async def scenario(engine, session, url):
+            engine.reading_s, engine.notices_close = 9.0, False
+            engine.counts_silence = not late_reader
+            headers = self.HEADERS | {"X-Deadline-Ms": "300"}
+            posting = asyncio.create_task(session.post(url, headers=headers))
+            while not engine.running:
+                await asyncio.sleep(0)
+            await engine.fall_silent(silent_s)
+            async with await posting as answer:
+                assert answer.status == 503
+                assert "X-Not-Executed" in answer.headers
+            assert not engine.running
+
+        assert not self.play(scenario).executions
+
+    @pytest.mark.parametrize("silent_s", [0.0, 1.2])
+    def test_stream_is_cut_at_its_time_limit(self, silent_s):
+        async def scenario(engine, session, url):
+            headers = self.HEADERS | {"X-Deadline-Ms": "1000"}
+            engine.event_s = 0.15
+            async with session.post(url, data=b"body", headers=headers) as answer:
+                await answer.content.readline()
+                await engine.fall_silent(silent_s)
+                with pytest.raises(aiohttp.ClientError):
+                    await answer.read()
+            while engine.running:
+                await asyncio.sleep(0.01)
+
+        assert len(self.play(scenario).executions["id"]) == 1
+
+    @pytest.mark.parametrize("begins", [False, True])
+    def test_plain_target_keeps_its_time_limit(self, begins):
+        """A response to a request that it has begun counts as run."""
+
+        async def run():
+            checker = InvariantChecker("account")
+            checker.record_sent(SENT)
+            plain = SoakPlainTarget(checker, "plain-1")
+            await plain.start()
+            headers = {**self.HEADERS, "X-Expect-Instance": "plain-1-i1"}
+            headers["X-Deadline-Ms"] = "100"
+            url = f"http://{plain.address}/once/"
+            if not begins:
+                plain.awake.clear()
+            async with aiohttp.ClientSession() as session:
+                posting = asyncio.create_task(
+                    session.post(url, data=b"body", headers=headers)
+                )
+                while begins and not plain.running:
+                    await asyncio.sleep(0)
+                await plain.fall_silent(0.6)
+                async with await posting as answer:
+                    seen = answer.status, "X-Not-Executed" in answer.headers
+            await plain.stop()
+            return seen, len(checker.executions["id"])
+
+        seen, executions = asyncio.run(run())
+        assert seen == ((504, False) if begins else (503, True))
+        assert executions == begins
+
     def test_heartbeats_wait(self):
         async def run():
             checker = InvariantChecker("account")
@@ -539,6 +627,7 @@
             *PAUSE_KINDS,
             *VERSION_END_KINDS,
             *AT_END_KINDS,
+            FaultKind.LONG_SILENCE_AT_END,
             *ENDLESS_KINDS,
             FaultKind.LEAVE_AND_KILL,
         }
@@ -559,7 +648,7 @@
         faults = draw_faults(seed, 60, SHAPE)
         later = {FaultKind.EVACUATE, *PAUSE_KINDS}
         rare = {FaultKind.CRASHING_PART, FaultKind.LONG_PAUSE}
-        rare |= {*VERSION_END_KINDS, *AT_END_KINDS}
+        rare |= {*VERSION_END_KINDS, *AT_END_KINDS, FaultKind.LONG_SILENCE_AT_END}
         others = [str(f) for f in faults if f.kind not in later | rare]
         assert later <= {f.kind for f in faults}
         assert zlib.crc32("\n".join(others).encode()) == checksum
@@ -577,7 +666,8 @@
         self, seed, calm, checksum
     ):
         faults = draw_faults(seed, 60, SHAPE, calm=calm)
-        others = [str(f) for f in faults if f.kind not in AT_END_KINDS]
+        at_end = (*AT_END_KINDS, FaultKind.LONG_SILENCE_AT_END)
+        others = [str(f) for f in faults if f.kind not in at_end]
         assert len(others) < len(faults)
         assert zlib.crc32("\n".join(others).encode()) == checksum
 
@@ -689,7 +779,10 @@
         for seed in range(60):
             faults = draw_faults(seed, 30, SHAPE, calm=True)
             namings = [f for f in faults if f.kind is FaultKind.WEIGHTS_ORIGIN_AWAY]
-            at_ends = [f for f in faults if f.kind in AT_END_KINDS]
+            longer = ends_with_long_silences(faults)
+            at_ends = [
+                f for f in faults if f.kind in AT_END_KINDS and f.at_s not in longer
+            ]
             for first, second in zip(at_ends[::2], at_ends[1::2], strict=True):
                 drawn.add(first.kind)
                 assert (first.at_s, first.name) == (second.at_s, second.name)
@@ -710,6 +803,43 @@
                     assert second.duration_s <= 1.0
         assert drawn == set(AT_END_KINDS)
 
+    def test_longer_silences_replace_what_else_comes_at_an_end(self):
+        begins, ends, silent_s = set(), 0, []
+        for seed in range(60):
+            faults = draw_faults(seed, 30, SHAPE, calm=True)
+            first = [f for f in faults if f.kind is FaultKind.WEIGHTS_ORIGIN_AWAY][0]
+            ends += not first.pause_s
+            for at_s in ends_with_long_silences(faults):
+                (naming,) = (
+                    f
+                    for f in faults
+                    if f.kind is FaultKind.WEIGHTS_ORIGIN_AWAY and f.at_s == at_s
+                )
+                assert not naming.pause_s
+                *slow, silence = (
+                    f
+                    for f in faults
+                    if f.at_s == at_s
+                    and f.kind in (*AT_END_KINDS, FaultKind.LONG_SILENCE_AT_END)
+                )
+                assert silence.kind is FaultKind.LONG_SILENCE_AT_END
+                assert 0.0 < silence.lead_s < silence.duration_s
+                assert all(f.name == silence.name for f in slow)
+                assert all(f.lead_s > silence.lead_s for f in slow)
+                begins.add(tuple(f.kind for f in slow))
+                silent_s.append(silence.duration_s)
+        slow_kinds = {(FaultKind.SLOW_BEGIN,), (FaultKind.UNNOTICED_CLOSE,)}
+        assert begins == {(), *slow_kinds}
+        assert LONG_SILENCE_S[0] <= min(silent_s) < 1.2
+        assert 2.3 < max(silent_s) <= min(LONG_SILENCE_S[1], MAX_PAUSE_S)
+        assert len(silent_s) > ends / 2
+
+    def test_some_targets_read_requests_only_after_a_silence(self):
+        drawn = [draw_late_readers(seed, SHAPE) for seed in range(60)]
+        assert drawn == [draw_late_readers(seed, SHAPE) for seed in range(60)]
+        assert {name for names in drawn for name in names} == set(SHAPE.targets)
+        assert {len(names) for names in drawn} >= {1, 2, 3, 4}
+
     def test_control_instances_return_before_the_end_of_the_version(self):
         returns = (FaultKind.RETURN_AFTER_TERM, FaultKind.RETURN_AFTER_KILL)
         numbers, kinds, restarted = set(), set(), set()
