--- a/src/wisteriapulley/control/publisher.py
+++ b/src/wisteriapulley/control/publisher.py
@@ -1,7 +1,6 @@
 """Publishes the state of one control instance to entries and sidecars."""
 
 import asyncio
-import contextlib
 import enum
 import logging
 from collections.abc import Callable, Mapping
@@ -31,8 +30,6 @@
 
 # How long the reply to a follower waits for a quorum to confirm the table.
 CONFIRM_TIMEOUT_S = 0.8
-# How often it looks for a quorum until then, after a start.
-CONFIRM_INTERVAL_S = 0.05
 
 
 class Learned(enum.Enum):
@@ -77,8 +74,6 @@
         The routing table in force here.
     evacuations : EvacuationView
         The newest set of evacuated failure domains, from the log or a peer.
-    is_confirmed : bool
-        Whether a quorum has confirmed what is in force here since the start.
     ask_peers : callable
         Called with the models and versions that were learned, to ask the peers for
         their ages; set by the service.
@@ -114,7 +109,6 @@
         self.failure_domains = {settings.node_id: settings.failure_domain}
         self.table = RoutingTable(0)
         self.evacuations = EvacuationView()
-        self.is_confirmed = False
 
     def publish_restored(self) -> None:
         """Publish the state restored from disk.
@@ -432,21 +426,13 @@
     async def answer_follow(
         self, message: messages.Follow, link: Link, frame: Frame
     ) -> None:
-        """Add a follower, send it the current state, and reply with the table.
-
-        An instance that has started and heard from no quorum may lack versions that
-        were named while it was away. A follower that has started as well would serve
-        the one before without a limit. So it hears of no version before a quorum has
-        answered, or did not in time.
-        """
-        knew_models = self.is_confirmed
+        """Add a follower, send it the current state, and reply with the table."""
         # Before the targets, so that none of an evacuated domain is used meanwhile.
         self.send_evacuations(link)
         self.followers.add(link)
         link.post(self.target_feed.full_update())
         link.post(self.known_hosts())
-        if knew_models:
-            link.post(self.models_message())
+        link.post(self.models_message())
         if link.peer.role == ENTRY:
             self.suspect_feed.send_all(link)
         if self.state.routing.version > message.routing_version:
@@ -458,33 +444,13 @@
         # The confirmed reply makes a follower ready: it must not know less than what
         # was committed before.
         self.record_evacuations(self.own_evacuations())
-        if not knew_models:
-            self.publish_changes()
-            link.post(self.models_message())
         link.post(reply, reply_to=frame.id)
 
-    async def confirm(self) -> None:
-        """Wait until a quorum has confirmed what is in force here.
-
-        Raises
-        ------
-        WisteriapulleyError
-            NO_QUORUM: there is none. After a start this looks for one again, since
-            no leader is known before the first link to it.
-        """
-        while not self.is_confirmed:
-            with contextlib.suppress(WisteriapulleyError):
-                await self.driver.read_barrier()
-                self.is_confirmed = True
-                return
-            await asyncio.sleep(CONFIRM_INTERVAL_S)
-        await self.driver.read_barrier()
-
     async def confirmed_routing(self, known: int) -> messages.RoutingNews:
         """Return the table in force, confirmed by a quorum if one answers."""
         try:
             async with asyncio.timeout(CONFIRM_TIMEOUT_S):
-                await self.confirm()
+                await self.driver.read_barrier()
             fresh = True
         except (WisteriapulleyError, TimeoutError):
             fresh = False
