Keep a target closed while its engine may execute an order that was given up

A request streamed on the version that was kept after a failed load; the engine read the load order that its sidecar had given up, loaded the newer version amid the stream, and the sidecar ordered the old one back. The answer counted as complete.

Cause: only the sidecar knew that the order was given up, by cancelling its call, which takes nothing back. The order's fencing number was still the highest, so the engine had no reason to refuse it, and answers of engines with fencing aren't checked at the end.

Now the sidecar keeps the order with the highest number that got no response, and the gate stays closed until the engine ends it: it has accepted a higher number, or holds the ordered version and reports the order's number. The next order raises the number. A load in progress is waited for until the backoff ends, and an order without a new number does not follow one for another version. A state counts as the response to an order only if it has the order's number, since the engine may have held the version before. Weights that are adopted replace the others in the chunk store, as loaded ones do.

The fake engine executes one order at a time and reports a load while it has accepted any; it ran two side by side, so that the number of an order that waits said nothing. A load amid requests is recorded when it is executed.

--- a/src/wisteriapulley/settings.py
+++ b/src/wisteriapulley/settings.py
@@ -183,7 +183,8 @@
     target_url : str
         Base URL of the target.
     fences : bool
-        Whether the engine rejects orders with a stale fencing number.
+        Whether the engine rejects orders with a stale fencing number, and reports the
+        highest number that it has accepted as ``fencing`` in its state.
     origin_url, store_url : str
         Base URLs of the origin and of the rate-limited weight store; empty
         if there is none.
--- a/src/wisteriapulley/sidecar/engine.py
+++ b/src/wisteriapulley/sidecar/engine.py
@@ -46,6 +46,10 @@
     role: str
 
 
+class OrderRefusedError(WeightsError):
+    """The engine refused a load order, or can't have received it."""
+
+
 class ModelEngine:
     """Adapter to an engine that loads versions on order.
 
@@ -56,7 +60,14 @@
     base_url : str
         Base URL of the engine's HTTP interface.
     fences : bool
-        Whether the engine rejects an order with an old fencing number.
+        Whether the engine rejects an order with an old fencing number, and reports
+        the highest number that it has accepted.
+
+    Attributes
+    ----------
+    unanswered : LoadOrder or None
+        Order with the highest fencing number that got no response. The engine may
+        still execute it until it has accepted a higher number.
     """
 
     def __init__(
@@ -66,6 +77,7 @@
         self.base_url = base_url.rstrip("/")
         self.fences = fences
         self.order_count = 0
+        self.unanswered: LoadOrder | None = None
 
     async def state(self) -> EngineState:
         """Return the state that the engine reports.
@@ -80,11 +92,14 @@
                 url = f"{self.base_url}/control/state"
                 async with self.session.get(url) as response:
                     body = await read_bounded(response, MAX_ANSWER_BYTES)
-            return msgspec.json.decode(body, type=EngineState)
+            state = msgspec.json.decode(body, type=EngineState)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as e:
             raise WeightsError(
                 ResultCode.TARGET_FAILED, f"{url}: {describe_error(e)}"
             ) from e
+        if self.unanswered is not None and is_settled(self.unanswered, state):
+            self.unanswered = None
+        return state
 
     async def verify(self, version: str, order_count: int) -> None:
         """Check, after the last byte of an answer, that one version generated it.
@@ -118,9 +133,16 @@
             ENGINE_FENCED, or ENGINE_LOAD_FAILED with the engine's reason.
         """
         self.order_count += 1
+        earlier = self.unanswered
+        if self.fences:
+            self.unanswered = order
         post_task = asyncio.get_running_loop().create_task(self.post_order(order))
         try:
             await self.watch_order(order, post_task)
+            self.unanswered = None
+        except OrderRefusedError:
+            self.unanswered = earlier
+            raise
         finally:
             post_task.cancel()
 
@@ -139,7 +161,7 @@
                 state = await self.state()
             except WeightsError:
                 continue
-            if state.version == order.version and state.state == "open":
+            if has_executed(order, state, self.fences):
                 return None
             idle_polls = 0 if state.state == "loading" else idle_polls + 1
         raise WeightsError(
@@ -149,21 +171,31 @@
         )
 
     async def post_order(self, order: LoadOrder) -> None:
-        """Send an order and read the engine's response."""
+        """Send an order and read the engine's response.
+
+        Raises
+        ------
+        OrderRefusedError
+            The engine will not execute this order.
+        WeightsError
+            There is no response.
+        """
         url = f"{self.base_url}/control/load"
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 async with self.session.post(url, json=order._asdict()) as response:
                     body = await read_bounded(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise WeightsError(
+            is_sent = not isinstance(error, aiohttp.ClientConnectorError)
+            error_type = WeightsError if is_sent else OrderRefusedError
+            raise error_type(
                 ResultCode.ENGINE_LOAD_FAILED, f"{url}: {describe_error(error)}"
             ) from error
         text = body.decode(errors="replace")[:MAX_REASON_CHARACTERS]
         if response.status == HTTP_CONFLICT:
-            raise WeightsError(ResultCode.ENGINE_FENCED, text)
+            raise OrderRefusedError(ResultCode.ENGINE_FENCED, text)
         if response.status >= 300:
-            raise WeightsError(ResultCode.ENGINE_LOAD_FAILED, text)
+            raise OrderRefusedError(ResultCode.ENGINE_LOAD_FAILED, text)
 
     async def cancel(self, request_id: str) -> bool:
         """Cancel a request at the engine; return whether it will not run any more.
@@ -191,6 +223,7 @@
         self.session = session
         self.base_url = base_url.rstrip("/")
         self.order_count = 0
+        self.unanswered = None
 
     async def verify(self, version: str, order_count: int) -> None:
         """Do nothing: the service has no weights that could change."""
@@ -217,3 +250,18 @@
     async def cancel(self, request_id: str) -> bool:
         """Return True: a plain service is cancelled by closing its connection."""
         return True
+
+
+def has_executed(order: LoadOrder, state: EngineState, fences: bool) -> bool:
+    """Return whether an engine holds the ordered version because of this order.
+
+    It may have held the version before. One that fences has then read the order only
+    if it reports the order's number.
+    """
+    holds = state.version == order.version and state.state == "open"
+    return holds and (not fences or state.fencing >= order.fencing)
+
+
+def is_settled(order: LoadOrder, state: EngineState) -> bool:
+    """Return whether an engine that fences will not execute an order any more."""
+    return state.fencing > order.fencing or has_executed(order, state, True)
--- a/src/wisteriapulley/sidecar/switch.py
+++ b/src/wisteriapulley/sidecar/switch.py
@@ -166,6 +166,9 @@
         if self.chart.state == "open" and self.gate.version == entry.version:
             self.detail = ""
             return
+        if self.may_be_executing(state):
+            self.detail = "waiting for the end of a load that was given up"
+            return
         if self.chart.state == "empty" and self.may_adopt(entry, state):
             self.open_gate(state.version, "adopt")
             if self.has_permit:
@@ -177,13 +180,26 @@
         else:
             self.detail = self.waiting_reason(entry)
 
+    def may_be_executing(self, state: EngineState) -> bool:
+        """Return whether to wait, since the engine may execute an unanswered order.
+
+        It may also have aborted that load with its connection, so the wait is no
+        longer than the backoff.
+        """
+        now_s = asyncio.get_running_loop().time()
+        is_loading = self.engine.unanswered is not None and state.state == "loading"
+        return is_loading and now_s < self.load_backoff.retry_at_s
+
     def may_adopt(self, entry: Entry, state: EngineState) -> bool:
         """Return whether the gate may open with the version that the engine holds.
 
         That is the catalogue's version, or the one served last: an engine that was
         silent for a while still holds it, and may still run requests on it. A switch
-        from there drains the gate first.
+        from there drains the gate first. An engine that may still execute an order
+        that was given up gets another one first, with a higher fencing number.
         """
+        if self.engine.unanswered is not None:
+            return False
         held = state.version
         served_last = bool(held) and held == self.last_served_version
         return held == entry.version or served_last
@@ -194,11 +210,13 @@
         This is the catalogue's version once its local copy is complete. Until then,
         and after a failed load, an engine without weights gets the version that it
         served last: the failure of a new version must not take the target out of
-        service.
+        service. One that holds a version, but has not confirmed the order for it, is
+        ordered to load it again.
         """
         now_s = asyncio.get_running_loop().time()
         is_complete = self.complete_version == entry.version
-        if is_complete and not self.load_backoff.blocks(entry.version, now_s):
+        is_blocked = self.load_backoff.blocks(entry.version, now_s)
+        if is_complete and (state.version == entry.version or not is_blocked):
             return entry.version
         is_restorable = self.last_served_version in self.swarm.manifests
         if self.chart.state == "empty" and self.last_served_version and is_restorable:
@@ -243,6 +261,9 @@
         self.chart.fire(trigger)
         self.detail = ""
         self.on_change()
+        if version == self.complete_version:
+            self.swarm.serving_version = version
+            self.swarm.keep_only({version})
 
     def start_download(self, entry: Entry) -> None:
         """Download the version unless it is complete or being downloaded.
@@ -305,17 +326,14 @@
         While no control instance is reachable, an engine that lost its weights may
         load the version that it served before without a permit. The target serves
         nothing in the meantime, so no further target goes out of service, and the
-        catalogue in force here does not change.
+        catalogue in force here does not change. That order has no new fencing number,
+        so it must not follow an unanswered one for another version.
         """
         try:
             permit = await self.request_permit(entry, version, counted)
         except WisteriapulleyError as error:
-            empty = self.chart.state == "empty"
-            if (
-                error.code in CONTROL_UNREACHABLE_CODES
-                and empty
-                and version == self.last_served_version
-            ):
+            is_unreachable = error.code in CONTROL_UNREACHABLE_CODES
+            if is_unreachable and self.may_restore_without_permit(version):
                 return True
             raise
         if permit.code == ResultCode.OK:
@@ -327,6 +345,15 @@
         self.permit_backoff_s = min(PERMIT_BACKOFF_MAX_S, self.permit_backoff_s * 1.5)
         return False
 
+    def may_restore_without_permit(self, version: str) -> bool:
+        """Return whether `version` may be loaded without a new fencing number."""
+        unanswered = self.engine.unanswered
+        is_fenced = unanswered is None or unanswered.version == version
+        is_restored = (
+            self.chart.state == "empty" and version == self.last_served_version
+        )
+        return is_restored and is_fenced
+
     async def drain(self, version: str) -> bool:
         """Close the gate and wait until no request runs at the engine.
 
@@ -406,9 +433,6 @@
             await self.handle_load_failure(version, error)
             raise
         self.open_gate(version, "loaded")
-        if version == self.complete_version:
-            self.swarm.serving_version = version
-            self.swarm.keep_only({version})
 
     async def check_lease(self, version: str) -> None:
         """Check for a live quorum right before a load order.
@@ -439,7 +463,10 @@
             self.on_change()
 
     async def handle_load_failure(self, version: str, error: WeightsError) -> None:
-        """Keep the previous version in service if the engine still holds it."""
+        """Keep the previous version in service if the engine still holds it.
+
+        The gate stays closed if the engine may still execute the order.
+        """
         now_s = asyncio.get_running_loop().time()
         if error.code != ResultCode.ENGINE_FENCED:
             self.load_backoff.record_failure(version, str(error), now_s)
@@ -450,7 +477,8 @@
             log.warning(
                 "could not read the engine's state after a failed load: %s", state_error
             )
-        if held_version and held_version == self.gate.version:
+        is_settled = self.engine.unanswered is None
+        if held_version and held_version == self.gate.version and is_settled:
             self.chart.fire("kept")
         else:
             self.chart.fire("fail")
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -19,6 +19,7 @@
 from tests.fakes.records import Records
 
 READ_BYTES = 8 << 20
+LOAD_PATH = "/control/load"
 
 
 class FakeEngine:
@@ -54,6 +55,11 @@
         Cleared while the engine stands still.
     read_while_silent : list of str
         Paths of the requests that it has read while it stood still.
+    unread_orders : int
+        Number of the next load orders that it reads only when `reads_orders` is set,
+        whether or not their connections are still open.
+    refuses_while_loading : bool
+        Whether it refuses an order, whatever its fencing number, during a load.
     """
 
     def __init__(
@@ -86,13 +92,18 @@
         self.awake.set()
         self.read_while_silent: list[str] = []
         self.late_tasks: set[asyncio.Task] = set()
+        self.unread_orders = 0
+        self.reads_orders = asyncio.Event()
+        self.refuses_while_loading = False
+        self.load_lock = asyncio.Lock()
+        self.accepted_orders = 0
         self.app = web.Application(
             client_max_size=64 << 20, middlewares=[self.handle_when_awake]
         )
         self.app.add_routes(
             [
                 web.get("/control/state", self.show_state),
-                web.post("/control/load", self.load),
+                web.post(LOAD_PATH, self.load),
                 web.post("/control/cancel", self.cancel),
                 web.post("/fake/pace", self.set_token_time),
                 web.post("/v1/completions", self.completions),
@@ -103,18 +114,22 @@
     async def handle_when_awake(self, request: web.Request, handler):
         """Handle a request, but not before the engine goes on."""
         await request.read()
-        if self.awake.is_set():
+        begin = self.awake
+        if request.path == LOAD_PATH and self.unread_orders:
+            self.unread_orders -= 1
+            begin = self.reads_orders
+        if begin.is_set():
             return await handler(request)
         self.read_while_silent.append(request.path)
-        handling = asyncio.create_task(self.handle_later(request, handler))
+        handling = asyncio.create_task(self.handle_later(request, handler, begin))
         # The server cancels only the task that waits here.
         self.late_tasks.add(handling)
         handling.add_done_callback(self.late_tasks.discard)
         return await asyncio.shield(handling)
 
-    async def handle_later(self, request: web.Request, handler):
-        """Handle a request when the engine goes on."""
-        await self.awake.wait()
+    async def handle_later(self, request: web.Request, handler, begin: asyncio.Event):
+        """Handle a request when `begin` is set."""
+        await begin.wait()
         return await handler(request)
 
     async def work(self, seconds: float) -> None:
@@ -130,20 +145,41 @@
         return web.json_response(
             {
                 "version": self.version,
-                "state": self.state,
+                "state": "loading" if self.accepted_orders else self.state,
                 "fencing": self.fencing,
                 "running": self.reported_load[1],
                 "waiting": self.reported_load[2],
             }
         )
 
+    def refusal(self, order: dict) -> web.Response | None:
+        """Return the response to an order with an outdated fencing number."""
+        if not self.checks_fencing or order["fencing"] >= self.fencing:
+            return None
+        self.records.add("fenced", engine=self.name, fencing=order["fencing"])
+        return web.Response(status=409, text=f"fencing is at {self.fencing}")
+
     async def load(self, request: web.Request) -> web.Response:
-        """Load the ordered version from the sidecar's URL."""
+        """Load the ordered version from the sidecar's URL, one order at a time."""
         order = await request.json()
-        if self.checks_fencing and order["fencing"] < self.fencing:
-            self.records.add("fenced", engine=self.name, fencing=order["fencing"])
-            return web.Response(status=409, text=f"fencing is at {self.fencing}")
+        if self.refuses_while_loading and self.state == "loading":
+            self.records.add("busy", engine=self.name, fencing=order["fencing"])
+            return web.Response(status=503, text="a load is in progress")
+        if refusal := self.refusal(order):
+            return refusal
         self.fencing = max(self.fencing, order["fencing"])
+        self.accepted_orders += 1
+        try:
+            async with self.load_lock:
+                response = self.refusal(order) or await self.execute(order)
+        finally:
+            self.accepted_orders -= 1
+        if self.load_fault == "silent" and response.status == 200:
+            await asyncio.Event().wait()
+        return response
+
+    async def execute(self, order: dict) -> web.Response:
+        """Execute a load order that was accepted."""
         if self.running:
             self.records.add("load_while_running", engine=self.name)
         if self.load_fault == "refuse":
@@ -164,8 +200,6 @@
         self.records.add(
             "loaded", engine=self.name, version=digest, ordered=order["version"]
         )
-        if self.load_fault == "silent":
-            await asyncio.Event().wait()
         return web.Response(text="loaded")
 
     async def read_weights(self, source_url: str, version: str) -> str:
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -644,3 +644,203 @@
             assert isinstance(link.posted[-1], messages.AnswerEnd)
 
         run_target(scenario)
+
+
+class TestLateOrder:
+    """A load order lies unread in its connection, is given up, and is read later.
+
+    Meanwhile the engine answers on other connections.
+    """
+
+    async def give_up_order(self, target, run_target, unread_orders=1):
+        """Serve the first version; leave orders unread, of which one is given up."""
+        target.fake.token_s = 0.03
+        target.control.name_version(run_target.first)
+        await target.wait_serving(run_target.first)
+        target.fake.unread_orders = unread_orders
+        target.control.name_version(run_target.second)
+        await target.wait_until(
+            lambda: target.switcher.load_backoff.version == run_target.second
+        )
+
+    async def stream_amid_late_order(self, target):
+        """Let the engine read the orders while it streams; return the last message."""
+        request, link = target.start_request()
+        await target.wait_until(lambda: link.posted)
+        target.fake.reads_orders.set()
+        await request
+        return link.posted[-1]
+
+    @pytest.mark.parametrize("fault", ["", "silent"])
+    def test_order_that_was_given_up_is_not_executed_amid_a_stream(
+        self, run_target, fault
+    ):
+        async def scenario(target):
+            await self.give_up_order(target, run_target)
+            target.fake.load_fault = fault
+            await target.wait_serving(run_target.first)
+            last = await self.stream_amid_late_order(target)
+            assert isinstance(last, messages.AnswerEnd)
+            assert not target.events("load_while_running")
+            (ran,) = target.events("ran")
+            assert ran["version"] == ran["version_at_end"] == run_target.first
+            assert len(target.events("fenced")) == 1
+            assert run_target.second not in target.loaded_versions()
+
+        run_target(scenario)
+
+    def test_engine_that_was_silent_is_not_served_before_a_later_order(
+        self, run_target, monkeypatch
+    ):
+        """The order's time limit passes while the engine stands still."""
+        monkeypatch.setattr(engine_module, "STATE_TIMEOUT_S", 0.05)
+        monkeypatch.setattr(engine_module, "ORDER_TIMEOUT_S", 0.5)
+
+        async def scenario(target):
+            target.fake.token_s = 0.03
+            target.control.name_version(run_target.first)
+            await target.wait_serving(run_target.first)
+            target.fake.unread_orders = 1
+            target.control.name_version(run_target.second)
+            await target.wait_until(lambda: target.fake.read_while_silent)
+            target.fake.awake.clear()
+            await target.wait_until(lambda: target.gate.chart.state == "empty")
+            target.fake.awake.set()
+            await target.wait_serving(run_target.first)
+            last = await self.stream_amid_late_order(target)
+            assert isinstance(last, messages.AnswerEnd)
+            assert not target.events("load_while_running")
+
+        run_target(scenario)
+
+    def test_gate_stays_closed_until_a_later_order_is_accepted(self, run_target):
+        async def scenario(target):
+            await self.give_up_order(target, run_target, unread_orders=100)
+            entered_states = []
+            target.gate.chart.on_enter = entered_states.append
+            orders = target.fake.read_while_silent
+            await target.wait_until(lambda: len(orders) == 4)
+            assert "open" not in entered_states
+            assert target.control.permit_held
+            target.fake.unread_orders = 0
+            target.fake.reads_orders.set()
+            await target.wait_until(lambda: target.gate.chart.state == "open")
+            request, link = target.start_request()
+            await request
+            assert isinstance(link.posted[-1], messages.AnswerEnd)
+            assert not target.events("load_while_running")
+            (ran,) = target.events("ran")
+            assert ran["version"] == ran["version_at_end"]
+
+        run_target(scenario)
+
+    def test_order_that_is_executed_before_the_gate_reopens_counts(
+        self, run_target, monkeypatch
+    ):
+        monkeypatch.setattr(switch_module, "FAILURE_BACKOFF_S", 0.1)
+
+        async def scenario(target):
+            target.fake.load_s = 0.3
+            await self.give_up_order(target, run_target)
+            target.fake.reads_orders.set()
+            await target.wait_serving(run_target.second)
+            assert target.loaded_versions() == [run_target.first, run_target.second]
+            assert target.engine.order_count == 2
+            assert list(target.swarm.manifests) == [run_target.second]
+            await target.wait_until(lambda: not target.control.permit_held)
+
+        run_target(scenario)
+
+    def test_later_order_is_refused_while_the_late_one_is_executed(self, run_target):
+        async def scenario(target):
+            target.fake.load_s = 0.3
+            target.fake.refuses_while_loading = True
+            target.control.name_version(run_target.first)
+            await target.wait_serving(run_target.first)
+            target.fake.unread_orders = 1
+            target.control.name_version(run_target.second)
+            await target.wait_until(lambda: target.fake.read_while_silent)
+            target.control.may_grant.clear()
+            commands = len(target.control.commands)
+            await target.wait_until(lambda: len(target.control.commands) > commands)
+            target.fake.reads_orders.set()
+            await target.wait_until(lambda: target.fake.state == "loading")
+            target.control.may_grant.set()
+            await target.wait_serving(run_target.second)
+            assert len(target.events("busy")) == 1
+            assert target.loaded_versions() == [run_target.first, run_target.second]
+
+        run_target(scenario)
+
+    def test_engine_that_reports_an_aborted_load_is_ordered_again(
+        self, run_target, monkeypatch
+    ):
+        """Its load ended with the connection of the order, its state did not."""
+        monkeypatch.setattr(switch_module, "FAILURE_BACKOFF_S", 0.1)
+        monkeypatch.setattr(switch_module, "LOAD_BACKOFF_MIN_S", 0.3)
+
+        async def scenario(target):
+            await self.give_up_order(target, run_target)
+            fake = target.fake
+            for task in fake.late_tasks:
+                task.cancel()
+            fake.version, fake.state = "", "loading"
+            fake.fencing = target.switcher.fencing
+            await target.wait_serving(run_target.second)
+
+        run_target(scenario)
+
+    @pytest.mark.parametrize("keeps_weights", [False, True])
+    def test_engine_restarts_and_forgets_its_fencing_number(
+        self, run_target, monkeypatch, keeps_weights
+    ):
+        monkeypatch.setattr(switch_module, "FAILURE_BACKOFF_S", 0.1)
+
+        async def scenario(target):
+            await self.give_up_order(target, run_target)
+            fake, given_up = target.fake, target.switcher.fencing
+            for task in fake.late_tasks:
+                task.cancel()
+            fake.fencing = 0
+            if not keeps_weights:
+                fake.version, fake.state = "", "empty"
+            await target.wait_serving(run_target.first)
+            assert fake.fencing > given_up
+            assert target.loaded_versions() == [run_target.first] * 2
+
+        run_target(scenario)
+
+    def test_no_version_is_served_again_without_a_new_fencing_number(self, run_target):
+        """It takes a quorum to get a fencing number above that of the order."""
+
+        async def scenario(target):
+            target.control.name_version(run_target.first)
+            await target.wait_serving(run_target.first)
+            target.fake.unread_orders = 1
+            target.control.name_version(run_target.second)
+            await target.wait_until(lambda: target.fake.read_while_silent)
+            target.control.unreachable = True
+            await target.wait_until(lambda: target.gate.chart.state == "empty")
+            entered_states = []
+            target.gate.chart.on_enter = entered_states.append
+            await target.wait_until(lambda: "WP206" in target.switcher.detail)
+            await asyncio.sleep(0.1)
+            assert not entered_states
+            target.control.unreachable = False
+            await target.wait_serving(run_target.first)
+            last = await self.stream_amid_late_order(target)
+            assert isinstance(last, messages.AnswerEnd)
+            assert not target.events("load_while_running")
+
+        run_target(scenario)
+
+    def test_late_order_at_an_engine_without_fencing_cuts_the_answer(self, run_target):
+        async def scenario(target):
+            target.fake.checks_fencing = target.engine.fences = False
+            await self.give_up_order(target, run_target)
+            await target.wait_serving(run_target.first)
+            with pytest.raises(WeightsError) as caught:
+                await self.stream_amid_late_order(target)
+            assert caught.value.code == ResultCode.ENGINE_WRONG_DIGEST
+
+        run_target(scenario)
