Let the targets of tests send heartbeats again after a failed one

The log of a failing play has no target after the start of control: a heartbeat that fell into the restart ended the loop that sends them.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,6 +1,7 @@
 """End-to-end tests with the platform's formats: control, entry, sidecar on loopback."""
 
 import asyncio
+import contextlib
 from pathlib import Path
 
 import aiohttp
@@ -119,8 +120,10 @@
         return await self.post(path, body.encode())
 
     async def heartbeat_loop(self):
+        """Send heartbeats, also after one that found no control instance."""
         while True:
-            await self.send_heartbeat()
+            with contextlib.suppress(aiohttp.ClientError):
+                await self.send_heartbeat()
             await asyncio.sleep(0.2)
 
     async def until(self, check):
