Put no target aside because connecting used up a request's time

A request whose time limit passes before it has a connection is not sent. Its entry counted the target as unreachable for the backoff, though the limit tells nothing of the target: an entry that lags would have put its targets aside. Found by reading. It is an error of its own now, and the request goes to another target; the test failed before.

--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -17,6 +17,7 @@
     BrokenAnswerError,
     CallerAnswer,
     NoMemoryLeftError,
+    NoTimeLeftError,
     NotSentError,
     OversizedAnswerError,
     Refusal,
@@ -139,6 +140,8 @@
         try:
             async with start_limit(slot):
                 response = await self.client.send(admitted.request, plan)
+        except NoTimeLeftError as error:
+            return Refusal(RefusalKind.UNAVAILABLE, REJECTED_RETRY_S, str(error))
         except NotSentError as error:
             target.record_unreachable(self.now_s())
             self.log_unreachable(admitted, target, error)
--- a/src/wisteriapulley/direct/types.py
+++ b/src/wisteriapulley/direct/types.py
@@ -136,6 +136,13 @@
     """The target could not be reached; the request did not run."""
 
 
+class NoTimeLeftError(NotSentError):
+    """The time limit passed before the request could be sent.
+
+    That tells nothing of the target.
+    """
+
+
 class BrokenAnswerError(Exception):
     """The response is missing or incomplete; the request may have run."""
 
--- a/src/wisteriapulley/platform/target_client.py
+++ b/src/wisteriapulley/platform/target_client.py
@@ -11,6 +11,7 @@
     BrokenAnswerError,
     CallerRequest,
     Headers,
+    NoTimeLeftError,
     NotSentError,
     OversizedAnswerError,
     SendPlan,
@@ -25,11 +26,7 @@
 )
 from wisteriapulley.platform.signal_parsing import parse_signals
 
-NOT_SENT_ERRORS = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-    TimeLimitPassedError,
-)
+CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 # Largest part of a body that is handled without a turn for other tasks.
 MAX_PART_BYTES = 64 << 10
@@ -52,8 +49,10 @@
                 data=request.body or None,
                 allow_redirects=False,
             )
-        except NOT_SENT_ERRORS as error:
+        except CONNECT_ERRORS as error:
             raise NotSentError(str(error)) from error
+        except TimeLimitPassedError as error:
+            raise NoTimeLeftError(str(error)) from error
         except ResponseLimitError as error:
             raise oversized(error) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
--- a/tests/test_direct_dispatch.py
+++ b/tests/test_direct_dispatch.py
@@ -14,6 +14,7 @@
 from wisteriapulley.direct.types import (
     BrokenAnswerError,
     CallerRequest,
+    NoTimeLeftError,
     NotSentError,
     Refusal,
     RefusalKind,
@@ -414,6 +415,7 @@
         "answer",
         [
             NotSentError("refused"),
+            NoTimeLeftError("connecting took too long"),
             FakeAnswer(not_run=True, status=503),
             FakeAnswer(not_run=True, other_instance=True, status=421),
         ],
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -19,6 +19,8 @@
 from wisteriapulley.direct.types import (
     BrokenAnswerError,
     CallerRequest,
+    NoTimeLeftError,
+    NotSentError,
     Refusal,
     RefusalKind,
 )
@@ -596,6 +598,25 @@
         assert entry.registry.targets["i-0"].failure_rate == 0.0
 
 
+class TestTimeLimitThatPassedWhileConnecting:
+    @pytest.mark.parametrize("error", [NoTimeLeftError, NotSentError])
+    def test_target_is_put_aside_only_if_it_was_unreachable(self, error):
+        entry = Entry(PacedAnswer((0.0, events(1, 4))))
+        send, failed = entry.client.send, []
+
+        async def fail_once(request, plan):
+            if not failed:
+                failed.append(plan.target_id)
+                raise error("not sent")
+            return await send(request, plan)
+
+        entry.client.send = fail_once
+        assert entry.serve()[0] is None
+        assert_whole(entry)
+        target = entry.registry.targets[failed[0]]
+        assert (target.unreachable_until_s > 0.0) == (error is NotSentError)
+
+
 class TestWorkThatRunsOnce:
     @pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
     def test_is_never_sent_twice(self, kind):
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -13,7 +13,7 @@
 from wisteriapulley.direct.types import (
     BrokenAnswerError,
     CallerRequest,
-    NotSentError,
+    NoTimeLeftError,
     OversizedAnswerError,
     SendPlan,
 )
@@ -218,7 +218,7 @@
                         answer = await client.send(REQUEST, plan)
                         assert [part async for part in answer.parts()] == [b"answer"]
                         answer.close()
-                    except NotSentError as error:
+                    except NoTimeLeftError as error:
                         errors.append(error)
             await http.close()
             target.server.close()
