Test ends of versions at second engines that read no closes, and two silences

Streams that are resumed, requests that were rejected elsewhere, and second sends beside a silent engine reach an engine that is slow, falls silent for 2.5 s and begins whatever it has read within its time limit. The model's requests are made in one place.

--- a/tests/test_sent_before_naming.py
+++ b/tests/test_sent_before_naming.py
@@ -9,18 +9,16 @@
 import pytest
 from bench.turned_away import VirtualLoop
 
-from tests.test_direct_dispatch import FakeCaller, events
+from tests.test_direct_dispatch import events
 from tests.test_evacuated_engine import ENGINE
 from tests.test_silent_targets import PacedAnswer
 from tests.test_version_end import (
     END_S,
-    PROMPT_TOKENS,
     ROUTE,
     STEADY_CLOCKS,
     TimedEngine,
     VersionEnd,
 )
-from wisteriapulley.direct.types import CallerRequest
 from wisteriapulley.routing import RoutingTable, Service
 
 # When the newer version is accepted, and how much later entry and sidecar hear of it.
@@ -69,24 +67,6 @@
         table = RoutingTable(2, (route,), (Service("s", engine=ENGINE),))
         self.entry.set_table(table)
 
-    async def ask(self, number):
-        now_s = asyncio.get_running_loop().time()
-        request = CallerRequest(
-            f"q{number}",
-            "POST",
-            "/x",
-            "h",
-            "/x",
-            (),
-            b"",
-            "",
-            now_s,
-            self.wait_s,
-            PROMPT_TOKENS,
-            10,
-        )
-        await self.entry.serve(request, FakeCaller())
-
     async def name(self):
         await asyncio.sleep(ACCEPTED_S + self.heard_late_s)
         self.versions.record("m", 2, ACCEPTED_S)
--- a/tests/test_version_end.py
+++ b/tests/test_version_end.py
@@ -245,6 +245,7 @@
     ):
         self.engine = engine
         self.asked_from_s = asked_from_s
+        self.wait_s = 6.0
         self.beside = beside
         self.sidecar = new_service(folder)
         self.sidecar.engine.goes_on_s = engine.goes_on_s
@@ -289,7 +290,7 @@
             b"",
             "",
             now_s,
-            6.0,
+            self.wait_s,
             PROMPT_TOKENS,
             10,
         )
@@ -480,6 +481,22 @@
                 late[silence_s, late_s, str(options), before_s] = begun_s
         assert not late
 
+    @pytest.mark.parametrize("second_s", [0.7, 1.5])
+    def test_request_read_before_two_silences_does_not_begin_late(
+        self, play_engine, second_s
+    ):
+        late = {}
+        for late_s, options, before_s in itertools.product(
+            (0.5, 1.5), ({}, {"linked": False}), self.STARTS_S
+        ):
+            first_s, again_s = END_S - before_s, END_S - before_s + 0.9
+            pauses = [(first_s, first_s + 0.7), (again_s, again_s + second_s)]
+            engine = TimedEngine(pauses, self.EXPECTED_S + late_s)
+            begun_s = play_engine(engine, asked_from_s=self.ASKED_FROM_S, **options)
+            if begun_s:
+                late[late_s, str(options), before_s] = begun_s
+        assert not late
+
 
 class TestLogs:
     """They tell a silent engine from a slow one, and one silence from two."""
--- a/tests/test_version_end_elsewhere.py
+++ b/tests/test_version_end_elsewhere.py
@@ -106,17 +106,22 @@
         if self.breaks and fails and not last:
             steps = [(0.0, events(1, 2)), (0.05, None)]
         if self.head_first:
-            return BeginningAnswer(self, *steps)
-        await self.begin()
+            return BeginningAnswer(self, plan, *steps)
+        await self.begin(plan)
         return PacedAnswer(*steps)
 
-    async def begin(self):
+    def begins_s(self, now_s):
+        """Return when a request begins that arrives now."""
+        is_late = now_s > self.fails_from_s
+        begins_s = now_s + (self.first_event_s if is_late else USUAL_S)
+        if self.is_silent(now_s) or self.is_silent(begins_s):
+            return self.pause[1]
+        return begins_s
+
+    async def begin(self, plan):
         """Wait until a request begins."""
         loop = asyncio.get_running_loop()
-        is_late = loop.time() > self.fails_from_s
-        begins_s = loop.time() + (self.first_event_s if is_late else USUAL_S)
-        if self.is_silent(loop.time()) or self.is_silent(begins_s):
-            begins_s = self.pause[1]
+        begins_s = self.begins_s(loop.time())
         try:
             await asyncio.sleep(begins_s - loop.time())
         except asyncio.CancelledError:
@@ -126,15 +131,28 @@
         self.begun_s.append(begins_s)
 
 
+class DeafEngine(VersionedEngine):
+    """Reads no closes, and begins what it has read within its time limit."""
+
+    async def begin(self, plan):
+        """Wait until a request begins; one whose time limit ends before never does."""
+        now_s = asyncio.get_running_loop().time()
+        begins_s = self.begins_s(now_s)
+        if begins_s >= now_s + plan.remaining_s:
+            await asyncio.Event().wait()
+        self.begun_s.append(begins_s)
+        await asyncio.sleep(begins_s - now_s)
+
+
 class BeginningAnswer(PacedAnswer):
     """A response whose head comes before its request begins."""
 
-    def __init__(self, engine, *steps):
+    def __init__(self, engine, plan, *steps):
         super().__init__(*steps)
-        self.engine = engine
+        self.engine, self.plan = engine, plan
 
     async def parts(self):
-        await self.engine.begin()
+        await self.engine.begin(self.plan)
         async for part in super().parts():
             yield part
 
@@ -334,6 +352,30 @@
         assert play(silent, other, entry_knows=entry_knows).late_s() == []
 
 
+class TestSecondSendToAnEngineThatReadsNoCloses:
+    """It is slow, and then silent for longer than what is kept free for that."""
+
+    FIRST_EVENT_S = 0.8
+    SILENT_S = 2.5
+
+    @both_know
+    @versions
+    @pytest.mark.parametrize("before_s", [1.0, 1.5, 1.9])
+    @pytest.mark.parametrize("why", ["resumed", "rejected", "silent"])
+    def test_does_not_begin_there_late(
+        self, play, first, second, before_s, entry_knows, why
+    ):
+        from_s = ENDS_S[first] - 3.0
+        pause = (from_s, from_s + 2.8) if why == "silent" else NEVER_S
+        other = VersionedEngine(
+            first, pause=pause, breaks=why == "resumed", rejects=why == "rejected"
+        )
+        from_s = ENDS_S[second] - before_s
+        pause = (from_s, from_s + self.SILENT_S)
+        deaf = DeafEngine(second, self.FIRST_EVENT_S, pause=pause)
+        assert play(other, deaf, entry_knows=entry_knows).late_s() == []
+
+
 class TestRejectedRequest:
     """Its target turns it away, and it is sent to an engine of another version."""
 
