Log what was left of a drain when a request was placed

Nothing told whether a request that was cut at the end of a drain had been taken on a wrong estimate, without one, or had waited for its slot for too long. `placed` now has the expected response time and what is left of the drain; the line of a request in progress at its end has when the request arrived after the signal, and what its own limit left.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -27,7 +27,7 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.errors import ResultCode
 from wisteriapulley.logs import fields
-from wisteriapulley.policy.drain_window import STOPPING_RETRY_S
+from wisteriapulley.policy.drain_window import STOPPING_RETRY_S, DrainWindow
 from wisteriapulley.policy.outage_hold import OutageHold
 from wisteriapulley.policy.prompt_sizes import PromptSizes
 from wisteriapulley.policy.retry_after import retry_after_s
@@ -97,6 +97,8 @@
     ----------
     is_overdue : callable
         Returns whether requests are cancelled because the entry stops.
+    drain_window : callable
+        Returns the time of the drain.
     retry_budgets : dict of str to SharedRetryBudget
         Retry budgets by service.
     entry_count : int
@@ -132,6 +134,7 @@
             registry, client, metrics, crashes, recorder, settings.response_limits
         )
         self.is_overdue: Callable[[], bool] = lambda: False
+        self.drain_window: Callable[[], DrainWindow] = DrainWindow
         self.index: RouteIndex | None = None
         self.has_table = asyncio.Event()
         self.retry_budgets: dict[str, SharedRetryBudget] = {}
@@ -545,6 +548,8 @@
                 start_left_ms=slot.start_left_ms(now_s),
                 own_start_left_ms=slot.own_start_left_ms(now_s),
                 first_event_ms=slot.first_event_ms,
+                expected_ms=int((admitted.expected_s or 0.0) * 1000),
+                drain_left_ms=self.drain_window().left_ms(now_s),
                 prompt_tokens=admitted.request.prompt_tokens,
                 answer_tokens=admitted.request.answer_tokens,
                 granted=slot.granted,
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -107,6 +107,7 @@
         self.ingress = new_ingress(self.dispatcher.serve, EdgeLimits().body_bytes)
         self.ingress.time_needed_s = self.dispatcher.time_needed_s
         self.dispatcher.is_overdue = lambda: self.ingress.overdue
+        self.dispatcher.drain_window = lambda: self.ingress.window
         self.reported_domains: set[str] = set()
         self.leaving = False
         self.sweep_task: asyncio.Task | None = None
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -354,9 +354,15 @@
 
         A closed connection would leave its caller without any result.
         """
+        head, now_s = decode_request(request), asyncio.get_running_loop().time()
         log.warning(
             "request in progress at the end of the drain",
-            extra=request_fields(request, answer_started=answer.started),
+            extra=request_fields(
+                request,
+                answer_started=answer.started,
+                arrived_after_ms=self.window.after_begin_ms(head.arrived_s),
+                left_ms=int((head.arrived_s + head.max_wait_s - now_s) * 1000),
+            ),
         )
         await answer.end(STOPPED)
 
@@ -375,7 +381,8 @@
         """
         self.closing = True
         now_s = asyncio.get_running_loop().time
-        self.window = DrainWindow(now_s() + max_s)
+        begins_s = now_s()
+        self.window = DrainWindow(begins_s + max_s, begins_s)
         for time_limit, head in self.body_limits.items():
             time_limit.reschedule(self.latest_start_s(head))
         await asyncio.sleep(accept_s)
--- a/src/wisteriapulley/policy/drain_window.py
+++ b/src/wisteriapulley/policy/drain_window.py
@@ -13,9 +13,22 @@
     ----------
     ends_s : float
         When requests in progress are ended; infinite before a drain.
+    begins_s : float
+        When the drain begins; infinite before it.
     """
 
     ends_s: float = float("inf")
+    begins_s: float = float("inf")
+
+    def left_ms(self, now_s: float) -> int | None:
+        """Return the time until the end of a drain, for the log; None before one."""
+        return None if self.ends_s == float("inf") else int((self.ends_s - now_s) * 1e3)
+
+    def after_begin_ms(self, at_s: float) -> int | None:
+        """Return how long after its begin something was, for the log; None before."""
+        if self.begins_s == float("inf"):
+            return None
+        return int((at_s - self.begins_s) * 1e3)
 
     def latest_start_s(self, needed_s: float) -> float:
         """Return until when a request that takes `needed_s` seconds can be started."""
--- a/tests/test_drain_window.py
+++ b/tests/test_drain_window.py
@@ -16,3 +16,9 @@
     def test_last_moment_is_too_late(self):
         """The clock of uvloop stands still for a millisecond."""
         assert DrainWindow(10.0).is_too_late(0.0, 10.0)
+
+    def test_log_tells_times_only_in_a_drain(self):
+        assert DrainWindow().left_ms(3.0) is None
+        assert DrainWindow().after_begin_ms(3.0) is None
+        assert DrainWindow(10.0, 4.0).left_ms(9.5) == 500
+        assert DrainWindow(10.0, 4.0).after_begin_ms(3.5) == -500
--- a/tests/test_silent_drain.py
+++ b/tests/test_silent_drain.py
@@ -76,6 +76,7 @@
         run_scenario(tmp_path, scenario)
         (record,) = [r for r in caplog.records if "end of the drain" in r.message]
         assert record.request_id == "request-1"
+        assert record.arrived_after_ms < 0 < record.left_ms
 
 
 @pytest.mark.parametrize("moment", [BEFORE_FIRST_EVENT, WITHIN_STREAM])
