--- /dev/null
+++ b/tests/test_streams_cut_at_a_stop.py
@@ -0,0 +1,185 @@
+"""Streams that an entry takes after a stop signal are not cut at the end of its drain.
+
+They fall silent, take longer than those before them, or are the first of their route.
+"""
+
+import asyncio
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from tests.fleet import free_hosts, free_port
+from tests.test_stop_processes import (
+    OK,
+    STREAM_ROUTE,
+    ControlInstance,
+    Entry,
+    RecordingTarget,
+    play_stop,
+    until,
+)
+from wisteriapulley.platform import names
+
+EVENT_S = 0.1
+REFUSED = 503
+# Streams by which an entry learns how long those of their route take.
+LEARNED = 20
+
+
+class StreamingTarget(RecordingTarget):
+    """Streams of which the path says how many events they have and where they pause.
+
+    ``/s/43-20-1.6`` has 43 events, and nothing comes for 1.6 s before the 20th.
+    """
+
+    async def serve(self, request):
+        if not request.path.startswith(STREAM_ROUTE["path-prefix"]):
+            return await super().serve(request)
+        request_id = request.headers[names.REQUEST_ID]
+        self.ran.add(request_id)
+        events, silent_at, silent_s = request.path[3:].split("-")
+        headers = {names.REQUEST_ID: request_id, "Content-Type": "text/event-stream"}
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        try:
+            for number in range(int(events)):
+                if number == int(silent_at):
+                    await asyncio.sleep(float(silent_s))
+                await response.write(b"id: %d\ndata: x\n\n" % number)
+                await asyncio.sleep(EVENT_S)
+            await response.write_eof()
+        except ConnectionError:
+            pass
+        return response
+
+
+async def stream(entry, path):
+    """Send one request on a new connection; return its caller."""
+    caller = await entry.connect()
+    caller.send(caller.new_request(path=path))
+    return caller
+
+
+async def learn(entry, path):
+    """Let the entry learn how long streams take."""
+    callers = [await stream(entry, path) for _ in range(LEARNED)]
+    for caller in callers:
+        while caller.is_open and not caller.responses:
+            await asyncio.sleep(0.02)
+
+
+async def send_behind_a_stream(entry):
+    """The request arrives on a kept connection, long after the signal."""
+    await learn(entry, "/s/5-0-0")
+    callers = [await stream(entry, "/s/36-0-0") for _ in range(3)]
+
+    async def send_behind():
+        await asyncio.sleep(3.3)
+        for caller in callers:
+            caller.send(caller.new_request(path="/s/5-3-6.0"))
+
+    await play_stop(entry, send_behind())
+
+
+async def send_long_streams(entry):
+    """The estimated time is left, and a silence of the target is not."""
+    await learn(entry, "/s/43-0-0")
+
+    async def send():
+        await asyncio.sleep(2.1)
+        for _ in range(3):
+            await stream(entry, "/s/43-20-1.6")
+
+    await play_stop(entry, send())
+
+
+async def send_first_streams(entry):
+    """Nothing is known of how long streams of the route take."""
+
+    async def send():
+        await asyncio.sleep(2.3)
+        for _ in range(3):
+            await stream(entry, "/s/56-0-0")
+
+    await play_stop(entry, send())
+
+
+async def send_short_streams(entry):
+    await learn(entry, "/s/5-0-0")
+
+    async def send():
+        await asyncio.sleep(1.8)
+        for _ in range(3):
+            await stream(entry, "/s/5-3-1.4")
+
+    await play_stop(entry, send())
+
+
+SCENARIOS = (
+    send_behind_a_stream,
+    send_long_streams,
+    send_first_streams,
+    send_short_streams,
+)
+
+
+async def play(folder):
+    """Play all scenarios side by side; return the target and the entries by name."""
+    control_host, *hosts = free_hosts(1 + len(SCENARIOS))
+    base = free_port()
+    control = ControlInstance(folder / "control", control_host, base)
+    control.target = StreamingTarget(1)
+    entries = {
+        each.__name__: Entry(
+            each.__name__, folder / each.__name__, host, base, control_host
+        )
+        for each, host in zip(SCENARIOS, hosts, strict=True)
+    }
+    processes = [control.process, *(entry.process for entry in entries.values())]
+    try:
+        async with aiohttp.ClientSession() as control.session, asyncio.timeout(120.0):
+            await control.target.start()
+            for process in processes:
+                process.start()
+            beating = asyncio.create_task(control.heartbeat_loop())
+            await control.configure()
+            for entry in entries.values():
+                await until(entry.serves)
+            await asyncio.gather(*(each(entries[each.__name__]) for each in SCENARIOS))
+            await asyncio.gather(*(entry.end() for entry in entries.values()))
+            beating.cancel()
+    finally:
+        for process in processes:
+            if process.popen is not None:
+                process.kill()
+        await control.target.stop()
+    return control.target, entries
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory):
+    return asyncio.run(play(tmp_path_factory.mktemp("streams")))
+
+
+@pytest.mark.parametrize("name", [each.__name__ for each in SCENARIOS])
+class TestStop:
+    def test_no_stream_is_cut(self, played, name):
+        """What was passed on gets its whole response, and all else a refusal."""
+        target, entries = played
+        for caller in entries[name].callers:
+            assert not caller.unanswered
+            for request_id, status in zip(caller.begun, caller.statuses, strict=True):
+                assert status == (OK if request_id in target.ran else REFUSED)
+
+    def test_nothing_is_in_progress_at_the_end_of_the_drain(self, played, name):
+        messages = [line["message"] for line in played[1][name].log]
+        assert "stopping" in messages
+        assert "request in progress at the end of the drain" not in messages
+
+
+class TestCost:
+    def test_short_streams_are_served_through_a_silence(self, played):
+        callers = played[1]["send_short_streams"].callers
+        assert {caller.statuses[-1] for caller in callers} == {OK}
