Send nothing in a drain that is not expected to end before it

Callers saw streams cut at the end of an entry's drain. An entry that stops took a request if the response time estimated for its route was left, and asked when it read the request only. The estimate is an admission's: a mean and two deviations, without a silence that begins later, and before the first response of a stream the objective of its first event. What waited for a slot, or was sent once more, was not asked about again.

The time that is left of a drain is now a property of each send. A request is sent if its own limit ends before the drain, or if the expected time and a silence fit in. Once load balancers send nothing more, streams and what may not be repeated need the former, since their callers find another entry at once. A wait for a slot ends when it is too late to send, and what was turned away or has failed goes to no second target then. A response that has begun is still resumed, and a spare is still tried beside a silent target.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from wisteriapulley.direct.crashes import CrashTracker
+from wisteriapulley.direct.drain_limits import DrainLimits, work_of
 from wisteriapulley.direct.exchange import Exchange
 from wisteriapulley.direct.hedging import HedgedRelay
 from wisteriapulley.direct.progress import Admitted, Progress
@@ -27,15 +28,13 @@
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.errors import ResultCode
 from wisteriapulley.logs import fields
-from wisteriapulley.policy.drain_window import STOPPING_RETRY_S, DrainWindow
+from wisteriapulley.policy.drain_window import STOPPING_RETRY_S
 from wisteriapulley.policy.outage_hold import OutageHold
 from wisteriapulley.policy.prompt_sizes import PromptSizes
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
-from wisteriapulley.policy.service_times import ServiceTimes
 from wisteriapulley.policy.shared_budget import SharedRetryBudget
 from wisteriapulley.policy.silence import MAX_LOOK_INTERVAL_S, next_look_s
-from wisteriapulley.policy.work import Work
 from wisteriapulley.routing import Account, Route, RouteIndex, RoutingTable
 from wisteriapulley.routing.homes import describe_homes, shared_homes
 
@@ -63,6 +62,9 @@
 STOPPED_UNSENT = Refusal(
     RefusalKind.UNAVAILABLE, STOPPING_RETRY_S, "entry stopped before a slot was free"
 )
+TOO_LATE = Refusal(
+    RefusalKind.UNAVAILABLE, STOPPING_RETRY_S, "not enough time left to send it"
+)
 SUSPECTED = Refusal(
     RefusalKind.FAILED, reason="part of the prompt may crash another target"
 )
@@ -97,8 +99,8 @@
     ----------
     is_overdue : callable
         Returns whether requests are cancelled because the entry stops.
-    drain_window : callable
-        Returns the time of the drain.
+    drain_limits : DrainLimits
+        Which requests can still end before the drain does.
     retry_budgets : dict of str to SharedRetryBudget
         Retry budgets by service.
     entry_count : int
@@ -109,8 +111,6 @@
         Sizes of the prompts of new requests, by route.
     outages : dict of tuple to OutageHold
         Hold requests during outages, by service and home regions.
-    response_times : ServiceTimes
-        How long requests took from their turn to the end of their response.
     """
 
     def __init__(
@@ -134,7 +134,7 @@
             registry, client, metrics, crashes, recorder, settings.response_limits
         )
         self.is_overdue: Callable[[], bool] = lambda: False
-        self.drain_window: Callable[[], DrainWindow] = DrainWindow
+        self.drain_limits = DrainLimits(self.find_route)
         self.index: RouteIndex | None = None
         self.has_table = asyncio.Event()
         self.retry_budgets: dict[str, SharedRetryBudget] = {}
@@ -146,7 +146,6 @@
         self.outages: defaultdict[tuple[str, tuple[str, ...]], OutageHold] = (
             defaultdict(OutageHold)
         )
-        self.response_times = ServiceTimes()
         self.random = random.Random(settings.node_id)
 
     def set_table(self, table: RoutingTable) -> None:
@@ -282,7 +281,7 @@
             if progress.sends or not self.is_overdue():
                 raise
             refusal = STOPPED_UNSENT
-        self.count_result(admitted, service, refusal)
+        self.count_result(admitted, progress, refusal)
         if refusal is None:
             return None
         if refusal.kind in SPREAD_RETRY_KINDS:
@@ -311,7 +310,7 @@
     def add_expected(self, admitted: Admitted) -> Admitted:
         """Add how long the response is expected to take, by those before it."""
         work = work_of(admitted.route, admitted.request)
-        expected_s = self.response_times.upper_bound(work)
+        expected_s = self.drain_limits.response_times.upper_bound(work)
         return admitted._replace(expected_s=expected_s or None)
 
     def refuse_overdue(
@@ -327,19 +326,11 @@
         reason = "request timed out" if answer.started else "no response in time"
         return Refusal(RefusalKind.TIMED_OUT, reason=reason)
 
-    def time_needed_s(self, request: CallerRequest) -> float:
-        """Return how long a request may take until its response is complete.
-
-        By the response times of the requests before it, within the limit of its route;
-        before any, by the latency objective of the route.
-        """
-        index = self.index
-        route = index and index.find_route(request.host, request.path)
-        if not route:
-            return MIN_SEND_S
-        expected_s = self.response_times.upper_bound(work_of(route, request))
-        needed_s = expected_s or route.latency_ms / 1000
-        return max(MIN_SEND_S, min(needed_s, route.timeout_ms / 1000))
+    def find_route(self, request: CallerRequest) -> Route | None:
+        """Return the route of a request by the routing table in force, if any."""
+        if self.index is None:
+            return None
+        return self.index.find_route(request.host, request.path)
 
     async def wait_for_table(self, request: CallerRequest) -> None:
         """Wait a short time for the first routing table."""
@@ -352,16 +343,15 @@
                 await self.has_table.wait()
 
     def count_result(
-        self, admitted: Admitted, service: str, refusal: Refusal | None
+        self, admitted: Admitted, progress: Progress, refusal: Refusal | None
     ) -> None:
         """Count the result of a request by client account and traffic class."""
         code = RESULT_CODES[refusal.kind] if refusal is not None else ResultCode.OK
         took_s = self.now_s() - admitted.request.arrived_s
-        traffic_class = f"{service}/{admitted.route.kind.value}"
+        traffic_class = f"{progress.service}/{admitted.route.kind.value}"
         self.metrics.record_response(admitted.account_name, traffic_class, code, took_s)
         if refusal is None:
-            work = work_of(admitted.route, admitted.request)
-            self.response_times.record(work, took_s - admitted.request.queued_s)
+            self.drain_limits.record(admitted, progress)
         prompt_tokens = admitted.request.prompt_tokens
         if prompt_tokens:
             name = admitted.route.name
@@ -439,6 +429,7 @@
         return (
             now_s < progress.look_until_s
             and admitted.route.repeatable
+            and self.drain_limits.may_send(admitted, progress)
             and self.retry_budget(progress.service).has_budget(now_s)
             and not self.crashes.quarantine_reason(admitted, progress)
         )
@@ -499,7 +490,7 @@
             # Each look would take a slot, and a request of the target's rate, in vain.
             self.log_no_budget(admitted, progress, budget)
             return NO_SEND_LEFT
-        slot = await self.allocate_slot(admitted, progress)
+        slot = await self.allocate_in_time(admitted, progress)
         if isinstance(slot, Refusal):
             return merge_refusals(refusal, slot)
         quarantined = self.refuse_quarantined(admitted, progress)
@@ -511,6 +502,7 @@
             slot.release()
             self.log_no_budget(admitted, progress, budget)
             return refusal or NO_SEND_LEFT
+        progress.first_sent_s = progress.first_sent_s or self.now_s()
         progress.sends += 1
         progress.given_up.discard(slot.target.target_id)
         self.log_placed(admitted, slot, progress)
@@ -549,7 +541,7 @@
                 own_start_left_ms=slot.own_start_left_ms(now_s),
                 first_event_ms=slot.first_event_ms,
                 expected_ms=int((admitted.expected_s or 0.0) * 1000),
-                drain_left_ms=self.drain_window().left_ms(now_s),
+                drain_left_ms=self.drain_limits.window().left_ms(now_s),
                 prompt_tokens=admitted.request.prompt_tokens,
                 answer_tokens=admitted.request.answer_tokens,
                 granted=slot.granted,
@@ -580,6 +572,29 @@
             ),
         )
 
+    async def allocate_in_time(
+        self, admitted: Admitted, progress: Progress
+    ) -> AllocatedSlot | Refusal:
+        """Allocate a slot for the next send, if that can end before a drain does."""
+        limits = self.drain_limits
+        if progress.open_exchanges:
+            return await self.allocate_slot(admitted, progress)
+        if not limits.may_send(admitted, progress):
+            return TOO_LATE
+        try:
+            async with asyncio.timeout(None) as time_limit:
+                with limits.limiting(time_limit, admitted, progress):
+                    slot = await self.allocate_slot(admitted, progress)
+        except TimeoutError:
+            if not time_limit.expired():
+                raise
+            return TOO_LATE
+        if isinstance(slot, Refusal) or limits.may_send(admitted, progress):
+            return slot
+        # The slot was free just as the time limit passed.
+        slot.release()
+        return TOO_LATE
+
     async def allocate_slot(
         self, admitted: Admitted, progress: Progress
     ) -> AllocatedSlot | Refusal:
@@ -676,22 +691,13 @@
         return refusal
 
 
-def work_of(route: Route, request: CallerRequest) -> Work:
-    """Return a request as the estimate of response times sees it.
-
-    Its time depends on the tokens that it generates far more than on its prompt.
-    """
-    units = request.answer_tokens or 1
-    return Work(0, "", route.name, route.priority, units, 0.0)
-
-
 def merge_refusals(refusal: Refusal | None, no_slot: Refusal) -> Refusal:
     """Return the final refusal of a request that can't get another slot.
 
     A request that was rejected by its last target gets the time until a slot may be
-    free.
+    free. One that a stop leaves no time for may go to another entry at once.
     """
-    if refusal is None:
+    if refusal is None or no_slot is TOO_LATE:
         return no_slot
     is_full = no_slot.kind is RefusalKind.OVERLOADED
     if is_full and refusal.kind is RefusalKind.OVERLOADED:
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -106,6 +106,8 @@
         Parts of its prompt that other prompts may share.
     sends : int
         Targets that it was sent to so far.
+    first_sent_s : float
+        When it was sent to the first of them, on the loop's clock; 0 before that.
     may_have_run : bool
         Whether one of them may have started to run it.
     tried : set of str
@@ -141,6 +143,7 @@
         self.prompt_parts = request.prompt_parts
         self.max_sends = max(1, max_sends)
         self.sends = 0
+        self.first_sent_s = 0.0
         self.may_have_run = False
         self.tried: set[str] = set()
         self.open_exchanges = 0
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -105,9 +105,11 @@
             lambda: self.follower.fresh,
         )
         self.ingress = new_ingress(self.dispatcher.serve, EdgeLimits().body_bytes)
-        self.ingress.time_needed_s = self.dispatcher.time_needed_s
+        drain_limits = self.dispatcher.drain_limits
+        drain_limits.window = lambda: self.ingress.window
+        self.ingress.time_needed_s = drain_limits.longest_time_s
+        self.ingress.on_drain = drain_limits.begin_drain
         self.dispatcher.is_overdue = lambda: self.ingress.overdue
-        self.dispatcher.drain_window = lambda: self.ingress.window
         self.reported_domains: set[str] = set()
         self.leaving = False
         self.sweep_task: asyncio.Task | None = None
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -168,7 +168,10 @@
     window : DrainWindow
         Time of the drain.
     time_needed_s : callable
-        Returns how long a request takes, in seconds, from its head without its body.
+        Returns how long a request may take from now on, in seconds, from its head
+        without its body.
+    on_drain : callable
+        Called when a drain begins.
     body_limits : dict of asyncio.Timeout to CallerRequest
         Time limits of the bodies that are being read, and their heads.
     """
@@ -182,6 +185,7 @@
         self.overdue = False
         self.window = DrainWindow()
         self.time_needed_s: Callable[[CallerRequest], float] = lambda head: 0.0
+        self.on_drain: Callable[[], None] = lambda: None
         self.body_limits: dict[asyncio.Timeout, CallerRequest] = {}
         self.runner: web.ServerRunner | None = None
         self.site: web.TCPSite | None = None
@@ -382,7 +386,8 @@
         self.closing = True
         now_s = asyncio.get_running_loop().time
         begins_s = now_s()
-        self.window = DrainWindow(begins_s + max_s, begins_s)
+        self.window = DrainWindow(begins_s + max_s, begins_s, begins_s + accept_s)
+        self.on_drain()
         for time_limit, head in self.body_limits.items():
             time_limit.reschedule(self.latest_start_s(head))
         await asyncio.sleep(accept_s)
--- a/src/wisteriapulley/policy/drain_window.py
+++ b/src/wisteriapulley/policy/drain_window.py
@@ -1,7 +1,19 @@
-"""Which requests a stopping entry still serves. Pure."""
+"""Which requests a stopping entry still serves. Pure.
+
+What a drain ends has no whole response, so a request is sent to a target only if it is
+expected to end before that, with time for a silence of its target. The estimate may
+still be wrong. Load balancers send requests for a while after the signal, and a caller
+that is refused then may come back to the same entry, so that risk is taken. Later only
+callers of kept connections send, who find another entry at once; a stream is then taken
+only if its own time limit ends before the drain.
+"""
 
 from typing import NamedTuple
 
+from wisteriapulley.policy.silence import STREAM_SILENCE_S
+
+# A target that stands still for longer is left for another one.
+SILENCE_ALLOWANCE_S = STREAM_SILENCE_S
 # A caller that is refused because of a stop finds another entry at once.
 STOPPING_RETRY_S = 0.05
 
@@ -15,10 +27,13 @@
         When requests in progress are ended; infinite before a drain.
     begins_s : float
         When the drain begins; infinite before it.
+    removed_s : float
+        From when on load balancers send nothing more here; infinite before a drain.
     """
 
     ends_s: float = float("inf")
     begins_s: float = float("inf")
+    removed_s: float = float("inf")
 
     def left_ms(self, now_s: float) -> int | None:
         """Return the time until the end of a drain, for the log; None before one."""
@@ -40,3 +55,16 @@
         A clock may stand still for a millisecond, so the last moment is too late.
         """
         return now_s >= self.latest_start_s(needed_s)
+
+
+def longest_s(expected_s: float, limit_s: float) -> float:
+    """Return how long a response may take, with a silence of its target.
+
+    Parameters
+    ----------
+    expected_s : float
+        How long it is expected to take.
+    limit_s : float
+        What its own time limit leaves.
+    """
+    return min(expected_s + SILENCE_ALLOWANCE_S, limit_s)
--- /dev/null
+++ b/tests/test_sends_in_a_drain.py
@@ -0,0 +1,283 @@
+"""Each send of a request in a drain: only what can end before the drain is sent."""
+
+import asyncio
+
+import pytest
+
+from tests.test_direct_dispatch import (
+    SETTINGS,
+    FakeAllocator,
+    FakeAnswer,
+    FakeCaller,
+    FakeClient,
+    crash_tracker,
+    events,
+)
+from wisteriapulley.direct.dispatch import Dispatcher
+from wisteriapulley.direct.drain_limits import work_of
+from wisteriapulley.direct.registry import TargetRegistry
+from wisteriapulley.direct.types import BrokenAnswerError, CallerRequest, RefusalKind
+from wisteriapulley.entry.metrics import EntryMetrics
+from wisteriapulley.metrics import Metrics
+from wisteriapulley.policy.drain_window import SILENCE_ALLOWANCE_S, DrainWindow
+from wisteriapulley.routing import (
+    Account,
+    Route,
+    RouteIndex,
+    RouteKind,
+    RoutingTable,
+    Service,
+    Split,
+)
+from wisteriapulley.wire.messages import TargetState
+
+TEST_TIMEOUT_S = 30.0
+# By the responses before it, a stream takes this long.
+EXPECTED_S = 0.2
+LIMIT_S = 20.0
+# What is left of a drain in which such a stream is still sent, if it is at once.
+ENOUGH_S = 2 * EXPECTED_S + SILENCE_ALLOWANCE_S
+
+
+class WaitingAllocator(FakeAllocator):
+    """Has a slot once `may_allocate` is set."""
+
+    def __init__(self, registry):
+        super().__init__(registry)
+        self.may_allocate = asyncio.Event()
+        self.asked = asyncio.Event()
+
+    async def allocate(self, *args, **options):
+        self.asked.set()
+        await self.may_allocate.wait()
+        return await super().allocate(*args, **options)
+
+
+class Stop:
+    """An entry with one request, and a drain that may begin at any moment."""
+
+    def __init__(self, *answers, limit_s=LIMIT_S, expected_s=EXPECTED_S):
+        self.limit_s = limit_s
+        registry = TargetRegistry()
+        registry.update(
+            [
+                TargetState(f"i-{n}", "s", f"10.0.0.{n}:80", "z", sequence=1, slots=4)
+                for n in range(3)
+            ],
+            0.0,
+        )
+        registry.last_update_s = 0.0
+        self.allocator = WaitingAllocator(registry)
+        self.client, self.caller = FakeClient(*answers), FakeCaller()
+        self.dispatcher = Dispatcher(
+            SETTINGS,
+            registry,
+            self.allocator,
+            self.client,
+            EntryMetrics(Metrics("e", "entry")),
+            crash_tracker(),
+        )
+        route = Route(
+            "r", "h", "/", RouteKind.STREAM, (Split("s", 1),), 60000, 400, 400, 1, 2
+        )._replace(resumable=True)
+        table = RoutingTable(1, (route,), (Service("s"),), (Account("a", ("k",)),))
+        self.dispatcher.index = RouteIndex(table)
+        self.limits = self.dispatcher.drain_limits
+        if expected_s is not None:
+            for _ in range(50):
+                for times in (self.limits.response_times, self.limits.run_times):
+                    times.record(work_of(route, self.request(0.0)), expected_s)
+
+    def request(self, arrived_s):
+        return CallerRequest(
+            "id", "POST", "/x", "h", "/x", (), b"", "k", arrived_s, self.limit_s
+        )
+
+    def begin_drain(self, left_s, accepts_s=None):
+        now_s = asyncio.get_running_loop().time()
+        accepts_until_s = now_s + (left_s if accepts_s is None else accepts_s)
+        window = DrainWindow(now_s + left_s, now_s, accepts_until_s)
+        self.limits.window = lambda: window
+        self.limits.begin_drain()
+
+    async def serve(self):
+        """Serve the request; return its refusal."""
+        now_s = asyncio.get_running_loop().time()
+        return await self.dispatcher.serve(self.request(now_s), self.caller)
+
+    async def wait_for_slot(self):
+        """Serve the request; return the task of that once it waits for a slot."""
+        serving = asyncio.create_task(self.serve())
+        await self.allocator.asked.wait()
+        return serving
+
+    def end(self):
+        assert self.allocator.allocated == 0
+
+
+def run(scenario, *answers, **options):
+    async def play():
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            stop = Stop(*answers, **options)
+            await scenario(stop)
+            stop.end()
+
+    asyncio.run(play())
+
+
+class EndingAnswer(FakeAnswer):
+    """Lets almost all of a drain pass before it ends."""
+
+    stop = None
+
+    async def parts(self):
+        async for part in super().parts():
+            yield part
+            self.stop.begin_drain(EXPECTED_S / 2)
+
+
+class DrainingClient(FakeClient):
+    """Lets almost all of a drain pass as the first answer comes."""
+
+    stop = None
+
+    async def send(self, request, plan):
+        if not self.plans:
+            self.stop.begin_drain(EXPECTED_S / 2)
+        return await super().send(request, plan)
+
+
+def whole_stream():
+    return FakeAnswer((events(1, 3),))
+
+
+class TestWaitForASlot:
+    def test_ends_when_a_response_could_no_longer_end(self):
+        async def scenario(stop):
+            stop.begin_drain(ENOUGH_S)
+            refusal = await stop.serve()
+            assert refusal.kind is RefusalKind.UNAVAILABLE
+            assert 0 < refusal.retry_s < 1.0
+            assert not stop.client.plans and not stop.caller.started
+
+        run(scenario, whole_stream())
+
+    def test_ends_when_a_drain_begins_that_leaves_no_time(self):
+        async def scenario(stop):
+            serving = await stop.wait_for_slot()
+            stop.begin_drain(SILENCE_ALLOWANCE_S)
+            refusal = await serving
+            assert refusal.kind is RefusalKind.UNAVAILABLE
+            assert not stop.client.plans
+
+        run(scenario, whole_stream())
+
+    def test_goes_on_if_the_drain_leaves_time(self):
+        async def scenario(stop):
+            serving = await stop.wait_for_slot()
+            stop.begin_drain(LIMIT_S / 2)
+            stop.allocator.may_allocate.set()
+            assert await serving is None
+            assert stop.caller.ended
+
+        run(scenario, whole_stream())
+
+    def test_slot_that_comes_too_late_is_given_back(self):
+        async def scenario(stop):
+            serving = await stop.wait_for_slot()
+            stop.allocator.may_allocate.set()
+            stop.begin_drain(SILENCE_ALLOWANCE_S)
+            refusal = await serving
+            assert refusal.kind is RefusalKind.UNAVAILABLE
+            assert not stop.client.plans
+
+        run(scenario, whole_stream())
+
+    def test_goes_on_if_its_own_limit_ends_before_the_drain(self):
+        async def scenario(stop):
+            serving = await stop.wait_for_slot()
+            stop.begin_drain(1.5)
+            stop.allocator.may_allocate.set()
+            assert await serving is None
+            assert stop.caller.ended
+
+        run(scenario, whole_stream(), limit_s=1.0, expected_s=5.0)
+
+    def test_nothing_is_sent_of_which_nothing_is_known(self):
+        async def scenario(stop):
+            stop.allocator.may_allocate.set()
+            stop.begin_drain(LIMIT_S / 2)
+            refusal = await stop.serve()
+            assert refusal.kind is RefusalKind.UNAVAILABLE
+            assert not stop.client.plans
+
+        run(scenario, whole_stream(), expected_s=None)
+
+
+class TestSecondSend:
+    def serve(self, *answers):
+        """Serve a request with an almost whole drain; return its stop and refusal."""
+        results = []
+
+        async def scenario(stop):
+            stop.allocator.may_allocate.set()
+            stop.client = stop.dispatcher.sender.client = DrainingClient(*answers)
+            stop.client.stop = stop
+            for answer in answers:
+                if isinstance(answer, EndingAnswer):
+                    answer.stop = stop
+            results.append((stop, await stop.serve()))
+
+        run(scenario)
+        return results[0]
+
+    def test_request_that_may_have_run_fails_at_once(self):
+        stop, refusal = self.serve(BrokenAnswerError("gone"), whole_stream())
+        assert refusal.kind is RefusalKind.FAILED
+        assert len(stop.client.plans) == 1
+
+    def test_request_that_was_turned_away_is_refused_as_not_run(self):
+        stop, refusal = self.serve(FakeAnswer(status=503, not_run=True), whole_stream())
+        assert refusal.kind is RefusalKind.UNAVAILABLE
+        assert len(stop.client.plans) == 1
+
+    def test_stream_that_has_begun_is_resumed(self):
+        """Nothing else is left to its caller."""
+        stop, refusal = self.serve(
+            FakeAnswer((events(1, 2),), breaks=True), FakeAnswer((events(3, 3),))
+        )
+        assert refusal is None
+        assert stop.caller.ended and stop.caller.body == events(1, 3)
+
+
+class TestLongestTime:
+    """How long a request that an entry has just read may take, for its stop."""
+
+    def longest_s(self, begin=None, **options):
+        results = []
+
+        async def scenario(stop):
+            if begin is not None:
+                begin(stop)
+            now_s = asyncio.get_running_loop().time()
+            request = stop.request(now_s - 1.0)
+            results.append(stop.limits.longest_time_s(request))
+
+        run(scenario, **options)
+        return results[0]
+
+    def test_leaves_time_for_a_silence(self):
+        expected_s = EXPECTED_S + SILENCE_ALLOWANCE_S
+        assert self.longest_s() == pytest.approx(expected_s, abs=0.01)
+
+    def test_is_what_the_limit_of_the_request_leaves_at_most(self):
+        left_s = self.longest_s(expected_s=LIMIT_S)
+        assert left_s == pytest.approx(LIMIT_S - 1.0, abs=0.5)
+
+    def test_is_the_limit_of_a_stream_before_the_first_response(self):
+        left_s = self.longest_s(expected_s=None)
+        assert left_s == pytest.approx(LIMIT_S - 1.0, abs=0.5)
+
+    def test_is_the_limit_once_callers_find_other_entries(self):
+        left_s = self.longest_s(lambda stop: stop.begin_drain(7.2, accepts_s=0.0))
+        assert left_s == pytest.approx(LIMIT_S - 1.0, abs=0.5)
