Refuse a request as not run whose time passed before it was sent

A caller that sends behind others on its connection got 504 for a request that had not been sent: its time counts from its arrival, and had passed, or all but 50 ms, when its turn came. A plain target was still chosen for it, without a wait that a time limit would have interrupted. 504 promises nothing, so the caller of a request that may run once only can't send it again. It is refused as not run now, before a target is chosen.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -65,6 +65,9 @@
 TOO_LATE = Refusal(
     RefusalKind.UNAVAILABLE, STOPPING_RETRY_S, "not enough time left to send it"
 )
+NO_TIME_LEFT = Refusal(
+    RefusalKind.UNAVAILABLE, FAILED_RETRY_S, "no time left to send it"
+)
 SUSPECTED = Refusal(
     RefusalKind.FAILED, reason="part of the prompt may crash another target"
 )
@@ -482,6 +485,8 @@
         """
         if not progress.has_sends_left:
             return refusal or NO_SEND_LEFT
+        if not progress.sends and self.sender.left_s(admitted, progress) < MIN_SEND_S:
+            return NO_TIME_LEFT
         quarantined = self.refuse_quarantined(admitted, progress)
         if quarantined is not None:
             return quarantined
