Let a stopping entry with sidecars send nothing that its drain would cut

Callers of an entry with sidecars whose request was sent late in a drain got 502, "may have run", or a response that broke off at the end of `drain_ms`, though the entry could still have refused it as not run: requests whose last byte of the body came after the signal, that had waited for a slot or for their claim, or that a target had refused.

Cause: only the stop itself knew when the drain ends. The queue places requests until their own deadline, and second attempts ask for the retry budget only.

A request is sent, for the first time or again, if its own time limit ends before the drain, or if the time that requests of its size take at their targets, with a silence of the link, fits in. Without a response before, only its limit counts. Queued requests are refused when the drain begins or as soon as it is too late for them. A request with a key is looked at again once its claim is committed; a claim that is not used is released, and the key runs once elsewhere. A second attempt of a request that may have run risks the silence, since it fails without it. A silent target is kept if another one can't answer in time. Responses that have begun are resumed as before.

--- a/src/wisteriapulley/entry/at_most_once.py
+++ b/src/wisteriapulley/entry/at_most_once.py
@@ -123,8 +123,10 @@
         Answer or Claim
             The response, or a claim whose attempt has not run and never will.
         """
+        placer = self.dispatcher.placer
         try:
-            slot = await self.dispatcher.placer.acquire(request, avoid)
+            placer.check_drain(request)
+            slot = await placer.acquire(request, avoid)
         except RequestError as error:
             return await self.follow_or_refuse(request, error, not_run_claim)
         try:
@@ -134,6 +136,9 @@
             raise
         if result.code == ResultCode.OK:
             avoid.add(slot.node_id)
+            if not placer.may_send(request):
+                slot.release(ok=False, cancelled=True)
+                return result.claim
             return await self.send_claimed(request, slot, result.claim)
         slot.release(ok=False, cancelled=True)
         if result.code == ResultCode.IDEMPOTENCY_CONFLICT or result.claim is None:
--- a/src/wisteriapulley/entry/dispatch.py
+++ b/src/wisteriapulley/entry/dispatch.py
@@ -142,6 +142,7 @@
         relink_deadline_s = time.monotonic() + RELINK_TIMEOUT_S
         while True:
             try:
+                self.placer.check_drain(request, uncertain_error is not None)
                 return await self.placer.acquire(request, avoid)
             except RequestError as error:
                 may_relink = (
@@ -175,11 +176,15 @@
     ) -> bool:
         """Return whether a request that waits at a silent target may go elsewhere now.
 
-        A silent target goes on later, so it is left only for one that has room.
+        A silent target goes on later, so it is left only for one that has room, and
+        only if the next attempt can end before the drain.
         """
         if attempt == MAX_ATTEMPTS or not self.retry_budget.has_retry():
             return False
-        return slot.is_superseded(link) or self.placer.has_room(request, avoid)
+        if slot.is_superseded(link):
+            return True
+        may_send = self.placer.may_send(request, may_have_run=True)
+        return may_send and self.placer.has_room(request, avoid)
 
     async def send(
         self, request: CallerRequest, slot: Slot, attempt: int, can_leave: CanLeave
--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from wisteriapulley.catalogue import Entry
+from wisteriapulley.entry.drain_limits import DrainLimits
 from wisteriapulley.entry.request import CallerRequest
 from wisteriapulley.entry.targets import Target, Targets
 from wisteriapulley.errors import RequestError, ResultCode
@@ -64,15 +65,21 @@
 
     Attributes
     ----------
+    limits : DrainLimits
+        Shared by the pools of an entry.
+    queued_futures, queued_work : dict
+        By id of the work, for each queued request.
     entry : Entry or None
         Catalogue entry of the newest revision that a request came with. It decides
         which targets may get requests, those that an older revision admitted too.
     """
 
-    def __init__(self, targets: Targets, rng: random.Random):
+    def __init__(self, targets: Targets, rng: random.Random, limits: DrainLimits):
         self.targets = targets
+        self.limits = limits
         self.scheduler = Scheduler(LeastOutstanding(rng))
         self.queued_futures: dict[int, asyncio.Future] = {}
+        self.queued_work: dict[int, Work] = {}
         self.entry: Entry | None = None
         self.revision = 0
 
@@ -132,6 +139,7 @@
         """Wait in the queue for a slot, or until the deadline can't be met."""
         future = asyncio.get_running_loop().create_future()
         self.queued_futures[work.id] = future
+        self.queued_work[work.id] = work
         remaining_s = work.deadline_s - time.monotonic()
         longest_s = self.scheduler.times.upper_bound(work)
         try:
@@ -145,6 +153,7 @@
             raise
         finally:
             self.queued_futures.pop(work.id, None)
+            self.queued_work.pop(work.id, None)
             self.scheduler.remove(work)
 
     def finish(self, work: Work, ok: bool) -> None:
@@ -154,6 +163,7 @@
 
     def start_queued(self) -> None:
         """Start queued requests while slots are free."""
+        self.refuse_too_late()
         if not self.queued_futures or self.entry is None:
             return
         limit = self.entry.limits.in_flight
@@ -176,11 +186,29 @@
         except RequestError as error:
             future.set_exception(error)
 
+    def may_start(self, work: Work, may_have_run: bool = False) -> bool:
+        """Return whether work is expected to end before the drain of this entry."""
+        return self.limits.may_start(work, self.scheduler.times, may_have_run)
+
     def refuse_queued(self) -> None:
         """Refuse the queued requests because this entry stops."""
-        for future in self.queued_futures.values():
-            if not future.done():
-                future.set_exception(leaving_error())
+        for work in tuple(self.queued_work.values()):
+            self.refuse(work)
+
+    def refuse_too_late(self) -> None:
+        """Refuse the queued requests that can't end before the drain any more."""
+        if not self.limits.is_draining:
+            return
+        for work in tuple(self.queued_work.values()):
+            if not self.may_start(work):
+                self.refuse(work)
+
+    def refuse(self, work: Work) -> None:
+        """Refuse a queued request because this entry stops."""
+        self.scheduler.remove(work)
+        future = self.queued_futures[work.id]
+        if not future.done():
+            future.set_exception(leaving_error())
 
     def sweep(self) -> None:
         """Detect slow targets and use slots that other entries have freed."""
@@ -227,9 +255,32 @@
     def __init__(self, targets: Targets, rng: random.Random):
         self.targets = targets
         self.rng = rng
+        self.limits = DrainLimits()
         self.pools: dict[str, ServicePool] = {}
         self.work_ids = itertools.count(1)
 
+    def pool_of(self, request: CallerRequest) -> ServicePool:
+        """Return the pool of a request's service, with its catalogue entry."""
+        service = request.entry.service
+        pool = self.pools.get(service)
+        if pool is None:
+            pool = ServicePool(self.targets, self.rng, self.limits)
+            self.pools[service] = pool
+        pool.observe_entry(request.entry, request.revision)
+        return pool
+
+    def work_of(self, request: CallerRequest) -> Work:
+        """Return a request as the policies see it."""
+        entry = request.entry
+        return Work(
+            next(self.work_ids),
+            request.account,
+            entry.name,
+            entry.priority,
+            request.units,
+            request.deadline_s,
+        )
+
     async def acquire(
         self, request: CallerRequest, avoid: set[str], version: str = ""
     ) -> Slot:
@@ -242,20 +293,24 @@
         RequestError
             NO_TARGET or OVERLOADED; the request did not run.
         """
-        entry = request.entry
-        pool = self.pools.get(entry.service)
-        if pool is None:
-            pool = self.pools[entry.service] = ServicePool(self.targets, self.rng)
-        pool.observe_entry(entry, request.revision)
-        work = Work(
-            next(self.work_ids),
-            request.account,
-            entry.name,
-            entry.priority,
-            request.units,
-            request.deadline_s,
-        )
-        return await pool.acquire(work, entry.limits.in_flight, avoid, version)
+        limit = request.entry.limits.in_flight
+        work = self.work_of(request)
+        return await self.pool_of(request).acquire(work, limit, avoid, version)
+
+    def may_send(self, request: CallerRequest, may_have_run: bool = False) -> bool:
+        """Return whether a request is expected to end before the drain."""
+        return self.pool_of(request).may_start(self.work_of(request), may_have_run)
+
+    def check_drain(self, request: CallerRequest, may_have_run: bool = False) -> None:
+        """Refuse a request that would be cut at the end of the drain.
+
+        Raises
+        ------
+        RequestError
+            LEAVING; this attempt did not run.
+        """
+        if not self.may_send(request, may_have_run):
+            raise leaving_error()
 
     def has_room(
         self, request: CallerRequest, avoid: set[str], version: str = ""
@@ -266,6 +321,12 @@
         limit = request.entry.limits.in_flight
         return bool(pool.scheduler.available_targets(views, limit))
 
+    def begin_drain(self, drain_s: float, silence_s: float) -> None:
+        """Send nothing from now on that can't end before the drain."""
+        self.limits.begin(drain_s, silence_s)
+        for pool in self.pools.values():
+            pool.refuse_too_late()
+
     def refuse_queued(self) -> None:
         """Refuse the queued requests of every service because this entry stops."""
         for pool in self.pools.values():
--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -136,8 +136,10 @@
         self.leaving = True
         # A caller that keeps its connection would come back here and be refused again.
         self.http.announce_close()
+        drain_s = self.settings.drain_ms / 1000
+        self.placer.begin_drain(drain_s, self.settings.silence_ms / 1000)
         try:
-            async with asyncio.timeout(self.settings.drain_ms / 1000):
+            async with asyncio.timeout(drain_s):
                 await self.idle.wait()
         except TimeoutError:
             log.error("requests still running after drain_ms; closing anyway")
