Refuse what waits for an earlier attempt when its sidecar stops

A second attempt that reaches the same sidecar over its next link waits until the engine has confirmed that the first one is cancelled, which takes as long as the engine stands still. When the sidecar was stopped meanwhile, the entry got `ANSWER_CUT`, "may have run", at the end of `drain_ms`, although this attempt was never begun and another target could have had it.

Cause: the wait did not know that the gate closes for good, so its end by the drain looked like one of a request that runs. A request now meets the closed gate before it waits, and waits in progress end when the sidecar begins to stop. Both get `GATE_CLOSED`, not run, at once.

--- a/src/wisteriapulley/sidecar/gate.py
+++ b/src/wisteriapulley/sidecar/gate.py
@@ -92,6 +92,9 @@
     ----------
     overdue : bool
         Whether the time limit of the drain before a stop has passed.
+    closed_waits : set of asyncio.Future
+        One for each request that waits for the end of its earlier attempt; done when
+        the gate closes for good.
     """
 
     def __init__(self, engine, incarnation: int, chart: StateChart):
@@ -109,6 +112,7 @@
         self.tasks: dict[str, RunningAttempt] = {}
         self.background_tasks: set[asyncio.Task] = set()
         self.cancel_tasks: dict[str, asyncio.Task] = {}
+        self.closed_waits: set[asyncio.Future] = set()
         self.finished_events: dict[AttemptKey, asyncio.Event] = {}
 
     # -- frames ----------------------------------------------------------
@@ -124,6 +128,7 @@
         self.tasks[message.request_id] = running
         link.hold(message.remaining_ms / 1000)
         try:
+            self.check_open(message)
             message = await self.wait_cancelled(message)
             self.check_open(message)
             await self.run_streaming(link, message, frame)
@@ -457,7 +462,8 @@
     async def wait_cancelled(self, message: messages.Dispatch) -> messages.Dispatch:
         """Wait until an earlier attempt of a request does not run any more.
 
-        Both have the same id, and its cancellation would end them both.
+        Both have the same id, and its cancellation would end them both. The wait also
+        ends when the gate closes for good.
 
         Returns
         -------
@@ -474,7 +480,16 @@
             return message
         loop = asyncio.get_running_loop()
         begin_s = loop.time()
-        await asyncio.wait([task], timeout=message.remaining_ms / 1000)
+        closed = loop.create_future()
+        self.closed_waits.add(closed)
+        try:
+            await asyncio.wait(
+                [task, closed],
+                timeout=message.remaining_ms / 1000,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            self.closed_waits.discard(closed)
         left_ms = message.remaining_ms - int((loop.time() - begin_s) * 1000)
         if left_ms <= 0:
             raise RequestError(
@@ -483,6 +498,12 @@
             )
         return message._replace(remaining_ms=left_ms)
 
+    def end_waits(self) -> None:
+        """End the waits for earlier attempts because the gate closes for good."""
+        for closed in self.closed_waits:
+            if not closed.done():
+                closed.set_result(None)
+
     def stop(self) -> None:
         """Stop repeating cancellations."""
         for task in self.cancel_tasks.values():
--- a/src/wisteriapulley/sidecar/service.py
+++ b/src/wisteriapulley/sidecar/service.py
@@ -142,6 +142,7 @@
         """Refuse new requests, finish those in progress, then close."""
         self.leaving = True
         self.chart.fire("leave")
+        self.gate.end_waits()
         self.announce()
         self.server.send_heartbeats()
         for task in self.tasks:
--- a/tests/test_sidecar_stop.py
+++ b/tests/test_sidecar_stop.py
@@ -66,8 +66,14 @@
 
     async def dispatch(self, key=""):
         """Send a request; return its call once it runs at the target."""
+        call = self.send("r", key)
+        await self.started.wait()
+        return call
+
+    def send(self, request_id, key=""):
+        """Send a request; return its call."""
         message = messages.Dispatch(
-            request_id="r",
+            request_id=request_id,
             method="POST",
             path="/post",
             remaining_ms=HOUR_MS,
@@ -76,9 +82,7 @@
             incarnation=self.service.incarnation,
             expires_in_ms=HOUR_MS,
         )
-        call = self.link.call(message, b"letter")
-        await self.started.wait()
-        return call
+        return self.link.call(message, b"letter")
 
     async def stop(self):
         self.link.close()
@@ -124,3 +128,34 @@
             assert sidecar.link.peer_has_ended
 
         play(scenario)
+
+
+class TestRequestThatWaitsForTheEndOfItsEarlierAttempt:
+    """Its engine stands still, and has not confirmed that the earlier one is ended."""
+
+    def test_is_refused_as_not_run_when_its_sidecar_stops(self, play):
+        async def scenario(sidecar):
+            gate = sidecar.service.gate
+            running = await sidecar.dispatch()
+            gate.cancel_tasks["again"] = asyncio.create_task(asyncio.Event().wait())
+            waiting = sidecar.send("again")
+            while "again" not in gate.tasks:
+                await asyncio.sleep(0.001)
+            await sidecar.service.stop()
+            assert await code_of(running) == ResultCode.ANSWER_CUT
+            assert await code_of(waiting) == ResultCode.GATE_CLOSED
+
+        play(scenario)
+
+    def test_is_refused_at_once_while_its_sidecar_stops(self, play):
+        async def scenario(sidecar):
+            gate = sidecar.service.gate
+            await sidecar.dispatch()
+            gate.cancel_tasks["again"] = asyncio.create_task(asyncio.Event().wait())
+            stopping = asyncio.create_task(sidecar.service.stop())
+            while not sidecar.service.leaving:
+                await asyncio.sleep(0)
+            assert await code_of(sidecar.send("again")) == ResultCode.GATE_CLOSED
+            await stopping
+
+        play(scenario)
