Refuse a keyed request whose claim does not come in time for a drain

A request with a key that waited for the claim ledger while its entry stopped got 502, "may have run", at the end of the drain, though an entry sends nothing before its claim is committed.

Cause: the wait for the ledger ended by the request's deadline only, so the end of the drain cancelled it like one that runs.

The wait now ends when it is too late to send the request in the drain (`DrainLimits.limiting`), and the request is refused as not run, or as unresolved if its key was sent before. The claim may still be committed; its entry never sends it, and a resend finds by the target that it did not run.

It lets the ledger commit without an answer, and sends the key again through another entry: it runs once.

--- a/src/wisteriapulley/entry/at_most_once.py
+++ b/src/wisteriapulley/entry/at_most_once.py
@@ -32,7 +32,7 @@
     OpenAnswer,
     expires_in_ms,
 )
-from wisteriapulley.entry.placing import Slot
+from wisteriapulley.entry.placing import Slot, leaving_error
 from wisteriapulley.entry.request import CallerRequest
 from wisteriapulley.errors import (
     CODE_TABLE,
@@ -210,18 +210,18 @@
         Raises
         ------
         RequestError
-            The ledger did not answer. Nothing was sent and nothing will be.
+            The ledger did not answer, or not in time for the drain of this entry.
+            Nothing was sent and nothing will be.
         """
         expected_attempt = not_run_claim.attempt if not_run_claim is not None else 0
         sent_before = not_run_claim is not None or self.is_resend(request)
         claim = next_claim(request, not_run_claim, slot.node_id, slot.incarnation)
         self.record_claimed_key(request)
         try:
-            return await self.propose_claim(request, claim, expected_attempt)
-        except WisteriapulleyError as error:
-            refusal = RequestError(
-                ResultCode.CLAIM_UNAVAILABLE, error.message, RETRY_AFTER_MS
-            )
+            async with self.dispatcher.placer.limiting(request):
+                return await self.propose_claim(request, claim, expected_attempt)
+        except (TimeoutError, WisteriapulleyError) as error:
+            refusal = claim_refusal(error)
             raise (
                 self.unresolved_error(refusal) if sent_before else refusal
             ) from error
@@ -427,3 +427,10 @@
                     "response cut off; the target no longer has it",
                 )
             answer = followed
+
+
+def claim_refusal(error: TimeoutError | WisteriapulleyError) -> RequestError:
+    """Return the refusal of a request whose claim the ledger has not confirmed."""
+    if isinstance(error, TimeoutError):
+        return leaving_error()
+    return RequestError(ResultCode.CLAIM_UNAVAILABLE, error.message, RETRY_AFTER_MS)
--- a/src/wisteriapulley/entry/drain_limits.py
+++ b/src/wisteriapulley/entry/drain_limits.py
@@ -1,6 +1,9 @@
 """Which requests can still end before the drain of a stopping entry does."""
 
+import asyncio
+import contextlib
 import time
+from collections.abc import AsyncIterator, Callable
 
 from wisteriapulley.policy.drain_window import DrainWindow
 from wisteriapulley.policy.service_times import ServiceTimes
@@ -20,27 +23,34 @@
         Time of the drain, on the monotonic clock.
     silence_s : float
         For how long a target may be silent before it is left for another one.
+    waits : dict of asyncio.Timeout to callable
+        Time limits of waits before a request is sent, with what tells their end.
     """
 
     def __init__(self):
         self.window = DrainWindow()
         self.silence_s = 0.0
+        self.waits: dict[asyncio.Timeout, Callable[[], float]] = {}
 
     def begin(self, drain_s: float, silence_s: float) -> None:
-        """Begin a drain of this length."""
+        """Begin a drain of this length, and limit the waits in progress."""
         now_s = time.monotonic()
         self.window = DrainWindow(now_s + drain_s, now_s)
         self.silence_s = silence_s
+        for time_limit in self.waits:
+            self.update_limit(time_limit)
 
     @property
     def is_draining(self) -> bool:
         """Whether a drain has begun."""
         return self.window.ends_s < float("inf")
 
-    def may_start(
+    def latest_start_s(
         self, work: Work, times: ServiceTimes, may_have_run: bool = False
-    ) -> bool:
-        """Return whether work that starts now is expected to end before the drain.
+    ) -> float:
+        """Return until when work may start, so that it ends before the drain.
+
+        Infinite before a drain, or if the time limit of the work ends before it.
 
         Parameters
         ----------
@@ -53,9 +63,26 @@
             not sent again, so a silence is risked.
         """
         if work.deadline_s <= self.window.ends_s:
-            return True
+            return float("inf")
         expected_s = times.upper_bound(work)
         if not expected_s:
-            return False
+            return -float("inf")
         silence_s = 0.0 if may_have_run else self.silence_s
-        return not self.window.is_too_late(expected_s + silence_s, time.monotonic())
+        return self.window.latest_start_s(expected_s + silence_s)
+
+    @contextlib.asynccontextmanager
+    async def limiting(self, latest_start_s: Callable[[], float]) -> AsyncIterator:
+        """Raise TimeoutError when it is too late to start what waits in the block."""
+        async with asyncio.timeout(None) as time_limit:
+            self.waits[time_limit] = latest_start_s
+            self.update_limit(time_limit)
+            try:
+                yield
+            finally:
+                del self.waits[time_limit]
+
+    def update_limit(self, time_limit: asyncio.Timeout) -> None:
+        """Set the time limit of a wait by what is known of a drain now."""
+        left_s = max(0.0, self.waits[time_limit]() - time.monotonic())
+        if left_s < float("inf"):
+            time_limit.reschedule(asyncio.get_running_loop().time() + left_s)
--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -1,10 +1,12 @@
 """Run the scheduler of each service: queue requests and assign them to targets."""
 
 import asyncio
+import functools
 import itertools
 import random
 import time
 from collections.abc import Sequence
+from contextlib import AbstractAsyncContextManager
 
 from wisteriapulley.catalogue import Entry
 from wisteriapulley.entry.drain_limits import DrainLimits
@@ -188,7 +190,11 @@
 
     def may_start(self, work: Work, may_have_run: bool = False) -> bool:
         """Return whether work is expected to end before the drain of this entry."""
-        return self.limits.may_start(work, self.scheduler.times, may_have_run)
+        return time.monotonic() < self.latest_start_s(work, may_have_run)
+
+    def latest_start_s(self, work: Work, may_have_run: bool = False) -> float:
+        """Return until when work may start, so that it ends before the drain."""
+        return self.limits.latest_start_s(work, self.scheduler.times, may_have_run)
 
     def refuse_queued(self) -> None:
         """Refuse the queued requests because this entry stops."""
@@ -301,6 +307,11 @@
         """Return whether a request is expected to end before the drain."""
         return self.pool_of(request).may_start(self.work_of(request), may_have_run)
 
+    def limiting(self, request: CallerRequest) -> AbstractAsyncContextManager:
+        """Raise TimeoutError in the block when it is too late to send the request."""
+        pool, work = self.pool_of(request), self.work_of(request)
+        return self.limits.limiting(functools.partial(pool.latest_start_s, work))
+
     def check_drain(self, request: CallerRequest, may_have_run: bool = False) -> None:
         """Refuse a request that would be cut at the end of the drain.
 
--- a/tests/test_entry_sends_in_a_drain.py
+++ b/tests/test_entry_sends_in_a_drain.py
@@ -304,15 +304,42 @@
             assert await asking == LEAVING
             assert target.executed_keys == []
             await stopping
-            target.may_answer.set()
-            other = FakeEntry("e1", control)
-            await other.ready(1)
-            assert await other.send(body=BODY, entry=KEYED) == BODY
-            assert target.executed_keys == ["k"]
-            await other.targets.stop()
+            await self.send_elsewhere(control, target)
 
         play(scenario, entry=KEYED)
 
+    def test_is_refused_as_not_run_if_the_ledger_does_not_answer_in_time(self):
+        """The claim is committed, so the resend asks the target first."""
+
+        async def scenario(entry, target):
+            control = entry.fleet_control
+            propose, lost = control.propose, asyncio.Event()
+
+            async def propose_without_answer(command):
+                await propose(command)
+                lost.set()
+                await asyncio.Event().wait()
+
+            control.propose = propose_without_answer
+            hold(target)
+            asking = entry.ask_code(**self.headers())
+            await lost.wait()
+            await (await entry.begin_stop())
+            assert await asking == LEAVING
+            control.propose = propose
+            await self.send_elsewhere(control, target)
+
+        play(scenario, entry=KEYED)
+
+    async def send_elsewhere(self, control, target):
+        """Send the key again through another entry; it runs once."""
+        target.may_answer.set()
+        other = FakeEntry("e1", control)
+        await other.ready(1)
+        assert await other.send(body=BODY, entry=KEYED) == BODY
+        assert target.executed_keys == ["k"]
+        await other.targets.stop()
+
 
 class TestSilentTarget:
     @pytest.mark.parametrize(("seconds", "may_leave"), [(0.1, True), (60.0, False)])
