Relay a target's own failure when a drain leaves no time for another

Callers got a 502 of the entry in place of a target's response with a server error, if it came late in a drain. Whether another target may serve a failed request was decided without the drain, so the response was dropped, and the second send was then refused as too late.

The sender asks the drain limits before it drops a failure. The response is relayed if no other target can be sent the request in time.

test_failure_of_the_target_itself_is_relayed failed before: the result was a refusal "not enough time left to send it". It passes now, since the decision to drop the response and the decision to send once more ask the same limit.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -138,6 +138,7 @@
         )
         self.is_overdue: Callable[[], bool] = lambda: False
         self.drain_limits = DrainLimits(self.find_route)
+        self.sender.has_time = self.drain_limits.has_time
         self.index: RouteIndex | None = None
         self.has_table = asyncio.Event()
         self.retry_budgets: dict[str, SharedRetryBudget] = {}
--- a/src/wisteriapulley/direct/drain_limits.py
+++ b/src/wisteriapulley/direct/drain_limits.py
@@ -100,13 +100,16 @@
             return window.latest_start_s(needed_s)
         return window.latest_start_s(needed_s + SILENCE_ALLOWANCE_S)
 
+    def has_time(self, admitted: Admitted, progress: Progress) -> bool:
+        """Return whether a request that is sent now is expected to end in time."""
+        return self.now_s() < self.latest_send_s(admitted, progress)
+
     def may_send(self, admitted: Admitted, progress: Progress) -> bool:
-        """Return whether a request that is sent now is expected to end in time.
+        """Return whether a request may be sent to one more target now.
 
         Beside a silent target another one only helps, however late it is.
         """
-        is_spare = progress.open_exchanges > 0
-        return is_spare or self.now_s() < self.latest_send_s(admitted, progress)
+        return progress.open_exchanges > 0 or self.has_time(admitted, progress)
 
     @contextlib.contextmanager
     def limiting(
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from wisteriapulley.direct.crashes import CrashTracker
 from wisteriapulley.direct.exchange import Arrival, Exchange
@@ -69,6 +69,11 @@
         Records the signals in responses.
     limits : ResponseLimits
         How much targets may send.
+
+    Attributes
+    ----------
+    has_time : callable
+        Returns whether a request that is sent once more can end before a drain does.
     """
 
     def __init__(
@@ -87,6 +92,7 @@
         self.recorder = recorder
         self.limits = limits
         self.kept_bytes = KeptBytes(limits.kept_bytes)
+        self.has_time: Callable[[Admitted, Progress], bool] = lambda *_: True
 
     def now_s(self) -> float:
         """Return the time of the event loop's clock."""
@@ -241,7 +247,9 @@
         if self.left_s(admitted, progress) <= MIN_SEND_S:
             return False
         return progress.open_exchanges > 1 or (
-            progress.has_targets_left and self.has_untried_target(admitted, progress)
+            progress.has_targets_left
+            and self.has_time(admitted, progress)
+            and self.has_untried_target(admitted, progress)
         )
 
     def left_s(self, admitted: Admitted, progress: Progress) -> float:
--- a/tests/test_sends_in_a_drain.py
+++ b/tests/test_sends_in_a_drain.py
@@ -241,6 +241,13 @@
         assert refusal.kind is RefusalKind.UNAVAILABLE
         assert len(stop.client.plans) == 1
 
+    def test_failure_of_the_target_itself_is_relayed(self):
+        """No other target can serve the request, so this is its response."""
+        failure = FakeAnswer((b"its own",), status=500)
+        stop, refusal = self.serve(failure, whole_stream())
+        assert refusal is None and len(stop.client.plans) == 1
+        assert (stop.caller.status, stop.caller.body) == (500, b"its own")
+
     def test_stream_that_has_begun_is_resumed(self):
         """Nothing else is left to its caller."""
         stop, refusal = self.serve(
