Let the streams of the stop test take their time by the clock

Beside a load of 48, a stream of 43 events from before the stop took 5.97 s instead of 4.3, since the target slept for the same time after each event, and ended at its own limit of 6 s. test_no_stream_is_cut[send_long_streams] then failed in one of three runs, with no fault of the entry.

Events are now sent at times that are fixed when a stream begins.

--- a/tests/test_streams_cut_at_a_stop.py
+++ b/tests/test_streams_cut_at_a_stop.py
@@ -43,12 +43,14 @@
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         await response.prepare(request)
+        loop = asyncio.get_running_loop()
+        due_s = loop.time()
         try:
             for number in range(int(events)):
-                if number == int(silent_at):
-                    await asyncio.sleep(float(silent_s))
+                due_s += EVENT_S + float(silent_s) * (number == int(silent_at))
+                # On a slow machine the delays of single events do not add up.
+                await asyncio.sleep(due_s - loop.time())
                 await response.write(b"id: %d\ndata: x\n\n" % number)
-                await asyncio.sleep(EVENT_S)
             await response.write_eof()
         except ConnectionError:
             pass
