Wait in a drain for bodies of requests that it can't cut

Callers whose body came in parts across a stop were refused although the limit of their request ended before the drain. How long a request may take was asked for when the read of its body began, as a time from then on. What its own limit left shrinks while the body is read, so the time limit of the read came too early by all that was left of the drain beyond it. A stream whose body was still on its way when load balancers had stopped was refused only when the body was whole, though that was known before.

The listener now asks until when a request may be started: until its own limit if that ends before the drain, else as long as the expected time and a silence are left, and streams until load balancers send nothing more. It is the same bound as before for what has arrived whole.

--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -107,7 +107,7 @@
         self.ingress = new_ingress(self.dispatcher.serve, EdgeLimits().body_bytes)
         drain_limits = self.dispatcher.drain_limits
         drain_limits.window = lambda: self.ingress.window
-        self.ingress.time_needed_s = drain_limits.longest_time_s
+        self.ingress.latest_start_s = drain_limits.latest_start_s
         self.ingress.on_drain = drain_limits.begin_drain
         self.dispatcher.is_overdue = lambda: self.ingress.overdue
         self.reported_domains: set[str] = set()
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -167,9 +167,9 @@
         Whether the time limit of the drain has passed.
     window : DrainWindow
         Time of the drain.
-    time_needed_s : callable
-        Returns how long a request may take from now on, in seconds, from its head
-        without its body.
+    latest_start_s : callable
+        Returns until when a request can be started in a drain, on the loop's clock,
+        from its head without its body.
     on_drain : callable
         Called when a drain begins.
     body_limits : dict of asyncio.Timeout to CallerRequest
@@ -184,7 +184,9 @@
         self.active: dict[object, asyncio.Task] = {}
         self.overdue = False
         self.window = DrainWindow()
-        self.time_needed_s: Callable[[CallerRequest], float] = lambda head: 0.0
+        self.latest_start_s: Callable[[CallerRequest], float] = lambda head: (
+            self.window.ends_s
+        )
         self.on_drain: Callable[[], None] = lambda: None
         self.body_limits: dict[asyncio.Timeout, CallerRequest] = {}
         self.runner: web.ServerRunner | None = None
@@ -285,18 +287,13 @@
             return log_refusal(request, STOPPING)
         return await self.serve(head._replace(body=body), answer)
 
-    def latest_start_s(self, head: CallerRequest) -> float | None:
-        """Return until when a request can be started; None before a drain."""
-        if not self.closing:
-            return None
-        return self.window.latest_start_s(self.time_needed_s(head))
-
     def is_too_late(self, head: CallerRequest) -> bool:
-        """Return whether a request can't be finished before the end of the drain."""
-        if not self.closing:
-            return False
+        """Return whether a request can't be finished before the end of the drain.
+
+        A clock may stand still for a millisecond, so the last moment is too late.
+        """
         now_s = asyncio.get_running_loop().time()
-        return self.window.is_too_late(self.time_needed_s(head), now_s)
+        return self.closing and now_s >= self.latest_start_s(head)
 
     async def read_body(
         self, request: web.BaseRequest, head: CallerRequest
@@ -306,7 +303,8 @@
             # A time limit would take longer than the read.
             return await request.read()
         try:
-            async with asyncio.timeout_at(self.latest_start_s(head)) as time_limit:
+            ends_s = self.latest_start_s(head) if self.closing else None
+            async with asyncio.timeout_at(ends_s) as time_limit:
                 self.body_limits[time_limit] = head
                 try:
                     return await request.read()
--- a/src/wisteriapulley/policy/drain_window.py
+++ b/src/wisteriapulley/policy/drain_window.py
@@ -48,23 +48,3 @@
     def latest_start_s(self, needed_s: float) -> float:
         """Return until when a request that takes `needed_s` seconds can be started."""
         return self.ends_s - needed_s
-
-    def is_too_late(self, needed_s: float, now_s: float) -> bool:
-        """Return whether a request that is started now ends after the drain.
-
-        A clock may stand still for a millisecond, so the last moment is too late.
-        """
-        return now_s >= self.latest_start_s(needed_s)
-
-
-def longest_s(expected_s: float, limit_s: float) -> float:
-    """Return how long a response may take, with a silence of its target.
-
-    Parameters
-    ----------
-    expected_s : float
-        How long it is expected to take.
-    limit_s : float
-        What its own time limit leaves.
-    """
-    return min(expected_s + SILENCE_ALLOWANCE_S, limit_s)
