Test what no test of the sends in a drain noticed

Changes that no test noticed: the drain's begin and window not handed to the limits, the time of a run taken for that of a response, a second send after a failure bound by a silence as well, a search for a target that goes on without time, and plain requests refused like streams once load balancers send nothing more. Each has a test now that fails with it.

Whether a spare is exempt was asked in two places, one of which never decided; the limit of a wait for a slot alone does now, and its test fails without it.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -433,7 +433,7 @@
         return (
             now_s < progress.look_until_s
             and admitted.route.repeatable
-            and self.drain_limits.may_send(admitted, progress)
+            and self.drain_limits.has_time(admitted, progress)
             and self.retry_budget(progress.service).has_budget(now_s)
             and not self.crashes.quarantine_reason(admitted, progress)
         )
@@ -581,11 +581,14 @@
     async def allocate_in_time(
         self, admitted: Admitted, progress: Progress
     ) -> AllocatedSlot | Refusal:
-        """Allocate a slot for the next send, if that can end before a drain does."""
+        """Allocate a slot for the next send, if that can end before a drain does.
+
+        Beside a silent target another one only helps, however late it is.
+        """
         limits = self.drain_limits
         if progress.open_exchanges:
             return await self.allocate_slot(admitted, progress)
-        if not limits.may_send(admitted, progress):
+        if not limits.has_time(admitted, progress):
             return TOO_LATE
         try:
             async with asyncio.timeout(None) as time_limit:
@@ -595,7 +598,7 @@
             if not time_limit.expired():
                 raise
             return TOO_LATE
-        if isinstance(slot, Refusal) or limits.may_send(admitted, progress):
+        if isinstance(slot, Refusal) or limits.has_time(admitted, progress):
             return slot
         # The slot was free just as the time limit passed.
         slot.release()
--- a/src/wisteriapulley/direct/drain_limits.py
+++ b/src/wisteriapulley/direct/drain_limits.py
@@ -102,13 +102,6 @@
         """Return whether a request that is sent now is expected to end in time."""
         return self.now_s() < self.latest_send_s(admitted, progress)
 
-    def may_send(self, admitted: Admitted, progress: Progress) -> bool:
-        """Return whether a request may be sent to one more target now.
-
-        Beside a silent target another one only helps, however late it is.
-        """
-        return progress.open_exchanges > 0 or self.has_time(admitted, progress)
-
     @contextlib.contextmanager
     def limiting(
         self, time_limit: asyncio.Timeout, admitted: Admitted, progress: Progress
--- a/tests/test_sends_in_a_drain.py
+++ b/tests/test_sends_in_a_drain.py
@@ -18,6 +18,7 @@
 from tests.test_platform_path import run_scenario
 from wisteriapulley.direct.dispatch import Dispatcher
 from wisteriapulley.direct.drain_limits import work_of
+from wisteriapulley.direct.progress import Progress
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.types import BrokenAnswerError, CallerRequest, RefusalKind
 from wisteriapulley.entry.metrics import EntryMetrics
@@ -59,7 +60,13 @@
 class Stop:
     """An entry with one request, and a drain that may begin at any moment."""
 
-    def __init__(self, *answers, limit_s=LIMIT_S, expected_s=EXPECTED_S):
+    def __init__(
+        self,
+        *answers,
+        limit_s=LIMIT_S,
+        expected_s=EXPECTED_S,
+        kind=RouteKind.STREAM,
+    ):
         self.limit_s = limit_s
         registry = TargetRegistry()
         registry.update(
@@ -81,10 +88,11 @@
             crash_tracker(),
         )
         route = Route(
-            "r", "h", "/", RouteKind.STREAM, (Split("s", 1),), 60000, 400, 400, 1, 2
+            "r", "h", "/", kind, (Split("s", 1),), 60000, 400, 400, 1, 2
         )._replace(resumable=True)
         table = RoutingTable(1, (route,), (Service("s"),), (Account("a", ("k",)),))
         self.dispatcher.index = RouteIndex(table)
+        self.route = route
         self.limits = self.dispatcher.drain_limits
         if expected_s is not None:
             for _ in range(50):
@@ -139,14 +147,22 @@
             self.stop.begin_drain(EXPECTED_S / 2)
 
 
+class SilentAnswer(FakeAnswer):
+    """Never begins."""
+
+    async def parts(self):
+        await asyncio.Event().wait()
+        yield b""
+
+
 class DrainingClient(FakeClient):
     """Lets almost all of a drain pass as the first answer comes."""
 
-    stop = None
+    stop, left_s = None, EXPECTED_S / 2
 
     async def send(self, request, plan):
         if not self.plans:
-            self.stop.begin_drain(EXPECTED_S / 2)
+            self.stop.begin_drain(self.left_s)
         return await super().send(request, plan)
 
 
@@ -216,16 +232,64 @@
 
         run(scenario, whole_stream(), expected_s=None)
 
+    def test_counts_for_how_long_a_request_is_expected_to_take_no_longer(self):
+        async def scenario(stop):
+            for _ in range(50):
+                work = work_of(stop.route, stop.request(0.0))
+                stop.limits.response_times.record(work, LIMIT_S)
+            serving = await stop.wait_for_slot()
+            stop.begin_drain(LIMIT_S / 2)
+            stop.allocator.may_allocate.set()
+            assert await serving is None
+
+        run(scenario, whole_stream())
+
+    def test_is_no_part_of_the_time_that_a_request_runs(self):
+        async def scenario(stop):
+            serving = await stop.wait_for_slot()
+            await asyncio.sleep(0.05)
+            stop.allocator.may_allocate.set()
+            assert await serving is None
+            work = work_of(stop.route, stop.request(0.0))
+            response_s = stop.limits.response_times.estimate(work).mean
+            assert stop.limits.run_times.estimate(work).mean < response_s - 0.04
+
+        run(scenario, whole_stream(), expected_s=None)
+
+    def test_ends_in_an_entry_that_stops(self, tmp_path):
+        async def scenario(path):
+            entry, waits = path.entry, asyncio.Event()
+
+            async def wait_for_slot(*args):
+                waits.set()
+                await asyncio.Event().wait()
+
+            path.services.remove(entry)
+            entry.settings = msgspec.structs.replace(entry.settings, drain_ms=3000)
+            entry.allocator.allocate = wait_for_slot
+            asking = asyncio.create_task(path.ask())
+            await waits.wait()
+            entry.dispatcher.drain_limits.run_times.estimates.clear()
+            stopping = asyncio.create_task(entry.stop())
+            status, body, _ = await asking
+            assert (status, body) == (
+                503,
+                b"unavailable: not enough time left to send it\n",
+            )
+            await stopping
+
+        run_scenario(tmp_path, scenario)
+
 
 class TestSecondSend:
-    def serve(self, *answers):
+    def serve(self, *answers, left_s=EXPECTED_S / 2):
         """Serve a request with an almost whole drain; return its stop and refusal."""
         results = []
 
         async def scenario(stop):
             stop.allocator.may_allocate.set()
             stop.client = stop.dispatcher.sender.client = DrainingClient(*answers)
-            stop.client.stop = stop
+            stop.client.stop, stop.client.left_s = stop, left_s
             for answer in answers:
                 if isinstance(answer, EndingAnswer):
                     answer.stop = stop
@@ -239,6 +303,30 @@
         assert refusal.kind is RefusalKind.FAILED
         assert len(stop.client.plans) == 1
 
+    def test_silence_is_risked_for_a_request_that_may_have_run(self):
+        """It fails if it is not sent again."""
+        left_s = EXPECTED_S + 0.9 * SILENCE_ALLOWANCE_S
+        broken = BrokenAnswerError("gone")
+        stop, refusal = self.serve(broken, whole_stream(), left_s=left_s)
+        assert refusal is None and stop.caller.ended
+
+    def test_spare_is_sent_beside_a_silent_target(self, monkeypatch):
+        monkeypatch.setattr("wisteriapulley.policy.silence.STREAM_SILENCE_S", 0.05)
+        stop, refusal = self.serve(SilentAnswer(), whole_stream())
+        assert refusal is None and stop.caller.ended
+
+    def test_request_without_a_target_looks_for_none_again(self):
+        async def scenario(stop):
+            now_s = asyncio.get_running_loop().time()
+            admitted = stop.dispatcher.admit(stop.request(now_s))
+            progress = Progress(admitted.request, "s", admitted.route.attempts)
+            progress.may_have_run, progress.look_until_s = True, now_s + LIMIT_S
+            assert stop.dispatcher.may_look_again(admitted, progress)
+            stop.begin_drain(EXPECTED_S / 2)
+            assert not stop.dispatcher.may_look_again(admitted, progress)
+
+        run(scenario)
+
     def test_request_that_was_turned_away_is_refused_as_not_run(self):
         stop, refusal = self.serve(FakeAnswer(status=503, not_run=True), whole_stream())
         assert refusal.kind is RefusalKind.UNAVAILABLE
@@ -290,6 +378,10 @@
     def test_ends_once_callers_find_other_entries(self):
         assert self.left_s(7.2, accepts_s=2.6) == pytest.approx(2.6, abs=0.01)
 
+    def test_goes_on_for_what_the_end_of_the_drain_still_answers(self):
+        left_s = self.left_s(7.2, accepts_s=2.6, kind=RouteKind.IDEMPOTENT)
+        assert left_s == pytest.approx(7.2 - SILENCE_ALLOWANCE_S - EXPECTED_S, abs=0.01)
+
 
 class TestSlowBody:
     def test_is_waited_for_if_the_limit_of_its_request_ends_before_the_drain(
