Take a request without a size for a large one at a stop

A stopping entry took a stream whose caller states no number of tokens although it could not end before the drain. Such a request counted as one of a single token, and before the first of these the times of others were scaled down to it: after streams of 1024 tokens that took 5 s, 50 ms were expected of it.

By the drain's limits it may now be as large as any request of its route, until the time of those without a size is known. The estimate is the same on routes where no request states one.

test_of_a_request_without_a_size_is_that_of_the_largest failed before: the estimate was 0.05 s. It passes, since nothing is scaled down to a size that is not known.

--- a/src/wisteriapulley/direct/drain_limits.py
+++ b/src/wisteriapulley/direct/drain_limits.py
@@ -130,11 +130,16 @@
     """Return how long a request is expected to take, by the times of others.
 
     Before the first response it is the latency objective of the route, or the limit of
-    a stream, whose objective covers no more than its first event.
+    a stream, whose objective covers no more than its first event. A request that does
+    not tell its size may be as large as any, before the first one of these.
     """
     is_stream = route.kind is RouteKind.STREAM
     unknown_ms = route.timeout_ms if is_stream else route.latency_ms
-    known_s = times.upper_bound(work_of(route, request))
+    work = work_of(route, request)
+    if request.answer_tokens or times.has_samples(work):
+        known_s = times.upper_bound(work)
+    else:
+        known_s = times.largest_bound(route.name)
     return max(MIN_SEND_S, min(known_s or unknown_ms / 1000, route.timeout_ms / 1000))
 
 
--- a/src/wisteriapulley/policy/service_times.py
+++ b/src/wisteriapulley/policy/service_times.py
@@ -61,5 +61,22 @@
 
     def upper_bound(self, work: Work) -> float:
         """Return the seconds that the deadline test uses."""
-        expected = self.estimate(work)
-        return expected.mean + DEVIATIONS * expected.deviation
+        return bound_of(self.estimate(work))
+
+    def has_samples(self, work: Work) -> bool:
+        """Return whether the time of a request of this size is known."""
+        return (work.kind, size_class(work.units)) in self.estimates
+
+    def largest_bound(self, kind: str) -> float:
+        """Return the largest of these of any size; 0 without samples of the kind."""
+        bounds = (
+            bound_of(estimate)
+            for (other, _), estimate in self.estimates.items()
+            if other == kind
+        )
+        return max(bounds, default=0.0)
+
+
+def bound_of(estimate: Estimate) -> float:
+    """Return the seconds that a request takes at most, but for a few."""
+    return estimate.mean + DEVIATIONS * estimate.deviation
--- a/tests/test_sends_in_a_drain.py
+++ b/tests/test_sends_in_a_drain.py
@@ -378,6 +378,19 @@
     def test_ends_once_callers_find_other_entries(self):
         assert self.left_s(7.2, accepts_s=2.6) == pytest.approx(2.6, abs=0.01)
 
+    def test_of_a_request_without_a_size_is_that_of_the_largest(self):
+        async def scenario(stop):
+            request, times = stop.request(0.0), stop.limits.response_times
+            for answer_tokens, took_s in ((32, 0.5), (1024, 5.0)):
+                sized = request._replace(answer_tokens=answer_tokens)
+                times.record(work_of(stop.route, sized), took_s)
+            assert stop.limits.time_needed_s(request) >= 5.0
+            for _ in range(50):
+                times.record(work_of(stop.route, request), EXPECTED_S)
+            assert stop.limits.time_needed_s(request) < 2 * EXPECTED_S
+
+        run(scenario, expected_s=None)
+
     def test_goes_on_for_what_the_end_of_the_drain_still_answers(self):
         left_s = self.left_s(7.2, accepts_s=2.6, kind=RouteKind.IDEMPOTENT)
         assert left_s == pytest.approx(7.2 - SILENCE_ALLOWANCE_S - EXPECTED_S, abs=0.01)
