Learn nothing of response times from failures

A stopping entry took streams that could not end before its drain, after targets had rejected requests of their route: a 400 after a millisecond was recorded as the time of a stream. After 50 of them 0.3 s were expected of streams that take 5 s.

A response with a client or server error is not recorded. test_is_not_extended_by_failures failed before (0.3 s), and passes since the estimate is one of what may be cut: a whole response.

--- a/src/wisteriapulley/direct/drain_limits.py
+++ b/src/wisteriapulley/direct/drain_limits.py
@@ -12,6 +12,8 @@
 from wisteriapulley.policy.work import Work
 from wisteriapulley.routing import Route, RouteKind
 
+CLIENT_ERROR = 400
+
 FindRoute = Callable[[CallerRequest], Route | None]
 
 
@@ -50,7 +52,12 @@
         return asyncio.get_running_loop().time()
 
     def record(self, admitted: Admitted, progress: Progress) -> None:
-        """Record how long a request took whose response is complete."""
+        """Record how long a request took whose response is complete.
+
+        A failure comes sooner than the response that the next one may get.
+        """
+        if progress.status >= CLIENT_ERROR:
+            return
         work, now_s = work_of(admitted.route, admitted.request), self.now_s()
         turn_s = admitted.request.arrived_s + admitted.request.queued_s
         self.response_times.record(work, now_s - turn_s)
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -124,6 +124,8 @@
         weights ended at the one before, on the loop's clock; 0 if it did not.
     has_begun : bool
         Whether the response to the caller has begun.
+    status : int
+        Status of that response; 0 before.
     body_begun : bool
         Whether the caller has a part of a body, which no other target can resume.
     time_limit : asyncio.Timeout or None
@@ -151,6 +153,7 @@
         self.rejected_until_s: dict[str, float] = {}
         self.look_until_s = 0.0
         self.has_begun = False
+        self.status = 0
         self.body_begun = False
         self.time_limit: asyncio.Timeout | None = None
         self.budget_spent = False
@@ -196,9 +199,9 @@
         """Return the admitted request, updated with whether its response has begun."""
         return admitted._replace(has_begun=self.has_begun)
 
-    def record_begun(self, deadline_s: float) -> None:
+    def record_begun(self, deadline_s: float, status: int) -> None:
         """Record that the response begins, and lift the time limit for that."""
-        self.has_begun = True
+        self.has_begun, self.status = True, status
         if self.time_limit is not None:
             self.time_limit.reschedule(deadline_s)
 
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -435,7 +435,7 @@
             if is_stream:
                 length = None
             progress.body_begun = not is_stream
-            progress.record_begun(admitted.deadline_s)
+            progress.record_begun(admitted.deadline_s, response.status)
             await answer.start(response.status, response.headers, length)
         if arrival.data:
             await answer.write(arrival.data)
--- a/tests/test_sends_in_a_drain.py
+++ b/tests/test_sends_in_a_drain.py
@@ -391,6 +391,19 @@
 
         run(scenario, expected_s=None)
 
+    def test_is_not_extended_by_failures(self):
+        async def scenario(stop):
+            expected_s = stop.limits.time_needed_s(stop.request(0.0))
+            stop.allocator.may_allocate.set()
+            for _ in range(50):
+                stop.caller.started = False
+                assert await stop.serve() is None
+            assert stop.caller.status == 400
+            assert stop.limits.time_needed_s(stop.request(0.0)) == expected_s
+
+        failures = (FakeAnswer((b"no",), status=400) for _ in range(50))
+        run(scenario, *failures, expected_s=5.0)
+
     def test_goes_on_for_what_the_end_of_the_drain_still_answers(self):
         left_s = self.left_s(7.2, accepts_s=2.6, kind=RouteKind.IDEMPOTENT)
         assert left_s == pytest.approx(7.2 - SILENCE_ALLOWANCE_S - EXPECTED_S, abs=0.01)
