Keep the sidecars of a service that a new configuration lacks

A stream in progress at an engine was cut if its engine broke off after a configuration that lacks its service: the entry selects sidecars by the services of the table in force, so no engine of that service was eligible for a second send or a spare beside a silent engine. A request that an engine had turned away was refused in the same way. A request is served by the table that admitted it in all else.

Found by reading; the test with a real allocator failed before and passes, and a second one holds that the links end with the last request. That sidecars of such a service go on granting slots was read, not played.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -5,7 +5,7 @@
 import functools
 import logging
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 
 from wisteriapulley.direct.crashes import CrashTracker
@@ -114,6 +114,8 @@
         Sizes of the prompts of new requests, by route.
     outages : dict of tuple to OutageHold
         Hold requests during outages, by service and home regions.
+    in_progress : Counter of str
+        Requests in progress, by service.
     """
 
     def __init__(
@@ -150,6 +152,7 @@
         self.outages: defaultdict[tuple[str, tuple[str, ...]], OutageHold] = (
             defaultdict(OutageHold)
         )
+        self.in_progress: Counter[str] = Counter()
         self.random = random.Random(settings.node_id)
 
     def set_table(self, table: RoutingTable) -> None:
@@ -274,6 +277,7 @@
         service = self.choose_service(admitted.route, self.now_s(), admitted.homes)
         self.retry_budget(service).record_request(self.now_s())
         progress = Progress(request, service, admitted.route.attempts)
+        self.in_progress[service] += 1
         try:
             async with asyncio.timeout_at(admitted.ends_s) as progress.time_limit:
                 refusal = await self.send_until_answered(admitted, progress, answer)
@@ -285,6 +289,8 @@
             if progress.sends or not self.is_overdue():
                 raise
             refusal = STOPPED_UNSENT
+        finally:
+            self.in_progress[service] -= 1
         self.count_result(admitted, progress, refusal)
         if refusal is None:
             return None
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -45,6 +45,11 @@
     new_ingress : callable
         Creates the listener for callers from a request handler and the maximum body
         size.
+
+    Attributes
+    ----------
+    linked_services : set of str
+        Model services to whose sidecars links are kept.
     """
 
     def __init__(
@@ -110,6 +115,7 @@
         self.ingress.latest_start_s = drain_limits.latest_start_s
         self.ingress.on_drain = drain_limits.begin_drain
         self.dispatcher.is_overdue = lambda: self.ingress.overdue
+        self.linked_services: set[str] = set()
         self.reported_domains: set[str] = set()
         self.leaving = False
         self.sweep_task: asyncio.Task | None = None
@@ -176,8 +182,15 @@
         )
 
     def keep_links(self) -> None:
-        """Maintain links to the sidecars of all model services."""
-        self.allocator.sidecars.keep_links(self.follower.table.engines())
+        """Maintain links to the sidecars of all model services.
+
+        Those of a service that the table lacks are kept for the requests in progress
+        that an earlier table admitted: they may have to be sent once more.
+        """
+        in_progress = self.dispatcher.in_progress
+        used = {name for name in self.linked_services if in_progress[name]}
+        self.linked_services = used.union(self.follower.table.engines())
+        self.allocator.sidecars.keep_links(self.linked_services)
 
     def count_evacuated(self) -> None:
         """Update the gauge of evacuated targets; a withdrawn domain counts 0."""
@@ -211,6 +224,7 @@
             self.count_evacuated()
             for priority, count in self.allocator.levels.refused.items():
                 self.refused_below_level.set({"priority": str(priority)}, count)
-            if self.registry.sweep(loop.time()):
+            dropped = self.linked_services.difference(self.follower.table.engines())
+            if self.registry.sweep(loop.time()) or dropped:
                 self.keep_links()
             await self.allocator.sidecars.drop_links()
--- a/tests/test_configuration_change.py
+++ b/tests/test_configuration_change.py
@@ -5,6 +5,7 @@
 
 import pytest
 from bench.turned_away import VirtualLoop
+from msgspec import structs
 
 from tests.test_direct_dispatch import (
     SETTINGS,
@@ -15,10 +16,12 @@
     crash_tracker,
     events,
 )
-from tests.test_slot_allocation import IDENTITY
+from tests.test_slot_allocation import ENGINE, IDENTITY
+from wisteriapulley.direct import sidecars
 from wisteriapulley.direct.cold_services import ColdServices
 from wisteriapulley.direct.dispatch import Dispatcher
 from wisteriapulley.direct.registry import Target, TargetRegistry
+from wisteriapulley.direct.service import SWEEP_INTERVAL_S, DirectEntryService
 from wisteriapulley.direct.slot_allocation import SlotAllocator
 from wisteriapulley.direct.types import (
     BrokenAnswerError,
@@ -28,6 +31,7 @@
 )
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.metrics import Metrics
+from wisteriapulley.platform.ingress import Ingress
 from wisteriapulley.routing import (
     Account,
     Route,
@@ -202,6 +206,84 @@
             assert refusal is None and entry.caller.ended
 
 
+class FakeConnection:
+    """A connection to a sidecar that has no open link."""
+
+    open_link = None
+
+    def __init__(self, *arguments):
+        self.stopped = False
+
+    def start(self):
+        pass
+
+    async def stop(self):
+        self.stopped = True
+
+
+class ModelEntry:
+    """An entry with two engines of one service, which the next table lacks."""
+
+    TABLE = TABLE._replace(services=(Service("s", engine=ENGINE), Service("other")))
+
+    def __init__(self, key_path):
+        key_path.write_text("k" * 40)
+        settings = structs.replace(SETTINGS, fleet_key_file=str(key_path))
+        self.service = DirectEntryService(settings, ChangingClient(self), Ingress)
+        states = [
+            TargetState(
+                f"i-{n}", "s", f"10.0.0.{n}:80", "z", sequence=1, slots=4, version=1
+            )
+            for n in range(2)
+        ]
+        self.service.registry.update(states, 0.0)
+        self.waits_for = "second send"
+        self.sidecars = self.service.allocator.sidecars
+        self.caller = FakeCaller()
+
+    def set_table(self, table):
+        self.service.follower.table = table
+        self.service.table_changed(table)
+
+    async def reach(self, step):
+        if step == self.waits_for:
+            self.set_table(CHANGES["service gone"])
+
+    async def serve(self):
+        self.set_table(self.TABLE)
+        request = CallerRequest(
+            "id", "POST", "/x", "h", "/x", (), b"", "k", 0.0, 5.0, 100, 50
+        )
+        return await self.service.dispatcher.serve(request, self.caller)
+
+
+class TestSidecarsOfServiceThatWent:
+    """Their links are kept for requests that an earlier table admitted."""
+
+    @pytest.fixture
+    def entry(self, tmp_path, monkeypatch):
+        monkeypatch.setattr(sidecars, "ReconnectingLink", FakeConnection)
+        return ModelEntry(tmp_path / "key")
+
+    def test_stream_that_breaks_off_is_resumed_at_another_engine(self, entry):
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            assert runner.run(entry.serve()) is None
+        assert entry.caller.body == events(1, 4)
+        assert entry.caller.ended and not entry.caller.was_cut
+
+    def test_links_are_closed_after_the_last_request(self, entry):
+        async def serve_and_sweep():
+            await entry.serve()
+            assert len(entry.sidecars.connections) == 2
+            sweeping = asyncio.create_task(entry.service.sweep())
+            await asyncio.sleep(2 * SWEEP_INTERVAL_S)
+            sweeping.cancel()
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            runner.run(serve_and_sweep())
+        assert not entry.sidecars.connections
+
+
 class TestLimitsOfServiceThatWent:
     """They hold for requests that an earlier table admitted."""
 
