Let the soak meet the end of a drain with long streams

Targets stand still for 0.8 to 1.6 s late in each stop of an entry. In every run with stops, what an entry read after its signal must not be in progress when its drain ends, by its log, unless its own limit has passed or a failure affected it. Only a long stream's own limit excuses that it is cut; the checks of all other requests are as strict as before. Versions that end while the origin is away are left out of these runs, as engines cut long streams at the end of a version.

A run takes its options as one tuple, which draws its faults, and callers share a base class. The faults of a seed do not change.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,59 +6,37 @@
 import secrets
 import sys
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 
 from soak.callers import CALLERS_PER_ENTRY
-from soak.plan import draw_faults
 from soak.regressions import REGRESSIONS
-from soak.run import Outcome
-from soak.seeds import SeedOptions, run_seed
-from soak.stops import add_stops
+from soak.run import Outcome, SeedOptions
+from soak.seeds import run_seed
 
 
 def parse_arguments() -> argparse.Namespace:
     """Parse the command line."""
     parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
-    parser.add_argument("--seeds", type=int, default=1, help="number of new seeds")
-    parser.add_argument("--seed", type=int, nargs="*", default=[], help="seeds to run")
-    parser.add_argument(
-        "--seconds", type=float, default=30.0, help="fault time per seed"
-    )
-    parser.add_argument("--entries", type=int, default=2)
-    parser.add_argument("--engines", type=int, default=3)
-    parser.add_argument("--jobs", type=int, default=1, help="seeds in parallel")
-    parser.add_argument("--untimed", action="store_true", help="skip time bounds")
-    parser.add_argument("--timeline", action="store_true", help="only print the faults")
-    parser.add_argument(
-        "--regressions", action="store_true", help="run all seeds that failed before"
-    )
-    parser.add_argument(
-        "--keep", action="store_true", help="keep logs of passing seeds"
-    )
-    parser.add_argument(
-        "--calm", action="store_true", help="only planned operations and pauses"
-    )
-    parser.add_argument(
-        "--callers",
-        type=int,
-        default=CALLERS_PER_ENTRY,
-        help="callers of each entry; 60 are more than three engines serve",
-    )
-    parser.add_argument(
-        "--endless",
-        action=argparse.BooleanOptionalAction,
-        default=False,
-        help="also draw targets and engines whose answers come without end",
-    )
-    parser.add_argument(
-        "--leaves",
-        action="store_true",
-        help="also draw targets whose leave is acknowledged by an instance that dies",
-    )
-    parser.add_argument(
-        "--stops",
-        action="store_true",
-        help="also draw stops in series, and callers that send in parts",
-    )
+    add = parser.add_argument
+    switch = partial(add, action="store_true")
+    add("--seeds", type=int, default=1, help="number of new seeds")
+    add("--seed", type=int, nargs="*", default=[], help="seeds to run")
+    add("--seconds", type=float, default=30.0, help="fault time per seed")
+    add("--entries", type=int, default=2)
+    add("--engines", type=int, default=3)
+    add("--jobs", type=int, default=1, help="seeds in parallel")
+    add("--untimed", dest="timed", action="store_false", help="skip time bounds")
+    switch("--timeline", help="only print the faults")
+    switch("--regressions", help="run all seeds that failed before")
+    switch("--keep", dest="keep_folder", help="keep logs of passing seeds")
+    switch("--calm", help="only planned operations and pauses")
+    callers_help = "callers of each entry; 60 are more than three engines serve"
+    add("--callers", type=int, default=CALLERS_PER_ENTRY, help=callers_help)
+    endless = argparse.BooleanOptionalAction
+    add("--endless", action=endless, default=False, help="also answers without end")
+    switch("--leaves", help="also leaves acknowledged by an instance that dies")
+    switch("--stops", help="also stops in series, and callers that send in parts")
+    switch("--long-streams", help="also streams that may meet the end of a drain")
     return parser.parse_args()
 
 
@@ -92,31 +70,12 @@
     """Run the seeds; return 1 if any of them has findings."""
     arguments = parse_arguments()
     options = SeedOptions(
-        arguments.seconds,
-        arguments.entries,
-        arguments.engines,
-        not arguments.untimed,
-        arguments.keep,
-        arguments.calm,
-        arguments.callers,
-        arguments.endless,
-        arguments.leaves,
-        arguments.stops,
+        **{name: getattr(arguments, name) for name in SeedOptions._fields}
     )
     runs = runs_of(arguments, options)
     if arguments.timeline:
         for seed, each in runs:
-            faults = draw_faults(
-                seed,
-                each.seconds,
-                each.shape,
-                calm=each.calm,
-                endless=each.endless,
-                leaves=each.leaves,
-            )
-            if each.stops:
-                faults = add_stops(faults, seed, each.seconds, each.shape)
-            print(*faults, sep="\n")
+            print(*each.draw_plan(seed), sep="\n")
         return 0
     found = 0
     context = multiprocessing.get_context("spawn")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,7 +17,7 @@
     SentRequest,
     is_streaming,
 )
-from soak.targets import expected_plain_body, expected_stream
+from soak.targets import LONG_PATH, expected_plain_body, expected_stream
 from wisteriapulley.platform import names
 
 log = logging.getLogger(__name__)
@@ -25,6 +25,8 @@
 HOST = "soak.example"
 KEY = "key-of-the-soak"
 CALLERS_PER_ENTRY = 3
+# Responses that each caller must get once the faults are over.
+RECOVERY_REQUESTS = 20
 REQUEST_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
 # How long a caller waits for the first or the next event of a stream, by the objectives
@@ -40,7 +42,7 @@
 # of each answer.
 USUAL_PROMPT, LONGEST_PROMPT = 1800, 9000
 PROMPT_SPREAD = 1.0
-ANSWER_TOKENS = 60
+ANSWER_TOKENS, LONG_ANSWER_TOKENS = 60, 320
 
 
 class RequestKind(NamedTuple):
@@ -51,6 +53,7 @@
     idempotent: bool
     max_targets: int
     expected_body: Callable[[str], bytes]
+    limit_s: float = float("inf")
 
 
 REQUEST_KINDS = (
@@ -58,6 +61,7 @@
     RequestKind("POST", "/once/", False, 1, expected_plain_body),
     RequestKind("GET", "/safe/?q=1", True, 2, expected_plain_body),
 )
+LONG_STREAMS = (RequestKind("POST", LONG_PATH, True, 2, expected_stream, 6.0),)
 
 
 def draw_prompt_tokens(rng: random.Random) -> int:
@@ -68,10 +72,13 @@
 
 def request_headers(sent: SentRequest) -> dict[str, str]:
     """Return the headers of a request, without its host and parts of its prompt."""
+    is_long = sent.path == LONG_PATH
+    limit_s = sent.limit_s if is_long else REQUEST_TIMEOUT_S
+    answer_tokens = LONG_ANSWER_TOKENS if is_long else ANSWER_TOKENS
     return {
         names.REQUEST_ID: sent.request_id,
-        names.DEADLINE_MS: str(int(REQUEST_TIMEOUT_S * 1000)),
-        names.TOKEN_COUNTS: f"{sent.prompt_tokens},{ANSWER_TOKENS}",
+        names.DEADLINE_MS: str(int(limit_s * 1000)),
+        names.TOKEN_COUNTS: f"{sent.prompt_tokens},{answer_tokens}",
         "Authorization": f"{names.BEARER_PREFIX}{KEY}",
     }
 
@@ -84,8 +91,8 @@
         self.has_event = has_event
 
 
-class Caller:
-    """Sends requests to one entry, one at a time.
+class EntryCaller:
+    """Sends requests to one entry.
 
     Parameters
     ----------
@@ -94,24 +101,64 @@
     entry : str
         Name of the entry.
     address : str
-        Address at which the entry is reached.
+        Address at which requests are sent.
     checker : InvariantChecker
         Records each request and its result.
     """
 
+    recovery_requests = RECOVERY_REQUESTS
+
     def __init__(self, name: str, entry: str, address: str, checker: InvariantChecker):
         self.name = name
         self.entry = entry
         self.address = address
         self.checker = checker
         self.rng = random.Random(name)
+        self.number = 0
+        self.status_counts: Counter[int] = Counter()
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start sending."""
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    async def stop(self) -> None:
+        """Cancel the requests in progress and stop sending."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    def new_request(
+        self, kind: RequestKind, size_rng: random.Random, body_bytes: int = 0
+    ) -> SentRequest:
+        """Return one more request, and record that it is sent."""
+        self.number += 1
+        request_id = f"{self.name}-{self.number}"
+        body = b"body of " + request_id.encode() if kind.method == "POST" else b""
+        sent = SentRequest(
+            request_id,
+            self.entry,
+            kind.method,
+            kind.path,
+            body and body.ljust(body_bytes),
+            time.monotonic(),
+            kind.idempotent,
+            kind.max_targets,
+            draw_prompt_tokens(size_rng),
+            kind.limit_s,
+        )
+        self.checker.record_sent(sent)
+        return sent
+
+
+class Caller(EntryCaller):
+    """Sends requests one at a time."""
+
+    def __init__(self, name: str, entry: str, address: str, checker: InvariantChecker):
+        super().__init__(name, entry, address, checker)
         # The other choices of a name do not depend on its prompts.
         self.prompt_rng = random.Random(f"prompts/{name}")
         self.size_rng = random.Random(f"sizes/{name}")
-        self.number = 0
-        self.status_counts: Counter[int] = Counter()
         self.session: aiohttp.ClientSession | None = None
-        self.task: asyncio.Task | None = None
 
     def start(self) -> None:
         """Start sending."""
@@ -121,12 +168,11 @@
         self.session = aiohttp.ClientSession(timeout=timeout)
         # By default aiohttp resends requests that may already have been executed.
         self.session._retry_connection = False
-        self.task = asyncio.get_running_loop().create_task(self.run())
+        super().start()
 
     async def stop(self) -> None:
         """Cancel the request in progress and stop sending."""
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
+        await super().stop()
         await self.session.close()
 
     async def run(self) -> None:
@@ -137,21 +183,8 @@
 
     async def send_request(self, kind: RequestKind) -> float:
         """Send one request; return how long to wait before a retry, 0 for none."""
-        self.number += 1
-        request_id = f"{self.name}-{self.number}"
-        body = b"body of " + request_id.encode() if kind.method == "POST" else b""
-        sent = SentRequest(
-            request_id,
-            self.entry,
-            kind.method,
-            kind.path,
-            body,
-            time.monotonic(),
-            kind.idempotent,
-            kind.max_targets,
-            draw_prompt_tokens(self.size_rng),
-        )
-        self.checker.record_sent(sent)
+        sent = self.new_request(kind, self.size_rng)
+        request_id = sent.request_id
         try:
             status, data, retry_s = await self.exchange(sent)
         except ImpatientError as error:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -44,6 +45,9 @@
 # that uses more.
 MEMORY_LIMITS = {"control": 160 << 20, "entry": 160 << 20, "sidecar": 128 << 20}
 MEMORY_INTERVAL_S = 0.05
+# What an entry logs of a request that is sent in a drain, or in progress at its end.
+SENT_IN_DRAIN = re.compile(rb'"drain_left_ms": \d').search
+DRAIN_END = b'"request in progress at the end of the drain"'
 # A process that ended by itself is restarted within this time.
 RESTART_DELAY_S = 0.3
 
@@ -179,9 +183,19 @@
             checker.check_stop(
                 self.name, time.monotonic() - began_s, ended, had_run or wrote
             )
+        self.check_drain_ends(checker)
         self.kill()
         self.stopping = False
 
+    def check_drain_ends(self, checker: InvariantChecker) -> None:
+        """Check what its log tells of requests at the end of a drain."""
+        with open(self.process.log, "rb") as file:
+            file.seek(self.files_at_start.log_bytes)
+            for line in file:
+                checker.check_counts["sent in drain"] += bool(SENT_IN_DRAIN(line))
+                if DRAIN_END in line:
+                    checker.check_drain_end(self.name, json.loads(line))
+
 
 def site_packages() -> str:
     """Return the folder of this interpreter's installed libraries."""
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -6,6 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from signal import SIGTERM
+from time import monotonic
 from typing import NamedTuple
 
 from soak.crashing_parts import MAX_LATER_SENDS, Arrival, CrashingParts
@@ -39,6 +40,8 @@
 EVACUATION_STRETCH_S = 6.0
 # Targets that stood still for no longer than this during a request can still answer it.
 MAX_PAUSE_S = 2.6
+# A stream that ends no earlier than this before its own time limit ended by that.
+LIMIT_MARGIN_S = 0.3
 # Silences that ended this long before the end of a version are told with late begins.
 RECENT_S = 2.0
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -60,6 +63,8 @@
     idempotent: bool
     max_targets: int
     prompt_tokens: int = 0
+    # Time limit that a silence may use up, of a long stream; infinite for others.
+    limit_s: float = float("inf")
 
 
 class Execution(NamedTuple):
@@ -479,6 +484,19 @@
         allowed = (0, None) if had_begun else (0, None, -SIGTERM)
         self.check("exit", status in allowed, f"{name} ended with {status}")
 
+    def check_drain_end(self, entry: str, logged: dict) -> None:
+        """Check a request in progress at the end of the drain of its entry, by the log.
+
+        It came before the stop signal, its own time limit has passed, or a failure
+        affected it. Targets that stand still are no excuse.
+        """
+        sent = self.sent.get(logged["request_id"])
+        if sent is None or logged["left_ms"] <= 0:
+            return
+        is_excused = self.is_affected_by_failure(sent, monotonic())
+        holds = logged["arrived_after_ms"] < 0 or is_excused
+        self.check("drain end", holds, f"{entry}: {logged}")
+
     def check_memory(self, name: str, resident: int, limit: int) -> bool:
         """Check that the memory of a process is within the limit; return whether."""
         role = name.partition("-")[0]
@@ -566,9 +584,9 @@
 
     def check_truncated(self, result: RequestResult) -> None:
         """Check that planned operations alone truncate no response."""
-        if result.complete or not self.timed:
-            return
         sent = self.sent[result.request_id]
+        if result.complete or not self.timed or is_at_limit(sent, result):
+            return
         if not self.executions.get(result.request_id):
             return
         failures = frozenset(FaultKind) - PLANNED_KINDS
@@ -601,7 +619,7 @@
             return
         if self.is_affected_by_failure(sent, result.at_s):
             return
-        if self.is_version_ended(sent, result.at_s):
+        if self.is_version_ended(sent, result.at_s) or is_at_limit(sent, result):
             return
         was_sent_on = bool(result.status or self.executions.get(result.request_id))
         is_refused = result.status in NOT_EXECUTED_STATUSES
@@ -668,6 +686,11 @@
     return whole / len(results)
 
 
+def is_at_limit(sent: SentRequest, result: RequestResult) -> bool:
+    """Return whether a request ended at the time limit of its caller."""
+    return result.at_s >= sent.at_s + sent.limit_s - LIMIT_MARGIN_S
+
+
 def is_streaming(sent: SentRequest) -> bool:
     """Return whether a request is served by engines, not by plain targets."""
     return sent.path.startswith("/stream/")
--- a/soak/raw_callers.py
+++ b/soak/raw_callers.py
@@ -2,23 +2,23 @@
 
 import asyncio
 import contextlib
-import random
 import time
-from collections import Counter
 
 from tests.fakes.raw_caller import CLOSED, RawCaller, Request
 
 from soak.callers import (
     HOST,
+    LONG_STREAMS,
     REQUEST_KINDS,
     REQUEST_TIMEOUT_S,
+    EntryCaller,
     RequestKind,
-    draw_prompt_tokens,
     request_headers,
 )
-from soak.invariants import InvariantChecker, RequestResult, SentRequest
+from soak.invariants import InvariantChecker, RequestResult
 
 RAW_CALLERS_PER_ENTRY = 4
+STREAMING_CALLERS_PER_ENTRY = 8
 # A body that makes a request of several parts.
 BODY_BYTES = 400
 PART_PAUSE_S = 0.3
@@ -29,43 +29,21 @@
 STUCK_S = 3 * REQUEST_TIMEOUT_S
 
 
-class PipeliningCaller:
-    """Sends to one entry on one connection at a time, until that is closed.
+class PipeliningCaller(EntryCaller):
+    """Sends on one connection at a time, until that is closed.
 
     It connects to the process itself, as a relay would hide how a connection ends.
-
-    Parameters
-    ----------
-    name : str
-        Unique; prefix of the request ids, and seed of the caller's choices.
-    entry : str
-        Name of the entry.
-    address : str
-        Address at which the entry listens.
-    checker : InvariantChecker
-        Records each request and its result.
     """
 
+    prefix = "raw"
+    request_kinds = REQUEST_KINDS
+    max_pending = MAX_PENDING
+    max_think_time_s = MAX_THINK_TIME_S
+
     def __init__(self, name: str, entry: str, address: str, checker: InvariantChecker):
-        self.name = name
-        self.entry = entry
-        self.address = address
-        self.checker = checker
-        self.rng = random.Random(name)
-        self.number = 0
+        super().__init__(name, entry, address, checker)
         self.recorded = 0
         self.kinds: dict[str, RequestKind] = {}
-        self.status_counts: Counter[int] = Counter()
-        self.task: asyncio.Task | None = None
-
-    def start(self) -> None:
-        """Start sending."""
-        self.task = asyncio.get_running_loop().create_task(self.run())
-
-    async def stop(self) -> None:
-        """Leave the connection and stop sending."""
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
 
     async def run(self) -> None:
         """Use one connection after the other until cancelled."""
@@ -98,10 +76,10 @@
 
     async def wait_for_responses(self, connection: RawCaller) -> None:
         """Wait for a short time, and until not too many requests are pending."""
-        next_s = time.monotonic() + self.rng.uniform(0.0, MAX_THINK_TIME_S)
+        next_s = time.monotonic() + self.rng.uniform(0.0, self.max_think_time_s)
         while connection.is_open and (
             time.monotonic() < next_s
-            or len(connection.begun) - self.recorded > MAX_PENDING
+            or len(connection.begun) - self.recorded > self.max_pending
         ):
             await asyncio.sleep(POLL_INTERVAL_S)
             self.record(connection)
@@ -110,33 +88,20 @@
         """Send one request in parts, or several in one write."""
         count = self.rng.randint(1, 3)
         if self.rng.random() < 0.5:
-            connection.send(*(self.new_request() for _ in range(count)))
+            connection.send(*(self.draw_request() for _ in range(count)))
         else:
             await connection.send_in_parts(
-                self.new_request(),
+                self.draw_request(),
                 count,
                 lambda: asyncio.sleep(self.rng.uniform(0.0, PART_PAUSE_S)),
             )
 
-    def new_request(self) -> Request:
-        """Return one more request, and record that it is sent."""
-        kind = self.rng.choice(REQUEST_KINDS)
-        self.number += 1
-        request_id = f"{self.name}-{self.number}"
+    def draw_request(self) -> Request:
+        """Return one more request, as it is sent."""
+        kind = self.rng.choice(self.request_kinds)
+        sent = self.new_request(kind, self.rng, BODY_BYTES)
+        request_id, body = sent.request_id, sent.body
         self.kinds[request_id] = kind
-        body = request_id.encode().ljust(BODY_BYTES) if kind.method == "POST" else b""
-        sent = SentRequest(
-            request_id,
-            self.entry,
-            kind.method,
-            kind.path,
-            body,
-            time.monotonic(),
-            kind.idempotent,
-            kind.max_targets,
-            draw_prompt_tokens(self.rng),
-        )
-        self.checker.record_sent(sent)
         headers = {**request_headers(sent), "Content-Length": len(body)}
         lines = [f"{kind.method} {kind.path} HTTP/1.1", f"Host: {HOST}"]
         lines += (f"{name}: {value}" for name, value in headers.items())
@@ -161,3 +126,22 @@
             self.status_counts[0] += 1
             result = RequestResult(request_id, now_s, 0, False, False)
             self.checker.record_unanswered(result, was_read)
+
+
+class StreamingCaller(PipeliningCaller):
+    """Sends one long stream after the other, the next as soon as one has ended.
+
+    Only a rejection makes it wait.
+    """
+
+    prefix = "long"
+    request_kinds = LONG_STREAMS
+    max_pending = 0
+    max_think_time_s = 0.0
+    recovery_requests = 2
+
+    async def send_some(self, connection: RawCaller) -> None:
+        """Send one stream."""
+        if connection.statuses and connection.statuses[-1] != 200:
+            await asyncio.sleep(self.rng.uniform(0.0, MAX_THINK_TIME_S))
+        connection.send(self.draw_request())
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,15 +21,19 @@
 )
 from soak.operators import ACCOUNT, Operator, VersionProber
 from soak.plan import SETTLE_S, Fault, FaultKind, FleetShape, draw_faults
-from soak.raw_callers import RAW_CALLERS_PER_ENTRY, PipeliningCaller
-from soak.stops import add_stops
+from soak.raw_callers import (
+    RAW_CALLERS_PER_ENTRY,
+    STREAMING_CALLERS_PER_ENTRY,
+    PipeliningCaller,
+    StreamingCaller,
+)
+from soak.stops import add_end_pauses, add_stops
 
 log = logging.getLogger(__name__)
 
 # Time after the last fault in which everything must serve again. The platform's bounds
 # are shorter, but the machine may be busy.
 RECOVERY_TIMEOUT_S = 60.0
-RECOVERY_REQUESTS = 20
 THROTTLED_BYTES_PER_S = 40_000.0
 MIN_UNRESPONSIVE_S = 0.5
 # A change of the configuration is sent when a pause has lasted for this fraction.
@@ -65,21 +69,19 @@
     findings: tuple[Finding, ...]
 
 
-class SoakRun:
-    """Run of one seed.
+class SeedOptions(NamedTuple):
+    """Options of a run.
 
-    Parameters
+    Attributes
     ----------
-    folder : Path
-        Folder for settings, logs and data.
-    seed : int
-        Determines the faults.
     seconds : float
         Time in which faults start.
-    shape : FleetShape
-        Names of the processes and targets.
+    entries, engines : int
+        Sizes of the fleet.
     timed : bool
         Whether time bounds are checked.
+    keep_folder : bool
+        Whether the logs of a run without findings are kept.
     calm : bool
         Whether only planned operations and pauses are drawn.
     callers : int
@@ -91,36 +93,65 @@
     stops : bool
         Whether stops in series are drawn, and callers send in parts and behind one
         another.
+    long_streams : bool
+        Whether further callers send one long stream after the other, and engines stand
+        still late in the stops of entries.
     """
 
-    def __init__(
-        self,
-        folder: Path,
-        seed: int,
-        seconds: float,
-        shape: FleetShape,
-        timed: bool = True,
-        calm: bool = False,
-        callers: int = CALLERS_PER_ENTRY,
-        endless: bool = False,
-        leaves: bool = False,
-        stops: bool = False,
-    ):
-        self.callers_per_entry = callers
+    seconds: float = 30.0
+    entries: int = 2
+    engines: int = 3
+    timed: bool = True
+    keep_folder: bool = False
+    calm: bool = False
+    callers: int = CALLERS_PER_ENTRY
+    endless: bool = False
+    leaves: bool = False
+    stops: bool = False
+    long_streams: bool = False
+
+    @property
+    def shape(self) -> FleetShape:
+        """Names of the fleet's processes and targets."""
+        return FleetShape.of_size(self.entries, self.engines)
+
+    def draw_plan(self, seed: int) -> list[Fault]:
+        """Return the faults of a seed."""
+        drawn = {"calm": self.calm, "endless": self.endless, "leaves": self.leaves}
+        plan = draw_faults(seed, self.seconds, self.shape, **drawn)
+        if self.stops:
+            plan = add_stops(plan, seed, self.seconds, self.shape)
+        return add_end_pauses(plan, seed, self.shape) if self.long_streams else plan
+
+
+class SoakRun:
+    """Run of one seed.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings, logs and data.
+    seed : int
+        Determines the faults.
+    options : SeedOptions
+        Sizes, and what is drawn and checked.
+    """
+
+    def __init__(self, folder: Path, seed: int, options: SeedOptions):
         self.seed = seed
-        self.shape = shape
-        self.checker = InvariantChecker(ACCOUNT, timed)
-        self.fleet = SoakFleet(folder, shape, self.checker, seed)
+        self.shape = options.shape
+        self.checker = InvariantChecker(ACCOUNT, options.timed)
+        self.fleet = SoakFleet(folder, self.shape, self.checker, seed)
         self.operator = Operator(
             self.checker, self.fleet.origin, self.fleet.shuffled_controls, seed
         )
         self.progression = VersionProgress(self.checker)
-        self.plan = draw_faults(
-            seed, seconds, shape, calm=calm, endless=endless, leaves=leaves
-        )
-        if stops:
-            self.plan = add_stops(self.plan, seed, seconds, shape)
-        self.raw_callers_per_entry = RAW_CALLERS_PER_ENTRY if stops else 0
+        self.plan = options.draw_plan(seed)
+        self.callers_per_entry = options.callers
+        self.raw_callers = {
+            PipeliningCaller: RAW_CALLERS_PER_ENTRY if options.stops else 0,
+            StreamingCaller: STREAMING_CALLERS_PER_ENTRY if options.long_streams else 0,
+        }
         self.callers: list[Caller | PipeliningCaller] = []
         self.background_tasks: list[asyncio.Task] = []
         self.fault_tasks: set[asyncio.Task] = set()
@@ -169,10 +200,11 @@
             ]
             own_address = self.fleet.nodes[name].address(FRONTEND_OFFSET)
             self.callers += [
-                PipeliningCaller(
-                    f"raw-{name}-{number}", name, own_address, self.checker
+                caller(
+                    f"{caller.prefix}-{name}-{number}", name, own_address, self.checker
                 )
-                for number in range(self.raw_callers_per_entry)
+                for caller, count in self.raw_callers.items()
+                for number in range(count)
             ]
             self.background_tasks.append(self.start_prober(name, address))
         for caller in self.callers:
@@ -503,7 +535,8 @@
 
         async def served_again() -> bool:
             return all(
-                caller.status_counts[200] >= before[caller.name] + RECOVERY_REQUESTS
+                caller.status_counts[200]
+                >= before[caller.name] + caller.recovery_requests
                 for caller in self.callers
             )
 
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -2,9 +2,13 @@
 
 import random
 from collections.abc import Iterator
+from math import inf
 
 from soak.plan import (
+    AT_END_KINDS,
+    FAILURE_DOMAINS,
     SETTLE_S,
+    VERSION_END_KINDS,
     Fault,
     FaultKind,
     FleetShape,
@@ -20,6 +24,18 @@
 BESIDE_KINDS = (FaultKind.HUP, FaultKind.CONFIG, FaultKind.TERM)
 MAX_BESIDE = 3
 BEFORE_S, DURING_S = 0.3, 2.3
+# Engines stand still when streams that were taken after the signal are near their end,
+# which is near the end of the drain.
+END_PAUSE_AFTER_S = (4.5, 6.5)
+END_PAUSE_S = (0.8, 1.6)
+# How long a stop takes while callers send on.
+STOP_S = 7.2
+LEFT_OUT = {
+    *VERSION_END_KINDS,
+    *AT_END_KINDS,
+    FaultKind.LONG_SILENCE_AT_END,
+    FaultKind.PAUSE_WITH_WEIGHTS,
+}
 
 
 def add_stops(
@@ -31,6 +47,27 @@
     return sorted((*faults, *stops), key=lambda fault: fault.at_s)
 
 
+def add_end_pauses(faults: list[Fault], seed: int, shape: FleetShape) -> list[Fault]:
+    """Return the faults of a seed with a pause of engines late in each entry's stop.
+
+    Ends of versions are left out: engines cut a stream in progress at the end of its
+    version, whether or not its entry stops.
+    """
+    faults = [fault for fault in faults if fault.kind not in LEFT_OUT]
+    rng = random.Random(f"end pauses/{seed}")
+    ends_s = dict.fromkeys(shape.entries, 0.0)
+    pauses = []
+    for fault in faults:
+        # A stop signal before the end of a stop begins no other one.
+        if fault.kind is FaultKind.TERM and fault.at_s >= ends_s.get(fault.name, inf):
+            ends_s[fault.name] = fault.at_s + STOP_S
+            at_s = fault.at_s + rng.uniform(*END_PAUSE_AFTER_S)
+            name = rng.choice(("", *FAILURE_DOMAINS, *shape.sidecars))
+            pause_s = rng.uniform(*END_PAUSE_S)
+            pauses.append(Fault(at_s, FaultKind.PAUSE, name, pause_s))
+    return sorted((*faults, *pauses), key=lambda fault: fault.at_s)
+
+
 def draw_stops(
     rng: random.Random, seconds: float, shape: FleetShape
 ) -> Iterator[Fault]:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 import time
 from collections.abc import Callable
 
@@ -22,6 +23,9 @@
 LEAVE_DELAY_S = 3.5
 EVENTS_PER_STREAM = 12
 EVENT_INTERVAL_S = 0.03
+# Streams of this path take longer, from their first event to their last.
+LONG_PATH = "/stream/long"
+LONG_STREAM_S = (2.0, 4.5)
 SERVICE_TIME_S = 0.03
 # A target that stands still does not go on with a prompt; it reads in such steps.
 READING_STEP_S = 0.02
@@ -42,6 +46,13 @@
     return b"id: %d\ndata: %s/%d\n\n" % (number, request_id.encode(), number)
 
 
+def event_interval_s(path: str, request_id: str, usual_s: float) -> float:
+    """Return the time between two events of a stream; each long one has its own."""
+    if path != LONG_PATH:
+        return usual_s
+    return random.Random(request_id).uniform(*LONG_STREAM_S) / EVENTS_PER_STREAM
+
+
 def expected_stream(request_id: str) -> bytes:
     """Return the complete response body of a streaming request."""
     return b"".join(make_event(request_id, n) for n in range(1, EVENTS_PER_STREAM + 1))
@@ -246,9 +257,10 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         await self.crash_by_part(request)
+        event_s = event_interval_s(request.raw_path, request_id, self.event_s)
         first = int(request.headers.get(names.LAST_EVENT, 0)) + 1
         for number in range(first, EVENTS_PER_STREAM + 1):
-            await asyncio.sleep(self.event_s)
+            await asyncio.sleep(event_s)
             await self.awake.wait()
             if is_overdue(request):
                 log.info("%s cut at its time limit by %s", request_id, self.target_id)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -59,8 +59,7 @@
     drop_stops_near_wipes,
 )
 from soak.regressions import REGRESSIONS
-from soak.run import FAULT_ACTIONS, SoakRun
-from soak.seeds import SeedOptions
+from soak.run import FAULT_ACTIONS, SeedOptions, SoakRun
 from soak.targets import (
     ENDLESS_BLOCK_BYTES,
     HeartbeatSender,
@@ -1473,8 +1472,8 @@
     # returns, and restarts after that.
     @pytest.mark.parametrize("seed,calm", [(20, False), (22, True)])
     def test_real_programs_hold_all_invariants(self, tmp_path, seed, calm):
-        shape = FleetShape.of_size(1, 2)
-        run = SoakRun(tmp_path, seed, 5.0, shape, timed=False, calm=calm)
+        options = SeedOptions(5.0, 1, 2, timed=False, calm=calm)
+        run = SoakRun(tmp_path, seed, options)
         drawn = {fault.kind for fault in run.plan}
         assert FaultKind.WEIGHTS_ORIGIN_AWAY in drawn
         assert not calm or drawn >= set(VERSION_END_KINDS) & PLANNED_KINDS
@@ -1483,7 +1482,7 @@
         assert outcome.requests[200] > 0
 
     def test_prompts_that_crash_engines_are_sent_no_more(self, tmp_path):
-        run = SoakRun(tmp_path, 20, 5.0, FleetShape.of_size(2, 4), timed=False)
+        run = SoakRun(tmp_path, 20, SeedOptions(5.0, 2, 4, timed=False))
         run.plan = [Fault(0.0, FaultKind.CRASHING_PART, "bad0", 12.0)]
         outcome = asyncio.run(run.run())
         assert outcome.findings == ()
