Wait for the next request of callers that were told of no close

Callers saw a reset as they sent the next request on a kept connection right behind a stream of a stopping entry.

A stream that began before the signal says nothing of a close in its head. Once the listener was closed, its connection was closed within 20 ms of its end, while its caller might be sending.

A connection whose last response announced no close, or that has none yet, is now kept for 0.15 s behind that response, or since it was accepted, within the drain. A request that comes meanwhile is answered or refused with `Connection: close`, which ends the wait, so callers that go on sending prolong no stop. Connections that were idle for longer are closed with the listener as before.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -44,9 +44,19 @@
         Whether a response has told the caller that no other will follow.
     arrivals_s : list of float
         When the heads of the requests arrived that are not handled yet.
+    answered_s : float
+        When the last response ended, on the loop's clock; before the first one, when
+        the connection was accepted.
     """
 
-    __slots__ = ("arrivals_s", "body", "close_announced", "partial_of", "server")
+    __slots__ = (
+        "answered_s",
+        "arrivals_s",
+        "body",
+        "close_announced",
+        "partial_of",
+        "server",
+    )
 
     def __init__(self, server: "CallerServer", **options: object):
         super().__init__(server, **options)
@@ -59,6 +69,7 @@
         self.partial_of = -1
         self.close_announced = False
         self.arrivals_s: list[float] = []
+        self.answered_s: float = self._loop.time()
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrives, and note whether it is a part of a head."""
@@ -176,6 +187,7 @@
         if self.server.closing and not getattr(response, "prepared", True):
             self.end_connection(request, response)
         result = await super().finish_response(request, response, start_s)
+        self.answered_s = self._loop.time()
         if self.close_announced and not self.has_more:
             self.force_close()
         return result
@@ -225,7 +237,11 @@
         return CallerConnection(self, loop=loop, **self.options)
 
 
-def close_idle(server: CallerServer, keep_partial_heads: bool = False) -> None:
+def close_idle(
+    server: CallerServer,
+    keep_partial_heads: bool = False,
+    answered_before_s: float = math.inf,
+) -> None:
     """Close idle connections.
 
     Parameters
@@ -234,18 +250,29 @@
         Server whose connections to close.
     keep_partial_heads : bool
         Whether to keep the connections on which a part of a head has arrived.
+    answered_before_s : float
+        Keep the connections whose last response ended later, on the loop's clock,
+        unless it announced the close.
     """
     for connection in server.connections:
         is_kept = keep_partial_heads and connection.has_partial_head
+        if not connection.close_announced:
+            is_kept |= connection.answered_s > answered_before_s
         if connection.is_idle and not is_kept:
             connection.force_close()
 
 
 async def close_when_answered(
-    server: CallerServer, ends_s: float, head_ends_s: float = 0.0
+    server: CallerServer,
+    ends_s: float,
+    head_ends_s: float = 0.0,
+    next_wait_s: float = 0.0,
 ) -> None:
     """Close each connection once all requests that were read on it have a response.
 
+    A caller that no response told of the close may just be sending its next request.
+    That one is waited for, and its response announces the close.
+
     Parameters
     ----------
     server : CallerServer
@@ -254,12 +281,14 @@
         When to stop waiting, on the loop's clock.
     head_ends_s : float
         When to stop waiting for the rest of a head, on the loop's clock.
+    next_wait_s : float
+        How long to wait for a request behind the last response, in seconds.
     """
     now_s = asyncio.get_running_loop().time
     for _ in range(ACCEPT_TURNS):
         await asyncio.sleep(0)
     while True:
-        close_idle(server, keep_partial_heads=now_s() < head_ends_s)
+        close_idle(server, now_s() < head_ends_s, now_s() - next_wait_s)
         if not server.connections or now_s() >= ends_s:
             return
         await asyncio.sleep(POLL_INTERVAL_S)
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -40,6 +40,8 @@
 KEEPALIVE_S = 75.0
 # How long a stopping entry waits for the rest of a head that has arrived in part.
 HEAD_WAIT_S = 1.0
+# How long it waits for the next request of a caller that was told of no close.
+NEXT_REQUEST_WAIT_S = 0.15
 # How long a caller waits that does not state it.
 DEFAULT_MAX_WAIT_MS = 30_000
 # Larger numbers would not fit into a slot request to a sidecar.
@@ -393,7 +395,7 @@
         self.server.listener_closed_s = now_s()
         ends_s = self.window.ends_s
         head_ends_s = min(now_s() + HEAD_WAIT_S, ends_s)
-        await close_when_answered(self.server, ends_s, head_ends_s)
+        await close_when_answered(self.server, ends_s, head_ends_s, NEXT_REQUEST_WAIT_S)
         await self.cancel_overdue()
         await close_when_answered(self.server, now_s() + CLOSE_TIMEOUT_S)
 
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -10,6 +10,7 @@
 from aiohttp.web_protocol import MAX_MSG_QUEUE_SIZE
 
 from wisteriapulley.http_drain import CallerServer, close_idle
+from wisteriapulley.platform import ingress
 from wisteriapulley.platform.ingress import Ingress
 from wisteriapulley.settings import Address
 
@@ -289,6 +290,112 @@
         play(scenario)
 
 
+class TestNextRequestOfACaller:
+    """It is sent once the last response has ended, by a caller told of no close."""
+
+    @pytest.fixture(autouse=True)
+    def wait_for_long(self, monkeypatch):
+        monkeypatch.setattr(ingress, "NEXT_REQUEST_WAIT_S", LONG_DRAIN_S)
+
+    async def stream_across_the_close(self, entry):
+        """Let a stream of before the stop end after the listener was closed."""
+        entry.streams = True
+        entry.writer.write(request_bytes(1))
+        await until(lambda: EVENT in entry.received)
+        stopping = entry.begin_stop(LONG_DRAIN_S)
+        await entry.listener_closed()
+        entry.may_answer.set()
+        await until(lambda: LAST_CHUNK in entry.received)
+        assert b"connection: close" not in entry.received.lower()
+        await asyncio.sleep(0.1)
+        return stopping
+
+    @pytest.mark.parametrize(
+        "needed_s, status, handled",
+        [(0.0, 200, ["1", "2"]), (2 * LONG_DRAIN_S, 503, ["1"])],
+        ids=["served", "refused"],
+    )
+    def test_behind_a_stream_of_before_the_stop(self, play, needed_s, status, handled):
+        async def scenario(entry):
+            entry.need(lambda head: needed_s)
+            stopping = await self.stream_across_the_close(entry)
+            entry.writer.write(request_bytes(2))
+            await entry.reading
+            assert entry.statuses == [200, status] and entry.handled == handled
+            assert b"connection: close" in entry.received.lower()
+            await stopping
+
+        play(scenario)
+
+    def test_head_in_parts_behind_a_stream_of_before_the_stop(self, play):
+        async def scenario(entry):
+            whole = request_bytes(2)
+            stopping = await self.stream_across_the_close(entry)
+            entry.writer.write(whole[:40])
+            await asyncio.sleep(0.1)
+            entry.writer.write(whole[40:])
+            await entry.reading
+            assert entry.statuses == [200, 200] and entry.handled == ["1", "2"]
+            await stopping
+
+        play(scenario)
+
+    def test_first_request_of_a_connection_of_just_before_the_close(self, play):
+        async def scenario(entry):
+            entry.may_answer.set()
+            stopping = entry.begin_stop(LONG_DRAIN_S)
+            await entry.listener_closed()
+            entry.writer.write(request_bytes(1))
+            await entry.reading
+            assert entry.statuses == [200]
+            await stopping
+
+        play(scenario)
+
+    def test_is_not_waited_for_beyond_the_drain(self, play):
+        async def scenario(entry):
+            await entry.begin_stop()
+            await entry.reading
+
+        play(scenario)
+
+    def test_is_not_waited_for_on_a_connection_that_was_idle_for_long(self, play):
+        async def scenario(entry):
+            (connection,) = entry.ingress.server.connections
+            connection.answered_s -= 2 * LONG_DRAIN_S
+            await entry.begin_stop(LONG_DRAIN_S)
+            await entry.reading
+
+        play(scenario)
+
+    def test_is_waited_for_no_longer_than_its_limit(self, play, monkeypatch):
+        monkeypatch.setattr(ingress, "NEXT_REQUEST_WAIT_S", 0.3)
+
+        async def scenario(entry):
+            stopping = await self.stream_across_the_close(entry)
+            await entry.reading
+            assert entry.statuses == [200]
+            await stopping
+
+        play(scenario)
+
+    def test_of_a_caller_that_goes_on_sending(self, play):
+        """It is told of the close by the first response, which ends the wait."""
+
+        async def scenario(entry):
+            stopping = await self.stream_across_the_close(entry)
+            sent = 1
+            while not entry.reading.done():
+                if len(entry.statuses) == sent:
+                    sent += 1
+                    entry.writer.write(request_bytes(sent))
+                await asyncio.sleep(0.001)
+            assert len(entry.handled) == 2
+            await stopping
+
+        play(scenario)
+
+
 class TestTimeOfAStop:
     """A stop ends in its time, whatever its callers do."""
 
