Take nothing after a late signal that ends after the process may be killed

Callers of an entry that stood still as its stop signal came got streams that broke off with the process. The platform counts the grace period from the signal, and the entry counted its drain from when its loop had read it.

An entry now watches when its loop last ran. If that was some time before it read the signal, the signal may be as old, and what is taken must end by the earliest end of the drain. What is in progress still goes on until the latest one, as the process may live so long.

test_no_stream_is_cut[send_after_a_pause], an entry that gets SIGTERM while it is stopped for 4 s, failed before: three streams ended with the process.

--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -23,6 +23,7 @@
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import EdgeLimits, RoutingTable
 from wisteriapulley.routing.homes import home_regions
+from wisteriapulley.stalls import StallWatch
 from wisteriapulley.wire import messages
 from wisteriapulley.wire.handshake import Identity
 
@@ -120,9 +121,11 @@
         self.leaving = False
         self.sweep_task: asyncio.Task | None = None
         self.stop_ends_s = 0.0
+        self.stalls = StallWatch()
 
     async def start(self) -> None:
         """Follow control instances and listen for callers."""
+        self.stalls.start()
         self.follower.start()
         await self.http.start(self.settings.http_listen)
         await self.ingress.start(self.settings.listen)
@@ -144,9 +147,18 @@
         """Leave the load balancer, drain requests in progress, and close."""
         self.leaving = True
         drain_s = self.settings.drain_ms / 1000
-        self.stop_ends_s = asyncio.get_running_loop().time() + drain_s
-        log.info("stopping", extra=fields(in_progress=len(self.ingress.active)))
-        await self.ingress.drain(BALANCER_REMOVAL_S, drain_s)
+        now_s = asyncio.get_running_loop().time()
+        self.stop_ends_s = now_s + drain_s
+        signal_age_s = self.stalls.signal_age_s(now_s)
+        log.info(
+            "stopping",
+            extra=fields(
+                in_progress=len(self.ingress.active),
+                signal_age_ms=int(signal_age_s * 1000),
+            ),
+        )
+        await self.ingress.drain(BALANCER_REMOVAL_S, drain_s, signal_age_s)
+        self.stalls.stop()
         self.sweep_task.cancel()
         await self.ingress.stop()
         await self.http.stop(wait_limit_s(self.stop_ends_s))
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -370,7 +370,9 @@
         )
         await answer.end(STOPPED)
 
-    async def drain(self, accept_s: float, max_s: float) -> None:
+    async def drain(
+        self, accept_s: float, max_s: float, signal_age_s: float = 0.0
+    ) -> None:
         """Answer each request that is read, and close connections once they are idle.
 
         A request that can't be finished in time is refused at once.
@@ -382,18 +384,22 @@
             the load balancer and callers need this time to notice the drain.
         max_s : float
             Time limit of the whole drain, in seconds.
+        signal_age_s : float
+            How long ago the stop signal may have been sent. The process may be killed
+            earlier by this, so nothing is taken that ends later. What is in progress
+            goes on.
         """
         self.closing = True
         now_s = asyncio.get_running_loop().time
         begins_s = now_s()
-        self.window = DrainWindow(begins_s + max_s, begins_s, begins_s + accept_s)
+        ends_s = begins_s + max_s
+        self.window = DrainWindow(ends_s - signal_age_s, begins_s, begins_s + accept_s)
         self.on_drain()
         for time_limit, head in self.body_limits.items():
             time_limit.reschedule(self.latest_start_s(head))
         await asyncio.sleep(accept_s)
         await self.site.stop()
         self.server.listener_closed_s = now_s()
-        ends_s = self.window.ends_s
         head_ends_s = min(now_s() + HEAD_WAIT_S, ends_s)
         await close_when_answered(self.server, ends_s, head_ends_s, NEXT_REQUEST_WAIT_S)
         await self.cancel_overdue()
--- a/tests/test_streams_cut_at_a_stop.py
+++ b/tests/test_streams_cut_at_a_stop.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import signal
 
 import aiohttp
 import pytest
@@ -119,7 +120,26 @@
     await play_stop(entry, send())
 
 
+async def send_after_a_pause(entry):
+    """The signal is read late, and the platform counts from when it was sent."""
+    await learn(entry, "/s/25-0-0")
+
+    async def stop():
+        entry.send(signal.SIGSTOP)
+        entry.send(signal.SIGTERM)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(entry.wait_for_end())
+            await asyncio.sleep(4.0)
+            entry.send(signal.SIGCONT)
+            await asyncio.sleep(0.2)
+            for _ in range(3):
+                await stream(entry, "/s/25-10-1.5")
+
+    await play_stop(entry, stop=stop)
+
+
 SCENARIOS = (
+    send_after_a_pause,
     send_behind_a_stream,
     send_long_streams,
     send_first_streams,
