--- a/src/wisteriapulley/policy/drain_window.py
+++ b/src/wisteriapulley/policy/drain_window.py
@@ -12,7 +12,7 @@
 
 from wisteriapulley.policy.silence import STREAM_SILENCE_S
 
-# A target that stands still for longer is left for another one.
+# A stream whose target stands still for longer is tried at another one.
 SILENCE_ALLOWANCE_S = STREAM_SILENCE_S
 # A caller that is refused because of a stop finds another entry at once.
 STOPPING_RETRY_S = 0.05
