--- a/soak/targets.py
+++ b/soak/targets.py
@@ -453,7 +453,7 @@
         """Go on serving for a while, then restart, unless a crash did so meanwhile."""
         target = self.target
         await asyncio.sleep(LEAVE_DELAY_S)
-        while target.running or not target.awake.is_set():
+        while target.target_id == target_id:
+            if not target.running and target.awake.is_set():
+                target.crash()
             await asyncio.sleep(EVENT_INTERVAL_S)
-        if target.target_id == target_id:
-            target.crash()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -520,6 +520,22 @@
 
         asyncio.run(run())
 
+    def test_second_leave_ends_with_the_incarnation_that_left(self, monkeypatch):
+        """The next incarnation may never be without requests."""
+        monkeypatch.setattr("soak.targets.LEAVE_DELAY_S", 0.0)
+
+        async def run():
+            plain = SoakPlainTarget(InvariantChecker("account"), "plain-1")
+            sender = HeartbeatSender(plain, "127.0.0.1:1", "domain-a", list)
+            left_id = plain.target_id
+            plain.crash()
+            plain.running = 1
+            async with asyncio.timeout(30.0):
+                await sender.serve_on_and_restart(left_id)
+            assert plain.incarnation == 2
+
+        asyncio.run(run())
+
     def test_deregistered_target_reports_no_more_until_it_restarts(self):
         async def run():
             control = Origin()
