Say what the end of a drain's window is

The docstring said when requests in progress are ended. Since a signal may be read late, the window ends at the earliest end of the drain, which bounds what is sent; requests in progress go on until the latest. Only the docstring changes.

--- a/src/wisteriapulley/policy/drain_window.py
+++ b/src/wisteriapulley/policy/drain_window.py
@@ -24,7 +24,8 @@
     Attributes
     ----------
     ends_s : float
-        When requests in progress are ended; infinite before a drain.
+        By when what is sent must end: the earliest end of the drain, which may be later
+        if the signal was read late. Infinite before a drain.
     begins_s : float
         When the drain begins; infinite before it.
     removed_s : float
