Answer no request with 504 that was sent nowhere

A caller whose request waited for a slot until its time limit got 504, which promises nothing, though no target had it. The same came of a slot that was granted with less than 50 ms left.

A request that was sent nowhere is refused as not run whatever time is left, and none is placed, first or again, with less than 50 ms left: no target could serve it, and it took a slot and a part of the retry budget.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -282,7 +282,7 @@
             async with asyncio.timeout_at(admitted.ends_s) as progress.time_limit:
                 refusal = await self.send_until_answered(admitted, progress, answer)
         except TimeoutError:
-            refusal = self.refuse_overdue(admitted, progress, answer)
+            refusal = refuse_overdue(progress, answer)
         except asyncio.CancelledError:
             if not self.is_overdue():
                 log.info("caller left", extra=fields(request.request_id))
@@ -323,19 +323,6 @@
         expected_s = self.drain_limits.response_times.upper_bound(work)
         return admitted._replace(expected_s=expected_s or None)
 
-    def refuse_overdue(
-        self, admitted: Admitted, progress: Progress, answer: CallerAnswer
-    ) -> Refusal:
-        """Return the refusal of a request whose time has passed.
-
-        One that was sent nowhere has not run, and its caller may come back.
-        """
-        has_time = self.now_s() < admitted.deadline_s
-        if has_time and not progress.sends:
-            return Refusal(RefusalKind.OVERLOADED, FAILED_RETRY_S, "no slot in time")
-        reason = "request timed out" if answer.started else "no response in time"
-        return Refusal(RefusalKind.TIMED_OUT, reason=reason)
-
     def find_route(self, request: CallerRequest) -> Route | None:
         """Return the route of a request by the routing table in force, if any."""
         if self.index is None:
@@ -492,8 +479,8 @@
         """
         if not progress.has_sends_left:
             return refusal or NO_SEND_LEFT
-        if not progress.sends and self.sender.left_s(admitted, progress) < MIN_SEND_S:
-            return NO_TIME_LEFT
+        if self.sender.left_s(admitted, progress) < MIN_SEND_S:
+            return refusal or NO_TIME_LEFT
         quarantined = self.refuse_quarantined(admitted, progress)
         if quarantined is not None:
             return quarantined
@@ -706,6 +693,17 @@
         return refusal
 
 
+def refuse_overdue(progress: Progress, answer: CallerAnswer) -> Refusal:
+    """Return the refusal of a request whose time has passed.
+
+    One that was sent nowhere has not run, and its caller may come back.
+    """
+    if not progress.sends:
+        return Refusal(RefusalKind.OVERLOADED, FAILED_RETRY_S, "no slot in time")
+    reason = "request timed out" if answer.started else "no response in time"
+    return Refusal(RefusalKind.TIMED_OUT, reason=reason)
+
+
 def merge_refusals(refusal: Refusal | None, no_slot: Refusal) -> Refusal:
     """Return the final refusal of a request that can't get another slot.
 
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -129,7 +129,8 @@
         """Send a request and wait for status and headers."""
         target, slot, sent_s = exchange.target, exchange.slot, exchange.sent_s
         if self.left_s(admitted, progress) < MIN_SEND_S:
-            return Refusal(RefusalKind.TIMED_OUT, reason="no time left")
+            reason = "no time left"
+            return Refusal(RefusalKind.UNAVAILABLE, REJECTED_RETRY_S, reason)
         if not slot.may_send(self.now_s()):
             # A kept connection would take the request before a timeout cancels it.
             reason = "weights superseded"
--- a/tests/test_callers_leave.py
+++ b/tests/test_callers_leave.py
@@ -135,6 +135,17 @@
         assert refusal.kind is RefusalKind.OVERLOADED and refusal.retry_s > 0
         assert ended_s < LEAVES_S
 
+    def test_plain_request_that_was_sent_nowhere_is_refused(self):
+        """Nothing has run when its whole time limit has passed."""
+        entry = Entry(targets=2, kind=RouteKind.NON_IDEMPOTENT, slots=0)
+
+        async def allocate(*args):
+            await asyncio.sleep(NEVER_S)
+
+        entry.allocator.allocate = allocate
+        refusal, _ = entry.serve()
+        assert refusal.kind is RefusalKind.OVERLOADED
+
     def test_no_target_is_tried_that_could_not_begin_in_time(self):
         """Room at a second target falls free when the caller is about to leave."""
         answers = PacedAnswer(head_s=NEVER_S), PacedAnswer((0.0, events(1, 4)))
