Decide in one place until when a request may be sent in a drain

The rule that a request is sent if its own limit ends before the drain, or if the expected time and a silence fit in, stood three times: for what an entry reads, for what it sends, and for entries with sidecars. It is a method of the drain's window now, pure, with tests of its own; the callers say what is expected and which silence is risked. No decision changes. The tests of sends in drains, and of real entries under SIGTERM, pass as before.

--- a/src/wisteriapulley/direct/drain_limits.py
+++ b/src/wisteriapulley/direct/drain_limits.py
@@ -84,26 +84,25 @@
             return window.latest_start_s(MIN_SEND_S)
         limit_s = min(route.timeout_ms / 1000, request.max_wait_s)
         deadline_s = request.arrived_s + limit_s
-        if deadline_s <= window.ends_s:
-            return deadline_s
-        longest_s = self.time_needed_s(request) + SILENCE_ALLOWANCE_S
-        latest_s = window.latest_start_s(longest_s)
-        return latest_s if may_fail(route) else min(latest_s, window.removed_s)
+        needed_s = self.time_needed_s(request)
+        latest_s = window.latest_send_s(deadline_s, needed_s, SILENCE_ALLOWANCE_S)
+        if latest_s < deadline_s and not is_answered_at_end(route):
+            return min(latest_s, window.removed_s)
+        return min(latest_s, deadline_s)
 
     def latest_send_s(self, admitted: Admitted, progress: Progress) -> float:
         """Return until when a request may be sent, so that it ends before the drain.
 
-        Infinite before a drain, if the time limit of the request ends before it, and
-        for a response that has begun: only another target can complete that.
+        Infinite before a drain, and for a response that has begun: only another target
+        can complete that.
         """
         window = self.window()
-        if admitted.deadline_s <= window.ends_s or progress.has_begun:
+        if progress.has_begun or window.ends_s == float("inf"):
             return float("inf")
         needed_s = expected_s(admitted.route, admitted.request, self.run_times)
-        if progress.may_have_run:
-            # It fails if it is not sent again, so a silence is risked.
-            return window.latest_start_s(needed_s)
-        return window.latest_start_s(needed_s + SILENCE_ALLOWANCE_S)
+        # What may have run fails if it is not sent again, so a silence is risked.
+        silence_s = 0.0 if progress.may_have_run else SILENCE_ALLOWANCE_S
+        return window.latest_send_s(admitted.deadline_s, needed_s, silence_s)
 
     def has_time(self, admitted: Admitted, progress: Progress) -> bool:
         """Return whether a request that is sent now is expected to end in time."""
@@ -150,10 +149,11 @@
     return max(MIN_SEND_S, min(known_s or unknown_ms / 1000, route.timeout_ms / 1000))
 
 
-def may_fail(route: Route) -> bool:
-    """Return whether the end of a drain still answers requests, which may be repeated.
+def is_answered_at_end(route: Route) -> bool:
+    """Return whether callers lose little where the end of a drain meets a request.
 
-    A stream is cut, and it is unknown whether other requests have run.
+    They get an answer and may send it again. A stream is cut, and what may run once
+    only may have run.
     """
     return route.repeatable and route.kind is not RouteKind.STREAM
 
--- a/src/wisteriapulley/entry/drain_limits.py
+++ b/src/wisteriapulley/entry/drain_limits.py
@@ -62,13 +62,9 @@
             Whether an earlier attempt may have run. The request then fails if it is
             not sent again, so a silence is risked.
         """
-        if work.deadline_s <= self.window.ends_s:
-            return float("inf")
-        expected_s = times.upper_bound(work)
-        if not expected_s:
-            return -float("inf")
+        expected_s = times.upper_bound(work) or float("inf")
         silence_s = 0.0 if may_have_run else self.silence_s
-        return self.window.latest_start_s(expected_s + silence_s)
+        return self.window.latest_send_s(work.deadline_s, expected_s, silence_s)
 
     @contextlib.asynccontextmanager
     async def limiting(self, latest_start_s: Callable[[], float]) -> AsyncIterator:
--- a/src/wisteriapulley/policy/drain_window.py
+++ b/src/wisteriapulley/policy/drain_window.py
@@ -19,7 +19,7 @@
 
 
 class DrainWindow(NamedTuple):
-    """The time of a drain, on the loop's clock.
+    """The time of a drain, on the clock of whoever asks.
 
     Attributes
     ----------
@@ -49,3 +49,23 @@
     def latest_start_s(self, needed_s: float) -> float:
         """Return until when a request that takes `needed_s` seconds can be started."""
         return self.ends_s - needed_s
+
+    def latest_send_s(
+        self, deadline_s: float, expected_s: float, silence_s: float
+    ) -> float:
+        """Return until when a request may be sent, so that it ends before the drain.
+
+        Infinite before a drain, or if its own time limit ends before it.
+
+        Parameters
+        ----------
+        deadline_s : float
+            When its own time limit ends.
+        expected_s : float
+            How long its response is expected to take; infinite if that is not known.
+        silence_s : float
+            How long its target may be silent meanwhile.
+        """
+        if deadline_s <= self.ends_s:
+            return float("inf")
+        return self.latest_start_s(expected_s + silence_s)
--- a/tests/test_drain_window.py
+++ b/tests/test_drain_window.py
@@ -15,6 +15,16 @@
     def test_request_is_served_if_it_ends_before_the_drain(self):
         assert DrainWindow(10.0).latest_start_s(3.0) == 7.0
 
+    def test_nothing_limits_what_ends_by_its_own_limit(self):
+        assert DrainWindow().latest_send_s(1e9, 3.0, 1.6) == float("inf")
+        assert DrainWindow(10.0).latest_send_s(10.0, 3.0, 1.6) == float("inf")
+
+    def test_expected_time_and_a_silence_fit_in(self):
+        assert DrainWindow(10.0).latest_send_s(11.0, 3.0, 1.5) == 5.5
+
+    def test_nothing_is_sent_of_which_nothing_is_known(self):
+        assert DrainWindow(10.0).latest_send_s(11.0, float("inf"), 0.0) < 0.0
+
     def test_log_tells_times_only_in_a_drain(self):
         assert DrainWindow().left_ms(3.0) is None
         assert DrainWindow().after_begin_ms(3.0) is None
