Play the stops of both process tests by one function

tests/test_streams_cut_at_a_stop.py started entries and played scenarios by a copy of the function in tests/test_stop_processes.py. One function takes the scenarios and the target now; both files check what they did, and pass.

--- a/tests/test_stop_processes.py
+++ b/tests/test_stop_processes.py
@@ -461,16 +461,17 @@
 )
 
 
-async def play(folder):
-    """Play all scenarios side by side; return the target and the entries by name."""
-    control_host, *hosts = free_hosts(1 + len(SCENARIOS))
+async def play(folder, scenarios=SCENARIOS, new_target=RecordingTarget):
+    """Play scenarios side by side; return the target and the entries by name."""
+    control_host, *hosts = free_hosts(1 + len(scenarios))
     base = free_port()
     control = ControlInstance(folder / "control", control_host, base)
+    control.target = new_target(1)
     entries = {
         scenario.__name__: Entry(
             scenario.__name__, folder / scenario.__name__, host, base, control_host
         )
-        for scenario, host in zip(SCENARIOS, hosts, strict=True)
+        for scenario, host in zip(scenarios, hosts, strict=True)
     }
     processes = [control.process, *(entry.process for entry in entries.values())]
     try:
@@ -483,7 +484,7 @@
             for entry in entries.values():
                 await until(entry.serves)
             await asyncio.gather(
-                *(each(entries[each.__name__], control) for each in SCENARIOS)
+                *(each(entries[each.__name__], control) for each in scenarios)
             )
             await asyncio.gather(*(entry.end() for entry in entries.values()))
             beating.cancel()
--- a/tests/test_streams_cut_at_a_stop.py
+++ b/tests/test_streams_cut_at_a_stop.py
@@ -7,19 +7,15 @@
 import signal
 from contextlib import suppress
 
-import aiohttp
 import pytest
 from aiohttp import web
 
-from tests.fleet import free_hosts, free_port
 from tests.test_stop_processes import (
     OK,
     STREAM_ROUTE,
-    ControlInstance,
-    Entry,
     RecordingTarget,
+    play,
     play_stop,
-    until,
 )
 from wisteriapulley.platform import names
 
@@ -81,7 +77,7 @@
             await asyncio.sleep(0.02)
 
 
-async def send_behind_a_stream(entry):
+async def send_behind_a_stream(entry, control):
     """The request arrives on a kept connection, long after the signal."""
     await learn(entry, "/s/5-0-0")
     callers = [await stream(entry, "/s/36-0-0") for _ in range(3)]
@@ -94,7 +90,7 @@
     await play_stop(entry, send_behind())
 
 
-async def send_long_streams(entry):
+async def send_long_streams(entry, control):
     """The estimated time is left, and a silence of the target is not."""
     await learn(entry, "/s/43-0-0")
 
@@ -105,7 +101,7 @@
     await play_stop(entry, send())
 
 
-async def send_first_streams(entry):
+async def send_first_streams(entry, control):
     """Nothing is known of how long streams of the route take."""
 
     async def send():
@@ -115,7 +111,7 @@
     await play_stop(entry, send())
 
 
-async def send_short_streams(entry):
+async def send_short_streams(entry, control):
     await learn(entry, "/s/5-0-0")
 
     async def send():
@@ -125,7 +121,7 @@
     await play_stop(entry, send())
 
 
-async def send_after_a_pause(entry):
+async def send_after_a_pause(entry, control):
     """The signal is read late, and the platform counts from when it was sent."""
     await learn(entry, "/s/25-0-0")
 
@@ -151,42 +147,10 @@
 )
 
 
-async def play(folder):
-    """Play all scenarios side by side; return the target and the entries by name."""
-    control_host, *hosts = free_hosts(1 + len(SCENARIOS))
-    base = free_port()
-    control = ControlInstance(folder / "control", control_host, base)
-    control.target = StreamingTarget(1)
-    entries = {
-        each.__name__: Entry(
-            each.__name__, folder / each.__name__, host, base, control_host
-        )
-        for each, host in zip(SCENARIOS, hosts, strict=True)
-    }
-    processes = [control.process, *(entry.process for entry in entries.values())]
-    try:
-        async with aiohttp.ClientSession() as control.session, asyncio.timeout(120.0):
-            await control.target.start()
-            for process in processes:
-                process.start()
-            beating = asyncio.create_task(control.heartbeat_loop())
-            await control.configure()
-            for entry in entries.values():
-                await until(entry.serves)
-            await asyncio.gather(*(each(entries[each.__name__]) for each in SCENARIOS))
-            await asyncio.gather(*(entry.end() for entry in entries.values()))
-            beating.cancel()
-    finally:
-        for process in processes:
-            if process.popen is not None:
-                process.kill()
-        await control.target.stop()
-    return control.target, entries
-
-
 @pytest.fixture(scope="module")
 def played(tmp_path_factory):
-    return asyncio.run(play(tmp_path_factory.mktemp("streams")))
+    folder = tmp_path_factory.mktemp("streams")
+    return asyncio.run(play(folder, SCENARIOS, StreamingTarget))
 
 
 @pytest.mark.parametrize("name", [each.__name__ for each in SCENARIOS])
