--- a/src/wisteriapulley/control/driver.py
+++ b/src/wisteriapulley/control/driver.py
@@ -45,8 +45,8 @@
 # Upper bound of a tick, since a deadline may move nearer while the driver sleeps.
 MAX_TICK_S = 0.1
 PROPOSE_TIMEOUT_S = 3.0
-# Interval at which a full disk is tried with a small write. Meanwhile the quorum works
-# without this instance.
+# Interval of the small writes that tell whether a full disk has room again. Meanwhile
+# the quorum works without this instance.
 DISK_RETRY_MS = 250.0
 RETRY_AFTER_MS = 1000
 # Interval at which an instance that is not a member yet requests to join.
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -40,7 +40,8 @@
 KEEPALIVE_S = 75.0
 # How long a stopping entry waits for the rest of a head that has arrived in part.
 HEAD_WAIT_S = 1.0
-# How long it waits for the next request of a caller that was told of no close.
+# How long it waits for the next request of a caller that was told of no close: one
+# that is sent as the last response ends is on its way for no longer.
 NEXT_REQUEST_WAIT_S = 0.15
 # How long a caller waits that does not state it.
 DEFAULT_MAX_WAIT_MS = 30_000
