Let each process tell its build at its start and as a metric

Operators who report a failure could not say which build had run: the version is 0.1.0 in all of them, and no log line or metric named another sign. The record of the cut answers can be dated by its clock only.

The build is the digest of the package's sources, written by the build step, so that a start reads one small file; a checkout without it computes the digest. It stands in the line "started" and in the metric build_info of every role.

--- a/src/wisteriapulley/daemon.py
+++ b/src/wisteriapulley/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import logging
 import signal
 import sys
 from importlib import import_module
@@ -10,9 +11,12 @@
 import uvloop
 
 from wisteriapulley import logs
+from wisteriapulley.build import build_fields
 from wisteriapulley.errors import WisteriapulleyError
 from wisteriapulley.settings import NodeSettings, load_settings
 
+log = logging.getLogger(__name__)
+
 # Imported on demand: modules that a role does not need must not count against its
 # memory limit of 32 MB.
 SERVICES = {
@@ -52,6 +56,7 @@
         The daemon could not start, or failed fatally.
     """
     logs.configure(settings.node_id, settings.log_level)
+    log.info("started", extra=logs.fields(role=role, **build_fields()))
     module, name = SERVICES[role]
     service = getattr(import_module(module), name).from_settings(settings)
     # The settings are not read again, and the default would end all requests.
--- a/src/wisteriapulley/metrics.py
+++ b/src/wisteriapulley/metrics.py
@@ -2,6 +2,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
+from wisteriapulley.build import build_fields
+
 LATENCY_BUCKETS_S = (
     0.001,
     0.0025,
@@ -36,6 +38,8 @@
         self.registry = Registry()
         self.labels = {"node": node_id, "role": role}
         self.collectors: dict[str, Counter | Gauge | Histogram] = {}
+        build_info = self.gauge("build_info", "Version and build that runs; always 1.")
+        build_info.set(build_fields(), 1)
 
     def counter(self, name: str, doc: str) -> Counter:
         """Return the counter `name`; create it on first use."""
--- a/src/wisteriapulley/platform/daemons.py
+++ b/src/wisteriapulley/platform/daemons.py
@@ -111,6 +111,7 @@
     WisteriapulleyError
         The daemon could not start, or failed permanently.
     """
+    from wisteriapulley.build import build_fields
     from wisteriapulley.daemon import reduce_gc_frequency, serve
     from wisteriapulley.logs import fields
     from wisteriapulley.settings_watch import SettingsWatch
@@ -124,7 +125,7 @@
     )
     watch.start()
     reduce_gc_frequency()
-    log.info("started", extra=fields(role=role))
+    log.info("started", extra=fields(role=role, **build_fields()))
     try:
         await serve(service)
     finally:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from wisteriapulley.build import digest_of, read_build
+
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
 BUILD_TIMEOUT_S = 600
@@ -80,6 +82,11 @@
             )
             assert (done.returncode, done.stderr[:5]) == (1, "WP100")
 
+    def test_build_is_named_by_the_sources_that_it_was_made_of(self, checkout):
+        """A log of another build must not be taken for one of this build."""
+        built = read_build(checkout / "target" / "app" / "wisteriapulley")
+        assert built.digest == digest_of(ROOT / "src" / "wisteriapulley")
+
     def test_stop_during_the_imports_exits_cleanly(self, tmp_path):
         """Soak seed 1924131696: a process that was stopped then exited with -15."""
         shutil.copytree(ROOT / "deploy", tmp_path / "deploy")
--- a/tests/test_streams_cut_at_a_stop.py
+++ b/tests/test_streams_cut_at_a_stop.py
@@ -17,6 +17,7 @@
     play,
     play_stop,
 )
+from wisteriapulley.build import build_fields
 from wisteriapulley.platform import names
 
 EVENT_S = 0.1
@@ -169,6 +170,13 @@
         assert "request in progress at the end of the drain" not in messages
 
 
+class TestLog:
+    def test_an_entry_tells_its_build_when_it_starts(self, played):
+        for entry in played[1].values():
+            started = [line for line in entry.log if line["message"] == "started"]
+            assert [line["build"] for line in started] == [build_fields()["build"]]
+
+
 class TestCost:
     def test_short_streams_are_served_through_a_silence(self, played):
         callers = played[1]["send_short_streams"].callers
