Give requests in progress at a stop what the grace period can spare

Callers of requests that may run once got 502 at the end of the drain though their target was about to answer, and streams were cut there, while the process still had 0.8 s to live.

One constant stood for two things: by when what an entry takes is expected to end, and when the rest is given up. It is the first now. What takes longer goes on until 0.4 s before the process may be killed, in which the entry waits at most twice 0.2 s for callers to take its answers; if the signal may have been read late, by as much less. Nothing more is taken than before.

--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -147,8 +147,9 @@
         """Leave the load balancer, drain requests in progress, and close."""
         self.leaving = True
         drain_s = self.settings.drain_ms / 1000
+        overrun_s = self.settings.drain_overrun_ms / 1000
         now_s = asyncio.get_running_loop().time()
-        self.stop_ends_s = now_s + drain_s
+        self.stop_ends_s = now_s + drain_s + overrun_s
         signal_age_s = self.stalls.signal_age_s(now_s)
         log.info(
             "stopping",
@@ -157,7 +158,7 @@
                 signal_age_ms=int(signal_age_s * 1000),
             ),
         )
-        await self.ingress.drain(BALANCER_REMOVAL_S, drain_s, signal_age_s)
+        await self.ingress.drain(BALANCER_REMOVAL_S, drain_s, signal_age_s, overrun_s)
         self.stalls.stop()
         self.sweep_task.cancel()
         await self.ingress.stop()
--- a/src/wisteriapulley/direct/settings.py
+++ b/src/wisteriapulley/direct/settings.py
@@ -71,6 +71,9 @@
         Fewer are refused for good, and more of these are refused late.
     response_limits : ResponseLimits
         How much targets may send.
+    drain_overrun_ms : int
+        How much longer than `drain_ms` requests in progress may take. Nothing is taken
+        that is expected to need it.
     """
 
     listen: Address
@@ -84,6 +87,7 @@
     retry_window_s: float = 10.0
     returns_wait: bool = False
     response_limits: ResponseLimits = ResponseLimits()
+    drain_overrun_ms: int = 0
 
 
 class RolloutSettings(NodeSettings, frozen=True, kw_only=True):
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -372,7 +372,11 @@
         await answer.end(STOPPED)
 
     async def drain(
-        self, accept_s: float, max_s: float, signal_age_s: float = 0.0
+        self,
+        accept_s: float,
+        max_s: float,
+        signal_age_s: float = 0.0,
+        overrun_s: float = 0.0,
     ) -> None:
         """Answer each request that is read, and close connections once they are idle.
 
@@ -384,17 +388,22 @@
             How long new connections and requests are still accepted, in seconds:
             the load balancer and callers need this time to notice the drain.
         max_s : float
-            Time limit of the whole drain, in seconds.
+            Time in which all that is taken is expected to end, in seconds.
         signal_age_s : float
             How long ago the stop signal may have been sent. The process may be killed
             earlier by this, so nothing is taken that ends later. What is in progress
             goes on.
+        overrun_s : float
+            How much longer what is in progress may take, in seconds: an estimate may be
+            wrong, and what has run and is given up may not be sent again. As much less
+            as the signal may be late.
         """
         self.closing = True
         now_s = asyncio.get_running_loop().time
         begins_s = now_s()
         ends_s = begins_s + max_s
         self.window = DrainWindow(ends_s - signal_age_s, begins_s, begins_s + accept_s)
+        given_up_s = ends_s + max(0.0, overrun_s - signal_age_s)
         self.on_drain()
         for time_limit, head in self.body_limits.items():
             time_limit.reschedule(self.latest_start_s(head))
@@ -402,7 +411,9 @@
         await self.site.stop()
         self.server.listener_closed_s = now_s()
         head_ends_s = min(now_s() + HEAD_WAIT_S, ends_s)
-        await close_when_answered(self.server, ends_s, head_ends_s, NEXT_REQUEST_WAIT_S)
+        await close_when_answered(
+            self.server, given_up_s, head_ends_s, NEXT_REQUEST_WAIT_S
+        )
         await self.cancel_overdue()
         await close_when_answered(self.server, now_s() + CLOSE_TIMEOUT_S)
 
--- a/src/wisteriapulley/platform/settings.py
+++ b/src/wisteriapulley/platform/settings.py
@@ -37,9 +37,12 @@
 RAFT_HEARTBEAT_MS = 100
 # Number of missed heartbeats after which a target is removed.
 TARGET_LEASE_HEARTBEATS = 6
-# Fraction of the platform's grace period after a stop signal that a drain may use;
-# the rest is for closing.
+# Fraction of the platform's grace period after a stop signal within which an entry
+# expects all that it takes to end. The rest is for what takes longer, and for closing.
 DRAIN_FRACTION = 0.9
+# Part of the grace period in which an entry answers what is still in progress: it waits
+# twice for callers to take these answers (`http_drain.CLOSE_TIMEOUT_S`).
+CLOSING_MS = 400
 
 
 class Listen(msgspec.Struct, rename="kebab"):
@@ -157,6 +160,15 @@
         hosts = (seed.rpartition(":")[0] for seed in self.seed_nodes)
         return tuple(Address(host, port) for host in hosts)
 
+    def drain_ms(self) -> int:
+        """Return within what time a stopping daemon expects requests to end."""
+        return int(self.bounds.grace_period_s * 1000 * DRAIN_FRACTION)
+
+    def drain_overrun_ms(self) -> int:
+        """Return how much longer requests in progress may take at an entry."""
+        grace_ms = int(self.bounds.grace_period_s * 1000)
+        return max(0, grace_ms - CLOSING_MS - self.drain_ms())
+
     def common_settings(self, http_port: int, key_file: str) -> dict[str, object]:
         """Return the settings that all daemons share."""
         return {
@@ -165,7 +177,7 @@
             "fleet_key_file": key_file,
             "heartbeat_ms": HEARTBEAT_MS,
             "silence_ms": SILENCE_MS,
-            "drain_ms": int(self.bounds.grace_period_s * 1000 * DRAIN_FRACTION),
+            "drain_ms": self.drain_ms(),
             "failure_domain_regions": self.zones,
         }
 
@@ -203,6 +215,7 @@
             retry_window_s=bounds.budget_window_s,
             returns_wait=self.returns_wait,
             response_limits=self.response_limits.limits(),
+            drain_overrun_ms=self.drain_overrun_ms(),
             **self.common_settings(ENTRY_HTTP_PORT, key_file),
         )
 
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -91,9 +91,14 @@
             time_needed_s(head)
         )
 
-    def begin_stop(self, drain_s=DRAIN_S):
+    def begin_stop(self, drain_s=DRAIN_S, **limits):
         """Stop the entry as its service does; return the task."""
-        return asyncio.create_task(self.ingress.drain(ACCEPT_S, drain_s))
+        return asyncio.create_task(self.ingress.drain(ACCEPT_S, drain_s, **limits))
+
+    async def expected_end(self):
+        """Wait until all that is taken was expected to end."""
+        now_s = asyncio.get_running_loop().time
+        await until(lambda: now_s() >= self.ingress.window.ends_s)
 
     async def listener_closed(self):
         """Wait until idle connections have been closed."""
@@ -526,6 +531,58 @@
         play(scenario)
 
 
+class TestRequestThatTakesLongerThanExpected:
+    """What has run may not be sent again, so it gets what a stop can spare."""
+
+    def test_answer_after_the_expected_end_reaches_its_caller(self, play):
+        async def scenario(entry):
+            entry.writer.write(request_bytes(1))
+            await until(lambda: entry.handled)
+            stopping = entry.begin_stop(0.3, overrun_s=LONG_DRAIN_S)
+            await entry.expected_end()
+            entry.may_answer.set()
+            await entry.reading
+            assert entry.statuses == [200]
+            await stopping
+
+        play(scenario)
+
+    def test_nothing_is_taken_after_the_expected_end(self, play):
+        async def scenario(entry):
+            entry.writer.write(request_bytes(1))
+            await until(lambda: entry.handled)
+            stopping = entry.begin_stop(0.3, overrun_s=LONG_DRAIN_S)
+            await entry.expected_end()
+            entry.writer.write(request_bytes(2))
+            await asyncio.sleep(0.05)
+            entry.may_answer.set()
+            await entry.reading
+            assert entry.statuses == [200, 503] and entry.handled == ["1"]
+            await stopping
+
+        play(scenario)
+
+    @pytest.mark.parametrize(
+        ("overrun_s", "signal_age_s"), [(0.3, 0.0), (LONG_DRAIN_S, LONG_DRAIN_S)]
+    )
+    def test_is_given_up_while_the_process_still_lives(
+        self, play, overrun_s, signal_age_s
+    ):
+        """A signal that was read late leaves less time before the process is killed."""
+
+        async def scenario(entry):
+            entry.writer.write(request_bytes(1))
+            await until(lambda: entry.handled)
+            stopping = entry.begin_stop(
+                0.3, overrun_s=overrun_s, signal_age_s=signal_age_s
+            )
+            await entry.reading
+            assert entry.statuses == [502]
+            await stopping
+
+        play(scenario)
+
+
 class TestPartOfAHead:
     """What a connection tells of requests that have arrived in part."""
 
