Send no stream that outlasts its version where no other engine can go on

A target stops work at the end of its version of the weights. A stream that may be repeated was sent there whatever it was expected to take, since another engine may go on with it; while the origin of the weights was away none could. Whether one has newer weights was not asked, and an entry without response times of its own did not ask what the stream would take either.

Such a stream is now sent only if a target of the service is known to have newer weights, and else refused as not run, while its caller has time. The expected time counts from when a request is sent, as the limit does; before the first response it follows from the stated size. What may have run already is sent as before, since it can't be refused any more. A silence of the target is not added, unlike in a drain: no other entry could serve the caller here.

tests/test_slot_allocation.py: two cases failed before. One of them stood there as "sends_again" without newer weights anywhere, which was the fault.

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -320,7 +320,7 @@
     def add_expected(self, admitted: Admitted) -> Admitted:
         """Add how long the response is expected to take, by those before it."""
         work = work_of(admitted.route, admitted.request)
-        expected_s = self.drain_limits.response_times.upper_bound(work)
+        expected_s = self.drain_limits.run_times.upper_bound(work)
         return admitted._replace(expected_s=expected_s or None)
 
     def find_route(self, request: CallerRequest) -> Route | None:
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -37,8 +37,10 @@
     large_prompt : int
         Tokens of a typical large prompt of its route; 0 if that is not known.
     expected_s : float or None
-        How long its response is expected to take at most, from its admission on; None
-        if that is not known.
+        How long its response is expected to take at most, from when it is sent; None if
+        that is not known.
+    may_have_run : bool
+        Whether a target may have started to run it.
     """
 
     request: CallerRequest
@@ -51,6 +53,7 @@
     has_begun: bool = False
     large_prompt: int = 0
     expected_s: float | None = None
+    may_have_run: bool = False
 
     def engine_of(self, service: str) -> Engine | None:
         """Return the engine parameters of a service; None for plain targets."""
@@ -196,8 +199,10 @@
         return closed
 
     def as_of_now(self, admitted: Admitted) -> Admitted:
-        """Return the admitted request, updated with whether its response has begun."""
-        return admitted._replace(has_begun=self.has_begun)
+        """Return the admitted request, updated with what has become of it so far."""
+        return admitted._replace(
+            has_begun=self.has_begun, may_have_run=self.may_have_run
+        )
 
     def record_begun(self, deadline_s: float, status: int) -> None:
         """Record that the response begins, and lift the time limit for that."""
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -30,8 +30,8 @@
 from wisteriapulley.policy.version_end import (
     BEGIN_MARGIN_MS,
     grant_left_ms,
+    outlasts_version,
     start_left_ms,
-    time_limit_ms,
 )
 from wisteriapulley.regions import Regions
 from wisteriapulley.routing import Engine, RoutingTable
@@ -576,7 +576,7 @@
                 answer.first_event_ms or busy_first_event_ms(request, engine)
             ),
         )
-        if not answer.version or not self.may_use(slot, admitted):
+        if not answer.version or not self.may_use(slot, admitted, engine):
             release()
             return None
         return self.occupy(slot)
@@ -602,7 +602,7 @@
             version_deadline_s=by_version,
             send_margin_s=send_margin_s(busy_first_event_ms(admitted.request, engine)),
         )
-        if not self.may_use(slot, admitted):
+        if not self.may_use(slot, admitted, engine):
             return None
         now_s = self.now_s()
         if target.rate.per_s is not None and self.rate_permits.local_wait_s(
@@ -611,20 +611,26 @@
             return None
         return self.occupy(slot)
 
-    def may_use(self, slot: AllocatedSlot, admitted: Admitted) -> bool:
+    def may_use(self, slot: AllocatedSlot, admitted: Admitted, engine: Engine) -> bool:
         """Return whether a request may be sent at a slot.
 
-        A target stops work at the end of its version. What can't go on at another one
-        is not sent there to be stopped.
+        A target stops work at the end of its version. What has not run and can't go on
+        at another one is not sent there to be stopped.
         """
         now_s = self.now_s()
         if not slot.may_send(now_s):
             return False
-        expected_s = admitted.expected_s
-        if not admitted.has_one_send or expected_s is None:
+        expected_ms = expected_run_ms(admitted, engine)
+        if expected_ms is None or admitted.may_have_run:
             return True
-        expected_ms = expected_s * 1000
-        return time_limit_ms(expected_ms, slot.start_left_ms(now_s)) >= expected_ms
+        if not outlasts_version(expected_ms, slot.start_left_ms(now_s)):
+            return True
+        return not admitted.has_one_send and self.has_newer(slot, admitted.homes)
+
+    def has_newer(self, slot: AllocatedSlot, homes: tuple[str, ...]) -> bool:
+        """Return whether a target of the service has newer weights than a slot."""
+        alive = self.registry.alive(slot.target.state.service, self.now_s(), homes)
+        return any(target.state.version > slot.version for target in alive)
 
     def start_deadline_s(self, left_ms: float | None) -> float | None:
         """Return when a request must have started, on the loop's clock."""
@@ -672,6 +678,21 @@
     return UNKNOWN_WAIT_MS + request.prompt_tokens / engine.prefill_tokens_per_ms
 
 
+def expected_run_ms(admitted: Admitted, engine: Engine) -> float | None:
+    """Return how long a response is expected to take; None if that is not known.
+
+    By the responses before it, or, before the first one, by its stated size.
+    """
+    if admitted.expected_s is not None:
+        return admitted.expected_s * 1000
+    return decode_ms(admitted.request, engine) or None
+
+
+def decode_ms(request: CallerRequest, engine: Engine) -> float:
+    """Return how long a busy engine takes to decode a response."""
+    return DECODE_TIME_FACTOR * request.answer_tokens * engine.step_ms
+
+
 def send_margin_s(first_event_ms: float) -> float:
     """Return how long before its drop a request may still be sent."""
     return (BEGIN_MARGIN_MS + first_event_ms - VERSION_END_MARGIN_MS) / 1000
@@ -705,7 +726,7 @@
     left_ms = admitted.route.latency_ms - waited_ms - LATENCY_MARGIN_MS
     if left_ms > 0 and not admitted.is_retry:
         return Urgency(left_ms, priority, False)
-    run_ms = DECODE_TIME_FACTOR * request.answer_tokens * engine.step_ms
+    run_ms = decode_ms(request, engine)
     slack_ms = request.max_wait_s * 1000 - LATENCY_MARGIN_MS - run_ms
     may_wait = admitted.is_retry and returns_wait
     if may_wait:
--- a/src/wisteriapulley/policy/version_end.py
+++ b/src/wisteriapulley/policy/version_end.py
@@ -65,6 +65,19 @@
     return min(remaining_ms, start_left_ms + PAUSE_ALLOWANCE_MS)
 
 
+def outlasts_version(expected_ms: float, start_left_ms: float | None) -> bool:
+    """Return whether a target would stop a response before it is expected to end.
+
+    Parameters
+    ----------
+    expected_ms : float
+        How long the response is expected to take.
+    start_left_ms : float or None
+        As for `time_limit_ms`.
+    """
+    return time_limit_ms(expected_ms, start_left_ms) < expected_ms
+
+
 def needs_answer(start_left_ms: float | None, first_event_ms: float) -> bool:
     """Return whether a request would begin late if its target has just fallen silent.
 
--- a/tests/test_slot_allocation.py
+++ b/tests/test_slot_allocation.py
@@ -159,11 +159,15 @@
     return allocator, registry.targets["i"]
 
 
-def admit(prompt_tokens=0, expected_s=None, **route):
+def admit(
+    prompt_tokens=0, expected_s=None, answer_tokens=0, may_have_run=False, **route
+):
     """Return an admitted request with a prompt of some length."""
-    request = SimpleNamespace(request_id="q", prompt_tokens=prompt_tokens)
+    request = SimpleNamespace(
+        request_id="q", prompt_tokens=prompt_tokens, answer_tokens=answer_tokens
+    )
     admitted = Admitted(request, ROUTE._replace(**route), None, 6.0)
-    return admitted._replace(expected_s=expected_s)
+    return admitted._replace(expected_s=expected_s, may_have_run=may_have_run)
 
 
 class TestStartDeadline:
@@ -231,18 +235,23 @@
             lambda: asyncio.get_running_loop().time(),
         )
 
-    def allocate(self, follower, use):
-        """Return the slot that an entry allocates while no time passes."""
+    def allocate(self, follower, use, newer=1):
+        """Return the slot that an entry allocates while no time passes.
+
+        Another target has weights of the version `newer`.
+        """
 
         async def run():
             allocator, target = one_target(follower)
+            other = TargetState("j", "s", "10.0.0.2:80", "z", sequence=1)
+            allocator.registry.update([other._replace(version=newer)], 0)
             allocator.sidecars.release = lambda *args: None
             return use(allocator, target)
 
         with asyncio.Runner(loop_factory=VirtualLoop) as runner:
             return runner.run(run())
 
-    def use_grant(self, left_ms, first_event_ms, way_ms=0.0, **admitted):
+    def use_grant(self, left_ms, first_event_ms, way_ms=0.0, newer=1, **admitted):
         """Return the slot for a grant that was on its way for some time."""
         grant = messages.Reserved(
             True, 1, start_left_ms=int(left_ms), first_event_ms=first_event_ms
@@ -252,9 +261,10 @@
             lambda allocator, target: allocator.use_grant(
                 None, admit(**admitted), target, ENGINE, grant, -way_ms / 1000
             ),
+            newer,
         )
 
-    def use_without_sidecar(self, left_ms, prompt_tokens=0, **admitted):
+    def use_without_sidecar(self, left_ms, prompt_tokens=0, newer=1, **admitted):
         """Return the slot at an engine without a link to its sidecar."""
         versions = DesiredVersions()
         superseded_for_ms = start_left_ms(0.0, OLD_VERSION_MS) - left_ms
@@ -264,6 +274,7 @@
             lambda allocator, target: allocator.allocate_without_sidecar(
                 admit(prompt_tokens, **admitted), target, ENGINE
             ),
+            newer,
         )
 
     def test_grant_is_used_if_its_first_event_is_expected_in_time(self):
@@ -271,26 +282,53 @@
         assert self.use_grant(limit_ms + 2, self.EXPECTED_MS)
         assert not self.use_grant(limit_ms - 2, self.EXPECTED_MS)
 
+    def uses(self, left_ms):
+        """Yield ways to use a slot on which a request may still start for a while."""
+        yield lambda **admitted: self.use_grant(left_ms, self.EXPECTED_MS, **admitted)
+        yield lambda **admitted: self.use_without_sidecar(
+            left_ms + UNKNOWN_WAIT_MS, **admitted
+        )
+
     @pytest.mark.parametrize(
-        ("route", "sends_again"),
-        [({"resumable": False}, False), ({"attempts": 1}, False), ({}, True)],
+        ("route", "newer", "goes_on"),
+        [
+            ({"resumable": False}, 2, False),
+            ({"attempts": 1}, 2, False),
+            ({}, 2, True),
+            ({}, 1, False),
+        ],
     )
-    def test_what_has_one_send_is_not_sent_to_be_stopped(self, route, sends_again):
-        """Its target would stop it before it is expected to be complete."""
-        route = {"attempts": 2, **route}
+    def test_what_can_not_go_on_elsewhere_is_not_sent_to_be_stopped(
+        self, route, newer, goes_on
+    ):
+        """Its target would stop it before it is expected to be complete.
+
+        Only a target with newer weights can go on with it then.
+        """
+        route = {"attempts": 2, "newer": newer, **route}
         left_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
         version_left_s = (left_ms + PAUSE_ALLOWANCE_MS) / 1000
-        for use in (
-            lambda **admitted: self.use_grant(left_ms, self.EXPECTED_MS, **admitted),
-            lambda **admitted: self.use_without_sidecar(
-                left_ms + UNKNOWN_WAIT_MS, **admitted
-            ),
-        ):
+        too_long_s = version_left_s + UNKNOWN_WAIT_MS / 1000 + 0.01
+        for use in self.uses(left_ms):
             assert use(expected_s=version_left_s - 0.2, **route)
-            too_long_s = version_left_s + UNKNOWN_WAIT_MS / 1000 + 0.01
-            assert bool(use(expected_s=too_long_s, **route)) is sends_again
+            assert bool(use(expected_s=too_long_s, **route)) is goes_on
             assert use(**route)
 
+    def test_stated_size_tells_how_long_a_first_response_takes(self):
+        """An entry that has just started knows no times of others."""
+        left_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
+        route = {"attempts": 2}
+        for use in self.uses(left_ms):
+            assert use(answer_tokens=10, **route)
+            assert not use(answer_tokens=1000, **route)
+            assert use(answer_tokens=1000, newer=2, **route)
+
+    def test_what_may_have_run_is_sent_though_it_may_be_stopped(self):
+        """It can't be refused any more, so it has nothing to lose."""
+        left_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
+        for use in self.uses(left_ms):
+            assert use(expected_s=60.0, attempts=2, may_have_run=True)
+
     def test_time_of_a_grant_on_its_way_counts(self):
         limit_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
         assert self.use_grant(limit_ms + 2, self.EXPECTED_MS, way_ms=300)
