Bound the memory of the bodies of all requests of an entry

Callers lost requests that had been passed on, as the entry that served them was ended by its memory: a burst of bodies of the allowed length took it beyond 300 MiB.

An entry read the body of each request before it admitted it, and nothing bounded them together; the product's own path has had such a bound. Now the bodies of all requests in progress share a sixth of the memory that the platform states, beyond 64 KiB each, so that small requests are not disturbed. A request whose body finds no room is refused as not run, with a time to return that is spread over its callers, before its body is read where it states the length. A body is read for no longer than its caller waits, since a slow sender would keep the memory.

Tried and left out: a body of a stated length waits in order for memory, and the share is a quarter.

--- a/src/wisteriapulley/direct/kept_bytes.py
+++ b/src/wisteriapulley/direct/kept_bytes.py
@@ -1,22 +1,24 @@
-"""Bounds the memory of the responses that an entry has not relayed yet."""
+"""Bounds the memory of the bodies that an entry keeps, of requests or responses."""
 
-# Each response may keep this much even while others use up the memory, so that they do
-# not disturb small ones. A connection's own read buffer is of the same size.
+# Each body may keep this much even while others use up the memory, so that they do not
+# disturb small ones. A connection's own read buffer is of the same size.
 UNCOUNTED_BYTES = 64 << 10
+# Memory for the bodies of all requests in progress, where nothing else is stated.
+DEFAULT_REQUEST_BYTES = 64 << 20
 
 
 class KeptBytes:
-    """Counts what an entry keeps of all responses together.
+    """Counts what an entry keeps of all bodies of one kind together.
 
     Parameters
     ----------
     max_bytes : int
-        How much all responses together may keep.
+        How much of all bodies together may be kept.
 
     Attributes
     ----------
     reserved : int
-        How much they keep now.
+        How much of them is kept now.
     """
 
     def __init__(self, max_bytes: int):
@@ -25,17 +27,17 @@
 
 
 class Reservation:
-    """What is kept of one response.
+    """What is kept of one body.
 
     Parameters
     ----------
     kept_bytes : KeptBytes
-        Counts the responses of the same entry.
+        Counts the bodies of the same entry and kind.
 
     Attributes
     ----------
     counted : int
-        Bytes that are counted of this response.
+        Bytes that are counted of this body.
     """
 
     def __init__(self, kept_bytes: KeptBytes):
@@ -43,7 +45,7 @@
         self.counted = 0
 
     def resize(self, size: int) -> bool:
-        """Keep `size` bytes of the response; return whether there is room for them.
+        """Keep `size` bytes of the body; return whether there is room for them.
 
         What was kept before stays counted if there is none.
         """
@@ -55,5 +57,5 @@
         return True
 
     def release(self) -> None:
-        """Count nothing of the response any more."""
+        """Count nothing of the body any more."""
         self.resize(0)
--- a/src/wisteriapulley/direct/service.py
+++ b/src/wisteriapulley/direct/service.py
@@ -10,6 +10,7 @@
 from wisteriapulley.control.following import ControlFollower
 from wisteriapulley.direct.crashes import CrashTracker
 from wisteriapulley.direct.dispatch import Dispatcher
+from wisteriapulley.direct.kept_bytes import KeptBytes
 from wisteriapulley.direct.liveness import Liveness
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.settings import DirectSettings
@@ -91,6 +92,9 @@
             "prompt_parts_quarantined",
             "Parts whose prompts are sent to no target any more.",
         )
+        self.request_bodies = self.metrics.gauge(
+            "request_body_bytes", "Bytes kept of large bodies of requests in progress."
+        )
         self.targets_evacuated = self.metrics.gauge(
             "targets_evacuated", "Targets in evacuated failure domains, by domain."
         )
@@ -111,6 +115,7 @@
             lambda: self.follower.fresh,
         )
         self.ingress = new_ingress(self.dispatcher.serve, EdgeLimits().body_bytes)
+        self.ingress.kept_bodies = KeptBytes(settings.request_body_bytes)
         drain_limits = self.dispatcher.drain_limits
         drain_limits.window = lambda: self.ingress.window
         self.ingress.latest_start_s = drain_limits.latest_start_s
@@ -224,6 +229,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.loop_lag.set({}, loop.time() - due_s)
             self.lines_lost.set({}, lines_lost())
+            self.request_bodies.set({}, self.ingress.kept_bodies.reserved)
             self.crashes.sweep()
             entry_count = self.follower.entries_reported()
             self.dispatcher.set_entry_count(entry_count)
--- a/src/wisteriapulley/direct/settings.py
+++ b/src/wisteriapulley/direct/settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from wisteriapulley.direct.kept_bytes import DEFAULT_REQUEST_BYTES
 from wisteriapulley.settings import Address, NodeSettings
 
 
@@ -71,6 +72,9 @@
         Fewer are refused for good, and more of these are refused late.
     response_limits : ResponseLimits
         How much targets may send.
+    request_body_bytes : int
+        Memory for the bodies of all requests that an entry has in progress. A request
+        whose body finds no room is refused.
     drain_overrun_ms : int
         How much longer than `drain_ms` requests in progress may take. Nothing is taken
         that is expected to need it.
@@ -87,6 +91,7 @@
     retry_window_s: float = 10.0
     returns_wait: bool = False
     response_limits: ResponseLimits = ResponseLimits()
+    request_body_bytes: int = DEFAULT_REQUEST_BYTES
     drain_overrun_ms: int = 0
 
 
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -4,12 +4,18 @@
 import contextlib
 import logging
 import math
+import random
 from collections.abc import Awaitable, Callable
 
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 from yarl import URL
 
+from wisteriapulley.direct.kept_bytes import (
+    DEFAULT_REQUEST_BYTES,
+    KeptBytes,
+    Reservation,
+)
 from wisteriapulley.direct.types import (
     CallerRequest,
     Headers,
@@ -26,6 +32,7 @@
 from wisteriapulley.logs import fields
 from wisteriapulley.platform import names
 from wisteriapulley.policy.drain_window import STOPPING_RETRY_S, DrainWindow
+from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.response_end import is_unframed, write_end
 from wisteriapulley.settings import Address
 from wisteriapulley.unsent import discard_unsent
@@ -71,6 +78,15 @@
 SENT_AFTER_CLOSE = Refusal(
     RefusalKind.UNAVAILABLE, STOPPING_RETRY_S, "sent behind a response that closes"
 )
+# Earliest retry of a caller whose body finds no memory. The bodies before it are sent
+# on within about this time.
+BODY_RETRY_S = 0.3
+NO_BODY_MEMORY = Refusal(
+    RefusalKind.OVERLOADED, BODY_RETRY_S, "no memory left for the body of the request"
+)
+BODY_LATE = Refusal(
+    RefusalKind.UNAVAILABLE, reason="the body of the request did not come in its time"
+)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 INTERNAL_ERROR = Refusal(RefusalKind.FAILED, reason="internal error")
 
@@ -160,6 +176,8 @@
 
     Attributes
     ----------
+    kept_bodies : KeptBytes
+        Bounds the memory of the bodies of all requests in progress.
     closing : bool
         Whether a drain has begun.
     count_internal_error : callable
@@ -182,6 +200,7 @@
     def __init__(self, serve: RequestHandler, max_body_bytes: int):
         self.serve = serve
         self.max_body_bytes = max_body_bytes
+        self.kept_bodies = KeptBytes(DEFAULT_REQUEST_BYTES)
         self.closing = False
         self.count_internal_error: Callable[[], None] = lambda: None
         self.active: dict[object, asyncio.Task] = {}
@@ -284,12 +303,40 @@
         head = decode_request(request)
         if self.is_too_late(head):
             return log_refusal(request, STOPPING)
+        kept = Reservation(self.kept_bodies)
+        try:
+            return await self.serve_with_body(request, head, kept, answer)
+        finally:
+            kept.release()
+
+    async def serve_with_body(
+        self,
+        request: web.BaseRequest,
+        head: CallerRequest,
+        kept: Reservation,
+        answer: HttpCallerAnswer,
+    ) -> Refusal | None:
+        """Read the body of a request and serve it, unless there is no memory for it."""
+        stated = min(request.content_length or 0, self.max_body_bytes)
+        if not kept.resize(stated):
+            return self.refuse_body(request, head)
         await self.confirm_expected(request)
-        body = await self.read_body(request, head)
-        if body is None or self.is_too_late(head):
+        body = await self.read_body(request, head, kept)
+        if isinstance(body, Refusal):
+            return log_refusal(request, body)
+        if body is None:
+            return self.refuse_body(request, head)
+        if self.is_too_late(head):
             return log_refusal(request, STOPPING)
         return await self.serve(head._replace(body=body), answer)
 
+    def refuse_body(self, request: web.BaseRequest, head: CallerRequest) -> Refusal:
+        """Refuse a request whose body finds no memory; callers return spread."""
+        now_s = asyncio.get_running_loop().time()
+        left_s = head.arrived_s + head.max_wait_s - now_s
+        retry_s = retry_after_s(True, BODY_RETRY_S, left_s, random.random)
+        return log_refusal(request, NO_BODY_MEMORY._replace(retry_s=retry_s))
+
     def is_too_late(self, head: CallerRequest) -> bool:
         """Return whether a request can't be finished before the end of the drain.
 
@@ -299,24 +346,49 @@
         return self.closing and now_s >= self.latest_start_s(head)
 
     async def read_body(
-        self, request: web.BaseRequest, head: CallerRequest
-    ) -> bytes | None:
-        """Return the body, or None if the entry stops before it has arrived."""
+        self, request: web.BaseRequest, head: CallerRequest, kept: Reservation
+    ) -> bytes | Refusal | None:
+        """Return the body, or why it was not read in time; None without memory."""
         if request.content.is_eof():
             # A time limit would take longer than the read.
-            return await request.read()
+            return await self.read_kept(request, kept)
         try:
-            ends_s = self.latest_start_s(head) if self.closing else None
-            async with asyncio.timeout_at(ends_s) as time_limit:
+            async with asyncio.timeout_at(self.body_ends_s(head)) as time_limit:
                 self.body_limits[time_limit] = head
                 try:
-                    return await request.read()
+                    return await self.read_kept(request, kept)
                 finally:
                     del self.body_limits[time_limit]
         except TimeoutError:
             if not time_limit.expired():
                 raise
-            return None
+            return STOPPING if self.is_too_late(head) else BODY_LATE
+
+    def body_ends_s(self, head: CallerRequest) -> float:
+        """Return until when a body is read, on the loop's clock.
+
+        A caller that sends for longer than it waits would keep the memory of others.
+        """
+        ends_s = head.arrived_s + head.max_wait_s
+        return min(ends_s, self.latest_start_s(head)) if self.closing else ends_s
+
+    async def read_kept(
+        self, request: web.BaseRequest, kept: Reservation
+    ) -> bytes | None:
+        """Read a body; return None if there is no memory left for it.
+
+        That of a stated length was reserved as a whole.
+        """
+        if request.content_length is not None:
+            return await request.read()
+        body = bytearray()
+        while part := await request.content.readany():
+            body += part
+            if len(body) > self.max_body_bytes:
+                raise web.HTTPRequestEntityTooLarge(self.max_body_bytes, len(body))
+            if not kept.resize(len(body)):
+                return None
+        return bytes(body)
 
     async def confirm_expected(self, request: web.BaseRequest) -> None:
         """Tell a caller that waits for it to send the body, or refuse the body.
@@ -406,7 +478,7 @@
         given_up_s = ends_s + max(0.0, overrun_s - signal_age_s)
         self.on_drain()
         for time_limit, head in self.body_limits.items():
-            time_limit.reschedule(self.latest_start_s(head))
+            time_limit.reschedule(self.body_ends_s(head))
         await asyncio.sleep(accept_s)
         await self.site.stop()
         self.server.listener_closed_s = now_s()
--- a/src/wisteriapulley/platform/settings.py
+++ b/src/wisteriapulley/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from wisteriapulley.direct.kept_bytes import DEFAULT_REQUEST_BYTES
 from wisteriapulley.direct.settings import (
     DirectSettings,
     ResponseLimits,
@@ -43,6 +44,9 @@
 # Part of the grace period in which an entry answers what is still in progress: it waits
 # twice for callers to take these answers (`http_drain.CLOSE_TIMEOUT_S`).
 CLOSING_MS = 400
+# Fraction of an entry's memory for the bodies of requests in progress. A body is copied
+# as it is completed and as it is sent, and responses need as much.
+BODY_MEMORY_FRACTION = 1 / 6
 
 
 class Listen(msgspec.Struct, rename="kebab"):
@@ -54,9 +58,10 @@
 
 
 class Limits(msgspec.Struct, rename="kebab"):
-    """Limits of the host."""
+    """Limits of the host, and of a process on it."""
 
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
 
 class Tolerance(msgspec.Struct):
@@ -169,6 +174,11 @@
         grace_ms = int(self.bounds.grace_period_s * 1000)
         return max(0, grace_ms - CLOSING_MS - self.drain_ms())
 
+    def request_body_bytes(self) -> int:
+        """Return how much memory an entry has for the bodies of requests."""
+        memory_bytes = self.limits.memory_mb * (1 << 20)
+        return int(memory_bytes * BODY_MEMORY_FRACTION) or DEFAULT_REQUEST_BYTES
+
     def common_settings(self, http_port: int, key_file: str) -> dict[str, object]:
         """Return the settings that all daemons share."""
         return {
@@ -215,6 +225,7 @@
             retry_window_s=bounds.budget_window_s,
             returns_wait=self.returns_wait,
             response_limits=self.response_limits.limits(),
+            request_body_bytes=self.request_body_bytes(),
             drain_overrun_ms=self.drain_overrun_ms(),
             **self.common_settings(ENTRY_HTTP_PORT, key_file),
         )
