Send a spare beside a silent engine though it may be stopped with its version

Callers of a stream whose engine fell silent before its first event, shortly before its version of the weights ended, got 502: no other engine was tried although one was free.

A stream that is expected to outlast its version is refused unless a target has newer weights, except what may have run. A request at a target that has sent no head yet did not count as such. It is on its way, so it can't be refused as not run any more, and a spare only helps, as beside a silent target in a drain.

What is at a target now may have run. tests/test_version_end_elsewhere.py: test_spare_is_sent_beside_a_silent_engine failed before where no target has newer weights (one send instead of two).

--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -201,7 +201,8 @@
     def as_of_now(self, admitted: Admitted) -> Admitted:
         """Return the admitted request, updated with what has become of it so far."""
         return admitted._replace(
-            has_begun=self.has_begun, may_have_run=self.may_have_run
+            has_begun=self.has_begun,
+            may_have_run=self.may_have_run or self.open_exchanges > 0,
         )
 
     def record_begun(self, deadline_s: float, status: int) -> None:
--- a/tests/test_version_end_elsewhere.py
+++ b/tests/test_version_end_elsewhere.py
@@ -25,7 +25,7 @@
 from wisteriapulley.direct.dispatch import Dispatcher
 from wisteriapulley.direct.registry import TargetRegistry
 from wisteriapulley.direct.slot_allocation import SlotAllocator
-from wisteriapulley.direct.types import CallerRequest
+from wisteriapulley.direct.types import CallerRequest, Refusal, RefusalKind
 from wisteriapulley.entry.metrics import EntryMetrics
 from wisteriapulley.metrics import Metrics
 from wisteriapulley.policy.version_end import BEGIN_MARGIN_MS, PAUSE_ALLOWANCE_MS
@@ -337,6 +337,49 @@
         assert entry.caller.body == events(1, 2)
 
 
+class TestSecondSendThatOutlastsItsVersion:
+    """The second engine stops the stream unless a third one has newer weights."""
+
+    LEFT_S = 1.0
+    # So slow that no response fits in.
+    SLOW = ENGINE._replace(step_ms=100.0)
+
+    def sends(self, *answers, attempts=2, newer=2):
+        """Return the sends of a request, and its refusal.
+
+        Its slots have an end from the second send on, and the third engine has weights
+        of the version `newer`.
+        """
+        entry = Entry(*answers, targets=3, attempts=attempts)
+        follower = SimpleNamespace(versions=DesiredVersions(), open_links=list)
+        identity = Identity("e", "entry", "z", 1, b"k" * 40)
+        allocator = SlotAllocator(SETTINGS, identity, entry.registry, follower)
+        target = entry.registry.targets["i-2"]
+        target.state = target.state._replace(version=newer)
+        allocate = entry.allocator.allocate
+
+        async def allocate_with_end(admitted, *args, **more):
+            slot = await allocate(admitted, *args, **more)
+            if not entry.client.plans or isinstance(slot, Refusal):
+                return slot
+            ends_s = asyncio.get_running_loop().time() + self.LEFT_S
+            slot = slot._replace(start_deadline_s=ends_s)
+            if allocator.may_use(slot, admitted, self.SLOW):
+                return slot
+            slot.release()
+            return Refusal(RefusalKind.OVERLOADED, 0.2, "outlasts its version")
+
+        entry.allocator.allocate = allocate_with_end
+        refusal, _ = entry.serve()
+        return len(entry.client.plans), refusal
+
+    @pytest.mark.parametrize("newer", [1, 2])
+    def test_spare_is_sent_beside_a_silent_engine(self, newer):
+        """The request may run there, so it can't be refused any more."""
+        silent, whole = PacedAnswer(head_s=60.0), PacedAnswer((0.0, events(1, 4)))
+        assert self.sends(silent, whole, newer=newer) == (2, None)
+
+
 class TestSecondSendBesideASilentEngine:
     """A request is at two engines whose versions end at different times."""
 
