Count only on engines that can go on with a stream when its version ends

Callers got streams that their engine stopped at the end of its version of the weights, with time of their own left, although other engines were alive.

A stream that outlasts its version is sent if another target has newer weights. Asked was whether one is alive, for the first send. Targets that are leaving, have announced their exit or rest until long after that end are alive too, and so is the target itself where it is announced with newer weights than it granted a slot on. And the last send that a route permits, after a target that turned the request away, can't go on anywhere.

The target must accept requests by the end of the version, and the question is asked for each send with the sends that are left. Otherwise the stream is refused as not run. Whether the retry budget will permit the second send is not asked: it is not known then.

tests/test_slot_allocation.py: five cases failed before (leaves, announces its exit, rests for long, the target itself, the last send). tests/test_version_end_elsewhere.py: test_last_send_of_what_was_turned_away_is_refused_as_not_run[2-1] failed before.

--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -41,6 +41,8 @@
         that is not known.
     may_have_run : bool
         Whether a target may have started to run it.
+    is_last_send : bool
+        Whether its next send is the last one that its route permits.
     """
 
     request: CallerRequest
@@ -54,6 +56,7 @@
     large_prompt: int = 0
     expected_s: float | None = None
     may_have_run: bool = False
+    is_last_send: bool = False
 
     def engine_of(self, service: str) -> Engine | None:
         """Return the engine parameters of a service; None for plain targets."""
@@ -70,8 +73,9 @@
 
     @property
     def has_one_send(self) -> bool:
-        """Whether it can't be sent to a second target."""
-        return not self.route.repeatable or self.route.attempts <= 1
+        """Whether it can't be sent to another target after the next one."""
+        is_last = self.is_last_send or self.route.attempts <= 1
+        return is_last or not self.route.repeatable
 
     @property
     def revision(self) -> int:
@@ -203,6 +207,7 @@
         return admitted._replace(
             has_begun=self.has_begun,
             may_have_run=self.may_have_run or self.open_exchanges > 0,
+            is_last_send=self.is_last_send,
         )
 
     def record_begun(self, deadline_s: float, status: int) -> None:
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -30,6 +30,7 @@
 from wisteriapulley.policy.version_end import (
     BEGIN_MARGIN_MS,
     grant_left_ms,
+    may_go_on,
     outlasts_version,
     start_left_ms,
 )
@@ -625,12 +626,21 @@
             return True
         if not outlasts_version(expected_ms, slot.start_left_ms(now_s)):
             return True
-        return not admitted.has_one_send and self.has_newer(slot, admitted.homes)
+        return not admitted.has_one_send and self.may_go_on(slot, admitted, now_s)
 
-    def has_newer(self, slot: AllocatedSlot, homes: tuple[str, ...]) -> bool:
-        """Return whether a target of the service has newer weights than a slot."""
-        alive = self.registry.alive(slot.target.state.service, self.now_s(), homes)
-        return any(target.state.version > slot.version for target in alive)
+    def may_go_on(self, slot: AllocatedSlot, admitted: Admitted, now_s: float) -> bool:
+        """Return whether another target may go on when a slot's version has ended.
+
+        It has newer weights, and accepts requests by then.
+        """
+        registry, left_ms = self.registry, slot.start_left_ms(now_s)
+        service = slot.target.state.service
+        return any(
+            target.state.version > slot.version
+            and target is not slot.target
+            and may_go_on(registry.wait_s(target, now_s) * 1000, left_ms)
+            for target in registry.alive(service, now_s, admitted.homes)
+        )
 
     def start_deadline_s(self, left_ms: float | None) -> float | None:
         """Return when a request must have started, on the loop's clock."""
--- a/src/wisteriapulley/policy/version_end.py
+++ b/src/wisteriapulley/policy/version_end.py
@@ -78,6 +78,19 @@
     return time_limit_ms(expected_ms, start_left_ms) < expected_ms
 
 
+def may_go_on(wait_ms: float, start_left_ms: float) -> bool:
+    """Return whether a target may go on with what another one stops.
+
+    Parameters
+    ----------
+    wait_ms : float
+        How long it accepts no request, as far as is known; infinite if it never will.
+    start_left_ms : float
+        How long requests may still start on the version of the other one.
+    """
+    return wait_ms <= start_left_ms + PAUSE_ALLOWANCE_MS
+
+
 def needs_answer(start_left_ms: float | None, first_event_ms: float) -> bool:
     """Return whether a request would begin late if its target has just fallen silent.
 
--- a/tests/test_slot_allocation.py
+++ b/tests/test_slot_allocation.py
@@ -159,15 +159,16 @@
     return allocator, registry.targets["i"]
 
 
-def admit(
-    prompt_tokens=0, expected_s=None, answer_tokens=0, may_have_run=False, **route
-):
-    """Return an admitted request with a prompt of some length."""
+def admit(prompt_tokens=0, expected_s=None, answer_tokens=0, state=None, **route):
+    """Return an admitted request with a prompt of some length.
+
+    `state` has what became of it so far.
+    """
     request = SimpleNamespace(
         request_id="q", prompt_tokens=prompt_tokens, answer_tokens=answer_tokens
     )
     admitted = Admitted(request, ROUTE._replace(**route), None, 6.0)
-    return admitted._replace(expected_s=expected_s, may_have_run=may_have_run)
+    return admitted._replace(expected_s=expected_s, **(state or {}))
 
 
 class TestStartDeadline:
@@ -223,6 +224,43 @@
         assert self.deadline_s(0) is None
 
 
+def leave(registry):
+    """Let the other target leave, as control instances tell."""
+    target = registry.targets["j"]
+    target.state = target.state._replace(leaving=True)
+
+
+def announce_exit(registry):
+    """Let the other target announce its exit in a response."""
+    registry.targets["j"].announced_leaving = True
+
+
+def evacuate(registry):
+    """Evacuate the failure domain of the other target."""
+    registry.evacuated = frozenset("y")
+
+
+def rest(rest_s):
+    """Return a change that lets the other target rest."""
+
+    def change(registry):
+        registry.targets["j"].cooldown.until_s = rest_s
+
+    return change
+
+
+# What becomes of a target with newer weights, and whether it can go on with a stream
+# whose version ends elsewhere within 3 s.
+CHANGES = {
+    "nothing": (None, True),
+    "leaves": (leave, False),
+    "announces its exit": (announce_exit, False),
+    "evacuated": (evacuate, False),
+    "rests": (rest(1.0), True),
+    "rests for long": (rest(30.0), False),
+}
+
+
 class TestLastSend:
     """Nothing is sent that a silence and a slow first event could make late."""
 
@@ -235,23 +273,28 @@
             lambda: asyncio.get_running_loop().time(),
         )
 
-    def allocate(self, follower, use, newer=1):
+    def allocate(self, follower, use, newer=1, change=None):
         """Return the slot that an entry allocates while no time passes.
 
-        Another target has weights of the version `newer`.
+        Another target has weights of the version `newer`, after which the registry may
+        change.
         """
 
         async def run():
             allocator, target = one_target(follower)
-            other = TargetState("j", "s", "10.0.0.2:80", "z", sequence=1)
+            other = TargetState("j", "s", "10.0.0.2:80", "y", sequence=1)
             allocator.registry.update([other._replace(version=newer)], 0)
+            if change is not None:
+                change(allocator.registry)
             allocator.sidecars.release = lambda *args: None
             return use(allocator, target)
 
         with asyncio.Runner(loop_factory=VirtualLoop) as runner:
             return runner.run(run())
 
-    def use_grant(self, left_ms, first_event_ms, way_ms=0.0, newer=1, **admitted):
+    def use_grant(
+        self, left_ms, first_event_ms, way_ms=0.0, newer=1, change=None, **admitted
+    ):
         """Return the slot for a grant that was on its way for some time."""
         grant = messages.Reserved(
             True, 1, start_left_ms=int(left_ms), first_event_ms=first_event_ms
@@ -262,9 +305,12 @@
                 None, admit(**admitted), target, ENGINE, grant, -way_ms / 1000
             ),
             newer,
+            change,
         )
 
-    def use_without_sidecar(self, left_ms, prompt_tokens=0, newer=1, **admitted):
+    def use_without_sidecar(
+        self, left_ms, prompt_tokens=0, newer=1, change=None, **admitted
+    ):
         """Return the slot at an engine without a link to its sidecar."""
         versions = DesiredVersions()
         superseded_for_ms = start_left_ms(0.0, OLD_VERSION_MS) - left_ms
@@ -275,6 +321,7 @@
                 admit(prompt_tokens, **admitted), target, ENGINE
             ),
             newer,
+            change,
         )
 
     def test_grant_is_used_if_its_first_event_is_expected_in_time(self):
@@ -327,7 +374,36 @@
         """It can't be refused any more, so it has nothing to lose."""
         left_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
         for use in self.uses(left_ms):
-            assert use(expected_s=60.0, attempts=2, may_have_run=True)
+            assert use(expected_s=60.0, attempts=2, state={"may_have_run": True})
+
+    def test_last_send_is_not_sent_to_be_stopped(self):
+        """The targets before turned it away, so that it has not run."""
+        left_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
+        for use in self.uses(left_ms):
+            route = {"expected_s": 60.0, "attempts": 2, "newer": 2}
+            assert use(**route)
+            assert not use(**route, state={"is_last_send": True})
+
+    @pytest.mark.parametrize(("change", "goes_on"), CHANGES.values(), ids=CHANGES)
+    def test_target_that_accepts_nothing_until_then_can_not_go_on(
+        self, change, goes_on
+    ):
+        left_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
+        for use in self.uses(left_ms):
+            slot = use(expected_s=60.0, attempts=2, newer=2, change=change)
+            assert bool(slot) is goes_on
+
+    def test_target_does_not_go_on_with_what_it_stops_itself(self):
+        """It was announced with newer weights than it has granted a slot on."""
+        left_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
+
+        def announce(registry):
+            target = registry.targets["i"]
+            target.state = target.state._replace(version=2)
+
+        route = {"expected_s": 60.0, "attempts": 2, "change": announce}
+        assert not self.use_grant(left_ms, self.EXPECTED_MS, **route)
+        assert self.use_grant(left_ms, self.EXPECTED_MS, newer=2, **route)
 
     def test_time_of_a_grant_on_its_way_counts(self):
         limit_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
--- a/tests/test_version_end_elsewhere.py
+++ b/tests/test_version_end_elsewhere.py
@@ -373,6 +373,17 @@
         refusal, _ = entry.serve()
         return len(entry.client.plans), refusal
 
+    @pytest.mark.parametrize(("attempts", "sends"), [(2, 1), (3, 2)])
+    def test_last_send_of_what_was_turned_away_is_refused_as_not_run(
+        self, attempts, sends
+    ):
+        rejected = PacedAnswer(status=503, not_run=True)
+        whole = PacedAnswer((0.0, events(1, 4)))
+        sent, refusal = self.sends(rejected, whole, attempts=attempts)
+        assert sent == sends
+        assert (refusal is None) is (sends == 2)
+        assert refusal is None or refusal.kind is RefusalKind.OVERLOADED
+
     @pytest.mark.parametrize("newer", [1, 2])
     def test_spare_is_sent_beside_a_silent_engine(self, newer):
         """The request may run there, so it can't be refused any more."""
