Send a request whose own time ends before its version

Callers whose time was shorter than the usual response of their route were refused near the end of a version, though their target would not have stopped them.

What is expected to outlast its version is refused. The expected time was compared with the end of the version, whatever the caller's own time was: one that ends first ends the response either way, and it may be complete in less time than expected.

tests/test_slot_allocation.py::TestLastSend:: test_caller_whose_own_time_ends_before_the_version_is_served failed before. It also shows that a longer time does not let a request be sent to be stopped.

--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -624,7 +624,8 @@
         expected_ms = expected_run_ms(admitted, engine)
         if expected_ms is None or admitted.may_have_run:
             return True
-        if not outlasts_version(expected_ms, slot.start_left_ms(now_s)):
+        left_ms = (admitted.deadline_s - now_s) * 1000
+        if not outlasts_version(expected_ms, left_ms, slot.start_left_ms(now_s)):
             return True
         return not admitted.has_one_send and self.may_go_on(slot, admitted, now_s)
 
--- a/src/wisteriapulley/policy/version_end.py
+++ b/src/wisteriapulley/policy/version_end.py
@@ -65,17 +65,22 @@
     return min(remaining_ms, start_left_ms + PAUSE_ALLOWANCE_MS)
 
 
-def outlasts_version(expected_ms: float, start_left_ms: float | None) -> bool:
+def outlasts_version(
+    expected_ms: float, remaining_ms: float, start_left_ms: float | None
+) -> bool:
     """Return whether a target would stop a response before it is expected to end.
 
+    One whose own time ends with the version or before it has nothing to lose there.
+
     Parameters
     ----------
     expected_ms : float
         How long the response is expected to take.
-    start_left_ms : float or None
+    remaining_ms, start_left_ms : float, float or None
         As for `time_limit_ms`.
     """
-    return time_limit_ms(expected_ms, start_left_ms) < expected_ms
+    needed_ms = min(expected_ms, remaining_ms)
+    return time_limit_ms(remaining_ms, start_left_ms) < needed_ms
 
 
 def may_go_on(wait_ms: float, start_left_ms: float) -> bool:
--- a/tests/test_slot_allocation.py
+++ b/tests/test_slot_allocation.py
@@ -159,7 +159,14 @@
     return allocator, registry.targets["i"]
 
 
-def admit(prompt_tokens=0, expected_s=None, answer_tokens=0, state=None, **route):
+def admit(
+    prompt_tokens=0,
+    expected_s=None,
+    answer_tokens=0,
+    deadline_s=6.0,
+    state=None,
+    **route,
+):
     """Return an admitted request with a prompt of some length.
 
     `state` has what became of it so far.
@@ -167,7 +174,7 @@
     request = SimpleNamespace(
         request_id="q", prompt_tokens=prompt_tokens, answer_tokens=answer_tokens
     )
-    admitted = Admitted(request, ROUTE._replace(**route), None, 6.0)
+    admitted = Admitted(request, ROUTE._replace(**route), None, deadline_s)
     return admitted._replace(expected_s=expected_s, **(state or {}))
 
 
@@ -370,6 +377,17 @@
             assert not use(answer_tokens=1000, **route)
             assert use(answer_tokens=1000, newer=2, **route)
 
+    @pytest.mark.parametrize("attempts", [1, 2])
+    def test_caller_whose_own_time_ends_before_the_version_is_served(self, attempts):
+        """The response may be complete in less time than expected."""
+        left_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
+        version_left_s = (left_ms + PAUSE_ALLOWANCE_MS) / 1000
+        too_late_s = version_left_s + UNKNOWN_WAIT_MS / 1000 + 0.01
+        for use in self.uses(left_ms):
+            slow = {"expected_s": 60.0, "attempts": attempts}
+            assert use(deadline_s=version_left_s - 0.2, **slow)
+            assert not use(deadline_s=too_late_s, **slow)
+
     def test_what_may_have_run_is_sent_though_it_may_be_stopped(self):
         """It can't be refused any more, so it has nothing to lose."""
         left_ms = BEGIN_MARGIN_MS + self.EXPECTED_MS + 300
