Begin a drain though the time of a body has just passed

An entry's stop could fail with "Cannot change state of expiring Timeout". Its drain ended before it began, and with it requests in progress, where the time limit of a body passed in the turn of the event loop in which the drain began.

The bodies have a time limit before a drain since the memory for them is bounded. The drain shortens all of these limits, and one that has passed, and whose task has not had its turn yet, can't be changed. It stays as it is: its request is refused.

tests/test_requests_read_at_a_stop.py::TestBodyLimitThatHasJustPassed lets the limit pass one turn before the drain; on asyncio's loop it failed with that error before.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -478,6 +478,9 @@
         given_up_s = ends_s + max(0.0, overrun_s - signal_age_s)
         self.on_drain()
         for time_limit, head in self.body_limits.items():
+            if time_limit.expired():
+                # Its request is refused once its task has its turn.
+                continue
             time_limit.reschedule(self.body_ends_s(head))
         await asyncio.sleep(accept_s)
         await self.site.stop()
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import re
+import time
 
 import pytest
 import uvloop
@@ -583,6 +584,26 @@
         play(scenario)
 
 
+class TestBodyLimitThatHasJustPassed:
+    """Its request has not been refused yet as the drain begins."""
+
+    def test_does_not_end_the_drain(self, play):
+        async def scenario(entry):
+            entry.may_answer.set()
+            late = request_bytes(1, b"x" * 900).replace(b"Ms: 6000", b"Ms: 200")
+            entry.writer.write(late[:-100])
+            await until(lambda: entry.ingress.body_limits)
+            (time_limit,) = entry.ingress.body_limits
+            loop = asyncio.get_running_loop()
+            # The drain begins in the turn of the loop after the limit has passed.
+            time.sleep(max(0.0, time_limit.when() - loop.time()) + 0.01)
+            await asyncio.sleep(0)
+            await entry.begin_stop()
+            assert entry.statuses == [503] and not entry.handled
+
+        play(scenario)
+
+
 class TestPartOfAHead:
     """What a connection tells of requests that have arrived in part."""
 
