Refuse a body that is too long before it waits for memory

Callers that stated a longer body than is allowed could get 503 with a time to return in place of 413, and come back in vain.

Memory for a body of a stated length was reserved before the length was looked at, for as much as is allowed. The length is checked first now, for callers that wait to be told to send the body as for others.

tests/test_request_bodies_together.py::TestMemoryInUse:: test_stated_length_that_is_never_allowed_is_told_at_once got 503 before.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -317,8 +317,8 @@
         answer: HttpCallerAnswer,
     ) -> Refusal | None:
         """Read the body of a request and serve it, unless there is no memory for it."""
-        stated = min(request.content_length or 0, self.max_body_bytes)
-        if not kept.resize(stated):
+        self.check_length(request)
+        if not kept.resize(request.content_length or 0):
             return self.refuse_body(request, head)
         await self.confirm_expected(request)
         body = await self.read_body(request, head, kept)
@@ -330,6 +330,23 @@
             return log_refusal(request, STOPPING)
         return await self.serve(head._replace(body=body), answer)
 
+    def check_length(self, request: web.BaseRequest) -> None:
+        """Refuse a body whose stated length is not allowed, before it is read.
+
+        Raises
+        ------
+        HTTPRequestEntityTooLarge
+            The body is longer than allowed.
+        """
+        length = request.content_length or 0
+        if length <= self.max_body_bytes:
+            return
+        error = web.HTTPRequestEntityTooLarge(self.max_body_bytes, length)
+        if expects_continue(request):
+            # A caller that does not send the body can't use the connection again.
+            error.force_close()
+        raise error
+
     def refuse_body(self, request: web.BaseRequest, head: CallerRequest) -> Refusal:
         """Refuse a request whose body finds no memory; callers return spread."""
         now_s = asyncio.get_running_loop().time()
@@ -391,24 +408,13 @@
         return bytes(body)
 
     async def confirm_expected(self, request: web.BaseRequest) -> None:
-        """Tell a caller that waits for it to send the body, or refuse the body.
+        """Tell a caller that waits for it to send the body.
 
         Such a caller may send the body without it after a second or so, which is later
         than most latency objectives, or never.
-
-        Raises
-        ------
-        HTTPRequestEntityTooLarge
-            The body is longer than allowed; it was not sent.
         """
         if not expects_continue(request):
             return
-        length = request.content_length or 0
-        if length > self.max_body_bytes:
-            error = web.HTTPRequestEntityTooLarge(self.max_body_bytes, length)
-            # A caller that does not send the body can't use the connection again.
-            error.force_close()
-            raise error
         await request.writer.write(CONTINUE)
         # It is no part of the response, of which nothing was sent yet.
         request.writer.output_size = 0
--- a/tests/test_request_bodies_together.py
+++ b/tests/test_request_bodies_together.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.test_platform_path import settings_file
-from tests.test_requests_read_at_a_stop import play, until
+from tests.test_requests_read_at_a_stop import MAX_BODY_BYTES, play, until
 from wisteriapulley.direct.kept_bytes import (
     DEFAULT_REQUEST_BYTES,
     UNCOUNTED_BYTES,
@@ -76,6 +76,20 @@
 
         play(scenario)
 
+    @pytest.mark.parametrize("end", [b"\r\n", b"\r\nExpect: 100-continue\r\n"])
+    def test_stated_length_that_is_never_allowed_is_told_at_once(self, play, end):
+        """Its caller would return in vain."""
+
+        async def scenario(entry):
+            await keep_large_body(entry)
+            caller = await Caller.connect(entry)
+            too_long = head(2, MAX_BODY_BYTES + 1)
+            caller.writer.write(too_long.replace(b"\r\n\r\n", end + b"\r\n"))
+            assert (await caller.status())[0] == 413
+            caller.writer.close()
+
+        play(scenario)
+
     def test_body_in_chunks_is_refused_as_it_grows(self, play):
         async def scenario(entry):
             await keep_large_body(entry)
