Let slow callers read whole responses beyond the end of a drain

Callers that read slowly got a reset amid a response of a plain route that their target had answered whole, at the end of the drain of their entry.

At that end all requests in progress were cancelled, also those whose responses were written whole and only waited for their callers, and the abort of their connections discarded what was left in the process. Requests of which nothing but the reading is left are not cancelled now: they go on through the wait that follows, and what is left then is given to the system, as far as its limit of socket buffers allows. It sends that after the end of the process. A response that is not whole is cut as before, so that no caller takes it for a whole one.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
@@ -35,7 +35,7 @@
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.response_end import is_unframed, write_end
 from wisteriapulley.settings import Address
-from wisteriapulley.unsent import discard_unsent
+from wisteriapulley.unsent import discard_unsent, keep_unsent, unsent_bytes
 
 log = logging.getLogger(__name__)
 
@@ -96,18 +96,30 @@
 
 
 class HttpCallerAnswer:
-    """The response to one caller; see `direct.types.CallerAnswer`."""
+    """The response to one caller; see `direct.types.CallerAnswer`.
+
+    Attributes
+    ----------
+    unwritten : int or None
+        Bytes of the body that were not written yet; None if that is not known.
+    """
 
     def __init__(self, request: web.BaseRequest, is_closing: Callable[[], bool]):
         self.request = request
         self.is_closing = is_closing
         self.response: web.StreamResponse | None = None
+        self.unwritten: int | None = None
 
     @property
     def started(self) -> bool:
         """Whether the head was sent."""
         return self.response is not None
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether all of it was written, so that only its caller is waited for."""
+        return self.unwritten == 0
+
     async def start(self, status: int, headers: Headers, length: int | None) -> None:
         """Send the head.
 
@@ -123,14 +135,20 @@
             self.request.protocol.end_connection(self.request, response)
         self.response = response
         await response.prepare(self.request)
+        self.unwritten = length
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
-        if data:
-            await self.response.write(data)
+        if not data:
+            return
+        if self.unwritten is not None:
+            # Before the wait for a caller that reads slowly.
+            self.unwritten -= len(data)
+        await self.response.write(data)
 
     async def finish(self) -> None:
         """Send the end of the body; wait for a slow caller, in the request's time."""
+        self.unwritten = 0
         await write_end(self.response, self.request.transport)
 
     def cut(self) -> None:
@@ -184,6 +202,8 @@
         Called for each request that an error of this process ended here.
     active : dict of object to asyncio.Task
         Connections with a request in progress, and its task.
+    answers : dict of asyncio.Task to HttpCallerAnswer
+        Responses to these requests.
     overdue : bool
         Whether the time limit of the drain has passed.
     window : DrainWindow
@@ -204,6 +224,7 @@
         self.closing = False
         self.count_internal_error: Callable[[], None] = lambda: None
         self.active: dict[object, asyncio.Task] = {}
+        self.answers: dict[asyncio.Task, HttpCallerAnswer] = {}
         self.overdue = False
         self.window = DrainWindow()
         self.latest_start_s: Callable[[CallerRequest], float] = lambda head: (
@@ -267,8 +288,10 @@
         """Serve one request, unless its connection is already closed."""
         if request.transport is None or request.transport.is_closing():
             return web.StreamResponse(status=503)
-        self.active[request.protocol] = asyncio.current_task()
+        task = asyncio.current_task()
         answer = HttpCallerAnswer(request, lambda: self.closing)
+        self.active[request.protocol] = task
+        self.answers[task] = answer
         try:
             refusal = await self.serve_in_time(request, answer)
             if refusal is not None:
@@ -286,11 +309,14 @@
         except asyncio.CancelledError:
             if not self.overdue:
                 raise
+            if answer.is_whole:
+                self.leave_to_system(request)
+                raise
             await self.end_overdue(request, answer)
         except Exception:
             await self.end_by_internal_error(request, answer)
         finally:
-            del self.active[request.protocol]
+            del self.active[request.protocol], self.answers[task]
         return answer.response or web.StreamResponse(status=500)
 
     async def serve_in_time(
@@ -449,6 +475,17 @@
         )
         await answer.end(STOPPED)
 
+    def leave_to_system(self, request: web.BaseRequest) -> None:
+        """Leave the rest of a whole response to the system, as the process ends."""
+        transport = request.transport
+        if transport is None or transport.is_closing():
+            return
+        log.warning(
+            "caller still reads at the end of the drain",
+            extra=request_fields(request, unsent_bytes=unsent_bytes(transport)),
+        )
+        keep_unsent(transport)
+
     async def drain(
         self,
         accept_s: float,
@@ -497,14 +534,16 @@
         )
         await self.cancel_overdue()
         await close_when_answered(self.server, now_s() + CLOSE_TIMEOUT_S)
+        await cancel_all(tuple(self.answers))
 
     async def cancel_overdue(self) -> None:
-        """End the requests that are in progress at the end of the drain."""
+        """End the requests that are in progress at the end of the drain.
+
+        A caller that has only to read the rest of its response goes on.
+        """
         self.overdue = True
-        for task in self.active.values():
-            task.cancel()
-        if self.active:
-            await asyncio.wait(self.active.values(), timeout=CLOSE_TIMEOUT_S)
+        answers = self.answers.items()
+        await cancel_all([task for task, answer in answers if not answer.is_whole])
 
     async def stop(self) -> None:
         """Close all connections."""
@@ -512,6 +551,14 @@
             await self.runner.cleanup()
 
 
+async def cancel_all(tasks: Sequence[asyncio.Task]) -> None:
+    """Cancel tasks, and wait for their ends for a while."""
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        await asyncio.wait(tasks, timeout=CLOSE_TIMEOUT_S)
+
+
 def expects_continue(request: web.BaseRequest) -> bool:
     """Return whether a caller sends the body only when it is told to.
 
--- a/src/wisteriapulley/unsent.py
+++ b/src/wisteriapulley/unsent.py
@@ -25,6 +25,20 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD)
 
 
+def keep_unsent(transport: asyncio.Transport) -> None:
+    """Let the system take what waits in the process, as far as it allows.
+
+    It goes on sending this after the end of the process.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    size = unsent_bytes(transport)
+    # The system doubles what it is asked for, since it counts its own overhead too.
+    if 2 * size > sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
 def unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes in the send buffer of the kernel; 0 if it does not tell."""
     sock = transport.get_extra_info("socket")
