Count the drain of an entry with sidecars from the earliest time of its signal

Callers got no whole answer of requests that an entry with sidecars had sent after its stop signal, if it stood still as it got that: the platform counts its grace period from the signal, and the entry counted its drain from when it read it. A request that waited for a slot could be placed later than the process was to live.

The entry now watches its event loop, as the one without sidecars does, and sends nothing that ends later than the earliest end of its drain. What is in progress goes on as long as before. A watch that has not begun takes no signal for late.

tests/test_entry_sends_in_a_drain.py: a request that waits, with 10 s expected and 8 s left after a stall of 12 s, was served with the age of the signal left out, and is refused as not run; without a stall it is served. tests/test_stalls.py has the watch that has not begun.

--- a/src/wisteriapulley/entry/drain_limits.py
+++ b/src/wisteriapulley/entry/drain_limits.py
@@ -32,10 +32,23 @@
         self.silence_s = 0.0
         self.waits: dict[asyncio.Timeout, Callable[[], float]] = {}
 
-    def begin(self, drain_s: float, silence_s: float) -> None:
-        """Begin a drain of this length, and limit the waits in progress."""
+    def begin(
+        self, drain_s: float, silence_s: float, signal_age_s: float = 0.0
+    ) -> None:
+        """Begin a drain of this length, and limit the waits in progress.
+
+        Parameters
+        ----------
+        drain_s : float
+            How long the drain lasts, in seconds.
+        silence_s : float
+            For how long a target may be silent.
+        signal_age_s : float, optional
+            How long ago the stop signal may have been sent. The process may be killed
+            earlier by this, so nothing is sent that ends later.
+        """
         now_s = time.monotonic()
-        self.window = DrainWindow(now_s + drain_s, now_s)
+        self.window = DrainWindow(now_s + drain_s - signal_age_s, now_s)
         self.silence_s = silence_s
         for time_limit in self.waits:
             self.update_limit(time_limit)
--- a/src/wisteriapulley/entry/placing.py
+++ b/src/wisteriapulley/entry/placing.py
@@ -332,9 +332,11 @@
         limit = request.entry.limits.in_flight
         return bool(pool.scheduler.available_targets(views, limit))
 
-    def begin_drain(self, drain_s: float, silence_s: float) -> None:
+    def begin_drain(
+        self, drain_s: float, silence_s: float, signal_age_s: float = 0.0
+    ) -> None:
         """Send nothing from now on that can't end before the drain."""
-        self.limits.begin(drain_s, silence_s)
+        self.limits.begin(drain_s, silence_s, signal_age_s)
         for pool in self.pools.values():
             pool.refuse_too_late()
 
--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -36,6 +36,7 @@
 from wisteriapulley.policy import Admission
 from wisteriapulley.response_end import cut, write_end
 from wisteriapulley.settings import EntrySettings
+from wisteriapulley.stalls import StallWatch
 from wisteriapulley.wire import Frame, Link, messages
 from wisteriapulley.wire.handshake import Identity
 
@@ -81,6 +82,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.idle = asyncio.Event()
         self.idle.set()
+        self.stalls = StallWatch()
 
     @classmethod
     def from_settings(cls, settings: EntrySettings) -> "EntryService":
@@ -89,6 +91,7 @@
 
     async def start(self) -> None:
         """Watch the catalogue, open links to targets, and listen."""
+        self.stalls.start()
         settings = self.settings
         self.identity = Identity.from_settings(settings, "entry")
         self.incarnation = self.identity.incarnation
@@ -137,13 +140,16 @@
         # A caller that keeps its connection would come back here and be refused again.
         self.http.announce_close()
         drain_s = self.settings.drain_ms / 1000
-        self.placer.begin_drain(drain_s, self.settings.silence_ms / 1000)
+        silence_s = self.settings.silence_ms / 1000
+        signal_age_s = self.stalls.signal_age_s(asyncio.get_running_loop().time())
+        self.placer.begin_drain(drain_s, silence_s, signal_age_s)
         try:
             async with asyncio.timeout(drain_s):
                 await self.idle.wait()
         except TimeoutError:
             log.error("requests still running after drain_ms; closing anyway")
             await self.end_overdue()
+        self.stalls.stop()
         self.sweep_task.cancel()
         await self.http.stop()
         await self.targets.stop()
--- a/src/wisteriapulley/stalls.py
+++ b/src/wisteriapulley/stalls.py
@@ -17,13 +17,13 @@
     Attributes
     ----------
     ran_s : float
-        When the loop last ran, on its clock.
+        When the loop last ran, on its clock; infinite before the watch has begun.
     stalled_from_s, stalled_until_s : float
         The last time in which it did not.
     """
 
     def __init__(self):
-        self.ran_s = 0.0
+        self.ran_s = float("inf")
         self.stalled_from_s = self.stalled_until_s = float("-inf")
         self.timer: asyncio.TimerHandle | None = None
 
--- a/tests/test_entry_sends_in_a_drain.py
+++ b/tests/test_entry_sends_in_a_drain.py
@@ -185,6 +185,22 @@
 
         play(scenario, entry=ONE_SLOT, drain_ms=LONG_DRAIN_MS)
 
+    @pytest.mark.parametrize("stall_s", [0.0, 12.0])
+    def test_is_refused_if_a_late_signal_leaves_no_time(self, stall_s):
+        """A process that stood still as it got the signal may be killed earlier."""
+
+        async def scenario(entry, target):
+            running, waiting, _ = await self.queue_two(entry, target, 10.0)
+            now_s = asyncio.get_running_loop().time()
+            entry.service.stalls.record_run(now_s - stall_s)
+            stopping = await entry.begin_stop()
+            target.may_answer.set()
+            assert await running == (200, BODY)
+            assert await waiting == (LEAVING if stall_s else (200, ResultCode.OK))
+            await stopping
+
+        play(scenario, entry=ONE_SLOT, drain_ms=LONG_DRAIN_MS)
+
 
 class TestBodyOnItsWay:
     @pytest.mark.parametrize("seconds", [5.0, 0.0])
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -38,6 +38,9 @@
         assert watch.ran_s - ended_s > HANDLED_WITHIN_S
         assert watch.signal_age_s(watch.ran_s) == 0.0
 
+    def test_signal_before_the_watch_has_begun_is_new(self):
+        assert StallWatch().signal_age_s(1000.0) == 0.0
+
     def test_watches_the_running_loop(self):
         async def scenario():
             watch = StallWatch()
