Bound the wait of a stopping entry for the release of an unused claim

Callers of requests with a key got "may have run" at the end of the drain of an entry with sidecars, for a request that had been sent nowhere, and no earlier.

A claim that came too late to send its request was released in the ledger before the refusal, and the wait for that had only the caller's own limit. Now it lasts 0.25 s in a drain, as long as a refusal waits to read the ledger, counted from the begin of the drain if that comes later. What is not released by then is refused as unresolved: the caller sends the key again, and the next entry asks the target.

--- a/src/wisteriapulley/entry/at_most_once.py
+++ b/src/wisteriapulley/entry/at_most_once.py
@@ -58,7 +58,7 @@
 # Expected attempt that never matches: the ledger changes nothing and returns the
 # current claim.
 READ_ONLY_ATTEMPT = -1
-# Longest time that a refusal waits for the ledger.
+# Longest time that a refusal waits for the ledger, for a release in a drain only.
 LEDGER_READ_TIMEOUT_S = 0.25
 # The ledger keeps an expired claim for its own margin. Half of that allows for
 # clock skew between this entry and the ledger.
@@ -229,15 +229,21 @@
     async def read_or_release_claim(
         self, request: CallerRequest, not_run_claim: Claim | None
     ) -> ClaimResult:
-        """Read the current claim, or release a claim that will not run."""
+        """Read the current claim, or release a claim that will not run.
+
+        An entry that stops does not wait for the release: a resend asks the target.
+        """
         if not_run_claim is None or not_run_claim.target == UNASSIGNED_TARGET:
             claim = Claim(request.digest(), UNASSIGNED_TARGET, 0, 0, request.expires_ms)
             return await self.propose_claim(request, claim, READ_ONLY_ATTEMPT)
-        return await self.propose_claim(
-            request,
-            next_claim(request, not_run_claim, UNASSIGNED_TARGET, 0),
-            not_run_claim.attempt,
-        )
+        claim = next_claim(request, not_run_claim, UNASSIGNED_TARGET, 0)
+        limits = self.dispatcher.placer.limits
+        try:
+            async with limits.limiting_refusal(LEDGER_READ_TIMEOUT_S):
+                return await self.propose_claim(request, claim, not_run_claim.attempt)
+        except TimeoutError as error:
+            message = "the claim ledger did not answer in time for the stop"
+            raise WireError(ResultCode.LINK_TIMEOUT, message) from error
 
     async def try_release_claim(
         self, request: CallerRequest, not_run_claim: Claim
--- a/src/wisteriapulley/entry/drain_limits.py
+++ b/src/wisteriapulley/entry/drain_limits.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager
 
 from wisteriapulley.policy.drain_window import DrainWindow
 from wisteriapulley.policy.service_times import ServiceTimes
@@ -24,7 +25,7 @@
     silence_s : float
         For how long a target may be silent before it is left for another one.
     waits : dict of asyncio.Timeout to callable
-        Time limits of waits before a request is sent, with what tells their end.
+        Time limits of waits of requests that are not sent, with what tells their end.
     """
 
     def __init__(self):
@@ -79,9 +80,17 @@
         silence_s = 0.0 if may_have_run else self.silence_s
         return self.window.latest_send_s(work.deadline_s, expected_s, silence_s)
 
+    def limiting_refusal(self, wait_s: float) -> AbstractAsyncContextManager:
+        """Raise TimeoutError in the block when a refusal has waited for so long.
+
+        Before a drain it is not limited here.
+        """
+        begins_s = time.monotonic()
+        return self.limiting(lambda: max(begins_s, self.window.begins_s) + wait_s)
+
     @contextlib.asynccontextmanager
     async def limiting(self, latest_start_s: Callable[[], float]) -> AsyncIterator:
-        """Raise TimeoutError when it is too late to start what waits in the block."""
+        """Raise TimeoutError in the block at a time that may depend on the drain."""
         async with asyncio.timeout(None) as time_limit:
             self.waits[time_limit] = latest_start_s
             self.update_limit(time_limit)
--- a/tests/test_entry_sends_in_a_drain.py
+++ b/tests/test_entry_sends_in_a_drain.py
@@ -347,6 +347,36 @@
 
         play(scenario, entry=KEYED)
 
+    def test_is_refused_before_the_end_if_its_claim_can_not_be_released(self):
+        """At the end of the drain it would be taken for one that may have run."""
+
+        async def scenario(entry, target):
+            control, placer = entry.fleet_control, entry.service.placer
+            propose, proposed = control.propose, []
+
+            async def propose_first(command):
+                proposed.append(command)
+                if len(proposed) > 1:
+                    await asyncio.Event().wait()
+                result = await propose(command)
+                # The claim has just come as it is too late to send the request.
+                placer.begin_drain(LONG_DRAIN_MS / 1000, 0.0)
+                return result
+
+            control.propose = propose_first
+            hold(target)
+            asking = entry.ask_code(**self.headers())
+            while len(proposed) < 2:
+                await asyncio.sleep(0.001)
+            stopping = await entry.begin_stop()
+            assert await asking == (503, ResultCode.KEY_UNRESOLVED)
+            assert not entry.service.overdue and target.executed_keys == []
+            await stopping
+            control.propose = propose
+            await self.send_elsewhere(control, target)
+
+        play(scenario, entry=KEYED, drain_ms=LONG_DRAIN_MS)
+
     async def send_elsewhere(self, control, target):
         """Send the key again through another entry; it runs once."""
         target.may_answer.set()
