Let a refused body that never ends not outlast the grace period

The platform killed entries that stopped beside a caller that neither sends the rest of its body nor closes: with a grace period of 8 s they ended 8.03 to 8.05 s after the signal.

A body that is given up within the last second before the end of a drain is read for up to a second more, so that its caller can read the refusal. The drain waits 0.2 s for such connections, and the close of the server another 0.2 s: together more than the 0.4 s that are kept free after the time of what is in progress.

Connections that are left once all requests have a response are aborted at the end of the drain, so that the server has nothing more to wait for.

--- a/src/wisteriapulley/http_drain.py
+++ b/src/wisteriapulley/http_drain.py
@@ -292,3 +292,15 @@
         if not server.connections or now_s() >= ends_s:
             return
         await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def abort_remaining(server: CallerServer) -> None:
+    """Abort the connections that are still open once each request has its response.
+
+    The rest of a refused body may be read there, for longer than a stop may take.
+    """
+    for connection in server.connections:
+        if connection.transport is not None:
+            connection.transport.abort()
+    for _ in range(ACCEPT_TURNS):
+        await asyncio.sleep(0)
--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -27,6 +27,7 @@
 from wisteriapulley.http_drain import (
     CLOSE_TIMEOUT_S,
     CallerServer,
+    abort_remaining,
     close_when_answered,
 )
 from wisteriapulley.logs import fields
@@ -535,6 +536,7 @@
         await self.cancel_overdue()
         await close_when_answered(self.server, now_s() + CLOSE_TIMEOUT_S)
         await cancel_all(tuple(self.answers))
+        await abort_remaining(self.server)
 
     async def cancel_overdue(self) -> None:
         """End the requests that are in progress at the end of the drain.
--- a/tests/test_requests_read_at_a_stop.py
+++ b/tests/test_requests_read_at_a_stop.py
@@ -465,6 +465,21 @@
 
         play(scenario)
 
+    def test_body_that_is_refused_at_the_end_does_not_outlast_the_drain(
+        self, play, monkeypatch
+    ):
+        """Its caller sends neither the rest nor a close."""
+        monkeypatch.setattr("wisteriapulley.http_drain.UNREAD_BODY_WAIT_S", 1000.0)
+
+        async def scenario(entry):
+            entry.writer.write(request_bytes(1, b"x" * 2000)[:-1000])
+            await until(lambda: entry.ingress.body_limits)
+            await entry.begin_stop(0.5, overrun_s=0.3)
+            assert entry.statuses == [503] and not entry.handled
+            assert not entry.ingress.server.connections
+
+        play(scenario)
+
     def test_half_of_a_head_delays_the_stop_no_longer_than_its_limit(self, play):
         async def scenario(entry):
             entry.writer.write(request_bytes(1)[:40])
