Let a stream whose target exits wait for a slot at another one

Callers got a stream cut within 2 ms of the planned exit of its target, with 1.4 s of their own time left, as the only other engine had no slot at that moment (a play with real processes: the target announces that it drains, and exits 2.3 s later).

A target that leaves goes on for some seconds, and a long stream outlasts that. What is sent again after it breaks off asked for a slot once; only what was stopped with its version of the weights asked again.

A stream that may have run, and whose target was leaving, replaced or evacuated when it broke off, now looks for a slot until its own end while another target accepts requests. Targets that break off without any such plan are treated as before.

tests/test_leaving.py: test_goes_on_when_another_has_a_slot failed before, in its three cases.

--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -195,6 +195,7 @@
             self.look_for_newer(exchange)
         elif not isinstance(error, NoMemoryLeftError):
             self.registry.record_outcome(exchange.target, True, now_s)
+            self.look_for_slot(exchange)
         await self.crashes.check_for_crash(admitted, exchange)
 
     def look_for_newer(self, exchange: Exchange) -> None:
@@ -207,6 +208,12 @@
         exchange.progress.look_until_s = look_until_s
         exchange.progress.min_version = exchange.slot.version + 1
 
+    def look_for_slot(self, exchange: Exchange) -> None:
+        """Let a request whose target has left look for one until another has a slot."""
+        target, progress = exchange.target, exchange.progress
+        if target.is_retired or self.registry.is_evacuated(target):
+            progress.look_until_s = max(progress.look_until_s, self.now_s())
+
     def check_head(
         self,
         exchange: Exchange,
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,7 +9,10 @@
 from tests.fakes.platform import EVENT_STREAM
 from tests.plain_fleet import Fleet
 from tests.test_cooldown import send_repeatedly
+from tests.test_direct_dispatch import events
 from tests.test_response_signals import registry_of, state_of
+from tests.test_silent_targets import Entry, PacedAnswer, assert_whole
+from wisteriapulley.direct.types import Refusal, RefusalKind
 from wisteriapulley.policy.response_signals import ResponseSignals
 from wisteriapulley.rollout.engine import EngineReport
 
@@ -117,6 +120,65 @@
         test_platform_path.run_scenario(tmp_path, scenario)
 
 
+def tell_leave(registry):
+    """Tell that a target leaves, as control instances do."""
+    target = registry.targets["i-0"]
+    registry.update([target.state._replace(sequence=2, leaving=True)], 1.0)
+
+
+def announce_exit(registry):
+    """Let a target announce its exit in a response."""
+    registry.targets["i-0"].announced_leaving = True
+
+
+def evacuate(registry):
+    """Evacuate the failure domain of a target."""
+    target = registry.targets["i-0"]
+    target.state = target.state._replace(failure_domain="evacuated")
+    registry.evacuated = frozenset(["evacuated"])
+
+
+class TestStreamThatOutlastsItsTarget:
+    """The others are full as the target exits."""
+
+    FULL_UNTIL_S = 4.0
+
+    def serve(self, change):
+        """Return an entry after a stream whose target breaks off at 2 s.
+
+        Its registry changes amid the stream.
+        """
+        broken = PacedAnswer((0.1, events(1, 2)), (1.9, None))
+        entry = Entry(broken, PacedAnswer((0.0, events(3, 4))))
+        allocate = entry.allocator.allocate
+
+        async def allocate_late(*args, **more):
+            now_s = asyncio.get_running_loop().time()
+            if entry.client.plans and now_s < self.FULL_UNTIL_S:
+                return Refusal(RefusalKind.OVERLOADED, 0.25, "full")
+            if not entry.client.plans:
+                asyncio.get_running_loop().call_later(1.0, change, entry.registry)
+            return await allocate(*args, **more)
+
+        entry.allocator.allocate = allocate_late
+        entry.serve()
+        return entry
+
+    @pytest.mark.parametrize(
+        "change", [tell_leave, announce_exit, evacuate], ids=lambda c: c.__name__
+    )
+    def test_goes_on_when_another_has_a_slot(self, change):
+        assert_whole(self.serve(change))
+
+    def test_is_cut_if_all_leave(self):
+        def leave(registry):
+            for target in registry.targets.values():
+                target.announced_leaving = True
+
+        entry = self.serve(leave)
+        assert entry.caller.was_cut and entry.caller.body == events(1, 2)
+
+
 class TestReports:
     HELD = EngineReport({"m": 1})
 
