Refuse at the end of a version only what is more likely to be stopped than whole

A stream that may be repeated was refused near the end of its version if it might outlast it by the bound that few responses exceed, while no target had newer weights yet. Most of such streams would have been complete, and in a fleet whose engines switch late another one could have gone on with the rest.

It has nothing to lose but the time of its caller, so it is refused only if the mean of those before it does not fit. What has one send is lost if it is stopped, and is refused by the bound as before. Before the first response its stated size is taken without a factor for the load of the engine. The reason stands among the denials of the refusal ("version_ends").

--- a/src/wisteriapulley/direct/dispatch.py
+++ b/src/wisteriapulley/direct/dispatch.py
@@ -33,6 +33,7 @@
 from wisteriapulley.policy.prompt_sizes import PromptSizes
 from wisteriapulley.policy.retry_after import retry_after_s
 from wisteriapulley.policy.retry_detection import RetryDetector
+from wisteriapulley.policy.service_times import bound_of
 from wisteriapulley.policy.shared_budget import SharedRetryBudget
 from wisteriapulley.policy.silence import MAX_LOOK_INTERVAL_S, next_look_s
 from wisteriapulley.routing import Account, Route, RouteIndex, RoutingTable
@@ -320,8 +321,10 @@
     def add_expected(self, admitted: Admitted) -> Admitted:
         """Add how long the response is expected to take, by those before it."""
         work = work_of(admitted.route, admitted.request)
-        expected_s = self.drain_limits.run_times.upper_bound(work)
-        return admitted._replace(expected_s=expected_s or None)
+        estimate = self.drain_limits.run_times.estimate(work)
+        return admitted._replace(
+            expected_s=bound_of(estimate) or None, mean_s=estimate.mean or None
+        )
 
     def find_route(self, request: CallerRequest) -> Route | None:
         """Return the route of a request by the routing table in force, if any."""
--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -39,6 +39,8 @@
     expected_s : float or None
         How long its response is expected to take at most, from when it is sent; None if
         that is not known.
+    mean_s : float or None
+        The mean of that.
     may_have_run : bool
         Whether a target may have started to run it.
     is_last_send : bool
@@ -55,6 +57,7 @@
     has_begun: bool = False
     large_prompt: int = 0
     expected_s: float | None = None
+    mean_s: float | None = None
     may_have_run: bool = False
     is_last_send: bool = False
 
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -466,6 +466,7 @@
                 return slot
             # Another engine may hold the newer version.
             denials.counted += 1
+            denials.reasons["version_ends"] += 1
         return Refusal(
             RefusalKind.OVERLOADED,
             denials.retry_s,
@@ -616,7 +617,8 @@
         """Return whether a request may be sent at a slot.
 
         A target stops work at the end of its version. What has not run and can't go on
-        at another one is not sent there to be stopped.
+        at another one is not sent there to be stopped. What may be repeated has nothing
+        to lose but its caller's time, so it is sent if it is as likely to be complete.
         """
         now_s = self.now_s()
         if not slot.may_send(now_s):
@@ -692,16 +694,13 @@
 def expected_run_ms(admitted: Admitted, engine: Engine) -> float | None:
     """Return how long a response is expected to take; None if that is not known.
 
-    By the responses before it, or, before the first one, by its stated size.
+    By the responses before it: their mean, or for what has one send what few of them
+    exceed. Before the first one by the decode steps of its stated size.
     """
-    if admitted.expected_s is not None:
-        return admitted.expected_s * 1000
-    return decode_ms(admitted.request, engine) or None
-
-
-def decode_ms(request: CallerRequest, engine: Engine) -> float:
-    """Return how long a busy engine takes to decode a response."""
-    return DECODE_TIME_FACTOR * request.answer_tokens * engine.step_ms
+    known_s = admitted.expected_s if admitted.has_one_send else admitted.mean_s
+    if known_s is not None:
+        return known_s * 1000
+    return admitted.request.answer_tokens * engine.step_ms or None
 
 
 def send_margin_s(first_event_ms: float) -> float:
@@ -737,7 +736,7 @@
     left_ms = admitted.route.latency_ms - waited_ms - LATENCY_MARGIN_MS
     if left_ms > 0 and not admitted.is_retry:
         return Urgency(left_ms, priority, False)
-    run_ms = decode_ms(request, engine)
+    run_ms = DECODE_TIME_FACTOR * request.answer_tokens * engine.step_ms
     slack_ms = request.max_wait_s * 1000 - LATENCY_MARGIN_MS - run_ms
     may_wait = admitted.is_retry and returns_wait
     if may_wait:
