Read less ahead of the request that an entry serves

Callers lost requests that had been passed on, as the memory of an entry passed its limit. A part of that was counted by nothing: a connection whose next request waits for its turn read up to twice the library's default of 256 KiB, and one read of the socket, ahead. The comment at UNCOUNTED_BYTES takes it to be 64 KiB. Now it is: what a connection holds unread is at most 128 KiB and one read.

--- a/src/wisteriapulley/platform/ingress.py
+++ b/src/wisteriapulley/platform/ingress.py
@@ -43,6 +43,8 @@
 # Maximum length of a header line, above the operator's limits, so that those take
 # effect first.
 MAX_HEADER_BYTES = 65536
+# What a connection reads ahead of the request that is served. Nothing counts it.
+READ_AHEAD_BYTES = 64 << 10
 # Time until an idle connection is closed: longer than the operator's idle limit, within
 # which callers may reuse a connection.
 KEEPALIVE_S = 75.0
@@ -252,6 +254,7 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
             auto_decompress=False,
+            read_bufsize=READ_AHEAD_BYTES,
         )
         self.server = server
         self.runner = web.ServerRunner(
