Count whole responses of a stopping entry as such, and leave their rest to the system

A response of an entry with sidecars that was written whole and waited for its caller at the end of the drain was taken for one that is incomplete. It was counted as cut. For a stream an error event was written behind its end, which failed, and the request was counted as an internal error that may have run. What waited in the process was sent only as far as that went on.

At the end of the drain such a response is now complete, and the system is given what it takes of the rest, as at the entry without sidecars.

--- a/src/wisteriapulley/entry/service.py
+++ b/src/wisteriapulley/entry/service.py
@@ -37,6 +37,7 @@
 from wisteriapulley.response_end import cut, write_end
 from wisteriapulley.settings import EntrySettings
 from wisteriapulley.stalls import StallWatch
+from wisteriapulley.unsent import keep_unsent, unsent_bytes
 from wisteriapulley.wire import Frame, Link, messages
 from wisteriapulley.wire.handshake import Identity
 
@@ -292,10 +293,12 @@
         """Write the answer; if it is cut off, abort the connection."""
         response = self.make_response(caller, answer.head)
         await response.prepare(request)
+        is_whole = False
         try:
             async with asyncio.timeout(max(0.001, caller.remaining_s)):
                 async for part in answer.parts:
                     await response.write(part)
+                is_whole = True
                 await write_end(response, request.transport)
         except TimeoutError as error:
             timeout_error = RequestError(
@@ -312,6 +315,9 @@
         except asyncio.CancelledError as error:
             if not self.overdue:
                 raise
+            if is_whole:
+                self.leave_to_system(request, caller)
+                return response
             overdue_cut = RequestError(ResultCode.ANSWER_CUT, OVERDUE)
             await self.abort_response(request, caller, response, overdue_cut)
             raise overdue_cut from error
@@ -336,6 +342,17 @@
         # encoding is sent after that.
         return response
 
+    def leave_to_system(self, request: web.Request, caller: CallerRequest) -> None:
+        """Leave the rest of a whole response to the system, as the process ends."""
+        transport = request.transport
+        if transport is None or transport.is_closing():
+            return
+        log.warning(
+            "caller still reads at the end of the drain",
+            extra=fields(caller.request_id, unsent_bytes=unsent_bytes(transport)),
+        )
+        keep_unsent(transport)
+
     async def abort_response(
         self,
         request: web.Request,
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from types import SimpleNamespace
 
 import msgspec
@@ -146,6 +147,49 @@
 
         play(fake.run, scenario)
 
+    @pytest.mark.parametrize("content_type", ["text/plain", "text/event-stream"])
+    def test_whole_response_to_a_slow_caller_is_not_cut(self, play, content_type):
+        """All of it was written, and the system sends what it takes of the rest."""
+        part = b"y" * 60_000
+        fake = FakeRun(stop_nothing)
+        fake.headers = (SimpleNamespace(name="Content-Type", value=content_type),)
+
+        async def scenario(harness):
+            def limit_buffer():
+                (connection,) = harness.http.listener.server.connections
+                sock = connection.transport.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                return connection.transport
+
+            async def parts():
+                transport.append(limit_buffer())
+                yield part
+
+            transport = []
+            fake.parts = parts
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            address = harness.http.address
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, (address.host, address.port))
+            reader, writer = await asyncio.open_connection(sock=sock, limit=1024)
+            writer.write(
+                b"POST /services/letters/post HTTP/1.1\r\nHost: h.example\r\n"
+                b"X-Client-Account: council\r\nContent-Length: 0\r\n\r\n"
+            )
+            await reader.readuntil(b"\r\n\r\n")
+            assert transport[0].get_write_buffer_size()
+            await harness.service.stop()
+            left = transport[0].get_write_buffer_size()
+            assert left == 0
+            rest = await reader.read()
+            writer.close()
+            assert rest.count(b"y") == len(part) and rest.endswith(LAST_CHUNK)
+            assert harness.codes() == [ResultCode.OK]
+
+        play(fake.run, scenario)
+
     def test_response_that_ends_with_its_connection_is_reset(self, play):
         """A caller of HTTP/1.0 would take an orderly close for its end."""
         fake = FakeRun(asyncio.Event().wait)
