Make the send buffer of a response at the end of a drain no smaller

What is left of a whole response is given to the system at the end of a drain, by a larger send buffer. The system enlarges buffers by itself, beyond what a process may ask for where that limit is low, and a request for more would make such a buffer smaller and let it take less.

The buffer is set only if the limit of the system lets it grow.

--- a/src/wisteriapulley/unsent.py
+++ b/src/wisteriapulley/unsent.py
@@ -5,9 +5,12 @@
 import socket
 import struct
 import termios
+from pathlib import Path
 
 # SO_LINGER with a time of zero: a close discards what waits and resets the connection.
 DISCARD = struct.pack("ii", 1, 0)
+# See socket(7).
+LARGEST_BUFFER_FILE = Path("/proc/sys/net/core/wmem_max")
 
 
 def unsent_bytes(transport: asyncio.Transport) -> int:
@@ -33,12 +36,21 @@
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
-    size = unsent_bytes(transport)
-    # The system doubles what it is asked for, since it counts its own overhead too.
+    size = min(unsent_bytes(transport), largest_buffer_bytes())
+    # The system doubles what it is asked for, since it counts its own overhead too. A
+    # buffer that it has enlarged by itself may be larger than what can be asked for.
     if 2 * size > sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
 
+def largest_buffer_bytes() -> int:
+    """Return the largest send buffer that can be asked for; 0 if that is not known."""
+    try:
+        return int(LARGEST_BUFFER_FILE.read_text())
+    except (OSError, ValueError):
+        return 0
+
+
 def unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes in the send buffer of the kernel; 0 if it does not tell."""
     sock = transport.get_extra_info("socket")
--- a/tests/test_unsent.py
+++ b/tests/test_unsent.py
@@ -6,7 +6,8 @@
 import pytest
 import uvloop
 
-from wisteriapulley.unsent import unsent_bytes
+from wisteriapulley import unsent
+from wisteriapulley.unsent import keep_unsent, unsent_bytes
 
 SIZE = 600_000
 MAX_WAIT_S = 10.0
@@ -47,3 +48,40 @@
 
         with asyncio.Runner(loop_factory=loop_factory) as runner:
             assert runner.run(scenario()) > 0
+
+
+class FakeTransport:
+    """A connection of which much waits in the process."""
+
+    def __init__(self, sock):
+        self.sock = sock
+
+    def get_extra_info(self, name):
+        return self.sock
+
+    def get_write_buffer_size(self):
+        return SIZE
+
+
+class TestKeepUnsent:
+    @pytest.mark.parametrize("text", ["4096", "unknown", None])
+    def test_buffer_is_made_no_smaller(self, tmp_path, monkeypatch, text):
+        """The system may have enlarged it beyond what a process may ask for."""
+        path = tmp_path / "wmem_max"
+        if text is not None:
+            path.write_text(text)
+        monkeypatch.setattr(unsent, "LARGEST_BUFFER_FILE", path)
+        calls = []
+
+        class Socket:
+            def getsockopt(self, level, option):
+                return 400_000
+
+            def setsockopt(self, level, option, size):
+                calls.append(size)
+
+            def fileno(self):
+                return -1
+
+        keep_unsent(FakeTransport(Socket()))
+        assert calls == []
