Let the memory for responses follow from that of the process

Targets that send without end, several at once, took an entry of 300 MiB beyond its memory beside uploads: the responses that it keeps had 64 MiB, whatever the process had, and what is kept takes up to twice its size.

--- a/src/wisteriapulley/platform/settings.py
+++ b/src/wisteriapulley/platform/settings.py
@@ -45,9 +45,12 @@
 # it waits twice for callers to take these answers (`http_drain.CLOSE_TIMEOUT_S`).
 EXIT_MS = 100
 CLOSING_MS = 400 + EXIT_MS
-# Fraction of an entry's memory for the bodies of requests in progress. A body is copied
-# as it is completed and as it is sent, and responses need as much.
+# Fraction of an entry's memory for the bodies of requests in progress. A body takes up
+# to twice its size while it is received and sent.
 BODY_MEMORY_FRACTION = 1 / 6
+# Fraction of an entry's memory for what it keeps of responses, each of which takes up
+# to twice its size as it is completed. Connections need much of the rest.
+RESPONSE_MEMORY_FRACTION = 1 / 10
 
 
 class Listen(msgspec.Struct, rename="kebab"):
@@ -93,11 +96,16 @@
     framing_bytes: Annotated[int, msgspec.Meta(ge=1)] = ResponseLimits().framing_bytes
     body_bytes: Annotated[int, msgspec.Meta(ge=1)] = ResponseLimits().body_bytes
     event_bytes: Annotated[int, msgspec.Meta(ge=1)] = ResponseLimits().event_bytes
-    kept_bytes: Annotated[int, msgspec.Meta(ge=0)] = ResponseLimits().kept_bytes
+    # By default a fraction of the process's memory, where that is stated.
+    kept_bytes: Annotated[int, msgspec.Meta(ge=0)] | None = None
 
-    def limits(self) -> ResponseLimits:
-        """Return the product's settings."""
-        return ResponseLimits(**msgspec.structs.asdict(self))
+    def limits(self, memory_bytes: float) -> ResponseLimits:
+        """Return the product's settings; a memory of 0 is unknown."""
+        stated = msgspec.structs.asdict(self)
+        if self.kept_bytes is None:
+            share = int(memory_bytes * RESPONSE_MEMORY_FRACTION)
+            stated["kept_bytes"] = share or ResponseLimits().kept_bytes
+        return ResponseLimits(**stated)
 
 
 class PlatformSettings(msgspec.Struct, rename="kebab"):
@@ -177,8 +185,12 @@
 
     def request_body_bytes(self) -> int:
         """Return how much memory an entry has for the bodies of requests."""
-        memory_bytes = self.limits.memory_mb * (1 << 20)
-        return int(memory_bytes * BODY_MEMORY_FRACTION) or DEFAULT_REQUEST_BYTES
+        share = int(self.memory_bytes() * BODY_MEMORY_FRACTION)
+        return share or DEFAULT_REQUEST_BYTES
+
+    def memory_bytes(self) -> float:
+        """Return the memory of the process; 0 if it is not stated."""
+        return self.limits.memory_mb * (1 << 20)
 
     def common_settings(self, http_port: int, key_file: str) -> dict[str, object]:
         """Return the settings that all daemons share."""
@@ -225,7 +237,7 @@
             retry_slack=bounds.retry_budget_slack,
             retry_window_s=bounds.budget_window_s,
             returns_wait=self.returns_wait,
-            response_limits=self.response_limits.limits(),
+            response_limits=self.response_limits.limits(self.memory_bytes()),
             request_body_bytes=self.request_body_bytes(),
             drain_overrun_ms=self.drain_overrun_ms(),
             **self.common_settings(ENTRY_HTTP_PORT, key_file),
