Describe requests that look for another target as they are now

No logic changes. A request also looks for a target after a planned exit, which two descriptions left out, and three docstrings were hard to read at first. Formatter, linter and the tests of slot allocation, leaves, ends of versions and the reference pages pass.

--- a/src/wisteriapulley/direct/progress.py
+++ b/src/wisteriapulley/direct/progress.py
@@ -130,10 +130,11 @@
     rejected_until_s : dict of str to float
         By id, until when a target that turned the request away accepts none.
     look_until_s : float
-        Until when the request looks for another target after its version of the
-        weights ended at the one before, on the loop's clock; 0 if it did not.
+        Until when the request looks for another target, on the loop's clock, after its
+        version of the weights ended at the one before, or that one has exited as
+        planned; 0 if neither happened.
     min_version : int
-        Oldest version of the weights that may go on with the request then.
+        Oldest version of the weights that may go on with the request then; 0 for any.
     has_begun : bool
         Whether the response to the caller has begun.
     status : int
@@ -192,7 +193,7 @@
 
     @property
     def was_dropped(self) -> bool:
-        """Whether a target had not started it in time, or stopped it at that end."""
+        """Whether its target is lost to the end of a version or to a planned exit."""
         return self.look_until_s > 0.0
 
     def excluded(self, known: Iterable[str], now_s: float) -> set[str]:
--- a/src/wisteriapulley/direct/sending.py
+++ b/src/wisteriapulley/direct/sending.py
@@ -209,7 +209,7 @@
         exchange.progress.min_version = exchange.slot.version + 1
 
     def look_for_slot(self, exchange: Exchange) -> None:
-        """Let a request whose target has left look for one until another has a slot."""
+        """Let a request whose target exits as planned wait for a slot at another."""
         target, progress = exchange.target, exchange.progress
         if target.is_retired or self.registry.is_evacuated(target):
             progress.look_until_s = max(progress.look_until_s, self.now_s())
--- a/src/wisteriapulley/direct/slot_allocation.py
+++ b/src/wisteriapulley/direct/slot_allocation.py
@@ -617,8 +617,8 @@
         """Return whether a request may be sent at a slot.
 
         A target stops work at the end of its version. What has not run and can't go on
-        at another one is not sent there to be stopped. What may be repeated has nothing
-        to lose but its caller's time, so it is sent if it is as likely to be complete.
+        at another one is not sent there to be stopped. A request that may be sent again
+        loses only time if it is stopped, so it is sent if it will probably be complete.
         """
         now_s = self.now_s()
         if not slot.may_send(now_s):
@@ -694,8 +694,9 @@
 def expected_run_ms(admitted: Admitted, engine: Engine) -> float | None:
     """Return how long a response is expected to take; None if that is not known.
 
-    By the responses before it: their mean, or for what has one send what few of them
-    exceed. Before the first one by the decode steps of its stated size.
+    That is the mean of the responses before it. For a request that can be sent only
+    once it is a bound that few of them exceed, since it is lost if it is stopped.
+    Before the first response it is the time of the decode steps of the stated size.
     """
     known_s = admitted.expected_s if admitted.has_one_send else admitted.mean_s
     if known_s is not None:
--- a/src/wisteriapulley/policy/version_end.py
+++ b/src/wisteriapulley/policy/version_end.py
@@ -76,7 +76,9 @@
     ----------
     expected_ms : float
         How long the response is expected to take.
-    remaining_ms, start_left_ms : float, float or None
+    remaining_ms : float
+        Time until the deadline of the request.
+    start_left_ms : float or None
         As for `time_limit_ms`.
     """
     needed_ms = min(expected_ms, remaining_ms)
